lib: set down the workspace and the core types

Cause: the shape of the code (small modules, one goroutine for each duty, bounded rings between duties) has to stand before the parts grow.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# Targets for newcomers and for CI. Every target runs from a fresh clone.
+
+MODULES := $(shell awk '/^\t\.\//{print $$1}' go.work)
+PACKAGES := $(addsuffix /...,$(MODULES))
+
+.PHONY: build test lint bench demo model fmt
+
+build:
+	go build -o bin/rattanspur ./cmd/rattanspur
+	go build -o bin/standin ./standin/cmd/standin
+
+# All tests, with fixed seeds. CI calls this.
+test:
+	tools/check-imports
+	go vet $(PACKAGES)
+	go test -count=1 $(PACKAGES)
+
+lint:
+	golangci-lint run $(PACKAGES)
+
+fmt:
+	gofmt -w $(MODULES)
--- /dev/null
+++ b/lib/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission orders waiting calls fairly by customer and priority.
+package admission
--- /dev/null
+++ b/lib/config/accepted.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/zeebo/blake3"
+
+	"rattanspur.example/lib/finding"
+	"rattanspur.example/lib/fleet"
+)
+
+// Stamp orders accepted documents: by generation, then by digest. The order is
+// total, so processes that adopt the greatest they have seen come to agree.
+type Stamp struct {
+	Generation fleet.Generation `json:"generation"`
+	Digest     fleet.Digest     `json:"digest"`
+}
+
+// Compare returns -1, 0 or 1 as s is below, equal to or above o.
+func (s Stamp) Compare(o Stamp) int {
+	switch {
+	case s.Generation < o.Generation:
+		return -1
+	case s.Generation > o.Generation:
+		return 1
+	default:
+		return bytes.Compare(s.Digest[:], o.Digest[:])
+	}
+}
+
+// IsZero reports whether nothing was adopted yet.
+func (s Stamp) IsZero() bool { return s == Stamp{} }
+
+// Accepted is a document that passed validation. It is immutable; processes
+// pass it on as the published bytes so that the digest stays the same.
+type Accepted struct {
+	Document
+	Stamp Stamp
+	Bytes []byte
+
+	profiles map[fleet.ProfileName]*Profile
+	services map[fleet.Service]*Service
+	domains  map[fleet.FailureDomain]*FailureDomain
+	keys     map[string]*Customer
+}
+
+// Accept parses and validates published bytes. The error is a *finding.Error
+// with all findings.
+func Accept(data []byte) (*Accepted, error) {
+	var findings finding.List
+	if len(data) > MaxDocumentBytes {
+		findings.Add("", "document has %d bytes, the limit is %d", len(data), MaxDocumentBytes)
+		return nil, findings.Err()
+	}
+	a := &Accepted{Bytes: data}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&a.Document); err != nil {
+		findings.AddAt("", lineAt(data, decoder.InputOffset()), "", "document is not valid JSON: %v", err)
+		return nil, findings.Err()
+	}
+	a.index()
+	validate(a, &findings)
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	a.Stamp = Stamp{Generation: a.Generation, Digest: blake3.Sum256(data)}
+	return a, nil
+}
+
+func lineAt(data []byte, offset int64) int {
+	end := min(int(offset), len(data))
+	return 1 + bytes.Count(data[:end], []byte{'\n'})
+}
+
+func (a *Accepted) index() {
+	a.profiles = make(map[fleet.ProfileName]*Profile, len(a.Profiles))
+	for i := range a.Profiles {
+		a.profiles[a.Profiles[i].Name] = &a.Profiles[i]
+	}
+	a.services = make(map[fleet.Service]*Service, len(a.Services))
+	for i := range a.Services {
+		a.services[a.Services[i].Name] = &a.Services[i]
+	}
+	a.domains = make(map[fleet.FailureDomain]*FailureDomain, len(a.FailureDomains))
+	for i := range a.FailureDomains {
+		a.domains[a.FailureDomains[i].Name] = &a.FailureDomains[i]
+	}
+	a.keys = make(map[string]*Customer, len(a.Customers))
+	for i := range a.Customers {
+		a.keys[a.Customers[i].KeySHA256] = &a.Customers[i]
+	}
+}
+
+// Profile returns the profile with that name, or nil.
+func (a *Accepted) Profile(name fleet.ProfileName) *Profile { return a.profiles[name] }
+
+// Service returns the service with that name, or nil.
+func (a *Accepted) Service(name fleet.Service) *Service { return a.services[name] }
+
+// CustomerByKey returns the customer whose key has that SHA-256, or nil.
+func (a *Accepted) CustomerByKey(sha256Hex string) *Customer { return a.keys[sha256Hex] }
+
+// DomainIn reports whether a failure domain takes new work. A domain that the
+// document does not name takes none.
+func (a *Accepted) DomainIn(name fleet.FailureDomain) bool {
+	d := a.domains[name]
+	return d != nil && d.State == DomainIn
+}
+
+// ServedProfile returns the profile that a model service serves, or nil.
+func (a *Accepted) ServedProfile(name fleet.Service) *Profile {
+	s := a.services[name]
+	if s == nil || s.Kind != KindModel {
+		return nil
+	}
+	return a.profiles[s.Profile]
+}
--- /dev/null
+++ b/lib/engine/engine.go
@@ -0,0 +1,126 @@
+// Package engine is the client of model engines and plain services: orders,
+// load reports and the address of calls.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"rattanspur.example/lib/fleet"
+)
+
+// maxReportBytes bounds a load report read from an engine.
+const maxReportBytes = 1 << 20
+
+// ErrFenced says that the engine refused an order with an old fencing number.
+var ErrFenced = errors.New("engine refused an old fencing number")
+
+// Report is what an engine says of itself.
+type Report struct {
+	BootID  string   `json:"boot_id"`
+	Warm    bool     `json:"warm"`
+	Running int      `json:"running"`
+	Waiting int      `json:"waiting"`
+	Loaded  []Loaded `json:"loaded"`
+	// Fence is the highest fencing number seen; 0 if the engine ignores them.
+	Fence int64 `json:"fence"`
+}
+
+// Loaded is one version in the engine's memory.
+type Loaded struct {
+	Model   string        `json:"model"`
+	Version fleet.Version `json:"version"`
+	Root    fleet.Digest  `json:"root"`
+}
+
+// Has reports whether the engine holds the weights with that root.
+func (r *Report) Has(root fleet.Digest) bool {
+	for _, l := range r.Loaded {
+		if l.Root == root {
+			return true
+		}
+	}
+	return false
+}
+
+// LoadOrder asks an engine to load a version from a source URL.
+type LoadOrder struct {
+	Loaded
+	Source string `json:"source"`
+	Fence  int64  `json:"fence"`
+}
+
+// UnloadOrder asks an engine to free a version.
+type UnloadOrder struct {
+	Root  fleet.Digest `json:"root"`
+	Fence int64        `json:"fence"`
+}
+
+// Client talks to one engine.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client for an engine at a base URL.
+func New(base string, client *http.Client) *Client {
+	return &Client{base: strings.TrimSuffix(base, "/"), http: client}
+}
+
+// Base returns the base URL that calls go to.
+func (c *Client) Base() string { return c.base }
+
+// Report reads the engine's load report.
+func (c *Client) Report(ctx context.Context) (*Report, error) {
+	var r Report
+	if err := c.exchange(ctx, http.MethodGet, "/load", nil, &r); err != nil {
+		return nil, err
+	}
+	return &r, nil
+}
+
+// Load orders a version; it returns when the engine has loaded it.
+func (c *Client) Load(ctx context.Context, o LoadOrder) error {
+	return c.exchange(ctx, http.MethodPost, "/orders/load", o, nil)
+}
+
+// Unload orders a version to be freed.
+func (c *Client) Unload(ctx context.Context, o UnloadOrder) error {
+	return c.exchange(ctx, http.MethodPost, "/orders/unload", o, nil)
+}
+
+func (c *Client) exchange(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader = http.NoBody
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return eris.Wrap(err, "encode order")
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return eris.Wrap(err, "engine request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "engine request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return ErrFenced
+	case resp.StatusCode != http.StatusOK:
+		return eris.Errorf("engine answered %d on %s", resp.StatusCode, path)
+	case out == nil:
+		return nil
+	}
+	return eris.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(out), "engine report")
+}
--- /dev/null
+++ b/lib/manifest/manifest.go
@@ -0,0 +1,153 @@
+// Package manifest describes a tree of weight files by the digests of its chunks.
+//
+// A configuration names only the root digest, which is the digest of the
+// encoded manifest; whoever holds the root can verify every chunk.
+package manifest
+
+import (
+	"encoding/json"
+	"path"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/zeebo/blake3"
+
+	"rattanspur.example/lib/finding"
+	"rattanspur.example/lib/fleet"
+)
+
+// DefaultChunkBytes is the chunk size of a manifest unless another is asked for.
+const DefaultChunkBytes = 1 << 20
+
+// MaxChunkBytes bounds the memory that one chunk in flight may take.
+const MaxChunkBytes = 64 << 20
+
+// MaxManifestBytes bounds an encoded manifest read from outside.
+const MaxManifestBytes = 64 << 20
+
+// Manifest lists the files of a weight tree in the order of their names.
+type Manifest struct {
+	// ChunkBytes is the size of every chunk but the last of each file.
+	ChunkBytes int64  `json:"chunk_bytes"`
+	Files      []File `json:"files"`
+}
+
+// File is one file of the tree.
+type File struct {
+	// Path is relative, with slashes, and stays inside the tree.
+	Path string `json:"path"`
+	// Size is the length in bytes; an empty file has no chunks.
+	Size   int64          `json:"size"`
+	Chunks []fleet.Digest `json:"chunks,omitempty"`
+}
+
+// Chunk is one piece of a file, as transfers name it.
+type Chunk struct {
+	// Index counts chunks over the whole manifest, from 0.
+	Index  int
+	File   int
+	Offset int64
+	Length int64
+	Digest fleet.Digest
+}
+
+// Encode returns the bytes whose digest is the root.
+func (m *Manifest) Encode() ([]byte, error) {
+	data, err := json.Marshal(m)
+	return data, eris.Wrap(err, "encode manifest")
+}
+
+// Root returns the digest that names encoded manifest bytes.
+func Root(encoded []byte) fleet.Digest { return blake3.Sum256(encoded) }
+
+// Decode parses and checks a manifest whose digest must be root. Findings are
+// reported together.
+func Decode(encoded []byte, root fleet.Digest) (*Manifest, error) {
+	if got := Root(encoded); got != root {
+		return nil, eris.Errorf("manifest has digest %s, want %s", got, root)
+	}
+	var m Manifest
+	if err := json.Unmarshal(encoded, &m); err != nil {
+		return nil, eris.Wrap(err, "manifest is not valid JSON")
+	}
+	if err := m.Check(); err != nil {
+		return nil, err
+	}
+	return &m, nil
+}
+
+// Check validates names, sizes and chunk counts. The error is a *finding.Error.
+func (m *Manifest) Check() error {
+	var l finding.List
+	if m.ChunkBytes < 1 || m.ChunkBytes > MaxChunkBytes {
+		l.Add("chunk_bytes", "is %d, want 1 to %d", m.ChunkBytes, MaxChunkBytes)
+		return l.Err()
+	}
+	previous := ""
+	for _, f := range m.Files {
+		key := "files[" + f.Path + "]"
+		if !SafePath(f.Path) {
+			l.Add(key, "path is not a clean relative path inside the tree")
+		}
+		if f.Path <= previous {
+			l.Add(key, "files are not in strictly ascending order of path")
+		}
+		previous = f.Path
+		if f.Size < 0 {
+			l.Add(key, "size is negative")
+			continue
+		}
+		if want := chunkCount(f.Size, m.ChunkBytes); int64(len(f.Chunks)) != want {
+			l.Add(key, "has %d chunks, want %d for %d bytes", len(f.Chunks), want, f.Size)
+		}
+	}
+	return l.Err()
+}
+
+// SafePath reports whether a name from a manifest stays inside the tree.
+func SafePath(p string) bool {
+	if p == "" || p == "." || strings.ContainsAny(p, "\\\x00") || path.IsAbs(p) {
+		return false
+	}
+	return path.Clean(p) == p && p != ".." && !strings.HasPrefix(p, "../")
+}
+
+func chunkCount(size, chunkBytes int64) int64 {
+	n := size / chunkBytes
+	if size%chunkBytes != 0 {
+		n++
+	}
+	return n
+}
+
+// Size returns the length of all files in bytes.
+func (m *Manifest) Size() int64 {
+	var total int64
+	for _, f := range m.Files {
+		total += f.Size
+	}
+	return total
+}
+
+// Chunks returns all chunks in the order of their index.
+func (m *Manifest) Chunks() []Chunk {
+	var chunks []Chunk
+	for fi, f := range m.Files {
+		for ci, digest := range f.Chunks {
+			offset := int64(ci) * m.ChunkBytes
+			chunks = append(chunks, Chunk{
+				Index:  len(chunks),
+				File:   fi,
+				Offset: offset,
+				Length: min(m.ChunkBytes, f.Size-offset),
+				Digest: digest,
+			})
+		}
+	}
+	return chunks
+}
+
+// Verify reports whether data is the chunk's content.
+func (c Chunk) Verify(data []byte) bool {
+	return int64(len(data)) == c.Length && fleet.Digest(blake3.Sum256(data)) == c.Digest
+}
--- /dev/null
+++ b/lib/node/timeline.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/timeline"
+	"rattanspur.example/lib/wire"
+)
+
+// timelineMessage is an event to record, a stamp to observe or a question.
+type timelineMessage struct {
+	event   *timeline.Event
+	observe timeline.Stamp
+	answer  *ring.Ring[[]timeline.Event]
+}
+
+// Record adds an event to the process's time line. It never blocks; when the
+// ring is full the oldest message is discarded and counted.
+func (n *Node) Record(e timeline.Event) {
+	e.Instance = n.settings.Self.ID
+	e.FailureDomain = n.settings.Self.FailureDomain
+	_ = n.events.Put(context.Background(), timelineMessage{event: &e})
+}
+
+// Observe takes in the clock of another process.
+func (n *Node) Observe(s timeline.Stamp) {
+	_ = n.events.Put(context.Background(), timelineMessage{observe: s})
+}
+
+// runTimeline owns the clock and the log of events.
+func (n *Node) runTimeline(ctx context.Context) error {
+	var clock timeline.Clock
+	events := timeline.NewLog(eventLog)
+	for {
+		m, err := n.events.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		switch {
+		case m.answer != nil:
+			_ = m.answer.Put(ctx, events.Events())
+		case m.event != nil:
+			m.event.Stamp = clock.Now(time.Now())
+			events.Append(*m.event)
+		default:
+			clock.Observe(m.observe, time.Now())
+		}
+	}
+}
+
+// TimelineHandler serves the events that the process keeps.
+func (n *Node) TimelineHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := ring.New[[]timeline.Event](1, ring.Refuse)
+		_ = n.events.Put(r.Context(), timelineMessage{answer: answer})
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		events, err := answer.Take(ctx)
+		if err != nil {
+			http.Error(w, "time line does not answer", http.StatusServiceUnavailable)
+			return
+		}
+		wire.WriteJSON(w, events)
+	})
+}
--- /dev/null
+++ b/lib/once/doc.go
@@ -0,0 +1,2 @@
+// Package once decides whether a request that may not be repeated may run.
+package once
--- /dev/null
+++ b/lib/platform/platform.go
@@ -0,0 +1,102 @@
+// Package platform holds clients of what the platform gives: the configuration
+// service and the instance list. Both can only be read.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/fleet"
+)
+
+// indexHeader carries the index of a value, as key-value services with long
+// polls commonly name it.
+const indexHeader = "X-Consul-Index"
+
+// maxListBytes bounds an instance list read from outside.
+const maxListBytes = 16 << 20
+
+// ConfigService reads and watches one key.
+type ConfigService struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// NewConfigService returns a client of the service at a base URL for one key.
+func NewConfigService(base, key string, client *http.Client) *ConfigService {
+	return &ConfigService{base: strings.TrimSuffix(base, "/"), key: key, http: client}
+}
+
+// Value is a published value with its index.
+type Value struct {
+	Bytes []byte
+	Index uint64
+}
+
+// Read returns the value. With an index it waits until the value's index is
+// greater, for at most wait; then it returns the value as it is.
+func (s *ConfigService) Read(ctx context.Context, index uint64, wait time.Duration) (Value, error) {
+	url := fmt.Sprintf("%s/v1/kv/%s?raw", s.base, s.key)
+	if index > 0 {
+		url += fmt.Sprintf("&index=%d&wait=%dms", index, wait.Milliseconds())
+	}
+	body, header, err := get(ctx, s.http, url, config.MaxDocumentBytes)
+	if err != nil {
+		return Value{}, eris.Wrap(err, "configuration service")
+	}
+	i, err := strconv.ParseUint(header.Get(indexHeader), 10, 64)
+	if err != nil {
+		return Value{}, eris.Wrap(err, "configuration service sent no index")
+	}
+	return Value{Bytes: body, Index: i}, nil
+}
+
+// InstanceList is the platform's lagging view of the fleet.
+type InstanceList struct {
+	Revision  uint64           `json:"revision"`
+	Instances []fleet.Instance `json:"instances"`
+}
+
+// ReadInstances returns the instance list at a base URL.
+func ReadInstances(ctx context.Context, client *http.Client, base string) (InstanceList, error) {
+	var list InstanceList
+	body, _, err := get(ctx, client, strings.TrimSuffix(base, "/")+"/v1/instances", maxListBytes)
+	if err != nil {
+		return list, eris.Wrap(err, "instance list")
+	}
+	err = json.Unmarshal(body, &list)
+	return list, eris.Wrap(err, "instance list is not valid JSON")
+}
+
+func get(ctx context.Context, client *http.Client, url string, limit int64) ([]byte, http.Header, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return nil, nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, nil, eris.Errorf("unexpected status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, nil, eris.Errorf("answer is larger than %d bytes", limit)
+	}
+	return body, resp.Header, nil
+}
--- /dev/null
+++ b/lib/relay/relay.go
@@ -0,0 +1,113 @@
+// Package relay moves a response from the goroutine that reads it to the
+// handler that writes it, through a bounded ring. A slow reader of the
+// response slows the source down instead of filling memory.
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"rattanspur.example/lib/ring"
+)
+
+// partBytes is the largest piece of a body that one part carries.
+const partBytes = 16 << 10
+
+// ringParts is the number of parts in flight for one response.
+const ringParts = 16
+
+// Part is a piece of a response: its head, bytes of its body, or its end.
+type Part struct {
+	// Head is set on the first part only.
+	Head *Head
+	Data []byte
+	// End marks the last part; Err says why the response is not whole.
+	End bool
+	Err error
+}
+
+// Head is the status and the header of a response.
+type Head struct {
+	Status int
+	Header http.Header
+}
+
+// Stream carries the parts of one response.
+type Stream = ring.Ring[Part]
+
+// NewStream returns an empty stream.
+func NewStream() *Stream { return ring.New[Part](ringParts, ring.Wait) }
+
+// ErrCut says that a response ended before it was whole.
+var ErrCut = errors.New("response was cut")
+
+// Write writes the parts of a stream to w until its end. An error after the
+// head was written means that the caller must abort the connection, so that
+// the peer does not take the response for a whole one.
+func Write(ctx context.Context, w http.ResponseWriter, s *Stream) error {
+	flusher := http.NewResponseController(w)
+	for {
+		part, err := s.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if part.Head != nil {
+			writeHead(w, part.Head)
+		}
+		if len(part.Data) > 0 {
+			if _, err := w.Write(part.Data); err != nil {
+				return err
+			}
+			if err := flusher.Flush(); err != nil {
+				return err
+			}
+		}
+		if part.End {
+			return part.Err
+		}
+	}
+}
+
+func writeHead(w http.ResponseWriter, h *Head) {
+	for name, values := range h.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(h.Status)
+}
+
+// ReadBody puts the bytes of body on the stream. It returns the error that
+// ended the body early, if any, and does not put the last part.
+func ReadBody(ctx context.Context, body io.Reader, s *Stream) error {
+	for {
+		buffer := make([]byte, partBytes)
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if perr := s.Put(ctx, Part{Data: buffer[:n]}); perr != nil {
+				return perr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// hopHeaders belong to one connection and are never passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// PassHeader returns a copy of a header without what belongs to one connection.
+func PassHeader(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/lib/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry decides whether a call may be tried again.
+package retry
--- /dev/null
+++ b/lib/settings/settings.go
@@ -0,0 +1,244 @@
+// Package settings reads the INI settings of a process and reports all
+// findings together with their file, line and key.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/ini.v1"
+
+	"rattanspur.example/lib/finding"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/pacing"
+)
+
+// Node holds what entry and agent have in common.
+type Node struct {
+	Self         fleet.Instance
+	ConfigURL    string
+	ConfigKey    string
+	InstancesURL string
+	PeerKeys     []string
+	OperatorKey  string
+	// ListEvery is the time between two reads of the instance list.
+	ListEvery time.Duration
+	// WatchWait is how long a watch of the configuration service waits.
+	WatchWait time.Duration
+	// StartWait bounds how long a starting process waits for its peers.
+	StartWait time.Duration
+	LogLevel  string
+}
+
+// Entry holds the settings of an entry.
+type Entry struct {
+	Node
+	// Calls is the number of calls in flight that an entry carries.
+	Calls int
+	// CallTimeout bounds a call from its arrival to its last byte.
+	CallTimeout time.Duration
+	// BodyBytes bounds a caller's request body.
+	BodyBytes int64
+}
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	Node
+	UpstreamURL string
+	// WeightsListen is the loopback address where the engine reads weights.
+	WeightsListen string
+	// ReportEvery is the time between two reads of the engine's load report.
+	ReportEvery time.Duration
+	Calls       int
+	// LinkUp and LinkDown pace the machine's link for weights.
+	LinkUp   pacing.BytesPerSecond
+	LinkDown pacing.BytesPerSecond
+	// OrderTimeout bounds one order to the engine.
+	OrderTimeout time.Duration
+}
+
+// LoadEntry reads the settings of an entry. The error is a *finding.Error if
+// the file could be read.
+func LoadEntry(file string) (*Entry, error) {
+	r, err := open(file)
+	if err != nil {
+		return nil, err
+	}
+	s := &Entry{Node: r.node(fleet.RoleEntry)}
+	s.Calls = r.integer("entry", "calls", 512, 1)
+	s.CallTimeout = r.duration("entry", "call_timeout", 60*time.Second)
+	s.BodyBytes = int64(r.integer("entry", "body_bytes", 1<<20, 1))
+	r.unknown("node", "entry")
+	return s, r.findings.Err()
+}
+
+// LoadAgent reads the settings of an agent. The error is a *finding.Error if
+// the file could be read.
+func LoadAgent(file string) (*Agent, error) {
+	r, err := open(file)
+	if err != nil {
+		return nil, err
+	}
+	s := &Agent{Node: r.node(fleet.RoleAgent)}
+	s.Self.Service = fleet.Service(r.text("agent", "service", ""))
+	s.UpstreamURL = r.text("agent", "upstream_url", "")
+	s.WeightsListen = r.address("agent", "weights_listen", "127.0.0.1:0")
+	s.ReportEvery = r.duration("agent", "report_every", 250*time.Millisecond)
+	s.Calls = r.integer("agent", "calls", 256, 1)
+	s.LinkUp = pacing.BytesPerSecond(r.integer("agent", "link_up_bytes_per_second", 0, 0))
+	s.LinkDown = pacing.BytesPerSecond(r.integer("agent", "link_down_bytes_per_second", 0, 0))
+	s.OrderTimeout = r.duration("agent", "order_timeout", 5*time.Minute)
+	r.unknown("node", "agent")
+	return s, r.findings.Err()
+}
+
+// reader reads keys, notes which were asked for and collects findings.
+type reader struct {
+	name     string
+	lines    []string
+	file     *ini.File
+	asked    map[string]bool
+	findings finding.List
+}
+
+func open(name string) (*reader, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	file, err := ini.Load(data)
+	if err != nil {
+		return nil, eris.Wrapf(err, "settings %s", name)
+	}
+	return &reader{
+		name:  name,
+		lines: strings.Split(string(data), "\n"),
+		file:  file,
+		asked: map[string]bool{},
+	}, nil
+}
+
+func (r *reader) node(role fleet.Role) Node {
+	n := Node{Self: fleet.Instance{Role: role, State: fleet.StateLive}}
+	n.Self.ID = fleet.InstanceID(r.text("node", "id", ""))
+	n.Self.Address = r.address("node", "listen", "")
+	n.Self.FailureDomain = fleet.FailureDomain(r.text("node", "failure_domain", ""))
+	n.Self.Region = fleet.Region(r.text("node", "region", ""))
+	n.ConfigURL = r.text("node", "config_url", "")
+	n.ConfigKey = r.text("node", "config_key", "rattanspur/config")
+	n.InstancesURL = r.text("node", "instances_url", "")
+	n.PeerKeys = r.list("node", "peer_keys")
+	n.OperatorKey = r.text("node", "operator_key", "")
+	n.ListEvery = r.duration("node", "list_every", time.Second)
+	n.WatchWait = r.duration("node", "watch_wait", 10*time.Second)
+	n.StartWait = r.duration("node", "start_wait", 2*time.Second)
+	n.LogLevel = r.text("node", "log_level", "info")
+	return n
+}
+
+func (r *reader) key(section, name string) (*ini.Key, bool) {
+	r.asked[section+"."+name] = true
+	s := r.file.Section(section)
+	if !s.HasKey(name) {
+		return nil, false
+	}
+	return s.Key(name), true
+}
+
+func (r *reader) add(section, name, format string, args ...any) {
+	r.findings.AddAt(r.name, r.line(section, name), section+"."+name, format, args...)
+}
+
+// text reads a value; without a default the key is required, except for keys
+// that only some processes need.
+func (r *reader) text(section, name, missing string) string {
+	k, ok := r.key(section, name)
+	if ok {
+		return k.String()
+	}
+	if missing == "" && name != "operator_key" {
+		r.add(section, name, "is missing")
+	}
+	return missing
+}
+
+func (r *reader) list(section, name string) []string {
+	k, ok := r.key(section, name)
+	if !ok {
+		r.add(section, name, "is missing")
+		return nil
+	}
+	return k.Strings(",")
+}
+
+func (r *reader) address(section, name, missing string) string {
+	v := r.text(section, name, missing)
+	if v == "" {
+		return v
+	}
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		r.add(section, name, "%q is not an IP address with a port", v)
+	}
+	return v
+}
+
+func (r *reader) integer(section, name string, missing, least int) int {
+	k, ok := r.key(section, name)
+	if !ok {
+		return missing
+	}
+	v, err := strconv.Atoi(k.String())
+	if err != nil || v < least {
+		r.add(section, name, "%q is not a whole number of at least %d", k.String(), least)
+		return missing
+	}
+	return v
+}
+
+func (r *reader) duration(section, name string, missing time.Duration) time.Duration {
+	k, ok := r.key(section, name)
+	if !ok {
+		return missing
+	}
+	v, err := time.ParseDuration(k.String())
+	if err != nil || v <= 0 {
+		r.add(section, name, "%q is not a positive duration with a unit, such as 250ms", k.String())
+		return missing
+	}
+	return v
+}
+
+// unknown reports keys that no code asked for, which are most often typing errors.
+func (r *reader) unknown(sections ...string) {
+	for _, s := range r.file.Sections() {
+		for _, k := range s.Keys() {
+			if !r.asked[s.Name()+"."+k.Name()] {
+				r.add(s.Name(), k.Name(), "unknown key; known sections are %s", strings.Join(sections, ", "))
+			}
+		}
+	}
+}
+
+// line finds the line of a key, or of its section if the key is missing.
+func (r *reader) line(section, name string) int {
+	current, sectionLine := ini.DefaultSection, 0
+	for i, text := range r.lines {
+		text = strings.TrimSpace(text)
+		if strings.HasPrefix(text, "[") && strings.HasSuffix(text, "]") {
+			current = strings.TrimSpace(text[1 : len(text)-1])
+			if current == section {
+				sectionLine = i + 1
+			}
+			continue
+		}
+		key, _, found := strings.Cut(text, "=")
+		if found && current == section && strings.TrimSpace(key) == name {
+			return i + 1
+		}
+	}
+	return sectionLine
+}
--- /dev/null
+++ b/lib/weightstore/weightstore.go
@@ -0,0 +1,127 @@
+// Package weightstore reads weights from a store or an origin over HTTP ranges.
+package weightstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrChanged says that the content behind a URL is no longer the one that was
+// read first. A transfer must end, since its chunks belong to another version.
+var ErrChanged = errors.New("content changed during the transfer")
+
+// ErrBusy says that the store refused for now.
+var ErrBusy = errors.New("store refused the request for now")
+
+// Client reads one weight tree from one base URL.
+type Client struct {
+	base string
+	http *http.Client
+
+	mu    sync.Mutex
+	etags map[string]string
+}
+
+// New returns a client for a base URL.
+func New(base string, client *http.Client) *Client {
+	return &Client{base: strings.TrimSuffix(base, "/"), http: client, etags: map[string]string{}}
+}
+
+// Manifest returns the encoded manifest, at most limit bytes.
+func (c *Client) Manifest(ctx context.Context, limit int64) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/manifest.json", http.NoBody)
+	if err != nil {
+		return nil, eris.Wrap(err, "manifest request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, eris.Wrap(err, "get manifest")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, statusError(resp)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "read manifest")
+	}
+	if int64(len(data)) > limit {
+		return nil, eris.Errorf("manifest is larger than %d bytes", limit)
+	}
+	return data, nil
+}
+
+// Range returns a reader of length bytes of a file from offset. The caller
+// closes it. ErrChanged and ErrBusy can be told apart with errors.Is.
+func (c *Client) Range(ctx context.Context, path string, offset, length int64) (io.ReadCloser, error) {
+	target := c.base + "/files/" + escape(path)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	if err != nil {
+		return nil, eris.Wrap(err, "range request")
+	}
+	req.Header.Set("Range", fmt.Sprintf("bytes=%d-%d", offset, offset+length-1))
+	if tag := c.etag(path); tag != "" {
+		req.Header.Set("If-Range", tag)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, eris.Wrap(err, "get range")
+	}
+	if resp.StatusCode != http.StatusPartialContent {
+		_ = resp.Body.Close()
+		return nil, statusError(resp)
+	}
+	if !c.remember(path, resp.Header.Get("ETag")) {
+		_ = resp.Body.Close()
+		return nil, ErrChanged
+	}
+	return resp.Body, nil
+}
+
+func escape(path string) string {
+	parts := strings.Split(path, "/")
+	for i := range parts {
+		parts[i] = url.PathEscape(parts[i])
+	}
+	return strings.Join(parts, "/")
+}
+
+func (c *Client) etag(path string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.etags[path]
+}
+
+// remember keeps the first strong tag of a path and reports whether tag agrees.
+func (c *Client) remember(path, tag string) bool {
+	if tag == "" || strings.HasPrefix(tag, "W/") {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if first, ok := c.etags[path]; ok {
+		return first == tag
+	}
+	c.etags[path] = tag
+	return true
+}
+
+func statusError(resp *http.Response) error {
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusPreconditionFailed, http.StatusNotFound, http.StatusGone:
+		// A server that ignores If-Range because the tag differs answers 200.
+		return eris.Wrapf(ErrChanged, "status %d", resp.StatusCode)
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return eris.Wrapf(ErrBusy, "status %d", resp.StatusCode)
+	default:
+		return eris.Errorf("unexpected status %d", resp.StatusCode)
+	}
+}
