entry, agent: serve one path from publication to answer

Cause: one path must run from end to end with separate processes. Change: entry, agent, stand-ins and a lab that starts real processes; a test publishes a profile, waits until three engines hold the weights, and reads a streamed answer through both entries.

--- /dev/null
+++ b/bench/lab/call.go
@@ -0,0 +1,100 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rattanspur.example/lib/wire"
+)
+
+// pollEvery is the time between two questions while the lab waits for a state.
+const pollEvery = 20 * time.Millisecond
+
+// Answer is what a caller got.
+type Answer struct {
+	Status  int
+	Outcome wire.Outcome
+	Body    string
+}
+
+// Chat sends a chat completion that streams its answer, through an entry.
+func (l *Lab) Chat(ctx context.Context, entry int, text string) (Answer, error) {
+	body, err := json.Marshal(map[string]any{
+		"model": Service, "stream": true,
+		"messages": []map[string]string{{"role": "user", "content": text}},
+	})
+	if err != nil {
+		return Answer{}, err
+	}
+	return l.Post(ctx, entry, "/v1/chat/completions", body)
+}
+
+// Post sends a request with the customer's key through an entry.
+func (l *Lab) Post(ctx context.Context, entry int, path string, body []byte) (Answer, error) {
+	url := "http://" + l.Entries[entry].Address + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+CustomerKey)
+	resp, err := HTTP.Do(req)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return Answer{
+		Status:  resp.StatusCode,
+		Outcome: wire.Outcome(resp.Header.Get(wire.HeaderOutcome)),
+		Body:    string(data),
+	}, err
+}
+
+// AwaitServing waits until count engines hold the version with that root.
+func (l *Lab) AwaitServing(ctx context.Context, w string, count int) error {
+	for {
+		holding := 0
+		for _, p := range l.Agents {
+			if p.Engine.Holds(ctx, w) {
+				holding++
+			}
+		}
+		if holding >= count {
+			return nil
+		}
+		if err := pause(ctx); err != nil {
+			return eris.Wrapf(err, "%d of %d engines serve", holding, count)
+		}
+	}
+}
+
+// Await calls f until it returns nil.
+func Await(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		if perr := pause(ctx); perr != nil {
+			return fmt.Errorf("%w: %w", perr, err)
+		}
+	}
+}
+
+func pause(ctx context.Context) error {
+	timer := time.NewTimer(pollEvery)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,107 @@
+// Package entry is the role that takes callers' requests and routes them to
+// the agents beside the upstreams.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+
+	"rattanspur.example/lib/duty"
+	"rattanspur.example/lib/node"
+	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/settings"
+	"rattanspur.example/lib/wire"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take to send a header.
+	headerTimeout = 10 * time.Second
+	// headerBytes bounds a caller's header.
+	headerBytes = 32 << 10
+	// connectTimeout bounds a new connection to an agent.
+	connectTimeout = time.Second
+	// drainTimeout bounds a graceful stop.
+	drainTimeout = 60 * time.Second
+)
+
+// Entry is one process of the role.
+type Entry struct {
+	settings *settings.Entry
+	node     *node.Node
+	views    *ring.Ring[node.View]
+	inbox    *ring.Ring[event]
+	attempts *ring.Ring[attempt]
+	agents   *http.Client
+}
+
+// New returns an entry; Run starts it.
+func New(s *settings.Entry, logger log.Logger) *Entry {
+	n := node.New(s.Node, logger)
+	return &Entry{
+		settings: s,
+		node:     n,
+		views:    n.Subscribe(),
+		inbox:    ring.New[event](2*s.Calls, ring.Wait),
+		attempts: ring.New[attempt](s.Calls, ring.Refuse),
+		agents: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+			MaxIdleConnsPerHost: 64,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+		}},
+	}
+}
+
+// Run serves until ctx ends and then stops gracefully: calls in progress end
+// before it returns.
+func (e *Entry) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", e.settings.Self.Address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	server := &http.Server{
+		Handler:           e.handler(),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    headerBytes,
+	}
+	g := duty.NewGroup(context.WithoutCancel(ctx))
+	e.node.Start(g)
+	g.Go("router", e.runRouter)
+	for range e.settings.Calls {
+		g.Go("forwarder", e.runForwarder)
+	}
+	g.Go("server", func(context.Context) error { return serve(server, listener) })
+	select {
+	case <-ctx.Done():
+	case <-g.Context().Done():
+	}
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
+	defer cancel()
+	err = server.Shutdown(limited)
+	g.Stop()
+	if werr := g.Wait(); werr != nil {
+		return werr
+	}
+	return eris.Wrap(err, "graceful stop")
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !eris.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (e *Entry) handler() http.Handler {
+	keys := wire.Keys(e.settings.PeerKeys)
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", e.serveCall)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.Handle("GET "+wire.PathTimeline, keys.Require(e.node.TimelineHandler()))
+	return mux
+}
--- /dev/null
+++ b/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator serves the operator page.
+package operator
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rattanspur.example/lib/platform"
+)
+
+// maxWatch bounds a watch of the configuration service.
+const maxWatch = time.Minute
+
+// ConfigService is a stand-in configuration service. PUT stands for the users'
+// own publishing tool.
+type ConfigService struct {
+	// Calls counts reads and watches.
+	Calls atomic.Int64
+	// Down makes every call fail.
+	Down atomic.Bool
+
+	mu      sync.Mutex
+	values  map[string][]byte
+	index   uint64
+	changed chan struct{}
+}
+
+// NewConfigService returns a service without values.
+func NewConfigService() *ConfigService {
+	return &ConfigService{values: map[string][]byte{}, index: 1, changed: make(chan struct{})}
+}
+
+// Put publishes a value.
+func (s *ConfigService) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.values[key] = value
+	s.index++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Handler serves reads, watches and, for tests, writes.
+func (s *ConfigService) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv/{key...}", s.serveGet)
+	mux.HandleFunc("PUT /v1/kv/{key...}", func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.Put(r.PathValue("key"), data)
+	})
+	return mux
+}
+
+func (s *ConfigService) serveGet(w http.ResponseWriter, r *http.Request) {
+	s.Calls.Add(1)
+	if s.Down.Load() {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	known, _ := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil || wait > maxWatch {
+		wait = maxWatch
+	}
+	value, index := s.await(r, known, wait)
+	if value == nil {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
+	_, _ = w.Write(value)
+}
+
+// await returns the value once its index differs from known.
+func (s *ConfigService) await(r *http.Request, known uint64, wait time.Duration) ([]byte, uint64) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		value, index, changed := s.values[r.PathValue("key")], s.index, s.changed
+		s.mu.Unlock()
+		if index != known {
+			return value, index
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return value, index
+		case <-r.Context().Done():
+			return value, index
+		}
+	}
+}
+
+// InstanceList is a stand-in instance list that lags behind what is set.
+type InstanceList struct {
+	Calls atomic.Int64
+
+	mu   sync.Mutex
+	list platform.InstanceList
+}
+
+// Set replaces the list after a delay.
+func (l *InstanceList) Set(list platform.InstanceList, lag time.Duration) {
+	if lag > 0 {
+		time.AfterFunc(lag, func() { l.Set(list, 0) })
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = list
+}
+
+// Handler serves the list and, for tests, its replacement.
+func (l *InstanceList) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, _ *http.Request) {
+		l.Calls.Add(1)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		writeJSON(w, l.list)
+	})
+	mux.HandleFunc("PUT /v1/instances", func(w http.ResponseWriter, r *http.Request) {
+		var list platform.InstanceList
+		if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		l.Set(list, 0)
+	})
+	return mux
+}
