--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,7 @@
 
 fmt:
 	gofmt -w $(MODULES)
+
+# Prints one line for each figure; takes several minutes.
+bench: build
+	go run ./bench/cmd/bench --binary bin/rattanspur
--- /dev/null
+++ b/bench/scenario/scenario.go
@@ -0,0 +1,29 @@
+// Package scenario holds the fixed scenarios of the benchmark. Each runs real
+// processes on loopback and stops by itself.
+package scenario
+
+import (
+	"context"
+
+	"rattanspur.example/bench/figure"
+)
+
+// Env is what a scenario runs with.
+type Env struct {
+	// Binary is the path of the rattanspur binary.
+	Binary string
+	Report *figure.Report
+	// Sizes are the numbers of agents for scenarios that grow.
+	Sizes []int
+}
+
+// Scenario measures some figures.
+type Scenario struct {
+	Name string
+	Run  func(ctx context.Context, env Env) error
+}
+
+// All returns the scenarios in the order in which they run.
+func All() []Scenario {
+	return []Scenario{}
+}
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -101,6 +101,10 @@
 	FailureDomain FailureDomain `json:"failure_domain"`
 	Region        Region        `json:"region"`
 	State         InstanceState `json:"state"`
+	// Serving is the root that calls may reach at an agent, as it says itself.
+	Serving Digest `json:"serving,omitzero"`
+	// Switching says that an agent's engine changes versions and takes no calls.
+	Switching bool `json:"switching,omitempty"`
 }
 
 // Rank returns the rendezvous weight of member for key. Whoever has the
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -36,6 +36,8 @@
 type View struct {
 	Config  *config.Accepted
 	Members []fleet.Instance
+	// Suspects are the contents of requests that were in flight when an engine crashed.
+	Suspects []wire.Suspect
 }
 
 // Node owns the shared duties of one process.
@@ -65,6 +67,29 @@
 	}
 }
 
+// PeerHandler serves the paths under /peer/ that belong to the node's duties.
+func (n *Node) PeerHandler() http.Handler { return http.NotFoundHandler() }
+
+// SetServing publishes to the other processes which root this agent serves and
+// whether its engine is changing versions.
+func (n *Node) SetServing(fleet.Digest, bool) {}
+
+// Leave publishes to the other processes that this one is going to stop.
+func (n *Node) Leave() {
+	n.Record(timeline.Event{Kind: timeline.ProcessLeaving})
+}
+
+// ReportCrash publishes the fingerprints of the requests that were in flight
+// when this agent's engine crashed.
+func (n *Node) ReportCrash([]string) {}
+
+// ReportSuccess withdraws suspicion from a fingerprint whose request completed.
+func (n *Node) ReportSuccess(string) {}
+
+// Heard takes in the configuration stamp that a process at an address decided
+// by. If it is greater than the adopted one, the document is fetched there.
+func (n *Node) Heard(string, config.Stamp) {}
+
 // Self returns the process's own record.
 func (n *Node) Self() fleet.Instance { return n.settings.Self }
 
