--- a/bench/cmd/bench/main.go
+++ b/bench/cmd/bench/main.go
@@ -28,17 +28,16 @@
 		}
 		os.Exit(1)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	if err := run(ctx, o); err != nil {
+	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		stop()
 		os.Exit(1)
 	}
 }
 
 // run runs the chosen scenarios. A missed target is printed and is no error.
-func run(ctx context.Context, o options) error {
+func run(o options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
 	report := figure.NewReport(os.Stdout)
 	env := scenario.Env{Binary: o.Binary, Report: report, Sizes: o.Sizes}
 	for _, s := range scenario.All() {
