--- a/cmd/rattanspur/main.go
+++ b/cmd/rattanspur/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-kit/log"
@@ -19,8 +20,15 @@
 	"rattanspur.example/lib/settings"
 )
 
-// exitFailure is the exit code of a command that failed.
-const exitFailure = 1
+// Exit codes, as docs/operators.md documents them.
+const (
+	exitSuccess = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// errSilent ends a command with a failure that was already printed.
+var errSilent = errors.New("command failed")
 
 type settingsOption struct {
 	Settings string `short:"s" long:"settings" description:"INI file with the settings" required:"true"`
@@ -65,27 +73,64 @@
 	return log.With(logger, "ts", log.DefaultTimestampUTC, "instance", n.Self.ID)
 }
 
+type versionCommand struct{}
+
+// Execute implements flags.Commander.
+func (c *versionCommand) Execute([]string) error {
+	version := "unknown"
+	goVersion := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+		goVersion = info.GoVersion
+	}
+	fmt.Printf("rattanspur %s (%s)\n", version, goVersion)
+	return nil
+}
+
+// command is one entry of the command line.
+type command struct {
+	name string
+	text string
+	data flags.Commander
+}
+
+func commands() []command {
+	return []command{
+		{"entry", "Run an entry", &entryCommand{}},
+		{"agent", "Run an agent beside an upstream", &agentCommand{}},
+		{"status", "Show the state of running processes", &statusCommand{}},
+		{"timeline", "Show the merged events of running processes", &timelineCommand{}},
+		{"check", "Check a settings file or a configuration document", &checkCommand{}},
+		{"manifest", "Write the manifest of a folder with weights", &manifestCommand{}},
+		{"version", "Show the version", &versionCommand{}},
+	}
+}
+
 func main() {
 	parser := flags.NewNamedParser("rattanspur", flags.HelpFlag|flags.PassDoubleDash)
-	add := func(name, text string, command any) {
-		if _, err := parser.AddCommand(name, text, "", command); err != nil {
+	for _, c := range commands() {
+		if _, err := parser.AddCommand(c.name, c.text, "", c.data); err != nil {
 			panic(err)
 		}
 	}
-	add("entry", "Run an entry", &entryCommand{})
-	add("agent", "Run an agent beside an upstream", &agentCommand{})
-	if _, err := parser.Parse(); err != nil {
-		os.Exit(report(err))
-	}
+	_, err := parser.Parse()
+	os.Exit(report(err))
 }
 
 // report prints an error and returns the exit code.
 func report(err error) int {
 	var flagError *flags.Error
-	if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
+	switch {
+	case err == nil:
+		return exitSuccess
+	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
 		fmt.Println(err)
-		return 0
+		return exitSuccess
+	case errors.As(err, &flagError):
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	case !errors.Is(err, errSilent):
+		fmt.Fprintln(os.Stderr, err)
 	}
-	fmt.Fprintln(os.Stderr, err)
 	return exitFailure
 }
--- /dev/null
+++ b/cmd/rattanspur/observe.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/platform"
+	"rattanspur.example/lib/timeline"
+	"rattanspur.example/lib/wire"
+)
+
+// askTimeout bounds a question to one process.
+const askTimeout = 3 * time.Second
+
+// peerKeyVariable names the environment variable with the peer key, so that
+// the key does not appear in the list of processes.
+const peerKeyVariable = "RATTANSPUR_PEER_KEY"
+
+// fleetOption names the processes that a command asks.
+type fleetOption struct {
+	Instances string   `long:"instances-url" description:"base URL of the instance list"`
+	Addresses []string `long:"address" description:"address of a process; may be repeated"`
+	JSON      bool     `long:"json" description:"print JSON"`
+}
+
+// processes returns the processes to ask.
+func (o *fleetOption) processes(ctx context.Context) ([]fleet.Instance, error) {
+	var list []fleet.Instance
+	for _, a := range o.Addresses {
+		list = append(list, fleet.Instance{ID: fleet.InstanceID(a), Address: a})
+	}
+	if o.Instances == "" {
+		if len(list) == 0 {
+			return nil, eris.New("give --instances-url or --address")
+		}
+		return list, nil
+	}
+	published, err := platform.ReadInstances(ctx, http.DefaultClient, o.Instances)
+	return append(list, published.Instances...), err
+}
+
+// answer is what one process said; Missing says why it did not.
+type answer[T any] struct {
+	Instance fleet.InstanceID `json:"instance"`
+	Missing  string           `json:"missing,omitempty"`
+	Value    T                `json:"value,omitempty"`
+}
+
+// askAll asks every process for a path, in turn.
+func askAll[T any](ctx context.Context, processes []fleet.Instance, path string) []answer[T] {
+	client := &wire.Client{HTTP: http.DefaultClient, Keys: wire.Keys{os.Getenv(peerKeyVariable)}}
+	answers := make([]answer[T], len(processes))
+	for i, p := range processes {
+		answers[i].Instance = p.ID
+		limited, cancel := context.WithTimeout(ctx, askTimeout)
+		if err := client.GetJSON(limited, p.Address, path, &answers[i].Value); err != nil {
+			answers[i].Missing = err.Error()
+		}
+		cancel()
+	}
+	return answers
+}
+
+type timelineCommand struct {
+	fleetOption
+	Request string `long:"request" description:"only events of this request"`
+	Profile string `long:"profile" description:"only events of this profile"`
+	Domain  string `long:"failure-domain" description:"only events of this failure domain"`
+	From    string `long:"instance" description:"only events of this instance"`
+}
+
+// Execute implements flags.Commander.
+func (c *timelineCommand) Execute([]string) error {
+	ctx := context.Background()
+	processes, err := c.processes(ctx)
+	if err != nil {
+		return err
+	}
+	var logs [][]timeline.Event
+	for _, a := range askAll[[]timeline.Event](ctx, processes, wire.PathTimeline) {
+		if a.Missing != "" {
+			fmt.Fprintf(os.Stderr, "missing %s: %s\n", a.Instance, a.Missing)
+			continue
+		}
+		logs = append(logs, c.filter(a.Value))
+	}
+	events := timeline.Merge(logs...)
+	if c.JSON {
+		return printJSON(os.Stdout, events)
+	}
+	return printEvents(events)
+}
+
+func (c *timelineCommand) filter(events []timeline.Event) []timeline.Event {
+	var kept []timeline.Event
+	for _, e := range events {
+		if matches(c.Request, e.Request) && matches(c.Profile, string(e.Profile)) &&
+			matches(c.Domain, string(e.FailureDomain)) && matches(c.From, string(e.Instance)) {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+// matches reports whether a value is the wanted one; an empty wish takes all.
+func matches(want, value string) bool { return want == "" || want == value }
+
+func printEvents(events []timeline.Event) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	for _, e := range events {
+		at := time.UnixMilli(e.Stamp.Wall).UTC().Format("15:04:05.000")
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", at, e.Instance, e.Kind, e.Peer, e.Request, e.Detail)
+	}
+	return w.Flush()
+}
+
+type statusCommand struct{ fleetOption }
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	ctx := context.Background()
+	processes, err := c.processes(ctx)
+	if err != nil {
+		return err
+	}
+	answers := askAll[json.RawMessage](ctx, processes, wire.PathStatus)
+	if c.JSON {
+		return printJSON(os.Stdout, answers)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	for _, a := range answers {
+		state := string(a.Value)
+		if a.Missing != "" {
+			state = "missing: " + a.Missing
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\n", a.Instance, state)
+	}
+	return w.Flush()
+}
