bench: add the demonstration

Cause: a newcomer needs one command that shows the system at work. Change: make demo starts stand-ins, two entries and twelve agents over three failure domains, distributes 64 MiB, switches versions under load, moves a failure domain, and stops by itself.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,10 @@
 fmt:
 	gofmt -w $(MODULES)
 
+# Shows a burst, a switch and a failure domain move; KEEP=1 keeps it running.
+demo: build
+	go run ./bench/cmd/demo --binary bin/rattanspur $(if $(KEEP),--keep)
+
 # Prints one line for each figure; takes several minutes.
 bench: build
 	go run ./bench/cmd/bench --binary bin/rattanspur
--- /dev/null
+++ b/bench/cmd/demo/main.go
@@ -0,0 +1,98 @@
+// Command demo shows the system at work on loopback: it starts stand-ins, two
+// entries and a dozen agents over three failure domains, distributes a model,
+// switches to a second version in mid-traffic, takes a failure domain out and
+// back in, prints what happened, and stops by itself.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"rattanspur.example/bench/lab"
+	"rattanspur.example/lib/config"
+	"rattanspur.example/standin"
+)
+
+const (
+	demoAgents  = 12
+	demoEntries = 2
+	// demoTimeout bounds the demonstration.
+	demoTimeout = 3 * time.Minute
+	// domainOutTime is how long the demonstration leaves a failure domain out.
+	domainOutTime = 3 * time.Second
+)
+
+type options struct {
+	Binary     string `long:"binary" description:"path of the rattanspur binary" default:"bin/rattanspur"`
+	ModelBytes int    `long:"model-bytes" description:"size of the generated model" default:"67108864"`
+	Keep       bool   `long:"keep" description:"keep everything running until interrupted"`
+	Logs       bool   `long:"logs" description:"print what the processes log"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(1)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	l, err := lab.Start(labOptions(o))
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	limited, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	if err := (&demo{lab: l, start: time.Now()}).run(limited); err != nil {
+		return err
+	}
+	if o.Keep {
+		printAddresses(l)
+		<-ctx.Done()
+	}
+	return nil
+}
+
+func labOptions(o options) lab.Options {
+	options := lab.Options{
+		Binary:     o.Binary,
+		Agents:     demoAgents,
+		Entries:    demoEntries,
+		Regions:    []string{"north", "middle", "south"},
+		ModelBytes: o.ModelBytes,
+		ChunkBytes: 1 << 20,
+		Limits:     config.Limits{Cold: 2, Warm: 32, RampStep: 4, MaxUnavailable: 4},
+		Engine:     standin.EngineOptions{TokenTime: 5 * time.Millisecond, ChecksFence: true},
+	}
+	if o.Logs {
+		options.Logs = os.Stderr
+	}
+	return options
+}
+
+func printAddresses(l *lab.Lab) {
+	fmt.Println("\nrunning until interrupted")
+	fmt.Println("configuration service", l.ConfigURL())
+	fmt.Println("instance list        ", l.InstancesURL())
+	for _, p := range l.Entries {
+		fmt.Printf("%-21s http://%s\n", p.ID, p.Address)
+	}
+	fmt.Println("customer key", lab.CustomerKey, "operator key", lab.OperatorKey, "peer key", lab.PeerKey)
+	fmt.Printf("RATTANSPUR_PEER_KEY=%s bin/rattanspur timeline --instances-url %s\n", lab.PeerKey, l.InstancesURL())
+}
--- a/bench/e2e/path_test.go
+++ b/bench/e2e/path_test.go
@@ -36,7 +36,7 @@
 		Binary:     binary,
 		Agents:     3,
 		Entries:    2,
-		Regions:    []string{"burdwan", "hooghly", "medinipur"},
+		Regions:    []string{"north", "middle", "south"},
 		ModelBytes: 4 << 20,
 		ChunkBytes: 256 << 10,
 		Limits:     config.Limits{Cold: 4, Warm: 32, RampStep: 4},
@@ -58,14 +58,14 @@
 	require.NoError(t, l.AwaitServing(ctx, weights.Root.String(), 3))
 	for entry := range l.Entries {
 		require.NoError(t, lab.Await(ctx, func() error {
-			a, err := l.Chat(ctx, entry, "tray-7")
+			a, err := l.Chat(ctx, entry, "text-7")
 			if err == nil && a.Status != http.StatusOK {
 				err = fmt.Errorf("status %d: %s", a.Status, a.Body)
 			}
 			if err == nil {
 				require.Equal(t, wire.Ran, a.Outcome)
 				require.Contains(t, a.Body, "v1 ")
-				require.Contains(t, a.Body, "tray-7 ")
+				require.Contains(t, a.Body, "text-7 ")
 				require.Contains(t, a.Body, "data: [DONE]")
 			}
 			return err
--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -29,6 +29,8 @@
 	PeerKey = "lab-peer-key"
 	// CustomerKey is the bearer key of the customer "counter".
 	CustomerKey = "lab-customer-key"
+	// OperatorKey opens the operator page of the entries.
+	OperatorKey = "lab-operator-key"
 	// ConfigKey is the key that holds the configuration.
 	ConfigKey = "rattanspur/config"
 	// Service is the name of the model service.
@@ -138,6 +140,12 @@
 	return append(append([]*Process(nil), l.Agents...), l.Entries...)
 }
 
+// ConfigURL returns the base URL of the configuration service.
+func (l *Lab) ConfigURL() string { return l.service.URL }
+
+// InstancesURL returns the base URL of the instance list.
+func (l *Lab) InstancesURL() string { return l.list.URL }
+
 // PublishInstances sets the instance list after a lag.
 func (l *Lab) PublishInstances(lag time.Duration) {
 	var list platform.InstanceList
@@ -218,11 +226,11 @@
 config_key = %s
 instances_url = %s
 peer_keys = %s
-operator_key = lab-operator-key
+operator_key = %s
 log_level = warn
 list_every = 500ms
 
-`, p.ID, p.Address, p.FailureDomain, p.Region, l.service.URL, ConfigKey, l.list.URL, PeerKey)
+`, p.ID, p.Address, p.FailureDomain, p.Region, l.service.URL, ConfigKey, l.list.URL, PeerKey, OperatorKey)
 	if p.Role == fleet.RoleEntry {
 		return text + "[entry]\ncalls = 256\n" + l.Options.ExtraEntry
 	}
