--- a/operator/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package operator serves the operator page.
-package operator
