entry: serve the operator page

Cause: the page existed but no process served it. Change: a duty of the entry keeps the newest view and answers the page; node.Events returns the kept events to callers inside the process.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/settings"
 	"rattanspur.example/lib/wire"
+	"rattanspur.example/operator"
 )
 
 const (
@@ -37,17 +38,20 @@
 	inbox    *ring.Ring[event]
 	attempts *ring.Ring[attempt]
 	agents   *http.Client
+	// snapshots answers the operator page.
+	snapshots *snapshots
 }
 
 // New returns an entry; Run starts it.
 func New(s *settings.Entry, logger log.Logger) *Entry {
 	n := node.New(s.Node, logger)
 	return &Entry{
-		settings: s,
-		node:     n,
-		views:    n.Subscribe(),
-		inbox:    ring.New[event](2*s.Calls, ring.Wait),
-		attempts: ring.New[attempt](s.Calls, ring.Refuse),
+		settings:  s,
+		node:      n,
+		views:     n.Subscribe(),
+		inbox:     ring.New[event](2*s.Calls, ring.Wait),
+		attempts:  ring.New[attempt](s.Calls, ring.Refuse),
+		snapshots: newSnapshots(n),
 		agents: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 			MaxIdleConnsPerHost: 64,
@@ -64,13 +68,18 @@
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
+	handler, err := e.handler()
+	if err != nil {
+		return err
+	}
 	server := &http.Server{
-		Handler:           e.handler(),
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}
 	g := duty.NewGroup(context.WithoutCancel(ctx))
 	e.node.Start(g)
+	g.Go("operator snapshots", e.snapshots.run)
 	g.Go("router", e.runRouter)
 	for range e.settings.Calls {
 		g.Go("forwarder", e.runForwarder)
@@ -97,11 +106,16 @@
 	return nil
 }
 
-func (e *Entry) handler() http.Handler {
+func (e *Entry) handler() (http.Handler, error) {
+	page, err := operator.Handler(e.snapshots, e.settings.OperatorKey)
+	if err != nil {
+		return nil, err
+	}
 	keys := wire.Keys(e.settings.PeerKeys)
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", e.serveCall)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.Handle("GET "+wire.PathTimeline, keys.Require(e.node.TimelineHandler()))
-	return mux
+	mux.Handle(operator.Prefix+"/", page)
+	return mux, nil
 }
--- a/lib/node/timeline.go
+++ b/lib/node/timeline.go
@@ -51,16 +51,23 @@
 	}
 }
 
+// Events returns the events that the process keeps, oldest first.
+func (n *Node) Events(ctx context.Context) ([]timeline.Event, error) {
+	answer := ring.New[[]timeline.Event](1, ring.Refuse)
+	if err := n.events.Put(ctx, timelineMessage{answer: answer}); err != nil {
+		return nil, err
+	}
+	return answer.Take(ctx)
+}
+
 // TimelineHandler serves the events that the process keeps.
 func (n *Node) TimelineHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		answer := ring.New[[]timeline.Event](1, ring.Refuse)
-		_ = n.events.Put(r.Context(), timelineMessage{answer: answer})
 		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 		defer cancel()
-		events, err := answer.Take(ctx)
+		events, err := n.Events(ctx)
 		if err != nil {
-			http.Error(w, "time line does not answer", http.StatusServiceUnavailable)
+			http.Error(w, "timeline does not answer", http.StatusServiceUnavailable)
 			return
 		}
 		wire.WriteJSON(w, events)
