--- a/bench/lab/call.go
+++ b/bench/lab/call.go
@@ -75,6 +75,27 @@
 	}
 }
 
+// AwaitUp waits until every process answers its health path.
+func (l *Lab) AwaitUp(ctx context.Context) error {
+	for _, p := range l.processes() {
+		err := Await(ctx, func() error {
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+"/healthz", http.NoBody)
+			if err != nil {
+				return err
+			}
+			resp, err := HTTP.Do(req)
+			if err != nil {
+				return err
+			}
+			return resp.Body.Close()
+		})
+		if err != nil {
+			return eris.Wrapf(err, "%s is not up", p.ID)
+		}
+	}
+	return nil
+}
+
 // Await calls f until it returns nil.
 func Await(ctx context.Context, f func() error) error {
 	for {
