--- a/bench/e2e/operator_test.go
+++ b/bench/e2e/operator_test.go
@@ -46,18 +46,18 @@
 	return body
 }
 
-// generation returns the generation that the first entry holds.
-func generation(t *testing.T, l *lab.Lab) fleet.Generation {
+// pageGeneration returns the generation that the first entry holds.
+func pageGeneration(t *testing.T, l *lab.Lab) fleet.Generation {
 	t.Helper()
 	var o operator.Overview
 	require.NoError(t, json.Unmarshal(page(t, l, "/state.json"), &o))
 	return o.Generation
 }
 
-func awaitGeneration(ctx context.Context, t *testing.T, l *lab.Lab, want fleet.Generation) {
+func awaitPageGeneration(ctx context.Context, t *testing.T, l *lab.Lab, want fleet.Generation) {
 	t.Helper()
 	require.NoError(t, lab.Await(ctx, func() error {
-		if got := generation(t, l); got != want {
+		if got := pageGeneration(t, l); got != want {
 			return fmt.Errorf("generation %d, want %d", got, want)
 		}
 		return nil
@@ -77,14 +77,14 @@
 	_, weights, err := l.AddStore(1)
 	require.NoError(t, err)
 	require.NoError(t, l.PublishProfile("burst-1", "v1", weights))
-	awaitGeneration(ctx, t, l, 1)
+	awaitPageGeneration(ctx, t, l, 1)
 
 	draft := page(t, l, "/draft.json?action=domain-out&failure_domain=south")
 	file := filepath.Join(t.TempDir(), "draft.json")
 	require.NoError(t, os.WriteFile(file, draft, 0o600))
 	require.Contains(t, command(t, "check", file), "valid")
 	l.Config.Put(lab.ConfigKey, draft)
-	awaitGeneration(ctx, t, l, 2)
+	awaitPageGeneration(ctx, t, l, 2)
 
 	var o operator.Overview
 	require.NoError(t, json.Unmarshal(page(t, l, "/state.json"), &o))
