bench: measure how configuration spreads and what control costs

Cause: there was no figure for the time until a configuration is in force nor for what an idle process spends. Change: scenarios config and control; the stand-in service can go down after a number of reads and counts pending watches; ports of lab processes lie below the kernel's range, because in a trial a process of 100 failed to start on a port that an outgoing connection had taken. Bytes are not counted yet.

--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -178,14 +179,26 @@
 	}}, nil
 }
 
+const (
+	// firstPort and lastPort bound the ports of processes. They lie below the
+	// ports that the kernel gives to outgoing connections; otherwise a
+	// connection may take the port of a process that has not started yet.
+	firstPort = 12000
+	lastPort  = 32000
+	// portTries bounds the search for a free port.
+	portTries = 1000
+)
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "free address")
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, eris.Wrap(l.Close(), "free address")
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", eris.Errorf("no free port from %d to %d", firstPort, lastPort)
 }
 
 // Launch starts a process, also after it was stopped or killed.
--- /dev/null
+++ b/bench/scenario/control.go
@@ -0,0 +1,142 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"rattanspur.example/bench/figure"
+	"rattanspur.example/bench/lab"
+	"rattanspur.example/lib/wire"
+)
+
+const (
+	// controlSettle lets the processes finish their start before the window.
+	controlSettle = 8 * time.Second
+	// controlWindow is how long an idle fleet is observed.
+	controlWindow = 20 * time.Second
+	// fleetSize is the number of processes at the expected size.
+	fleetSize = 5060
+)
+
+// The targets for one process.
+const (
+	coreBound  = 2.7
+	rssBound   = 256
+	bytesBound = 18_000
+)
+
+// control is what one process spends on average.
+type control struct {
+	n                       int
+	core, rss, bytes, calls float64
+}
+
+// Control measures what idle processes spend and how it grows with their number.
+func Control(ctx context.Context, env Env) error {
+	var points []control
+	for _, n := range env.Sizes {
+		c, err := measureControl(ctx, env, n)
+		if err != nil {
+			return err
+		}
+		points = append(points, c)
+		env.Report.Add(fmt.Sprintf("control.core_percent.n%d", n), c.core, "%", figure.AtMost(coreBound))
+		env.Report.Add(fmt.Sprintf("control.rss_mb.n%d", n), c.rss, "MB", figure.AtMost(rssBound))
+		env.Report.Add(fmt.Sprintf("control.bytes_s.n%d", n), c.bytes, "B/s", figure.AtMost(bytesBound))
+		env.Report.Add(fmt.Sprintf("control.service_calls_s.n%d", n), c.calls, "calls/s", figure.NoBound)
+	}
+	reportSlope(env, points, "control.core_percent", "%", func(c control) float64 { return c.core })
+	reportSlope(env, points, "control.rss_mb", "MB", func(c control) float64 { return c.rss })
+	reportSlope(env, points, "control.bytes_s", "B/s", func(c control) float64 { return c.bytes })
+	return nil
+}
+
+func measureControl(ctx context.Context, env Env, n int) (control, error) {
+	c := control{n: n}
+	l, err := lab.Start(idle(env, n))
+	if err != nil {
+		return c, err
+	}
+	defer l.Close()
+	if err := startIdle(ctx, l); err != nil {
+		return c, err
+	}
+	if err := wait(ctx, controlSettle); err != nil {
+		return c, err
+	}
+	before, err := totals(ctx, l)
+	if err != nil {
+		return c, err
+	}
+	if err := wait(ctx, controlWindow); err != nil {
+		return c, err
+	}
+	after, err := totals(ctx, l)
+	if err != nil {
+		return c, err
+	}
+	seconds := after.at.Sub(before.at).Seconds()
+	perProcess := float64(n) * seconds
+	c.core = 100 * (after.processor - before.processor).Seconds() / perProcess
+	c.rss = float64(after.rss) / float64(n) / 1e6
+	c.bytes = float64(after.bytes-before.bytes) / perProcess
+	c.calls = float64(after.calls-before.calls) / seconds
+	return c, nil
+}
+
+// total sums the counters of all processes.
+type total struct {
+	at        time.Time
+	processor time.Duration
+	rss       int64
+	bytes     int64
+	calls     int64
+}
+
+func totals(ctx context.Context, l *lab.Lab) (total, error) {
+	t := total{at: time.Now(), calls: l.Config.Calls.Load()}
+	client := &wire.Client{HTTP: lab.HTTP, Keys: wire.Keys{lab.PeerKey}}
+	for _, p := range processes(l) {
+		used, err := processorTime(p.PID())
+		if err != nil {
+			return t, err
+		}
+		rss, err := residentBytes(p.PID())
+		if err != nil {
+			return t, err
+		}
+		t.processor += used
+		t.rss += rss
+		bytes, err := controlBytes(ctx, client, p)
+		if err != nil {
+			return t, err
+		}
+		t.bytes += bytes
+	}
+	return t, nil
+}
+
+// controlBytes returns the bytes of control messages that a process sent and
+// received; 0 until processes count them.
+func controlBytes(context.Context, *wire.Client, *lab.Process) (int64, error) { return 0, nil }
+
+// reportSlope fits a line through the points and reports its slope and its
+// value at the expected size.
+func reportSlope(env Env, points []control, name, unit string, value func(control) float64) {
+	if len(points) < 2 {
+		return
+	}
+	var n, x, y, xx, xy float64
+	for _, p := range points {
+		n++
+		x += float64(p.n)
+		y += value(p)
+		xx += float64(p.n) * float64(p.n)
+		xy += float64(p.n) * value(p)
+	}
+	slope := (n*xy - x*y) / (n*xx - x*x)
+	at := (y-slope*x)/n + slope*fleetSize
+	env.Report.Add(name+".slope", slope, unit+" per process", figure.NoBound)
+	env.Report.Add(fmt.Sprintf("%s.extrapolated_n%d", name, fleetSize), at, unit, figure.NoBound)
+}
--- /dev/null
+++ b/bench/scenario/proc.go
@@ -0,0 +1,55 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// clockTick is the unit of processor time in /proc/PID/stat on Linux.
+const clockTick = 10 * time.Millisecond
+
+// processorTime returns the user and system time that a process has used.
+func processorTime(pid int) (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, eris.Wrap(err, "processor time")
+	}
+	// The command name in parentheses may hold blanks; fields count after it.
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	const user, system = 11, 12
+	if len(fields) <= system {
+		return 0, eris.Errorf("/proc/%d/stat has %d fields", pid, len(fields))
+	}
+	var ticks int64
+	for _, i := range []int{user, system} {
+		n, err := strconv.ParseInt(fields[i], 10, 64)
+		if err != nil {
+			return 0, eris.Wrap(err, "processor time")
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick, nil
+}
+
+// residentBytes returns the resident memory of a process.
+func residentBytes(pid int) (int64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, eris.Wrap(err, "resident memory")
+	}
+	for line := range strings.Lines(string(data)) {
+		text, found := strings.CutPrefix(line, "VmRSS:")
+		if !found {
+			continue
+		}
+		kib, err := strconv.ParseInt(strings.Fields(text)[0], 10, 64)
+		return kib << 10, eris.Wrap(err, "resident memory")
+	}
+	return 0, eris.Errorf("/proc/%d/status has no VmRSS", pid)
+}
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -25,5 +25,8 @@
 
 // All returns the scenarios in the order in which they run.
 func All() []Scenario {
-	return []Scenario{}
+	return []Scenario{
+		{Name: "config", Run: Config},
+		{Name: "control", Run: Control},
+	}
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -20,18 +20,42 @@
 type ConfigService struct {
 	// Calls counts reads and watches.
 	Calls atomic.Int64
-	// Down makes every call fail.
+	// Pending counts the watches that wait now.
+	Pending atomic.Int64
+	// Down makes every call fail, also the watches that wait.
 	Down atomic.Bool
 
 	mu      sync.Mutex
 	values  map[string][]byte
 	index   uint64
 	changed chan struct{}
+	// failAfter is the number of reads of the next value that are answered
+	// before the service goes down; negative means no limit.
+	failAfter int
+	// left is failAfter for the current value.
+	left int
 }
 
 // NewConfigService returns a service without values.
 func NewConfigService() *ConfigService {
-	return &ConfigService{values: map[string][]byte{}, index: 1, changed: make(chan struct{})}
+	return &ConfigService{
+		values: map[string][]byte{}, index: 1, changed: make(chan struct{}), failAfter: -1, left: -1,
+	}
+}
+
+// FailAfter makes the service go down once n reads of the next published value
+// were answered.
+func (s *ConfigService) FailAfter(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failAfter = n
+}
+
+// Value returns the published value of a key, or nil.
+func (s *ConfigService) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key]
 }
 
 // Put publishes a value.
@@ -39,6 +63,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.values[key] = value
+	s.left, s.failAfter = s.failAfter, -1
 	s.index++
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -71,7 +96,11 @@
 		wait = maxWatch
 	}
 	value, index := s.await(r, known, wait)
-	if value == nil {
+	switch {
+	case !s.allow():
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	case value == nil:
 		http.NotFound(w, r)
 		return
 	}
@@ -79,10 +108,25 @@
 	_, _ = w.Write(value)
 }
 
+// allow counts a read against the limit of the current value.
+func (s *ConfigService) allow() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.left == 0 {
+		s.Down.Store(true)
+	}
+	if s.left > 0 {
+		s.left--
+	}
+	return !s.Down.Load()
+}
+
 // await returns the value once its index differs from known.
 func (s *ConfigService) await(r *http.Request, known uint64, wait time.Duration) ([]byte, uint64) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	s.Pending.Add(1)
+	defer s.Pending.Add(-1)
 	for {
 		s.mu.Lock()
 		value, index, changed := s.values[r.PathValue("key")], s.index, s.changed
@@ -122,11 +166,18 @@
 // Handler serves the list and, for tests, its replacement.
 func (l *InstanceList) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, r *http.Request) {
 		l.Calls.Add(1)
 		l.mu.Lock()
-		defer l.mu.Unlock()
-		writeJSON(w, l.list)
+		list := l.list
+		l.mu.Unlock()
+		tag := strconv.Quote(strconv.FormatUint(list.Revision, 10))
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		writeJSON(w, list)
 	})
 	mux.HandleFunc("PUT /v1/instances", func(w http.ResponseWriter, r *http.Request) {
 		var list platform.InstanceList
