--- a/agent/agent.go
+++ b/agent/agent.go
@@ -99,6 +99,7 @@
 	}
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
 	defer cancel()
+	a.node.Leave()
 	_ = a.gate.Put(limited, leave{})
 	err = server.Shutdown(limited)
 	_ = weights.Shutdown(limited)
@@ -138,9 +139,12 @@
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/manifest", a.serveManifest)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/have", a.serveHave)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/chunks/{index}", a.serveChunk)
+	inside.Handle("/peer/", a.node.PeerHandler())
+	inside.Handle("GET "+wire.PathStatus, a.node.StatusHandler())
 	inside.Handle("GET "+wire.PathTimeline, a.node.TimelineHandler())
 	mux := http.NewServeMux()
 	mux.Handle("/", keys.Require(inside))
+	mux.Handle("GET /readyz", a.node.ReadyHandler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	return mux
 }
--- /dev/null
+++ b/bench/e2e/fleet_config_test.go
@@ -0,0 +1,190 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/bench/lab"
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/gossip"
+	"rattanspur.example/lib/node"
+	"rattanspur.example/lib/timeline"
+	"rattanspur.example/lib/wire"
+)
+
+var peerClient = &wire.Client{HTTP: lab.HTTP, Keys: wire.Keys{lab.PeerKey}}
+
+// fleetLab starts processes without weights and publishes generation 1.
+func fleetLab(t *testing.T) (*lab.Lab, context.Context) {
+	o := small()
+	o.Agents, o.Entries = 9, 3
+	l, err := lab.Start(o)
+	require.NoError(t, err)
+	t.Cleanup(l.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	require.NoError(t, l.Publish(func(*config.Document) {}))
+	awaitGeneration(ctx, t, l, 1)
+	return l, ctx
+}
+
+func all(l *lab.Lab) []*lab.Process {
+	return append(append([]*lab.Process(nil), l.Agents...), l.Entries...)
+}
+
+func status(ctx context.Context, p *lab.Process) (node.Status, error) {
+	var s node.Status
+	err := peerClient.GetJSON(ctx, p.Address, wire.PathStatus, &s)
+	return s, err
+}
+
+func events(ctx context.Context, t *testing.T, p *lab.Process, kind timeline.Kind) []timeline.Event {
+	var list, kept []timeline.Event
+	require.NoError(t, peerClient.GetJSON(ctx, p.Address, wire.PathTimeline, &list))
+	for _, e := range list {
+		if e.Kind == kind {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+func awaitStatus(ctx context.Context, t *testing.T, p *lab.Process, ok func(node.Status) bool) {
+	require.NoError(t, lab.Await(ctx, func() error {
+		s, err := status(ctx, p)
+		if err == nil && !ok(s) {
+			err = fmt.Errorf("%s: %+v", p.ID, s)
+		}
+		return err
+	}))
+}
+
+func awaitGeneration(ctx context.Context, t *testing.T, l *lab.Lab, g fleet.Generation) {
+	for _, p := range all(l) {
+		awaitStatus(ctx, t, p, func(s node.Status) bool { return s.Ready && s.Generation == g })
+	}
+}
+
+// requireIncreasing fails if a process had an older generation in force after a newer one.
+func requireIncreasing(ctx context.Context, t *testing.T, p *lab.Process) {
+	last := fleet.Generation(0)
+	for _, e := range events(ctx, t, p, timeline.ConfigAdopted) {
+		require.Greater(t, e.Generation, last, p.ID)
+		last = e.Generation
+	}
+}
+
+// Guards against a change that stays with the one process that has read it.
+func TestServiceDownAfterOneRead(t *testing.T) {
+	l, ctx := fleetLab(t)
+	l.Config.FailAfter(1)
+	require.NoError(t, l.PublishDomain("hooghly", config.DomainOut))
+	awaitGeneration(ctx, t, l, 2)
+	require.True(t, l.Config.Down.Load())
+}
+
+// Guards against a stale service that brings an older generation back through
+// processes that start with empty memory.
+func TestOlderGenerationAfterRestart(t *testing.T) {
+	l, ctx := fleetLab(t)
+	old := l.Config.Value(lab.ConfigKey)
+	require.NoError(t, l.PublishDomain("hooghly", config.DomainOut))
+	awaitGeneration(ctx, t, l, 2)
+	l.Config.Put(lab.ConfigKey, old)
+	processes := all(l)
+	for _, p := range processes[:len(processes)/2] {
+		require.NoError(t, l.Signal(p, os.Kill))
+		require.NoError(t, l.Wait(ctx, p))
+		require.NoError(t, l.Launch(p))
+	}
+	awaitGeneration(ctx, t, l, 2)
+	for _, p := range processes {
+		requireIncreasing(ctx, t, p)
+	}
+	for _, p := range processes[:len(processes)/2] {
+		require.Len(t, events(ctx, t, p, timeline.ConfigAdopted), 1, "a restarted process had the older generation in force")
+	}
+}
+
+// Guards against a rejected document that replaces the one in force, and
+// against a report for each read of it.
+func TestRejectedDocument(t *testing.T) {
+	l, ctx := fleetLab(t)
+	require.NoError(t, lab.Await(ctx, func() error {
+		if n := l.Config.Pending.Load(); n < 3*gossip.Watchers {
+			return fmt.Errorf("%d watches", n)
+		}
+		return nil
+	}))
+	bad := bytes.Replace(l.Config.Value(lab.ConfigKey), []byte(`"generation":1`), []byte(`"generation":7,"typo":1`), 1)
+	l.Config.Put(lab.ConfigKey, bad)
+	watching := 0
+	for _, p := range all(l) {
+		s, err := status(ctx, p)
+		require.NoError(t, err)
+		if !s.Watching {
+			continue
+		}
+		watching++
+		require.NoError(t, lab.Await(ctx, func() error {
+			if len(events(ctx, t, p, timeline.ConfigRejected)) == 0 {
+				return fmt.Errorf("%s has not reported the rejection", p.ID)
+			}
+			return nil
+		}))
+	}
+	require.Positive(t, watching)
+	l.Config.Put(lab.ConfigKey, bad)
+	require.NoError(t, l.Publish(func(*config.Document) {}))
+	awaitGeneration(ctx, t, l, 2)
+	for _, p := range all(l) {
+		require.LessOrEqual(t, len(events(ctx, t, p, timeline.ConfigRejected)), 1)
+	}
+}
+
+// Guards against a process that resumes with an outdated view and keeps it.
+func TestPausedProcessCatchesUp(t *testing.T) {
+	l, ctx := fleetLab(t)
+	paused := l.Agents[4]
+	require.NoError(t, l.Signal(paused, syscall.SIGSTOP))
+	require.NoError(t, l.PublishDomain("hooghly", config.DomainOut))
+	for _, p := range all(l) {
+		if p != paused {
+			awaitStatus(ctx, t, p, func(s node.Status) bool { return s.Generation == 2 })
+		}
+	}
+	l.Config.Down.Store(true)
+	require.NoError(t, l.Signal(paused, syscall.SIGCONT))
+	awaitStatus(ctx, t, paused, func(s node.Status) bool { return s.Generation == 2 })
+}
+
+// Guards against a start that needs the configuration service.
+func TestStartWhileServiceIsDown(t *testing.T) {
+	l, ctx := fleetLab(t)
+	l.Config.Down.Store(true)
+	p := l.Agents[2]
+	require.NoError(t, l.Signal(p, os.Kill))
+	require.NoError(t, l.Wait(ctx, p))
+	require.NoError(t, l.Launch(p))
+	awaitStatus(ctx, t, p, func(s node.Status) bool { return s.Ready && s.Generation == 1 })
+}
+
+// Guards against a leaving process that others keep because the list lags.
+func TestLeavingBeforeTheListSaysSo(t *testing.T) {
+	l, ctx := fleetLab(t)
+	leaving := l.Agents[5]
+	require.NoError(t, l.Signal(leaving, syscall.SIGTERM))
+	for _, p := range all(l) {
+		if p != leaving {
+			awaitStatus(ctx, t, p, func(s node.Status) bool { return s.Leaving == 1 })
+		}
+	}
+}
--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -189,10 +190,17 @@
 	portTries = 1000
 )
 
+// nextPort makes the labs of one program try each port once; another program
+// most likely begins elsewhere.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(lastPort - firstPort)) }
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() (string, error) {
 	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			return address, eris.Wrap(l.Close(), "free address")
--- a/bench/scenario/control.go
+++ b/bench/scenario/control.go
@@ -7,6 +7,7 @@
 
 	"rattanspur.example/bench/figure"
 	"rattanspur.example/bench/lab"
+	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/wire"
 )
 
@@ -118,8 +119,16 @@
 }
 
 // controlBytes returns the bytes of control messages that a process sent and
-// received; 0 until processes count them.
-func controlBytes(context.Context, *wire.Client, *lab.Process) (int64, error) { return 0, nil }
+// received. A process counts the exchanges that it starts; each exchange with
+// a peer is also received and answered there, and therefore counts twice.
+func controlBytes(ctx context.Context, client *wire.Client, p *lab.Process) (int64, error) {
+	var s node.Status
+	if err := client.GetJSON(ctx, p.Address, wire.PathStatus, &s); err != nil {
+		return 0, err
+	}
+	t := s.Traffic
+	return int64(2*(t.PeersSent+t.PeersReceived) + t.PlatformSent + t.PlatformReceived), nil
+}
 
 // reportSlope fits a line through the points and reports its slope and its
 // value at the expected size.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,6 +82,7 @@
 	}
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
 	defer cancel()
+	e.node.Leave()
 	err = server.Shutdown(limited)
 	g.Stop()
 	if werr := g.Wait(); werr != nil {
@@ -102,6 +103,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", e.serveCall)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.Handle("/peer/", e.node.PeerHandler())
+	mux.Handle("GET "+wire.PathStatus, e.node.StatusHandler())
+	mux.Handle("GET /readyz", e.node.ReadyHandler())
 	mux.Handle("GET "+wire.PathTimeline, keys.Require(e.node.TimelineHandler()))
 	return mux
 }
--- a/lib/config/accepted.go
+++ b/lib/config/accepted.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 
 	"github.com/zeebo/blake3"
 
@@ -54,26 +53,19 @@
 		return nil, findings.Err()
 	}
 	a := &Accepted{Bytes: data}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&a.Document); err != nil {
-		findings.AddAt("", lineAt(data, decoder.InputOffset()), "", "document is not valid JSON: %v", err)
-		return nil, findings.Err()
+	if err := decode(data, &a.Document); err != nil {
+		return nil, err
 	}
 	a.index()
 	validate(a, &findings)
-	if err := findings.Err(); err != nil {
-		return nil, err
+	if len(findings.Findings) > 0 {
+		locate(data, findings.Findings)
+		return nil, findings.Err()
 	}
 	a.Stamp = Stamp{Generation: a.Generation, Digest: blake3.Sum256(data)}
 	return a, nil
 }
 
-func lineAt(data []byte, offset int64) int {
-	end := min(int(offset), len(data))
-	return 1 + bytes.Count(data[:end], []byte{'\n'})
-}
-
 func (a *Accepted) index() {
 	a.profiles = make(map[fleet.ProfileName]*Profile, len(a.Profiles))
 	for i := range a.Profiles {
--- a/lib/finding/finding.go
+++ b/lib/finding/finding.go
@@ -19,7 +19,8 @@
 	Problem string `json:"problem"`
 }
 
-// String returns the finding as file:line: key: problem.
+// String returns the finding as file:line: key: problem, or as line N: key:
+// problem if the input has no name.
 func (f Finding) String() string {
 	var b strings.Builder
 	if f.File != "" {
@@ -28,6 +29,8 @@
 			fmt.Fprintf(&b, ":%d", f.Line)
 		}
 		b.WriteString(": ")
+	} else if f.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", f.Line)
 	}
 	if f.Key != "" {
 		b.WriteString(f.Key)
--- /dev/null
+++ b/lib/gossip/core_test.go
@@ -0,0 +1,261 @@
+package gossip
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/fleet"
+)
+
+// settle is the number of seconds after which all members agree once faults end.
+const settle = 30
+
+// Guards against adoption that depends on the order of delivery: under loss,
+// delay, partition, pause and restart no process goes back, and afterwards all
+// hold the greatest stamp.
+func TestAllReachTheGreatestStamp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 24).Draw(t, "n")
+		w := newNetwork(rapid.Uint64().Draw(t, "seed"), n, rapid.IntRange(1, 3).Draw(t, "regions"))
+		w.loss = rapid.Float64Range(0, 0.5).Draw(t, "loss")
+		var greatest config.Stamp
+		next := uint64(0)
+		held := map[*peer]config.Stamp{}
+		check := func() {
+			for _, p := range w.peers {
+				require.GreaterOrEqual(t, p.Stamp().Compare(held[p]), 0, "a process went back")
+				held[p] = p.Stamp()
+				if p.adopted.Compare(greatest) > 0 {
+					greatest = p.adopted
+				}
+			}
+		}
+		any := func(label string) *peer {
+			return w.peers[rapid.SampledFrom(w.order).Draw(t, label)]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":        func(*rapid.T) { check() },
+			"step":    func(*rapid.T) { w.step() },
+			"publish": func(*rapid.T) { next++; w.service = stamp(next) },
+			"stale":   func(*rapid.T) { w.service = stamp(max(1, next/2)) },
+			"service": func(*rapid.T) { w.serviceDown = !w.serviceDown },
+			"pause":   func(*rapid.T) { p := any("paused"); p.paused = !p.paused },
+			"cut": func(t *rapid.T) {
+				k := rapid.SampledFrom(w.order).Draw(t, "cut")
+				w.cut = func(a, b fleet.InstanceID) bool { return (a < k) != (b < k) }
+			},
+			"restart": func(*rapid.T) {
+				// At least one process keeps the greatest stamp.
+				p := any("restarted")
+				for _, q := range w.peers {
+					if q != p && !q.down && q.adopted == greatest {
+						w.boot(p.self)
+						return
+					}
+				}
+			},
+		})
+		w.loss, w.cut = 0, func(_, _ fleet.InstanceID) bool { return false }
+		for _, p := range w.peers {
+			p.paused = false
+		}
+		for range settle {
+			w.step()
+			check()
+		}
+		for _, p := range w.peers {
+			require.Equal(t, greatest, p.Stamp())
+		}
+	})
+}
+
+// Guards against watchers that vanish unnoticed and against too many of them.
+func TestWatchersAreBoundedAndReplaced(t *testing.T) {
+	const n, regions = 120, 3
+	w := newNetwork(3, n, regions)
+	w.service = stamp(1)
+	for range settle {
+		w.step()
+	}
+	require.Equal(t, map[fleet.Region]int{"r0": Watchers, "r1": Watchers, "r2": Watchers}, w.watchers())
+	for _, p := range w.peers {
+		if p.Watching() {
+			p.down = true
+		}
+	}
+	for i := range 2 * settle {
+		w.step()
+		require.LessOrEqual(t, w.reads, 3*readsPerSecond, "second %d", i)
+	}
+	for region, count := range w.watchers() {
+		require.GreaterOrEqual(t, count, Watchers, region)
+		require.LessOrEqual(t, count, 2*Watchers, region)
+	}
+}
+
+// Guards against a herd at the configuration service while it is down.
+func TestLotteryBoundsReads(t *testing.T) {
+	w := newNetwork(4, 200, 4)
+	w.serviceDown = true
+	total := 0
+	for range settle {
+		w.step()
+		total += w.reads
+	}
+	require.Positive(t, total)
+	require.LessOrEqual(t, total, 2*readsPerSecond*settle)
+}
+
+// Guards against an instance list that lags: a member that says that it leaves
+// is leaving everywhere although the list calls it live, and one that restarts
+// is live although the list still calls it absent.
+func TestMembersSayMoreThanTheList(t *testing.T) {
+	w := newNetwork(5, 60, 3)
+	for range 10 {
+		w.step()
+	}
+	left := w.peers[w.order[7]]
+	w.act(left, left.Leave(w.now))
+	for range 8 {
+		w.step()
+	}
+	for _, p := range w.peers {
+		require.Equal(t, fleet.StateLeaving, memberOf(p.Members(), left.self.ID).State)
+	}
+	w.list = append(append([]fleet.Instance(nil), w.list[:7]...), w.list[8:]...)
+	w.revision++
+	left.down = true
+	for range 15 {
+		w.step()
+	}
+	for _, p := range w.peers {
+		if p != left {
+			require.Empty(t, memberOf(p.Members(), left.self.ID).ID)
+		}
+	}
+	w.boot(left.self)
+	for range 15 {
+		w.step()
+	}
+	for _, p := range w.peers {
+		require.Equal(t, fleet.StateLive, memberOf(p.Members(), left.self.ID).State)
+	}
+}
+
+func memberOf(list []fleet.Instance, id fleet.InstanceID) fleet.Instance {
+	for _, m := range list {
+		if m.ID == id {
+			return m
+		}
+	}
+	return fleet.Instance{}
+}
+
+// Guards against a running process that is taken for dead because the list
+// dropped it by mistake.
+func TestRunningProcessReturnsAfterTheListDroppedIt(t *testing.T) {
+	w := newNetwork(6, 30, 1)
+	for range 10 {
+		w.step()
+	}
+	w.list = w.list[1:]
+	w.revision++
+	for range settle {
+		w.step()
+	}
+	for _, p := range w.peers {
+		require.Len(t, p.Members(), 30)
+	}
+}
+
+// Guards against crash counts that grow by repeated delivery or get lost, and
+// against records that outlive their time.
+func TestSuspectsCountOnceClearAndExpire(t *testing.T) {
+	w := newNetwork(8, 40, 2)
+	for range 5 {
+		w.step()
+	}
+	for i := range 3 {
+		p := w.peers[w.order[i]]
+		w.act(p, p.Crash(w.now, []string{"f", "g"}))
+		w.step()
+	}
+	for range settle {
+		w.step()
+	}
+	for _, p := range w.peers {
+		s := p.Suspects()
+		require.Len(t, s, 2)
+		require.Equal(t, 3, s[0].Crashes())
+	}
+	w.act(w.peers["p0009"], w.peers["p0009"].Success(w.now, "f"))
+	for range settle {
+		w.step()
+	}
+	require.Len(t, w.peers["p0001"].Suspects(), 1)
+	w.now = w.now.Add(SuspectLifetime)
+	for range 2 {
+		w.step()
+	}
+	for _, p := range w.peers {
+		require.Empty(t, p.Suspects())
+	}
+}
+
+// Guards against merges that depend on order or repetition, by comparison with
+// the naive rule: keep everything and take the greatest of each part.
+func TestMergeAgreesWithNaiveMaximum(t *testing.T) {
+	record := rapid.Custom(func(t *rapid.T) Member {
+		m := Member{Instance: instance(1, 1)}
+		m.Version.Incarnation = fleet.Incarnation(rapid.IntRange(1, 3).Draw(t, "incarnation"))
+		m.Version.Sequence = uint64(rapid.IntRange(1, 3).Draw(t, "sequence"))
+		m.Listed = Listing{
+			Revision:    uint64(rapid.IntRange(0, 3).Draw(t, "revision")),
+			State:       ListState(rapid.IntRange(0, int(Absent)).Draw(t, "state")),
+			Incarnation: fleet.Incarnation(rapid.IntRange(0, 3).Draw(t, "listed")),
+		}
+		return m
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOfN(record, 1, 8).Draw(t, "records")
+		var version Version
+		var listed Listing
+		merged := list[0]
+		for _, m := range list {
+			if version.Less(m.Version) {
+				version = m.Version
+			}
+			if listed.less(m.Listed) {
+				listed = m.Listed
+			}
+			merged = combine(merged, m)
+		}
+		require.Equal(t, version, merged.Version)
+		require.Equal(t, listed, merged.Listed)
+		require.Equal(t, merged, combine(list[len(list)/2], merged))
+	})
+}
+
+// Guards against an adoption in force before the answers of peers at a start.
+func TestStartWaitsForAnswersOrTime(t *testing.T) {
+	list := []fleet.Instance{instance(0, 1), instance(1, 1)}
+	start := func() *Core {
+		c := New(Options{Self: list[0], Now: epoch, StartWait: 2 * time.Second, Rand: rand.New(rand.NewPCG(9, 9))})
+		c.SetList(epoch, list, 1)
+		c.Adopted(epoch, stamp(1))
+		return c
+	}
+	c := start()
+	c.Answered(epoch, &Heartbeat{From: Member{Instance: list[1]}, Stamp: stamp(1), Starting: true, Fresh: -1})
+	require.False(t, c.Started(epoch), "the peer is starting as well")
+	c.Answered(epoch, &Heartbeat{From: Member{Instance: list[1]}, Stamp: stamp(2), Fresh: -1})
+	require.False(t, c.Started(epoch), "a greater document is on its way")
+	c.Adopted(epoch, stamp(2))
+	require.True(t, c.Started(epoch))
+	require.True(t, start().Started(epoch.Add(2*time.Second)))
+}
--- /dev/null
+++ b/lib/gossip/sim_test.go
@@ -0,0 +1,184 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/fleet"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// peer is a core with what its process would hold.
+type peer struct {
+	*Core
+	self    fleet.Instance
+	adopted config.Stamp
+	down    bool
+	paused  bool
+	reads   int
+	sent    int
+}
+
+// network delivers actions between cores at once, with loss and partitions.
+type network struct {
+	rand    *rand.Rand
+	now     time.Time
+	peers   map[fleet.InstanceID]*peer
+	order   []fleet.InstanceID
+	loss    float64
+	cut     func(a, b fleet.InstanceID) bool
+	service config.Stamp
+	// serviceDown makes reads fail; reads counts those of the last second.
+	serviceDown bool
+	reads       int
+	list        []fleet.Instance
+	revision    uint64
+	depth       int
+	late        []func()
+}
+
+func instance(i, regions int) fleet.Instance {
+	region := fmt.Sprintf("r%d", i%regions)
+	return fleet.Instance{
+		ID: fleet.InstanceID(fmt.Sprintf("p%04d", i)), Role: fleet.RoleAgent,
+		Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Region: fleet.Region(region),
+		FailureDomain: fleet.FailureDomain(region), State: fleet.StateLive,
+	}
+}
+
+func newNetwork(seed uint64, n, regions int) *network {
+	w := &network{
+		rand: rand.New(rand.NewPCG(seed, 1)), now: epoch, peers: map[fleet.InstanceID]*peer{},
+		cut: func(_, _ fleet.InstanceID) bool { return false }, revision: 1,
+	}
+	for i := range n {
+		m := instance(i, regions)
+		w.order = append(w.order, m.ID)
+		w.list = append(w.list, m)
+		w.boot(m)
+	}
+	return w
+}
+
+// boot starts a process with empty memory; it reads the list.
+func (w *network) boot(m fleet.Instance) {
+	p := &peer{self: m}
+	p.Core = New(Options{
+		Self: m, Incarnation: fleet.Incarnation(w.now.UnixMilli() + 1), Now: w.now, StartWait: 2 * time.Second,
+		Rand: rand.New(rand.NewPCG(w.rand.Uint64(), 2)),
+	})
+	p.SetList(w.now, w.list, w.revision)
+	w.peers[m.ID] = p
+}
+
+// step lets one second pass.
+func (w *network) step() {
+	w.now = w.now.Add(HeartbeatEvery)
+	w.reads = 0
+	late := w.late
+	w.late = nil
+	for _, f := range late {
+		f()
+	}
+	for _, id := range w.order {
+		p := w.peers[id]
+		if p.down || p.paused {
+			continue
+		}
+		if p.Watching() {
+			w.read(p)
+			p.SetList(w.now, w.list, w.revision)
+		}
+		w.act(p, p.Tick(w.now))
+	}
+}
+
+func (w *network) act(p *peer, actions []Action) {
+	w.depth++
+	defer func() { w.depth-- }()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			w.exchange(p, a)
+		case Fetch:
+			w.fetch(p, a)
+		case Read:
+			w.reads++
+			w.read(p)
+		}
+	}
+}
+
+func (w *network) reaches(p, q *peer) bool {
+	return q != nil && !q.down && !q.paused && !w.cut(p.self.ID, q.self.ID) && w.rand.Float64() >= w.loss
+}
+
+func (w *network) exchange(p *peer, a Send) {
+	p.sent++
+	q := w.peers[a.To.ID]
+	if !w.reaches(p, q) {
+		p.Failed(w.now, a.To.ID)
+		return
+	}
+	deliver := func() {
+		answer, actions := q.Receive(w.now, &a.Message)
+		w.act(q, actions)
+		if w.reaches(q, p) {
+			w.act(p, p.Answered(w.now, &answer))
+		} else {
+			p.Failed(w.now, a.To.ID)
+		}
+	}
+	// Some messages arrive a second late, after newer ones.
+	if w.depth > 20 || w.rand.IntN(4) == 0 {
+		w.late = append(w.late, deliver)
+		return
+	}
+	deliver()
+}
+
+func (w *network) fetch(p *peer, a Fetch) {
+	for _, q := range w.peers {
+		if q.self.Address == a.Address && w.reaches(p, q) && q.adopted == a.Stamp {
+			w.adopt(p, a.Stamp)
+			return
+		}
+	}
+	p.FetchFailed(a.Stamp)
+}
+
+func (w *network) adopt(p *peer, s config.Stamp) {
+	if s.Compare(p.adopted) > 0 {
+		p.adopted = s
+		w.act(p, p.Adopted(w.now, s))
+	}
+}
+
+func (w *network) read(p *peer) {
+	p.reads++
+	if w.serviceDown {
+		return
+	}
+	p.ReadDone(w.now)
+	if !w.service.IsZero() {
+		w.adopt(p, w.service)
+	}
+}
+
+// watchers counts the running watchers of each region.
+func (w *network) watchers() map[fleet.Region]int {
+	counts := map[fleet.Region]int{}
+	for _, p := range w.peers {
+		if !p.down && p.Watching() {
+			counts[p.self.Region]++
+		}
+	}
+	return counts
+}
+
+func stamp(g uint64) config.Stamp {
+	return config.Stamp{Generation: fleet.Generation(g), Digest: fleet.Digest{byte(g)}}
+}
--- /dev/null
+++ b/lib/gossip/suspects.go
@@ -0,0 +1,172 @@
+package gossip
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// SuspectLifetime is how long a report of a crash counts.
+	SuspectLifetime = 10 * time.Minute
+	// MaxSuspects bounds the table of suspects; the oldest record makes room.
+	MaxSuspects = 256
+	// maxReports bounds the reporters of one suspect. Entries refuse a request
+	// after 3 crashes, so further reporters change nothing.
+	maxReports = 8
+	// maxAhead bounds how far the clock of a reporter may lead.
+	maxAhead = time.Minute
+)
+
+// suspects merges reports of crashes.
+type suspects struct {
+	records map[string]Suspect
+	// queue holds how often a change is still to be passed on.
+	queue map[string]int
+}
+
+func newSuspects() suspects {
+	return suspects{records: map[string]Suspect{}, queue: map[string]int{}}
+}
+
+// merge takes in a record and reports whether it changed anything.
+func (s *suspects) merge(in Suspect, now time.Time, transmissions int) bool {
+	age := now.Sub(in.Last)
+	if in.Fingerprint == "" || age >= SuspectLifetime || age < -maxAhead {
+		return false
+	}
+	old, known := s.records[in.Fingerprint]
+	next := in
+	if known {
+		next = combineSuspects(old, in)
+	} else {
+		next.Reports = combineReports(nil, in.Reports)
+	}
+	if known && sameSuspect(old, next) {
+		return false
+	}
+	if !known {
+		s.makeRoom()
+	}
+	s.records[in.Fingerprint] = next
+	s.queue[in.Fingerprint] = transmissions
+	return true
+}
+
+// combineSuspects keeps the later epoch; in the same epoch each reporter's
+// greatest count. It is commutative, associative and idempotent.
+func combineSuspects(a, b Suspect) Suspect {
+	switch {
+	case a.Epoch > b.Epoch:
+		return a
+	case a.Epoch < b.Epoch:
+		b.Reports = combineReports(nil, b.Reports)
+		return b
+	}
+	a.Reports = combineReports(a.Reports, b.Reports)
+	if a.Last.Before(b.Last) {
+		a.Last = b.Last
+	}
+	return a
+}
+
+func combineReports(a, b []Report) []Report {
+	greatest := map[Report]uint32{}
+	for _, list := range [][]Report{a, b} {
+		for _, r := range list {
+			key := Report{Instance: r.Instance, Incarnation: r.Incarnation}
+			greatest[key] = max(greatest[key], r.Count)
+		}
+	}
+	out := make([]Report, 0, len(greatest))
+	for key, count := range greatest {
+		key.Count = count
+		out = append(out, key)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Instance != out[j].Instance {
+			return out[i].Instance < out[j].Instance
+		}
+		return out[i].Incarnation < out[j].Incarnation
+	})
+	return out[:min(len(out), maxReports)]
+}
+
+func sameSuspect(a, b Suspect) bool {
+	if a.Epoch != b.Epoch || !a.Last.Equal(b.Last) || len(a.Reports) != len(b.Reports) {
+		return false
+	}
+	for i := range a.Reports {
+		if a.Reports[i] != b.Reports[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *suspects) makeRoom() {
+	if len(s.records) < MaxSuspects {
+		return
+	}
+	oldest := ""
+	for f, r := range s.records {
+		o := s.records[oldest]
+		if oldest == "" || r.Last.Before(o.Last) || (r.Last.Equal(o.Last) && f < oldest) {
+			oldest = f
+		}
+	}
+	delete(s.records, oldest)
+	delete(s.queue, oldest)
+}
+
+// purge drops expired records and reports whether there were any.
+func (s *suspects) purge(now time.Time) bool {
+	before := len(s.records)
+	for f, r := range s.records {
+		if now.Sub(r.Last) >= SuspectLifetime {
+			delete(s.records, f)
+			delete(s.queue, f)
+		}
+	}
+	return len(s.records) != before
+}
+
+// updates returns at most limit changes and counts them as passed on.
+func (s *suspects) updates(limit int) []Suspect {
+	var names []string
+	for f := range s.queue {
+		names = append(names, f)
+	}
+	sort.Slice(names, func(i, j int) bool {
+		if s.queue[names[i]] != s.queue[names[j]] {
+			return s.queue[names[i]] > s.queue[names[j]]
+		}
+		return names[i] < names[j]
+	})
+	var out []Suspect
+	for _, f := range names[:min(len(names), limit)] {
+		out = append(out, s.records[f])
+		if s.queue[f]--; s.queue[f] <= 0 {
+			delete(s.queue, f)
+		}
+	}
+	return out
+}
+
+// all returns the records in the order of their fingerprints.
+func (s *suspects) all() []Suspect {
+	out := make([]Suspect, 0, len(s.records))
+	for _, r := range s.records {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Fingerprint < out[j].Fingerprint })
+	return out
+}
+
+// Crashes returns the number of crashes reported in the current epoch.
+func (s Suspect) Crashes() int {
+	n := 0
+	for _, r := range s.Reports {
+		n += int(r.Count)
+	}
+	return n
+}
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -1,5 +1,5 @@
 // Package node runs the duties that entry and agent share: the adopted
-// configuration, the members, and the time line.
+// configuration, the members, the exchange with other processes and the time line.
 package node
 
 import (
@@ -7,14 +7,12 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
-	"rattanspur.example/lib/gossip"
-	"rattanspur.example/lib/platform"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/settings"
 	"rattanspur.example/lib/timeline"
@@ -24,12 +22,26 @@
 const (
 	// messageRing is the capacity of the rings between the node's duties.
 	messageRing = 256
+	// documentRing bounds the documents, of up to 1 MB each, that wait for validation.
+	documentRing = 8
+	// exchangeRing bounds the heartbeats that wait for a sender.
+	exchangeRing = 32
+	// senders is the number of heartbeats in flight; more than the members that
+	// an adoption is pushed to, since some of them may not answer.
+	senders = 8
 	// eventLog is the number of events that a process keeps.
 	eventLog = 4096
 	// requestTimeout bounds short requests to the platform and to peers.
 	requestTimeout = 2 * time.Second
 	// retryDelay is the time between two tries of a service that failed.
 	retryDelay = 500 * time.Millisecond
+	// leaveWait bounds how long Leave waits until some members know.
+	leaveWait = time.Second
+	// idleConnections bounds the open connections to members; they are chosen
+	// at random, so that few connections are used again.
+	idleConnections = 32
+	// idleTimeout closes connections to members that are not used again.
+	idleTimeout = 15 * time.Second
 )
 
 // View is what a process knows of the fleet. It is immutable.
@@ -38,57 +50,103 @@
 	Members []fleet.Instance
 	// Suspects are the contents of requests that were in flight when an engine crashed.
 	Suspects []wire.Suspect
+	// Suspected are members whose last heartbeat exchange with this process
+	// failed. That lowers preference only: silence is not death.
+	Suspected map[fleet.InstanceID]bool
 }
 
 // Node owns the shared duties of one process.
 type Node struct {
 	settings settings.Node
 	logger   log.Logger
-	http     *http.Client
+	start    time.Time
 	peers    *wire.Client
-
-	published *ring.Ring[[]byte]
-	lists     *ring.Ring[platform.InstanceList]
-	events    *ring.Ring[timelineMessage]
-	views     []*ring.Ring[View]
+	// control and platform carry the control messages and count their bytes.
+	control  *wire.Client
+	platform *http.Client
+	traffic  traffic
+	metrics  *metrics.Set
+
+	// inbox and notices lead to the gossip duty. The notices come from roles,
+	// which must never wait for the node.
+	inbox   *ring.Ring[gossipEvent]
+	notices *ring.Ring[gossipEvent]
+	// documents and conflicts lead to the configuration duty.
+	documents *ring.Ring[document]
+	conflicts *ring.Ring[conflict]
+	// exchanges and fetches lead to the senders and the fetcher.
+	exchanges *ring.Ring[exchange]
+	fetches   *ring.Ring[fetch]
+	// watches, listings and reads lead to the readers of the platform.
+	watches  *ring.Ring[bool]
+	listings *ring.Ring[bool]
+	reads    *ring.Ring[struct{}]
+	events   *ring.Ring[timelineMessage]
+	views    []*ring.Ring[View]
 }
 
 // New returns a node; Start begins its duties.
 func New(s settings.Node, logger log.Logger) *Node {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
-	return &Node{
+	n := &Node{
 		settings:  s,
 		logger:    logger,
-		http:      client,
-		peers:     &wire.Client{HTTP: client, Keys: s.PeerKeys},
-		published: ring.New[[]byte](messageRing, ring.Wait),
-		lists:     ring.New[platform.InstanceList](1, ring.DropOldest),
+		start:     time.Now(),
+		metrics:   metrics.NewSet(),
+		peers:     &wire.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}, Keys: s.PeerKeys},
+		inbox:     ring.New[gossipEvent](messageRing, ring.Wait),
+		notices:   ring.New[gossipEvent](messageRing, ring.DropOldest),
+		documents: ring.New[document](documentRing, ring.Wait),
+		conflicts: ring.New[conflict](messageRing, ring.DropOldest),
+		exchanges: ring.New[exchange](exchangeRing, ring.Refuse),
+		fetches:   ring.New[fetch](1, ring.Refuse),
+		watches:   ring.New[bool](1, ring.DropOldest),
+		listings:  ring.New[bool](1, ring.DropOldest),
+		reads:     ring.New[struct{}](1, ring.DropOldest),
 		events:    ring.New[timelineMessage](messageRing, ring.DropOldest),
 	}
+	n.control = &wire.Client{HTTP: n.traffic.peers.client(), Keys: s.PeerKeys}
+	n.platform = n.traffic.platform.client()
+	return n
 }
 
-// PeerHandler serves the paths under /peer/ that belong to the node's duties.
-func (n *Node) PeerHandler() http.Handler { return http.NotFoundHandler() }
-
 // SetServing publishes to the other processes which root this agent serves and
 // whether its engine is changing versions.
-func (n *Node) SetServing(fleet.Digest, bool) {}
+func (n *Node) SetServing(root fleet.Digest, switching bool) {
+	n.notify(servingChanged{root: root, switching: switching})
+}
 
-// Leave publishes to the other processes that this one is going to stop.
+// Leave publishes to the other processes that this one is going to stop. It
+// returns when the first members were told or after a second.
 func (n *Node) Leave() {
 	n.Record(timeline.Event{Kind: timeline.ProcessLeaving})
+	told := ring.New[struct{}](1, ring.Refuse)
+	n.notify(leaving{told: told})
+	ctx, cancel := context.WithTimeout(context.Background(), leaveWait)
+	defer cancel()
+	_, _ = told.Take(ctx)
 }
 
 // ReportCrash publishes the fingerprints of the requests that were in flight
 // when this agent's engine crashed.
-func (n *Node) ReportCrash([]string) {}
+func (n *Node) ReportCrash(fingerprints []string) {
+	if len(fingerprints) > 0 {
+		n.notify(crashed{fingerprints: fingerprints})
+	}
+}
 
 // ReportSuccess withdraws suspicion from a fingerprint whose request completed.
-func (n *Node) ReportSuccess(string) {}
+func (n *Node) ReportSuccess(fingerprint string) { n.notify(succeeded{fingerprint: fingerprint}) }
 
 // Heard takes in the configuration stamp that a process at an address decided
 // by. If it is greater than the adopted one, the document is fetched there.
-func (n *Node) Heard(string, config.Stamp) {}
+func (n *Node) Heard(address string, s config.Stamp) {
+	if !s.IsZero() {
+		n.notify(heard{address: address, stamp: s})
+	}
+}
+
+// notify never blocks; when the ring is full the oldest notice is discarded.
+func (n *Node) notify(e gossipEvent) { _ = n.notices.Put(context.Background(), e) }
 
 // Self returns the process's own record.
 func (n *Node) Self() fleet.Instance { return n.settings.Self }
@@ -110,101 +168,13 @@
 // Start begins the duties of the node in a group.
 func (n *Node) Start(g *duty.Group) {
 	g.Go("timeline", n.runTimeline)
-	g.Go("configuration", n.runView)
+	g.Go("configuration", n.runConfiguration)
+	g.Go("gossip", n.runGossip)
+	for range senders {
+		g.Go("heartbeat sender", n.runSender)
+	}
+	g.Go("configuration fetcher", n.runFetcher)
 	g.Go("configuration watch", n.runWatch)
 	g.Go("instance list", n.runList)
 	n.Record(timeline.Event{Kind: timeline.ProcessStarted, Detail: string(n.settings.Self.Role)})
 }
-
-// runView owns the adopted configuration and the member table.
-func (n *Node) runView(ctx context.Context) error {
-	table := gossip.NewTable(n.settings.Self)
-	var adopted *config.Accepted
-	for {
-		select {
-		case data := <-n.published.Out():
-			next := n.accept(adopted, data)
-			if next == adopted {
-				continue
-			}
-			adopted = next
-		case list := <-n.lists.Out():
-			table.SetList(list.Instances)
-		case <-ctx.Done():
-			return nil
-		}
-		n.publishView(ctx, View{Config: adopted, Members: table.Members()})
-	}
-}
-
-func (n *Node) publishView(ctx context.Context, v View) {
-	if v.Config == nil {
-		return
-	}
-	for _, r := range n.views {
-		_ = r.Put(ctx, v)
-	}
-}
-
-// accept returns the greater of the adopted document and a published one.
-func (n *Node) accept(adopted *config.Accepted, data []byte) *config.Accepted {
-	next, err := config.Accept(data)
-	if err != nil {
-		_ = level.Error(n.logger).Log("msg", "published configuration rejected", "err", err)
-		n.Record(timeline.Event{Kind: timeline.ConfigRejected, Detail: err.Error()})
-		return adopted
-	}
-	if adopted != nil && next.Stamp.Compare(adopted.Stamp) <= 0 {
-		return adopted
-	}
-	_ = level.Info(n.logger).Log("msg", "configuration adopted", "generation", next.Generation)
-	n.Record(timeline.Event{Kind: timeline.ConfigAdopted, Generation: next.Generation})
-	return next
-}
-
-func (n *Node) runWatch(ctx context.Context) error {
-	service := platform.NewConfigService(n.settings.ConfigURL, n.settings.ConfigKey, n.http)
-	var index uint64
-	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, n.settings.WatchWait+requestTimeout)
-		value, err := service.Read(limited, index, n.settings.WatchWait)
-		cancel()
-		if err != nil {
-			_ = level.Warn(n.logger).Log("msg", "configuration service did not answer", "err", err)
-			sleep(ctx, retryDelay)
-			continue
-		}
-		if value.Index == index {
-			continue
-		}
-		index = value.Index
-		if n.published.Put(ctx, value.Bytes) != nil {
-			return nil
-		}
-	}
-	return nil
-}
-
-func (n *Node) runList(ctx context.Context) error {
-	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, requestTimeout)
-		list, err := platform.ReadInstances(limited, n.http, n.settings.InstancesURL)
-		cancel()
-		if err != nil {
-			_ = level.Warn(n.logger).Log("msg", "instance list did not answer", "err", err)
-		} else {
-			_ = n.lists.Put(ctx, list)
-		}
-		sleep(ctx, n.settings.ListEvery)
-	}
-	return nil
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/lib/node/status.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/wire"
+)
+
+// Status is the state of the node's duties.
+type Status struct {
+	Instance fleet.Instance `json:"instance"`
+	// Ready says that a configuration is in force; Reason says why it is not.
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+	// Generation and Digest name the configuration in force.
+	Generation fleet.Generation `json:"generation"`
+	Digest     fleet.Digest     `json:"digest"`
+	Members    int              `json:"members"`
+	Leaving    int              `json:"leaving"`
+	// Suspected is the number of members that this process could not reach.
+	Suspected int  `json:"suspected"`
+	Watching  bool `json:"watching"`
+	// Fresh says that some process has read the configuration service
+	// recently; FreshSeconds is the age of that read, or -1.
+	Fresh        bool           `json:"fresh"`
+	FreshSeconds float64        `json:"fresh_seconds"`
+	Suspects     []wire.Suspect `json:"suspects,omitempty"`
+	Traffic      Traffic        `json:"traffic"`
+	Rings        []RingStatus   `json:"rings"`
+}
+
+// Traffic counts the bytes of the control messages that this process started,
+// with their answers and all headers.
+type Traffic struct {
+	PeersSent        uint64 `json:"peers_sent"`
+	PeersReceived    uint64 `json:"peers_received"`
+	PlatformSent     uint64 `json:"platform_sent"`
+	PlatformReceived uint64 `json:"platform_received"`
+}
+
+// RingStatus shows how full a ring between duties is.
+type RingStatus struct {
+	Name     string `json:"name"`
+	Depth    int    `json:"depth"`
+	Capacity int    `json:"capacity"`
+	Drops    uint64 `json:"drops"`
+}
+
+// Status returns the state of the node's duties or the context's error.
+func (n *Node) Status(ctx context.Context) (Status, error) {
+	return ask(ctx, n, func(answer *ring.Ring[Status]) gossipEvent { return statusAsked{answer: answer} })
+}
+
+// StatusHandler serves Status as JSON. It requires the peer key.
+func (n *Node) StatusHandler() http.Handler {
+	return wire.Keys(n.settings.PeerKeys).Require(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		s, err := n.Status(ctx)
+		if err != nil {
+			http.Error(w, "gossip duty does not answer", http.StatusServiceUnavailable)
+			return
+		}
+		wire.WriteJSON(w, s)
+	}))
+}
+
+// ReadyHandler answers 200 once a configuration is in force, and otherwise 503
+// with the reason. It requires no key.
+func (n *Node) ReadyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		s, err := n.Status(ctx)
+		switch {
+		case err != nil:
+			http.Error(w, "gossip duty does not answer", http.StatusServiceUnavailable)
+		case !s.Ready:
+			http.Error(w, s.Reason, http.StatusServiceUnavailable)
+		default:
+			_, _ = w.Write([]byte("ready\n"))
+		}
+	})
+}
+
+func (g *gossiper) status(now time.Time) Status {
+	n := g.node
+	s := Status{
+		Instance:   n.settings.Self,
+		Ready:      !g.inForce.IsZero(),
+		Generation: g.inForce.Generation,
+		Digest:     g.inForce.Digest,
+		Suspected:  len(g.core.Suspected()),
+		Watching:   g.core.Watching(),
+		Fresh:      g.core.Fresh(now),
+		Suspects:   suspects(g.core.Suspects()),
+		Traffic: Traffic{
+			PeersSent: n.traffic.peers.sent.Load(), PeersReceived: n.traffic.peers.received.Load(),
+			PlatformSent: n.traffic.platform.sent.Load(), PlatformReceived: n.traffic.platform.received.Load(),
+		},
+		Rings: n.rings(),
+	}
+	s.FreshSeconds = g.freshSeconds(now)
+	for _, m := range g.core.Members() {
+		s.Members++
+		if m.State == fleet.StateLeaving {
+			s.Leaving++
+		}
+	}
+	switch {
+	case s.Ready:
+	case g.held.config == nil:
+		s.Reason = "no configuration was accepted yet"
+	default:
+		s.Reason = "waiting for an answer of a peer"
+	}
+	return s
+}
+
+func (g *gossiper) freshSeconds(now time.Time) float64 {
+	age, known := g.core.FreshAge(now)
+	if !known {
+		return -1
+	}
+	return age.Seconds()
+}
+
+func (n *Node) rings() []RingStatus {
+	return []RingStatus{
+		ringStatus("inbox", n.inbox), ringStatus("notices", n.notices),
+		ringStatus("documents", n.documents), ringStatus("exchanges", n.exchanges),
+		ringStatus("fetches", n.fetches), ringStatus("events", n.events),
+	}
+}
+
+func ringStatus[T any](name string, r *ring.Ring[T]) RingStatus {
+	return RingStatus{Name: name, Depth: r.Depth(), Capacity: r.Capacity(), Drops: r.Drops()}
+}
+
+// WriteMetrics writes the metrics of the node's duties in Prometheus text format.
+func (n *Node) WriteMetrics(w io.Writer) { n.metrics.WritePrometheus(w) }
+
+// measure sets the metrics of the node's duties.
+func (g *gossiper) measure() {
+	m := g.node.metrics
+	set := func(name string, v float64) { m.GetOrCreateGauge(name, nil).Set(v) }
+	flag := map[bool]float64{true: 1}
+	set("rattanspur_config_generation", float64(g.inForce.Generation))
+	set("rattanspur_members", float64(len(g.core.Members())))
+	set("rattanspur_members_suspected", float64(len(g.core.Suspected())))
+	set("rattanspur_request_suspects", float64(len(g.core.Suspects())))
+	set("rattanspur_config_watching", flag[g.core.Watching()])
+	set("rattanspur_config_read_age_seconds", g.freshSeconds(time.Now()))
+	t := &g.node.traffic
+	for name, c := range map[string]*counter{"peers": &t.peers, "platform": &t.platform} {
+		m.GetOrCreateCounter(`rattanspur_control_sent_bytes_total{to="` + name + `"}`).Set(c.sent.Load())
+		m.GetOrCreateCounter(`rattanspur_control_received_bytes_total{from="` + name + `"}`).Set(c.received.Load())
+	}
+	for _, r := range g.node.rings() {
+		set(`rattanspur_ring_depth{ring="node_`+r.Name+`"}`, float64(r.Depth))
+		m.GetOrCreateCounter(`rattanspur_ring_drops_total{ring="node_` + r.Name + `"}`).Set(r.Drops)
+	}
+}
--- a/lib/node/timeline.go
+++ b/lib/node/timeline.go
@@ -10,11 +10,16 @@
 	"rattanspur.example/lib/wire"
 )
 
+// clockWait bounds the wait for a stamp. A message without one is still sent:
+// the order of events is for people and no decision depends on it.
+const clockWait = 100 * time.Millisecond
+
 // timelineMessage is an event to record, a stamp to observe or a question.
 type timelineMessage struct {
 	event   *timeline.Event
 	observe timeline.Stamp
 	answer  *ring.Ring[[]timeline.Event]
+	clock   *ring.Ring[timeline.Stamp]
 }
 
 // Record adds an event to the process's time line. It never blocks; when the
@@ -30,6 +35,17 @@
 	_ = n.events.Put(context.Background(), timelineMessage{observe: s})
 }
 
+// Clock returns a stamp for a message to another process; zero if the time
+// line duty does not answer before ctx ends.
+func (n *Node) Clock(ctx context.Context) timeline.Stamp {
+	answer := ring.New[timeline.Stamp](1, ring.Refuse)
+	_ = n.events.Put(ctx, timelineMessage{clock: answer})
+	limited, cancel := context.WithTimeout(ctx, clockWait)
+	defer cancel()
+	s, _ := answer.Take(limited)
+	return s
+}
+
 // runTimeline owns the clock and the log of events.
 func (n *Node) runTimeline(ctx context.Context) error {
 	var clock timeline.Clock
@@ -42,6 +58,8 @@
 		switch {
 		case m.answer != nil:
 			_ = m.answer.Put(ctx, events.Events())
+		case m.clock != nil:
+			_ = m.clock.Put(ctx, clock.Now(time.Now()))
 		case m.event != nil:
 			m.event.Stamp = clock.Now(time.Now())
 			events.Append(*m.event)
--- a/lib/platform/platform.go
+++ b/lib/platform/platform.go
@@ -50,7 +50,7 @@
 	if index > 0 {
 		url += fmt.Sprintf("&index=%d&wait=%dms", index, wait.Milliseconds())
 	}
-	body, header, err := get(ctx, s.http, url, config.MaxDocumentBytes)
+	body, header, err := get(ctx, s.http, url, config.MaxDocumentBytes, "")
 	if err != nil {
 		return Value{}, eris.Wrap(err, "configuration service")
 	}
@@ -67,27 +67,57 @@
 	Instances []fleet.Instance `json:"instances"`
 }
 
-// ReadInstances returns the instance list at a base URL.
-func ReadInstances(ctx context.Context, client *http.Client, base string) (InstanceList, error) {
-	var list InstanceList
-	body, _, err := get(ctx, client, strings.TrimSuffix(base, "/")+"/v1/instances", maxListBytes)
+// InstanceService reads the instance list.
+type InstanceService struct {
+	url  string
+	http *http.Client
+	etag string
+	last InstanceList
+}
+
+// NewInstanceService returns a client of the instance list at a base URL. It
+// is owned by one duty.
+func NewInstanceService(base string, client *http.Client) *InstanceService {
+	return &InstanceService{url: strings.TrimSuffix(base, "/") + "/v1/instances", http: client}
+}
+
+// Read returns the instance list and the number of bytes that were read for
+// it. A service that gives entity tags need not send an unchanged list again.
+func (s *InstanceService) Read(ctx context.Context) (InstanceList, int, error) {
+	body, header, err := get(ctx, s.http, s.url, maxListBytes, s.etag)
+	if eris.Is(err, errNotModified) {
+		return s.last, 0, nil
+	}
 	if err != nil {
-		return list, eris.Wrap(err, "instance list")
+		return InstanceList{}, 0, eris.Wrap(err, "instance list")
 	}
-	err = json.Unmarshal(body, &list)
-	return list, eris.Wrap(err, "instance list is not valid JSON")
+	var list InstanceList
+	if err := json.Unmarshal(body, &list); err != nil {
+		return list, len(body), eris.Wrap(err, "instance list is not valid JSON")
+	}
+	s.last, s.etag = list, header.Get("ETag")
+	return list, len(body), nil
 }
 
-func get(ctx context.Context, client *http.Client, url string, limit int64) ([]byte, http.Header, error) {
+// errNotModified is the answer to a conditional read of an unchanged value.
+var errNotModified = eris.New("not modified")
+
+func get(ctx context.Context, client *http.Client, url string, limit int64, etag string) ([]byte, http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return nil, nil, err
 	}
+	if etag != "" {
+		req.Header.Set("If-None-Match", etag)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return nil, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotModified {
+		return nil, nil, errNotModified
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, nil, eris.Errorf("unexpected status %d", resp.StatusCode)
 	}
@@ -100,3 +130,9 @@
 	}
 	return body, resp.Header, nil
 }
+
+// ReadInstances returns the instance list at a base URL.
+func ReadInstances(ctx context.Context, client *http.Client, base string) (InstanceList, error) {
+	list, _, err := NewInstanceService(base, client).Read(ctx)
+	return list, err
+}
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -64,7 +65,16 @@
 // LoadEntry reads the settings of an entry. The error is a *finding.Error if
 // the file could be read.
 func LoadEntry(file string) (*Entry, error) {
-	r, err := open(file)
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	return ParseEntry(file, data)
+}
+
+// ParseEntry reads the settings of an entry from the bytes of a file.
+func ParseEntry(name string, data []byte) (*Entry, error) {
+	r, err := parse(name, data)
 	if err != nil {
 		return nil, err
 	}
@@ -79,13 +89,22 @@
 // LoadAgent reads the settings of an agent. The error is a *finding.Error if
 // the file could be read.
 func LoadAgent(file string) (*Agent, error) {
-	r, err := open(file)
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	return ParseAgent(file, data)
+}
+
+// ParseAgent reads the settings of an agent from the bytes of a file.
+func ParseAgent(name string, data []byte) (*Agent, error) {
+	r, err := parse(name, data)
 	if err != nil {
 		return nil, err
 	}
 	s := &Agent{Node: r.node(fleet.RoleAgent)}
 	s.Self.Service = fleet.Service(r.text("agent", "service", ""))
-	s.UpstreamURL = r.text("agent", "upstream_url", "")
+	s.UpstreamURL = r.url("agent", "upstream_url")
 	s.WeightsListen = r.address("agent", "weights_listen", "127.0.0.1:0")
 	s.ReportEvery = r.duration("agent", "report_every", 250*time.Millisecond)
 	s.Calls = r.integer("agent", "calls", 256, 1)
@@ -105,11 +124,7 @@
 	findings finding.List
 }
 
-func open(name string) (*reader, error) {
-	data, err := os.ReadFile(name)
-	if err != nil {
-		return nil, eris.Wrap(err, "read settings")
-	}
+func parse(name string, data []byte) (*reader, error) {
 	file, err := ini.Load(data)
 	if err != nil {
 		return nil, eris.Wrapf(err, "settings %s", name)
@@ -128,13 +143,13 @@
 	n.Self.Address = r.address("node", "listen", "")
 	n.Self.FailureDomain = fleet.FailureDomain(r.text("node", "failure_domain", ""))
 	n.Self.Region = fleet.Region(r.text("node", "region", ""))
-	n.ConfigURL = r.text("node", "config_url", "")
+	n.ConfigURL = r.url("node", "config_url")
 	n.ConfigKey = r.text("node", "config_key", "rattanspur/config")
-	n.InstancesURL = r.text("node", "instances_url", "")
+	n.InstancesURL = r.url("node", "instances_url")
 	n.PeerKeys = r.list("node", "peer_keys")
 	n.OperatorKey = r.text("node", "operator_key", "")
 	n.ListEvery = r.duration("node", "list_every", time.Second)
-	n.WatchWait = r.duration("node", "watch_wait", 10*time.Second)
+	n.WatchWait = r.duration("node", "watch_wait", 4*time.Second)
 	n.StartWait = r.duration("node", "start_wait", 2*time.Second)
 	n.LogLevel = r.text("node", "log_level", "info")
 	return n
@@ -186,6 +201,24 @@
 	return v
 }
 
+// url reads a required URL. Its host is an IP address, because processes
+// reach each other and the platform without a name service.
+func (r *reader) url(section, name string) string {
+	v := r.text(section, name, "")
+	if v == "" {
+		return v
+	}
+	u, err := url.Parse(v)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
+		r.add(section, name, "%q is not an http or https URL", v)
+		return v
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		r.add(section, name, "host %q is not an IP address", u.Hostname())
+	}
+	return v
+}
+
 func (r *reader) integer(section, name string, missing, least int) int {
 	k, ok := r.key(section, name)
 	if !ok {
--- /dev/null
+++ b/lib/wire/heartbeat_test.go
@@ -0,0 +1,84 @@
+package wire
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/gossip"
+	"rattanspur.example/lib/timeline"
+)
+
+func sampleHeartbeat() *gossip.Heartbeat {
+	m := gossip.Member{
+		Instance: fleet.Instance{
+			ID: "agent-1", Role: fleet.RoleAgent, Service: "advisory", Address: "127.0.0.1:1",
+			FailureDomain: "d", Region: "r", State: fleet.StateLive, Serving: fleet.Digest{7}, Switching: true,
+		},
+		Version: gossip.Version{Incarnation: 5, Sequence: 6},
+		Listed:  gossip.Listing{State: gossip.ListedLeaving, Revision: 7, Incarnation: 5},
+	}
+	return &gossip.Heartbeat{
+		From: m, Stamp: config.Stamp{Generation: 3, Digest: fleet.Digest{1}}, Starting: true, Fresh: 1500 * time.Millisecond,
+		Members: []gossip.Member{m},
+		Suspects: []gossip.Suspect{{
+			Fingerprint: "f", Epoch: 1, Last: time.UnixMilli(1000),
+			Reports: []gossip.Report{{Instance: "agent-1", Incarnation: 5, Count: 2}},
+		}},
+		Buckets: make([]uint32, gossip.BucketCount),
+	}
+}
+
+// Guards against fields that the encoding loses.
+func TestHeartbeatKeepsAllFields(t *testing.T) {
+	h := sampleHeartbeat()
+	h.Buckets[255] = 0xfeedbeef
+	data, err := EncodeHeartbeat(h, timeline.Stamp{Wall: 9, Logical: 1})
+	require.NoError(t, err)
+	got, clock, err := DecodeHeartbeat(data)
+	require.NoError(t, err)
+	require.Equal(t, h, got)
+	require.Equal(t, timeline.Stamp{Wall: 9, Logical: 1}, clock)
+}
+
+// Guards against messages that exceed the bounds that the traffic is reckoned by.
+func TestHeartbeatBounds(t *testing.T) {
+	for name, change := range map[string]func(*gossip.Heartbeat){
+		"members":     func(h *gossip.Heartbeat) { h.Members = make([]gossip.Member, 1+maxHeartbeatMembers) },
+		"buckets":     func(h *gossip.Heartbeat) { h.Buckets = make([]uint32, 1) },
+		"host name":   func(h *gossip.Heartbeat) { h.From.Address = "localhost:1" },
+		"state":       func(h *gossip.Heartbeat) { h.Members[0].State = "gone" },
+		"identifier":  func(h *gossip.Heartbeat) { h.From.ID = "" },
+		"fingerprint": func(h *gossip.Heartbeat) { h.Suspects[0].Fingerprint = "" },
+	} {
+		h := sampleHeartbeat()
+		change(h)
+		data, err := EncodeHeartbeat(h, timeline.Stamp{})
+		require.NoError(t, err)
+		_, _, err = DecodeHeartbeat(data)
+		require.Error(t, err, name)
+	}
+}
+
+// Guards against messages of peers that stop the process.
+func FuzzDecodeHeartbeat(f *testing.F) {
+	data, err := EncodeHeartbeat(sampleHeartbeat(), timeline.Stamp{Wall: 1})
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add([]byte(`{"from":{"id":"a","address":"127.0.0.1:1","state":"live"},"fresh_ms":9223372036854775807}`))
+	f.Add([]byte(`{"buckets":"AAAA","suspects":[{"f":""}]}`))
+	f.Add([]byte(`{"from":null,"members":[{}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h, clock, err := DecodeHeartbeat(data)
+		if err != nil {
+			return
+		}
+		again, err := EncodeHeartbeat(h, clock)
+		require.NoError(t, err)
+		_, _, err = DecodeHeartbeat(again)
+		require.NoError(t, err)
+	})
+}
--- a/lib/wire/peer.go
+++ b/lib/wire/peer.go
@@ -115,3 +115,20 @@
 	}
 	return resp, nil
 }
+
+// Post sends bytes and reads the body of the answer, at most limit bytes.
+func (c *Client) Post(ctx context.Context, address, path string, in []byte, limit int64) ([]byte, error) {
+	resp, err := c.do(ctx, http.MethodPost, address, path, bytes.NewReader(in))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "read answer")
+	}
+	if int64(len(data)) > limit {
+		return nil, eris.Errorf("answer is larger than %d bytes", limit)
+	}
+	return data, nil
+}
