--- a/bench/e2e/fleet_config_test.go
+++ b/bench/e2e/fleet_config_test.go
@@ -32,7 +32,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
 	require.NoError(t, l.Publish(func(*config.Document) {}))
-	awaitGeneration(ctx, t, l, 1)
+	awaitInForce(ctx, t, l, 1)
 	return l, ctx
 }
 
@@ -67,7 +67,7 @@
 	}))
 }
 
-func awaitGeneration(ctx context.Context, t *testing.T, l *lab.Lab, g fleet.Generation) {
+func awaitInForce(ctx context.Context, t *testing.T, l *lab.Lab, g fleet.Generation) {
 	for _, p := range all(l) {
 		awaitStatus(ctx, t, p, func(s node.Status) bool { return s.Ready && s.Generation == g })
 	}
@@ -87,7 +87,7 @@
 	l, ctx := fleetLab(t)
 	l.Config.FailAfter(1)
 	require.NoError(t, l.PublishDomain("hooghly", config.DomainOut))
-	awaitGeneration(ctx, t, l, 2)
+	awaitInForce(ctx, t, l, 2)
 	require.True(t, l.Config.Down.Load())
 }
 
@@ -97,7 +97,7 @@
 	l, ctx := fleetLab(t)
 	old := l.Config.Value(lab.ConfigKey)
 	require.NoError(t, l.PublishDomain("hooghly", config.DomainOut))
-	awaitGeneration(ctx, t, l, 2)
+	awaitInForce(ctx, t, l, 2)
 	l.Config.Put(lab.ConfigKey, old)
 	processes := all(l)
 	for _, p := range processes[:len(processes)/2] {
@@ -105,7 +105,7 @@
 		require.NoError(t, l.Wait(ctx, p))
 		require.NoError(t, l.Launch(p))
 	}
-	awaitGeneration(ctx, t, l, 2)
+	awaitInForce(ctx, t, l, 2)
 	for _, p := range processes {
 		requireIncreasing(ctx, t, p)
 	}
@@ -144,7 +144,7 @@
 	require.Positive(t, watching)
 	l.Config.Put(lab.ConfigKey, bad)
 	require.NoError(t, l.Publish(func(*config.Document) {}))
-	awaitGeneration(ctx, t, l, 2)
+	awaitInForce(ctx, t, l, 2)
 	for _, p := range all(l) {
 		require.LessOrEqual(t, len(events(ctx, t, p, timeline.ConfigRejected)), 1)
 	}
