--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,6 +17,7 @@
 	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/pacing"
 	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/rollout"
 	"rattanspur.example/lib/settings"
 	"rattanspur.example/lib/wire"
 )
@@ -25,8 +26,6 @@
 	headerTimeout = 10 * time.Second
 	// shortTimeout bounds a load report or a question to a peer.
 	shortTimeout = 2 * time.Second
-	// drainTimeout bounds a graceful stop.
-	drainTimeout = 60 * time.Second
 	// messageRing is the capacity of the rings between the agent's duties.
 	messageRing = 1024
 )
@@ -42,6 +41,7 @@
 	engineerViews *ring.Ring[node.View]
 	pullerViews   *ring.Ring[node.View]
 	gateViews     *ring.Ring[node.View]
+	reporterViews *ring.Ring[node.View]
 
 	engineer *ring.Ring[engineerEvent]
 	orders   *ring.Ring[order]
@@ -49,6 +49,10 @@
 	fetches  *ring.Ring[fetch]
 	gate     *ring.Ring[gateEvent]
 	grants   *ring.Ring[grant]
+	rollouts *ring.Ring[*ring.Ring[rollout.State]]
+	// probe asks the reporter for a health check at once.
+	probe   *ring.Ring[struct{}]
+	metrics *agentMetrics
 
 	up   *pacing.Link
 	down *pacing.Link
@@ -66,12 +70,16 @@
 		engineerViews: n.Subscribe(),
 		pullerViews:   n.Subscribe(),
 		gateViews:     n.Subscribe(),
+		reporterViews: n.Subscribe(),
 		engineer:      ring.New[engineerEvent](messageRing, ring.Wait),
 		orders:        ring.New[order](1, ring.Wait),
 		puller:        ring.New[pullerEvent](messageRing, ring.Wait),
 		fetches:       ring.New[fetch](messageRing, ring.Wait),
 		gate:          ring.New[gateEvent](messageRing, ring.Wait),
 		grants:        ring.New[grant](s.Calls, ring.Refuse),
+		rollouts:      ring.New[*ring.Ring[rollout.State]](messageRing, ring.Wait),
+		probe:         ring.New[struct{}](1, ring.DropOldest),
+		metrics:       newAgentMetrics(),
 		up:            pacing.NewLink(s.LinkUp),
 		down:          pacing.NewLink(s.LinkDown),
 	}
@@ -97,16 +105,14 @@
 	case <-ctx.Done():
 	case <-g.Context().Done():
 	}
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.settings.DrainTimeout)
 	defer cancel()
-	_ = a.gate.Put(limited, leave{})
-	err = server.Shutdown(limited)
-	_ = weights.Shutdown(limited)
+	err = a.stop(limited, server, weights)
 	g.Stop()
 	if werr := g.Wait(); werr != nil {
 		return werr
 	}
-	return eris.Wrap(err, "graceful stop")
+	return err
 }
 
 func (a *Agent) start(g *duty.Group) {
@@ -139,8 +145,12 @@
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/have", a.serveHave)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/chunks/{index}", a.serveChunk)
 	inside.Handle("GET "+wire.PathTimeline, a.node.TimelineHandler())
+	inside.HandleFunc("GET "+wire.PathStatus, a.serveStatus)
+	inside.Handle("/peer/", a.node.PeerHandler())
 	mux := http.NewServeMux()
 	mux.Handle("/", keys.Require(inside))
+	mux.HandleFunc("GET /readyz", a.serveReady)
+	mux.HandleFunc("GET /metrics", a.serveMetrics)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	return mux
 }
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -1,15 +1,13 @@
 package agent
 
 import (
-	"bytes"
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 
+	"rattanspur.example/lib/engine"
 	"rattanspur.example/lib/gate"
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/ring"
@@ -24,7 +22,8 @@
 type grant struct {
 	ctx    context.Context
 	meta   *wire.Call
-	check  gate.Call
+	ticket gate.Ticket
+	load   wire.Load
 	method string
 	path   string
 	header http.Header
@@ -40,34 +39,39 @@
 		wire.WriteProblem(w, refusal("", http.StatusBadRequest, err.Error()))
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, callBytes))
+	body, err := readBody(w, r, meta)
 	if err != nil {
 		wire.WriteProblem(w, refusal(meta.Request, http.StatusBadRequest, err.Error()))
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), meta.Deadline)
 	defer cancel()
-	deadline, _ := ctx.Deadline()
+	a.node.Observe(meta.Clock)
+	v := a.askAdmission(ctx, meta)
+	wire.SetLoad(w.Header(), v.load)
+	wire.SetStamp(w.Header(), v.stamp)
+	if v.reason != gate.Admitted {
+		a.refused(meta, v.reason)
+		if v.reason == gate.Leaving {
+			// The entry does not reuse a connection that is about to be closed.
+			w.Header().Set("Connection", "close")
+		}
+		wire.WriteProblem(w, refusal(meta.Request, http.StatusServiceUnavailable, string(v.reason)))
+		return
+	}
 	g := grant{
 		ctx:    ctx,
 		meta:   meta,
-		check:  gate.Call{Root: meta.Root, Deadline: deadline},
+		ticket: v.ticket,
+		load:   v.load,
 		method: r.Method,
 		path:   strings.TrimPrefix(r.URL.RequestURI(), wire.CallPath),
 		header: relay.PassHeader(r.Header),
 		body:   body,
 		stream: relay.NewStream(),
 	}
-	a.node.Observe(meta.Clock)
-	if reason := a.askGate(ctx, func(answer *ring.Ring[gate.Reason]) gateEvent {
-		return admit{call: g.check, answer: answer}
-	}); reason != gate.Admitted {
-		a.recordCall(timeline.RequestRefused, meta, string(reason))
-		wire.WriteProblem(w, refusal(meta.Request, http.StatusServiceUnavailable, string(reason)))
-		return
-	}
 	if a.grants.Put(ctx, g) != nil {
-		_ = a.gate.Put(context.WithoutCancel(ctx), done{})
+		a.release(ctx, g.ticket)
 		wire.WriteProblem(w, refusal(meta.Request, http.StatusServiceUnavailable, "agent carries as many calls as it may"))
 		return
 	}
@@ -76,19 +80,41 @@
 	}
 }
 
+// readBody returns the body for the upstream; a call for a model names exactly
+// the version that must answer.
+func readBody(w http.ResponseWriter, r *http.Request, meta *wire.Call) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, callBytes))
+	if err != nil || meta.Root.IsZero() {
+		return body, err
+	}
+	return pinModel(body, engine.ServedName(meta.Root))
+}
+
+// askAdmission asks the gate to count a call in. An admitted call must be
+// counted out, so the answer is awaited even if the caller left.
+func (a *Agent) askAdmission(ctx context.Context, meta *wire.Call) verdict {
+	deadline, _ := ctx.Deadline()
+	call := gate.Call{Root: meta.Root, Deadline: deadline, Fingerprint: meta.Fingerprint}
+	answer := ring.New[verdict](1, ring.Refuse)
+	return a.askGate(ctx, answer, admit{call: call, entry: meta.Entry, stamp: meta.Config, answer: answer})
+}
+
 // askGate puts a question to the gatekeeper and waits for the answer.
-func (a *Agent) askGate(ctx context.Context, question func(*ring.Ring[gate.Reason]) gateEvent) gate.Reason {
-	answer := ring.New[gate.Reason](1, ring.Refuse)
-	if a.gate.Put(ctx, question(answer)) != nil {
-		return gate.PastDeadline
+func (a *Agent) askGate(ctx context.Context, answer *ring.Ring[verdict], question gateEvent) verdict {
+	if a.gate.Put(ctx, question) != nil {
+		return verdict{reason: gate.PastDeadline}
 	}
-	// An admitted call must be counted out, so the answer is awaited even if
-	// the caller left.
-	reason, err := answer.Take(context.WithoutCancel(ctx))
-	if err != nil {
-		return gate.Leaving
+	select {
+	case v := <-answer.Out():
+		return v
+	case <-a.gate.Closed():
+		return verdict{reason: gate.Leaving}
 	}
-	return reason
+}
+
+// release counts a call out that was not handed over, also if its caller left.
+func (a *Agent) release(ctx context.Context, t gate.Ticket) {
+	_ = a.gate.Put(context.WithoutCancel(ctx), release{ticket: t})
 }
 
 func refusal(request string, status int, detail string) *wire.Problem {
@@ -98,6 +124,11 @@
 	}
 }
 
+func (a *Agent) refused(meta *wire.Call, reason gate.Reason) {
+	a.metrics.refused(reason)
+	a.recordCall(timeline.RequestRefused, meta, string(reason))
+}
+
 func (a *Agent) recordCall(kind timeline.Kind, meta *wire.Call, detail string) {
 	a.node.Record(timeline.Event{
 		Kind: kind, Request: meta.Request, Profile: meta.Profile, Peer: meta.Entry, Detail: detail,
@@ -116,62 +147,36 @@
 }
 
 func (a *Agent) forward(ctx context.Context, g grant) {
-	reason := a.askGate(ctx, func(answer *ring.Ring[gate.Reason]) gateEvent {
-		return recheck{call: g.check, answer: answer}
-	})
-	if reason != gate.Admitted {
-		a.recordCall(timeline.RequestRefused, g.meta, string(reason))
-		answerProblem(g, refusal(g.meta.Request, http.StatusServiceUnavailable, string(reason)))
+	if g.ctx.Err() != nil {
+		// The caller left or the deadline passed before the hand-over.
+		a.release(ctx, g.ticket)
+		a.refuseGrant(g, gate.PastDeadline)
 		return
 	}
-	completed := a.handOver(g)
-	_ = a.gate.Put(ctx, done{completed: completed})
-}
-
-// handOver sends a call to the upstream and passes the response on. It reports
-// whether the upstream completed the call.
-func (a *Agent) handOver(g grant) bool {
-	req, err := http.NewRequestWithContext(g.ctx, g.method, a.engine.Base()+g.path, bytes.NewReader(g.body))
-	if err != nil {
-		answerProblem(g, refusal(g.meta.Request, http.StatusBadRequest, err.Error()))
-		return false
-	}
-	req.Header = g.header
-	req.Header.Del("Authorization")
-	req.Header.Del(wire.HeaderCall)
-	start := time.Now()
-	resp, err := a.upstream.Do(req)
-	if err != nil {
-		a.recordCall(timeline.RequestUnknown, g.meta, err.Error())
-		answerProblem(g, lost(g.meta.Request, err))
-		return false
+	answer := ring.New[verdict](1, ring.Refuse)
+	v := a.askGate(ctx, answer, recheck{ticket: g.ticket, answer: answer})
+	if v.reason != gate.Admitted {
+		a.refuseGrant(g, v.reason)
+		return
 	}
-	defer func() { _ = resp.Body.Close() }()
-	head := &relay.Head{Status: resp.StatusCode, Header: relay.PassHeader(resp.Header)}
-	head.Header.Set(wire.HeaderOutcome, string(wire.Ran))
-	_ = g.stream.Put(g.ctx, relay.Part{Head: head})
-	end := relay.Part{End: true}
-	if err := relay.ReadBody(g.ctx, resp.Body, g.stream); err != nil {
-		end.Err = relay.ErrCut
+	g.load = v.load
+	if time.Since(v.at) > gateOptions.PauseAfter {
+		// The process was paused between the recheck and the hand-over.
+		a.release(ctx, g.ticket)
+		a.refuseGrant(g, gate.Paused)
+		return
 	}
-	_ = g.stream.Put(g.ctx, end)
-	a.recordCall(timeline.RequestRan, g.meta, time.Since(start).String())
-	return end.Err == nil && resp.StatusCode < http.StatusInternalServerError
+	outcome := a.handOver(g)
+	_ = a.gate.Put(ctx, done{ticket: g.ticket, outcome: outcome})
 }
 
-// lost says "not run" only if no connection to the upstream was made.
-func lost(request string, err error) *wire.Problem {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return refusal(request, http.StatusServiceUnavailable, err.Error())
-	}
-	return &wire.Problem{
-		Type: wire.ProblemUnknown, Title: "outcome of the request is unknown",
-		Status: http.StatusBadGateway, Detail: err.Error(), Request: request, Outcome: wire.Unknown,
-	}
+func (a *Agent) refuseGrant(g grant, reason gate.Reason) {
+	a.refused(g.meta, reason)
+	answerProblem(g, refusal(g.meta.Request, http.StatusServiceUnavailable, string(reason)))
 }
 
 func answerProblem(g grant, p *wire.Problem) {
 	h, body := p.Encode()
+	wire.SetLoad(h, g.load)
 	_ = g.stream.Put(g.ctx, relay.Part{Head: &relay.Head{Status: p.Status, Header: h}, Data: body, End: true})
 }
--- a/agent/engineer.go
+++ b/agent/engineer.go
@@ -9,7 +9,9 @@
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/engine"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/gate"
 	"rattanspur.example/lib/node"
+	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/rollout"
 	"rattanspur.example/lib/timeline"
 )
@@ -23,21 +25,55 @@
 	unload *engine.UnloadOrder
 }
 
-// runEngineer owns what the engine holds and must hold.
+// engineer owns what the engine holds and must hold. The gate learns of the
+// engine's state only from here, so that health and served root go together.
+type engineer struct {
+	agent    *Agent
+	core     *rollout.Core
+	upstream gate.Upstream
+}
+
 func (a *Agent) runEngineer(ctx context.Context) error {
-	core := rollout.New(time.Now())
+	e := &engineer{agent: a, core: rollout.New(rollout.Options{
+		Self: a.self().ID, Start: time.Now(), Settle: a.settings.OrderSettle,
+	})}
 	for {
-		var ev engineerEvent
 		select {
 		case v := <-a.engineerViews.Out():
-			ev = a.target(v)
-		case ev = <-a.engineer.Out():
+			e.step(ctx, a.target(v))
+		case ev := <-a.engineer.Out():
+			e.step(ctx, ev)
+		case question := <-a.rollouts.Out():
+			_ = question.Put(ctx, e.core.State())
 		case <-ctx.Done():
 			return nil
 		}
-		for _, action := range core.Step(ev) {
-			a.carryOut(ctx, action)
-		}
+	}
+}
+
+func (e *engineer) step(ctx context.Context, ev engineerEvent) {
+	reported, isReport := ev.(rollout.Reported)
+	if isReport {
+		e.upstream = health(reported, e.upstream)
+	}
+	actions := e.core.Step(time.Now(), ev)
+	e.upstream.Root = e.core.Serving()
+	if isReport {
+		_ = e.agent.gate.Put(ctx, upstreamSeen{e.upstream})
+	}
+	for _, action := range actions {
+		e.carryOut(ctx, action)
+	}
+}
+
+// health translates a load report for the gate.
+func health(ev rollout.Reported, old gate.Upstream) gate.Upstream {
+	if ev.Report == nil {
+		return gate.Upstream{Asked: ev.Asked, BootID: old.BootID}
+	}
+	r := ev.Report
+	return gate.Upstream{
+		Asked: ev.Asked, Healthy: true, Warm: r.Warm, Overloaded: r.Waiting > 0, BootID: r.BootID,
 	}
 }
 
@@ -46,10 +82,28 @@
 	if s == nil || s.Kind != config.KindModel {
 		return rollout.Target{}
 	}
-	return rollout.Target{Profile: v.Config.ServedProfile(s.Name), LoadsAlongside: s.LoadsAlongside}
+	t := rollout.Target{
+		Profile:        v.Config.ServedProfile(s.Name),
+		Named:          map[fleet.Digest]bool{},
+		LoadsAlongside: s.LoadsAlongside,
+		ChecksFence:    s.ChecksFence,
+		MaxUnavailable: s.Limits.MaxUnavailable,
+	}
+	for i := range v.Config.Profiles {
+		if p := &v.Config.Profiles[i]; !p.Retired {
+			t.Named[p.Weights.Root] = true
+		}
+	}
+	for _, m := range v.Members {
+		if m.Role == fleet.RoleAgent && m.Service == s.Name && m.State == fleet.StateLive {
+			t.Members = append(t.Members, m)
+		}
+	}
+	return t
 }
 
-func (a *Agent) carryOut(ctx context.Context, action rollout.Action) {
+func (e *engineer) carryOut(ctx context.Context, action rollout.Action) {
+	a := e.agent
 	switch action := action.(type) {
 	case rollout.Fetch:
 		_ = a.puller.Put(ctx, startTransfer{profile: action.Profile})
@@ -57,14 +111,18 @@
 		p := action.Profile
 		loaded := engine.Loaded{Model: p.Model, Version: p.Version, Root: p.Weights.Root}
 		_ = a.orders.Put(ctx, order{load: &engine.LoadOrder{
-			Loaded: loaded, Source: a.weightsURL(loaded.Root), Fence: action.Fence,
+			Loaded: loaded, ServeAs: engine.ServedName(loaded.Root),
+			Source: a.weightsURL(loaded.Root), Fence: action.Fence,
 		}})
 		a.node.Record(timeline.Event{Kind: timeline.EngineOrdered, Profile: p.Name, Detail: "load " + string(p.Version)})
 	case rollout.Unload:
 		_ = a.orders.Put(ctx, order{unload: &engine.UnloadOrder{Root: action.Root, Fence: action.Fence}})
 		a.node.Record(timeline.Event{Kind: timeline.EngineOrdered, Detail: "unload " + action.Root.String()})
+	case rollout.Drain:
+		_ = a.gate.Put(ctx, drainRoot(action))
 	case rollout.Serve:
-		_ = a.gate.Put(ctx, serveRoot{root: action.Root})
+		a.node.SetServing(action.Root, action.Switching)
+		_ = a.gate.Put(ctx, upstreamSeen{e.upstream})
 		a.node.Record(timeline.Event{Kind: timeline.EngineServing, Detail: action.Root.String()})
 	}
 }
@@ -81,6 +139,7 @@
 			return nil
 		}
 		err = a.sendOrder(ctx, o)
+		a.metrics.order(err)
 		if err != nil {
 			_ = level.Warn(a.node.Logger()).Log("msg", "engine order failed", "err", err)
 		}
@@ -99,23 +158,11 @@
 	return a.engine.Unload(limited, *o.unload)
 }
 
-// runReporter reads the engine's load report and tells engineer and gatekeeper.
-func (a *Agent) runReporter(ctx context.Context) error {
-	ticker := time.NewTicker(a.settings.ReportEvery)
-	defer ticker.Stop()
-	for {
-		limited, cancel := context.WithTimeout(ctx, shortTimeout)
-		report, err := a.engine.Report(limited)
-		cancel()
-		if err != nil {
-			report = nil
-		}
-		_ = a.engineer.Put(ctx, rollout.Reported{Report: report})
-		_ = a.gate.Put(ctx, health{report: report})
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return nil
-		}
+// askRollout returns the state of the engineer's core.
+func (a *Agent) askRollout(ctx context.Context) (rollout.State, error) {
+	answer := ring.New[rollout.State](1, ring.Refuse)
+	if err := a.rollouts.Put(ctx, answer); err != nil {
+		return rollout.State{}, err
 	}
+	return answer.Take(ctx)
 }
--- /dev/null
+++ b/agent/reporter.go
@@ -0,0 +1,54 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/gate"
+	"rattanspur.example/lib/rollout"
+)
+
+// runReporter checks the upstream's health: the load report of a model engine
+// goes to the engineer, the check of a plain service to the gatekeeper. A
+// broken connection asks for a check at once.
+func (a *Agent) runReporter(ctx context.Context) error {
+	plain := false
+	ticker := time.NewTicker(a.settings.ReportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case v := <-a.reporterViews.Out():
+			s := v.Config.Service(a.self().Service)
+			plain = s != nil && s.Kind == config.KindPlain
+		case <-ticker.C:
+		case <-a.probe.Out():
+		case <-ctx.Done():
+			return nil
+		}
+		if plain {
+			a.checkPlain(ctx)
+		} else {
+			a.readReport(ctx)
+		}
+	}
+}
+
+func (a *Agent) readReport(ctx context.Context) {
+	asked := time.Now()
+	limited, cancel := context.WithTimeout(ctx, shortTimeout)
+	defer cancel()
+	report, err := a.engine.Report(limited)
+	if err != nil {
+		report = nil
+	}
+	_ = a.engineer.Put(ctx, rollout.Reported{Asked: asked, Report: report})
+}
+
+func (a *Agent) checkPlain(ctx context.Context) {
+	asked := time.Now()
+	limited, cancel := context.WithTimeout(ctx, shortTimeout)
+	defer cancel()
+	err := a.engine.Probe(limited, a.settings.HealthPath)
+	_ = a.gate.Put(ctx, upstreamSeen{gate.Upstream{Asked: asked, Healthy: err == nil, Warm: true}})
+}
--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -229,6 +229,7 @@
 	return text + fmt.Sprintf(`[agent]
 service = %s
 upstream_url = %s
+order_settle = 50ms
 link_up_bytes_per_second = %d
 link_down_bytes_per_second = %d
 %s`, p.Service, p.EngineURL, l.Options.Link, l.Options.Link, l.Options.ExtraAgent)
--- a/lib/engine/engine.go
+++ b/lib/engine/engine.go
@@ -8,7 +8,9 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -22,6 +24,10 @@
 // ErrFenced says that the engine refused an order with an old fencing number.
 var ErrFenced = errors.New("engine refused an old fencing number")
 
+// ErrRefused says that the engine answered an order with an error, so that the
+// order is not in progress any more.
+var ErrRefused = errors.New("engine refused the order")
+
 // Report is what an engine says of itself.
 type Report struct {
 	BootID  string   `json:"boot_id"`
@@ -40,6 +46,11 @@
 	Root    fleet.Digest  `json:"root"`
 }
 
+// ServedName is the model name by which an engine serves exactly the version
+// with that root. Calls are sent with it, so that the request itself and not
+// the engine's state selects the weights.
+func ServedName(root fleet.Digest) string { return root.String() }
+
 // Has reports whether the engine holds the weights with that root.
 func (r *Report) Has(root fleet.Digest) bool {
 	for _, l := range r.Loaded {
@@ -53,8 +64,10 @@
 // LoadOrder asks an engine to load a version from a source URL.
 type LoadOrder struct {
 	Loaded
-	Source string `json:"source"`
-	Fence  int64  `json:"fence"`
+	// ServeAs is the model name of requests for this version.
+	ServeAs string `json:"serve_as"`
+	Source  string `json:"source"`
+	Fence   int64  `json:"fence"`
 }
 
 // UnloadOrder asks an engine to free a version.
@@ -86,6 +99,43 @@
 	return &r, nil
 }
 
+// Probe checks a plain service: with a path, by a request that must not fail
+// with a server error; without one, by a new connection.
+func (c *Client) Probe(ctx context.Context, path string) error {
+	if path == "" {
+		return c.connect(ctx)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, http.NoBody)
+	if err != nil {
+		return eris.Wrap(err, "health check")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "health check")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxReportBytes)); err != nil {
+		return eris.Wrap(err, "health check")
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return eris.Errorf("health check answered %d", resp.StatusCode)
+	}
+	return nil
+}
+
+func (c *Client) connect(ctx context.Context) error {
+	u, err := url.Parse(c.base)
+	if err != nil {
+		return eris.Wrap(err, "health check")
+	}
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", u.Host)
+	if err != nil {
+		return eris.Wrap(err, "health check")
+	}
+	return conn.Close()
+}
+
 // Load orders a version; it returns when the engine has loaded it.
 func (c *Client) Load(ctx context.Context, o LoadOrder) error {
 	return c.exchange(ctx, http.MethodPost, "/orders/load", o, nil)
@@ -118,7 +168,7 @@
 	case resp.StatusCode == http.StatusConflict:
 		return ErrFenced
 	case resp.StatusCode != http.StatusOK:
-		return eris.Errorf("engine answered %d on %s", resp.StatusCode, path)
+		return eris.Wrapf(ErrRefused, "engine answered %d on %s", resp.StatusCode, path)
 	case out == nil:
 		return nil
 	}
--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -3,141 +3,290 @@
 package rollout
 
 import (
+	"errors"
 	"time"
 
-	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/engine"
 	"rattanspur.example/lib/fleet"
 )
 
-// Event is an input of the core.
-type Event interface{ event() }
+const (
+	// retryFirst and retryMost bound the growing delay after a failed order.
+	retryFirst = 250 * time.Millisecond
+	retryMost  = 30 * time.Second
+	// turnPatience is how long an agent waits for one that ranks before it and
+	// does not begin to switch, which may be dead and still listed.
+	turnPatience = 30 * time.Second
+)
 
-// Target names the profile to serve; nil means none.
-type Target struct {
-	Profile *config.Profile
-	// LoadsAlongside says that the engine can hold two versions at once.
-	LoadsAlongside bool
+// Options set what the core knows of its own process.
+type Options struct {
+	Self fleet.InstanceID
+	// Start is when the agent started.
+	Start time.Time
+	// Settle is the longest time that an order of an earlier agent, or one
+	// without a known end, may still take at an engine that ignores tokens.
+	Settle time.Duration
 }
 
-// WeightsReady says that every chunk of a root is verified and held here.
-type WeightsReady struct{ Root fleet.Digest }
+// Core is the state of one agent's engine.
+type Core struct {
+	options Options
+	known   bool
+	target  Target
+	report  *engine.Report
+	// endedAt is when the last order ended; older reports do not show it.
+	endedAt time.Time
+	ready   fleet.Digest
+	fetched fleet.Digest
+	busy    bool
+	// loading is the root of the load in progress; zero for an unload.
+	loading fleet.Digest
+	fence   int64
 
-// Reported carries the engine's load report; nil means that it did not answer.
-type Reported struct{ Report *engine.Report }
+	failures  int
+	notBefore time.Time
 
-// OrderEnded says how the order in progress ended.
-type OrderEnded struct{ Err error }
+	serving   fleet.Digest
+	switching bool
+	adopted   bool
 
-func (Target) event()       {}
-func (WeightsReady) event() {}
-func (Reported) event()     {}
-func (OrderEnded) event()   {}
+	drainSeq uint64
+	draining map[fleet.Digest]uint64
+	drained  map[fleet.Digest]bool
 
-// Action is an output of the core.
-type Action interface{ action() }
+	turn turn
+}
 
-// Fetch asks for the weights of a profile to be transferred.
-type Fetch struct{ Profile *config.Profile }
+// New returns a core. Fencing tokens begin at the start's milliseconds, so
+// that they grow over restarts although nothing is stored.
+func New(o Options) *Core {
+	return &Core{
+		options:  o,
+		fence:    o.Start.UnixMilli() - 1,
+		draining: map[fleet.Digest]uint64{},
+		drained:  map[fleet.Digest]bool{},
+	}
+}
 
-// Load orders the engine to load a profile.
-type Load struct {
-	Profile *config.Profile
-	Fence   int64
+// Step feeds one event and returns what to do, in order.
+func (c *Core) Step(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case Target:
+		c.setTarget(e)
+	case WeightsReady:
+		if e.Root == c.fetched {
+			c.ready = e.Root
+		}
+	case WeightsGone:
+		c.forget(e.Root)
+	case Reported:
+		c.setReport(e)
+	case OrderEnded:
+		c.orderEnded(now, e.Err)
+	case Drained:
+		if c.draining[e.Root] == e.Seq {
+			c.drained[e.Root] = true
+		}
+	}
+	if !c.known {
+		return nil
+	}
+	wantsTurn := c.mustGiveUp()
+	granted := wantsTurn && c.mayTakeTurn(now)
+	actions := c.serve(granted)
+	return append(actions, c.order(now)...)
 }
 
-// Unload orders the engine to free a root.
-type Unload struct {
-	Root  fleet.Digest
-	Fence int64
+func (c *Core) setTarget(t Target) {
+	if !c.known || rootOf(c.target) != rootOf(t) {
+		c.failures = 0
+	}
+	c.known = true
+	c.target = t
 }
 
-// Serve names the root that calls may reach; zero means none.
-type Serve struct{ Root fleet.Digest }
+func rootOf(t Target) fleet.Digest {
+	if t.Profile == nil {
+		return fleet.Digest{}
+	}
+	return t.Profile.Weights.Root
+}
 
-func (Fetch) action()  {}
-func (Load) action()   {}
-func (Unload) action() {}
-func (Serve) action()  {}
+func (c *Core) forget(root fleet.Digest) {
+	if c.ready == root {
+		c.ready = fleet.Digest{}
+	}
+	if c.fetched == root {
+		c.fetched = fleet.Digest{}
+	}
+}
 
-// Core is the state of one agent's engine.
-type Core struct {
-	target  *config.Profile
-	report  *engine.Report
-	ready   fleet.Digest
-	fetched fleet.Digest
-	busy    bool
-	serving fleet.Digest
-	fence   int64
+// setReport takes in a report unless it was asked for before the last order
+// ended, since such a report may not show what the order did.
+func (c *Core) setReport(e Reported) {
+	if e.Report != nil && e.Asked.Before(c.endedAt) {
+		return
+	}
+	c.report = e.Report
+}
+
+// orderEnded awaits a new report, and after a failure a growing delay. An
+// engine that ignores tokens may still be working on an order whose end is
+// not known, so that it gets the next one only after the settling time.
+func (c *Core) orderEnded(now time.Time, err error) {
+	c.busy = false
+	c.report = nil
+	c.endedAt = now
+	if err == nil {
+		c.failures = 0
+		return
+	}
+	delay := min(retryFirst<<min(c.failures, 10), retryMost)
+	c.failures++
+	if errors.Is(err, engine.ErrRefused) {
+		// The chunks may have been freed since they were ready, so the
+		// transfer is asked to make sure of them.
+		c.forget(c.loading)
+	}
+	if !c.target.ChecksFence && !errors.Is(err, engine.ErrFenced) && !errors.Is(err, engine.ErrRefused) {
+		delay = max(delay, c.options.Settle)
+	}
+	c.notBefore = now.Add(delay)
 }
 
-// New returns a core for an agent that started at the given time. Fencing
-// numbers begin at the start's milliseconds, so that they grow over restarts
-// although nothing is stored.
-func New(start time.Time) *Core { return &Core{fence: start.UnixMilli()} }
+// serve decides which root calls may reach. Only a root that the engine itself
+// reported is ever served.
+func (c *Core) serve(giveUp bool) []Action {
+	root, switching := c.serving, c.switching
+	target := rootOf(c.target)
+	switch {
+	case target.IsZero():
+		root, switching = fleet.Digest{}, false
+	case c.report != nil && c.report.Has(target):
+		root, switching = target, false
+	case c.report == nil:
+		// Without a report the gate is closed by the failed health check; the
+		// root is kept unless it was retired.
+	case !c.serving.IsZero() && !c.report.Has(c.serving):
+		root = fleet.Digest{}
+	case giveUp:
+		root, switching = fleet.Digest{}, true
+	case c.serving.IsZero() && !c.adopted:
+		root = c.adopt()
+	}
+	if c.report != nil {
+		c.adopted = true
+	}
+	if !c.target.Named[root] {
+		root = fleet.Digest{}
+	}
+	if root == c.serving && switching == c.switching {
+		return nil
+	}
+	c.serving, c.switching = root, switching
+	c.stopDraining(root)
+	return []Action{Serve{Root: root, Switching: switching}}
+}
 
-// Step feeds one event and returns what to do.
-func (c *Core) Step(e Event) []Action {
-	switch e := e.(type) {
-	case Target:
-		c.target = e.Profile
-	case WeightsReady:
-		c.ready = e.Root
-	case Reported:
-		c.report = e.Report
-		if e.Report != nil {
-			c.fence = max(c.fence, e.Report.Fence)
+// adopt returns a version that the engine held when this agent started: it
+// serves on while the target is transferred.
+func (c *Core) adopt() fleet.Digest {
+	for _, l := range c.report.Loaded {
+		if c.target.Named[l.Root] && l.Model == c.target.Profile.Model {
+			return l.Root
 		}
-	case OrderEnded:
-		c.busy = false
-		c.report = nil
 	}
-	return append(c.orders(), c.serve()...)
+	return fleet.Digest{}
 }
 
-func (c *Core) orders() []Action {
-	if c.target == nil || c.report == nil || c.busy {
+// Serving returns the root that calls may reach.
+func (c *Core) Serving() fleet.Digest { return c.serving }
+
+// order returns the next order or request, at most one at a time.
+func (c *Core) order(now time.Time) []Action {
+	if c.report == nil || c.busy {
 		return nil
 	}
-	root := c.target.Weights.Root
-	if c.report.Has(root) {
-		return c.unloadOthers(root)
+	target := rootOf(c.target)
+	if target.IsZero() || c.report.Has(target) {
+		return c.unload(now, c.victim())
 	}
-	if c.ready != root {
-		if c.fetched == root {
-			return nil
-		}
-		c.fetched = root
-		return []Action{Fetch{Profile: c.target}}
+	if fetch := c.fetch(target); fetch != nil {
+		return fetch
 	}
-	c.busy = true
-	c.fence++
-	return []Action{Load{Profile: c.target, Fence: c.fence}}
+	if c.ready != target {
+		return nil
+	}
+	if victim := c.victim(); !victim.IsZero() {
+		return c.unload(now, victim)
+	}
+	if !c.target.LoadsAlongside && !c.serving.IsZero() {
+		return nil
+	}
+	if !c.mayOrder(now) {
+		return nil
+	}
+	c.loading = target
+	return []Action{Load{Profile: c.target.Profile, Fence: c.nextFence()}}
+}
+
+func (c *Core) fetch(target fleet.Digest) []Action {
+	if c.fetched == target {
+		return nil
+	}
+	c.fetched = target
+	c.ready = fleet.Digest{}
+	return []Action{Fetch{Profile: c.target.Profile}}
 }
 
-func (c *Core) unloadOthers(root fleet.Digest) []Action {
+// victim returns a loaded root that is neither served nor wanted, or zero.
+func (c *Core) victim() fleet.Digest {
 	for _, l := range c.report.Loaded {
-		if l.Root != root {
-			c.busy = true
-			c.fence++
-			return []Action{Unload{Root: l.Root, Fence: c.fence}}
+		if l.Root != c.serving && l.Root != rootOf(c.target) {
+			return l.Root
 		}
 	}
-	return nil
+	return fleet.Digest{}
 }
 
-// serve opens the gate only for a root that the engine itself reported.
-func (c *Core) serve() []Action {
-	var root fleet.Digest
-	if c.target != nil && c.report != nil && c.report.Has(c.target.Weights.Root) {
-		root = c.target.Weights.Root
+// unload frees a root after the calls that use it ended.
+func (c *Core) unload(now time.Time, root fleet.Digest) []Action {
+	if root.IsZero() {
+		return nil
 	}
-	if c.report == nil && c.busy {
-		root = c.serving
+	if !c.drained[root] {
+		if c.draining[root] != 0 {
+			return nil
+		}
+		c.drainSeq++
+		c.draining[root] = c.drainSeq
+		return []Action{Drain{Root: root, Seq: c.drainSeq}}
 	}
-	if root == c.serving {
+	if !c.mayOrder(now) {
 		return nil
 	}
-	c.serving = root
-	return []Action{Serve{Root: root}}
+	c.loading = fleet.Digest{}
+	return []Action{Unload{Root: root, Fence: c.nextFence()}}
+}
+
+// stopDraining forgets what was asked about a root that is served again.
+func (c *Core) stopDraining(root fleet.Digest) {
+	delete(c.draining, root)
+	delete(c.drained, root)
+}
+
+// mayOrder reports whether the waiting times before an order have passed.
+func (c *Core) mayOrder(now time.Time) bool {
+	if now.Before(c.notBefore) {
+		return false
+	}
+	return c.target.ChecksFence || !now.Before(c.options.Start.Add(c.options.Settle))
+}
+
+// nextFence returns the token of an order that is about to be sent.
+func (c *Core) nextFence() int64 {
+	c.busy = true
+	c.fence = max(c.fence, c.report.Fence) + 1
+	return c.fence
 }
--- /dev/null
+++ b/lib/rollout/rollout_test.go
@@ -0,0 +1,218 @@
+package rollout_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/engine"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/rollout"
+)
+
+// seed makes every run of the properties the same.
+const seed = "20251204"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+func profile(n byte) *config.Profile {
+	return &config.Profile{Model: "m", Weights: config.Weights{Root: fleet.Digest{n}}}
+}
+
+func target(n byte, alongside bool) rollout.Target {
+	t := rollout.Target{LoadsAlongside: alongside, ChecksFence: true, Named: map[fleet.Digest]bool{}}
+	for i := byte(1); i < 5; i++ {
+		t.Named[fleet.Digest{i}] = true
+	}
+	if n != 0 {
+		t.Profile = profile(n)
+	}
+	return t
+}
+
+func report(fence int64, roots ...byte) *engine.Report {
+	r := &engine.Report{BootID: "one", Warm: true, Fence: fence}
+	for _, n := range roots {
+		r.Loaded = append(r.Loaded, engine.Loaded{Model: "m", Root: fleet.Digest{n}})
+	}
+	return r
+}
+
+// driver feeds a core and keeps what it asked for.
+type driver struct {
+	t    *testing.T
+	core *rollout.Core
+	now  time.Time
+}
+
+func (d *driver) step(e rollout.Event) []rollout.Action { return d.core.Step(d.now, e) }
+
+func (d *driver) report(r *engine.Report) []rollout.Action {
+	d.now = d.now.Add(time.Second)
+	return d.step(rollout.Reported{Asked: d.now, Report: r})
+}
+
+// load brings the core to the point where it orders a load of a root.
+func (d *driver) load(n byte, r *engine.Report) rollout.Load {
+	d.t.Helper()
+	actions := d.report(r)
+	actions = append(actions, d.step(rollout.WeightsReady{Root: fleet.Digest{n}})...)
+	for _, a := range actions {
+		if l, ok := a.(rollout.Load); ok {
+			require.Equal(d.t, fleet.Digest{n}, l.Profile.Weights.Root)
+			return l
+		}
+	}
+	d.t.Fatal("no load ordered")
+	return rollout.Load{}
+}
+
+func newDriver(t *testing.T, settle time.Duration) *driver {
+	return &driver{t: t, now: start, core: rollout.New(rollout.Options{Self: "a", Start: start, Settle: settle})}
+}
+
+// Guards against an order that a fencing engine refuses because an earlier
+// agent, with a faster clock, sent a greater token.
+func TestFenceGrowsBeyondReport(t *testing.T) {
+	d := newDriver(t, time.Second)
+	d.step(target(1, true))
+	d.report(report(0))
+	first := d.load(1, report(0))
+	require.Equal(t, start.UnixMilli(), first.Fence)
+	d.step(rollout.OrderEnded{Err: engine.ErrFenced})
+	ahead := start.UnixMilli() + 50_000
+	second := d.load(1, report(ahead))
+	require.Equal(t, ahead+1, second.Fence)
+}
+
+// Guards against an order that overlaps one of an earlier agent, or one that
+// timed out, at an engine that ignores tokens.
+func TestSettlesWhereTokensAreIgnored(t *testing.T) {
+	settle := 10 * time.Second
+	d := newDriver(t, settle)
+	ignoring := target(1, true)
+	ignoring.ChecksFence = false
+	d.step(ignoring)
+	d.report(report(0))
+	d.step(rollout.WeightsReady{Root: fleet.Digest{1}})
+	require.Empty(t, d.report(report(0)))
+	d.now = start.Add(settle)
+	d.load(1, report(0))
+	d.step(rollout.OrderEnded{Err: errors.New("timeout")})
+	require.Empty(t, d.report(report(0)))
+	d.now = d.now.Add(settle)
+	d.load(1, report(0))
+}
+
+// Guards against a root that is served or ordered by a report from before the
+// last order ended, or from an order's answer without a report.
+func TestReadsBackBeforeServing(t *testing.T) {
+	d := newDriver(t, time.Second)
+	d.step(target(1, true))
+	d.report(report(0))
+	d.load(1, report(0))
+	asked := d.now
+	d.now = d.now.Add(time.Second)
+	require.Empty(t, d.step(rollout.OrderEnded{}))
+	require.Empty(t, d.step(rollout.Reported{Asked: asked, Report: report(0)}), "no second load")
+	require.Contains(t, d.report(report(0, 1)), rollout.Action(rollout.Serve{Root: fleet.Digest{1}}))
+}
+
+// Guards against orders in quick succession to an engine that refuses them,
+// and against a transfer that is never asked again after its chunks were freed.
+func TestRetriesWithGrowingDelay(t *testing.T) {
+	d := newDriver(t, time.Second)
+	d.step(target(1, true))
+	d.report(report(0))
+	var waits []time.Duration
+	for range 4 {
+		d.load(1, report(0))
+		ended := d.now
+		actions := d.step(rollout.OrderEnded{Err: engine.ErrRefused})
+		require.Empty(t, actions)
+		for len(actions) == 0 || !isLoad(actions[0]) {
+			d.now = d.now.Add(100 * time.Millisecond)
+			actions = d.step(rollout.Reported{Asked: d.now, Report: report(0)})
+			if len(actions) > 0 && !isLoad(actions[0]) {
+				require.IsType(t, rollout.Fetch{}, actions[0])
+				d.step(rollout.WeightsReady{Root: fleet.Digest{1}})
+			}
+			require.Less(t, d.now.Sub(ended), time.Minute)
+		}
+		waits = append(waits, d.now.Sub(ended))
+		d.step(rollout.OrderEnded{Err: engine.ErrFenced})
+		d.now = d.now.Add(time.Minute)
+	}
+	for i := 1; i < len(waits); i++ {
+		require.Greater(t, waits[i], waits[i-1])
+	}
+}
+
+func isLoad(a rollout.Action) bool {
+	_, ok := a.(rollout.Load)
+	return ok
+}
+
+// Guards against an unload while calls still use the version.
+func TestUnloadsAfterStreamsEnd(t *testing.T) {
+	d := newDriver(t, time.Second)
+	d.step(target(1, true))
+	d.report(report(0, 1))
+	d.step(target(2, true))
+	d.load(2, report(0, 1))
+	d.step(rollout.OrderEnded{})
+	actions := d.report(report(0, 1, 2))
+	require.Equal(t, []rollout.Action{
+		rollout.Serve{Root: fleet.Digest{2}}, rollout.Drain{Root: fleet.Digest{1}, Seq: 1},
+	}, actions)
+	require.Empty(t, d.report(report(0, 1, 2)))
+	d.step(target(1, true))
+	d.step(target(2, true))
+	require.Empty(t, d.step(rollout.Drained{Root: fleet.Digest{1}, Seq: 1}), "answer from before the switch back")
+	require.IsType(t, rollout.Unload{}, d.step(rollout.Drained{Root: fleet.Digest{1}, Seq: 3})[0])
+}
+
+// Guards against a retired version that stays in memory or is served.
+func TestRetireFreesMemory(t *testing.T) {
+	d := newDriver(t, time.Second)
+	d.step(target(1, true))
+	d.report(report(0, 1))
+	actions := d.step(target(0, true))
+	require.Equal(t, rollout.Serve{}, actions[0])
+	require.IsType(t, rollout.Unload{}, d.step(rollout.Drained{Root: fleet.Digest{1}, Seq: 1})[0])
+}
+
+// Guards against a rollout that stops for good behind an agent that is dead
+// but still listed.
+func TestTurnPassesDeadMember(t *testing.T) {
+	for i := range 8 {
+		first := target(1, false)
+		first.Members = []fleet.Instance{{ID: fleet.InstanceID(fmt.Sprint("dead-", i)), Serving: fleet.Digest{1}}}
+		second := first
+		second.Profile = profile(2)
+		d := newDriver(t, time.Second)
+		d.step(first)
+		d.report(report(0, 1))
+		d.step(second)
+		d.step(rollout.WeightsReady{Root: fleet.Digest{2}})
+		d.now = d.now.Add(time.Minute)
+		d.step(rollout.Reported{Asked: d.now, Report: report(0, 1)})
+		d.now = d.now.Add(time.Minute)
+		d.step(rollout.Reported{Asked: d.now, Report: report(0, 1)})
+		require.True(t, d.core.Serving().IsZero(), "dead-%d", i)
+	}
+}
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -59,6 +59,19 @@
 	LinkDown pacing.BytesPerSecond
 	// OrderTimeout bounds one order to the engine.
 	OrderTimeout time.Duration
+	// OrderSettle is the longest time that an order of an earlier agent may
+	// still take at an engine that ignores fencing tokens.
+	OrderSettle time.Duration
+	// ProgressTimeout is how long the upstream may send nothing of an answer.
+	ProgressTimeout time.Duration
+	// HealthPath is asked to check a plain service; without it a connection
+	// that can be made is enough.
+	HealthPath string
+	// LeaveLinger is how long a stopping agent refuses calls of entries that
+	// have not heard of it yet, before it closes its port.
+	LeaveLinger time.Duration
+	// DrainTimeout bounds a graceful stop.
+	DrainTimeout time.Duration
 }
 
 // LoadEntry reads the settings of an entry. The error is a *finding.Error if
@@ -92,6 +105,11 @@
 	s.LinkUp = pacing.BytesPerSecond(r.integer("agent", "link_up_bytes_per_second", 0, 0))
 	s.LinkDown = pacing.BytesPerSecond(r.integer("agent", "link_down_bytes_per_second", 0, 0))
 	s.OrderTimeout = r.duration("agent", "order_timeout", 5*time.Minute)
+	s.OrderSettle = r.duration("agent", "order_settle", time.Minute)
+	s.ProgressTimeout = r.duration("agent", "progress_timeout", 30*time.Second)
+	s.HealthPath = r.text("agent", "health_path", "")
+	s.LeaveLinger = r.duration("agent", "leave_linger", 2*time.Second)
+	s.DrainTimeout = r.duration("agent", "drain_timeout", 75*time.Second)
 	r.unknown("node", "agent")
 	return s, r.findings.Err()
 }
@@ -160,7 +178,7 @@
 	if ok {
 		return k.String()
 	}
-	if missing == "" && name != "operator_key" {
+	if missing == "" && name != "operator_key" && name != "health_path" {
 		r.add(section, name, "is missing")
 	}
 	return missing
--- /dev/null
+++ b/lib/wire/stamp.go
@@ -0,0 +1,31 @@
+package wire
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"rattanspur.example/lib/config"
+)
+
+// maxStampBytes bounds the header that carries a configuration stamp.
+const maxStampBytes = 1 << 10
+
+// SetStamp writes the configuration that a process decided by into a header.
+func SetStamp(h http.Header, s config.Stamp) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return
+	}
+	h.Set(HeaderStamp, string(data))
+}
+
+// GetStamp reads a configuration stamp from a header; ok is false if there is
+// no valid one.
+func GetStamp(h http.Header) (s config.Stamp, ok bool) {
+	text := h.Get(HeaderStamp)
+	if text == "" || len(text) > maxStampBytes {
+		return s, false
+	}
+	err := json.Unmarshal([]byte(text), &s)
+	return s, err == nil
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"rattanspur.example/lib/engine"
@@ -30,6 +29,18 @@
 	ChecksFence bool
 	// WarmAfter is the number of completed calls after which it reports warm.
 	WarmAfter int
+	// OneVersion makes the engine refuse to load a second version.
+	OneVersion bool
+	// KeepsVersions makes a restarted engine come up with what it had loaded.
+	KeepsVersions bool
+	// ColdBound and WarmBound are the calls that the engine can bear in cold
+	// start and later; work beyond them is counted. 0 means no bound.
+	ColdBound, WarmBound int
+	// CrashOn makes the engine restart when a message contains the text.
+	CrashOn string
+	// SilentOn makes the engine send nothing more after the head of the answer
+	// to a message that contains the text.
+	SilentOn string
 }
 
 // Engine is a stand-in model engine.
@@ -38,13 +49,38 @@
 	state   *ring.Ring[func(*engineState)]
 }
 
+// EngineCounts say what an engine did since it was made.
+type EngineCounts struct {
+	// Started, Finished and Cancelled count calls; a cancelled one lost its caller.
+	Started, Finished, Cancelled int
+	// OverBound counts calls beyond the bound. OverUnannounced counts those
+	// after the engine turned cold and before it told so in a load report.
+	OverBound, OverUnannounced int
+	// MostRunning is the greatest number of calls at a time.
+	MostRunning int
+	// Running is the number of calls now.
+	Running int
+	// MostLoaded is the greatest number of versions at a time.
+	MostLoaded int
+	// UnloadedInUse counts unload orders for versions with running calls.
+	UnloadedInUse int
+	// Orders and Fenced count orders and those with an old number.
+	Orders, Fenced int
+}
+
 // engineState is owned by the engine's one duty.
 type engineState struct {
+	options EngineOptions
 	bootID  string
-	loaded  []engine.Loaded
-	fence   int64
-	running int
-	calls   int
+	// ended is closed when this start of the engine ends.
+	ended     chan struct{}
+	loaded    []engine.Loaded
+	fence     int64
+	calls     int
+	announced bool
+	down      bool
+	byRoot    map[fleet.Digest]int
+	counts    EngineCounts
 }
 
 // NewEngine returns an engine; Run must run for it to answer.
@@ -54,7 +90,9 @@
 
 // Run owns the engine's state until ctx ends.
 func (e *Engine) Run(ctx context.Context) error {
-	s := &engineState{bootID: rand.Text()}
+	defer e.state.Close()
+	s := &engineState{options: e.options, announced: true, byRoot: map[fleet.Digest]int{}}
+	s.boot()
 	for {
 		f, err := e.state.Take(ctx)
 		if err != nil {
@@ -64,12 +102,70 @@
 	}
 }
 
+func (s *engineState) boot() {
+	s.bootID = rand.Text()
+	s.ended = make(chan struct{})
+	s.calls = 0
+	clear(s.byRoot)
+	s.counts.Running = 0
+	if !s.options.KeepsVersions {
+		s.loaded = nil
+	}
+}
+
+func (s *engineState) cold() bool { return s.calls < s.options.WarmAfter }
+
 // ask runs f on the state and returns its answer.
 func ask[T any](ctx context.Context, e *Engine, f func(*engineState) T) T {
+	var none T
 	answer := ring.New[T](1, ring.Refuse)
-	_ = e.state.Put(ctx, func(s *engineState) { _ = answer.Put(ctx, f(s)) })
-	v, _ := answer.Take(ctx)
-	return v
+	if e.state.Put(ctx, func(s *engineState) { _ = answer.Put(ctx, f(s)) }) != nil {
+		return none
+	}
+	select {
+	case v := <-answer.Out():
+		return v
+	case <-e.state.Closed():
+		return none
+	}
+}
+
+// Restart breaks all connections and begins a new start of the engine.
+func (e *Engine) Restart(ctx context.Context) {
+	ask(ctx, e, func(s *engineState) bool {
+		s.restart()
+		return true
+	})
+}
+
+func (s *engineState) restart() {
+	close(s.ended)
+	s.boot()
+}
+
+// SetDown makes every request fail until it is called again.
+func (e *Engine) SetDown(ctx context.Context, down bool) {
+	ask(ctx, e, func(s *engineState) bool {
+		if down && !s.down {
+			s.restart()
+		}
+		s.down = down
+		return true
+	})
+}
+
+// TurnCold returns the engine to cold start without a restart.
+func (e *Engine) TurnCold(ctx context.Context) {
+	ask(ctx, e, func(s *engineState) bool {
+		s.calls = 0
+		s.announced = false
+		return true
+	})
+}
+
+// Counts returns what the engine did so far.
+func (e *Engine) Counts(ctx context.Context) EngineCounts {
+	return ask(ctx, e, func(s *engineState) EngineCounts { return s.counts })
 }
 
 // Handler serves the engine's API.
@@ -79,13 +175,19 @@
 	mux.HandleFunc("POST /orders/load", e.serveLoad)
 	mux.HandleFunc("POST /orders/unload", e.serveUnload)
 	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if ask(r.Context(), e, func(s *engineState) bool { return s.down }) {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (e *Engine) serveReport(w http.ResponseWriter, r *http.Request) {
 	writeJSON(w, ask(r.Context(), e, func(s *engineState) engine.Report {
+		s.announced = true
 		return engine.Report{
-			BootID: s.bootID, Warm: s.calls >= e.options.WarmAfter, Running: s.running,
+			BootID: s.bootID, Warm: !s.cold(), Running: s.counts.Running,
 			Loaded: append([]engine.Loaded(nil), s.loaded...), Fence: s.fence,
 		}
 	}))
@@ -93,11 +195,13 @@
 
 // fenced takes in an order's number and reports whether it is refused.
 func (e *Engine) fenced(ctx context.Context, number int64) bool {
-	if !e.options.ChecksFence {
-		return false
-	}
 	return ask(ctx, e, func(s *engineState) bool {
+		s.counts.Orders++
+		if !s.options.ChecksFence {
+			return false
+		}
 		if number <= s.fence {
+			s.counts.Fenced++
 			return true
 		}
 		s.fence = number
@@ -115,14 +219,24 @@
 		http.Error(w, "old fencing number", http.StatusConflict)
 		return
 	}
+	boot := ask(r.Context(), e, func(s *engineState) string { return s.bootID })
 	if err := readWeights(r.Context(), o); err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
-	ask(r.Context(), e, func(s *engineState) bool {
-		s.loaded = append(s.loaded, o.Loaded)
-		return true
-	})
+	if !ask(r.Context(), e, func(s *engineState) bool { return s.load(boot, o.Loaded) }) {
+		http.Error(w, "no room for the version, or the engine restarted", http.StatusInsufficientStorage)
+	}
+}
+
+func (s *engineState) load(boot string, l engine.Loaded) bool {
+	if boot != s.bootID || (s.options.OneVersion && len(s.loaded) > 0) {
+		return false
+	}
+	s.unload(l.Root)
+	s.loaded = append(s.loaded, l)
+	s.counts.MostLoaded = max(s.counts.MostLoaded, len(s.loaded))
+	return true
 }
 
 // readWeights reads every file from the agent and verifies every chunk, so
@@ -180,6 +294,9 @@
 		return
 	}
 	ask(r.Context(), e, func(s *engineState) bool {
+		if s.byRoot[o.Root] > 0 {
+			s.counts.UnloadedInUse++
+		}
 		s.unload(o.Root)
 		return true
 	})
@@ -195,102 +312,6 @@
 	s.loaded = kept
 }
 
-// chatRequest is the part of a chat completion request that the engine reads.
-type chatRequest struct {
-	Model    string `json:"model"`
-	Stream   bool   `json:"stream"`
-	Messages []struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
-	} `json:"messages"`
-}
-
-// serveChat answers with tokens that name the version and repeat the last
-// message, so that a caller can tell whose answer it got and by which weights.
-func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
-	var req chatRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || len(req.Messages) == 0 {
-		http.Error(w, "request is not valid", http.StatusBadRequest)
-		return
-	}
-	version := ask(r.Context(), e, func(s *engineState) string {
-		s.running++
-		if len(s.loaded) == 0 {
-			return ""
-		}
-		return string(s.loaded[len(s.loaded)-1].Version)
-	})
-	defer ask(context.WithoutCancel(r.Context()), e, func(s *engineState) bool {
-		s.running--
-		s.calls++
-		return true
-	})
-	if version == "" {
-		http.Error(w, "no model loaded", http.StatusServiceUnavailable)
-		return
-	}
-	tokens := answerTokens(version, req.Messages[len(req.Messages)-1].Content)
-	if !req.Stream {
-		writeJSON(w, completion(strings.Join(tokens, " ")))
-		return
-	}
-	e.streamTokens(w, r, tokens)
-}
-
-func answerTokens(version, text string) []string {
-	tokens := []string{version, text}
-	for i := len(tokens); i < tokensPerAnswer; i++ {
-		tokens = append(tokens, fmt.Sprintf("t%d", i))
-	}
-	return tokens
-}
-
-func (e *Engine) streamTokens(w http.ResponseWriter, r *http.Request, tokens []string) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	control := http.NewResponseController(w)
-	for _, token := range tokens {
-		select {
-		case <-time.After(e.options.TokenTime):
-		case <-r.Context().Done():
-			return
-		}
-		data, _ := json.Marshal(delta(token + " "))
-		_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
-		_ = control.Flush()
-	}
-	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
-}
-
-// choice is one alternative of an answer.
-type choice struct {
-	Index   int      `json:"index"`
-	Delta   *message `json:"delta,omitempty"`
-	Message *message `json:"message,omitempty"`
-}
-
-type message struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content"`
-}
-
-type chatResponse struct {
-	Object  string   `json:"object"`
-	Choices []choice `json:"choices"`
-}
-
-func completion(text string) chatResponse {
-	return chatResponse{Object: "chat.completion", Choices: []choice{{Message: &message{Role: "assistant", Content: text}}}}
-}
-
-func delta(text string) chatResponse {
-	return chatResponse{Object: "chat.completion.chunk", Choices: []choice{{Delta: &message{Content: text}}}}
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
-
 // Holds reports whether the engine has loaded the weights with that root.
 func (e *Engine) Holds(ctx context.Context, root string) bool {
 	return ask(ctx, e, func(s *engineState) bool {
