bench, standin: test engines that restart, switch, pause, stop and go silent

Cause: the agent's rules had only been tested apart from real processes. Change: the stand-in engine counts work beyond its bound, unloads below running calls and cancelled calls; a plain service joins it; the lab reads an agent's status and calls agents directly. E2e tests restart an engine under load, switch in mid-traffic with and without room for two versions, pause an agent while its domain is taken out, stop one under load, and leave or silence calls.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -101,7 +102,10 @@
 
 // askGate puts a question to the gatekeeper and waits for the answer.
 func (a *Agent) askGate(ctx context.Context, answer *ring.Ring[verdict], question gateEvent) verdict {
-	if a.gate.Put(ctx, question) != nil {
+	switch err := a.gate.Put(ctx, question); {
+	case errors.Is(err, ring.ErrClosed):
+		return verdict{reason: gate.Leaving}
+	case err != nil:
 		return verdict{reason: gate.PastDeadline}
 	}
 	select {
--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -54,7 +55,10 @@
 	// OriginLink is the rate of the origin's link.
 	OriginLink pacing.BytesPerSecond
 	Engine     standin.EngineOptions
-	Limits     config.Limits
+	// Plains is the number of agents beside plain services.
+	Plains int
+	Plain  standin.PlainOptions
+	Limits config.Limits
 	// Logs receives what the processes print; nil discards it.
 	Logs io.Writer
 	// ExtraAgent and ExtraEntry are appended to the settings files.
@@ -69,6 +73,7 @@
 	Instances *standin.InstanceList
 	Agents    []*Process
 	Entries   []*Process
+	Plains    []*Process
 
 	dir     string
 	service *httptest.Server
@@ -83,6 +88,7 @@
 type Process struct {
 	fleet.Instance
 	Engine    *standin.Engine
+	Plain     *standin.Plain
 	EngineURL string
 	file      string
 	cmd       *exec.Cmd
@@ -120,6 +126,13 @@
 		}
 		l.Agents = append(l.Agents, p)
 	}
+	for i := range l.Options.Plains {
+		p, err := l.newPlain(i)
+		if err != nil {
+			return err
+		}
+		l.Plains = append(l.Plains, p)
+	}
 	for i := range l.Options.Entries {
 		p, err := l.newProcess(fleet.RoleEntry, i)
 		if err != nil {
@@ -137,7 +150,7 @@
 }
 
 func (l *Lab) processes() []*Process {
-	return append(append([]*Process(nil), l.Agents...), l.Entries...)
+	return slices.Concat(l.Agents, l.Plains, l.Entries)
 }
 
 // ConfigURL returns the base URL of the configuration service.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -117,17 +117,7 @@
 
 // ask runs f on the state and returns its answer.
 func ask[T any](ctx context.Context, e *Engine, f func(*engineState) T) T {
-	var none T
-	answer := ring.New[T](1, ring.Refuse)
-	if e.state.Put(ctx, func(s *engineState) { _ = answer.Put(ctx, f(s)) }) != nil {
-		return none
-	}
-	select {
-	case v := <-answer.Out():
-		return v
-	case <-e.state.Closed():
-		return none
-	}
+	return askState(ctx, e.state, f)
 }
 
 // Restart breaks all connections and begins a new start of the engine.
