--- a/lib/admission/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package admission orders waiting calls fairly by customer and priority.
-package admission
--- a/lib/retry/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package retry decides whether a call may be tried again.
-package retry
--- /dev/null
+++ b/lib/retry/retry_test.go
@@ -0,0 +1,135 @@
+package retry
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rattanspur.example/lib/fleet"
+)
+
+// TestMain fixes the seed of the generated cases.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20260101"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against a second run of a request that may not be repeated, against a
+// retry after bytes reached the caller, and against endless retries.
+func TestDecisionsOverAllAttempts(t *testing.T) {
+	for end := Answered; end <= CallerLeft; end++ {
+		for failures := range 5 {
+			for _, once := range []bool{false, true} {
+				for _, started := range []bool{false, true} {
+					a := Attempt{End: end, Failures: failures, Placements: failures, Once: once, Started: started}
+					action := Decide(a, func() bool { return true })
+					resent := action == Again || action == Requeue
+					name := fmt.Sprintf("%+v", a)
+					if resent {
+						require.False(t, started, name)
+						require.True(t, end.NotRun() || !once, name)
+						require.NotEqual(t, CallerLeft, end, name)
+					}
+					if failures >= maxFailures {
+						require.NotEqual(t, Again, action, name)
+					}
+					require.NotEqual(t, Again, Decide(a, func() bool { return false }), name)
+				}
+			}
+		}
+	}
+	require.Equal(t, GiveUp, Decide(Attempt{End: Busy, Placements: maxPlacements}, nil))
+}
+
+// Guards against retries beyond the budgets: at any time, the retries of a
+// customer are at most the capacity and a tenth of the successes.
+func TestBudgetsAgainstCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudgets()
+		type pair struct {
+			customer fleet.Customer
+			upstream fleet.InstanceID
+		}
+		successes, retries := map[any]float64{}, map[any]float64{}
+		for range rapid.IntRange(0, 300).Draw(t, "steps") {
+			p := pair{
+				fleet.Customer(fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "customer"))),
+				fleet.InstanceID(fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "upstream"))),
+			}
+			if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+				b.Succeeded(p.customer, p.upstream)
+				successes[p.customer]++
+				successes[p.upstream]++
+				continue
+			}
+			if b.Spend(p.customer, p.upstream) {
+				retries[p.customer]++
+				retries[p.upstream]++
+			} else {
+				// A refusal needs one of the two to have used its capacity.
+				require.True(t, retries[p.customer] >= budgetCapacity || retries[p.upstream] >= budgetCapacity)
+			}
+		}
+		for key, n := range retries {
+			require.LessOrEqual(t, n, budgetCapacity+successShare*successes[key]+1e-9)
+		}
+	})
+}
+
+// Guards against a request that goes on crashing upstreams.
+func TestGuardBlocksAfterCrashesAndForgets(t *testing.T) {
+	g := NewGuard()
+	g.Crashed(start, "bad")
+	require.Equal(t, Clear, g.Check(start, "bad"), "one crash may have other reasons")
+	g.Crashed(start, "bad")
+	require.Equal(t, Suspected, g.Check(start, "bad"))
+	g.Crashed(start, "bad")
+	require.Equal(t, Blocked, g.Check(start, "bad"))
+	require.Equal(t, Clear, g.Check(start.Add(SuspectLife+time.Second), "bad"))
+}
+
+// Guards against innocents that stay blamed: a success clears them, also
+// against reports of the same crashes that arrive later.
+func TestGuardClearsInnocents(t *testing.T) {
+	g := NewGuard()
+	g.Heard(start, "innocent", 2, start)
+	require.Equal(t, Suspected, g.Check(start, "innocent"))
+	require.True(t, g.Succeeded(start.Add(time.Second), "innocent"))
+	g.Heard(start.Add(2*time.Second), "innocent", 2, start)
+	require.Equal(t, Clear, g.Check(start.Add(2*time.Second), "innocent"))
+	g.Heard(start.Add(3*time.Second), "innocent", 3, start.Add(3*time.Second))
+	require.Equal(t, Blocked, g.Check(start.Add(3*time.Second), "innocent"))
+}
+
+// Guards against crashes that are counted twice because the entry saw them and
+// the agent reported them.
+func TestGuardCountsEachCrashOnce(t *testing.T) {
+	g := NewGuard()
+	g.Crashed(start, "f")
+	g.Heard(start, "f", 1, start)
+	require.Equal(t, Clear, g.Check(start, "f"))
+}
+
+// Guards against memory that grows with the number of requests under suspicion.
+func TestGuardIsBounded(t *testing.T) {
+	g := NewGuard()
+	for i := range 2 * maxSuspects {
+		g.Crashed(start.Add(time.Duration(i)*time.Millisecond), fmt.Sprint(i))
+	}
+	require.LessOrEqual(t, g.Len(), maxSuspects)
+}
+
+// Guards against requests with different content that share a fingerprint.
+func TestFingerprintSeparatesPathAndBody(t *testing.T) {
+	require.NotEqual(t, Fingerprint("/a", []byte("b")), Fingerprint("/ab", nil))
+	require.Equal(t, Fingerprint("/a", []byte("b")), Fingerprint("/a", []byte("b")))
+}
