lib/routing, entry: route over a bounded subset and wait for room

Cause: every decision copied the list of all replicas, failed at once without room, and knew neither versions nor load reports. Change: a subset of 64 spread over failure domains, version-aware groups, own region first below a load bound, two random choices by estimated load, prompt prefix hints, pauses after refusals and penalties after failures. The entry queues calls per service, retries within budgets, checks that an answer names its attempt, watches the progress of connections and replaces old ones, ends cut event streams with an error event, and serves /readyz, /status, /metrics and /v1/models.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -40,6 +40,7 @@
 		wire.WriteProblem(w, refusal("", http.StatusBadRequest, err.Error()))
 		return
 	}
+	w.Header().Set(wire.HeaderRequest, meta.AttemptID())
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, callBytes))
 	if err != nil {
 		wire.WriteProblem(w, refusal(meta.Request, http.StatusBadRequest, err.Error()))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -21,6 +22,10 @@
 const (
 	// headerTimeout bounds how long a caller may take to send a header.
 	headerTimeout = 10 * time.Second
+	// bodyTimeout bounds how long a caller may take to send a body.
+	bodyTimeout = 30 * time.Second
+	// idleTimeout bounds how long a caller's connection waits for a request.
+	idleTimeout = 2 * time.Minute
 	// headerBytes bounds a caller's header.
 	headerBytes = 32 << 10
 	// connectTimeout bounds a new connection to an agent.
@@ -36,25 +41,22 @@
 	views    *ring.Ring[node.View]
 	inbox    *ring.Ring[event]
 	attempts *ring.Ring[attempt]
-	agents   *http.Client
+	metrics  *entryMetrics
+	stopping atomic.Bool
 }
 
 // New returns an entry; Run starts it.
 func New(s *settings.Entry, logger log.Logger) *Entry {
 	n := node.New(s.Node, logger)
-	return &Entry{
+	e := &Entry{
 		settings: s,
 		node:     n,
 		views:    n.Subscribe(),
 		inbox:    ring.New[event](2*s.Calls, ring.Wait),
 		attempts: ring.New[attempt](s.Calls, ring.Refuse),
-		agents: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     30 * time.Second,
-			DisableCompression:  true,
-		}},
 	}
+	e.metrics = newMetrics(e)
+	return e
 }
 
 // Run serves until ctx ends and then stops gracefully: calls in progress end
@@ -67,6 +69,7 @@
 	server := &http.Server{
 		Handler:           e.handler(),
 		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}
 	g := duty.NewGroup(context.WithoutCancel(ctx))
@@ -75,14 +78,22 @@
 	for range e.settings.Calls {
 		g.Go("forwarder", e.runForwarder)
 	}
-	g.Go("server", func(context.Context) error { return serve(server, listener) })
+	limited := newLimitedListener(listener, e.settings.Connections)
+	g.Go("server", func(context.Context) error { return serve(server, limited) })
 	select {
 	case <-ctx.Done():
 	case <-g.Context().Done():
 	}
+	return e.stop(ctx, server, g)
+}
+
+// stop announces that the process leaves and lets calls in progress end.
+func (e *Entry) stop(ctx context.Context, server *http.Server, g *duty.Group) error {
+	e.stopping.Store(true)
+	e.node.Leave()
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
 	defer cancel()
-	err = server.Shutdown(limited)
+	err := server.Shutdown(limited)
 	g.Stop()
 	if werr := g.Wait(); werr != nil {
 		return werr
@@ -101,7 +112,12 @@
 	keys := wire.Keys(e.settings.PeerKeys)
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", e.serveCall)
+	mux.HandleFunc("GET /v1/models", e.serveModels)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", e.serveReady)
+	mux.HandleFunc("GET /metrics", e.metrics.serve)
+	mux.Handle("GET "+wire.PathStatus, keys.Require(http.HandlerFunc(e.serveStatus)))
 	mux.Handle("GET "+wire.PathTimeline, keys.Require(e.node.TimelineHandler()))
+	mux.Handle("/peer/", keys.Require(e.node.PeerHandler()))
 	return mux
 }
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -4,14 +4,37 @@
 	"bytes"
 	"context"
 	"errors"
-	"net"
+	"io"
 	"net/http"
+	"net/http/httptrace"
+	"strings"
 	"time"
 
 	"rattanspur.example/lib/relay"
+	"rattanspur.example/lib/retry"
+	"rattanspur.example/lib/routing"
 	"rattanspur.example/lib/wire"
 )
 
+// errSilent ends an attempt whose connection makes no progress.
+var errSilent = errors.New("connection to the agent makes no progress")
+
+// errStreamBytes ends a response that is larger than the limit.
+var errStreamBytes = errors.New("response is larger than the limit")
+
+// result says how an attempt ended.
+type result struct {
+	end retry.End
+	// started says that a response reached the caller's stream.
+	started bool
+	// whole says that the response was passed on to its end.
+	whole bool
+	// failed says that the upstream answered with a server error.
+	failed bool
+	detail string
+	load   *routing.Load
+}
+
 // runForwarder carries one attempt after the other; the number of forwarders
 // bounds the calls in flight.
 func (e *Entry) runForwarder(ctx context.Context) error {
@@ -20,71 +43,195 @@
 		if err != nil {
 			return nil
 		}
-		outcome, detail := e.forward(a)
-		if e.inbox.Put(ctx, ended{attempt: a, outcome: outcome, detail: detail}) != nil {
+		if e.inbox.Put(ctx, ended{attempt: a, result: e.forward(ctx, a)}) != nil {
 			return nil
 		}
 	}
 }
 
-// forward sends one attempt to its agent and passes the response on. NotRun is
-// returned only if the agent said so or if no connection was made.
-func (e *Entry) forward(a attempt) (wire.Outcome, string) {
-	req, err := e.request(a)
+// try is the state of one attempt in progress.
+type try struct {
+	entry    *Entry
+	attempt  attempt
+	ctx      context.Context
+	watchdog *time.Timer
+	// conn carries the request once there is a connection; before is the
+	// number of bytes that were written to it for earlier requests.
+	conn   *countedConn
+	before int64
+}
+
+// forward sends one attempt to its agent and passes the response on.
+func (e *Entry) forward(ctx context.Context, a attempt) result {
+	limited, cancel := context.WithCancelCause(a.call.ctx)
+	defer cancel(nil)
+	t := &try{entry: e, attempt: a}
+	t.ctx = httptrace.WithClientTrace(limited, &httptrace.ClientTrace{GotConn: t.gotConn})
+	t.watchdog = time.AfterFunc(e.settings.FirstByteTimeout, func() { cancel(errSilent) })
+	defer t.watchdog.Stop()
+
+	req, err := t.request()
 	if err != nil {
-		return wire.NotRun, err.Error()
+		return result{end: retry.Refused, detail: err.Error()}
 	}
-	resp, err := e.agents.Do(req)
+	resp, err := a.link.client.Do(req)
 	if err != nil {
-		return lostOutcome(err), err.Error()
+		return result{end: t.lost(), detail: err.Error()}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	switch outcome := wire.Outcome(resp.Header.Get(wire.HeaderOutcome)); outcome {
-	case wire.Ran:
-		return e.pass(a, resp)
-	case wire.NotRun:
-		return wire.NotRun, resp.Status
-	default:
-		return wire.Unknown, resp.Status
+	res := t.receive(resp)
+	if res.load != nil && res.started {
+		_ = e.inbox.Put(ctx, loadRead{id: a.upstream.ID, load: *res.load})
+	}
+	if res.started {
+		t.pass(resp, &res)
 	}
+	return res
 }
 
-func (e *Entry) request(a attempt) (*http.Request, error) {
-	c := a.call
-	url := "http://" + a.upstream.Address + wire.CallPath + c.path
-	req, err := http.NewRequestWithContext(c.ctx, c.method, url, bytes.NewReader(c.body))
+func (t *try) gotConn(info httptrace.GotConnInfo) {
+	t.conn, _ = info.Conn.(*countedConn)
+	if t.conn != nil {
+		t.before = t.conn.written.Load()
+	}
+}
+
+// request builds the request to the agent. Headers that only processes of the
+// system set are not taken from the caller.
+func (t *try) request() (*http.Request, error) {
+	c := t.attempt.call
+	url := "http://" + t.attempt.upstream.Address + wire.CallPath + c.path
+	// The reader is wrapped so that the transport cannot send the body again
+	// by itself: it would do so for requests with an Idempotency-Key.
+	body := struct{ io.Reader }{bytes.NewReader(c.body)}
+	req, err := http.NewRequestWithContext(t.ctx, c.method, url, body)
 	if err != nil {
 		return nil, err
 	}
+	req.ContentLength = int64(len(c.body))
 	req.Header = relay.PassHeader(c.header)
+	stripInternal(req.Header)
+	req.Header.Set(headerRequestID, c.id)
+	meta := t.attempt.meta
 	if deadline, ok := c.ctx.Deadline(); ok {
-		a.meta.Deadline = time.Until(deadline)
+		meta.Deadline = time.Until(deadline)
+	}
+	wire.Keys(t.entry.settings.PeerKeys).Sign(req.Header)
+	return req, wire.SetCall(req.Header, &meta)
+}
+
+// internalPrefix begins the headers between processes of the system.
+const internalPrefix = "Rattanspur-"
+
+func stripInternal(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, internalPrefix) {
+			delete(h, name)
+		}
 	}
-	wire.Keys(e.settings.PeerKeys).Sign(req.Header)
-	return req, wire.SetCall(req.Header, &a.meta)
 }
 
-// lostOutcome tells a connection that was never made from an answer that was lost.
-func lostOutcome(err error) wire.Outcome {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return wire.NotRun
+// lost says how an attempt ended that got no response.
+func (t *try) lost() retry.End {
+	switch {
+	case errors.Is(context.Cause(t.ctx), errSilent):
+		return retry.Silent
+	case errors.Is(t.ctx.Err(), context.DeadlineExceeded):
+		return retry.TimedOut
+	case t.ctx.Err() != nil:
+		return retry.CallerLeft
+	case t.conn == nil || t.conn.written.Load() == t.before:
+		return retry.Unreachable
+	default:
+		return retry.Lost
 	}
-	return wire.Unknown
 }
 
-func (e *Entry) pass(a attempt, resp *http.Response) (wire.Outcome, string) {
-	s := a.call.stream
+// receive classifies the head of a response. An answer counts only if it names
+// this attempt: a refusal meant for another request would let a request run twice.
+func (t *try) receive(resp *http.Response) result {
+	res := result{detail: resp.Status}
+	if l, ok := wire.GetLoad(resp.Header); ok {
+		res.load = &routing.Load{Limit: l.Limit, InFlight: l.InFlight}
+	}
+	if resp.Header.Get(wire.HeaderRequest) != t.attempt.meta.AttemptID() {
+		res.end = retry.Mismatched
+		res.load = nil
+		return res
+	}
+	switch wire.Outcome(resp.Header.Get(wire.HeaderOutcome)) {
+	case wire.Ran:
+		res.end = retry.Answered
+		res.started = true
+		res.failed = resp.StatusCode >= http.StatusInternalServerError
+	case wire.NotRun:
+		res.end = retry.Refused
+		if res.load != nil && res.load.InFlight >= res.load.Limit {
+			res.end = retry.Busy
+		}
+	default:
+		res.end = retry.Lost
+	}
+	return res
+}
+
+// pass puts the response on the caller's stream.
+func (t *try) pass(resp *http.Response, res *result) {
+	c := t.attempt.call
 	head := &relay.Head{Status: resp.StatusCode, Header: relay.PassHeader(resp.Header)}
-	if err := s.Put(a.call.ctx, relay.Part{Head: head}); err != nil {
-		return wire.Ran, err.Error()
+	stripInternal(head.Header)
+	head.Header.Set(wire.HeaderOutcome, string(wire.Ran))
+	head.Header.Set(headerRequestID, c.id)
+	err := c.stream.Put(c.ctx, relay.Part{Head: head})
+	if err == nil {
+		err = t.passBody(resp)
 	}
 	end := relay.Part{End: true}
-	detail := ""
-	if err := relay.ReadBody(a.call.ctx, resp.Body, s); err != nil {
+	res.whole = err == nil
+	if err != nil {
 		end.Err = relay.ErrCut
-		detail = err.Error()
+		res.detail = err.Error()
+		res.end = t.cut()
+	}
+	// The deadline may be over, but the handler still waits for the end.
+	finish, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), answerGrace)
+	defer cancel()
+	_ = c.stream.Put(finish, end)
+}
+
+// cut says how an attempt ended whose response broke off.
+func (t *try) cut() retry.End {
+	if end := t.lost(); end != retry.Unreachable {
+		return end
+	}
+	return retry.Lost
+}
+
+func (t *try) passBody(resp *http.Response) error {
+	body := &watchedBody{try: t, body: resp.Body, left: t.entry.settings.StreamBytes}
+	c := t.attempt.call
+	if relay.IsEventStream(resp.Header) {
+		return relay.ReadEvents(c.ctx, body, c.stream)
+	}
+	return relay.ReadBody(c.ctx, body, c.stream)
+}
+
+// watchedBody bounds the time of each read and the bytes of all reads. Time in
+// which the caller accepts no bytes does not count against the connection.
+type watchedBody struct {
+	try  *try
+	body io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	b.try.watchdog.Reset(b.try.entry.settings.ProgressTimeout)
+	n, err := b.body.Read(p)
+	b.try.watchdog.Stop()
+	b.left -= int64(n)
+	if b.left < 0 {
+		return n, errStreamBytes
 	}
-	_ = s.Put(a.call.ctx, end)
-	return wire.Ran, detail
+	return n, err
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -10,13 +10,21 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"rattanspur.example/lib/relay"
+	"rattanspur.example/lib/retry"
+	"rattanspur.example/lib/routing"
 	"rattanspur.example/lib/wire"
 )
 
+// answerGrace is how long after a call's deadline the handler still waits for
+// the router's answer, which knows whether the request was run.
+const answerGrace = time.Second
+
 // call is a caller's request on its way through the entry.
 type call struct {
+	// ctx ends when the caller leaves or the deadline passes.
 	ctx    context.Context
 	id     string
 	method string
@@ -24,58 +32,102 @@
 	header http.Header
 	body   []byte
 	// model is the value of the body's field of that name, if any.
-	model     string
-	keySHA256 string
-	stream    *relay.Stream
+	model string
+	// prefix identifies the first bytes of the prompt; 0 means none.
+	prefix      uint64
+	fingerprint string
+	keySHA256   string
+	arrived     time.Time
+	stream      *relay.Stream
 }
 
 // serveCall decodes a request, hands it to the router and writes what comes
 // back. It decides nothing.
 func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
+	id := rand.Text()
+	w.Header().Set(headerRequestID, id)
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.BodyBytes))
 	if err != nil {
-		wire.WriteProblem(w, invalid(http.StatusRequestEntityTooLarge, "body could not be read: "+err.Error()))
+		wire.WriteProblem(w, bodyProblem(id, err))
 		return
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithTimeout(r.Context(), e.settings.CallTimeout)
 	defer cancel()
-	c := &call{
-		ctx:       ctx,
-		id:        rand.Text(),
-		method:    r.Method,
-		path:      r.URL.RequestURI(),
-		header:    r.Header,
-		body:      body,
-		model:     modelOf(r.URL.Path, body),
-		keySHA256: keyDigest(wire.Bearer(r.Header)),
-		stream:    relay.NewStream(),
-	}
+	c := newCall(ctx, id, r, body)
 	if err := e.inbox.Put(ctx, arrival{call: c}); err != nil {
-		wire.WriteProblem(w, unavailable(c, "entry is stopping"))
+		wire.WriteProblem(w, notRun(c, "entry takes no further calls now"))
 		return
 	}
-	err = relay.Write(ctx, w, c.stream)
-	if err == nil {
-		return
+	e.answer(w, r, c)
+}
+
+func newCall(ctx context.Context, id string, r *http.Request, body []byte) *call {
+	model, prompt := inspect(r.URL.Path, body)
+	return &call{
+		ctx:         ctx,
+		id:          id,
+		method:      r.Method,
+		path:        r.URL.RequestURI(),
+		header:      r.Header,
+		body:        body,
+		model:       model,
+		prefix:      routing.PrefixOf(prompt),
+		fingerprint: retry.Fingerprint(r.URL.RequestURI(), body),
+		keySHA256:   keyDigest(wire.Bearer(r.Header)),
+		arrived:     time.Now(),
+		stream:      relay.NewStream(),
 	}
-	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, relay.ErrCut) {
-		// The connection is aborted, so that the caller does not take what
-		// arrived so far for the whole answer.
+}
+
+// answer writes the response of a call. A response that was cut ends with an
+// error event if it consists of events. Other connections are aborted, so that
+// the caller does not take what arrived so far for the whole answer.
+func (e *Entry) answer(w http.ResponseWriter, r *http.Request, c *call) {
+	ctx, cancel := context.WithTimeout(r.Context(), e.settings.CallTimeout+answerGrace)
+	defer cancel()
+	err := relay.Write(ctx, w, c.stream)
+	// Every response that the router or a forwarder begins names its outcome.
+	started := w.Header().Get(wire.HeaderOutcome) != ""
+	e.metrics.latency.UpdateDuration(c.arrived)
+	switch {
+	case err == nil || r.Context().Err() != nil:
+		return
+	case !started:
+		wire.WriteProblem(w, outcomeUnknown(c, "no answer in time", http.StatusGatewayTimeout))
+	case relay.IsEventStream(w.Header()) && cutByUs(err):
+		e.metrics.cuts.Inc()
+		_, data := outcomeUnknown(c, "the upstream ended before the answer was whole", http.StatusBadGateway).Encode()
+		_ = relay.WriteErrorEvent(w, data)
+	default:
+		e.metrics.cuts.Inc()
 		panic(http.ErrAbortHandler)
 	}
 }
 
-func modelOf(path string, body []byte) string {
+// cutByUs tells a response that was cut from a caller that cannot be written to.
+func cutByUs(err error) bool {
+	return errors.Is(err, relay.ErrCut) || errors.Is(err, context.DeadlineExceeded)
+}
+
+// inspect returns the model and the start of the prompt of a call to a model.
+func inspect(path string, body []byte) (model string, prompt []byte) {
 	if !strings.HasPrefix(path, "/v1/") {
-		return ""
+		return "", nil
 	}
 	var request struct {
-		Model string `json:"model"`
+		Model    string          `json:"model"`
+		Messages json.RawMessage `json:"messages"`
+		Prompt   json.RawMessage `json:"prompt"`
 	}
 	if json.Unmarshal(body, &request) != nil {
-		return ""
+		return "", nil
+	}
+	if len(request.Messages) > 0 {
+		return request.Model, request.Messages
 	}
-	return request.Model
+	return request.Model, request.Prompt
 }
 
 func keyDigest(key string) string {
@@ -83,9 +135,13 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func invalid(status int, detail string) *wire.Problem {
-	return &wire.Problem{
-		Type: wire.ProblemInvalid, Title: "request is not valid",
-		Status: status, Detail: detail, Outcome: wire.NotRun,
+func bodyProblem(id string, err error) *wire.Problem {
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
 	}
+	p := invalid(status, "body could not be read: "+err.Error())
+	p.Request = id
+	return p
 }
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/wire"
+)
+
+// questionTimeout bounds how long a handler waits for the router's state.
+const questionTimeout = 2 * time.Second
+
+// question asks the router for its state.
+type question struct{ answer *ring.Ring[status] }
+
+func (question) event() {}
+
+// status is the router's state at one moment.
+type status struct {
+	config *config.Accepted
+	report statusReport
+}
+
+// statusReport is the state as operators see it.
+type statusReport struct {
+	Instance   fleet.InstanceID      `json:"instance"`
+	Generation fleet.Generation      `json:"generation"`
+	Members    int                   `json:"members"`
+	Carried    int                   `json:"carried"`
+	Waiting    map[fleet.Service]int `json:"waiting"`
+	Suspects   int                   `json:"suspects"`
+	Stopping   bool                  `json:"stopping"`
+}
+
+func (r *router) answer(ctx context.Context, q question) {
+	s := status{config: r.view.Config, report: statusReport{
+		Instance: r.entry.settings.Self.ID,
+		Members:  len(r.view.Members),
+		Carried:  r.carried,
+		Waiting:  map[fleet.Service]int{},
+		Suspects: r.guard.Len(),
+		Stopping: r.entry.stopping.Load(),
+	}}
+	if r.view.Config != nil {
+		s.report.Generation = r.view.Config.Generation
+	}
+	for key, lane := range r.lanes.byKey {
+		s.report.Waiting[key.service] += lane.Len()
+	}
+	_ = q.answer.Put(ctx, s)
+}
+
+// ask returns the router's state.
+func (e *Entry) ask(ctx context.Context) (status, error) {
+	limited, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	q := question{answer: ring.New[status](1, ring.Refuse)}
+	if err := e.inbox.Put(limited, q); err != nil {
+		return status{}, err
+	}
+	return q.answer.Take(limited)
+}
+
+// serveReady tells load balancers whether to send calls here.
+func (e *Entry) serveReady(w http.ResponseWriter, r *http.Request) {
+	s, err := e.ask(r.Context())
+	if err != nil || s.config == nil || s.report.Stopping {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (e *Entry) serveStatus(w http.ResponseWriter, r *http.Request) {
+	s, err := e.ask(r.Context())
+	if err != nil {
+		http.Error(w, "router does not answer", http.StatusServiceUnavailable)
+		return
+	}
+	wire.WriteJSON(w, s.report)
+}
+
+// modelList is the answer to GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// serveModels lists the names that calls may use: model services and the
+// profiles that they serve.
+func (e *Entry) serveModels(w http.ResponseWriter, r *http.Request) {
+	c := &call{}
+	s, err := e.ask(r.Context())
+	if err != nil || s.config == nil {
+		wire.WriteProblem(w, notRun(c, "no configuration adopted yet"))
+		return
+	}
+	if s.config.CustomerByKey(keyDigest(wire.Bearer(r.Header))) == nil {
+		wire.WriteProblem(w, unauthorized(c))
+		return
+	}
+	wire.WriteJSON(w, listModels(s.config))
+}
+
+func listModels(a *config.Accepted) modelList {
+	list := modelList{Object: "list", Data: []modelInfo{}}
+	for i := range a.Services {
+		s := &a.Services[i]
+		if s.Kind != config.KindModel {
+			continue
+		}
+		for _, name := range []string{string(s.Name), string(s.Profile)} {
+			list.Data = append(list.Data, modelInfo{ID: name, Object: "model", OwnedBy: "rattanspur"})
+		}
+	}
+	return list
+}
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -8,6 +8,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
+	"time"
 
 	"rattanspur.example/lib/ring"
 )
@@ -43,6 +45,9 @@
 // ErrCut says that a response ended before it was whole.
 var ErrCut = errors.New("response was cut")
 
+// writeTimeout bounds the time that a peer may take to accept one part.
+const writeTimeout = 30 * time.Second
+
 // Write writes the parts of a stream to w until its end. An error after the
 // head was written means that the caller must abort the connection, so that
 // the peer does not take the response for a whole one.
@@ -57,6 +62,8 @@
 			writeHead(w, part.Head)
 		}
 		if len(part.Data) > 0 {
+			// Writers without deadlines, such as recorders in tests, go on without one.
+			_ = flusher.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, err := w.Write(part.Data); err != nil {
 				return err
 			}
@@ -103,9 +110,15 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// PassHeader returns a copy of a header without what belongs to one connection.
+// PassHeader returns a copy of a header without what belongs to one
+// connection, including the headers that Connection lists.
 func PassHeader(h http.Header) http.Header {
 	out := h.Clone()
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		out.Del(name)
 	}
--- /dev/null
+++ b/lib/routing/routing_test.go
@@ -0,0 +1,329 @@
+package routing
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/fleet"
+)
+
+// TestMain fixes the seed of the generated cases.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20260101"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+const service fleet.Service = "advisory"
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	rootA = fleet.Digest{1}
+	rootB = fleet.Digest{2}
+)
+
+func document(t require.TestingT, out ...fleet.FailureDomain) *config.Accepted {
+	text := `{"generation":1,"profiles":[
+		{"name":"p1","model":"m","version":"1","weights":{"root":"` + rootA.String() + `","origin":"http://o/","region":"r0"}},
+		{"name":"p2","model":"m","version":"2","weights":{"root":"` + rootB.String() + `","origin":"http://o/","region":"r0"}}],
+		"services":[{"name":"advisory","kind":"model","profile":"p2","limits":{"cold":2,"warm":8,"ramp_step":1}}],
+		"customers":[],"failure_domains":[`
+	for i := range 16 {
+		name := fleet.FailureDomain(fmt.Sprintf("d%d", i))
+		state := config.DomainIn
+		if slices.Contains(out, name) {
+			state = config.DomainOut
+		}
+		text += fmt.Sprintf(`{"name":%q,"region":"r%d","state":%q},`, name, i%6, state)
+	}
+	a, err := config.Accept([]byte(text[:len(text)-1] + `]}`))
+	require.NoError(t, err)
+	return a
+}
+
+func member(i int) fleet.Instance {
+	d := i % 16
+	return fleet.Instance{
+		ID: fleet.InstanceID(fmt.Sprintf("agent-%d", i)), Role: fleet.RoleAgent, Service: service,
+		FailureDomain: fleet.FailureDomain(fmt.Sprintf("d%d", d)), Region: fleet.Region(fmt.Sprintf("r%d", d%6)),
+		State: fleet.StateLive, Serving: rootB,
+	}
+}
+
+func members(n int) []fleet.Instance {
+	list := make([]fleet.Instance, n)
+	for i := range list {
+		list[i] = member(i)
+	}
+	return list
+}
+
+func newTable(t require.TestingT, n int) *Table {
+	table := New(fleet.Instance{ID: "entry-0", Region: "r0"})
+	table.Update(document(t), members(n))
+	return table
+}
+
+// naive repeats the rules of a valid choice without any index.
+type naive struct {
+	members  []fleet.Instance
+	out      fleet.FailureDomain
+	inFlight map[fleet.InstanceID]int
+	limit    map[fleet.InstanceID]int
+	paused   map[fleet.InstanceID]time.Time
+}
+
+func (n *naive) valid(now time.Time, m fleet.Instance, r Request) bool {
+	limit := n.limit[m.ID]
+	if limit == 0 {
+		limit = 2
+	}
+	return m.State == fleet.StateLive && !m.Switching && m.FailureDomain != n.out &&
+		(m.Serving.IsZero() || slices.Contains(r.Roots, m.Serving)) &&
+		!slices.Contains(r.Tried, m.ID) && n.inFlight[m.ID] < limit && !now.Before(n.paused[m.ID])
+}
+
+// Guards against a call that goes to a replica which is leaving, switching, out
+// of service, full, paused, already tried or at another version, and against a
+// call that waits although a replica could take it.
+func TestChoicesAgainstNaiveRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := &naive{inFlight: map[fleet.InstanceID]int{}, limit: map[fleet.InstanceID]int{}, paused: map[fleet.InstanceID]time.Time{}}
+		table := New(fleet.Instance{ID: "entry-0", Region: "r0"})
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		now := start
+		count := rapid.IntRange(1, Subset).Draw(t, "members")
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				n.out = fleet.FailureDomain(fmt.Sprintf("d%d", random.IntN(17)))
+				n.members = drawMembers(t, count)
+				table.Update(document(t, n.out), n.members)
+			case 1:
+				id := member(random.IntN(count)).ID
+				table.Refused(now, id)
+				if table.byID[id] != nil {
+					n.paused[id] = now.Add(refusedFor)
+				}
+			case 2:
+				table.Failed(now, member(random.IntN(count)).ID)
+			case 3:
+				id := member(random.IntN(count)).ID
+				if n.inFlight[id] > 0 {
+					n.inFlight[id]--
+					table.Done(id)
+				}
+			default:
+				checkPick(t, table, n, now, random)
+			}
+		}
+	})
+}
+
+func drawMembers(t *rapid.T, count int) []fleet.Instance {
+	list := members(count)
+	for i := range list {
+		switch rapid.IntRange(0, 9).Draw(t, "state") {
+		case 0:
+			list[i].State = fleet.StateLeaving
+		case 1:
+			list[i].Switching = true
+		case 2:
+			list[i].Serving = rootA
+		case 3:
+			list[i].Serving = fleet.Digest{9}
+		case 4:
+			list[i].Serving = fleet.Digest{}
+		}
+	}
+	return list
+}
+
+func checkPick(t *rapid.T, table *Table, n *naive, now time.Time, random *rand.Rand) {
+	r := Request{Service: service, Roots: []fleet.Digest{rootB, rootA}, Prefix: random.Uint64N(3)}
+	if len(n.members) > 0 {
+		r.Tried = []fleet.InstanceID{n.members[random.IntN(len(n.members))].ID}
+	}
+	possible := 0
+	for _, m := range n.members {
+		if n.valid(now, m, r) {
+			possible++
+		}
+	}
+	choice, ok := table.Pick(now, r, random.IntN)
+	if !ok {
+		require.Zero(t, possible, "a replica had room and no call was sent")
+		return
+	}
+	require.True(t, n.valid(now, choice.Instance, r), "%+v must not get the call", choice.Instance)
+	if !choice.Instance.Serving.IsZero() {
+		require.Equal(t, choice.Instance.Serving, choice.Root)
+	}
+	n.inFlight[choice.Instance.ID]++
+}
+
+// Guards against a subset that one failure domain dominates, so that its loss
+// takes most of an entry's replicas away, and against a subset that changes as
+// a whole when one replica comes or goes.
+func TestSubsetIsSpreadAndStable(t *testing.T) {
+	self := fleet.Instance{ID: "entry-0", Region: "r0"}
+	list := members(4300)
+	before := subset(self, list, Subset)
+	require.Len(t, before, Subset)
+	perDomain := map[fleet.FailureDomain]int{}
+	near := 0
+	for _, m := range before {
+		perDomain[m.FailureDomain]++
+		if m.Region == self.Region {
+			near++
+		}
+	}
+	require.Equal(t, Subset/2, near)
+	require.Len(t, perDomain, 16, "every failure domain has replicas in the subset")
+
+	in := func(set []fleet.Instance, id fleet.InstanceID) bool {
+		return slices.ContainsFunc(set, func(m fleet.Instance) bool { return m.ID == id })
+	}
+	for _, gone := range before {
+		rest := slices.DeleteFunc(slices.Clone(list), func(m fleet.Instance) bool { return m.ID == gone.ID })
+		after := subset(self, rest, Subset)
+		moved := 0
+		for _, m := range before {
+			if !in(after, m.ID) {
+				moved++
+			}
+		}
+		require.Equal(t, 1, moved, "only the replica that left is replaced")
+	}
+}
+
+// Guards against calls that cross regions while the own region has room, and
+// against an own region that is overloaded while others idle.
+func TestOwnRegionFirstUnlessLoaded(t *testing.T) {
+	table := New(fleet.Instance{ID: "entry-0", Region: "r0"})
+	near, far := member(0), member(1)
+	table.Update(document(t), []fleet.Instance{near, far})
+	for _, m := range []fleet.Instance{near, far} {
+		table.Report(start, m.ID, Load{Limit: 8})
+	}
+	var got []fleet.InstanceID
+	for range 10 {
+		c, ok := table.Pick(start, Request{Service: service, Roots: []fleet.Digest{rootB}}, rand.New(rand.NewPCG(1, 1)).IntN)
+		require.True(t, ok)
+		got = append(got, c.Instance.ID)
+	}
+	for _, id := range got[:6] {
+		require.Equal(t, near.ID, id)
+	}
+	require.Contains(t, got, far.ID)
+}
+
+// Guards against a prompt prefix that overloads the replica which holds it.
+func TestPrefixIsFollowedOnlyBelowBound(t *testing.T) {
+	table := newTable(t, 96)
+	random := rand.New(rand.NewPCG(1, 1)).IntN
+	r := Request{Service: service, Roots: []fleet.Digest{rootB}, Prefix: 7}
+	first, ok := table.Pick(start, r, random)
+	require.True(t, ok)
+	table.Report(start, first.Instance.ID, Load{Limit: 8, InFlight: 1})
+	for range 3 {
+		c, _ := table.Pick(start, r, random)
+		require.Equal(t, first.Instance.ID, c.Instance.ID)
+	}
+	c, _ := table.Pick(start, r, random)
+	require.NotEqual(t, first.Instance.ID, c.Instance.ID)
+}
+
+// Guards against a suspect that shares a replica with other calls.
+func TestAloneWaitsForAnEmptyReplica(t *testing.T) {
+	table := newTable(t, 1)
+	random := rand.New(rand.NewPCG(1, 1)).IntN
+	normal := Request{Service: service, Roots: []fleet.Digest{rootB}}
+	alone := normal
+	alone.Alone = true
+	c, ok := table.Pick(start, normal, random)
+	require.True(t, ok)
+	_, ok = table.Pick(start, alone, random)
+	require.False(t, ok, "a call is in flight")
+	_, ok = table.Pick(start, normal, random)
+	require.False(t, ok, "the replica is reserved")
+	table.Done(c.Instance.ID)
+	_, ok = table.Pick(start, alone, random)
+	require.True(t, ok)
+	_, ok = table.Pick(start, normal, random)
+	require.False(t, ok)
+	table.Done(c.Instance.ID)
+	_, ok = table.Pick(start, normal, random)
+	require.True(t, ok)
+}
+
+// Guards against a short path prefix that takes the calls of a longer one.
+func TestResolveTakesTheLongestPrefix(t *testing.T) {
+	a, err := config.Accept([]byte(`{"generation":1,"profiles":[],"customers":[],"failure_domains":[],"services":[
+		{"name":"all","kind":"plain","path_prefix":"/","limits":{"cold":1,"warm":1,"ramp_step":1}},
+		{"name":"ledger","kind":"plain","path_prefix":"/ledger/","limits":{"cold":1,"warm":1,"ramp_step":1}}]}`))
+	require.NoError(t, err)
+	require.EqualValues(t, "ledger", Resolve(a, "/ledger/entries", "").Service.Name)
+	require.EqualValues(t, "all", Resolve(a, "/other", "").Service.Name)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 300, 4300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := newTable(b, n)
+			random := rand.New(rand.NewPCG(1, 1))
+			r := Request{Service: service, Roots: []fleet.Digest{rootB, rootA}}
+			b.ReportAllocs()
+			for b.Loop() {
+				c, ok := table.Pick(start, r, random.IntN)
+				if !ok {
+					b.Fatal("no replica has room")
+				}
+				table.Done(c.Instance.ID)
+			}
+		})
+	}
+}
+
+// BenchmarkPickFull measures the longest search: every replica is full.
+func BenchmarkPickFull(b *testing.B) {
+	for _, n := range []int{12, 300, 4300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := newTable(b, n)
+			random := rand.New(rand.NewPCG(1, 1))
+			r := Request{Service: service, Roots: []fleet.Digest{rootB, rootA}}
+			for ok := true; ok; {
+				_, ok = table.Pick(start, r, random.IntN)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := table.Pick(start, r, random.IntN); ok {
+					b.Fatal("a replica has room")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	for _, n := range []int{12, 300, 4300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table, a, list := newTable(b, n), document(b), members(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Update(a, list)
+			}
+		})
+	}
+}
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -43,6 +43,22 @@
 	CallTimeout time.Duration
 	// BodyBytes bounds a caller's request body.
 	BodyBytes int64
+	// StreamBytes bounds the body of one response.
+	StreamBytes int64
+	// Connections bounds the callers' open connections.
+	Connections int
+	// QueueCalls and CustomerCalls bound the waiting calls of one service, in
+	// total and for each customer.
+	QueueCalls    int
+	CustomerCalls int
+	// QueueWait bounds how long a call waits for room.
+	QueueWait time.Duration
+	// FirstByteTimeout bounds the time to the head of an agent's response, and
+	// ProgressTimeout the time between two reads of its body.
+	FirstByteTimeout time.Duration
+	ProgressTimeout  time.Duration
+	// ConnectionAge is how long connections to an agent are reused.
+	ConnectionAge time.Duration
 }
 
 // Agent holds the settings of an agent.
@@ -72,6 +88,14 @@
 	s.Calls = r.integer("entry", "calls", 512, 1)
 	s.CallTimeout = r.duration("entry", "call_timeout", 60*time.Second)
 	s.BodyBytes = int64(r.integer("entry", "body_bytes", 1<<20, 1))
+	s.StreamBytes = int64(r.integer("entry", "stream_bytes", 64<<20, 1))
+	s.Connections = r.integer("entry", "connections", 4096, 1)
+	s.QueueCalls = r.integer("entry", "queue_calls", 2048, 1)
+	s.CustomerCalls = r.integer("entry", "customer_calls", 512, 1)
+	s.QueueWait = r.duration("entry", "queue_wait", 10*time.Second)
+	s.FirstByteTimeout = r.duration("entry", "first_byte_timeout", 20*time.Second)
+	s.ProgressTimeout = r.duration("entry", "progress_timeout", 10*time.Second)
+	s.ConnectionAge = r.duration("entry", "connection_age", time.Minute)
 	r.unknown("node", "entry")
 	return s, r.findings.Err()
 }
--- a/lib/wire/call.go
+++ b/lib/wire/call.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,6 +20,9 @@
 	HeaderCall    = "Rattanspur-Call"
 	HeaderOutcome = "Rattanspur-Outcome"
 	HeaderStamp   = "Rattanspur-Generation"
+	// HeaderRequest names the attempt that an agent answers, so that an entry
+	// never takes the answer to another request for its own.
+	HeaderRequest = "Rattanspur-Request"
 )
 
 // CallPath is the prefix of a caller's path on the way from entry to agent.
@@ -62,6 +66,9 @@
 	Clock       timeline.Stamp `json:"clock"`
 }
 
+// AttemptID names one attempt of one request.
+func (c *Call) AttemptID() string { return c.Request + "/" + strconv.Itoa(c.Attempt) }
+
 // SetCall writes a call into a header.
 func SetCall(h http.Header, c *Call) error {
 	data, err := json.Marshal(c)
