--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/settings"
 	"rattanspur.example/lib/wire"
+	"rattanspur.example/operator"
 )
 
 const (
@@ -43,17 +44,20 @@
 	attempts *ring.Ring[attempt]
 	metrics  *entryMetrics
 	stopping atomic.Bool
+	// snapshots answers the operator page.
+	snapshots *snapshots
 }
 
 // New returns an entry; Run starts it.
 func New(s *settings.Entry, logger log.Logger) *Entry {
 	n := node.New(s.Node, logger)
 	e := &Entry{
-		settings: s,
-		node:     n,
-		views:    n.Subscribe(),
-		inbox:    ring.New[event](2*s.Calls, ring.Wait),
-		attempts: ring.New[attempt](s.Calls, ring.Refuse),
+		settings:  s,
+		node:      n,
+		views:     n.Subscribe(),
+		inbox:     ring.New[event](2*s.Calls, ring.Wait),
+		attempts:  ring.New[attempt](s.Calls, ring.Refuse),
+		snapshots: newSnapshots(n),
 	}
 	e.metrics = newMetrics(e)
 	return e
@@ -66,14 +70,19 @@
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
+	handler, err := e.handler()
+	if err != nil {
+		return err
+	}
 	server := &http.Server{
-		Handler:           e.handler(),
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}
 	g := duty.NewGroup(context.WithoutCancel(ctx))
 	e.node.Start(g)
+	g.Go("operator snapshots", e.snapshots.run)
 	g.Go("router", e.runRouter)
 	for range e.settings.Calls {
 		g.Go("forwarder", e.runForwarder)
@@ -108,7 +117,11 @@
 	return nil
 }
 
-func (e *Entry) handler() http.Handler {
+func (e *Entry) handler() (http.Handler, error) {
+	page, err := operator.Handler(e.snapshots, e.settings.OperatorKey)
+	if err != nil {
+		return nil, err
+	}
 	keys := wire.Keys(e.settings.PeerKeys)
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", e.serveCall)
@@ -119,5 +132,6 @@
 	mux.Handle("GET "+wire.PathStatus, keys.Require(http.HandlerFunc(e.serveStatus)))
 	mux.Handle("GET "+wire.PathTimeline, keys.Require(e.node.TimelineHandler()))
 	mux.Handle("/peer/", keys.Require(e.node.PeerHandler()))
-	return mux
+	mux.Handle(operator.Prefix+"/", page)
+	return mux, nil
 }
