--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -40,7 +40,7 @@
 type agentFunc func(w http.ResponseWriter, r *http.Request, meta *wire.Call)
 
 // fakeAgent starts a server that speaks the agent's side of the protocol.
-func fakeAgent(t *testing.T, f agentFunc) string {
+func fakeAgent(t testing.TB, f agentFunc) string {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		meta, err := wire.GetCall(r.Header)
 		if err != nil {
@@ -72,7 +72,7 @@
 
 // bench is an entry that runs in the test's process.
 type bench struct {
-	t       *testing.T
+	t       testing.TB
 	ctx     context.Context
 	address string
 	client  *http.Client
@@ -80,7 +80,7 @@
 
 // startEntry runs an entry in front of agents for the model service "advisory"
 // and for the plain service "bookings".
-func startEntry(t *testing.T, change func(*settings.Entry), agents ...string) *bench {
+func startEntry(t testing.TB, change func(*settings.Entry), agents ...string) *bench {
 	ctx, cancel := context.WithTimeout(context.Background(), testWait)
 	service := standin.NewConfigService()
 	service.Put("config", document(t))
@@ -122,7 +122,7 @@
 	}
 }
 
-func document(t *testing.T) []byte {
+func document(t testing.TB) []byte {
 	sum := func(key string) string {
 		d := sha256.Sum256([]byte(key))
 		return hex.EncodeToString(d[:])
@@ -160,7 +160,7 @@
 	return list
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
