entry, relay: pass short responses on as one part

Cause: a short answer crossed the ring in three parts with two flushes, each read allocated 16 KiB, and a short answer that broke off could not be retried. Change: responses of known length up to 16 KiB are read whole and are retried if they break off; parts that are ready are written together; buffers are reused. Load reports are taken in before the call is counted out, since they count it.

--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -80,11 +80,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	res := t.receive(resp)
-	if res.load != nil && res.started {
-		_ = e.inbox.Put(ctx, loadRead{id: a.upstream.ID, load: *res.load})
-	}
-	if res.started {
-		t.pass(resp, &res)
+	if res.end == retry.Answered {
+		t.pass(ctx, resp, &res)
 	}
 	return res
 }
@@ -162,7 +159,6 @@
 	switch wire.Outcome(resp.Header.Get(wire.HeaderOutcome)) {
 	case wire.Ran:
 		res.end = retry.Answered
-		res.started = true
 		res.failed = resp.StatusCode >= http.StatusInternalServerError
 	case wire.NotRun:
 		res.end = retry.Refused
@@ -175,13 +171,46 @@
 	return res
 }
 
+// wholeBytes is the size up to which a response of known length is read whole
+// before it is passed on. If it breaks off, no byte has reached the caller yet.
+const wholeBytes = 16 << 10
+
 // pass puts the response on the caller's stream.
-func (t *try) pass(resp *http.Response, res *result) {
-	c := t.attempt.call
+func (t *try) pass(ctx context.Context, resp *http.Response, res *result) {
+	head := t.head(resp)
+	if n := resp.ContentLength; n >= 0 && n <= min(wholeBytes, t.entry.settings.StreamBytes) {
+		t.passWhole(resp, head, res)
+		return
+	}
+	if res.load != nil {
+		_ = t.entry.inbox.Put(ctx, loadRead{id: t.attempt.upstream.ID, load: *res.load})
+	}
+	t.passStream(resp, head, res)
+}
+
+func (t *try) head(resp *http.Response) *relay.Head {
 	head := &relay.Head{Status: resp.StatusCode, Header: relay.PassHeader(resp.Header)}
 	stripInternal(head.Header)
 	head.Header.Set(wire.HeaderOutcome, string(wire.Ran))
-	head.Header.Set(headerRequestID, c.id)
+	head.Header.Set(headerRequestID, t.attempt.call.id)
+	return head
+}
+
+// passWhole passes a short response on as one part.
+func (t *try) passWhole(resp *http.Response, head *relay.Head, res *result) {
+	body := make([]byte, resp.ContentLength)
+	if _, err := io.ReadFull(t.body(resp), body); err != nil {
+		res.end, res.detail = t.cut(err), err.Error()
+		return
+	}
+	res.started, res.whole = true, true
+	_ = t.attempt.call.stream.Put(t.ctx, relay.Part{Head: head, Data: body, End: true})
+}
+
+// passStream passes a response on while it arrives.
+func (t *try) passStream(resp *http.Response, head *relay.Head, res *result) {
+	c := t.attempt.call
+	res.started = true
 	err := c.stream.Put(c.ctx, relay.Part{Head: head})
 	if err == nil {
 		err = t.passBody(resp)
@@ -190,8 +219,7 @@
 	res.whole = err == nil
 	if err != nil {
 		end.Err = relay.ErrCut
-		res.detail = err.Error()
-		res.end = t.cut()
+		res.end, res.detail = t.cut(err), err.Error()
 	}
 	// The deadline may be over, but the handler still waits for the end.
 	finish, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), answerGrace)
@@ -200,7 +228,10 @@
 }
 
 // cut says how an attempt ended whose response broke off.
-func (t *try) cut() retry.End {
+func (t *try) cut(err error) retry.End {
+	if errors.Is(err, errStreamBytes) {
+		return retry.Answered
+	}
 	if end := t.lost(); end != retry.Unreachable {
 		return end
 	}
@@ -208,12 +239,15 @@
 }
 
 func (t *try) passBody(resp *http.Response) error {
-	body := &watchedBody{try: t, body: resp.Body, left: t.entry.settings.StreamBytes}
 	c := t.attempt.call
 	if relay.IsEventStream(resp.Header) {
-		return relay.ReadEvents(c.ctx, body, c.stream)
+		return relay.ReadEvents(c.ctx, t.body(resp), c.stream)
 	}
-	return relay.ReadBody(c.ctx, body, c.stream)
+	return relay.ReadBody(c.ctx, t.body(resp), c.stream)
+}
+
+func (t *try) body(resp *http.Response) io.Reader {
+	return &watchedBody{try: t, body: resp.Body, left: t.entry.settings.StreamBytes}
 }
 
 // watchedBody bounds the time of each read and the bytes of all reads. Time in
--- a/entry/router.go
+++ b/entry/router.go
@@ -246,9 +246,11 @@
 func (r *router) end(ctx context.Context, ev ended) {
 	a, res := ev.attempt, ev.result
 	r.carried--
-	r.table.Done(a.upstream.ID)
 	r.entry.metrics.attempt(res.end)
+	// The agent's load counts this call, so it is taken in before the call is
+	// counted out here.
 	r.learn(time.Now(), a, res)
+	r.table.Done(a.upstream.ID)
 	if !res.end.NotRun() {
 		a.uncertain = true
 	}
@@ -288,7 +290,7 @@
 // learn updates what is known of the upstream and of the request.
 func (r *router) learn(now time.Time, a attempt, res result) {
 	id := a.upstream.ID
-	if res.load != nil && !res.started {
+	if res.load != nil {
 		r.table.Report(now, id, *res.load)
 	}
 	switch {
--- a/lib/relay/events.go
+++ b/lib/relay/events.go
@@ -29,25 +29,22 @@
 // returns the error that ended the body early, if any, and does not put the
 // last part.
 func ReadEvents(ctx context.Context, body io.Reader, s *Stream) error {
+	buffer := buffers.Get().(*[partBytes]byte)
+	defer buffers.Put(buffer)
 	var held []byte
 	for {
-		buffer := make([]byte, len(held)+partBytes)
-		copy(buffer, held)
-		n, err := body.Read(buffer[len(held):])
-		data := buffer[:len(held)+n]
-		whole := bytes.LastIndex(data, eventEnd) + len(eventEnd)
-		if whole < len(eventEnd) {
-			whole = 0
-		}
+		n, err := body.Read(buffer[:])
+		held = append(held, buffer[:n]...)
+		whole := wholeEvents(held)
 		if errors.Is(err, io.EOF) {
-			whole = len(data)
+			whole = len(held)
 		}
 		if whole > 0 {
-			if perr := s.Put(ctx, Part{Data: data[:whole]}); perr != nil {
+			if perr := s.Put(ctx, Part{Data: held[:whole:whole]}); perr != nil {
 				return perr
 			}
+			held = bytes.Clone(held[whole:])
 		}
-		held = data[whole:]
 		switch {
 		case errors.Is(err, io.EOF):
 			return nil
@@ -59,6 +56,15 @@
 	}
 }
 
+// wholeEvents returns the length of the whole events at the start of data.
+func wholeEvents(data []byte) int {
+	last := bytes.LastIndex(data, eventEnd)
+	if last < 0 {
+		return 0
+	}
+	return last + len(eventEnd)
+}
+
 // WriteErrorEvent ends a stream of server-sent events with an error event, so
 // that the caller can tell a cut answer from a whole one.
 func WriteErrorEvent(w http.ResponseWriter, data []byte) error {
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -4,11 +4,13 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"rattanspur.example/lib/ring"
@@ -67,13 +69,18 @@
 			if _, err := w.Write(part.Data); err != nil {
 				return err
 			}
-			if err := flusher.Flush(); err != nil {
-				return err
-			}
 		}
 		if part.End {
 			return part.Err
 		}
+		// Parts that are ready are sent with this one, and a response that
+		// ends before the ring is empty is sent as a whole.
+		if s.Depth() > 0 {
+			continue
+		}
+		if err := flusher.Flush(); err != nil {
+			return err
+		}
 	}
 }
 
@@ -84,14 +91,18 @@
 	w.WriteHeader(h.Status)
 }
 
+// buffers are reused, so that a read of a few bytes does not cost a whole buffer.
+var buffers = sync.Pool{New: func() any { return new([partBytes]byte) }}
+
 // ReadBody puts the bytes of body on the stream. It returns the error that
 // ended the body early, if any, and does not put the last part.
 func ReadBody(ctx context.Context, body io.Reader, s *Stream) error {
+	buffer := buffers.Get().(*[partBytes]byte)
+	defer buffers.Put(buffer)
 	for {
-		buffer := make([]byte, partBytes)
-		n, err := body.Read(buffer)
+		n, err := body.Read(buffer[:])
 		if n > 0 {
-			if perr := s.Put(ctx, Part{Data: buffer[:n]}); perr != nil {
+			if perr := s.Put(ctx, Part{Data: bytes.Clone(buffer[:n])}); perr != nil {
 				return perr
 			}
 		}
