entry, bench: collect less often and compare with a naive process

Cause: at the default setting the collector took about a fifth of the entry's processor time, and the naive proxy ran inside of the benchmark's process, where waking it up costs less than between processes. Change: an entry lets its heap grow fivefold, with a memory limit below the 256 MB of a node; the naive proxy is a process of its own.

--- a/bench/scenario/route.go
+++ b/bench/scenario/route.go
@@ -1,12 +1,11 @@
 package scenario
 
 import (
-	"bytes"
 	"context"
-	"io"
+	"fmt"
 	"net/http"
-	"net/http/httptest"
-	"sync/atomic"
+	"os/exec"
+	"path/filepath"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,8 +47,16 @@
 		return err
 	}
 	defer l.Close()
-	naive := httptest.NewServer(roundRobin(l))
-	defer naive.Close()
+	limited, cancel := context.WithCancel(ctx)
+	naiveURL, naive, err := startNaive(limited, env, l)
+	if err != nil {
+		cancel()
+		return err
+	}
+	defer func() {
+		cancel()
+		_ = naive.Wait()
+	}()
 	model, err := engineModel(l)
 	if err != nil {
 		return err
@@ -58,14 +65,17 @@
 	client := newClient()
 	ways := []*way{
 		{name: "direct", call: sender(client, l.Agents[0].EngineURL, direct)},
-		{name: "naive", call: sender(client, naive.URL, direct)},
+		{name: "naive", call: sender(client, naiveURL, direct)},
 		{name: "route", call: sender(client, "http://"+l.Entries[0].Address, body)},
 	}
 	if err := measureWays(ctx, ways); err != nil {
 		return err
 	}
 	reportRoute(env.Report, ways)
-	return reportProcessorTime(ctx, env.Report, l, ways[2].call)
+	if err := reportProcessorTime(ctx, env.Report, "naive_", naive.Process.Pid, ways[1].call); err != nil {
+		return err
+	}
+	return reportProcessorTime(ctx, env.Report, "", l.Entries[0].PID(), ways[2].call)
 }
 
 func sender(client *http.Client, base string, body []byte) func(context.Context) error {
@@ -105,9 +115,8 @@
 	}
 }
 
-// reportProcessorTime measures the calls that the entry carries with one core.
-func reportProcessorTime(ctx context.Context, r *figure.Report, l *lab.Lab, call func(context.Context) error) error {
-	pid := l.Entries[0].PID()
+// reportProcessorTime measures the calls that a process carries with one core.
+func reportProcessorTime(ctx context.Context, r *figure.Report, name string, pid int, call func(context.Context) error) error {
 	before, err := cpuTime(pid)
 	if err != nil {
 		return err
@@ -123,34 +132,32 @@
 	if seen.failed > 0 {
 		return eris.Wrapf(seen.lastError, "%d of %d calls failed", seen.failed, seen.calls)
 	}
-	r.Note("route: %d calls at %.0f a second, %d at a time", seen.calls, float64(seen.calls)/elapsed.Seconds(), busyWorkers)
-	r.Add("route.requests_per_core_s", float64(seen.calls)/(after-before).Seconds(), "requests/core-s", figure.NoBound)
-	r.Add("route.busy_p99_us", seen.quantile(99), "us", figure.NoBound)
+	r.Note("route: %s%d calls at %.0f a second, %d at a time", name, seen.calls, float64(seen.calls)/elapsed.Seconds(), busyWorkers)
+	perCore := float64(seen.calls) / (after - before).Seconds()
+	r.Add("route."+name+"requests_per_core_s", perCore, "requests/core-s", figure.NoBound)
+	r.Add("route."+name+"busy_p99_us", seen.quantile(99), "us", figure.NoBound)
 	return nil
 }
 
-// roundRobin is the naive baseline: it passes each request on to the next
-// engine without load, versions, retries or limits.
-func roundRobin(l *lab.Lab) http.Handler {
-	client := newClient()
-	var next atomic.Int64
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		engine := l.Agents[int(next.Add(1))%len(l.Agents)].EngineURL
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
-		}
-		req, err := http.NewRequestWithContext(r.Context(), r.Method, engine+r.URL.Path, bytes.NewReader(body))
-		if err != nil {
-			return
-		}
-		resp, err := client.Do(req)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadGateway)
-			return
-		}
-		defer func() { _ = resp.Body.Close() }()
-		w.WriteHeader(resp.StatusCode)
-		_, _ = io.Copy(w, resp.Body)
-	})
+// startNaive starts the naive proxy as a process of its own, so that both ways
+// cross processes, and returns its base URL. The stand-ins' binary lies beside
+// the one that ships.
+func startNaive(ctx context.Context, env Env, l *lab.Lab) (string, *exec.Cmd, error) {
+	args := []string{"proxy"}
+	for _, a := range l.Agents {
+		args = append(args, "--upstream", a.EngineURL)
+	}
+	cmd := exec.CommandContext(ctx, filepath.Join(filepath.Dir(env.Binary), "standin"), args...)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return "", nil, eris.Wrap(err, "naive proxy")
+	}
+	if err := cmd.Start(); err != nil {
+		return "", nil, eris.Wrap(err, "naive proxy")
+	}
+	var address string
+	if _, err := fmt.Fscanf(out, "listening %s\n", &address); err != nil {
+		return "", nil, eris.Wrap(err, "address of the naive proxy")
+	}
+	return "http://" + address, cmd, nil
 }
--- a/cmd/rattanspur/main.go
+++ b/cmd/rattanspur/main.go
@@ -36,12 +36,28 @@
 
 type entryCommand struct{ settingsOption }
 
+const (
+	// entryGCPercent lets the heap of an entry grow to five times what is live
+	// before a collection. The live heap is a few MB, so at the default of 100
+	// collections take a fifth of the processor time.
+	entryGCPercent = 400
+	// entryMemoryLimit makes collections more frequent before the process
+	// reaches the 256 MB that a node may use.
+	entryMemoryLimit = 192 << 20
+)
+
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
 	s, err := settings.LoadEntry(c.Settings)
 	if err != nil {
 		return err
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(entryGCPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(entryMemoryLimit)
+	}
 	return run(entry.New(s, newLogger(s.Node)))
 }
 
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -38,6 +38,16 @@
 	return serve(c.Listen, e.Handler())
 }
 
+type proxyCommand struct {
+	options
+	Upstreams []string `long:"upstream" description:"base URL of an upstream; may be repeated" required:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *proxyCommand) Execute([]string) error {
+	return serve(c.Listen, standin.RoundRobin(c.Upstreams))
+}
+
 type configCommand struct{ options }
 
 // Execute implements flags.Commander.
@@ -107,6 +117,7 @@
 		}
 	}
 	add("engine", "Start a model engine", &engineCommand{})
+	add("proxy", "Start a naive round-robin proxy", &proxyCommand{})
 	add("config", "Start a configuration service", &configCommand{})
 	add("instances", "Start an instance list", &instancesCommand{})
 	add("store", "Start a weight store with generated weights", &storeCommand{})
