entry: call agents without the client layer of net/http

Cause: the client follows redirects that are meant for the caller, and every attempt copied the caller's header and the response's header. Change: attempts use the transport directly; headers are cleaned once. A test shows that a redirect reaches the caller.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -304,6 +304,20 @@
 	require.Equal(t, http.StatusUnauthorized, status)
 }
 
+// Guards against a redirect that the entry follows itself: the caller would
+// get the answer to another request.
+func TestRedirectGoesToTheCaller(t *testing.T) {
+	agent := fakeAgent(t, func(w http.ResponseWriter, r *http.Request, _ *wire.Call) {
+		w.Header().Set(wire.HeaderOutcome, string(wire.Ran))
+		http.Redirect(w, r, "/elsewhere", http.StatusSeeOther)
+	})
+	b := startEntry(t, nil, agent)
+	b.client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	a := b.post("/bookings/list", "counter", "{}")
+	require.Equal(t, http.StatusSeeOther, a.status)
+	require.Equal(t, "/elsewhere", a.header.Get("Location"))
+}
+
 // Guards against a body or a response beyond the limits.
 func TestBodyAndStreamLimits(t *testing.T) {
 	agent := fakeAgent(t, func(w http.ResponseWriter, _ *http.Request, _ *wire.Call) {
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -74,7 +75,8 @@
 	if err != nil {
 		return result{end: retry.Refused, detail: err.Error()}
 	}
-	resp, err := a.link.client.Do(req)
+	// A client would follow redirects of the upstream; they are for the caller.
+	resp, err := a.link.transport.RoundTrip(req)
 	if err != nil {
 		return result{end: t.lost(), detail: err.Error()}
 	}
@@ -106,8 +108,7 @@
 		return nil, err
 	}
 	req.ContentLength = int64(len(c.body))
-	req.Header = relay.PassHeader(c.header)
-	stripInternal(req.Header)
+	req.Header = maps.Clone(c.header)
 	req.Header.Set(headerRequestID, c.id)
 	meta := t.attempt.meta
 	if deadline, ok := c.ctx.Deadline(); ok {
@@ -189,8 +190,9 @@
 }
 
 func (t *try) head(resp *http.Response) *relay.Head {
-	head := &relay.Head{Status: resp.StatusCode, Header: relay.PassHeader(resp.Header)}
-	stripInternal(head.Header)
+	relay.StripHop(resp.Header)
+	stripInternal(resp.Header)
+	head := &relay.Head{Status: resp.StatusCode, Header: resp.Header}
 	head.Header.Set(wire.HeaderOutcome, string(wire.Ran))
 	head.Header.Set(headerRequestID, t.attempt.call.id)
 	return head
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -65,6 +65,10 @@
 
 func newCall(ctx context.Context, id string, r *http.Request, body []byte) *call {
 	model, prompt := inspect(r.URL.Path, body)
+	key := wire.Bearer(r.Header)
+	// Headers that only processes of the system set are not taken from callers.
+	relay.StripHop(r.Header)
+	stripInternal(r.Header)
 	return &call{
 		ctx:         ctx,
 		id:          id,
@@ -75,7 +79,7 @@
 		model:       model,
 		prefix:      routing.PrefixOf(prompt),
 		fingerprint: retry.Fingerprint(r.URL.RequestURI(), body),
-		keySHA256:   keyDigest(wire.Bearer(r.Header)),
+		keySHA256:   keyDigest(key),
 		arrived:     time.Now(),
 		stream:      relay.NewStream(),
 	}
--- a/entry/links.go
+++ b/entry/links.go
@@ -20,9 +20,9 @@
 // link holds the connections to one agent. Connections of a replaced link are
 // closed as soon as their calls have ended.
 type link struct {
-	address string
-	born    time.Time
-	client  *http.Client
+	address   string
+	born      time.Time
+	transport *http.Transport
 }
 
 // links are the connections to all agents. They are owned by the router; a
@@ -44,9 +44,9 @@
 		return k
 	}
 	if k != nil {
-		k.client.CloseIdleConnections()
+		k.transport.CloseIdleConnections()
 	}
-	k = &link{address: agent.Address, born: now, client: &http.Client{Transport: newTransport()}}
+	k = &link{address: agent.Address, born: now, transport: newTransport()}
 	l.byID[agent.ID] = k
 	return k
 }
@@ -57,7 +57,7 @@
 	if l.byID[id] != k {
 		return
 	}
-	k.client.CloseIdleConnections()
+	k.transport.CloseIdleConnections()
 	delete(l.byID, id)
 }
 
@@ -65,7 +65,7 @@
 func (l *links) retain(keep func(fleet.InstanceID) bool) {
 	for id, k := range l.byID {
 		if !keep(id) {
-			k.client.CloseIdleConnections()
+			k.transport.CloseIdleConnections()
 			delete(l.byID, id)
 		}
 	}
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -122,16 +122,22 @@
 }
 
 // PassHeader returns a copy of a header without what belongs to one
-// connection, including the headers that Connection lists.
+// connection.
 func PassHeader(h http.Header) http.Header {
 	out := h.Clone()
+	StripHop(out)
+	return out
+}
+
+// StripHop removes from a header what belongs to one connection, including the
+// headers that Connection lists.
+func StripHop(h http.Header) {
 	for _, line := range h.Values("Connection") {
 		for name := range strings.SplitSeq(line, ",") {
-			out.Del(strings.TrimSpace(name))
+			h.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopHeaders {
-		out.Del(name)
+		delete(h, name)
 	}
-	return out
 }
