bench: measure how new weights reach all agents

Change: scenario burst publishes one profile to N agents behind paced links and reads the byte counts of every agent and of the origin. Times are in copies of the model on a machine's link. The naive run draws everything from the origin, with a smaller model. The lab takes ports below the ephemeral range, each once.

--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -74,6 +75,7 @@
 	cancel  context.CancelFunc
 	ctx     context.Context
 	doc     config.Document
+	port    int
 	closers []func()
 }
 
@@ -163,7 +165,7 @@
 }
 
 func (l *Lab) newProcess(role fleet.Role, i int) (*Process, error) {
-	address, err := freeAddress()
+	address, err := l.freeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -178,14 +180,32 @@
 	}}, nil
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "free address")
+const (
+	// firstPort and ports are below the range from which the kernel takes the
+	// ports of outgoing connections and of listeners on port 0, so that none of
+	// the many processes of a lab takes an address before its owner listens.
+	firstPort = 10_000
+	ports     = 20_000
+	// portTries bounds the search for a free port.
+	portTries = 1000
+)
+
+// freeAddress returns a loopback address that was free a moment ago, and each
+// only once.
+func (l *Lab) freeAddress() (string, error) {
+	if l.port == 0 {
+		l.port = rand.IntN(ports)
+	}
+	for range portTries {
+		l.port = (l.port + 1) % ports
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+l.port))
+		if err != nil {
+			continue
+		}
+		defer func() { _ = listener.Close() }()
+		return listener.Addr().String(), nil
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", eris.Errorf("no free port after %d tries", portTries)
 }
 
 // Launch starts a process, also after it was stopped or killed.
--- /dev/null
+++ b/bench/scenario/burst.go
@@ -0,0 +1,171 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"rattanspur.example/bench/figure"
+	"rattanspur.example/bench/lab"
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/pacing"
+	"rattanspur.example/lib/wire"
+)
+
+const (
+	// burstModelBytes, burstChunkBytes and burstLink make a copy take 8 s on a
+	// machine's link, so that dissemination of the configuration and the
+	// scheduling of a hundred processes on one machine stay small beside it.
+	burstModelBytes = 8 << 20
+	burstChunkBytes = 64 << 10
+	burstLink       = pacing.BytesPerSecond(1 << 20)
+	// naiveModelBytes is smaller, because every instance downloads all of it
+	// from the origin; times are compared in link copies.
+	naiveModelBytes = 512 << 10
+	// originLinks is the rate of the origin's link in links of a machine.
+	originLinks = 2
+	// regionLinks is the rate between two regions in links of a machine.
+	regionLinks = 3
+	// burstTimeout bounds one burst.
+	burstTimeout = 2 * time.Minute
+)
+
+// burstResult is what one burst cost, in copies of the model.
+type burstResult struct {
+	timeCopies   float64
+	startCopies  float64
+	originCopies float64
+	upMax        float64
+	downMax      float64
+	regionMax    float64
+	upSum        float64
+	downSum      float64
+	serving      time.Duration
+	requests     wire.TransferStatus
+}
+
+// burst measures how new weights reach all agents at once.
+func burst(ctx context.Context, env Env) error {
+	var first, last burstResult
+	var size int
+	for i, n := range env.Sizes {
+		r, err := runBurst(ctx, env, n, burstModelBytes, "")
+		if err != nil {
+			return err
+		}
+		reportBurst(env.Report, n, r)
+		if i == 0 {
+			first = r
+		}
+		last, size = r, n
+	}
+	if len(env.Sizes) > 1 {
+		env.Report.Add("burst.growth", last.timeCopies/first.timeCopies, "ratio", figure.AtMost(1.2))
+	}
+	naive, err := runBurst(ctx, env, size, naiveModelBytes, "chunk_peers = 0\n")
+	if err != nil {
+		return err
+	}
+	env.Report.Add(fmt.Sprintf("burst.naive_time_in_link_copies.%d", size), naive.timeCopies, "ratio", figure.NoBound)
+	env.Report.Add("burst.speedup_vs_naive", naive.timeCopies/last.timeCopies, "ratio", figure.AtLeast(10))
+	return nil
+}
+
+func reportBurst(r *figure.Report, n int, b burstResult) {
+	add := func(name string, value float64, bound figure.Bound) {
+		r.Add(fmt.Sprintf("burst.%s.%d", name, n), value, "ratio", bound)
+	}
+	add("time_in_link_copies", b.timeCopies, figure.AtMost(2))
+	add("origin_copies", b.originCopies, figure.AtMost(4))
+	add("link_copies_max_up", b.upMax, figure.AtMost(2))
+	add("link_copies_max_down", b.downMax, figure.AtMost(2))
+	add("region_copies_max", b.regionMax, figure.AtMost(1.2))
+	// What all receivers counted must be what all senders counted; a pacing
+	// that lets bytes pass uncounted shows here.
+	add("bytes_received_to_sent", b.downSum/(b.upSum+b.originCopies), figure.NoBound)
+	r.Note("N=%d: last transfer began %.3f copies after publication; all engines loaded after %s; busy %d, corrupt %d, failed %d",
+		n, b.startCopies, b.serving.Round(time.Millisecond), b.requests.BusyAnswers, b.requests.CorruptChunks, b.requests.FailedRequests)
+}
+
+// runBurst publishes one profile to n agents that hold nothing.
+func runBurst(ctx context.Context, env Env, n, modelBytes int, extra string) (burstResult, error) {
+	var result burstResult
+	ctx, cancel := context.WithTimeout(ctx, burstTimeout)
+	defer cancel()
+	l, err := lab.Start(lab.Options{
+		Binary:     env.Binary,
+		Agents:     n,
+		Regions:    []string{"burdwan", "hooghly", "medinipur"},
+		ModelBytes: modelBytes,
+		ChunkBytes: burstChunkBytes,
+		Link:       burstLink,
+		OriginLink: originLinks * burstLink,
+		Limits:     config.Limits{Cold: 4, Warm: 32, RampStep: 4},
+		ExtraAgent: fmt.Sprintf("region_link_bytes_per_second = %d\n%s", regionLinks*burstLink, extra),
+	})
+	if err != nil {
+		return result, err
+	}
+	defer l.Close()
+	store, weights, err := l.AddStore(uint64(n))
+	if err != nil {
+		return result, err
+	}
+	if err := awaitAgents(ctx, l); err != nil {
+		return result, err
+	}
+	published := time.Now()
+	if err := l.PublishProfile("burst-1", "v1", weights); err != nil {
+		return result, err
+	}
+	if err := l.AwaitServing(ctx, weights.Root.String(), n); err != nil {
+		return result, err
+	}
+	result.serving = time.Since(published)
+	copyTime := time.Duration(float64(modelBytes) / float64(burstLink) * float64(time.Second))
+	err = result.collect(ctx, l, published, copyTime, float64(modelBytes))
+	result.originCopies = float64(store.Bytes()) / float64(modelBytes)
+	return result, err
+}
+
+// awaitAgents waits until every agent answers, so that the start of processes
+// does not count as transfer.
+func awaitAgents(ctx context.Context, l *lab.Lab) error {
+	peers := &wire.Client{HTTP: lab.HTTP, Keys: wire.Keys{lab.PeerKey}}
+	for _, p := range l.Agents {
+		if err := lab.Await(ctx, func() error {
+			var s wire.TransferStatus
+			return peers.GetJSON(ctx, p.Address, wire.PathTransfer, &s)
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// collect reads the counters of every agent.
+func (b *burstResult) collect(ctx context.Context, l *lab.Lab, published time.Time, copyTime time.Duration, size float64) error {
+	peers := &wire.Client{HTTP: lab.HTTP, Keys: wire.Keys{lab.PeerKey}}
+	regions := map[fleet.Region]float64{}
+	for _, p := range l.Agents {
+		var s wire.TransferStatus
+		if err := peers.GetJSON(ctx, p.Address, wire.PathTransfer, &s); err != nil {
+			return err
+		}
+		b.timeCopies = max(b.timeCopies, float64(s.Completed.Sub(published))/float64(copyTime))
+		b.startCopies = max(b.startCopies, float64(s.Started.Sub(published))/float64(copyTime))
+		b.upMax = max(b.upMax, float64(s.UpBytes)/size)
+		b.downMax = max(b.downMax, float64(s.DownBytes)/size)
+		b.upSum += float64(s.UpBytes) / size
+		b.downSum += float64(s.DownBytes) / size
+		regions[p.Region] += float64(s.RegionBytes) / size
+		b.requests.BusyAnswers += s.BusyAnswers
+		b.requests.CorruptChunks += s.CorruptChunks
+		b.requests.FailedRequests += s.FailedRequests
+	}
+	for _, copies := range regions {
+		b.regionMax = max(b.regionMax, copies)
+	}
+	return nil
+}
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -25,5 +25,5 @@
 
 // All returns the scenarios in the order in which they run.
 func All() []Scenario {
-	return []Scenario{}
+	return []Scenario{{Name: "burst", Run: burst}}
 }
--- /dev/null
+++ b/lib/wire/transfer.go
@@ -0,0 +1,33 @@
+package wire
+
+import (
+	"time"
+
+	"rattanspur.example/lib/fleet"
+)
+
+// PathTransfer answers with a TransferStatus.
+const PathTransfer = "/peer/transfer"
+
+// TransferStatus is the state of the weight transfer at one agent. Byte
+// counts are totals since the process started.
+type TransferStatus struct {
+	Root    fleet.Digest `json:"root"`
+	Chunks  int          `json:"chunks"`
+	Missing int          `json:"missing"`
+	// Started and Completed are zero until that happened for Root.
+	Started   time.Time `json:"started,omitzero"`
+	Completed time.Time `json:"completed,omitzero"`
+	// UpBytes and DownBytes crossed the machine's link.
+	UpBytes   int64 `json:"up_bytes"`
+	DownBytes int64 `json:"down_bytes"`
+	// RegionBytes is the part of DownBytes that came from another region.
+	RegionBytes int64 `json:"region_bytes"`
+	// BusyAnswers, CorruptChunks and FailedRequests count requests that ended
+	// without a verified chunk.
+	BusyAnswers    int64 `json:"busy_answers"`
+	CorruptChunks  int64 `json:"corrupt_chunks"`
+	FailedRequests int64 `json:"failed_requests"`
+	// HeldBytes is the memory that chunks take.
+	HeldBytes int64 `json:"held_bytes"`
+}
