transfer: draw each chunk once per region and bound every cost

Change: drawers per region and chunk, a tree of regions, takeover by lack of news, rarest-first over a counted set, have-sets as additions, growing penalties and a ban after three wrong chunks, stall detection by progress, bounded uploads, store before origin, ETags owned by the puller, attempts that end cleanly and retry, a retained share after loading, pacing between regions, checks of safetensors headers.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -43,15 +43,19 @@
 	pullerViews   *ring.Ring[node.View]
 	gateViews     *ring.Ring[node.View]
 
-	engineer *ring.Ring[engineerEvent]
-	orders   *ring.Ring[order]
-	puller   *ring.Ring[pullerEvent]
-	fetches  *ring.Ring[fetch]
-	gate     *ring.Ring[gateEvent]
-	grants   *ring.Ring[grant]
+	engineer  *ring.Ring[engineerEvent]
+	orders    *ring.Ring[order]
+	puller    *ring.Ring[pullerEvent]
+	fetches   *ring.Ring[fetch]
+	inquiries *ring.Ring[inquiry]
+	gate      *ring.Ring[gateEvent]
+	grants    *ring.Ring[grant]
 
 	up   *pacing.Link
 	down *pacing.Link
+	// region paces what comes from other regions.
+	region      *pacing.Link
+	weightsHTTP *http.Client
 }
 
 // New returns an agent; Run starts it.
@@ -70,10 +74,13 @@
 		orders:        ring.New[order](1, ring.Wait),
 		puller:        ring.New[pullerEvent](messageRing, ring.Wait),
 		fetches:       ring.New[fetch](messageRing, ring.Wait),
+		inquiries:     ring.New[inquiry](messageRing, ring.Wait),
 		gate:          ring.New[gateEvent](messageRing, ring.Wait),
 		grants:        ring.New[grant](s.Calls, ring.Refuse),
 		up:            pacing.NewLink(s.LinkUp),
 		down:          pacing.NewLink(s.LinkDown),
+		region:        pacing.NewLink(s.RegionLink),
+		weightsHTTP:   &http.Client{Transport: weightsTransport()},
 	}
 }
 
@@ -118,6 +125,9 @@
 	for range fetchers {
 		g.Go("fetcher", a.runFetcher)
 	}
+	for range askers {
+		g.Go("asker", a.runAsker)
+	}
 	g.Go("gatekeeper", a.runGatekeeper)
 	for range a.settings.Calls {
 		g.Go("forwarder", a.runForwarder)
@@ -138,6 +148,7 @@
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/manifest", a.serveManifest)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/have", a.serveHave)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/chunks/{index}", a.serveChunk)
+	inside.HandleFunc("GET "+wire.PathTransfer, a.serveTransfer)
 	inside.Handle("GET "+wire.PathTimeline, a.node.TimelineHandler())
 	mux := http.NewServeMux()
 	mux.Handle("/", keys.Require(inside))
--- a/agent/engineer.go
+++ b/agent/engineer.go
@@ -65,6 +65,7 @@
 		a.node.Record(timeline.Event{Kind: timeline.EngineOrdered, Detail: "unload " + action.Root.String()})
 	case rollout.Serve:
 		_ = a.gate.Put(ctx, serveRoot{root: action.Root})
+		_ = a.puller.Put(ctx, weightsLoaded{root: action.Root})
 		a.node.Record(timeline.Event{Kind: timeline.EngineServing, Detail: action.Root.String()})
 	}
 }
--- a/agent/fetcher.go
+++ b/agent/fetcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -18,134 +17,171 @@
 	"rattanspur.example/lib/wire"
 )
 
-// fetchDelay is the time before a manifest that could not be read is asked for again.
-const fetchDelay = 200 * time.Millisecond
-
-// fetch is one request for a manifest, a have-set or a chunk.
+// fetch is one request for a chunk.
 type fetch struct {
-	profile      *config.Profile
-	manifest     *manifest.Manifest
-	peer         fleet.Instance
-	source       transfer.Source
-	chunk        manifest.Chunk
-	wantManifest bool
-	wantHave     bool
+	// ctx ends with the attempt that the request belongs to.
+	ctx     context.Context
+	attempt uint64
+	weights config.Weights
+	path    string
+	chunk   manifest.Chunk
+	source  transfer.Source
+	peer    fleet.Instance
+	tag     weightstore.Tag
+	// remote says that the bytes come from another region.
+	remote bool
+}
+
+// errAbsent says that a peer does not hold the chunk.
+var errAbsent = errors.New("peer does not hold the chunk")
+
+// errStalled ends a request without progress.
+var errStalled = errors.New("request made no progress")
+
+// maxStalls bounds a whole request in stall bounds, so that a source that
+// sends a few bytes at a time does not hold a request for ever.
+const maxStalls = 12
+
+// weightsTransport carries the requests of all fetchers and askers. The
+// number of open connections is bounded, because an agent talks to few peers.
+func weightsTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConns:        64,
+		MaxIdleConnsPerHost: transferLimits.PerSource,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
 }
 
-// runFetcher carries out one request after the other.
+// runFetcher carries out one request for a chunk after the other.
 func (a *Agent) runFetcher(ctx context.Context) error {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
-	peers := &wire.Client{HTTP: client, Keys: a.settings.PeerKeys}
 	for {
 		f, err := a.fetches.Take(ctx)
 		if err != nil {
 			return nil
 		}
-		var ev pullerEvent
-		switch {
-		case f.wantManifest:
-			ev = a.fetchManifest(ctx, client, peers, f)
-		case f.wantHave:
-			ev = a.fetchHave(ctx, peers, f)
-		default:
-			ev = a.fetchChunk(ctx, client, f)
-		}
-		if a.puller.Put(ctx, ev) != nil {
+		if a.puller.Put(ctx, a.fetchChunk(f)) != nil {
 			return nil
 		}
 	}
 }
 
-func (a *Agent) fetchManifest(ctx context.Context, client *http.Client, peers *wire.Client, f fetch) pullerEvent {
-	ev := manifestRead{root: f.profile.Weights.Root}
-	if f.peer.ID != "" {
-		path := wire.PathWeights + ev.root.String() + "/manifest"
-		ev.encoded, ev.err = peers.Get(ctx, f.peer.Address, path, manifest.MaxManifestBytes)
-	}
-	if f.peer.ID == "" || ev.err != nil {
-		store := weightstore.New(f.profile.Weights.Origin, client)
-		ev.encoded, ev.err = store.Manifest(ctx, manifest.MaxManifestBytes)
-	}
-	if ev.err == nil {
-		ev.manifest, ev.err = manifest.Decode(ev.encoded, ev.root)
-	}
-	if ev.err != nil {
-		wait(ctx, fetchDelay)
+func (a *Agent) fetchChunk(f fetch) chunkRead {
+	ev := chunkRead{attempt: f.attempt, remote: f.remote}
+	ev.ended = transfer.ChunkEnded{Index: f.chunk.Index, Source: f.source}
+	ctx, cancel := context.WithCancelCause(f.ctx)
+	defer cancel(nil)
+	whole := time.AfterFunc(maxStalls*transferLimits.StallAfter, func() { cancel(errStalled) })
+	defer whole.Stop()
+	watch := &stallWatch{after: transferLimits.StallAfter, cancel: cancel}
+	watch.arm()
+	defer watch.disarm()
+	body, tag, err := a.openChunk(ctx, f)
+	if err == nil {
+		ev.tag = tag
+		ev.data, err = a.readChunk(ctx, watch, body, f)
+	}
+	ev.ended.Outcome, ev.err = outcome(err), err
+	if err == nil && !f.chunk.Verify(ev.data) {
+		ev.data = nil
+		ev.ended.Outcome = transfer.Corrupt
 	}
 	return ev
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+func (a *Agent) readChunk(ctx context.Context, watch *stallWatch, body io.ReadCloser, f fetch) ([]byte, error) {
+	defer func() { _ = body.Close() }()
+	watch.body = body
+	links := []*pacing.Link{a.down}
+	if f.remote {
+		links = append(links, a.region)
 	}
+	data := make([]byte, f.chunk.Length)
+	_, err := io.ReadFull(pacing.Reader(ctx, watch, links...), data)
+	return data, err
 }
 
-func (a *Agent) fetchHave(ctx context.Context, peers *wire.Client, f fetch) pullerEvent {
-	ev := haveRead{root: f.profile.Weights.Root, peer: f.peer.ID}
-	limited, cancel := context.WithTimeout(ctx, shortTimeout)
-	defer cancel()
-	data, err := peers.Get(limited, f.peer.Address, wire.PathWeights+ev.root.String()+"/have", wire.MaxMessageBytes)
-	if err != nil {
-		return ev
+func outcome(err error) transfer.Outcome {
+	switch {
+	case err == nil:
+		return transfer.Verified
+	case errors.Is(err, weightstore.ErrBusy):
+		return transfer.Busy
+	case errors.Is(err, weightstore.ErrChanged):
+		return transfer.Changed
+	case errors.Is(err, errAbsent):
+		return transfer.Absent
+	default:
+		return transfer.Failed
 	}
-	if json.Unmarshal(data, &ev.have) != nil {
-		ev.have = nil
-	}
-	return ev
 }
 
-func (a *Agent) fetchChunk(ctx context.Context, client *http.Client, f fetch) pullerEvent {
-	ev := chunkRead{root: f.profile.Weights.Root}
-	ev.ended = transfer.ChunkEnded{Index: f.chunk.Index, Source: f.source, Outcome: transfer.Failed}
-	limited, cancel := context.WithTimeout(ctx, transferLimits.StallAfter)
-	defer cancel()
-	body, err := a.openChunk(limited, client, f)
-	if errors.Is(err, weightstore.ErrBusy) {
-		ev.ended.Outcome = transfer.Busy
-		return ev
-	}
-	if err != nil {
-		return ev
-	}
-	defer func() { _ = body.Close() }()
-	data := make([]byte, f.chunk.Length)
-	if _, err := io.ReadFull(pacing.Reader(limited, body, a.down), data); err != nil {
-		return ev
-	}
-	if !f.chunk.Verify(data) {
-		ev.ended.Outcome = transfer.Corrupt
-		return ev
-	}
-	ev.data = data
-	ev.ended.Outcome = transfer.Verified
-	return ev
+// stallWatch cancels a request whose source sends nothing for some time. The
+// time that the own link takes does not count.
+type stallWatch struct {
+	after  time.Duration
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+	body   io.Reader
 }
 
-func (a *Agent) openChunk(ctx context.Context, client *http.Client, f fetch) (io.ReadCloser, error) {
-	if f.source.Peer == "" {
-		store := weightstore.New(f.profile.Weights.Origin, client)
-		return store.Range(ctx, f.manifest.Files[f.chunk.File].Path, f.chunk.Offset, f.chunk.Length)
+func (w *stallWatch) arm() {
+	w.timer = time.AfterFunc(w.after, func() { w.cancel(errStalled) })
+}
+
+func (w *stallWatch) disarm() { w.timer.Stop() }
+
+// Read implements io.Reader and restarts the time with each read.
+func (w *stallWatch) Read(b []byte) (int, error) {
+	w.timer.Reset(w.after)
+	n, err := w.body.Read(b)
+	w.timer.Stop()
+	return n, err
+}
+
+func (a *Agent) openChunk(ctx context.Context, f fetch) (io.ReadCloser, weightstore.Tag, error) {
+	switch f.source.Kind {
+	case transfer.FromStore:
+		store := weightstore.New(f.weights.Store, a.weightsHTTP)
+		return store.Range(ctx, f.path, f.chunk.Offset, f.chunk.Length, f.tag)
+	case transfer.FromOrigin:
+		origin := weightstore.New(f.weights.Origin, a.weightsHTTP)
+		return origin.Range(ctx, f.path, f.chunk.Offset, f.chunk.Length, f.tag)
+	default:
+		body, err := a.openPeerChunk(ctx, f)
+		return body, "", err
 	}
-	path := wire.PathWeights + f.profile.Weights.Root.String() + "/chunks/" + strconv.Itoa(f.chunk.Index)
+}
+
+func (a *Agent) openPeerChunk(ctx context.Context, f fetch) (io.ReadCloser, error) {
+	path := wire.PathWeights + f.weights.Root.String() + "/chunks/" + strconv.Itoa(f.chunk.Index)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.peer.Address+path, http.NoBody)
 	if err != nil {
 		return nil, err
 	}
 	wire.Keys(a.settings.PeerKeys).Sign(req.Header)
-	resp, err := client.Do(req)
+	resp, err := a.weightsHTTP.Do(req)
 	if err != nil {
 		return nil, err
 	}
-	if resp.StatusCode != http.StatusOK {
-		_ = resp.Body.Close()
-		if resp.StatusCode == http.StatusServiceUnavailable {
-			return nil, weightstore.ErrBusy
-		}
-		return nil, &wire.StatusError{Status: resp.StatusCode}
-	}
-	return resp.Body, nil
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return resp.Body, nil
+	case http.StatusServiceUnavailable:
+		err = weightstore.ErrBusy
+	case http.StatusNotFound:
+		err = errAbsent
+	default:
+		err = &wire.StatusError{Status: resp.StatusCode}
+	}
+	discard(resp.Body)
+	return nil, err
+}
+
+// refusalBytes bounds what is read of a refusal to keep its connection in use.
+const refusalBytes = 1 << 10
+
+func discard(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, refusalBytes)
+	_ = body.Close()
 }
--- a/agent/puller.go
+++ b/agent/puller.go
@@ -4,44 +4,58 @@
 	"context"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/manifest"
 	"rattanspur.example/lib/node"
-	"rattanspur.example/lib/ring"
-	"rattanspur.example/lib/rollout"
-	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/transfer"
+	"rattanspur.example/lib/weightstore"
+	"rattanspur.example/lib/wire"
 )
 
 const (
-	// fetchers is the number of requests in flight for chunks and have-sets.
-	fetchers = 16
+	// fetchers is the number of requests in flight for chunks.
+	fetchers = 8
+	// askers is the number of questions in flight for have-sets and manifests.
+	askers = 8
+	// maxUploads bounds the uploads of an agent; beyond it answers busy.
+	maxUploads = 8
 	// pullerTick is the time between two looks at what has become possible.
 	pullerTick = 20 * time.Millisecond
+	// manifestTimeout bounds one request for a manifest.
+	manifestTimeout = 10 * time.Second
+	// retainedCopies is the number of agents of a region that keep a chunk
+	// after loading: two may fail before a late joiner must use the store.
+	retainedCopies = 3
 )
 
 // transferLimits bound one transfer.
 var transferLimits = transfer.Limits{
 	Peers:         16,
-	PerSource:     4,
-	InFlight:      fetchers - 4,
+	Drawers:       8,
+	Draws:         2,
+	PerSource:     2,
+	InFlight:      fetchers,
 	TakeoverDelay: 2 * time.Second,
 	StallAfter:    5 * time.Second,
 	HaveEvery:     100 * time.Millisecond,
+	HaveIdle:      time.Second,
+	SettleWait:    time.Second,
+	Copies:        retainedCopies,
 }
 
 // pullerEvent is an input of the puller duty.
 type pullerEvent interface{ pullerEvent() }
 
-// startTransfer begins the transfer of a profile's weights.
+// startTransfer asks for the weights of a profile.
 type startTransfer struct{ profile *config.Profile }
 
+// weightsLoaded says that the engine holds a root.
+type weightsLoaded struct{ root fleet.Digest }
+
 // manifestRead carries the manifest of the root in transfer.
 type manifestRead struct {
-	root     fleet.Digest
+	attempt  uint64
 	encoded  []byte
 	manifest *manifest.Manifest
 	err      error
@@ -49,48 +63,50 @@
 
 // chunkRead carries the end of a request for a chunk; data is verified.
 type chunkRead struct {
-	root  fleet.Digest
-	data  []byte
-	ended transfer.ChunkEnded
+	attempt uint64
+	data    []byte
+	tag     weightstore.Tag
+	remote  bool
+	ended   transfer.ChunkEnded
+	err     error
 }
 
-// haveRead carries a peer's have-set; nil means that it did not answer.
+// haveRead carries the answer to a question for a have-set.
 type haveRead struct {
-	root fleet.Digest
-	peer fleet.InstanceID
-	have []uint64
-}
-
-// question asks for what is held of a root.
-type question struct {
-	root   fleet.Digest
-	answer *ring.Ring[holding]
-}
-
-// holding is what the puller holds of a root; chunks are not changed later.
-type holding struct {
-	manifest *manifest.Manifest
-	encoded  []byte
-	chunks   []manifest.Chunk
-	data     [][]byte
-	have     []uint64
-	complete bool
+	attempt uint64
+	event   transfer.Event
 }
 
 func (startTransfer) pullerEvent() {}
+func (weightsLoaded) pullerEvent() {}
 func (manifestRead) pullerEvent()  {}
 func (chunkRead) pullerEvent()     {}
 func (haveRead) pullerEvent()      {}
-func (question) pullerEvent()      {}
 
-// puller owns the chunks of one root.
+// puller owns the chunks that the agent holds and the transfer in progress.
 type puller struct {
 	agent   *Agent
 	members map[fleet.InstanceID]fleet.Instance
 	peers   []transfer.Peer
-	profile *config.Profile
-	held    holding
-	core    *transfer.Core
+	// named is the root that the adopted configuration wants served here.
+	named fleet.Digest
+
+	// wanted is the profile whose weights were asked for last.
+	wanted *config.Profile
+	// held belongs to wanted; nil until its manifest is known.
+	held *holding
+	// previous is the share that is left of the root before wanted.
+	previous *holding
+	try      *attempt
+	attempts uint64
+	// retryAt is when a transfer that ended early begins again.
+	retryAt time.Time
+	retries int
+	// reduceAt is when a loaded root is reduced to its share.
+	reduceAt time.Time
+
+	uploads  int
+	counters wire.TransferStatus
 }
 
 func (a *Agent) runPuller(ctx context.Context) error {
@@ -100,18 +116,20 @@
 	for {
 		select {
 		case v := <-a.pullerViews.Out():
-			p.setMembers(ctx, v)
+			p.setView(ctx, v)
 		case ev := <-a.puller.Out():
 			p.handle(ctx, ev)
 		case <-ticker.C:
-			p.step(ctx, transfer.Tick{})
+			p.tick(ctx, time.Now())
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-func (p *puller) setMembers(ctx context.Context, v node.View) {
+// setView takes in the members and the root that the configuration names. An
+// unfinished transfer of another root ends.
+func (p *puller) setView(ctx context.Context, v node.View) {
 	p.members = map[fleet.InstanceID]fleet.Instance{}
 	p.peers = nil
 	for _, m := range v.Members {
@@ -121,118 +139,110 @@
 		p.members[m.ID] = m
 		p.peers = append(p.peers, transfer.Peer{ID: m.ID, Region: m.Region})
 	}
-	p.step(ctx, transfer.PeersChanged{Peers: p.peers})
+	p.named = fleet.Digest{}
+	if served := v.Config.ServedProfile(p.agent.self().Service); served != nil {
+		p.named = served.Weights.Root
+	}
+	if p.try != nil && p.named != p.wanted.Weights.Root {
+		p.end("configuration no longer names the root", time.Now())
+		p.held = nil
+	}
+	if p.try != nil {
+		p.try.place = p.place()
+		p.step(ctx, transfer.PeersChanged{Peers: p.peers})
+	}
+	p.shareRegionLink()
 }
 
 func (p *puller) handle(ctx context.Context, ev pullerEvent) {
 	switch ev := ev.(type) {
 	case startTransfer:
 		p.start(ctx, ev.profile)
+	case weightsLoaded:
+		p.loaded(ev.root, time.Now())
 	case manifestRead:
 		p.manifestRead(ctx, ev)
 	case chunkRead:
 		p.chunkRead(ctx, ev)
 	case haveRead:
-		p.haveRead(ctx, ev)
-	case question:
-		answer := holding{}
-		if p.profile != nil && ev.root == p.profile.Weights.Root {
-			answer = p.held
-			answer.data = append([][]byte(nil), p.held.data...)
-			if p.core != nil {
-				answer.have = append([]uint64(nil), p.core.Have()...)
-			}
+		if p.current(ev.attempt) && p.try.core != nil {
+			p.step(ctx, ev.event)
 		}
-		_ = ev.answer.Put(ctx, answer)
+	default:
+		p.answer(ctx, ev)
 	}
 }
 
-// start begins a transfer; chunks of another root are freed first, so that at
-// most one copy is held.
-func (p *puller) start(ctx context.Context, profile *config.Profile) {
-	p.profile = profile
-	p.held = holding{}
-	p.core = nil
-	p.agent.node.Record(timeline.Event{Kind: timeline.TransferStarted, Profile: profile.Name})
-	p.fetchManifest(ctx)
-}
-
-func (p *puller) fetchManifest(ctx context.Context) {
-	f := fetch{profile: p.profile, wantManifest: true}
-	for _, m := range p.members {
-		if m.ID != p.agent.self().ID {
-			f.peer = m
-			break
+// answer serves the questions of handlers.
+func (p *puller) answer(ctx context.Context, ev pullerEvent) {
+	switch ev := ev.(type) {
+	case manifestQuestion:
+		var encoded []byte
+		if h := p.holdingOf(ev.root); h != nil {
+			encoded = h.encoded
 		}
+		_ = ev.answer.Put(ctx, encoded)
+	case haveQuestion:
+		var have *wire.Have
+		if h := p.holdingOf(ev.root); h != nil {
+			have = h.have(ev.epoch, ev.seq)
+		}
+		_ = ev.answer.Put(ctx, have)
+	case chunkQuestion:
+		_ = ev.answer.Put(ctx, p.grantUpload(ev))
+	case uploadDone:
+		p.uploads--
+	case fileQuestion:
+		var file fileAnswer
+		if h := p.holdingOf(ev.root); h != nil {
+			file = h.file(ev.path)
+		}
+		_ = ev.answer.Put(ctx, file)
+	case statusQuestion:
+		_ = ev.answer.Put(ctx, p.transferStatus())
 	}
-	_ = p.agent.fetches.Put(ctx, f)
 }
 
-func (p *puller) manifestRead(ctx context.Context, ev manifestRead) {
-	if p.profile == nil || ev.root != p.profile.Weights.Root || p.core != nil {
-		return
+// holdingOf returns what is held of a root, or nil.
+func (p *puller) holdingOf(root fleet.Digest) *holding {
+	if p.held != nil && p.held.root == root {
+		return p.held
 	}
-	if ev.err != nil {
-		_ = level.Warn(p.agent.node.Logger()).Log("msg", "manifest could not be read", "err", ev.err)
-		p.fetchManifest(ctx)
-		return
+	if p.previous != nil && p.previous.root == root {
+		return p.previous
 	}
-	p.held = holding{manifest: ev.manifest, encoded: ev.encoded, chunks: ev.manifest.Chunks()}
-	p.held.data = make([][]byte, len(p.held.chunks))
-	self := p.agent.self()
-	p.core = transfer.New(transfer.Peer{ID: self.ID, Region: self.Region}, p.profile.Weights.Region,
-		ev.root, len(p.held.chunks), transferLimits, time.Now())
-	p.step(ctx, transfer.PeersChanged{Peers: p.peers})
+	return nil
 }
 
-func (p *puller) chunkRead(ctx context.Context, ev chunkRead) {
-	if p.core == nil || ev.root != p.profile.Weights.Root {
-		return
+func (p *puller) grantUpload(q chunkQuestion) chunkAnswer {
+	h := p.holdingOf(q.root)
+	if h == nil || q.index < 0 || q.index >= len(h.data) || h.data[q.index] == nil {
+		return chunkAnswer{}
 	}
-	switch ev.ended.Outcome {
-	case transfer.Verified:
-		p.held.data[ev.ended.Index] = ev.data
-	case transfer.Corrupt:
-		p.agent.node.Record(timeline.Event{Kind: timeline.ChunkCorrupt, Peer: ev.ended.Source.Peer})
+	if p.uploads >= maxUploads {
+		return chunkAnswer{busy: true}
 	}
-	p.step(ctx, ev.ended)
+	p.uploads++
+	return chunkAnswer{data: h.data[q.index]}
 }
 
-func (p *puller) haveRead(ctx context.Context, ev haveRead) {
-	if p.core == nil || ev.root != p.profile.Weights.Root {
-		return
-	}
-	if ev.have == nil {
-		p.step(ctx, transfer.HaveFailed{Peer: ev.peer})
-		return
-	}
-	p.step(ctx, transfer.HaveReceived{Peer: ev.peer, Have: ev.have})
+func (p *puller) self() transfer.Peer {
+	self := p.agent.self()
+	return transfer.Peer{ID: self.ID, Region: self.Region}
 }
 
-func (p *puller) step(ctx context.Context, ev transfer.Event) {
-	if p.core == nil {
-		return
-	}
-	for _, action := range p.core.Step(time.Now(), ev) {
-		p.carryOut(ctx, action)
-	}
+func (p *puller) place() transfer.Placement {
+	w := p.wanted.Weights
+	return transfer.Place(p.self(), p.peers, w.Region, w.Root, transferLimits.Drawers)
 }
 
-func (p *puller) carryOut(ctx context.Context, action transfer.Action) {
-	f := fetch{profile: p.profile, manifest: p.held.manifest}
-	switch action := action.(type) {
-	case transfer.RequestChunk:
-		f.chunk = p.held.chunks[action.Index]
-		f.source = action.Source
-		f.peer = p.members[action.Source.Peer]
-	case transfer.RequestHave:
-		f.wantHave = true
-		f.peer = p.members[action.Peer]
-	case transfer.Complete:
-		p.held.complete = true
-		p.agent.node.Record(timeline.Event{Kind: timeline.TransferDone, Profile: p.profile.Name})
-		_ = p.agent.engineer.Put(ctx, rollout.WeightsReady{Root: p.profile.Weights.Root})
+// shareRegionLink divides the link between regions among the agents of this
+// region that draw over it.
+func (p *puller) shareRegionLink() {
+	if p.wanted == nil {
 		return
 	}
-	_ = p.agent.fetches.Put(ctx, f)
+	place := p.place()
+	share := max(len(place.Drawers()), 1)
+	p.agent.region.SetRate(p.agent.settings.RegionLink / pacingShare(share))
 }
--- a/lib/manifest/build.go
+++ b/lib/manifest/build.go
@@ -32,6 +32,9 @@
 		if err != nil {
 			return err
 		}
+		if err := checkContent(tree, name, file.Size); err != nil {
+			return err
+		}
 		m.Files = append(m.Files, file)
 		done += file.Size
 		if progress != nil {
--- a/lib/manifest/manifest.go
+++ b/lib/manifest/manifest.go
@@ -25,6 +25,9 @@
 // MaxManifestBytes bounds an encoded manifest read from outside.
 const MaxManifestBytes = 64 << 20
 
+// MaxChunks bounds the chunks of a manifest, and with them every have-set.
+const MaxChunks = 1 << 20
+
 // Manifest lists the files of a weight tree in the order of their names.
 type Manifest struct {
 	// ChunkBytes is the size of every chunk but the last of each file.
@@ -83,7 +86,12 @@
 		l.Add("chunk_bytes", "is %d, want 1 to %d", m.ChunkBytes, MaxChunkBytes)
 		return l.Err()
 	}
+	if len(m.Files) == 0 {
+		l.Add("files", "is empty")
+	}
+	m.checkFolders(&l)
 	previous := ""
+	chunks := 0
 	for _, f := range m.Files {
 		key := "files[" + f.Path + "]"
 		if !SafePath(f.Path) {
@@ -93,6 +101,7 @@
 			l.Add(key, "files are not in strictly ascending order of path")
 		}
 		previous = f.Path
+		chunks += len(f.Chunks)
 		if f.Size < 0 {
 			l.Add(key, "size is negative")
 			continue
@@ -101,9 +110,29 @@
 			l.Add(key, "has %d chunks, want %d for %d bytes", len(f.Chunks), want, f.Size)
 		}
 	}
+	if chunks > MaxChunks {
+		l.Add("files", "have %d chunks, the limit is %d; choose larger chunks", chunks, MaxChunks)
+	}
 	return l.Err()
 }
 
+// checkFolders finds names that are both a file and a folder, which no file
+// system can hold.
+func (m *Manifest) checkFolders(l *finding.List) {
+	files := make(map[string]bool, len(m.Files))
+	for _, f := range m.Files {
+		files[f.Path] = true
+	}
+	for _, f := range m.Files {
+		for dir := path.Dir(f.Path); dir != "." && dir != "/"; dir = path.Dir(dir) {
+			if files[dir] {
+				l.Add("files["+f.Path+"]", "%s is a file and a folder", dir)
+				break
+			}
+		}
+	}
+}
+
 // SafePath reports whether a name from a manifest stays inside the tree.
 func SafePath(p string) bool {
 	if p == "" || p == "." || strings.ContainsAny(p, "\\\x00") || path.IsAbs(p) {
--- a/lib/pacing/pacing.go
+++ b/lib/pacing/pacing.go
@@ -38,6 +38,14 @@
 	return &Link{limiter: rate.NewLimiter(rate.Limit(r), burst), burst: burst}
 }
 
+// SetRate changes the rate of a link that was created with a rate; the burst
+// stays. A link that is not paced stays so.
+func (l *Link) SetRate(r BytesPerSecond) {
+	if l.limiter != nil && r > Unlimited {
+		l.limiter.SetLimit(rate.Limit(r))
+	}
+}
+
 // Wait blocks until n bytes may cross. It returns the context's error.
 func (l *Link) Wait(ctx context.Context, n int) error {
 	l.bytes.Add(int64(n))
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -57,6 +57,14 @@
 	// LinkUp and LinkDown pace the machine's link for weights.
 	LinkUp   pacing.BytesPerSecond
 	LinkDown pacing.BytesPerSecond
+	// RegionLink is the rate between two regions, shared by the agents of the
+	// receiving region.
+	RegionLink pacing.BytesPerSecond
+	// ChunkPeers is the number of peers whose chunks are followed; with 0 the
+	// weights come from store and origin alone.
+	ChunkPeers int
+	// Linger is how long all chunks are kept after the engine loaded them.
+	Linger time.Duration
 	// OrderTimeout bounds one order to the engine.
 	OrderTimeout time.Duration
 }
@@ -91,6 +99,9 @@
 	s.Calls = r.integer("agent", "calls", 256, 1)
 	s.LinkUp = pacing.BytesPerSecond(r.integer("agent", "link_up_bytes_per_second", 0, 0))
 	s.LinkDown = pacing.BytesPerSecond(r.integer("agent", "link_down_bytes_per_second", 0, 0))
+	s.RegionLink = pacing.BytesPerSecond(r.integer("agent", "region_link_bytes_per_second", 0, 0))
+	s.ChunkPeers = r.integer("agent", "chunk_peers", 16, 0)
+	s.Linger = r.duration("agent", "linger", 2*time.Minute)
 	s.OrderTimeout = r.duration("agent", "order_timeout", 5*time.Minute)
 	r.unknown("node", "agent")
 	return s, r.findings.Err()
--- a/lib/transfer/core.go
+++ b/lib/transfer/core.go
@@ -1,91 +1,93 @@
 package transfer
 
 import (
-	"math/bits"
-	"sort"
 	"strconv"
 	"time"
 
 	"rattanspur.example/lib/fleet"
 )
 
+// Start says what a transfer begins with.
+type Start struct {
+	Self Peer
+	// StoreRegion is where store and origin are.
+	StoreRegion fleet.Region
+	Root        fleet.Digest
+	Chunks      int
+	// HasStore says that a store is asked before the origin.
+	HasStore bool
+	// Have holds the chunks that are verified already; nil means none.
+	Have Set
+}
+
 // Core is the state of one transfer of one root at one agent.
 type Core struct {
-	self      Peer
-	storeHere bool
-	limits    Limits
-	root      string
-	chunks    int
-
-	have     []uint64
+	start    Start
+	limits   Limits
+	begun    time.Time
+	place    Placement
+	have     Set
+	inFlight Set
+	flights  map[int]flight
 	missing  int
 	complete bool
-	started  time.Time
-	inFlight map[int]Source
-	bySource map[Source]int
+
 	peers    map[fleet.InstanceID]*peerState
-	order    []fleet.InstanceID
-	avoid    map[Source]time.Time
+	followed []*peerState
+	sources  map[Source]*sourceState
+	// holders counts, for each chunk, the trusted peers of the region that have it.
+	holders []uint16
+
+	draws     drawState
+	progress  time.Time
+	chunkTime time.Duration
+	turn      int
 }
 
-type peerState struct {
-	Peer
-	have    []uint64
-	askedAt time.Time
-	asking  bool
+// flight is a request in flight.
+type flight struct {
+	source Source
+	since  time.Time
 }
 
-// avoidFor is how long a source that failed or sent corrupt bytes is passed over.
-const avoidFor = 2 * time.Second
-
-// busyFor is how long a source that refused for now is passed over.
-const busyFor = 20 * time.Millisecond
-
-// New returns a transfer of a root with the given number of chunks.
-// storeRegion is where store and origin are.
-func New(self Peer, storeRegion fleet.Region, root fleet.Digest, chunks int, limits Limits, now time.Time) *Core {
-	return &Core{
-		self:      self,
-		storeHere: self.Region == storeRegion,
-		limits:    limits,
-		root:      root.String(),
-		chunks:    chunks,
-		have:      make([]uint64, words(chunks)),
-		missing:   chunks,
-		started:   now,
-		inFlight:  map[int]Source{},
-		bySource:  map[Source]int{},
-		peers:     map[fleet.InstanceID]*peerState{},
-		avoid:     map[Source]time.Time{},
+// New returns a transfer that knows no peers yet.
+func New(s Start, limits Limits, now time.Time) *Core {
+	c := &Core{
+		start:    s,
+		limits:   limits,
+		begun:    now,
+		progress: now,
+		have:     s.Have.clip(s.Chunks),
+		inFlight: NewSet(s.Chunks),
+		flights:  map[int]flight{},
+		peers:    map[fleet.InstanceID]*peerState{},
+		sources:  map[Source]*sourceState{},
+		holders:  make([]uint16, s.Chunks),
+		draws:    drawState{guesses: map[int]int{}, offered: make([]time.Time, s.Chunks)},
 	}
+	c.missing = s.Chunks - c.have.Count()
+	c.setPeers(nil)
+	return c
 }
 
-func words(chunks int) int { return (chunks + 63) / 64 }
-
-func has(set []uint64, i int) bool {
-	return i/64 < len(set) && set[i/64]&(1<<(i%64)) != 0
-}
-
-// Have returns the have-set; the caller must not change it.
-func (c *Core) Have() []uint64 { return c.have }
+// Have returns the verified chunks; the caller must not change the set.
+func (c *Core) Have() Set { return c.have }
 
 // Missing returns the number of chunks that are not verified yet.
 func (c *Core) Missing() int { return c.missing }
 
+// Placement returns who draws for which region.
+func (c *Core) Placement() *Placement { return &c.place }
+
 // Step feeds one event and returns what to do.
 func (c *Core) Step(now time.Time, e Event) []Action {
 	switch e := e.(type) {
 	case PeersChanged:
 		c.setPeers(e.Peers)
 	case HaveReceived:
-		if p := c.peers[e.Peer]; p != nil {
-			p.have = e.Have
-			p.asking = false
-		}
+		c.haveReceived(now, e)
 	case HaveFailed:
-		if p := c.peers[e.Peer]; p != nil {
-			p.asking = false
-		}
+		c.haveFailed(e)
 	case ChunkEnded:
 		c.chunkEnded(now, e)
 	case Tick:
@@ -93,160 +95,139 @@
 	return c.actions(now)
 }
 
-func (c *Core) setPeers(peers []Peer) {
-	next := map[fleet.InstanceID]*peerState{}
-	for _, p := range peers {
-		if p.ID == c.self.ID {
-			continue
-		}
-		if old := c.peers[p.ID]; old != nil {
-			next[p.ID] = old
-			continue
+func (c *Core) actions(now time.Time) []Action {
+	if c.missing == 0 {
+		if c.complete {
+			return nil
 		}
-		next[p.ID] = &peerState{Peer: p}
-	}
-	c.peers = next
-	c.order = c.order[:0]
-	for id := range next {
-		c.order = append(c.order, id)
+		c.complete = true
+		return []Action{Complete{}}
 	}
-	sort.Slice(c.order, func(i, j int) bool {
-		return fleet.Rank(string(c.self.ID), string(c.order[i])) > fleet.Rank(string(c.self.ID), string(c.order[j]))
-	})
+	actions := c.requestDraws(now, nil)
+	actions = c.requestExchange(now, actions)
+	actions = c.requestRetained(now, actions)
+	return c.askHaves(now, actions)
 }
 
+// chunkEnded takes in the end of a request. Ends that do not belong to a
+// request in flight are ignored.
 func (c *Core) chunkEnded(now time.Time, e ChunkEnded) {
-	if c.inFlight[e.Index] != e.Source {
+	f, ok := c.flights[e.Index]
+	if !ok || f.source != e.Source {
 		return
 	}
-	delete(c.inFlight, e.Index)
-	c.bySource[e.Source]--
-	switch e.Outcome {
-	case Verified:
-		if !has(c.have, e.Index) {
-			c.have[e.Index/64] |= 1 << (e.Index % 64)
-			c.missing--
-		}
-	case Busy:
-		c.avoid[e.Source] = now.Add(busyFor)
-	case Corrupt, Failed:
-		c.avoid[e.Source] = now.Add(avoidFor)
+	delete(c.flights, e.Index)
+	c.inFlight.Remove(e.Index)
+	s := c.source(e.Source)
+	s.inFlight--
+	if e.Outcome == Verified {
+		c.verified(now, e.Index, now.Sub(f.since))
 	}
-}
-
-func (c *Core) actions(now time.Time) []Action {
-	if c.missing == 0 {
-		if c.complete {
-			return nil
-		}
-		c.complete = true
-		return []Action{Complete{}}
+	claimed := c.claims(e)
+	if e.Outcome == Absent {
+		c.denied(e)
+	}
+	if e.Outcome == Busy && !claimed && c.draws.guesses[e.Index] > 0 {
+		c.draws.guesses[e.Index]--
+	}
+	if e.Outcome != Absent || claimed {
+		s.ended(now, e)
+	}
+	if p := c.peers[e.Source.Peer]; p != nil && s.distrusted() {
+		c.forget(p)
 	}
-	actions := c.askHaves(now)
-	return append(actions, c.requestChunks(now)...)
 }
 
-func (c *Core) askHaves(now time.Time) []Action {
-	var actions []Action
-	for _, id := range c.followed() {
-		p := c.peers[id]
-		if p.asking || now.Sub(p.askedAt) < c.limits.HaveEvery {
-			continue
-		}
-		p.asking = true
-		p.askedAt = now
-		actions = append(actions, RequestHave{Peer: id})
+func (c *Core) verified(now time.Time, index int, took time.Duration) {
+	if !c.have.Has(index) {
+		c.have.Add(index)
+		c.missing--
 	}
-	return actions
+	c.progress = now
+	if c.chunkTime == 0 {
+		c.chunkTime = took
+	}
+	c.chunkTime += (took - c.chunkTime) / chunkTimeWeight
 }
 
-func (c *Core) followed() []fleet.InstanceID {
-	return c.order[:min(len(c.order), c.limits.Peers)]
+// chunkTimeWeight is the weight of the past in the mean time of a chunk.
+const chunkTimeWeight = 8
+
+// request puts a chunk in flight.
+func (c *Core) request(now time.Time, index int, s Source) Action {
+	c.flights[index] = flight{source: s, since: now}
+	c.inFlight.Add(index)
+	c.source(s).inFlight++
+	return RequestChunk{Index: index, Source: s}
 }
 
-// requestChunks requests the rarest missing chunks first, so that no chunk
-// depends on a single holder for long.
-func (c *Core) requestChunks(now time.Time) []Action {
-	var actions []Action
-	for _, i := range c.rarestMissing() {
-		if len(c.inFlight) >= c.limits.InFlight {
+func (c *Core) wanted(index int) bool { return !c.have.Has(index) && !c.inFlight.Has(index) }
+
+// requestExchange fills the free requests with chunks that peers of the region
+// hold: the least busy peer first, and of its chunks the rarest.
+func (c *Core) requestExchange(now time.Time, actions []Action) []Action {
+	for len(c.flights) < c.limits.InFlight {
+		p, index := c.pickExchange(now)
+		if p == nil {
 			break
 		}
-		s, ok := c.pickSource(now, i)
-		if !ok {
-			continue
-		}
-		c.inFlight[i] = s
-		c.bySource[s]++
-		actions = append(actions, RequestChunk{Index: i, Source: s})
+		actions = append(actions, c.request(now, index, p.source()))
 	}
 	return actions
 }
 
-func (c *Core) rarestMissing() []int {
-	holders := make([]int, c.chunks)
-	for _, id := range c.followed() {
-		for w, word := range c.peers[id].have {
-			for word != 0 {
-				if i := w*64 + bits.TrailingZeros64(word); i < c.chunks {
-					holders[i]++
-				}
-				word &= word - 1
-			}
-		}
-	}
-	var list []int
-	for i := range c.chunks {
-		if _, busy := c.inFlight[i]; !busy && !has(c.have, i) {
-			list = append(list, i)
-		}
-	}
-	salt := c.self.ID
-	sort.SliceStable(list, func(a, b int) bool {
-		x, y := list[a], list[b]
-		if holders[x] != holders[y] {
-			return holders[x] < holders[y]
+func (c *Core) pickExchange(now time.Time) (*peerState, int) {
+	c.turn++
+	var best *peerState
+	bestIndex, bestLoad := 0, c.limits.PerSource
+	for k := range c.followed {
+		p := c.followed[(k+c.turn)%len(c.followed)]
+		if p.remote || !c.usable(now, p.source(), c.limits.PerSource) {
+			continue
 		}
-		return fleet.Rank(string(salt), strconv.Itoa(x)) < fleet.Rank(string(salt), strconv.Itoa(y))
-	})
-	return list
-}
-
-func (c *Core) pickSource(now time.Time, i int) (Source, bool) {
-	best, found := Source{}, false
-	for _, id := range c.followed() {
-		s := Source{Peer: id}
-		if !has(c.peers[id].have, i) || !c.usable(now, s) {
+		load := c.source(p.source()).inFlight
+		if load >= bestLoad {
 			continue
 		}
-		if !found || c.bySource[s] < c.bySource[best] {
-			best, found = s, true
+		if index, ok := c.rarest(p.have); ok {
+			best, bestIndex, bestLoad = p, index, load
 		}
 	}
-	if found {
-		return best, true
-	}
-	s := Source{}
-	return s, c.mayDraw(now, i) && c.usable(now, s)
+	return best, bestIndex
 }
 
-func (c *Core) usable(now time.Time, s Source) bool {
-	return c.bySource[s] < c.limits.PerSource && !now.Before(c.avoid[s])
+// rarest returns the wanted chunk of a peer that the fewest peers hold. Equal
+// ones are taken from a start that differs for each agent and turn, so that
+// agents do not all request the same chunk.
+func (c *Core) rarest(from Set) (int, bool) {
+	best, found := 0, false
+	words := len(from)
+	if words == 0 {
+		return 0, false
+	}
+	offset := int(fleet.Rank(string(c.start.Self.ID), strconv.Itoa(c.turn)) % uint64(words*wordBits))
+	distance := 0
+	for k := range words {
+		w := (k + offset/wordBits) % words
+		each(from[w]&^c.have[w]&^c.inFlight[w], w*wordBits, func(i int) {
+			d := (i - offset + words*wordBits) % (words * wordBits)
+			if !found || c.holders[i] < c.holders[best] || (c.holders[i] == c.holders[best] && d < distance) {
+				best, distance, found = i, d, true
+			}
+		})
+	}
+	return best, found
 }
 
-// mayDraw reports whether this agent's rank for the chunk lets it draw from
-// the store by now.
-func (c *Core) mayDraw(now time.Time, i int) bool {
-	key := c.root + "/" + strconv.Itoa(i)
-	own := fleet.Rank(key, string(c.self.ID))
-	ahead := 0
-	for id, p := range c.peers {
-		if p.Region == c.self.Region && fleet.Rank(key, string(id)) > own {
-			ahead++
-		}
-	}
-	if !c.storeHere {
-		ahead++
+// delay is the takeover delay on the links as they are: a chunk must have had
+// the time to arrive several times over.
+func (c *Core) delay(now time.Time) time.Duration {
+	longest := c.chunkTime
+	for _, f := range c.flights {
+		longest = max(longest, now.Sub(f.since))
 	}
-	return now.Sub(c.started) >= time.Duration(ahead)*c.limits.TakeoverDelay
+	return max(c.limits.TakeoverDelay, takeoverChunks*longest)
 }
+
+// takeoverChunks is the takeover delay in times of one chunk.
+const takeoverChunks = 4
--- a/lib/transfer/transfer.go
+++ b/lib/transfer/transfer.go
@@ -12,23 +12,48 @@
 
 // Limits bound the work of one transfer.
 type Limits struct {
-	// Peers is the number of peers whose have-sets are followed.
+	// Peers is the number of peers of the region whose have-sets are followed.
+	// With 0 every chunk is drawn from store and origin.
 	Peers int
-	// PerSource is the number of requests in flight to one source.
+	// Drawers is the number of agents of a region that draw chunks for it.
+	Drawers int
+	// Draws is the number of requests in flight of one drawer for chunks that
+	// its region lacks.
+	Draws int
+	// PerSource is the number of requests in flight to one peer.
 	PerSource int
 	// InFlight is the number of requests in flight in all.
 	InFlight int
-	// TakeoverDelay is the time after which the next rank draws a chunk.
+	// TakeoverDelay is the time without news of a drawer after which the next
+	// in rank draws its chunks. Slow links stretch it.
 	TakeoverDelay time.Duration
 	// StallAfter ends a request without progress.
 	StallAfter time.Duration
-	// HaveEvery is the time between two questions for a peer's have-set.
+	// HaveEvery is the time between two questions for a peer's have-set while
+	// requests could be sent but no chunk is known for them.
 	HaveEvery time.Duration
+	// HaveIdle is that time while all requests are in use.
+	HaveIdle time.Duration
+	// SettleWait bounds how long drawers wait for the first have-sets.
+	SettleWait time.Duration
+	// Copies is the number of agents of a region that retain each chunk.
+	Copies int
 }
 
-// Source is where a chunk can be requested: a peer, or the store with its origin.
+// SourceKind tells peers from store and origin.
+type SourceKind uint8
+
+// The kinds of source.
+const (
+	FromPeer SourceKind = iota
+	FromStore
+	FromOrigin
+)
+
+// Source is where a chunk can be requested.
 type Source struct {
-	// Peer is empty for the store.
+	Kind SourceKind
+	// Peer is set for FromPeer.
 	Peer fleet.InstanceID
 }
 
@@ -44,14 +69,31 @@
 // PeersChanged replaces the agents that need or hold the root.
 type PeersChanged struct{ Peers []Peer }
 
-// HaveReceived carries a peer's have-set, one bit for each chunk.
+// HaveUpdate is a peer's answer to a question for its have-set.
+type HaveUpdate struct {
+	// Epoch changes when chunks were dropped; Seq counts additions in an epoch.
+	Epoch uint64
+	Seq   int
+	// Full says that Have replaces what was known; otherwise Added extends it.
+	Full  bool
+	Have  Set
+	Added []int
+	// Retaining says that the peer completed the root and kept only its share.
+	Retaining bool
+}
+
+// HaveReceived carries a peer's have-set.
 type HaveReceived struct {
-	Peer fleet.InstanceID
-	Have []uint64
+	Peer   fleet.InstanceID
+	Update HaveUpdate
 }
 
 // HaveFailed says that a peer did not answer with a have-set.
-type HaveFailed struct{ Peer fleet.InstanceID }
+type HaveFailed struct {
+	Peer fleet.InstanceID
+	// Absent says that the peer answered that it does not know the root yet.
+	Absent bool
+}
 
 // Outcome is how a request for a chunk ended.
 type Outcome uint8
@@ -66,6 +108,10 @@
 	Busy
 	// Failed means an error or a stall.
 	Failed
+	// Absent means that the source does not hold the chunk.
+	Absent
+	// Changed means that the source has other content than at first.
+	Changed
 )
 
 // ChunkEnded says how a request ended.
@@ -93,8 +139,12 @@
 	Source Source
 }
 
-// RequestHave asks a peer for its have-set.
-type RequestHave struct{ Peer fleet.InstanceID }
+// RequestHave asks a peer for its have-set after the given position.
+type RequestHave struct {
+	Peer  fleet.InstanceID
+	Epoch uint64
+	Seq   int
+}
 
 // Complete says that every chunk is verified. It is returned once.
 type Complete struct{}
--- a/lib/weightstore/weightstore.go
+++ b/lib/weightstore/weightstore.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/url"
 	"strings"
-	"sync"
 
 	"github.com/rotisserie/eris"
 )
@@ -21,18 +20,19 @@
 // ErrBusy says that the store refused for now.
 var ErrBusy = errors.New("store refused the request for now")
 
-// Client reads one weight tree from one base URL.
+// Tag is the strong ETag of a file; empty means that none is known.
+type Tag string
+
+// Client reads one weight tree from one base URL. It keeps no state: the caller
+// remembers the tag of each file and passes it to the next read.
 type Client struct {
 	base string
 	http *http.Client
-
-	mu    sync.Mutex
-	etags map[string]string
 }
 
 // New returns a client for a base URL.
 func New(base string, client *http.Client) *Client {
-	return &Client{base: strings.TrimSuffix(base, "/"), http: client, etags: map[string]string{}}
+	return &Client{base: strings.TrimSuffix(base, "/"), http: client}
 }
 
 // Manifest returns the encoded manifest, at most limit bytes.
@@ -59,31 +59,42 @@
 	return data, nil
 }
 
-// Range returns a reader of length bytes of a file from offset. The caller
-// closes it. ErrChanged and ErrBusy can be told apart with errors.Is.
-func (c *Client) Range(ctx context.Context, path string, offset, length int64) (io.ReadCloser, error) {
+// Range returns a reader of length bytes of a file from offset, and the file's
+// tag. With a known tag the answer is refused if the file's tag differs now.
+// The caller closes the reader. ErrChanged and ErrBusy can be told apart with
+// errors.Is.
+func (c *Client) Range(ctx context.Context, path string, offset, length int64, known Tag) (io.ReadCloser, Tag, error) {
 	target := c.base + "/files/" + escape(path)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
 	if err != nil {
-		return nil, eris.Wrap(err, "range request")
+		return nil, "", eris.Wrap(err, "range request")
 	}
 	req.Header.Set("Range", fmt.Sprintf("bytes=%d-%d", offset, offset+length-1))
-	if tag := c.etag(path); tag != "" {
-		req.Header.Set("If-Range", tag)
+	if known != "" {
+		req.Header.Set("If-Range", string(known))
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, eris.Wrap(err, "get range")
+		return nil, "", eris.Wrap(err, "get range")
 	}
 	if resp.StatusCode != http.StatusPartialContent {
 		_ = resp.Body.Close()
-		return nil, statusError(resp)
+		return nil, "", statusError(resp)
 	}
-	if !c.remember(path, resp.Header.Get("ETag")) {
+	tag := strongTag(resp.Header.Get("ETag"))
+	if known != "" && tag != known {
 		_ = resp.Body.Close()
-		return nil, ErrChanged
+		return nil, "", eris.Wrapf(ErrChanged, "tag of %s is %q, was %q", path, tag, known)
+	}
+	return resp.Body, tag, nil
+}
+
+// strongTag returns an empty tag for a weak one, which says nothing of the bytes.
+func strongTag(text string) Tag {
+	if strings.HasPrefix(text, "W/") {
+		return ""
 	}
-	return resp.Body, nil
+	return Tag(text)
 }
 
 func escape(path string) string {
@@ -94,26 +105,6 @@
 	return strings.Join(parts, "/")
 }
 
-func (c *Client) etag(path string) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.etags[path]
-}
-
-// remember keeps the first strong tag of a path and reports whether tag agrees.
-func (c *Client) remember(path, tag string) bool {
-	if tag == "" || strings.HasPrefix(tag, "W/") {
-		return true
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if first, ok := c.etags[path]; ok {
-		return first == tag
-	}
-	c.etags[path] = tag
-	return true
-}
-
 func statusError(resp *http.Response) error {
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusPreconditionFailed, http.StatusNotFound, http.StatusGone:
