--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -30,6 +31,8 @@
 	PeerKey = "lab-peer-key"
 	// CustomerKey is the bearer key of the customer "counter".
 	CustomerKey = "lab-customer-key"
+	// OperatorKey opens the operator page of the entries.
+	OperatorKey = "lab-operator-key"
 	// ConfigKey is the key that holds the configuration.
 	ConfigKey = "rattanspur/config"
 	// Service is the name of the model service.
@@ -75,7 +78,6 @@
 	cancel  context.CancelFunc
 	ctx     context.Context
 	doc     config.Document
-	port    int
 	closers []func()
 }
 
@@ -140,6 +142,12 @@
 	return append(append([]*Process(nil), l.Agents...), l.Entries...)
 }
 
+// ConfigURL returns the base URL of the configuration service.
+func (l *Lab) ConfigURL() string { return l.service.URL }
+
+// InstancesURL returns the base URL of the instance list.
+func (l *Lab) InstancesURL() string { return l.list.URL }
+
 // PublishInstances sets the instance list after a lag.
 func (l *Lab) PublishInstances(lag time.Duration) {
 	var list platform.InstanceList
@@ -165,7 +173,7 @@
 }
 
 func (l *Lab) newProcess(role fleet.Role, i int) (*Process, error) {
-	address, err := l.freeAddress()
+	address, err := freeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -181,31 +189,32 @@
 }
 
 const (
-	// firstPort and ports are below the range from which the kernel takes the
-	// ports of outgoing connections and of listeners on port 0, so that none of
-	// the many processes of a lab takes an address before its owner listens.
-	firstPort = 10_000
-	ports     = 20_000
+	// firstPort and lastPort bound the ports of processes. They lie below the
+	// ports that the kernel gives to outgoing connections; otherwise a
+	// connection may take the port of a process that has not started yet.
+	firstPort = 12000
+	lastPort  = 32000
 	// portTries bounds the search for a free port.
 	portTries = 1000
 )
 
-// freeAddress returns a loopback address that was free a moment ago, and each
-// only once.
-func (l *Lab) freeAddress() (string, error) {
-	if l.port == 0 {
-		l.port = rand.IntN(ports)
-	}
+// nextPort makes the labs of one program try each port once; another program
+// most likely begins elsewhere.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(lastPort - firstPort)) }
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() (string, error) {
 	for range portTries {
-		l.port = (l.port + 1) % ports
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+l.port))
-		if err != nil {
-			continue
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, eris.Wrap(l.Close(), "free address")
 		}
-		defer func() { _ = listener.Close() }()
-		return listener.Addr().String(), nil
 	}
-	return "", eris.Errorf("no free port after %d tries", portTries)
+	return "", eris.Errorf("no free port from %d to %d", firstPort, lastPort)
 }
 
 // Launch starts a process, also after it was stopped or killed.
@@ -238,11 +247,11 @@
 config_key = %s
 instances_url = %s
 peer_keys = %s
-operator_key = lab-operator-key
+operator_key = %s
 log_level = warn
 list_every = 500ms
 
-`, p.ID, p.Address, p.FailureDomain, p.Region, l.service.URL, ConfigKey, l.list.URL, PeerKey)
+`, p.ID, p.Address, p.FailureDomain, p.Region, l.service.URL, ConfigKey, l.list.URL, PeerKey, OperatorKey)
 	if p.Role == fleet.RoleEntry {
 		return text + "[entry]\ncalls = 256\n" + l.Options.ExtraEntry
 	}
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -25,5 +25,9 @@
 
 // All returns the scenarios in the order in which they run.
 func All() []Scenario {
-	return []Scenario{{Name: "burst", Run: burst}}
+	return []Scenario{
+		{Name: "burst", Run: burst},
+		{Name: "config", Run: Config},
+		{Name: "control", Run: Control},
+	}
 }
