--- a/agent/engineer.go
+++ b/agent/engineer.go
@@ -123,6 +123,7 @@
 	case rollout.Serve:
 		a.node.SetServing(action.Root, action.Switching)
 		_ = a.gate.Put(ctx, upstreamSeen{e.upstream})
+		_ = a.puller.Put(ctx, weightsLoaded{root: action.Root})
 		a.node.Record(timeline.Event{Kind: timeline.EngineServing, Detail: action.Root.String()})
 	}
 }
