--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -56,7 +57,10 @@
 	// OriginLink is the rate of the origin's link.
 	OriginLink pacing.BytesPerSecond
 	Engine     standin.EngineOptions
-	Limits     config.Limits
+	// Plains is the number of agents beside plain services.
+	Plains int
+	Plain  standin.PlainOptions
+	Limits config.Limits
 	// Logs receives what the processes print; nil discards it.
 	Logs io.Writer
 	// ExtraAgent and ExtraEntry are appended to the settings files.
@@ -71,6 +75,7 @@
 	Instances *standin.InstanceList
 	Agents    []*Process
 	Entries   []*Process
+	Plains    []*Process
 
 	dir     string
 	service *httptest.Server
@@ -85,6 +90,7 @@
 type Process struct {
 	fleet.Instance
 	Engine    *standin.Engine
+	Plain     *standin.Plain
 	EngineURL string
 	file      string
 	cmd       *exec.Cmd
@@ -122,6 +128,13 @@
 		}
 		l.Agents = append(l.Agents, p)
 	}
+	for i := range l.Options.Plains {
+		p, err := l.newPlain(i)
+		if err != nil {
+			return err
+		}
+		l.Plains = append(l.Plains, p)
+	}
 	for i := range l.Options.Entries {
 		p, err := l.newProcess(fleet.RoleEntry, i)
 		if err != nil {
@@ -139,7 +152,7 @@
 }
 
 func (l *Lab) processes() []*Process {
-	return append(append([]*Process(nil), l.Agents...), l.Entries...)
+	return slices.Concat(l.Agents, l.Plains, l.Entries)
 }
 
 // ConfigURL returns the base URL of the configuration service.
@@ -258,6 +271,7 @@
 	return text + fmt.Sprintf(`[agent]
 service = %s
 upstream_url = %s
+order_settle = 50ms
 link_up_bytes_per_second = %d
 link_down_bytes_per_second = %d
 %s`, p.Service, p.EngineURL, l.Options.Link, l.Options.Link, l.Options.ExtraAgent)
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -28,5 +28,6 @@
 	return []Scenario{
 		{Name: "config", Run: Config},
 		{Name: "control", Run: Control},
+		{Name: "route", Run: Route},
 	}
 }
