--- a/agent/status.go
+++ b/agent/status.go
@@ -64,6 +64,7 @@
 
 func (a *Agent) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	a.metrics.set.WritePrometheus(w)
+	a.node.WriteMetrics(w)
 }
 
 // agentMetrics are the counters of gate, calls and orders.
