--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -26,6 +26,7 @@
 // All returns the scenarios in the order in which they run.
 func All() []Scenario {
 	return []Scenario{
+		{Name: "capacity", Run: Capacity},
 		{Name: "burst", Run: burst},
 		{Name: "config", Run: Config},
 		{Name: "control", Run: Control},
