--- a/agent/status.go
+++ b/agent/status.go
@@ -7,26 +7,29 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/gate"
+	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/rollout"
 	"rattanspur.example/lib/wire"
 )
 
-// Status is what an agent says of its upstream side.
+// Status is what an agent says of itself and of its upstream.
 type Status struct {
-	Instance fleet.Instance `json:"instance"`
-	Gate     gate.State     `json:"gate"`
-	Rollout  rollout.State  `json:"rollout"`
+	node.Status
+	Gate    gate.State    `json:"gate"`
+	Rollout rollout.State `json:"rollout"`
 }
 
 func (a *Agent) serveStatus(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), shortTimeout)
 	defer cancel()
-	s := Status{Instance: a.self()}
+	var s Status
 	var err error
-	if s.Gate, err = a.askGateState(ctx); err == nil {
+	if s.Status, err = a.node.Status(ctx); err == nil {
+		s.Gate, err = a.askGateState(ctx)
+	}
+	if err == nil {
 		s.Rollout, err = a.askRollout(ctx)
 	}
 	if err != nil {
@@ -61,6 +64,7 @@
 
 func (a *Agent) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	a.metrics.set.WritePrometheus(w)
+	a.node.WriteMetrics(w)
 }
 
 // agentMetrics are the counters of gate, calls and orders.
