agent: check each new connection to an engine before it carries calls

Between an engine's restart and the first broken connection that the gate heard of, other calls went to the new start over new connections. Change: a new connection first reads the load report over itself, and the gate compares the boot id with the one it knows. An unknown start closes the gate until the next health check, and the call is certainly not run. The stand-in engine breaks idle connections on a restart as a process would.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -35,8 +36,11 @@
 	settings *settings.Agent
 	node     *node.Node
 	engine   *engine.Client
+	// upstream carries calls; its new connections are checked.
 	upstream *http.Client
-	weights  net.Listener
+	// plain says that the upstream is a plain service, without load reports.
+	plain   atomic.Bool
+	weights net.Listener
 
 	engineerViews *ring.Ring[node.View]
 	pullerViews   *ring.Ring[node.View]
@@ -61,12 +65,11 @@
 // New returns an agent; Run starts it.
 func New(s *settings.Agent, logger log.Logger) *Agent {
 	n := node.New(s.Node, logger)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Calls, DisableCompression: true}}
-	return &Agent{
+	control := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	a := &Agent{
 		settings:      s,
 		node:          n,
-		engine:        engine.New(s.UpstreamURL, client),
-		upstream:      client,
+		engine:        engine.New(s.UpstreamURL, control),
 		engineerViews: n.Subscribe(),
 		pullerViews:   n.Subscribe(),
 		gateViews:     n.Subscribe(),
@@ -83,6 +86,8 @@
 		up:            pacing.NewLink(s.LinkUp),
 		down:          pacing.NewLink(s.LinkDown),
 	}
+	a.upstream = a.upstreamClient()
+	return a
 }
 
 // Run serves until ctx ends and then stops gracefully.
--- /dev/null
+++ b/agent/connect.go
@@ -0,0 +1,75 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"rattanspur.example/lib/ring"
+)
+
+const (
+	// connectTimeout bounds a new connection to the upstream, with its check.
+	connectTimeout = 2 * time.Second
+	// idleTimeout ends connections to the upstream that are not used.
+	idleTimeout = 30 * time.Second
+)
+
+// errOtherStart ends a new connection to a start of the upstream that the gate
+// does not know yet.
+var errOtherStart = errors.New("upstream has restarted since the last health check")
+
+// connected asks the gate whether a new connection may carry calls.
+type connected struct {
+	bootID string
+	answer *ring.Ring[bool]
+}
+
+func (connected) gateEvent() {}
+
+// upstreamClient returns the client for calls. A start of the engine can be
+// reached by new connections only, so each new one is checked first: that way
+// no call reaches a restarted engine before the gate has returned to cold.
+func (a *Agent) upstreamClient() *http.Client {
+	transport := &http.Transport{
+		DialContext:         a.dialUpstream,
+		MaxIdleConnsPerHost: a.settings.Calls,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return &http.Client{Transport: transport}
+}
+
+func (a *Agent) dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
+	limited, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(limited, network, address)
+	if err != nil || a.plain.Load() {
+		return conn, err
+	}
+	if err := a.checkConnection(limited, conn); err != nil {
+		_ = conn.Close()
+		return nil, &net.OpError{Op: "dial", Net: network, Addr: conn.RemoteAddr(), Err: err}
+	}
+	return conn, nil
+}
+
+// checkConnection reads the load report over a new connection.
+func (a *Agent) checkConnection(ctx context.Context, conn net.Conn) error {
+	report, err := a.engine.ReportOver(ctx, conn)
+	if err != nil {
+		return err
+	}
+	answer := ring.New[bool](1, ring.Refuse)
+	if err := a.gate.Put(ctx, connected{bootID: report.BootID, answer: answer}); err != nil {
+		return err
+	}
+	same, err := answer.Take(ctx)
+	if err == nil && !same {
+		err = errOtherStart
+	}
+	return err
+}
--- a/agent/gatekeeper.go
+++ b/agent/gatekeeper.go
@@ -150,6 +150,12 @@
 		k.gate.Release(ev.ticket)
 	case upstreamSeen:
 		k.observe(now, ev.upstream)
+	case connected:
+		same := k.gate.Connected(now, ev.bootID)
+		if !same {
+			_ = k.agent.probe.Put(ctx, struct{}{})
+		}
+		_ = ev.answer.Put(ctx, same)
 	case drainRoot:
 		k.drains = append(k.drains, ev)
 	case leave:
--- a/agent/handover_test.go
+++ b/agent/handover_test.go
@@ -29,9 +29,12 @@
 	t.Helper()
 	server := httptest.NewServer(upstream)
 	t.Cleanup(server.Close)
-	return New(&settings.Agent{
+	a := New(&settings.Agent{
 		UpstreamURL: server.URL, Calls: 4, ProgressTimeout: silent,
 	}, log.NewNopLogger())
+	// The upstreams of these tests send no load reports.
+	a.plain.Store(true)
+	return a
 }
 
 func testGrant(ctx context.Context, root fleet.Digest, body string) grant {
--- a/agent/reporter.go
+++ b/agent/reporter.go
@@ -13,20 +13,19 @@
 // goes to the engineer, the check of a plain service to the gatekeeper. A
 // broken connection asks for a check at once.
 func (a *Agent) runReporter(ctx context.Context) error {
-	plain := false
 	ticker := time.NewTicker(a.settings.ReportEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case v := <-a.reporterViews.Out():
 			s := v.Config.Service(a.self().Service)
-			plain = s != nil && s.Kind == config.KindPlain
+			a.plain.Store(s != nil && s.Kind == config.KindPlain)
 		case <-ticker.C:
 		case <-a.probe.Out():
 		case <-ctx.Done():
 			return nil
 		}
-		if plain {
+		if a.plain.Load() {
 			a.checkPlain(ctx)
 		} else {
 			a.readReport(ctx)
--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -179,7 +179,9 @@
 	p.Service = Service
 	p.Engine = standin.NewEngine(l.Options.Engine)
 	go func() { _ = p.Engine.Run(l.ctx) }()
-	server := httptest.NewServer(p.Engine.Handler())
+	server := httptest.NewUnstartedServer(p.Engine.Handler())
+	server.Config.ConnContext = p.Engine.ConnContext
+	server.Start()
 	l.closers = append(l.closers, server.CloseClientConnections, server.Close)
 	p.EngineURL = server.URL
 	return p, nil
--- a/lib/engine/engine.go
+++ b/lib/engine/engine.go
@@ -3,6 +3,7 @@
 package engine
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -12,6 +13,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -99,6 +101,33 @@
 	return &r, nil
 }
 
+// ReportOver reads the load report over a connection that carries nothing else
+// yet and stays usable.
+func (c *Client) ReportOver(ctx context.Context, conn net.Conn) (*Report, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/load", http.NoBody)
+	if err != nil {
+		return nil, eris.Wrap(err, "engine request")
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(deadline)
+		defer func() { _ = conn.SetDeadline(time.Time{}) }()
+	}
+	if err := req.Write(conn); err != nil {
+		return nil, eris.Wrap(err, "engine request")
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		return nil, eris.Wrap(err, "engine report")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil || resp.StatusCode != http.StatusOK || resp.Close {
+		return nil, eris.Errorf("engine answered %d on a new connection: %v", resp.StatusCode, err)
+	}
+	var r Report
+	return &r, eris.Wrap(json.Unmarshal(data, &r), "engine report")
+}
+
 // Probe checks a plain service: with a path, by a request that must not fail
 // with a server error; without one, by a new connection.
 func (c *Client) Probe(ctx context.Context, path string) error {
--- a/lib/gate/gate_test.go
+++ b/lib/gate/gate_test.go
@@ -119,6 +119,20 @@
 	require.Equal(t, gate.Admitted, r)
 }
 
+// Guards against calls over a connection to a start of the upstream that the
+// gate has not taken in, whose cold start it does not know of.
+func TestConnectionToUnknownStartCloses(t *testing.T) {
+	g := open(t)
+	require.True(t, g.Connected(start, "one"))
+	now := start.Add(time.Millisecond)
+	require.False(t, g.Connected(now, "two"))
+	_, r := g.Admit(now, call(now))
+	require.Equal(t, gate.NotHealthy, r)
+	up := gate.Upstream{Asked: now, Healthy: true, Warm: true, BootID: "two", Root: rootA}
+	require.True(t, g.Observe(now, up).Cold)
+	require.True(t, g.Connected(now, "two"))
+}
+
 // Guards against innocent or repeated blame: a crash names each call that was
 // in flight once, and a broken connection of a live upstream names none.
 func TestCrashNamesCallsInFlight(t *testing.T) {
--- a/lib/gate/upstream.go
+++ b/lib/gate/upstream.go
@@ -71,6 +71,17 @@
 	return c
 }
 
+// Connected takes in which start of the upstream a new connection leads to and
+// reports whether the gate knows it. If not, calls are refused until the next
+// health check.
+func (g *Gate) Connected(now time.Time, bootID string) bool {
+	if bootID == g.upstream.BootID {
+		return true
+	}
+	g.lostAt = now
+	return false
+}
+
 // cold returns the limit to what an upstream in cold start can bear. Calls that
 // were admitted before and not handed over yet are refused at their recheck.
 func (g *Gate) cold() {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -158,6 +159,16 @@
 	return ask(ctx, e, func(s *engineState) EngineCounts { return s.counts })
 }
 
+// bootKey is the context key of the start in which a connection was accepted.
+type bootKey struct{}
+
+// ConnContext marks a new connection with the engine's start, so that a restart
+// breaks all older connections. It is meant for http.Server.
+func (e *Engine) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	boot := ask(ctx, e, func(s *engineState) string { return s.bootID })
+	return context.WithValue(ctx, bootKey{}, boot)
+}
+
 // Handler serves the engine's API.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -166,7 +177,11 @@
 	mux.HandleFunc("POST /orders/unload", e.serveUnload)
 	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if ask(r.Context(), e, func(s *engineState) bool { return s.down }) {
+		began, _ := r.Context().Value(bootKey{}).(string)
+		broken := ask(r.Context(), e, func(s *engineState) bool {
+			return s.down || (began != "" && began != s.bootID)
+		})
+		if broken {
 			panic(http.ErrAbortHandler)
 		}
 		mux.ServeHTTP(w, r)
