--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,19 +47,23 @@
 	gateViews     *ring.Ring[node.View]
 	reporterViews *ring.Ring[node.View]
 
-	engineer *ring.Ring[engineerEvent]
-	orders   *ring.Ring[order]
-	puller   *ring.Ring[pullerEvent]
-	fetches  *ring.Ring[fetch]
-	gate     *ring.Ring[gateEvent]
-	grants   *ring.Ring[grant]
-	rollouts *ring.Ring[*ring.Ring[rollout.State]]
+	engineer  *ring.Ring[engineerEvent]
+	orders    *ring.Ring[order]
+	puller    *ring.Ring[pullerEvent]
+	fetches   *ring.Ring[fetch]
+	inquiries *ring.Ring[inquiry]
+	gate      *ring.Ring[gateEvent]
+	grants    *ring.Ring[grant]
+	rollouts  *ring.Ring[*ring.Ring[rollout.State]]
 	// probe asks the reporter for a health check at once.
 	probe   *ring.Ring[struct{}]
 	metrics *agentMetrics
 
 	up   *pacing.Link
 	down *pacing.Link
+	// region paces what comes from other regions.
+	region      *pacing.Link
+	weightsHTTP *http.Client
 }
 
 // New returns an agent; Run starts it.
@@ -78,6 +82,7 @@
 		orders:        ring.New[order](1, ring.Wait),
 		puller:        ring.New[pullerEvent](messageRing, ring.Wait),
 		fetches:       ring.New[fetch](messageRing, ring.Wait),
+		inquiries:     ring.New[inquiry](messageRing, ring.Wait),
 		gate:          ring.New[gateEvent](messageRing, ring.Wait),
 		grants:        ring.New[grant](s.Calls, ring.Refuse),
 		rollouts:      ring.New[*ring.Ring[rollout.State]](messageRing, ring.Wait),
@@ -85,6 +90,8 @@
 		metrics:       newAgentMetrics(),
 		up:            pacing.NewLink(s.LinkUp),
 		down:          pacing.NewLink(s.LinkDown),
+		region:        pacing.NewLink(s.RegionLink),
+		weightsHTTP:   &http.Client{Transport: weightsTransport()},
 	}
 	a.upstream = a.upstreamClient()
 	return a
@@ -129,6 +136,9 @@
 	for range fetchers {
 		g.Go("fetcher", a.runFetcher)
 	}
+	for range askers {
+		g.Go("asker", a.runAsker)
+	}
 	g.Go("gatekeeper", a.runGatekeeper)
 	for range a.settings.Calls {
 		g.Go("forwarder", a.runForwarder)
@@ -150,6 +160,7 @@
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/have", a.serveHave)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/chunks/{index}", a.serveChunk)
 	inside.Handle("/peer/", a.node.PeerHandler())
+	inside.HandleFunc("GET "+wire.PathTransfer, a.serveTransfer)
 	inside.Handle("GET "+wire.PathTimeline, a.node.TimelineHandler())
 	inside.HandleFunc("GET "+wire.PathStatus, a.serveStatus)
 	mux := http.NewServeMux()
--- /dev/null
+++ b/lib/duty/sleep.go
@@ -0,0 +1,18 @@
+package duty
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d or until ctx ends, and returns the context's error.
+func Sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -44,6 +44,22 @@
 	CallTimeout time.Duration
 	// BodyBytes bounds a caller's request body.
 	BodyBytes int64
+	// StreamBytes bounds the body of one response.
+	StreamBytes int64
+	// Connections bounds the callers' open connections.
+	Connections int
+	// QueueCalls and CustomerCalls bound the waiting calls of one service, in
+	// total and for each customer.
+	QueueCalls    int
+	CustomerCalls int
+	// QueueWait bounds how long a call waits for room.
+	QueueWait time.Duration
+	// FirstByteTimeout bounds the time to the head of an agent's response, and
+	// ProgressTimeout the time between two reads of its body.
+	FirstByteTimeout time.Duration
+	ProgressTimeout  time.Duration
+	// ConnectionAge is how long connections to an agent are reused.
+	ConnectionAge time.Duration
 }
 
 // Agent holds the settings of an agent.
@@ -58,6 +74,14 @@
 	// LinkUp and LinkDown pace the machine's link for weights.
 	LinkUp   pacing.BytesPerSecond
 	LinkDown pacing.BytesPerSecond
+	// RegionLink is the rate between two regions, shared by the agents of the
+	// receiving region.
+	RegionLink pacing.BytesPerSecond
+	// ChunkPeers is the number of peers whose chunks are followed; with 0 the
+	// weights come from store and origin alone.
+	ChunkPeers int
+	// Linger is how long all chunks are kept after the engine loaded them.
+	Linger time.Duration
 	// OrderTimeout bounds one order to the engine.
 	OrderTimeout time.Duration
 	// OrderSettle is the longest time that an order of an earlier agent may
@@ -95,6 +119,14 @@
 	s.Calls = r.integer("entry", "calls", 512, 1)
 	s.CallTimeout = r.duration("entry", "call_timeout", 60*time.Second)
 	s.BodyBytes = int64(r.integer("entry", "body_bytes", 1<<20, 1))
+	s.StreamBytes = int64(r.integer("entry", "stream_bytes", 64<<20, 1))
+	s.Connections = r.integer("entry", "connections", 4096, 1)
+	s.QueueCalls = r.integer("entry", "queue_calls", 2048, 1)
+	s.CustomerCalls = r.integer("entry", "customer_calls", 512, 1)
+	s.QueueWait = r.duration("entry", "queue_wait", 10*time.Second)
+	s.FirstByteTimeout = r.duration("entry", "first_byte_timeout", 20*time.Second)
+	s.ProgressTimeout = r.duration("entry", "progress_timeout", 10*time.Second)
+	s.ConnectionAge = r.duration("entry", "connection_age", time.Minute)
 	r.unknown("node", "entry")
 	return s, r.findings.Err()
 }
@@ -123,6 +155,9 @@
 	s.Calls = r.integer("agent", "calls", 256, 1)
 	s.LinkUp = pacing.BytesPerSecond(r.integer("agent", "link_up_bytes_per_second", 0, 0))
 	s.LinkDown = pacing.BytesPerSecond(r.integer("agent", "link_down_bytes_per_second", 0, 0))
+	s.RegionLink = pacing.BytesPerSecond(r.integer("agent", "region_link_bytes_per_second", 0, 0))
+	s.ChunkPeers = r.integer("agent", "chunk_peers", 16, 0)
+	s.Linger = r.duration("agent", "linger", 2*time.Minute)
 	s.OrderTimeout = r.duration("agent", "order_timeout", 5*time.Minute)
 	s.OrderSettle = r.duration("agent", "order_settle", time.Minute)
 	s.ProgressTimeout = r.duration("agent", "progress_timeout", 30*time.Second)
