--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -35,8 +36,11 @@
 	settings *settings.Agent
 	node     *node.Node
 	engine   *engine.Client
+	// upstream carries calls; its new connections are checked.
 	upstream *http.Client
-	weights  net.Listener
+	// plain says that the upstream is a plain service, without load reports.
+	plain   atomic.Bool
+	weights net.Listener
 
 	engineerViews *ring.Ring[node.View]
 	pullerViews   *ring.Ring[node.View]
@@ -65,12 +69,11 @@
 // New returns an agent; Run starts it.
 func New(s *settings.Agent, logger log.Logger) *Agent {
 	n := node.New(s.Node, logger)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Calls, DisableCompression: true}}
-	return &Agent{
+	control := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	a := &Agent{
 		settings:      s,
 		node:          n,
-		engine:        engine.New(s.UpstreamURL, client),
-		upstream:      client,
+		engine:        engine.New(s.UpstreamURL, control),
 		engineerViews: n.Subscribe(),
 		pullerViews:   n.Subscribe(),
 		gateViews:     n.Subscribe(),
@@ -90,6 +93,8 @@
 		region:        pacing.NewLink(s.RegionLink),
 		weightsHTTP:   &http.Client{Transport: weightsTransport()},
 	}
+	a.upstream = a.upstreamClient()
+	return a
 }
 
 // Run serves until ctx ends and then stops gracefully.
@@ -154,10 +159,10 @@
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/manifest", a.serveManifest)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/have", a.serveHave)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/chunks/{index}", a.serveChunk)
+	inside.Handle("/peer/", a.node.PeerHandler())
 	inside.HandleFunc("GET "+wire.PathTransfer, a.serveTransfer)
 	inside.Handle("GET "+wire.PathTimeline, a.node.TimelineHandler())
 	inside.HandleFunc("GET "+wire.PathStatus, a.serveStatus)
-	inside.Handle("/peer/", a.node.PeerHandler())
 	mux := http.NewServeMux()
 	mux.Handle("/", keys.Require(inside))
 	mux.HandleFunc("GET /readyz", a.serveReady)
