gossip: read the index once for a push; compare suspects

Cause: a push held the members and the places of its region while building a message brought the index up to date; the places then pointed past the members and the process panicked. A simulation of regions that lost each other found it. The same run showed that a process which missed a report of a crash never got it. Change: the slices of an index are never changed and a push reads the index first. Regular heartbeats carry a hash of the suspects, and the answer carries some records if it differs. Every second heartbeat stays in the region, so that regions that lost each other keep passing news on.

--- a/lib/gossip/core.go
+++ b/lib/gossip/core.go
@@ -18,6 +18,9 @@
 	// even while members change faster than the changes can be passed on.
 	maxUpdates       = 8
 	maxBucketRecords = 8
+	// regionEvery is the number of heartbeats of which one stays in the region.
+	// While regions have lost each other, these keep the news flowing.
+	regionEvery = 2
 	// maxSuspectUpdates bounds the suspects in a message.
 	maxSuspectUpdates = 8
 	// suspicion is how long a failed exchange lowers a member.
@@ -112,7 +115,11 @@
 // heartbeats returns the regular exchanges; the first compares the tables.
 func (c *Core) heartbeats(now time.Time, targets int) []Action {
 	var actions []Action
-	if probe, ok := c.probe(); ok {
+	probe, ok := c.probe()
+	if !ok && targets == 1 && c.ticks%regionEvery == 0 {
+		probe, ok = c.neighbour()
+	}
+	if ok {
 		actions = append(actions, Send{To: probe, Message: c.message(now)})
 	} else {
 		actions = c.push(now, targets)
@@ -120,6 +127,7 @@
 	if len(actions) > 0 {
 		first := actions[0].(Send)
 		first.Message.Buckets = c.table.Hashes()
+		first.Message.SuspectsHash = c.suspects.hash()
 		actions[0] = first
 	}
 	return actions
@@ -177,6 +185,9 @@
 	actions := c.merge(now, h)
 	answer := c.message(now)
 	answer.Members = append(answer.Members, c.table.Differing(h.Buckets, maxBucketRecords, c.rand.Int())...)
+	if h.Buckets != nil && h.SuspectsHash != c.suspects.hash() {
+		answer.Suspects = append(answer.Suspects, c.suspects.some(maxSuspectUpdates, c.rand.Int())...)
+	}
 	return answer, actions
 }
 
--- a/lib/gossip/core_test.go
+++ b/lib/gossip/core_test.go
@@ -259,3 +259,44 @@
 	require.True(t, c.Started(epoch))
 	require.True(t, start().Started(epoch.Add(2*time.Second)))
 }
+
+// adoptionBound is the stated target for a configuration change.
+const adoptionBound = 19
+
+// Guards against a change that needs the service to reach everyone: it spreads
+// within the stated time from one reader, also while regions have lost each
+// other and each has one reader.
+func TestChangeSpreadsFromOneReader(t *testing.T) {
+	for name, cut := range map[string]bool{"whole": false, "regions apart": true} {
+		const regions = 6
+		w := newNetwork(11, 180, regions)
+		for range 5 {
+			w.step()
+		}
+		w.serviceDown = true
+		if cut {
+			w.cut = func(a, b fleet.InstanceID) bool { return w.peers[a].self.Region != w.peers[b].self.Region }
+			for range settle {
+				w.step()
+			}
+		}
+		for _, id := range w.order[:regions] {
+			w.adopt(w.peers[id], stamp(5))
+			if !cut {
+				break
+			}
+		}
+		seconds := 0
+		for missing := 1; missing > 0; seconds++ {
+			require.LessOrEqual(t, seconds, adoptionBound, name)
+			w.step()
+			missing = 0
+			for _, p := range w.peers {
+				if p.adopted != stamp(5) {
+					missing++
+				}
+			}
+		}
+		t.Logf("%s: %d s", name, seconds)
+	}
+}
--- a/lib/gossip/exchange.go
+++ b/lib/gossip/exchange.go
@@ -62,7 +62,8 @@
 // push sends heartbeats to count distinct random members. Of several, all but
 // one are in the own region, which keeps traffic off the links between regions.
 func (c *Core) push(now time.Time, count int) []Action {
-	members, region := c.table.index.members, c.table.index.region
+	members := c.table.Members()
+	region := c.table.index.region
 	chosen := map[int]bool{}
 	var actions []Action
 	add := func(place int) {
@@ -94,6 +95,16 @@
 	return c.table.index.ranked[turn], true
 }
 
+// neighbour returns a random other member of the region.
+func (c *Core) neighbour() (fleet.Instance, bool) {
+	region := c.table.index.region
+	if len(region) == 0 {
+		return fleet.Instance{}, false
+	}
+	m := c.table.index.members[region[c.rand.IntN(len(region))]]
+	return m, m.ID != c.table.self
+}
+
 // rank returns the process's rank among the live members of its region that
 // are not suspected, and its place among all of them. Both are maxRanked if it
 // is not among the first.
--- a/lib/gossip/index.go
+++ b/lib/gossip/index.go
@@ -12,10 +12,10 @@
 const maxRanked = 16
 
 // index is what is derived from the records. It is brought up to date when it
-// is read, at most a few times a second.
+// is read, at most a few times a second. Its slices are never changed, because
+// their readers may cause the next index to be built.
 type index struct {
-	// members are all members in the order of their identifiers. The slice is
-	// shared with views and never changed.
+	// members are all members in the order of their identifiers.
 	members []fleet.Instance
 	// region holds the places of the members of the own region.
 	region []int
@@ -73,7 +73,7 @@
 	}
 	own := t.Self().Region
 	key := "watch/" + string(own)
-	t.index.region = t.index.region[:0]
+	t.index.region, t.index.ranked = nil, nil
 	var candidates []candidate
 	for i := range t.index.members {
 		m := &t.index.members[i]
@@ -88,7 +88,6 @@
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Compare(b.rank, a.rank)
 	})
-	t.index.ranked = t.index.ranked[:0]
 	for _, c := range candidates[:min(len(candidates), maxRanked)] {
 		t.index.ranked = append(t.index.ranked, t.index.members[c.place])
 	}
--- a/lib/gossip/message.go
+++ b/lib/gossip/message.go
@@ -126,6 +126,8 @@
 	// compare; nil if it need not. Without the comparison, a change that was
 	// passed on often enough never reaches a process that missed it.
 	Buckets []uint32
+	// SuspectsHash is the hash of the sender's suspects; it counts if there are buckets.
+	SuspectsHash uint32
 }
 
 // Action is something that the core asks its process to do.
--- a/lib/gossip/suspects.go
+++ b/lib/gossip/suspects.go
@@ -1,8 +1,12 @@
 package gossip
 
 import (
+	"fmt"
+	"slices"
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -152,6 +156,30 @@
 	return out
 }
 
+// some returns at most limit records; the offset rotates them, so that repeated
+// calls return all.
+func (s *suspects) some(limit, offset int) []Suspect {
+	list := s.all()
+	if len(list) == 0 {
+		return nil
+	}
+	first := offset % len(list)
+	list = slices.Concat(list[first:], list[:first])
+	return list[:min(len(list), limit)]
+}
+
+// hash identifies the records; equal tables have equal hashes.
+func (s *suspects) hash() uint32 {
+	var sum uint32
+	for _, r := range s.records {
+		var h xxhash.Digest
+		h.Reset()
+		_, _ = fmt.Fprintln(&h, r.Fingerprint, r.Epoch, r.Last.UnixMilli(), r.Reports)
+		sum ^= uint32(h.Sum64())
+	}
+	return sum
+}
+
 // all returns the records in the order of their fingerprints.
 func (s *suspects) all() []Suspect {
 	out := make([]Suspect, 0, len(s.records))
--- a/lib/wire/heartbeat.go
+++ b/lib/wire/heartbeat.go
@@ -38,8 +38,10 @@
 	Members  []MemberRecord  `json:"members,omitempty"`
 	Suspects []SuspectRecord `json:"suspects,omitempty"`
 	// Buckets holds the hashes as 4 bytes each, most significant first.
-	Buckets []byte         `json:"buckets,omitempty"`
-	Clock   timeline.Stamp `json:"clock"`
+	Buckets []byte `json:"buckets,omitempty"`
+	// SuspectsHash is sent together with Buckets.
+	SuspectsHash uint32         `json:"sh,omitempty"`
+	Clock        timeline.Stamp `json:"clock"`
 }
 
 // MemberRecord is the encoding of a gossip.Member.
@@ -79,7 +81,8 @@
 
 // EncodeHeartbeat returns the JSON of a heartbeat with the sender's clock.
 func EncodeHeartbeat(h *gossip.Heartbeat, clock timeline.Stamp) ([]byte, error) {
-	m := Heartbeat{From: memberRecord(h.From), Stamp: h.Stamp, Starting: h.Starting, FreshMS: -1, Clock: clock}
+	m := Heartbeat{From: memberRecord(h.From), Stamp: h.Stamp, Starting: h.Starting, FreshMS: -1,
+		SuspectsHash: h.SuspectsHash, Clock: clock}
 	if h.Fresh >= 0 {
 		m.FreshMS = h.Fresh.Milliseconds()
 	}
@@ -118,7 +121,7 @@
 		return nil, m.Clock, eris.Errorf("heartbeat has %d members, %d suspects and %d bytes of hashes, which is out of bounds",
 			len(m.Members), len(m.Suspects), len(m.Buckets))
 	}
-	h := &gossip.Heartbeat{Stamp: m.Stamp, Starting: m.Starting, Fresh: -1}
+	h := &gossip.Heartbeat{Stamp: m.Stamp, Starting: m.Starting, Fresh: -1, SuspectsHash: m.SuspectsHash}
 	if m.FreshMS >= 0 && m.FreshMS < int64(maxFresh/time.Millisecond) {
 		h.Fresh = time.Duration(m.FreshMS) * time.Millisecond
 	}
--- a/lib/wire/heartbeat_test.go
+++ b/lib/wire/heartbeat_test.go
@@ -28,7 +28,7 @@
 			Fingerprint: "f", Epoch: 1, Last: time.UnixMilli(1000),
 			Reports: []gossip.Report{{Instance: "agent-1", Incarnation: 5, Count: 2}},
 		}},
-		Buckets: make([]uint32, gossip.BucketCount),
+		Buckets: make([]uint32, gossip.BucketCount), SuspectsHash: 8,
 	}
 }
 
