--- a/agent/stop.go
+++ b/agent/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/ring"
 )
 
@@ -17,7 +18,7 @@
 	if err := a.gate.Put(ctx, leave{}); err != nil {
 		return eris.Wrap(err, "close the gate")
 	}
-	wait(ctx, a.settings.LeaveLinger)
+	_ = duty.Sleep(ctx, a.settings.LeaveLinger)
 	answer := ring.New[struct{}](1, ring.Refuse)
 	if err := a.gate.Put(ctx, awaitIdle{answer: answer}); err == nil {
 		_, _ = answer.Take(ctx)
