cmd/rattanspur: add explain and the dry run of check

Cause: operators need to know what a document would change and where a request would go before they publish. Result: command tests and the operator e2e test pass.

--- a/bench/e2e/operator_test.go
+++ b/bench/e2e/operator_test.go
@@ -93,15 +93,17 @@
 	}
 	require.Contains(t, string(page(t, l, "/")), string(config.DomainOut))
 
-	var events []timeline.Event
-	require.NoError(t, json.Unmarshal([]byte(command(t, "timeline", "--json", "--instances-url", l.InstancesURL())), &events))
+	var report timeline.Report
+	require.NoError(t, json.Unmarshal([]byte(command(t, "timeline", "--json", "--instances-url", l.InstancesURL())), &report))
+	require.Empty(t, report.Missing)
 	adopted := map[fleet.InstanceID]bool{}
-	for _, e := range events {
+	for _, e := range report.Events {
 		if e.Kind == timeline.ConfigAdopted && e.Generation == 2 {
 			adopted[e.Instance] = true
 		}
 	}
 	require.True(t, adopted["entry-0"])
 	require.Contains(t, command(t, "status", "--address", l.Entries[0].Address), l.Entries[0].Address)
+	require.Contains(t, command(t, "explain", "--instances-url", l.InstancesURL(), "--model", "advisory", file), "service advisory")
 	require.Contains(t, command(t, "version"), "rattanspur")
 }
--- a/cmd/rattanspur/check.go
+++ b/cmd/rattanspur/check.go
@@ -16,24 +16,29 @@
 type checkResult struct {
 	Valid    bool              `json:"valid"`
 	Findings []finding.Finding `json:"findings"`
+	// Changes is what the document changes against another one.
+	Changes []config.Change `json:"changes,omitempty"`
 }
 
 type checkCommand struct {
 	Kind string `long:"kind" description:"what the file is" choice:"config" choice:"entry" choice:"agent" default:"config"`
 	JSON bool   `long:"json" description:"print the findings as JSON"`
-	Args struct {
+	// Against turns the check into a dry run.
+	Against string `long:"against" description:"document in force; shows what FILE would change"`
+	Args    struct {
 		File string `positional-arg-name:"FILE" description:"configuration document or settings file"`
 	} `positional-args:"yes" required:"yes"`
 }
 
-// Execute implements flags.Commander. It fails if there is any finding.
+// Execute implements flags.Commander. It fails if there is any finding or if a
+// change breaks a promise of the document in force.
 func (c *checkCommand) Execute([]string) error {
-	err := c.check()
+	changes, err := c.check()
 	var found *finding.Error
 	if err != nil && !errors.As(err, &found) {
 		return err
 	}
-	result := checkResult{Valid: err == nil, Findings: []finding.Finding{}}
+	result := checkResult{Valid: err == nil, Findings: []finding.Finding{}, Changes: changes}
 	if found != nil {
 		result.Findings = found.Findings
 	}
@@ -46,11 +51,27 @@
 		return c.failure(err)
 	}
 	if !c.JSON {
-		fmt.Println(c.Args.File + ": valid")
+		printChanges(c.Args.File, result.Changes)
+	}
+	for _, change := range result.Changes {
+		if change.Violation {
+			return errSilent
+		}
 	}
 	return nil
 }
 
+func printChanges(file string, changes []config.Change) {
+	fmt.Println(file + ": valid")
+	for _, c := range changes {
+		mark := " "
+		if c.Violation {
+			mark = "!"
+		}
+		fmt.Printf("%s %s: %s\n", mark, c.Kind, c.Meaning)
+	}
+}
+
 // failure avoids printing the findings twice.
 func (c *checkCommand) failure(err error) error {
 	if c.JSON {
@@ -59,17 +80,24 @@
 	return err
 }
 
-func (c *checkCommand) check() error {
+func (c *checkCommand) check() ([]config.Change, error) {
 	switch c.Kind {
 	case "entry":
 		_, err := settings.LoadEntry(c.Args.File)
-		return err
+		return nil, err
 	case "agent":
 		_, err := settings.LoadAgent(c.Args.File)
-		return err
+		return nil, err
 	}
-	_, err := readConfig(c.Args.File)
-	return err
+	next, err := readConfig(c.Args.File)
+	if err != nil || c.Against == "" {
+		return nil, err
+	}
+	inForce, err := readConfig(c.Against)
+	if err != nil {
+		return nil, err
+	}
+	return config.Diff(inForce, next), nil
 }
 
 // readConfig accepts a document in a file; findings name the file.
--- a/cmd/rattanspur/main.go
+++ b/cmd/rattanspur/main.go
@@ -117,6 +117,7 @@
 		{"status", "Show the state of running processes", &statusCommand{}},
 		{"timeline", "Show the merged events of running processes", &timelineCommand{}},
 		{"check", "Check a settings file or a configuration document", &checkCommand{}},
+		{"explain", "Explain where an entry would route a request", &explainCommand{}},
 		{"manifest", "Write the manifest of a folder with weights", &manifestCommand{}},
 		{"version", "Show the version", &versionCommand{}},
 	}
--- a/cmd/rattanspur/main_test.go
+++ b/cmd/rattanspur/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -10,6 +11,8 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/stretchr/testify/require"
 
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/manifest"
 )
 
@@ -40,7 +43,7 @@
 	file := write(t, "config.json", `{"generation":0,"customers":[{"name":"","key_sha256":""}]}`)
 	c := &checkCommand{Kind: "config"}
 	c.Args.File = file
-	err := c.check()
+	_, err := c.check()
 	require.ErrorContains(t, err, file)
 	require.ErrorContains(t, err, "generation: is missing or 0")
 	require.ErrorContains(t, err, "customers[0].name: is missing")
@@ -62,3 +65,48 @@
 	require.NoError(t, err)
 	require.JSONEq(t, `{"instance":"agent-1","missing":"refused"}`, string(data))
 }
+
+const documentText = `{"generation":%d,"profiles":[],"services":[],"customers":[],
+"failure_domains":[{"name":"south","region":"south","state":"%s"}]}`
+
+// Guards against a dry run that hides a change or passes one that no process
+// would adopt.
+func TestCheckAgainstTheDocumentInForce(t *testing.T) {
+	inForce := write(t, "in-force.json", fmt.Sprintf(documentText, 3, "in"))
+	c := &checkCommand{Kind: "config", Against: inForce}
+	c.Args.File = write(t, "next.json", fmt.Sprintf(documentText, 4, "out"))
+	changes, err := c.check()
+	require.NoError(t, err)
+	require.Len(t, changes, 1)
+	require.Equal(t, config.DomainTakenOut, changes[0].Kind)
+	require.NoError(t, c.Execute(nil))
+
+	c.Args.File = write(t, "old.json", fmt.Sprintf(documentText, 2, "out"))
+	require.ErrorIs(t, c.Execute(nil), errSilent)
+}
+
+// Guards against an explanation that differs from what an entry would do.
+func TestExplainNamesServiceAndUpstreams(t *testing.T) {
+	c := &explainCommand{Path: "/ledger/entries"}
+	accepted, err := config.Accept([]byte(`{"generation":1,"profiles":[],"customers":[],
+		"failure_domains":[{"name":"north","region":"north","state":"in"},{"name":"south","region":"south","state":"out"}],
+		"services":[{"name":"ledger","kind":"plain","path_prefix":"/ledger/","limits":{"cold":1,"warm":2,"ramp_step":1}}]}`))
+	require.NoError(t, err)
+	member := func(id, domain string, state fleet.InstanceState) fleet.Instance {
+		return fleet.Instance{
+			ID: fleet.InstanceID(id), Role: fleet.RoleAgent, Service: "ledger",
+			FailureDomain: fleet.FailureDomain(domain), State: state,
+		}
+	}
+	e := c.explain(accepted, []fleet.Instance{
+		member("agent-0", "north", fleet.StateLive),
+		member("agent-1", "south", fleet.StateLive),
+		member("agent-2", "north", fleet.StateLeaving),
+	})
+	require.EqualValues(t, "ledger", e.Service)
+	require.Equal(t, []upstreamState{
+		{Instance: "agent-0", FailureDomain: "north", Takes: true},
+		{Instance: "agent-1", FailureDomain: "south", Reason: "failure domain is out"},
+		{Instance: "agent-2", FailureDomain: "north", Reason: "instance is leaving"},
+	}, e.Upstreams)
+}
--- a/cmd/rattanspur/observe.go
+++ b/cmd/rattanspur/observe.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/platform"
 	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/wire"
@@ -47,6 +48,11 @@
 	return append(list, published.Instances...), err
 }
 
+// peers returns a client with the key from the environment.
+func peers() *wire.Client {
+	return &wire.Client{HTTP: http.DefaultClient, Keys: wire.Keys{os.Getenv(peerKeyVariable)}}
+}
+
 // answer is what one process said; Missing says why it did not.
 type answer[T any] struct {
 	Instance fleet.InstanceID `json:"instance"`
@@ -56,7 +62,7 @@
 
 // askAll asks every process for a path, in turn.
 func askAll[T any](ctx context.Context, processes []fleet.Instance, path string) []answer[T] {
-	client := &wire.Client{HTTP: http.DefaultClient, Keys: wire.Keys{os.Getenv(peerKeyVariable)}}
+	client := peers()
 	answers := make([]answer[T], len(processes))
 	for i, p := range processes {
 		answers[i].Instance = p.ID
@@ -84,35 +90,25 @@
 	if err != nil {
 		return err
 	}
-	var logs [][]timeline.Event
-	for _, a := range askAll[[]timeline.Event](ctx, processes, wire.PathTimeline) {
-		if a.Missing != "" {
-			fmt.Fprintf(os.Stderr, "missing %s: %s\n", a.Instance, a.Missing)
-			continue
-		}
-		logs = append(logs, c.filter(a.Value))
-	}
-	events := timeline.Merge(logs...)
+	report := timeline.Select(c.query(), node.CollectTimelines(ctx, peers(), processes))
 	if c.JSON {
-		return printJSON(os.Stdout, events)
+		return printJSON(os.Stdout, report)
 	}
-	return printEvents(events)
+	for _, gap := range report.Missing {
+		fmt.Fprintf(os.Stderr, "missing %s: %s\n", gap.Instance, gap.Reason)
+	}
+	return printEvents(report.Events)
 }
 
-func (c *timelineCommand) filter(events []timeline.Event) []timeline.Event {
-	var kept []timeline.Event
-	for _, e := range events {
-		if matches(c.Request, e.Request) && matches(c.Profile, string(e.Profile)) &&
-			matches(c.Domain, string(e.FailureDomain)) && matches(c.From, string(e.Instance)) {
-			kept = append(kept, e)
-		}
+func (c *timelineCommand) query() timeline.Query {
+	return timeline.Query{
+		Request:       c.Request,
+		Profile:       fleet.ProfileName(c.Profile),
+		Instance:      fleet.InstanceID(c.From),
+		FailureDomain: fleet.FailureDomain(c.Domain),
 	}
-	return kept
 }
 
-// matches reports whether a value is the wanted one; an empty wish takes all.
-func matches(want, value string) bool { return want == "" || want == value }
-
 func printEvents(events []timeline.Event) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	for _, e := range events {
