operator: show the dry run of a draft

Cause: an operator should see what a draft does before it is published. Change: the draft view lists the changes with their meaning, how many upstreams load which profile with the bytes to move, and which failure domain loses new work; a profile may publish the size of its weights.

--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -328,7 +328,7 @@
 	l.closers = append(l.closers, server.CloseClientConnections, server.Close)
 	w := config.Weights{
 		Root: manifest.Root(encoded), Origin: server.URL,
-		Region: fleet.Region(l.Options.Regions[0]),
+		Region: fleet.Region(l.Options.Regions[0]), Bytes: m.Size(),
 	}
 	return store, w, nil
 }
--- a/lib/config/document.go
+++ b/lib/config/document.go
@@ -42,6 +42,8 @@
 	Origin string `json:"origin"`
 	// Region is where store and origin are.
 	Region fleet.Region `json:"region"`
+	// Bytes is the size of the weights, for estimates only; 0 if not published.
+	Bytes int64 `json:"bytes,omitempty"`
 }
 
 // ServiceKind tells model engines from plain services.
--- a/lib/config/validate.go
+++ b/lib/config/validate.go
@@ -38,6 +38,9 @@
 		if p.Weights.Region == "" {
 			l.Add(key+".weights.region", "is missing")
 		}
+		if p.Weights.Bytes < 0 {
+			l.Add(key+".weights.bytes", "is negative")
+		}
 		checkURL(l, key+".weights.origin", p.Weights.Origin, true)
 		checkURL(l, key+".weights.store", p.Weights.Store, false)
 	}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -140,3 +140,16 @@
 	require.NotContains(t, w.Body.String(), "Draft: <script>")
 	require.Contains(t, w.Body.String(), "Draft: &lt;script&gt;")
 }
+
+// Guards against a dry run that counts the wrong upstreams.
+func TestEffectCountsUpstreamsThatLoadOrLoseWork(t *testing.T) {
+	s := snapshot(t)
+	next, err := Draft(s.Config, Change{Action: Switch, Service: "advisory", Profile: "p2"})
+	require.NoError(t, err)
+	require.Equal(t, []Loading{{Service: "advisory", Profile: "p2", Upstreams: 150}}, EffectOf(s, next).Loads)
+	next, err = Draft(s.Config, Change{Action: DomainOut, Domain: "north"})
+	require.NoError(t, err)
+	require.Equal(t, []Losing{{Domain: "north", Upstreams: 300}}, EffectOf(s, next).Losing)
+	w := get(t, http.MethodGet, "/operator/draft?action=switch&service=advisory&profile=p2", testKey)
+	require.Contains(t, w.Body.String(), "150 upstreams of advisory load p2")
+}
--- a/operator/pages.go
+++ b/operator/pages.go
@@ -32,6 +32,8 @@
 	Change   Change
 	Document string
 	Findings []finding.Finding
+	Changes  []config.Change
+	Effect   Effect
 	Query    template.URL
 }
 
@@ -97,6 +99,8 @@
 		ctx.StatusCode(http.StatusUnprocessableEntity)
 	} else {
 		d.Document = string(found.next.Bytes)
+		d.Changes = config.Diff(found.snapshot.Config, found.next)
+		d.Effect = EffectOf(found.snapshot, found.next)
 	}
 	render(ctx, view{Overview: Summarize(found.snapshot), Draft: d})
 }
