transfer: fewer requests in flight, tests of decoders, store and faults

Cause: with 8 requests in flight per agent a chunk took long to arrive and was passed on late; at N=8 an agent bound its requests to one busy sender early.

Change: 4 requests in flight, 1 per peer, 4 uploads.

--- /dev/null
+++ b/agent/holding_test.go
@@ -0,0 +1,92 @@
+package agent
+
+import (
+	"testing"
+	"testing/fstest"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/manifest"
+	"rattanspur.example/lib/transfer"
+)
+
+func testHolding(t *testing.T) *holding {
+	t.Helper()
+	tree := fstest.MapFS{
+		"a.bin":   {Data: []byte("0123456789"), Mode: 0o644},
+		"b.empty": {Mode: 0o644},
+		"c.bin":   {Data: []byte("abcde"), Mode: 0o644},
+	}
+	m, err := manifest.Build(tree, 4, nil)
+	require.NoError(t, err)
+	encoded, err := m.Encode()
+	require.NoError(t, err)
+	return newHolding(manifest.Root(encoded), encoded, m)
+}
+
+// Guards against an engine that reads a file of a root of which a chunk is
+// missing, and against files put together from wrong chunks.
+func TestFileOnlyOfCompleteRoot(t *testing.T) {
+	h := testHolding(t)
+	for i, data := range []string{"0123", "4567", "89", "abcd", "e"} {
+		require.False(t, h.file("a.bin").found)
+		h.add(i, []byte(data))
+	}
+	require.False(t, h.file("a.bin").found, "served before the transfer said complete")
+	h.complete = true
+	var c []byte
+	for _, data := range h.file("c.bin").data {
+		c = append(c, data...)
+	}
+	require.Equal(t, "abcde", string(c))
+	require.True(t, h.file("b.empty").found)
+	require.Empty(t, h.file("b.empty").data)
+	require.False(t, h.file("d.bin").found)
+}
+
+// Guards against a have-set that misses additions, also over a reduction,
+// which drops chunks that the asker was told of.
+func TestHaveAnswersAdditions(t *testing.T) {
+	h := testHolding(t)
+	h.add(3, []byte("abcd"))
+	first := h.have(0, 0)
+	require.True(t, first.Full)
+	require.True(t, transfer.Set(first.Bitmap).Has(3))
+	h.add(1, []byte("4567"))
+	next := h.have(first.Epoch, int(first.Seq))
+	require.False(t, next.Full)
+	require.Equal(t, []uint32{1}, next.Added)
+	require.Empty(t, h.have(next.Epoch, int(next.Seq)).Added)
+	require.True(t, h.have(next.Epoch, 99).Full, "position from the future")
+
+	h.complete = true
+	kept := transfer.NewSet(5)
+	kept.Add(1)
+	share := h.reduced(kept)
+	after := share.have(next.Epoch, int(next.Seq))
+	require.True(t, after.Full)
+	require.True(t, after.Retaining)
+	require.Equal(t, 1, transfer.Set(after.Bitmap).Count())
+	require.Equal(t, int64(4), share.bytes)
+	require.NotNil(t, h.data[3], "handlers may still read from the old holding")
+}
+
+// Guards against uploads without bound and against a slot that is lost.
+func TestUploadsAreBounded(t *testing.T) {
+	h := testHolding(t)
+	h.add(0, []byte("0123"))
+	p := &puller{held: h}
+	q := chunkQuestion{root: h.root, index: 0}
+	for range maxUploads {
+		require.NotNil(t, p.grantUpload(q).data)
+	}
+	require.True(t, p.grantUpload(q).busy)
+	p.uploads--
+	require.NotNil(t, p.grantUpload(q).data)
+	for _, index := range []int{-1, 1, 5} {
+		q.index = index
+		require.Equal(t, chunkAnswer{}, p.grantUpload(q))
+	}
+	require.Equal(t, chunkAnswer{}, p.grantUpload(chunkQuestion{root: fleet.Digest{9}, index: 0}))
+}
--- a/agent/puller.go
+++ b/agent/puller.go
@@ -15,11 +15,11 @@
 
 const (
 	// fetchers is the number of requests in flight for chunks.
-	fetchers = 8
+	fetchers = 4
 	// askers is the number of questions in flight for have-sets and manifests.
 	askers = 8
 	// maxUploads bounds the uploads of an agent; beyond it answers busy.
-	maxUploads = 8
+	maxUploads = 4
 	// pullerTick is the time between two looks at what has become possible.
 	pullerTick = 20 * time.Millisecond
 	// manifestTimeout bounds one request for a manifest.
@@ -34,7 +34,7 @@
 	Peers:         16,
 	Drawers:       8,
 	Draws:         2,
-	PerSource:     2,
+	PerSource:     1,
 	InFlight:      fetchers,
 	TakeoverDelay: 2 * time.Second,
 	StallAfter:    5 * time.Second,
--- /dev/null
+++ b/bench/e2e/burst_test.go
@@ -0,0 +1,121 @@
+package e2e
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/bench/lab"
+	"rattanspur.example/lib/wire"
+)
+
+// burstLab starts agents whose links are slow enough that a transfer takes
+// about two seconds, so that a fault falls into it.
+func burstLab(t *testing.T, agents int) (*lab.Lab, context.Context) {
+	t.Helper()
+	o := small()
+	o.Agents, o.Entries = agents, 0
+	o.ModelBytes, o.ChunkBytes = 1<<20, 32<<10
+	o.Link, o.OriginLink = 512<<10, 1<<20
+	l, err := lab.Start(o)
+	require.NoError(t, err)
+	t.Cleanup(l.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
+	t.Cleanup(cancel)
+	return l, ctx
+}
+
+func transferStatus(ctx context.Context, p *lab.Process) (wire.TransferStatus, error) {
+	var s wire.TransferStatus
+	peers := &wire.Client{HTTP: lab.HTTP, Keys: wire.Keys{lab.PeerKey}}
+	err := peers.GetJSON(ctx, p.Address, wire.PathTransfer, &s)
+	return s, err
+}
+
+// awaitTransfer waits until an agent's transfer is in a state.
+func awaitTransfer(ctx context.Context, t *testing.T, p *lab.Process, reached func(wire.TransferStatus) bool) {
+	t.Helper()
+	require.NoError(t, lab.Await(ctx, func() error {
+		s, err := transferStatus(ctx, p)
+		if err == nil && !reached(s) {
+			err = eris.Errorf("%s: %+v", p.ID, s)
+		}
+		return err
+	}))
+}
+
+func half(s wire.TransferStatus) bool { return s.Chunks > 0 && s.Missing < s.Chunks/2 }
+
+// Guards against corrupt bytes of the store that reach an engine, and against
+// a transfer that does not recover once the store is repaired.
+func TestBurstCorruptStoreThenRecovery(t *testing.T) {
+	l, ctx := burstLab(t, 4)
+	store, weights, err := l.AddStore(1)
+	require.NoError(t, err)
+	store.Corrupt.Store(true)
+	require.NoError(t, l.PublishProfile("burst-1", "v1", weights))
+	awaitTransfer(ctx, t, l.Agents[0], func(s wire.TransferStatus) bool { return s.CorruptChunks > 1 })
+	for _, p := range l.Agents {
+		require.False(t, p.Engine.Holds(ctx, weights.Root.String()))
+		s, err := transferStatus(ctx, p)
+		require.NoError(t, err)
+		require.Zero(t, s.HeldBytes, "a corrupt chunk counts as held")
+	}
+	store.Corrupt.Store(false)
+	require.NoError(t, l.AwaitServing(ctx, weights.Root.String(), 4))
+}
+
+// Guards against a transfer that waits for an agent that was killed: the
+// others take over its chunks, and a new process at its place completes too.
+func TestBurstAgentKilledInTransfer(t *testing.T) {
+	l, ctx := burstLab(t, 6)
+	_, weights, err := l.AddStore(2)
+	require.NoError(t, err)
+	require.NoError(t, l.PublishProfile("burst-1", "v1", weights))
+	victim := l.Agents[0]
+	awaitTransfer(ctx, t, victim, half)
+	require.NoError(t, l.Signal(victim, syscall.SIGKILL))
+	require.NoError(t, l.Wait(ctx, victim))
+	require.NoError(t, l.AwaitServing(ctx, weights.Root.String(), 5))
+	require.NoError(t, l.Launch(victim))
+	require.NoError(t, l.AwaitServing(ctx, weights.Root.String(), 6))
+}
+
+// Guards against an engine that gets weights of a version that was replaced in
+// mid-transfer. The stand-in engine verifies every byte that it loads against
+// the root, so that a mix of versions is a failed load and not a held version.
+func TestBurstSecondVersionInTransfer(t *testing.T) {
+	l, ctx := burstLab(t, 4)
+	_, first, err := l.AddStore(3)
+	require.NoError(t, err)
+	_, second, err := l.AddStore(4)
+	require.NoError(t, err)
+	require.NoError(t, l.PublishProfile("burst-1", "v1", first))
+	awaitTransfer(ctx, t, l.Agents[0], half)
+	require.NoError(t, l.PublishProfile("burst-2", "v2", second))
+	require.NoError(t, l.AwaitServing(ctx, second.Root.String(), 4))
+	for _, p := range l.Agents {
+		s, err := transferStatus(ctx, p)
+		require.NoError(t, err)
+		require.Equal(t, second.Root, s.Root)
+		require.LessOrEqual(t, s.HeldBytes, int64(2*l.Options.ModelBytes))
+	}
+}
+
+// Guards against a transfer that goes on with bytes of another version: the
+// origin's tag changes in mid-transfer, the transfer ends with a report and
+// completes later, since the configuration still names the root.
+func TestBurstChangedTagEndsTransfer(t *testing.T) {
+	l, ctx := burstLab(t, 1)
+	store, weights, err := l.AddStore(5)
+	require.NoError(t, err)
+	require.NoError(t, l.PublishProfile("burst-1", "v1", weights))
+	awaitTransfer(ctx, t, l.Agents[0], half)
+	store.SetTag("other")
+	awaitTransfer(ctx, t, l.Agents[0], func(s wire.TransferStatus) bool { return s.Ended > 0 })
+	require.NoError(t, l.AwaitServing(ctx, weights.Root.String(), 1))
+}
--- a/bench/scenario/burst.go
+++ b/bench/scenario/burst.go
@@ -96,7 +96,7 @@
 	l, err := lab.Start(lab.Options{
 		Binary:     env.Binary,
 		Agents:     n,
-		Regions:    []string{"burdwan", "hooghly", "medinipur"},
+		Regions:    regions,
 		ModelBytes: modelBytes,
 		ChunkBytes: burstChunkBytes,
 		Link:       burstLink,
@@ -112,7 +112,9 @@
 	if err != nil {
 		return result, err
 	}
-	if err := awaitAgents(ctx, l); err != nil {
+	// The fleet runs with an earlier configuration, so that the start of the
+	// processes does not count as transfer.
+	if err := startIdle(ctx, l); err != nil {
 		return result, err
 	}
 	published := time.Now()
@@ -129,21 +131,6 @@
 	return result, err
 }
 
-// awaitAgents waits until every agent answers, so that the start of processes
-// does not count as transfer.
-func awaitAgents(ctx context.Context, l *lab.Lab) error {
-	peers := &wire.Client{HTTP: lab.HTTP, Keys: wire.Keys{lab.PeerKey}}
-	for _, p := range l.Agents {
-		if err := lab.Await(ctx, func() error {
-			var s wire.TransferStatus
-			return peers.GetJSON(ctx, p.Address, wire.PathTransfer, &s)
-		}); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // collect reads the counters of every agent.
 func (b *burstResult) collect(ctx context.Context, l *lab.Lab, published time.Time, copyTime time.Duration, size float64) error {
 	peers := &wire.Client{HTTP: lab.HTTP, Keys: wire.Keys{lab.PeerKey}}
--- /dev/null
+++ b/lib/wire/have_test.go
@@ -0,0 +1,46 @@
+package wire
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a message that changes on its way.
+func TestHaveRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &Have{
+			Epoch:     rapid.Uint64().Draw(t, "epoch"),
+			Seq:       rapid.Uint32().Draw(t, "seq"),
+			Retaining: rapid.Bool().Draw(t, "retaining"),
+			Full:      rapid.Bool().Draw(t, "full"),
+		}
+		if h.Full {
+			h.Bitmap = rapid.SliceOfN(rapid.Uint64(), 1, 50).Draw(t, "bitmap")
+		} else {
+			h.Added = rapid.SliceOfN(rapid.Uint32(), 1, 50).Draw(t, "added")
+		}
+		got, err := DecodeHave(h.Encode())
+		if err != nil {
+			t.Fatal(err)
+		}
+		require.Equal(t, h, got)
+	})
+}
+
+// Guards against input that crashes the decoder or is taken in although
+// Encode cannot have written it.
+func FuzzDecodeHave(f *testing.F) {
+	f.Add((&Have{Epoch: 1, Seq: 2, Added: []uint32{0, 7}}).Encode())
+	f.Add((&Have{Epoch: 1, Seq: 64, Full: true, Retaining: true, Bitmap: []uint64{1<<64 - 1}}).Encode())
+	f.Add([]byte{})
+	f.Add([]byte{haveVersion, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h, err := DecodeHave(data)
+		if err != nil {
+			return
+		}
+		require.Equal(t, data, h.Encode())
+	})
+}
--- a/lib/wire/transfer.go
+++ b/lib/wire/transfer.go
@@ -18,6 +18,8 @@
 	// Started and Completed are zero until that happened for Root.
 	Started   time.Time `json:"started,omitzero"`
 	Completed time.Time `json:"completed,omitzero"`
+	// Ended counts transfers that ended before they were complete.
+	Ended int64 `json:"ended"`
 	// UpBytes and DownBytes crossed the machine's link.
 	UpBytes   int64 `json:"up_bytes"`
 	DownBytes int64 `json:"down_bytes"`
