bench: measure work beyond the cold limit and calls cut by a stop

A review also found that a switch back and forth in mid-transfer waited for ever, since the transfer of a root ends when the configuration no longer names it. Change: scenarios cold and drain, each run a second time with its mechanism off; the route scenario calls engines by the served name; rollout asks for the weights again when the target has changed.

--- a/bench/scenario/route.go
+++ b/bench/scenario/route.go
@@ -57,7 +57,7 @@
 		cancel()
 		_ = naive.Wait()
 	}()
-	model, err := engineModel(l)
+	model, err := engineModel(ctx, l)
 	if err != nil {
 		return err
 	}
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -29,6 +29,8 @@
 		{Name: "burst", Run: burst},
 		{Name: "config", Run: Config},
 		{Name: "control", Run: Control},
+		{Name: "cold", Run: Cold},
+		{Name: "drain", Run: Drain},
 		{Name: "route", Run: Route},
 	}
 }
--- a/bench/scenario/serving.go
+++ b/bench/scenario/serving.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 
+	"github.com/rotisserie/eris"
+
 	"rattanspur.example/bench/lab"
+	"rattanspur.example/lib/engine"
 )
 
 // startServing starts a lab, publishes a small profile and waits until calls
@@ -46,4 +49,13 @@
 }
 
 // engineModel returns the name by which the engines serve the profile.
-func engineModel(*lab.Lab) (string, error) { return string(lab.Service), nil }
+func engineModel(ctx context.Context, l *lab.Lab) (string, error) {
+	report, err := engine.New(l.Agents[0].EngineURL, lab.HTTP).Report(ctx)
+	if err != nil {
+		return "", err
+	}
+	if len(report.Loaded) == 0 {
+		return "", eris.New("engine holds no version")
+	}
+	return engine.ServedName(report.Loaded[0].Root), nil
+}
--- a/lib/rollout/fleet_test.go
+++ b/lib/rollout/fleet_test.go
@@ -88,6 +88,10 @@
 func (f *fakeFleet) setTarget(a *fakeAgent) {
 	t := f.target
 	t.Members = f.views[a.id]
+	if a.fetched != t.Profile.Weights.Root {
+		// A transfer ends when the configuration no longer names its root.
+		a.fetched = fleet.Digest{}
+	}
 	f.step(a, t)
 }
 
--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -99,8 +99,12 @@
 }
 
 func (c *Core) setTarget(t Target) {
-	if !c.known || rootOf(c.target) != rootOf(t) {
+	if rootOf(c.target) != rootOf(t) {
+		// A transfer of a root that was not named for a while has ended, so
+		// its weights are asked for again.
 		c.failures = 0
+		c.fetched = fleet.Digest{}
+		c.ready = fleet.Digest{}
 	}
 	c.known = true
 	c.target = t
--- a/lib/rollout/rollout_test.go
+++ b/lib/rollout/rollout_test.go
@@ -216,3 +216,16 @@
 		require.True(t, d.core.Serving().IsZero(), "dead-%d", i)
 	}
 }
+
+// Guards against a switch that waits for ever after a switch back and forth in
+// mid-transfer: the first transfer of the root has ended in the meantime.
+func TestSwitchBackAndForthAsksForWeightsAgain(t *testing.T) {
+	d := newDriver(t, time.Second)
+	fetch := rollout.Action(rollout.Fetch{Profile: profile(2)})
+	d.step(target(1, true))
+	d.report(report(0, 1))
+	require.Contains(t, d.step(target(2, true)), fetch)
+	require.Empty(t, d.step(target(1, true)))
+	require.Contains(t, d.step(target(2, true)), fetch)
+	d.load(2, report(0, 1))
+}
