--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -6,12 +6,14 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -186,14 +188,33 @@
 	}}, nil
 }
 
+const (
+	// firstPort and lastPort bound the ports of processes. They lie below the
+	// ports that the kernel gives to outgoing connections; otherwise a
+	// connection may take the port of a process that has not started yet.
+	firstPort = 12000
+	lastPort  = 32000
+	// portTries bounds the search for a free port.
+	portTries = 1000
+)
+
+// nextPort makes the labs of one program try each port once; another program
+// most likely begins elsewhere.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(lastPort - firstPort)) }
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "free address")
+	for range portTries {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, eris.Wrap(l.Close(), "free address")
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", eris.Errorf("no free port from %d to %d", firstPort, lastPort)
 }
 
 // Launch starts a process, also after it was stopped or killed.
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -26,6 +26,8 @@
 // All returns the scenarios in the order in which they run.
 func All() []Scenario {
 	return []Scenario{
+		{Name: "config", Run: Config},
+		{Name: "control", Run: Control},
 		{Name: "route", Run: Route},
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,7 +131,7 @@
 	mux.HandleFunc("GET /metrics", e.metrics.serve)
 	mux.Handle("GET "+wire.PathStatus, keys.Require(http.HandlerFunc(e.serveStatus)))
 	mux.Handle("GET "+wire.PathTimeline, keys.Require(e.node.TimelineHandler()))
-	mux.Handle("/peer/", keys.Require(e.node.PeerHandler()))
+	mux.Handle("/peer/", e.node.PeerHandler())
 	mux.Handle(operator.Prefix+"/", page)
 	return mux, nil
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -7,6 +7,7 @@
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/wire"
 )
@@ -27,7 +28,6 @@
 
 // statusReport is the state as operators see it.
 type statusReport struct {
-	Instance   fleet.InstanceID      `json:"instance"`
 	Generation fleet.Generation      `json:"generation"`
 	Members    int                   `json:"members"`
 	Carried    int                   `json:"carried"`
@@ -38,7 +38,6 @@
 
 func (r *router) answer(ctx context.Context, q question) {
 	s := status{config: r.view.Config, report: statusReport{
-		Instance: r.entry.settings.Self.ID,
 		Members:  len(r.view.Members),
 		Carried:  r.carried,
 		Waiting:  map[fleet.Service]int{},
@@ -69,10 +68,16 @@
 func (e *Entry) serveReady(w http.ResponseWriter, r *http.Request) {
 	s, err := e.ask(r.Context())
 	if err != nil || s.config == nil || s.report.Stopping {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		http.Error(w, "router has no configuration or the process is stopping", http.StatusServiceUnavailable)
 		return
 	}
-	_, _ = w.Write([]byte("ready\n"))
+	e.node.ReadyHandler().ServeHTTP(w, r)
+}
+
+// fullStatus is the answer to GET /status.
+type fullStatus struct {
+	node.Status
+	Entry statusReport `json:"entry"`
 }
 
 func (e *Entry) serveStatus(w http.ResponseWriter, r *http.Request) {
@@ -81,7 +86,12 @@
 		http.Error(w, "router does not answer", http.StatusServiceUnavailable)
 		return
 	}
-	wire.WriteJSON(w, s.report)
+	shared, err := e.node.Status(r.Context())
+	if err != nil {
+		http.Error(w, "gossip duty does not answer", http.StatusServiceUnavailable)
+		return
+	}
+	wire.WriteJSON(w, fullStatus{Status: shared, Entry: s.report})
 }
 
 // modelList is the answer to GET /v1/models.
