--- a/bench/scenario/load.go
+++ b/bench/scenario/load.go
@@ -7,15 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/rotisserie/eris"
 
 	"rattanspur.example/bench/lab"
 )
@@ -25,9 +21,6 @@
 	histogramMax = time.Minute
 	// histogramDigits is the number of significant digits of a latency.
 	histogramDigits = 3
-	// clockTicks is the number of units of processor time in a second, as
-	// Linux reports it to programs.
-	clockTicks = 100
 )
 
 // latencies collects the latencies of successful calls and counts all calls.
@@ -80,6 +73,28 @@
 	wait.Wait()
 }
 
+// openLoop sends calls at a rate until ctx ends and then awaits those in
+// flight. Latencies count from the time at which a call was due, so that a
+// system that stalls cannot hide the calls that it delayed.
+func openLoop(ctx context.Context, every time.Duration, collect func(due time.Time) *latencies, call func(context.Context, int) error) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for i := 0; ; i++ {
+		var due time.Time
+		select {
+		case due = <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		wait.Go(func() {
+			err := call(context.WithoutCancel(ctx), i)
+			collect(due).add(time.Since(due), err)
+		})
+	}
+}
+
 // chatBody returns a chat completion request.
 func chatBody(model, text string, stream bool) []byte {
 	body, _ := json.Marshal(map[string]any{
@@ -90,54 +105,29 @@
 }
 
 // post sends a request and reads the answer; any status but 200 is an error.
-func post(ctx context.Context, client *http.Client, url string, body []byte) error {
+func post(ctx context.Context, client *http.Client, url string, body []byte) (string, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return "", err
 	}
 	req.Header.Set("Authorization", "Bearer "+lab.CustomerKey)
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
 	if err != nil {
-		return err
+		return "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return err
+		return "", err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d: %s", resp.StatusCode, data)
+		return "", fmt.Errorf("status %d: %s", resp.StatusCode, data)
 	}
-	return nil
+	return string(data), nil
 }
 
 // newClient returns a client that keeps connections for all workers.
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
 }
-
-// cpuTime returns the processor time that a process has used.
-func cpuTime(pid int) (time.Duration, error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, eris.Wrap(err, "processor time")
-	}
-	// The fields after the command's closing bracket begin with the state;
-	// user and system time are the 12th and 13th of them.
-	const userField, systemField = 11, 12
-	_, rest, _ := strings.Cut(string(data), ") ")
-	fields := strings.Fields(rest)
-	if len(fields) <= systemField {
-		return 0, eris.Errorf("stat of process %d has %d fields", pid, len(fields))
-	}
-	ticks := 0
-	for _, i := range []int{userField, systemField} {
-		n, err := strconv.Atoi(fields[i])
-		if err != nil {
-			return 0, eris.Wrap(err, "processor time")
-		}
-		ticks += n
-	}
-	return time.Duration(ticks) * time.Second / clockTicks, nil
-}
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -28,6 +28,7 @@
 	return []Scenario{
 		{Name: "config", Run: Config},
 		{Name: "control", Run: Control},
+		{Name: "move", Run: Move},
 		{Name: "route", Run: Route},
 	}
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -49,8 +49,10 @@
 	link     *link
 	meta     wire.Call
 	tried    []fleet.InstanceID
-	// failures counts the attempts that failed.
-	failures int
+	// failures counts the attempts that may have been run and failed,
+	// placements all attempts that were not refused for lack of room.
+	failures   int
+	placements int
 	// uncertain says that an earlier attempt may have been run, so that the
 	// caller must not be told otherwise.
 	uncertain bool
@@ -251,17 +253,20 @@
 	// counted out here.
 	r.learn(time.Now(), a, res)
 	r.table.Done(a.upstream.ID)
+	if res.end != retry.Busy {
+		a.placements++
+	}
 	if !res.end.NotRun() {
 		a.uncertain = true
+		a.failures++
 	}
 	if res.end.Failure() {
-		a.failures++
 		a.tried = append(a.tried, a.upstream.ID)
 	}
 	action := retry.Decide(retry.Attempt{
 		End:        res.end,
 		Failures:   a.failures,
-		Placements: a.meta.Attempt,
+		Placements: a.placements,
 		Once:       a.meta.Once,
 		Started:    res.started,
 	}, func() bool { return r.budgets.Spend(a.meta.Customer, a.upstream.ID) })
@@ -293,6 +298,9 @@
 	if res.load != nil {
 		r.table.Report(now, id, *res.load)
 	}
+	if res.started {
+		r.table.Accepted(id)
+	}
 	switch {
 	case res.end == retry.Answered && res.whole:
 		r.table.Succeeded(id)
@@ -302,6 +310,8 @@
 				r.entry.node.ReportSuccess(a.call.fingerprint)
 			}
 		}
+	case res.end == retry.Busy:
+		r.table.Busy(now, id)
 	case res.end == retry.Refused:
 		r.table.Refused(now, id)
 	case res.end.Failure():
--- a/lib/routing/routing.go
+++ b/lib/routing/routing.go
@@ -154,16 +154,35 @@
 	if r.Alone {
 		return t.pickAlone(now, p, r, random)
 	}
-	// Replicas that recently failed are chosen only if no other one has room.
-	for _, avoided := range []bool{false, true} {
-		s := search{now: now, request: &r, random: random, avoided: avoided}
-		if c, root := t.search(p, s); c != nil {
-			c.mine++
-			t.prefixes.remember(r.Prefix, c.ID)
-			return Choice{Instance: c.Instance, Root: root}, true
+	s := search{now: now, request: &r, random: random}
+	c, root := t.search(p, s)
+	if c == nil && !p.anyHealthy(s) {
+		// All acceptable replicas failed recently. One of them is tried, since
+		// the cause may lie elsewhere. A call never goes to such a replica only
+		// because the others have no room.
+		s.avoided = true
+		c, root = t.search(p, s)
+	}
+	if c == nil {
+		return Choice{}, false
+	}
+	c.mine++
+	t.prefixes.remember(r.Prefix, c.ID)
+	return Choice{Instance: c.Instance, Root: root}, true
+}
+
+// anyHealthy reports whether a replica could take the call now or later.
+func (p *pool) anyHealthy(s search) bool {
+	healthy := func(c *candidate) bool {
+		return !c.avoided(s.now) && !slices.Contains(s.request.Tried, c.ID)
+	}
+	for root, g := range p.groups {
+		acceptable := p.plain || root.IsZero() || slices.Contains(s.request.Roots, root)
+		if acceptable && (slices.ContainsFunc(g.near, healthy) || slices.ContainsFunc(g.far, healthy)) {
+			return true
 		}
 	}
-	return Choice{}, false
+	return false
 }
 
 func (t *Table) search(p *pool, s search) (*candidate, fleet.Digest) {
@@ -298,6 +317,21 @@
 	}
 }
 
+// Busy pauses a replica that refused a call for lack of room.
+func (t *Table) Busy(now time.Time, id fleet.InstanceID) {
+	if c := t.byID[id]; c != nil {
+		c.refusedUntil = now.Add(min(firstBusyPause<<min(c.busy, 10), maxBusyPause))
+		c.busy++
+	}
+}
+
+// Accepted takes in that a replica took a call.
+func (t *Table) Accepted(id fleet.InstanceID) {
+	if c := t.byID[id]; c != nil {
+		c.busy = 0
+	}
+}
+
 // Failed avoids a replica for a while, because a call to it was lost.
 func (t *Table) Failed(now time.Time, id fleet.InstanceID) {
 	if c := t.byID[id]; c != nil {
