--- a/bench/scenario/cold.go
+++ b/bench/scenario/cold.go
@@ -57,7 +57,7 @@
 
 func coldRun(ctx context.Context, env Env, limits config.Limits) (standin.EngineCounts, error) {
 	var sum standin.EngineCounts
-	l, err := startServing(ctx, env, lab.Options{
+	l, _, err := startServing(ctx, env, lab.Options{
 		Agents: coldAgents, Entries: coldEntries, Regions: regions, Limits: limits,
 		Engine: standin.EngineOptions{
 			ChecksFence: true, KeepsVersions: true, TokenTime: 2 * time.Millisecond, WarmAfter: 8,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/wire"
 )
@@ -25,6 +26,7 @@
 
 // entryMetrics counts what an entry does. Counters may be used by all duties.
 type entryMetrics struct {
+	node    *node.Node
 	set     *metrics.Set
 	latency *metrics.Histogram
 	cuts    *metrics.Counter
@@ -36,6 +38,7 @@
 	set.NewGauge("rattanspur_entry_inbox_depth", func() float64 { return float64(e.inbox.Depth()) })
 	set.NewGauge("rattanspur_entry_attempts_depth", func() float64 { return float64(e.attempts.Depth()) })
 	return &entryMetrics{
+		node:    e.node,
 		set:     set,
 		latency: set.NewHistogram("rattanspur_entry_request_duration_seconds"),
 		cuts:    set.NewCounter("rattanspur_entry_responses_cut_total"),
@@ -53,5 +56,6 @@
 
 func (m *entryMetrics) serve(w http.ResponseWriter, _ *http.Request) {
 	m.set.WritePrometheus(w)
+	m.node.WriteMetrics(w)
 	metrics.WriteProcessMetrics(w)
 }
--- a/lib/routing/candidate.go
+++ b/lib/routing/candidate.go
@@ -19,6 +19,11 @@
 	// of entry and agent differ then; without the pause, a waiting call would
 	// be sent and refused again in a loop.
 	refusedFor = 250 * time.Millisecond
+	// firstBusyPause is how long a replica gets no calls after a refusal for
+	// lack of room. Refusals in a row double it up to maxBusyPause: other
+	// entries compete for the same room, and every probe costs the agent work.
+	firstBusyPause = 20 * time.Millisecond
+	maxBusyPause   = 500 * time.Millisecond
 )
 
 // Load is what an agent reports of its gate.
@@ -42,8 +47,10 @@
 	reportedAt time.Time
 	failures   int
 	avoidUntil time.Time
-	// refusedUntil is the end of the pause after a refusal.
+	// refusedUntil is the end of the pause after a refusal; busy counts the
+	// refusals for lack of room in a row.
 	refusedUntil time.Time
+	busy         int
 	// reserved says that the replica is kept for one call that must run alone.
 	reserved bool
 	// alone says that this call is in flight.
