platform, wire: leave out records that cannot be members

Cause: one record of the instance list with a host name or an unknown role went into the member table, and every message that passed it on was refused as a whole, which would have stopped all exchanges. Change: a common check of instances; the list and heartbeats leave such records out, the list reports them, and settings refuse an instance that others would not accept. Fuzz target for the instance list.

--- /dev/null
+++ b/lib/fleet/check.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+)
+
+// MaxNameBytes bounds identifiers and other names that come from outside.
+const MaxNameBytes = 128
+
+// Check returns an error if a record from outside cannot be a member: processes
+// reach each other by IP address, and only entries and agents are members.
+func (i *Instance) Check() error {
+	if i.ID == "" {
+		return eris.New("instance has no identifier")
+	}
+	for _, name := range []string{
+		string(i.ID), string(i.Service), string(i.FailureDomain), string(i.Region),
+	} {
+		if len(name) > MaxNameBytes {
+			return eris.Errorf("name in the record of an instance has %d bytes, the limit is %d", len(name), MaxNameBytes)
+		}
+	}
+	if i.Role != RoleEntry && i.Role != RoleAgent {
+		return eris.Errorf("role of instance %q is %q", i.ID, i.Role)
+	}
+	if _, err := netip.ParseAddrPort(i.Address); err != nil {
+		return eris.Wrapf(err, "address of instance %q", i.ID)
+	}
+	if i.State != StateLive && i.State != StateLeaving {
+		return eris.Errorf("state of instance %q is %q", i.ID, i.State)
+	}
+	return nil
+}
--- a/lib/node/watch.go
+++ b/lib/node/watch.go
@@ -39,6 +39,15 @@
 	}
 }
 
+// invalid logs records of the instance list that were left out.
+func (o *outage) invalid(problems []error) {
+	if now := time.Now(); now.Sub(o.logged) >= logEvery {
+		o.logged = now
+		_ = level.Warn(o.node.logger).Log("msg", "records of the instance list were left out",
+			"count", len(problems), "first", problems[0])
+	}
+}
+
 func (o *outage) answered() {
 	if o.down {
 		o.down = false
@@ -159,6 +168,9 @@
 		return list, size, err
 	}
 	o.answered()
+	if len(list.Invalid) > 0 {
+		o.invalid(list.Invalid)
+	}
 	_ = n.inbox.Put(ctx, listRead{list: list})
 	return list, size, nil
 }
--- a/lib/platform/platform.go
+++ b/lib/platform/platform.go
@@ -65,6 +65,27 @@
 type InstanceList struct {
 	Revision  uint64           `json:"revision"`
 	Instances []fleet.Instance `json:"instances"`
+	// Invalid says why records were left out of Instances.
+	Invalid []error `json:"-"`
+}
+
+// ParseInstances reads an instance list. Records that cannot be members are
+// left out, since members would pass them on to each other.
+func ParseInstances(data []byte) (InstanceList, error) {
+	var list InstanceList
+	if err := json.Unmarshal(data, &list); err != nil {
+		return InstanceList{}, eris.Wrap(err, "instance list is not valid JSON")
+	}
+	valid := make([]fleet.Instance, 0, len(list.Instances))
+	for _, i := range list.Instances {
+		if err := i.Check(); err != nil {
+			list.Invalid = append(list.Invalid, err)
+			continue
+		}
+		valid = append(valid, i)
+	}
+	list.Instances = valid
+	return list, nil
 }
 
 // InstanceService reads the instance list.
@@ -91,9 +112,9 @@
 	if err != nil {
 		return InstanceList{}, 0, eris.Wrap(err, "instance list")
 	}
-	var list InstanceList
-	if err := json.Unmarshal(body, &list); err != nil {
-		return list, len(body), eris.Wrap(err, "instance list is not valid JSON")
+	list, err := ParseInstances(body)
+	if err != nil {
+		return list, len(body), err
 	}
 	s.last, s.etag = list, header.Get("ETag")
 	return list, len(body), nil
--- /dev/null
+++ b/lib/platform/platform_test.go
@@ -0,0 +1,37 @@
+package platform
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const listed = `{"revision":3,"instances":[
+{"id":"a","role":"agent","address":"127.0.0.1:1","failure_domain":"d","region":"r","state":"live"},
+{"id":"b","role":"entry","address":"b.example:1","failure_domain":"d","region":"r","state":"live"},
+{"id":"c","role":"entry","address":"127.0.0.1:2","failure_domain":"d","region":"r","state":"leaving"}]}`
+
+// Guards against records that members would pass on and refuse to accept.
+func TestInvalidRecordsAreLeftOut(t *testing.T) {
+	list, err := ParseInstances([]byte(listed))
+	require.NoError(t, err)
+	require.Len(t, list.Instances, 2)
+	require.Len(t, list.Invalid, 1)
+	require.ErrorContains(t, list.Invalid[0], `address of instance "b"`)
+}
+
+// Guards against a list that stops the process.
+func FuzzParseInstances(f *testing.F) {
+	f.Add([]byte(listed))
+	f.Add([]byte(`{"revision":-1}`))
+	f.Add([]byte(`{"instances":[{"id":"a","serving":"00"},null]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		list, err := ParseInstances(data)
+		if err != nil {
+			return
+		}
+		for _, i := range list.Instances {
+			require.NoError(t, i.Check())
+		}
+	})
+}
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -205,6 +205,9 @@
 	n.WatchWait = r.duration("node", "watch_wait", 4*time.Second)
 	n.StartWait = r.duration("node", "start_wait", 2*time.Second)
 	n.LogLevel = r.text("node", "log_level", "info")
+	if err := n.Self.Check(); err != nil && len(r.findings.Findings) == 0 {
+		r.add("node", "id", "no other process would accept this instance: %v", err)
+	}
 	return n
 }
 
--- a/lib/wire/heartbeat.go
+++ b/lib/wire/heartbeat.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"encoding/json"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -24,8 +23,6 @@
 	bucketBytes = 4
 	// maxReports bounds the reporters of one suspect.
 	maxReports = 16
-	// maxNameBytes bounds identifiers and other names in messages.
-	maxNameBytes = 128
 )
 
 // Heartbeat is the encoding of a gossip.Heartbeat. Names are short, since each
@@ -130,11 +127,11 @@
 		return nil, m.Clock, err
 	}
 	for _, r := range m.Members {
-		next, err := member(r)
-		if err != nil {
-			return nil, m.Clock, err
+		// A record that cannot be a member is left out. If it made the whole
+		// message invalid, one bad record would stop all exchanges.
+		if next, err := member(r); err == nil {
+			h.Members = append(h.Members, next)
 		}
-		h.Members = append(h.Members, next)
 	}
 	for _, r := range m.Suspects {
 		next, err := suspect(r)
@@ -187,26 +184,10 @@
 }
 
 func checkMember(m *gossip.Member) error {
-	if m.ID == "" {
-		return eris.New("member has no identifier")
-	}
-	for _, name := range []string{
-		string(m.ID), string(m.Role), string(m.Service), string(m.FailureDomain), string(m.Region),
-	} {
-		if len(name) > maxNameBytes {
-			return eris.Errorf("name in the record of a member has %d bytes, the limit is %d", len(name), maxNameBytes)
-		}
-	}
-	if _, err := netip.ParseAddrPort(m.Address); err != nil {
-		return eris.Wrapf(err, "address of member %q", m.ID)
-	}
-	if m.State != fleet.StateLive && m.State != fleet.StateLeaving {
-		return eris.Errorf("state of member %q is %q", m.ID, m.State)
-	}
 	if m.Listed.State > gossip.Absent {
 		return eris.Errorf("list state of member %q is %d", m.ID, m.Listed.State)
 	}
-	return nil
+	return m.Check()
 }
 
 func suspectRecord(s gossip.Suspect) SuspectRecord {
@@ -219,12 +200,12 @@
 
 func suspect(r SuspectRecord) (gossip.Suspect, error) {
 	s := gossip.Suspect{Fingerprint: r.Fingerprint, Epoch: r.Epoch, Last: time.UnixMilli(r.LastMS)}
-	if r.Fingerprint == "" || len(r.Fingerprint) > maxNameBytes || len(r.Reports) > maxReports {
+	if r.Fingerprint == "" || len(r.Fingerprint) > fleet.MaxNameBytes || len(r.Reports) > maxReports {
 		return s, eris.Errorf("suspect has a fingerprint of %d bytes and %d reports", len(r.Fingerprint), len(r.Reports))
 	}
 	for _, report := range r.Reports {
-		if len(report.Instance) > maxNameBytes {
-			return s, eris.Errorf("reporter of a suspect has %d bytes, the limit is %d", len(report.Instance), maxNameBytes)
+		if len(report.Instance) > fleet.MaxNameBytes {
+			return s, eris.Errorf("reporter of a suspect has %d bytes, the limit is %d", len(report.Instance), fleet.MaxNameBytes)
 		}
 		s.Reports = append(s.Reports, gossip.Report(report))
 	}
