settings: print the reference of all keys with their defaults

Cause: users need one page with every key, and a page kept by hand goes stale. Change: each key is noted as it is read; rattanspur settings prints the page; a test compares it with docs/settings.md and finds keys without an explanation.

--- a/cmd/rattanspur/main.go
+++ b/cmd/rattanspur/main.go
@@ -89,6 +89,15 @@
 	return log.With(logger, "ts", log.DefaultTimestampUTC, "instance", n.Self.ID)
 }
 
+type settingsCommand struct{}
+
+// Execute implements flags.Commander.
+func (c *settingsCommand) Execute([]string) error {
+	page, err := settings.Markdown()
+	fmt.Print(page)
+	return err
+}
+
 type versionCommand struct{}
 
 // Execute implements flags.Commander.
@@ -119,6 +128,7 @@
 		{"check", "Check a settings file or a configuration document", &checkCommand{}},
 		{"explain", "Explain where an entry would route a request", &explainCommand{}},
 		{"manifest", "Write the manifest of a folder with weights", &manifestCommand{}},
+		{"settings", "Show all settings with their defaults", &settingsCommand{}},
 		{"version", "Show the version", &versionCommand{}},
 	}
 }
--- a/cmd/rattanspur/main_test.go
+++ b/cmd/rattanspur/main_test.go
@@ -14,6 +14,7 @@
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/manifest"
+	"rattanspur.example/lib/settings"
 )
 
 func write(t *testing.T, name, text string) string {
@@ -110,3 +111,20 @@
 		{Instance: "agent-2", FailureDomain: "north", Reason: "instance is leaving"},
 	}, e.Upstreams)
 }
+
+// Guards against a reference page that no longer matches the program, and
+// against keys without an explanation.
+func TestSettingsPageIsCurrent(t *testing.T) {
+	page, err := settings.Markdown()
+	require.NoError(t, err)
+	committed, err := os.ReadFile("../../docs/settings.md")
+	require.NoError(t, err)
+	require.Equal(t, page, string(committed), "write it anew with: rattanspur settings > docs/settings.md")
+	for _, role := range []fleet.Role{fleet.RoleEntry, fleet.RoleAgent} {
+		keys, err := settings.Reference(role)
+		require.NoError(t, err)
+		for _, k := range keys {
+			require.NotEmpty(t, k.Meaning, k.Name)
+		}
+	}
+}
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -115,6 +115,12 @@
 	if err != nil {
 		return nil, err
 	}
+	s := r.entry()
+	r.unknown("node", "entry")
+	return s, r.findings.Err()
+}
+
+func (r *reader) entry() *Entry {
 	s := &Entry{Node: r.node(fleet.RoleEntry)}
 	s.Calls = r.integer("entry", "calls", 512, 1)
 	s.CallTimeout = r.duration("entry", "call_timeout", 60*time.Second)
@@ -127,8 +133,7 @@
 	s.FirstByteTimeout = r.duration("entry", "first_byte_timeout", 20*time.Second)
 	s.ProgressTimeout = r.duration("entry", "progress_timeout", 10*time.Second)
 	s.ConnectionAge = r.duration("entry", "connection_age", time.Minute)
-	r.unknown("node", "entry")
-	return s, r.findings.Err()
+	return s
 }
 
 // LoadAgent reads the settings of an agent. The error is a *finding.Error if
@@ -147,6 +152,12 @@
 	if err != nil {
 		return nil, err
 	}
+	s := r.agent()
+	r.unknown("node", "agent")
+	return s, r.findings.Err()
+}
+
+func (r *reader) agent() *Agent {
 	s := &Agent{Node: r.node(fleet.RoleAgent)}
 	s.Self.Service = fleet.Service(r.text("agent", "service", ""))
 	s.UpstreamURL = r.url("agent", "upstream_url")
@@ -164,8 +175,7 @@
 	s.HealthPath = r.text("agent", "health_path", "")
 	s.LeaveLinger = r.duration("agent", "leave_linger", 2*time.Second)
 	s.DrainTimeout = r.duration("agent", "drain_timeout", 75*time.Second)
-	r.unknown("node", "agent")
-	return s, r.findings.Err()
+	return s
 }
 
 // reader reads keys, notes which were asked for and collects findings.
@@ -174,6 +184,7 @@
 	lines    []string
 	file     *ini.File
 	asked    map[string]bool
+	keys     []Key
 	findings finding.List
 }
 
@@ -227,6 +238,7 @@
 // text reads a value; without a default the key is required, except for keys
 // that only some processes need.
 func (r *reader) text(section, name, missing string) string {
+	r.note(section, name, "text", missing)
 	k, ok := r.key(section, name)
 	if ok && k.String() != "" {
 		return k.String()
@@ -238,6 +250,7 @@
 }
 
 func (r *reader) list(section, name string) []string {
+	r.note(section, name, "list", "")
 	k, ok := r.key(section, name)
 	if !ok || len(k.Strings(",")) == 0 {
 		r.add(section, name, "is missing or empty")
@@ -276,6 +289,7 @@
 }
 
 func (r *reader) integer(section, name string, missing, least int) int {
+	r.note(section, name, "whole number", strconv.Itoa(missing))
 	k, ok := r.key(section, name)
 	if !ok {
 		return missing
@@ -289,6 +303,7 @@
 }
 
 func (r *reader) duration(section, name string, missing time.Duration) time.Duration {
+	r.note(section, name, "duration", missing.String())
 	k, ok := r.key(section, name)
 	if !ok {
 		return missing
