transfer: bound the cost of ranking at the expected size

Cause: at 10,000 chunks and 2,100 agents the choice of the retained share took 186 ms and each change of a view ranked all members again, although views also change with what members serve.

Change: names are hashed once per ranking; a view with the same members costs nothing.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -8,7 +8,6 @@
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
-	"rattanspur.example/lib/pacing"
 	"rattanspur.example/lib/rollout"
 	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/transfer"
@@ -293,5 +292,3 @@
 	p.agent.node.Record(timeline.Event{Kind: timeline.TransferDone, Profile: p.wanted.Name})
 	_ = p.agent.engineer.Put(ctx, rollout.WeightsReady{Root: p.held.root})
 }
-
-func pacingShare(n int) pacing.BytesPerSecond { return pacing.BytesPerSecond(n) }
--- a/agent/puller.go
+++ b/agent/puller.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/manifest"
 	"rattanspur.example/lib/node"
+	"rattanspur.example/lib/pacing"
 	"rattanspur.example/lib/transfer"
 	"rattanspur.example/lib/weightstore"
 	"rattanspur.example/lib/wire"
@@ -130,6 +132,7 @@
 // setView takes in the members and the root that the configuration names. An
 // unfinished transfer of another root ends.
 func (p *puller) setView(ctx context.Context, v node.View) {
+	before := p.peers
 	p.members = map[fleet.InstanceID]fleet.Instance{}
 	p.peers = nil
 	for _, m := range v.Members {
@@ -147,6 +150,11 @@
 		p.end("configuration no longer names the root", time.Now())
 		p.held = nil
 	}
+	// Views also change with what members serve, often in a burst; ranking is
+	// worth its time only if the members themselves changed.
+	if slices.Equal(before, p.peers) {
+		return
+	}
 	if p.try != nil {
 		p.try.place = p.place()
 		p.step(ctx, transfer.PeersChanged{Peers: p.peers})
@@ -244,5 +252,5 @@
 	}
 	place := p.place()
 	share := max(len(place.Drawers()), 1)
-	p.agent.region.SetRate(p.agent.settings.RegionLink / pacingShare(share))
+	p.agent.region.SetRate(p.agent.settings.RegionLink / pacing.BytesPerSecond(share))
 }
--- /dev/null
+++ b/lib/transfer/bench_test.go
@@ -0,0 +1,82 @@
+package transfer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rattanspur.example/lib/fleet"
+)
+
+// The expected size: a root of 10,000 chunks, 2,100 agents in 6 regions.
+const (
+	benchChunks = 10_000
+	benchAgents = 2_100
+)
+
+func benchCore(now time.Time) (*Core, []Peer) {
+	var peers []Peer
+	for i := range benchAgents {
+		peers = append(peers, Peer{fleet.InstanceID(fmt.Sprintf("agent-%d", i)), fleet.Region(fmt.Sprintf("region-%d", i%6))})
+	}
+	limits := newSim(0, 0, "north").limits
+	limits.Peers, limits.Drawers, limits.InFlight, limits.PerSource = 16, 8, 4, 1
+	c := New(Start{Self: peers[0], StoreRegion: "region-0", Root: rootA, Chunks: benchChunks}, limits, now)
+	return c, peers
+}
+
+// BenchmarkChunkEnded is one verified chunk and the requests that follow, with
+// 16 peers that hold half of the chunks each.
+func BenchmarkChunkEnded(b *testing.B) {
+	now := time.Unix(0, 0)
+	c, peers := benchCore(now)
+	actions := c.Step(now, PeersChanged{Peers: peers})
+	var open []RequestChunk
+	keep := func(actions []Action) {
+		for _, a := range actions {
+			if r, ok := a.(RequestChunk); ok {
+				open = append(open, r)
+			}
+		}
+	}
+	keep(actions)
+	for k, p := range c.followed {
+		half := NewSet(benchChunks)
+		for i := k % 2; i < benchChunks; i += 2 {
+			half.Add(i)
+		}
+		keep(c.Step(now, HaveReceived{Peer: p.ID, Update: HaveUpdate{Full: true, Have: half}}))
+	}
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		if len(open) == 0 || c.missing < benchChunks/10 {
+			b.StopTimer()
+			clear(c.have)
+			c.missing = benchChunks
+			b.StartTimer()
+			keep(c.Step(now, Tick{}))
+			continue
+		}
+		r := open[0]
+		open = open[1:]
+		keep(c.Step(now, ChunkEnded{Index: r.Index, Source: r.Source}))
+	}
+}
+
+// BenchmarkPeersChanged is one change of the members.
+func BenchmarkPeersChanged(b *testing.B) {
+	now := time.Unix(0, 0)
+	c, peers := benchCore(now)
+	for b.Loop() {
+		c.Step(now, PeersChanged{Peers: peers})
+	}
+}
+
+// BenchmarkRetained is the choice of the share after loading.
+func BenchmarkRetained(b *testing.B) {
+	_, peers := benchCore(time.Unix(0, 0))
+	place := Place(peers[0], peers, "region-0", rootA, 8)
+	for b.Loop() {
+		Retained(peers[0].ID, place.Local, rootA, benchChunks, 3)
+	}
+}
--- a/lib/transfer/draw.go
+++ b/lib/transfer/draw.go
@@ -8,6 +8,9 @@
 
 // drawState holds what an agent draws for its region.
 type drawState struct {
+	// drawers and region rank the drawers and the other agents of the region.
+	drawers ranking
+	region  ranking
 	// own lists the chunks for which the agent ranks first, in its own order.
 	own []int
 	// parents holds the region from which each of own is drawn.
@@ -39,12 +42,14 @@
 // setDraws ranks the drawers of the region for every chunk.
 func (c *Core) setDraws() {
 	c.draws.own, c.draws.parents, c.draws.next = nil, nil, 0
+	c.draws.drawers = newRanking(c.place.Drawers())
+	c.draws.region = newRanking(without(c.place.Local, c.start.Self.ID))
 	if !c.place.Drawer() {
 		return
 	}
 	for i := range c.start.Chunks {
-		key := chunkKey(c.start.Root, i)
-		first := topRanked(key, c.place.Drawers(), 1)
+		key := chunkHash(c.start.Root, i)
+		first := c.draws.drawers.top(key, 1)
 		if first[0].ID == c.start.Self.ID {
 			c.draws.own = append(c.draws.own, i)
 			c.draws.parents = append(c.draws.parents, c.place.parent(c.start.Self.Region, key))
@@ -173,7 +178,7 @@
 		case alone && c.wanted(i):
 			actions = c.drawFallback(now, i, actions)
 		case c.unseen(i) && !c.guessable(i) && c.mayTakeOver(now, i, delay):
-			parent := c.place.parent(c.start.Self.Region, chunkKey(c.start.Root, i))
+			parent := c.place.parent(c.start.Self.Region, chunkHash(c.start.Root, i))
 			actions = c.draw(now, i, parent, delay, actions)
 		}
 	}
@@ -199,7 +204,7 @@
 	if !c.place.Drawer() {
 		return false
 	}
-	order := topRanked(chunkKey(c.start.Root, i), c.place.Drawers(), len(c.place.Drawers()))
+	order := c.draws.drawers.top(chunkHash(c.start.Root, i), maxTop)
 	for r, d := range order {
 		if d.ID == c.start.Self.ID {
 			return true
@@ -237,7 +242,6 @@
 	if len(c.flights) >= c.limits.InFlight || !c.retainingNear() {
 		return actions
 	}
-	others := without(c.place.Local, c.start.Self.ID)
 	tried := 0
 	for i := 0; i < c.start.Chunks && len(c.flights) < c.limits.InFlight; i++ {
 		if !c.unseen(i) || !c.guessable(i) {
@@ -247,7 +251,7 @@
 		if tried++; tried > guessesPerStep {
 			break
 		}
-		holders := topRanked(chunkKey(c.start.Root, i), others, c.limits.Copies)
+		holders := c.draws.region.top(chunkHash(c.start.Root, i), c.limits.Copies)
 		g := c.draws.guesses[i]
 		if g >= len(holders) {
 			c.draws.guesses[i] = c.limits.Copies
--- a/lib/transfer/placement.go
+++ b/lib/transfer/placement.go
@@ -128,10 +128,10 @@
 // chunk the regions form a binary tree in the order of their rank, with the
 // home region above the first, so that the home region's drawers send each
 // chunk to one other region and not to all of them.
-func (pl *Placement) parent(self fleet.Region, key string) fleet.Region {
+func (pl *Placement) parent(self fleet.Region, chunk uint64) fleet.Region {
 	order := slices.Clone(pl.others)
 	slices.SortStableFunc(order, func(a, b fleet.Region) int {
-		return cmp.Compare(fleet.Rank(key, string(b)), fleet.Rank(key, string(a)))
+		return cmp.Compare(weight(memberHash(string(b)), chunk), weight(memberHash(string(a)), chunk))
 	})
 	at := slices.Index(order, self)
 	if at <= 0 {
@@ -195,50 +195,13 @@
 // manifestPeers is the number of peers that are asked after the drawers.
 const manifestPeers = 4
 
-// chunkKey identifies a chunk for rendezvous hashing.
-func chunkKey(root fleet.Digest, index int) string {
-	b := make([]byte, 0, keyRootBytes+4)
-	b = append(b, root[:keyRootBytes]...)
-	return string(append(b, byte(index), byte(index>>8), byte(index>>16), byte(index>>24)))
-}
-
-// keyRootBytes of the root tell roots apart well enough for ranking.
-const keyRootBytes = 8
-
-// topRanked returns the ranks positions of the greatest weights for a chunk.
-func topRanked(key string, peers []Peer, count int) []Peer {
-	type weighted struct {
-		peer   Peer
-		weight uint64
-	}
-	top := make([]weighted, 0, count+1)
-	for _, p := range peers {
-		w := weighted{p, fleet.Rank(key, string(p.ID))}
-		at := len(top)
-		for at > 0 && top[at-1].weight < w.weight {
-			at--
-		}
-		if at == count {
-			continue
-		}
-		top = append(top, weighted{})
-		copy(top[at+1:], top[at:])
-		top[at] = w
-		top = top[:min(len(top), count)]
-	}
-	out := make([]Peer, len(top))
-	for i, w := range top {
-		out[i] = w.peer
-	}
-	return out
-}
-
 // Retained returns the set of chunks that an agent keeps after loading: those
 // for which it is among the first copies of its region.
 func Retained(self fleet.InstanceID, local []Peer, root fleet.Digest, chunks, copies int) Set {
 	kept := NewSet(chunks)
+	region := newRanking(local)
 	for i := range chunks {
-		for _, p := range topRanked(chunkKey(root, i), local, copies) {
+		for _, p := range region.top(chunkHash(root, i), copies) {
 			if p.ID == self {
 				kept.Add(i)
 			}
--- /dev/null
+++ b/lib/transfer/ranking.go
@@ -0,0 +1,71 @@
+package transfer
+
+import (
+	"encoding/binary"
+
+	"rattanspur.example/lib/fleet"
+)
+
+// ranking ranks peers for many chunks. A peer's name is hashed once, because
+// at the expected size the pairs of chunk and peer count in millions.
+type ranking struct {
+	peers  []Peer
+	hashes []uint64
+}
+
+func newRanking(peers []Peer) ranking {
+	r := ranking{peers: peers, hashes: make([]uint64, len(peers))}
+	for i, p := range peers {
+		r.hashes[i] = memberHash(string(p.ID))
+	}
+	return r
+}
+
+func memberHash(name string) uint64 { return fleet.Rank("member", name) }
+
+// chunkHash identifies a chunk for rendezvous hashing.
+func chunkHash(root fleet.Digest, index int) uint64 {
+	return weight(binary.LittleEndian.Uint64(root[:]), uint64(index))
+}
+
+// weight mixes two hashes; the constants are those of the finalizer of
+// MurmurHash3, whose every output bit depends on every input bit.
+func weight(a, b uint64) uint64 {
+	x := a ^ (b * 0x9e3779b97f4a7c15)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
+
+// top returns the peers with the greatest weights for a chunk, at most count.
+func (r *ranking) top(chunk uint64, count int) []Peer {
+	var positions [maxTop]int
+	var weights [maxTop]uint64
+	count = min(count, maxTop)
+	found := 0
+	for i, h := range r.hashes {
+		w := weight(h, chunk)
+		at := found
+		for at > 0 && weights[at-1] < w {
+			at--
+		}
+		if at == count {
+			continue
+		}
+		found = min(found+1, count)
+		copy(weights[at+1:found], weights[at:found-1])
+		copy(positions[at+1:found], positions[at:found-1])
+		weights[at], positions[at] = w, i
+	}
+	out := make([]Peer, found)
+	for i := range out {
+		out[i] = r.peers[positions[i]]
+	}
+	return out
+}
+
+// maxTop bounds the ranks that are asked for: drawers and retained copies.
+const maxTop = 32
