--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -44,6 +44,22 @@
 	CallTimeout time.Duration
 	// BodyBytes bounds a caller's request body.
 	BodyBytes int64
+	// StreamBytes bounds the body of one response.
+	StreamBytes int64
+	// Connections bounds the callers' open connections.
+	Connections int
+	// QueueCalls and CustomerCalls bound the waiting calls of one service, in
+	// total and for each customer.
+	QueueCalls    int
+	CustomerCalls int
+	// QueueWait bounds how long a call waits for room.
+	QueueWait time.Duration
+	// FirstByteTimeout bounds the time to the head of an agent's response, and
+	// ProgressTimeout the time between two reads of its body.
+	FirstByteTimeout time.Duration
+	ProgressTimeout  time.Duration
+	// ConnectionAge is how long connections to an agent are reused.
+	ConnectionAge time.Duration
 }
 
 // Agent holds the settings of an agent.
@@ -68,6 +84,19 @@
 	Linger time.Duration
 	// OrderTimeout bounds one order to the engine.
 	OrderTimeout time.Duration
+	// OrderSettle is the longest time that an order of an earlier agent may
+	// still take at an engine that ignores fencing tokens.
+	OrderSettle time.Duration
+	// ProgressTimeout is how long the upstream may send nothing of an answer.
+	ProgressTimeout time.Duration
+	// HealthPath is asked to check a plain service; without it a connection
+	// that can be made is enough.
+	HealthPath string
+	// LeaveLinger is how long a stopping agent refuses calls of entries that
+	// have not heard of it yet, before it closes its port.
+	LeaveLinger time.Duration
+	// DrainTimeout bounds a graceful stop.
+	DrainTimeout time.Duration
 }
 
 // LoadEntry reads the settings of an entry. The error is a *finding.Error if
@@ -90,6 +119,14 @@
 	s.Calls = r.integer("entry", "calls", 512, 1)
 	s.CallTimeout = r.duration("entry", "call_timeout", 60*time.Second)
 	s.BodyBytes = int64(r.integer("entry", "body_bytes", 1<<20, 1))
+	s.StreamBytes = int64(r.integer("entry", "stream_bytes", 64<<20, 1))
+	s.Connections = r.integer("entry", "connections", 4096, 1)
+	s.QueueCalls = r.integer("entry", "queue_calls", 2048, 1)
+	s.CustomerCalls = r.integer("entry", "customer_calls", 512, 1)
+	s.QueueWait = r.duration("entry", "queue_wait", 10*time.Second)
+	s.FirstByteTimeout = r.duration("entry", "first_byte_timeout", 20*time.Second)
+	s.ProgressTimeout = r.duration("entry", "progress_timeout", 10*time.Second)
+	s.ConnectionAge = r.duration("entry", "connection_age", time.Minute)
 	r.unknown("node", "entry")
 	return s, r.findings.Err()
 }
@@ -122,6 +159,11 @@
 	s.ChunkPeers = r.integer("agent", "chunk_peers", 16, 0)
 	s.Linger = r.duration("agent", "linger", 2*time.Minute)
 	s.OrderTimeout = r.duration("agent", "order_timeout", 5*time.Minute)
+	s.OrderSettle = r.duration("agent", "order_settle", time.Minute)
+	s.ProgressTimeout = r.duration("agent", "progress_timeout", 30*time.Second)
+	s.HealthPath = r.text("agent", "health_path", "")
+	s.LeaveLinger = r.duration("agent", "leave_linger", 2*time.Second)
+	s.DrainTimeout = r.duration("agent", "drain_timeout", 75*time.Second)
 	r.unknown("node", "agent")
 	return s, r.findings.Err()
 }
@@ -183,19 +225,19 @@
 // that only some processes need.
 func (r *reader) text(section, name, missing string) string {
 	k, ok := r.key(section, name)
-	if ok {
+	if ok && k.String() != "" {
 		return k.String()
 	}
-	if missing == "" && name != "operator_key" {
-		r.add(section, name, "is missing")
+	if missing == "" && name != "operator_key" && name != "health_path" {
+		r.add(section, name, "is missing or empty")
 	}
 	return missing
 }
 
 func (r *reader) list(section, name string) []string {
 	k, ok := r.key(section, name)
-	if !ok {
-		r.add(section, name, "is missing")
+	if !ok || len(k.Strings(",")) == 0 {
+		r.add(section, name, "is missing or empty")
 		return nil
 	}
 	return k.Strings(",")
