agent: tell the engineer when the chunks of a root are freed

Cause: after the retained share was left, an engine that restarted was ordered to load a root of which the agent no longer held every chunk.

Change: the puller sends WeightsGone when it reduces or replaces a root, so that the next load is preceded by a transfer of what is missing.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -61,7 +61,7 @@
 	}
 	now := time.Now()
 	if !same {
-		p.replace(profile.Weights.Root, now)
+		p.replace(ctx, profile.Weights.Root, now)
 	}
 	p.wanted = profile
 	p.named = profile.Weights.Root
@@ -71,7 +71,7 @@
 
 // replace makes room for another root. A share of a complete root is kept
 // while it is well below a whole copy; chunks of an unfinished one are freed.
-func (p *puller) replace(root fleet.Digest, now time.Time) {
+func (p *puller) replace(ctx context.Context, root fleet.Digest, now time.Time) {
 	p.end("another root is wanted", now)
 	next := (*holding)(nil)
 	if p.previous != nil && p.previous.root == root {
@@ -83,6 +83,9 @@
 			p.previous = share
 		}
 	}
+	if p.held != nil && p.held.complete {
+		_ = p.agent.engineer.Put(ctx, rollout.WeightsGone{Root: p.held.root})
+	}
 	p.held = next
 	p.reduceAt = time.Time{}
 }
@@ -130,7 +133,7 @@
 func (p *puller) tick(ctx context.Context, now time.Time) {
 	if !p.reduceAt.IsZero() && !now.Before(p.reduceAt) {
 		p.reduceAt = time.Time{}
-		p.reduce()
+		p.reduce(ctx)
 	}
 	if p.try == nil {
 		unfinished := p.wanted != nil && !p.retryAt.IsZero() && !now.Before(p.retryAt)
@@ -154,12 +157,15 @@
 }
 
 // reduce frees the chunks outside this agent's share.
-func (p *puller) reduce() {
+func (p *puller) reduce(ctx context.Context) {
 	if p.held == nil || !p.held.complete {
 		return
 	}
 	p.held = p.share(p.held)
 	p.previous = nil
+	if !p.held.complete {
+		_ = p.agent.engineer.Put(ctx, rollout.WeightsGone{Root: p.held.root})
+	}
 }
 
 func (p *puller) askManifest(ctx context.Context, now time.Time) {
