--- /dev/null
+++ b/bench/e2e/engine_switch_test.go
@@ -0,0 +1,142 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/bench/lab"
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/wire"
+	"rattanspur.example/standin"
+)
+
+// countWithout watches the engines until the returned function is called,
+// which tells how many at most held no version at a time.
+func countWithout(ctx context.Context, l *lab.Lab) func() int {
+	watching, end := context.WithCancel(ctx)
+	most := 0
+	var group sync.WaitGroup
+	group.Go(func() {
+		for watching.Err() == nil {
+			without := 0
+			for _, p := range l.Agents {
+				if p.Engine.Counts(ctx).Loaded == 0 {
+					without++
+				}
+			}
+			most = max(most, without)
+			pause(watching, time.Millisecond)
+		}
+	})
+	return func() int {
+		end()
+		group.Wait()
+		return most
+	}
+}
+
+// Guards against an answer by two versions or by another than asked for, an
+// unload below running calls, an engine that holds two versions without room,
+// and more engines without a version than max_unavailable.
+func TestSwitchInMidTraffic(t *testing.T) {
+	for _, alongside := range []bool{true, false} {
+		t.Run(fmt.Sprint("alongside=", alongside), func(t *testing.T) {
+			o := small()
+			o.Engine = standin.EngineOptions{ChecksFence: true, OneVersion: !alongside, TokenTime: time.Millisecond}
+			ctx, l, first := engineLab(t, o)
+			require.NoError(t, l.Publish(func(d *config.Document) {
+				d.Services[0].LoadsAlongside = alongside
+				d.Services[0].ChecksFence = true
+				d.Services[0].Limits.MaxUnavailable = 1
+			}))
+			stop := load(ctx, l, 12)
+			without := countWithout(ctx, l)
+			_, second, err := l.AddStore(2)
+			require.NoError(t, err)
+			require.NoError(t, l.PublishProfile("burst-2", "v2", second))
+			require.NoError(t, l.AwaitReady(ctx, second.Root, l.Agents...))
+			for _, p := range l.Agents {
+				require.NoError(t, lab.Await(ctx, func() error {
+					if p.Engine.Holds(ctx, first.Root.String()) {
+						return fmt.Errorf("%s still holds the old version", p.ID)
+					}
+					return nil
+				}))
+			}
+			if most := without(); !alongside {
+				require.Equal(t, 1, most, "engines without a version at a time")
+			}
+			answers := stop()
+			for _, a := range answers {
+				if a.Status == http.StatusOK && a.Outcome == wire.Ran {
+					require.Contains(t, []string{"v1", "v2"}, version(a), a.Body)
+					require.NotContains(t, a.Body, "another request")
+				}
+			}
+			for _, p := range l.Agents {
+				c := p.Engine.Counts(ctx)
+				require.Zero(t, c.UnloadedInUse, p.ID)
+				if !alongside {
+					require.Equal(t, 1, c.MostLoaded, p.ID)
+				}
+			}
+			a, err := l.Chat(ctx, 0, "after")
+			require.NoError(t, err)
+			require.Equal(t, "v2", version(a), a.Body)
+		})
+	}
+}
+
+// Guards against a crash that is not told to the other processes, against
+// innocent requests that stay under suspicion after they completed, and
+// against a suspected one that runs beside others.
+func TestCrashMakesSuspects(t *testing.T) {
+	o := small()
+	o.Engine = standin.EngineOptions{
+		ChecksFence: true, KeepsVersions: true, TokenTime: 20 * time.Millisecond, CrashOn: "poison",
+	}
+	ctx, l, w := engineLab(t, o)
+	p := l.Agents[0]
+	call := func(fingerprint, text string) (lab.Answer, error) {
+		c := wire.Call{
+			Request: fingerprint, Service: lab.Service, Root: w.Root,
+			Deadline: 20 * time.Second, Fingerprint: fingerprint,
+		}
+		return l.CallAgent(ctx, p, c, lab.ChatPath, lab.ChatBody(text))
+	}
+	var group sync.WaitGroup
+	group.Go(func() { _, _ = call("innocent", "tray-1") })
+	awaitCounts(ctx, t, p.Engine, "begun", func(c standin.EngineCounts) bool { return c.Running == 1 })
+	_, _ = call("guilty", "poison")
+	group.Wait()
+	awaitSuspects(ctx, t, l, 2)
+	require.NoError(t, l.AwaitReady(ctx, w.Root, p))
+	require.NoError(t, lab.Await(ctx, func() error {
+		a, err := call("innocent", "tray-1")
+		if err == nil && (a.Status != http.StatusOK || a.Outcome != wire.Ran) {
+			err = fmt.Errorf("status %d: %s", a.Status, a.Body)
+		}
+		return err
+	}))
+	awaitSuspects(ctx, t, l, 1)
+}
+
+// awaitSuspects waits until all agents know of a number of suspects.
+func awaitSuspects(ctx context.Context, t *testing.T, l *lab.Lab, count int) {
+	t.Helper()
+	for _, p := range l.Agents {
+		require.NoError(t, lab.Await(ctx, func() error {
+			s, err := l.Status(ctx, p)
+			if err == nil && s.Gate.Suspects != count {
+				err = fmt.Errorf("%s knows %d suspects, want %d", p.ID, s.Gate.Suspects, count)
+			}
+			return err
+		}))
+	}
+}
--- a/bench/e2e/engine_test.go
+++ b/bench/e2e/engine_test.go
@@ -133,54 +133,6 @@
 	}
 }
 
-// Guards against an answer by two versions or by another than asked for, an
-// unload below running calls, and an engine that holds two versions without
-// room, whether the engine loads alongside or not.
-func TestSwitchInMidTraffic(t *testing.T) {
-	for _, alongside := range []bool{true, false} {
-		t.Run(fmt.Sprint("alongside=", alongside), func(t *testing.T) {
-			o := small()
-			o.Engine = standin.EngineOptions{ChecksFence: true, OneVersion: !alongside, TokenTime: time.Millisecond}
-			ctx, l, first := engineLab(t, o)
-			require.NoError(t, l.Publish(func(d *config.Document) {
-				d.Services[0].LoadsAlongside = alongside
-				d.Services[0].ChecksFence = true
-				d.Services[0].Limits.MaxUnavailable = 1
-			}))
-			stop := load(ctx, l, 12)
-			_, second, err := l.AddStore(2)
-			require.NoError(t, err)
-			require.NoError(t, l.PublishProfile("burst-2", "v2", second))
-			require.NoError(t, l.AwaitReady(ctx, second.Root, l.Agents...))
-			for _, p := range l.Agents {
-				require.NoError(t, lab.Await(ctx, func() error {
-					if p.Engine.Holds(ctx, first.Root.String()) {
-						return fmt.Errorf("%s still holds the old version", p.ID)
-					}
-					return nil
-				}))
-			}
-			answers := stop()
-			for _, a := range answers {
-				if a.Status == http.StatusOK && a.Outcome == wire.Ran {
-					require.Contains(t, []string{"v1", "v2"}, version(a), a.Body)
-					require.NotContains(t, a.Body, "another request")
-				}
-			}
-			for _, p := range l.Agents {
-				c := p.Engine.Counts(ctx)
-				require.Zero(t, c.UnloadedInUse, p.ID)
-				if !alongside {
-					require.Equal(t, 1, c.MostLoaded, p.ID)
-				}
-			}
-			a, err := l.Chat(ctx, 0, "after")
-			require.NoError(t, err)
-			require.Equal(t, "v2", version(a), a.Body)
-		})
-	}
-}
-
 // Guards against calls that an agent held, or found in its socket, while it
 // was paused, and runs although its domain was taken out in the meantime. The
 // agent wakes with its old view and hears of the change later.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -61,8 +61,8 @@
 	MostRunning int
 	// Running is the number of calls now.
 	Running int
-	// MostLoaded is the greatest number of versions at a time.
-	MostLoaded int
+	// Loaded is the number of versions now, MostLoaded the greatest number.
+	Loaded, MostLoaded int
 	// UnloadedInUse counts unload orders for versions with running calls.
 	UnloadedInUse int
 	// Orders and Fenced count orders and those with an old number.
@@ -156,7 +156,11 @@
 
 // Counts returns what the engine did so far.
 func (e *Engine) Counts(ctx context.Context) EngineCounts {
-	return ask(ctx, e, func(s *engineState) EngineCounts { return s.counts })
+	return ask(ctx, e, func(s *engineState) EngineCounts {
+		c := s.counts
+		c.Loaded = len(s.loaded)
+		return c
+	})
 }
 
 // bootKey is the context key of the start in which a connection was accepted.
