--- a/agent/status.go
+++ b/agent/status.go
@@ -14,7 +14,7 @@
 	"rattanspur.example/lib/wire"
 )
 
-// Status is what an agent says of itself and of its upstream side.
+// Status is what an agent says of itself and of its upstream.
 type Status struct {
 	node.Status
 	Gate    gate.State    `json:"gate"`
