node, bench/e2e: test reports, log rate and replaced watchers

Cause: reports once per cause, the log rate during an outage and the replacement of watchers in real processes had no test.

--- a/bench/e2e/fleet_config_test.go
+++ b/bench/e2e/fleet_config_test.go
@@ -247,3 +247,34 @@
 	}
 	return nil
 }
+
+// Guards against watchers that are killed all at once and leave nobody to see
+// the next publication.
+func TestWatchersAreReplaced(t *testing.T) {
+	l, ctx := fleetLab(t)
+	// A process that could not be reached while it started is passed over for
+	// a while, and then another one watches besides.
+	var watchers, rest []*lab.Process
+	require.NoError(t, lab.Await(ctx, func() error {
+		watchers, rest = nil, nil
+		for _, p := range all(l) {
+			if s, err := status(ctx, p); err == nil && s.Watching {
+				watchers = append(watchers, p)
+			} else {
+				rest = append(rest, p)
+			}
+		}
+		if len(watchers) != 3*gossip.Watchers {
+			return fmt.Errorf("%d watchers", len(watchers))
+		}
+		return nil
+	}))
+	for _, p := range watchers {
+		require.NoError(t, l.Signal(p, os.Kill))
+		require.NoError(t, l.Wait(ctx, p))
+	}
+	require.NoError(t, l.PublishDomain("hooghly", config.DomainOut))
+	for _, p := range rest {
+		awaitStatus(ctx, t, p, func(s node.Status) bool { return s.Generation == 2 })
+	}
+}
--- /dev/null
+++ b/lib/node/configuration_test.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/settings"
+)
+
+func newAdopter() (*adopter, *bytes.Buffer) {
+	var logged bytes.Buffer
+	n := New(settings.Node{}, log.NewLogfmtLogger(&logged))
+	return &adopter{node: n, reported: map[string]bool{}}, &logged
+}
+
+func published(g int, space string) []byte { return fmt.Appendf(nil, `{"generation":%d}%s`, g, space) }
+
+// Guards against a report for each read of the same rejected, conflicting or
+// older document, and against one that replaces the adopted document.
+func TestEachCauseIsReportedOnce(t *testing.T) {
+	a, logged := newAdopter()
+	ctx := t.Context()
+	a.take(ctx, document{bytes: published(5, "")})
+	var low, high []byte
+	for _, space := range []string{" ", "  ", "   ", "\n"} {
+		other, err := config.Accept(published(5, space))
+		require.NoError(t, err)
+		if other.Stamp.Compare(a.adopted.Stamp) < 0 {
+			low = other.Bytes
+		} else {
+			high = other.Bytes
+		}
+	}
+	for range 3 {
+		a.take(ctx, document{bytes: []byte(`{"generation":9,"typo":1}`)})
+		a.take(ctx, document{bytes: published(4, "")})
+		for _, other := range [][]byte{low, high} {
+			if other != nil {
+				a.take(ctx, document{bytes: other})
+			}
+		}
+	}
+	require.Equal(t, fleet.Generation(5), a.adopted.Generation)
+	require.Equal(t, 1, strings.Count(logged.String(), "rejected"))
+	require.Equal(t, 1, strings.Count(logged.String(), "older generation"))
+	if high != nil {
+		require.Equal(t, high, a.adopted.Bytes)
+	}
+	require.Contains(t, logged.String(), "two contents")
+	require.LessOrEqual(t, strings.Count(logged.String(), "two contents"), 3)
+}
+
+// Guards against a peer that sends another document than it announced, which
+// would be fetched again from every process.
+func TestDocumentMustMatchItsStamp(t *testing.T) {
+	a, _ := newAdopter()
+	want := config.Stamp{Generation: 3, Digest: fleet.Digest{1}}
+	a.take(context.Background(), document{bytes: published(3, ""), stamp: want, address: "127.0.0.1:1"})
+	require.Nil(t, a.adopted)
+	e, err := a.node.inbox.Take(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, refusedDocument{stamp: want}, e)
+}
+
+// Guards against a log line for each failed read while the service is down.
+func TestOutageIsLoggedAtABoundedRate(t *testing.T) {
+	a, logged := newAdopter()
+	o := &outage{node: a.node, text: "service"}
+	start := time.Unix(1000, 0)
+	for i := range 100 {
+		o.failed(start.Add(time.Duration(i)*time.Second), errors.New("refused"))
+	}
+	require.Equal(t, 4, strings.Count(logged.String(), "could not be read"))
+	o.answered()
+	o.answered()
+	require.Equal(t, 1, strings.Count(logged.String(), "can be read again"))
+}
--- a/lib/node/watch.go
+++ b/lib/node/watch.go
@@ -31,9 +31,9 @@
 	down   bool
 }
 
-func (o *outage) failed(err error) {
+func (o *outage) failed(now time.Time, err error) {
 	o.down = true
-	if now := time.Now(); o.logged.IsZero() || now.Sub(o.logged) >= logEvery {
+	if o.logged.IsZero() || now.Sub(o.logged) >= logEvery {
 		o.logged = now
 		_ = level.Warn(o.node.logger).Log("msg", o.text+" could not be read", "err", err)
 	}
@@ -110,7 +110,7 @@
 	defer cancel()
 	value, err := w.service.Read(limited, index, wait)
 	if err != nil {
-		w.outage.failed(err)
+		w.outage.failed(time.Now(), err)
 		return err
 	}
 	w.outage.answered()
@@ -164,7 +164,7 @@
 	defer cancel()
 	list, size, err := s.Read(limited)
 	if err != nil {
-		o.failed(err)
+		o.failed(time.Now(), err)
 		return list, size, err
 	}
 	o.answered()
