--- a/bench/scenario/serving.go
+++ b/bench/scenario/serving.go
@@ -4,46 +4,48 @@
 	"context"
 
 	"rattanspur.example/bench/lab"
+	"rattanspur.example/lib/engine"
+	"rattanspur.example/lib/fleet"
 )
 
-// startServing starts a lab, publishes a small profile and waits until calls
-// are answered by all engines' version. The caller must close the lab.
-func startServing(ctx context.Context, env Env, o lab.Options) (*lab.Lab, error) {
+// startServing starts a lab, publishes a small profile and waits until every
+// entry gets an answer. It also returns the name by which the engines serve
+// the profile. The caller must close the lab.
+func startServing(ctx context.Context, env Env, o lab.Options) (*lab.Lab, string, error) {
 	o.Binary = env.Binary
 	o.ModelBytes, o.ChunkBytes = 1<<20, 256<<10
 	l, err := lab.Start(o)
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
-	if err := serve(ctx, l); err != nil {
+	root, err := serve(ctx, l)
+	if err != nil {
 		l.Close()
-		return nil, err
+		return nil, "", err
 	}
-	return l, nil
+	return l, engine.ServedName(root), nil
 }
 
-func serve(ctx context.Context, l *lab.Lab) error {
+func serve(ctx context.Context, l *lab.Lab) (fleet.Digest, error) {
 	_, weights, err := l.AddStore(1)
 	if err != nil {
-		return err
+		return weights.Root, err
 	}
 	if err := l.PublishProfile("burst-1", "v1", weights); err != nil {
-		return err
+		return weights.Root, err
 	}
 	if err := l.AwaitServing(ctx, weights.Root.String(), len(l.Agents)); err != nil {
-		return err
+		return weights.Root, err
 	}
 	for _, e := range l.Entries {
 		body := chatBody(string(lab.Service), "ready", false)
 		err := lab.Await(ctx, func() error {
-			return post(ctx, lab.HTTP, "http://"+e.Address+"/v1/chat/completions", body)
+			_, err := post(ctx, lab.HTTP, "http://"+e.Address+"/v1/chat/completions", body)
+			return err
 		})
 		if err != nil {
-			return err
+			return weights.Root, err
 		}
 	}
-	return nil
+	return weights.Root, nil
 }
-
-// engineModel returns the name by which the engines serve the profile.
-func engineModel(*lab.Lab) (string, error) { return string(lab.Service), nil }
