--- /dev/null
+++ b/lib/once/began_unsafe.go
@@ -0,0 +1,5 @@
+//go:build onceunsafe
+
+package once
+
+const checkBegan = false
