agent, entry: protect requests that may not be repeated

Cause: calls with an Idempotency-Key or a token took the usual path, where a lost answer or a restart could lead to a second run. Change: the agent's keeper duty owns the memory of keys and tokens; a guard before the call handler admits, records the answer and finishes, and the last check is made before the hand-over. At the entry a duty of its own routes such calls to the one agent that may run them and resends a lost answer only there; after a lost answer, a refusal is never passed on as not-run. Hand-overs take a new connection, because net/http resends requests with an Idempotency-Key. Callers obtain tokens with POST /v1/tokens.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,7 @@
 	engineerViews *ring.Ring[node.View]
 	pullerViews   *ring.Ring[node.View]
 	gateViews     *ring.Ring[node.View]
+	keeperViews   *ring.Ring[node.View]
 
 	engineer *ring.Ring[engineerEvent]
 	orders   *ring.Ring[order]
@@ -50,6 +51,10 @@
 	gate     *ring.Ring[gateEvent]
 	grants   *ring.Ring[grant]
 
+	keeper       *ring.Ring[keeperEvent]
+	onceUpstream *http.Client
+	onceMetrics  *onceMetrics
+
 	up   *pacing.Link
 	down *pacing.Link
 }
@@ -66,6 +71,10 @@
 		engineerViews: n.Subscribe(),
 		pullerViews:   n.Subscribe(),
 		gateViews:     n.Subscribe(),
+		keeperViews:   n.Subscribe(),
+		keeper:        ring.New[keeperEvent](messageRing, ring.Wait),
+		onceUpstream:  newOnceClient(),
+		onceMetrics:   newOnceMetrics(),
 		engineer:      ring.New[engineerEvent](messageRing, ring.Wait),
 		orders:        ring.New[order](1, ring.Wait),
 		puller:        ring.New[pullerEvent](messageRing, ring.Wait),
@@ -119,6 +128,7 @@
 		g.Go("fetcher", a.runFetcher)
 	}
 	g.Go("gatekeeper", a.runGatekeeper)
+	g.Go("keeper", a.runKeeper)
 	for range a.settings.Calls {
 		g.Go("forwarder", a.runForwarder)
 	}
@@ -134,7 +144,8 @@
 func (a *Agent) handler() http.Handler {
 	keys := wire.Keys(a.settings.PeerKeys)
 	inside := http.NewServeMux()
-	inside.HandleFunc(wire.CallPath+"/", a.serveCall)
+	inside.HandleFunc(wire.CallPath+"/", a.guardOnce(a.serveCall))
+	inside.HandleFunc("POST "+wire.PathToken, a.serveToken)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/manifest", a.serveManifest)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/have", a.serveHave)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/chunks/{index}", a.serveChunk)
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -116,6 +116,11 @@
 }
 
 func (a *Agent) forward(ctx context.Context, g grant) {
+	if reason := a.confirmOnce(g.ctx); reason != "" {
+		_ = a.gate.Put(ctx, done{})
+		answerProblem(g, refusal(g.meta.Request, http.StatusServiceUnavailable, string(reason)))
+		return
+	}
 	reason := a.askGate(ctx, func(answer *ring.Ring[gate.Reason]) gateEvent {
 		return recheck{call: g.check, answer: answer}
 	})
@@ -140,7 +145,7 @@
 	req.Header.Del("Authorization")
 	req.Header.Del(wire.HeaderCall)
 	start := time.Now()
-	resp, err := a.upstream.Do(req)
+	resp, err := a.upstreamFor(g.meta).Do(req)
 	if err != nil {
 		a.recordCall(timeline.RequestUnknown, g.meta, err.Error())
 		answerProblem(g, lost(g.meta.Request, err))
--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -55,6 +55,12 @@
 	Limits     config.Limits
 	// Logs receives what the processes print; nil discards it.
 	Logs io.Writer
+	// Ledger makes the agents serve the plain service of that stand-in instead
+	// of model engines.
+	Ledger *standin.Ledger
+	// CutOff names the processes that have a configuration service and an
+	// instance list of their own, as behind a partition.
+	CutOff func(p *Process) bool
 	// ExtraAgent and ExtraEntry are appended to the settings files.
 	ExtraAgent string
 	ExtraEntry string
@@ -74,6 +80,7 @@
 	cancel  context.CancelFunc
 	ctx     context.Context
 	doc     config.Document
+	cut     *platformSide
 	closers []func()
 }
 
@@ -102,6 +109,9 @@
 	l.service = httptest.NewServer(l.Config.Handler())
 	l.list = httptest.NewServer(l.Instances.Handler())
 	l.closers = append(l.closers, l.service.Close, l.list.Close)
+	if o.CutOff != nil {
+		l.cut = l.newSide()
+	}
 	l.doc = l.document()
 	if err := l.startAll(); err != nil {
 		l.Close()
@@ -140,12 +150,20 @@
 
 // PublishInstances sets the instance list after a lag.
 func (l *Lab) PublishInstances(lag time.Duration) {
-	var list platform.InstanceList
+	var list, cut platform.InstanceList
 	for _, p := range l.processes() {
-		list.Instances = append(list.Instances, p.Instance)
+		if l.isCutOff(p) {
+			cut.Instances = append(cut.Instances, p.Instance)
+		} else {
+			list.Instances = append(list.Instances, p.Instance)
+		}
 	}
 	list.Revision = uint64(time.Now().UnixNano())
+	cut.Revision = list.Revision
 	l.Instances.Set(list, lag)
+	if l.cut != nil {
+		l.cut.instances.Set(cut, lag)
+	}
 }
 
 func (l *Lab) newAgent(i int) (*Process, error) {
@@ -153,6 +171,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.Options.Ledger != nil {
+		return l.withLedger(p), nil
+	}
 	p.Service = Service
 	p.Engine = standin.NewEngine(l.Options.Engine)
 	go func() { _ = p.Engine.Run(l.ctx) }()
@@ -222,7 +243,7 @@
 log_level = warn
 list_every = 500ms
 
-`, p.ID, p.Address, p.FailureDomain, p.Region, l.service.URL, ConfigKey, l.list.URL, PeerKey)
+`, p.ID, p.Address, p.FailureDomain, p.Region, l.configURL(p), ConfigKey, l.listURL(p), PeerKey)
 	if p.Role == fleet.RoleEntry {
 		return text + "[entry]\ncalls = 256\n" + l.Options.ExtraEntry
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,12 +37,25 @@
 	inbox    *ring.Ring[event]
 	attempts *ring.Ring[attempt]
 	agents   *http.Client
+
+	boundViews  *ring.Ring[node.View]
+	bound       *ring.Ring[*call]
+	errands     *ring.Ring[errand]
+	couriers    int
+	boundClient *http.Client
 }
 
 // New returns an entry; Run starts it.
 func New(s *settings.Entry, logger log.Logger) *Entry {
 	n := node.New(s.Node, logger)
+	errands, couriers := newErrands(s.Calls)
 	return &Entry{
+		boundViews:  n.Subscribe(),
+		bound:       ring.New[*call](s.Calls, ring.Wait),
+		errands:     errands,
+		couriers:    couriers,
+		boundClient: newBoundClient(),
+
 		settings: s,
 		node:     n,
 		views:    n.Subscribe(),
@@ -75,6 +88,10 @@
 	for range e.settings.Calls {
 		g.Go("forwarder", e.runForwarder)
 	}
+	g.Go("binder", e.runBinder)
+	for range e.couriers {
+		g.Go("courier", e.runCourier)
+	}
 	g.Go("server", func(context.Context) error { return serve(server, listener) })
 	select {
 	case <-ctx.Done():
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -50,7 +50,7 @@
 		keySHA256: keyDigest(wire.Bearer(r.Header)),
 		stream:    relay.NewStream(),
 	}
-	if err := e.inbox.Put(ctx, arrival{call: c}); err != nil {
+	if err := e.deliver(ctx, c); err != nil {
 		wire.WriteProblem(w, unavailable(c, "entry is stopping"))
 		return
 	}
--- /dev/null
+++ b/entry/once.go
@@ -0,0 +1,274 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+
+	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/node"
+	"rattanspur.example/lib/once"
+	"rattanspur.example/lib/relay"
+	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/wire"
+)
+
+const (
+	// tokensPath is where callers obtain a token.
+	tokensPath = "/v1/tokens"
+	// tokenTries bounds the agents that are asked for one token.
+	tokenTries = 3
+	// onceShare is the part of the calls in flight that may be bound to one
+	// agent by a key or token, as a divisor.
+	onceShare = 4
+)
+
+// errand is a piece of work for a binder: a call that is bound to one agent,
+// or the issue of a token by one of several agents.
+type errand struct {
+	call *call
+	meta wire.Call
+	// agents holds one agent for a call, and candidates for a token.
+	agents []fleet.Instance
+	token  *wire.TokenRequest
+}
+
+// binder routes calls with a key or token, which only one agent may run. It
+// owns its view of the agents; errands are carried out by a pool.
+type binder struct {
+	entry  *Entry
+	view   node.View
+	agents map[fleet.InstanceID]fleet.Instance
+}
+
+// deliver hands a call to the duty that routes it.
+func (e *Entry) deliver(ctx context.Context, c *call) error {
+	if c.header.Get(wire.HeaderKey) != "" || c.header.Get(wire.HeaderToken) != "" || isTokenCall(c) {
+		return e.bound.Put(ctx, c)
+	}
+	return e.inbox.Put(ctx, arrival{call: c})
+}
+
+func isTokenCall(c *call) bool {
+	path, _, _ := strings.Cut(c.path, "?")
+	return path == tokensPath
+}
+
+// runBinder owns the routing of calls with a key or token.
+func (e *Entry) runBinder(ctx context.Context) error {
+	b := &binder{entry: e}
+	for {
+		select {
+		case v := <-e.boundViews.Out():
+			b.update(v)
+		case c := <-e.bound.Out():
+			b.arrive(ctx, c)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (b *binder) update(v node.View) {
+	b.view = v
+	b.agents = make(map[fleet.InstanceID]fleet.Instance, len(v.Members))
+	for _, m := range v.Members {
+		if m.Role == fleet.RoleAgent {
+			b.agents[m.ID] = m
+		}
+	}
+}
+
+func (b *binder) arrive(ctx context.Context, c *call) {
+	if b.view.Config == nil {
+		answer(ctx, c, boundNotRun(c, http.StatusServiceUnavailable, string(once.NoConfig)))
+		return
+	}
+	customer := b.view.Config.CustomerByKey(c.keySHA256)
+	if customer == nil {
+		answer(ctx, c, &wire.Problem{
+			Type: wire.ProblemUnauthorized, Title: "customer key is missing or wrong",
+			Status: http.StatusUnauthorized, Request: c.id, Outcome: wire.NotRun,
+		})
+		return
+	}
+	var x errand
+	var p *wire.Problem
+	if isTokenCall(c) {
+		x, p = b.tokenErrand(c, customer)
+	} else {
+		x, p = b.callErrand(c, customer)
+	}
+	if p == nil && b.entry.errands.Put(ctx, x) != nil {
+		p = boundNotRun(c, http.StatusServiceUnavailable, "entry carries as many calls as it may")
+	}
+	if p != nil {
+		answer(ctx, c, p)
+	}
+}
+
+// callErrand finds the one agent that may run a call.
+func (b *binder) callErrand(c *call, customer *config.Customer) (errand, *wire.Problem) {
+	x := errand{call: c}
+	service, profile := boundTarget(b.view.Config, c)
+	if service == nil {
+		return x, invalid(http.StatusNotFound, "no profile, service or path matches")
+	}
+	x.meta = wire.Call{
+		Request:  c.id,
+		Customer: customer.Name, Priority: customer.Priority,
+		Service: service.Name,
+		Entry:   b.entry.settings.Self.ID,
+		Config:  b.view.Config.Stamp,
+		Key:     c.header.Get(wire.HeaderKey), Token: c.header.Get(wire.HeaderToken),
+		Once:        true,
+		Fingerprint: contentDigest(c),
+	}
+	if profile != nil {
+		x.meta.Profile, x.meta.Root = profile.Name, profile.Weights.Root
+	}
+	id, p := boundInstance(c, service, x.meta.Key, x.meta.Token)
+	if p != nil {
+		return x, p
+	}
+	agent, known := b.agents[id]
+	switch {
+	case known:
+		x.agents = []fleet.Instance{agent}
+		return x, nil
+	case x.meta.Token != "":
+		return x, boundUnknown(c, "the instance that issued the token is gone; it may have used the token")
+	default:
+		return x, boundNotRun(c, http.StatusServiceUnavailable, "the owner of the key is not known here")
+	}
+}
+
+// boundInstance returns the instance that a token names or that owns a key.
+func boundInstance(c *call, s *config.Service, keyText, tokenText string) (fleet.InstanceID, *wire.Problem) {
+	if tokenText != "" && keyText != "" {
+		return "", invalid(http.StatusBadRequest, "send either "+wire.HeaderKey+" or "+wire.HeaderToken)
+	}
+	if tokenText != "" {
+		t, err := once.DecodeToken(tokenText)
+		if err != nil {
+			return "", boundNotRun(c, http.StatusConflict, string(once.BadToken))
+		}
+		return t.Instance, nil
+	}
+	key, err := once.ParseKey(keyText)
+	if err != nil {
+		return "", invalid(http.StatusBadRequest, string(once.KeyReason(err)))
+	}
+	if len(s.Owners.Epochs) == 0 {
+		return "", boundNotRun(c, http.StatusConflict, string(once.NoOwners))
+	}
+	// The owner decides by its own document, which may be newer, whether the
+	// owners are final at the key's time.
+	id := once.Owner(s.Owners, key)
+	if id == "" {
+		return "", boundUnknown(c, string(once.BeforeEpochs))
+	}
+	return id, nil
+}
+
+// tokenErrand chooses agents that may issue a token: live, in a failure domain
+// in service, and with the version that the service serves.
+func (b *binder) tokenErrand(c *call, customer *config.Customer) (errand, *wire.Problem) {
+	var in wire.TokenRequest
+	if c.method != http.MethodPost {
+		return errand{}, invalid(http.StatusMethodNotAllowed, "a token is obtained with POST")
+	}
+	if json.Unmarshal(c.body, &in) != nil || b.view.Config.Service(in.Service) == nil {
+		return errand{}, invalid(http.StatusBadRequest, `the body must name a service, as in {"service": "allocation"}`)
+	}
+	in.Customer = customer.Name
+	x := errand{call: c, token: &in}
+	for _, m := range b.view.Members {
+		if b.issues(in.Service, m) {
+			x.agents = append(x.agents, m)
+		}
+	}
+	if len(x.agents) == 0 {
+		return x, boundNotRun(c, http.StatusServiceUnavailable, "no upstream can take the request now")
+	}
+	rand.Shuffle(len(x.agents), func(i, j int) { x.agents[i], x.agents[j] = x.agents[j], x.agents[i] })
+	x.agents = x.agents[:min(len(x.agents), tokenTries)]
+	return x, nil
+}
+
+func (b *binder) issues(s fleet.Service, m fleet.Instance) bool {
+	if m.Role != fleet.RoleAgent || m.Service != s || m.State != fleet.StateLive || m.Switching {
+		return false
+	}
+	p := b.view.Config.ServedProfile(s)
+	if p != nil && !m.Serving.IsZero() && m.Serving != p.Weights.Root {
+		return false
+	}
+	return b.view.Config.DomainIn(m.FailureDomain)
+}
+
+// boundTarget finds the service of a call by the model's name or by the path.
+func boundTarget(a *config.Accepted, c *call) (*config.Service, *config.Profile) {
+	var best *config.Service
+	for i := range a.Services {
+		s := &a.Services[i]
+		if s.Kind == config.KindModel && c.model != "" &&
+			(string(s.Name) == c.model || string(s.Profile) == c.model) {
+			return s, a.ServedProfile(s.Name)
+		}
+		if s.Kind == config.KindPlain && strings.HasPrefix(c.path, s.PathPrefix) &&
+			(best == nil || len(s.PathPrefix) > len(best.PathPrefix)) {
+			best = s
+		}
+	}
+	return best, nil
+}
+
+// contentDigest identifies the content of a request, so that a key that is
+// used again with another request is noticed.
+func contentDigest(c *call) string {
+	h := sha256.New()
+	for _, part := range []string{c.method, c.path} {
+		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(c.body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func boundNotRun(c *call, status int, detail string) *wire.Problem {
+	p := &wire.Problem{
+		Type: wire.ProblemNotRun, Title: "request was not run", Status: status,
+		Detail: detail, Request: c.id, Outcome: wire.NotRun, Submission: wire.NotRun,
+	}
+	if status == http.StatusServiceUnavailable {
+		p.RetryAfter = retryAfter
+	}
+	return p
+}
+
+// boundUnknown is for submissions that were not run and whose earlier ones may
+// have been.
+func boundUnknown(c *call, detail string) *wire.Problem {
+	return &wire.Problem{
+		Type: wire.ProblemUnknown, Title: "outcome of the request is unknown", Status: http.StatusBadGateway,
+		Detail: detail, Request: c.id, Outcome: wire.Unknown, Submission: wire.NotRun,
+	}
+}
+
+// answer sends a problem as the whole response of a call, whose stream is empty.
+func answer(ctx context.Context, c *call, p *wire.Problem) {
+	h, body := p.Encode()
+	_ = c.stream.Put(ctx, relay.Part{Head: &relay.Head{Status: p.Status, Header: h}, Data: body, End: true})
+}
+
+// newErrands returns the ring of errands and the size of the pool.
+func newErrands(calls int) (*ring.Ring[errand], int) {
+	n := max(1, calls/onceShare)
+	return ring.New[errand](n, ring.Refuse), n
+}
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -59,6 +59,10 @@
 	LinkDown pacing.BytesPerSecond
 	// OrderTimeout bounds one order to the engine.
 	OrderTimeout time.Duration
+	// ClockStep bounds how far the clock of the machine may step back.
+	ClockStep time.Duration
+	// KeyLifetime is the age up to which a caller's key is accepted.
+	KeyLifetime time.Duration
 }
 
 // LoadEntry reads the settings of an entry. The error is a *finding.Error if
@@ -92,6 +96,8 @@
 	s.LinkUp = pacing.BytesPerSecond(r.integer("agent", "link_up_bytes_per_second", 0, 0))
 	s.LinkDown = pacing.BytesPerSecond(r.integer("agent", "link_down_bytes_per_second", 0, 0))
 	s.OrderTimeout = r.duration("agent", "order_timeout", 5*time.Minute)
+	s.ClockStep = r.duration("agent", "clock_step", 2*time.Second)
+	s.KeyLifetime = r.duration("agent", "key_lifetime", 10*time.Minute)
 	r.unknown("node", "agent")
 	return s, r.findings.Err()
 }
--- a/lib/wire/problem.go
+++ b/lib/wire/problem.go
@@ -28,6 +28,9 @@
 	Detail  string      `json:"detail,omitempty"`
 	Request string      `json:"request,omitempty"`
 	Outcome Outcome     `json:"outcome"`
+	// Submission is NotRun if this submission was certainly not run, although
+	// an earlier one with the same key or token ran or may have run.
+	Submission Outcome `json:"submission,omitempty"`
 	// RetryAfter is sent as a header; zero sends none.
 	RetryAfter time.Duration `json:"-"`
 }
