--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,7 +42,6 @@
 	engineerViews *ring.Ring[node.View]
 	pullerViews   *ring.Ring[node.View]
 	gateViews     *ring.Ring[node.View]
-	keeperViews   *ring.Ring[node.View]
 
 	engineer *ring.Ring[engineerEvent]
 	orders   *ring.Ring[order]
@@ -50,10 +49,7 @@
 	fetches  *ring.Ring[fetch]
 	gate     *ring.Ring[gateEvent]
 	grants   *ring.Ring[grant]
-
-	keeper       *ring.Ring[keeperEvent]
-	onceUpstream *http.Client
-	onceMetrics  *onceMetrics
+	once     *onceDuty
 
 	up   *pacing.Link
 	down *pacing.Link
@@ -71,10 +67,7 @@
 		engineerViews: n.Subscribe(),
 		pullerViews:   n.Subscribe(),
 		gateViews:     n.Subscribe(),
-		keeperViews:   n.Subscribe(),
-		keeper:        ring.New[keeperEvent](messageRing, ring.Wait),
-		onceUpstream:  newOnceClient(),
-		onceMetrics:   newOnceMetrics(),
+		once:          newOnceDuty(n),
 		engineer:      ring.New[engineerEvent](messageRing, ring.Wait),
 		orders:        ring.New[order](1, ring.Wait),
 		puller:        ring.New[pullerEvent](messageRing, ring.Wait),
--- a/agent/keeper.go
+++ b/agent/keeper.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
+	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log/level"
 
 	"rattanspur.example/lib/config"
@@ -67,6 +69,23 @@
 func (finished) keeperEvent()      {}
 func (tokenQuestion) keeperEvent() {}
 
+// onceDuty joins the keeper with the handlers.
+type onceDuty struct {
+	views    *ring.Ring[node.View]
+	events   *ring.Ring[keeperEvent]
+	upstream *http.Client
+	metrics  *metrics.Set
+}
+
+func newOnceDuty(n *node.Node) *onceDuty {
+	return &onceDuty{
+		views:    n.Subscribe(),
+		events:   ring.New[keeperEvent](messageRing, ring.Wait),
+		upstream: newOnceClient(),
+		metrics:  metrics.NewSet(),
+	}
+}
+
 // keeper owns the memory of keys and tokens and the submissions that wait.
 type keeper struct {
 	agent   *Agent
@@ -103,13 +122,13 @@
 
 // runKeeper owns key memory and tokens.
 func (a *Agent) runKeeper(ctx context.Context) error {
-	defer a.keeper.Close()
+	defer a.once.events.Close()
 	k := newKeeper(a)
 	for {
 		select {
-		case v := <-a.keeperViews.Out():
+		case v := <-a.once.views.Out():
 			k.update(v)
-		case ev := <-a.keeper.Out():
+		case ev := <-a.once.events.Out():
 			k.step(ctx, ev)
 		case <-ctx.Done():
 			return nil
@@ -139,7 +158,7 @@
 // the last check uses the newest one.
 func (k *keeper) refresh() {
 	select {
-	case v := <-k.agent.keeperViews.Out():
+	case v := <-k.agent.once.views.Out():
 		k.update(v)
 	default:
 	}
--- a/agent/once.go
+++ b/agent/once.go
@@ -57,21 +57,21 @@
 func (a *Agent) submit(ctx context.Context, s once.Submission) once.Verdict {
 	answer := ring.New[once.Verdict](1, ring.Refuse)
 	leaving := once.Verdict{Kind: once.Refuse, Reason: "instance is leaving"}
-	if a.keeper.Put(ctx, submitted{submission: s, answer: answer}) != nil {
+	if a.once.events.Put(ctx, submitted{submission: s, answer: answer}) != nil {
 		return leaving
 	}
 	select {
 	case v := <-answer.Out():
 		return v
-	case <-a.keeper.Closed():
+	case <-a.once.events.Closed():
 		return leaving
 	case <-ctx.Done():
 	}
-	_ = a.keeper.Put(context.WithoutCancel(ctx), abandoned{answer: answer})
+	_ = a.once.events.Put(context.WithoutCancel(ctx), abandoned{answer: answer})
 	select {
 	case v := <-answer.Out():
 		return v
-	case <-a.keeper.Closed():
+	case <-a.once.events.Closed():
 		return leaving
 	}
 }
@@ -87,7 +87,7 @@
 	detached := context.WithValue(context.WithoutCancel(ctx), ticketKey{}, t)
 	defer func() {
 		// Also reached if next panics because the answer was cut.
-		_ = a.keeper.Put(detached, end)
+		_ = a.once.events.Put(detached, end)
 	}()
 	if err := ctx.Err(); err != nil {
 		end.result = once.NotRun
@@ -115,13 +115,13 @@
 		return ""
 	}
 	answer := ring.New[once.Reason](1, ring.Refuse)
-	if a.keeper.Put(ctx, confirmation{ticket: t, answer: answer}) != nil {
+	if a.once.events.Put(ctx, confirmation{ticket: t, answer: answer}) != nil {
 		return "deadline passed"
 	}
 	select {
 	case reason := <-answer.Out():
 		return reason
-	case <-a.keeper.Closed():
+	case <-a.once.events.Closed():
 		return "instance is leaving"
 	}
 }
@@ -177,8 +177,16 @@
 	_, _ = w.Write(answer.Body)
 }
 
-// countOnce records a verdict for the metrics.
-func (a *Agent) countOnce(v once.Verdict) { a.onceMetrics.count(v) }
+var verdictNames = map[once.Kind]string{
+	once.Run: "run", once.Replay: "replay", once.Gone: "gone", once.Wait: "wait",
+	once.Later: "later", once.Refuse: "refuse", once.Unknown: "unknown",
+}
+
+// countOnce counts a verdict for the metrics.
+func (a *Agent) countOnce(v once.Verdict) {
+	a.once.metrics.GetOrCreateCounter(
+		`rattanspur_once_verdicts_total{verdict="` + verdictNames[v.Kind] + `"}`).Inc()
+}
 
 // serveToken issues a token for a request that may not be repeated.
 func (a *Agent) serveToken(w http.ResponseWriter, r *http.Request) {
@@ -194,7 +202,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), shortTimeout)
 	defer cancel()
 	answer := ring.New[issuedToken](1, ring.Refuse)
-	if err := a.keeper.Put(ctx, tokenQuestion{customer: in.Customer, answer: answer}); err != nil {
+	if err := a.once.events.Put(ctx, tokenQuestion{customer: in.Customer, answer: answer}); err != nil {
 		wire.WriteProblem(w, refusal("", http.StatusServiceUnavailable, err.Error()))
 		return
 	}
@@ -223,7 +231,7 @@
 // upstreamFor returns the client for a call to the upstream.
 func (a *Agent) upstreamFor(meta *wire.Call) *http.Client {
 	if meta.Once || meta.Key != "" || meta.Token != "" {
-		return a.onceUpstream
+		return a.once.upstream
 	}
 	return a.upstream
 }
--- a/agent/recorder.go
+++ b/agent/recorder.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"rattanspur.example/lib/once"
 )
 
@@ -74,17 +72,3 @@
 	r.header.Del("Date")
 	return &once.Answer{Status: r.status, Header: r.header, Body: r.body}
 }
-
-// onceMetrics count the verdicts on requests that may not be repeated.
-type onceMetrics struct{ set *metrics.Set }
-
-func newOnceMetrics() *onceMetrics { return &onceMetrics{set: metrics.NewSet()} }
-
-var verdictNames = map[once.Kind]string{
-	once.Run: "run", once.Replay: "replay", once.Gone: "gone", once.Wait: "wait",
-	once.Later: "later", once.Refuse: "refuse", once.Unknown: "unknown",
-}
-
-func (m *onceMetrics) count(v once.Verdict) {
-	m.set.GetOrCreateCounter(`rattanspur_once_verdicts_total{verdict="` + verdictNames[v.Kind] + `"}`).Inc()
-}
--- a/entry/errand.go
+++ b/entry/errand.go
@@ -48,7 +48,7 @@
 // runCourier carries out one errand after the other.
 func (e *Entry) runCourier(ctx context.Context) error {
 	for {
-		x, err := e.errands.Take(ctx)
+		x, err := e.once.errands.Take(ctx)
 		if err != nil {
 			return nil
 		}
@@ -162,7 +162,7 @@
 		return boundNotRun(c, http.StatusBadRequest, err.Error()), nil
 	}
 	e.recordBound(timeline.RequestRouted, x, agent, "")
-	resp, err := e.boundClient.Do(req)
+	resp, err := e.once.client.Do(req)
 	if err != nil {
 		if lostOutcome(err) == wire.NotRun {
 			return boundNotRun(c, http.StatusServiceUnavailable, err.Error()), nil
--- a/entry/once.go
+++ b/entry/once.go
@@ -10,11 +10,13 @@
 	"strings"
 
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/once"
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/settings"
 	"rattanspur.example/lib/wire"
 )
 
@@ -38,6 +40,33 @@
 	token  *wire.TokenRequest
 }
 
+// onceRoute joins the duties for calls with a key or token.
+type onceRoute struct {
+	views    *ring.Ring[node.View]
+	calls    *ring.Ring[*call]
+	errands  *ring.Ring[errand]
+	couriers int
+	client   *http.Client
+}
+
+func newOnceRoute(n *node.Node, s *settings.Entry) *onceRoute {
+	couriers := max(1, s.Calls/onceShare)
+	return &onceRoute{
+		views:    n.Subscribe(),
+		calls:    ring.New[*call](s.Calls, ring.Wait),
+		errands:  ring.New[errand](couriers, ring.Refuse),
+		couriers: couriers,
+		client:   newBoundClient(),
+	}
+}
+
+func (e *Entry) startOnce(g *duty.Group) {
+	g.Go("binder", e.runBinder)
+	for range e.once.couriers {
+		g.Go("courier", e.runCourier)
+	}
+}
+
 // binder routes calls with a key or token, which only one agent may run. It
 // owns its view of the agents; errands are carried out by a pool.
 type binder struct {
@@ -49,7 +78,7 @@
 // deliver hands a call to the duty that routes it.
 func (e *Entry) deliver(ctx context.Context, c *call) error {
 	if c.header.Get(wire.HeaderKey) != "" || c.header.Get(wire.HeaderToken) != "" || isTokenCall(c) {
-		return e.bound.Put(ctx, c)
+		return e.once.calls.Put(ctx, c)
 	}
 	return e.inbox.Put(ctx, arrival{call: c})
 }
@@ -64,9 +93,9 @@
 	b := &binder{entry: e}
 	for {
 		select {
-		case v := <-e.boundViews.Out():
+		case v := <-e.once.views.Out():
 			b.update(v)
-		case c := <-e.bound.Out():
+		case c := <-e.once.calls.Out():
 			b.arrive(ctx, c)
 		case <-ctx.Done():
 			return nil
@@ -104,7 +133,7 @@
 	} else {
 		x, p = b.callErrand(c, customer)
 	}
-	if p == nil && b.entry.errands.Put(ctx, x) != nil {
+	if p == nil && b.entry.once.errands.Put(ctx, x) != nil {
 		p = boundNotRun(c, http.StatusServiceUnavailable, "entry carries as many calls as it may")
 	}
 	if p != nil {
@@ -266,9 +295,3 @@
 	h, body := p.Encode()
 	_ = c.stream.Put(ctx, relay.Part{Head: &relay.Head{Status: p.Status, Header: h}, Data: body, End: true})
 }
-
-// newErrands returns the ring of errands and the size of the pool.
-func newErrands(calls int) (*ring.Ring[errand], int) {
-	n := max(1, calls/onceShare)
-	return ring.New[errand](n, ring.Refuse), n
-}
