model, lib/once: check the protocol exhaustively and correct the order of rules

Writing the model showed that a key which ran could be called not-run: after a restart with a clock that stepped back it lay in the future, and that rule came first.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,10 @@
 	go vet $(PACKAGES)
 	go test -count=1 $(PACKAGES)
 
+# Checks the specification and that dropping any of its rules is noticed.
+model:
+	model/run
+
 lint:
 	golangci-lint run $(PACKAGES)
 
--- a/lib/once/memory.go
+++ b/lib/once/memory.go
@@ -200,8 +200,9 @@
 	return NotUUID
 }
 
-// checkKey applies the rules by key time. Their order puts the rules that any
-// owner would apply first.
+// checkKey applies the rules by key time. Those under which an earlier
+// submission may have run come before those that say "not run": after a restart
+// with a clock that stepped back, a key that ran can lie in the future.
 func (m *Memory) checkKey(now Clock, k Key, waited bool) Verdict {
 	if v := m.checkOwner(k); v.Kind != Run {
 		return v
@@ -211,16 +212,16 @@
 	ahead := made.Sub(wall)
 	oldest := m.latest.Add(-m.rules.KeyLifetime)
 	switch {
-	case ahead > 0 && !waited && ahead <= m.rules.FutureWait:
-		return Verdict{Kind: Later, Reason: InFuture, After: ahead}
-	case ahead > 0:
-		return refuse(InFuture)
 	case checkBegan && !made.After(m.start.Began.Add(m.rules.ClockStep)):
 		return unknown(BeforeMemory)
 	case !made.After(oldest.Add(-m.rules.Grace)):
 		return unknown(KeyForgotten)
 	case !made.After(oldest):
 		return refuse(KeyExpired)
+	case ahead > 0 && !waited && ahead <= m.rules.FutureWait:
+		return Verdict{Kind: Later, Reason: InFuture, After: ahead}
+	case ahead > 0:
+		return refuse(InFuture)
 	default:
 		return Verdict{Kind: Run}
 	}
--- a/lib/once/memory_test.go
+++ b/lib/once/memory_test.go
@@ -63,7 +63,10 @@
 		require.Equal(t, c.kind, v.Kind, name)
 		require.Equal(t, c.reason, v.Reason, name)
 	}
-	m := newMemory(0, nil)
+	m := newMemory(now, nil)
+	v := m.Admit(wall(now), Submission{Key: keyAt(now+500, 1).String()})
+	require.Equal(t, BeforeMemory, v.Reason, "in the future, but an earlier start may have run it")
+	m = newMemory(0, nil)
 	require.Equal(t, Run, m.Admit(wall(2001), Submission{Key: keyAt(2001, 1).String()}).Kind, "after the clock step")
 }
 
