--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -17,6 +18,7 @@
 	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/pacing"
 	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/rollout"
 	"rattanspur.example/lib/settings"
 	"rattanspur.example/lib/wire"
 )
@@ -25,8 +27,6 @@
 	headerTimeout = 10 * time.Second
 	// shortTimeout bounds a load report or a question to a peer.
 	shortTimeout = 2 * time.Second
-	// drainTimeout bounds a graceful stop.
-	drainTimeout = 60 * time.Second
 	// messageRing is the capacity of the rings between the agent's duties.
 	messageRing = 1024
 )
@@ -36,47 +36,67 @@
 	settings *settings.Agent
 	node     *node.Node
 	engine   *engine.Client
+	// upstream carries calls; its new connections are checked.
 	upstream *http.Client
-	weights  net.Listener
+	// plain says that the upstream is a plain service, without load reports.
+	plain   atomic.Bool
+	weights net.Listener
 
 	engineerViews *ring.Ring[node.View]
 	pullerViews   *ring.Ring[node.View]
 	gateViews     *ring.Ring[node.View]
+	reporterViews *ring.Ring[node.View]
 
-	engineer *ring.Ring[engineerEvent]
-	orders   *ring.Ring[order]
-	puller   *ring.Ring[pullerEvent]
-	fetches  *ring.Ring[fetch]
-	gate     *ring.Ring[gateEvent]
-	grants   *ring.Ring[grant]
-	once     *onceDuty
+	engineer  *ring.Ring[engineerEvent]
+	orders    *ring.Ring[order]
+	puller    *ring.Ring[pullerEvent]
+	fetches   *ring.Ring[fetch]
+	inquiries *ring.Ring[inquiry]
+	gate      *ring.Ring[gateEvent]
+	grants    *ring.Ring[grant]
+	rollouts  *ring.Ring[*ring.Ring[rollout.State]]
+	// probe asks the reporter for a health check at once.
+	probe   *ring.Ring[struct{}]
+	metrics *agentMetrics
+	once    *onceDuty
 
 	up   *pacing.Link
 	down *pacing.Link
+	// region paces what comes from other regions.
+	region      *pacing.Link
+	weightsHTTP *http.Client
 }
 
 // New returns an agent; Run starts it.
 func New(s *settings.Agent, logger log.Logger) *Agent {
 	n := node.New(s.Node, logger)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Calls, DisableCompression: true}}
-	return &Agent{
+	control := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	a := &Agent{
 		settings:      s,
 		node:          n,
-		engine:        engine.New(s.UpstreamURL, client),
-		upstream:      client,
+		engine:        engine.New(s.UpstreamURL, control),
 		engineerViews: n.Subscribe(),
 		pullerViews:   n.Subscribe(),
 		gateViews:     n.Subscribe(),
+		reporterViews: n.Subscribe(),
 		once:          newOnceDuty(n),
 		engineer:      ring.New[engineerEvent](messageRing, ring.Wait),
 		orders:        ring.New[order](1, ring.Wait),
 		puller:        ring.New[pullerEvent](messageRing, ring.Wait),
 		fetches:       ring.New[fetch](messageRing, ring.Wait),
+		inquiries:     ring.New[inquiry](messageRing, ring.Wait),
 		gate:          ring.New[gateEvent](messageRing, ring.Wait),
 		grants:        ring.New[grant](s.Calls, ring.Refuse),
+		rollouts:      ring.New[*ring.Ring[rollout.State]](messageRing, ring.Wait),
+		probe:         ring.New[struct{}](1, ring.DropOldest),
+		metrics:       newAgentMetrics(),
 		up:            pacing.NewLink(s.LinkUp),
 		down:          pacing.NewLink(s.LinkDown),
+		region:        pacing.NewLink(s.RegionLink),
+		weightsHTTP:   &http.Client{Transport: weightsTransport()},
 	}
+	a.upstream = a.upstreamClient()
+	return a
 }
 
 // Run serves until ctx ends and then stops gracefully.
@@ -99,16 +119,14 @@
 	case <-ctx.Done():
 	case <-g.Context().Done():
 	}
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.settings.DrainTimeout)
 	defer cancel()
-	_ = a.gate.Put(limited, leave{})
-	err = server.Shutdown(limited)
-	_ = weights.Shutdown(limited)
+	err = a.stop(limited, server, weights)
 	g.Stop()
 	if werr := g.Wait(); werr != nil {
 		return werr
 	}
-	return eris.Wrap(err, "graceful stop")
+	return err
 }
 
 func (a *Agent) start(g *duty.Group) {
@@ -120,6 +138,9 @@
 	for range fetchers {
 		g.Go("fetcher", a.runFetcher)
 	}
+	for range askers {
+		g.Go("asker", a.runAsker)
+	}
 	g.Go("gatekeeper", a.runGatekeeper)
 	g.Go("keeper", a.runKeeper)
 	for range a.settings.Calls {
@@ -142,9 +163,14 @@
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/manifest", a.serveManifest)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/have", a.serveHave)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/chunks/{index}", a.serveChunk)
+	inside.Handle("/peer/", a.node.PeerHandler())
+	inside.HandleFunc("GET "+wire.PathTransfer, a.serveTransfer)
 	inside.Handle("GET "+wire.PathTimeline, a.node.TimelineHandler())
+	inside.HandleFunc("GET "+wire.PathStatus, a.serveStatus)
 	mux := http.NewServeMux()
 	mux.Handle("/", keys.Require(inside))
+	mux.HandleFunc("GET /readyz", a.serveReady)
+	mux.HandleFunc("GET /metrics", a.serveMetrics)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	return mux
 }
--- a/agent/once.go
+++ b/agent/once.go
@@ -29,6 +29,7 @@
 }
 
 func (a *Agent) serveOnce(w http.ResponseWriter, r *http.Request, meta *wire.Call, next http.HandlerFunc) {
+	w.Header().Set(wire.HeaderRequest, meta.AttemptID())
 	ctx, cancel := context.WithTimeout(r.Context(), meta.Deadline)
 	defer cancel()
 	s := once.Submission{
--- a/bench/e2e/once_test.go
+++ b/bench/e2e/once_test.go
@@ -173,17 +173,26 @@
 		o.CutOff = func(p *lab.Process) bool { return p.ID == "agent-0" || p.ID == "entry-0" }
 	})
 	start := time.Now()
-	until := start.Add(2 * time.Second)
 	old := config.OwnerEpoch{Start: start.Add(-time.Hour), Instances: []fleet.InstanceID{"agent-0"}}
-	require.NoError(t, l.PublishAllocation(config.Owners{Epochs: []config.OwnerEpoch{old}, Until: until}))
-	require.NoError(t, l.ShowCutOff())
-	require.NoError(t, lab.Await(ctx, func() error {
-		a, err := l.Book(ctx, lab.Booking{Entry: 0, Name: newKey(), Key: newKey()})
-		if err == nil && a.Outcome != wire.Ran {
-			err = fmt.Errorf("status %d: %s", a.Status, a.Body)
-		}
-		return err
-	}))
+	publish := func(until time.Time) {
+		require.NoError(t, l.PublishAllocation(config.Owners{Epochs: []config.OwnerEpoch{old}, Until: until}))
+		require.NoError(t, l.ShowCutOff())
+	}
+	// The promise is extended while the processes start, so that the change
+	// comes after they serve.
+	await := func(entry int, detail once.Reason) {
+		require.NoError(t, lab.Await(ctx, func() error {
+			a, err := l.Book(ctx, lab.Booking{Entry: entry, Name: newKey(), Key: newKey()})
+			if err == nil && a.Problem.Detail != string(detail) {
+				err = fmt.Errorf("status %d: %s", a.Status, a.Body)
+			}
+			return err
+		}))
+	}
+	publish(start)
+	await(0, once.BeyondUntil)
+	until := time.Now().Add(2 * time.Second)
+	publish(until)
 	next := config.OwnerEpoch{Start: until, Instances: []fleet.InstanceID{"agent-1"}}
 	require.NoError(t, l.PublishAllocation(config.Owners{
 		Epochs: []config.OwnerEpoch{old, next}, Until: until.Add(time.Hour),
@@ -202,8 +211,6 @@
 		runs += n
 	}
 	require.Positive(t, runs)
-	a, err := l.Book(ctx, lab.Booking{Entry: 0, Name: "beyond", Key: newKey()})
-	require.NoError(t, err)
-	require.Equal(t, wire.NotRun, a.Outcome)
-	require.Equal(t, string(once.BeyondUntil), a.Problem.Detail)
+	await(0, once.BeyondUntil)
+	await(1, "")
 }
--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -6,12 +6,15 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -54,7 +57,10 @@
 	// OriginLink is the rate of the origin's link.
 	OriginLink pacing.BytesPerSecond
 	Engine     standin.EngineOptions
-	Limits     config.Limits
+	// Plains is the number of agents beside plain services.
+	Plains int
+	Plain  standin.PlainOptions
+	Limits config.Limits
 	// Logs receives what the processes print; nil discards it.
 	Logs io.Writer
 	// Ledger makes the agents serve the plain service of that stand-in instead
@@ -75,6 +81,7 @@
 	Instances *standin.InstanceList
 	Agents    []*Process
 	Entries   []*Process
+	Plains    []*Process
 
 	dir     string
 	service *httptest.Server
@@ -90,6 +97,7 @@
 type Process struct {
 	fleet.Instance
 	Engine    *standin.Engine
+	Plain     *standin.Plain
 	EngineURL string
 	file      string
 	cmd       *exec.Cmd
@@ -130,6 +138,13 @@
 		}
 		l.Agents = append(l.Agents, p)
 	}
+	for i := range l.Options.Plains {
+		p, err := l.newPlain(i)
+		if err != nil {
+			return err
+		}
+		l.Plains = append(l.Plains, p)
+	}
 	for i := range l.Options.Entries {
 		p, err := l.newProcess(fleet.RoleEntry, i)
 		if err != nil {
@@ -147,7 +162,7 @@
 }
 
 func (l *Lab) processes() []*Process {
-	return append(append([]*Process(nil), l.Agents...), l.Entries...)
+	return slices.Concat(l.Agents, l.Plains, l.Entries)
 }
 
 // ConfigURL returns the base URL of the configuration service.
@@ -185,7 +200,9 @@
 	p.Service = Service
 	p.Engine = standin.NewEngine(l.Options.Engine)
 	go func() { _ = p.Engine.Run(l.ctx) }()
-	server := httptest.NewServer(p.Engine.Handler())
+	server := httptest.NewUnstartedServer(p.Engine.Handler())
+	server.Config.ConnContext = p.Engine.ConnContext
+	server.Start()
 	l.closers = append(l.closers, server.CloseClientConnections, server.Close)
 	p.EngineURL = server.URL
 	return p, nil
@@ -207,14 +224,33 @@
 	}}, nil
 }
 
+const (
+	// firstPort and lastPort bound the ports of processes. They lie below the
+	// ports that the kernel gives to outgoing connections; otherwise a
+	// connection may take the port of a process that has not started yet.
+	firstPort = 12000
+	lastPort  = 32000
+	// portTries bounds the search for a free port.
+	portTries = 1000
+)
+
+// nextPort makes the labs of one program try each port once; another program
+// most likely begins elsewhere.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(lastPort - firstPort)) }
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "free address")
+	for range portTries {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, eris.Wrap(l.Close(), "free address")
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", eris.Errorf("no free port from %d to %d", firstPort, lastPort)
 }
 
 // Launch starts a process, also after it was stopped or killed.
@@ -258,6 +294,7 @@
 	return text + fmt.Sprintf(`[agent]
 service = %s
 upstream_url = %s
+order_settle = 50ms
 link_up_bytes_per_second = %d
 link_down_bytes_per_second = %d
 %s`, p.Service, p.EngineURL, l.Options.Link, l.Options.Link, l.Options.ExtraAgent)
--- a/entry/errand.go
+++ b/entry/errand.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -30,6 +31,9 @@
 	maxProblemBytes = 64 << 10
 )
 
+// errOtherAttempt says that an answer does not name the attempt it belongs to.
+var errOtherAttempt = errors.New("answer belongs to another attempt")
+
 // newBoundClient returns the client for calls that are bound to one agent.
 // Each takes a new connection, so that net/http never sends one again by
 // itself, which it does on reused connections for requests with an
@@ -91,7 +95,7 @@
 		_ = x.call.stream.Put(ctx, relay.Part{Head: &relay.Head{Status: http.StatusOK, Header: h}, Data: body, End: true})
 		return
 	}
-	answer(x.call.ctx, x.call, boundNotRun(x.call, http.StatusServiceUnavailable, lastErr.Error()))
+	answerBound(x.call.ctx, x.call, boundNotRun(x.call, http.StatusServiceUnavailable, lastErr.Error()))
 }
 
 // carryBound sends a call to its one agent, again only after a lost answer.
@@ -129,7 +133,7 @@
 		kind = timeline.RequestUnknown
 	}
 	e.recordBound(kind, x, agent, p.Detail)
-	answer(x.call.ctx, x.call, p)
+	answerBound(x.call.ctx, x.call, p)
 }
 
 func (e *Entry) recordBound(kind timeline.Kind, x errand, agent fleet.Instance, detail string) {
@@ -164,7 +168,7 @@
 	e.recordBound(timeline.RequestRouted, x, agent, "")
 	resp, err := e.once.client.Do(req)
 	if err != nil {
-		if lostOutcome(err) == wire.NotRun {
+		if notConnected(err) {
 			return boundNotRun(c, http.StatusServiceUnavailable, err.Error()), nil
 		}
 		return nil, err
@@ -173,10 +177,20 @@
 	return e.takeBound(x, agent, resp)
 }
 
+// notConnected reports whether no connection was made, so that no byte of the
+// request was written.
+func notConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // takeBound passes on the response of a request that ran, and reads what the
 // agent says of one that did not.
 func (e *Entry) takeBound(x errand, agent fleet.Instance, resp *http.Response) (*wire.Problem, error) {
 	c := x.call
+	if resp.Header.Get(wire.HeaderRequest) != x.meta.AttemptID() {
+		return nil, errOtherAttempt
+	}
 	outcome := wire.Outcome(resp.Header.Get(wire.HeaderOutcome))
 	if outcome == wire.Ran {
 		detail := passBound(c, resp)
--- a/entry/once.go
+++ b/entry/once.go
@@ -16,6 +16,7 @@
 	"rattanspur.example/lib/once"
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/routing"
 	"rattanspur.example/lib/settings"
 	"rattanspur.example/lib/wire"
 )
@@ -77,7 +78,7 @@
 
 // deliver hands a call to the duty that routes it.
 func (e *Entry) deliver(ctx context.Context, c *call) error {
-	if c.header.Get(wire.HeaderKey) != "" || c.header.Get(wire.HeaderToken) != "" || isTokenCall(c) {
+	if c.header.Get(wire.HeaderKey) != "" || c.token != "" || isTokenCall(c) {
 		return e.once.calls.Put(ctx, c)
 	}
 	return e.inbox.Put(ctx, arrival{call: c})
@@ -115,15 +116,12 @@
 
 func (b *binder) arrive(ctx context.Context, c *call) {
 	if b.view.Config == nil {
-		answer(ctx, c, boundNotRun(c, http.StatusServiceUnavailable, string(once.NoConfig)))
+		answerBound(ctx, c, boundNotRun(c, http.StatusServiceUnavailable, string(once.NoConfig)))
 		return
 	}
 	customer := b.view.Config.CustomerByKey(c.keySHA256)
 	if customer == nil {
-		answer(ctx, c, &wire.Problem{
-			Type: wire.ProblemUnauthorized, Title: "customer key is missing or wrong",
-			Status: http.StatusUnauthorized, Request: c.id, Outcome: wire.NotRun,
-		})
+		answerBound(ctx, c, unauthorized(c))
 		return
 	}
 	var x errand
@@ -137,14 +135,15 @@
 		p = boundNotRun(c, http.StatusServiceUnavailable, "entry carries as many calls as it may")
 	}
 	if p != nil {
-		answer(ctx, c, p)
+		answerBound(ctx, c, p)
 	}
 }
 
 // callErrand finds the one agent that may run a call.
 func (b *binder) callErrand(c *call, customer *config.Customer) (errand, *wire.Problem) {
 	x := errand{call: c}
-	service, profile := boundTarget(b.view.Config, c)
+	target := routing.Resolve(b.view.Config, c.path, c.model)
+	service, profile := target.Service, target.Profile
 	if service == nil {
 		return x, invalid(http.StatusNotFound, "no profile, service or path matches")
 	}
@@ -154,7 +153,7 @@
 		Service: service.Name,
 		Entry:   b.entry.settings.Self.ID,
 		Config:  b.view.Config.Stamp,
-		Key:     c.header.Get(wire.HeaderKey), Token: c.header.Get(wire.HeaderToken),
+		Key:     c.header.Get(wire.HeaderKey), Token: c.token,
 		Once:        true,
 		Fingerprint: contentDigest(c),
 	}
@@ -241,23 +240,6 @@
 	return b.view.Config.DomainIn(m.FailureDomain)
 }
 
-// boundTarget finds the service of a call by the model's name or by the path.
-func boundTarget(a *config.Accepted, c *call) (*config.Service, *config.Profile) {
-	var best *config.Service
-	for i := range a.Services {
-		s := &a.Services[i]
-		if s.Kind == config.KindModel && c.model != "" &&
-			(string(s.Name) == c.model || string(s.Profile) == c.model) {
-			return s, a.ServedProfile(s.Name)
-		}
-		if s.Kind == config.KindPlain && strings.HasPrefix(c.path, s.PathPrefix) &&
-			(best == nil || len(s.PathPrefix) > len(best.PathPrefix)) {
-			best = s
-		}
-	}
-	return best, nil
-}
-
 // contentDigest identifies the content of a request, so that a key that is
 // used again with another request is noticed.
 func contentDigest(c *call) string {
@@ -290,8 +272,8 @@
 	}
 }
 
-// answer sends a problem as the whole response of a call, whose stream is empty.
-func answer(ctx context.Context, c *call, p *wire.Problem) {
+// answerBound sends a problem as the whole response of a call, whose stream is empty.
+func answerBound(ctx context.Context, c *call, p *wire.Problem) {
 	h, body := p.Encode()
 	_ = c.stream.Put(ctx, relay.Part{Head: &relay.Head{Status: p.Status, Header: h}, Data: body, End: true})
 }
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -4,10 +4,14 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
+	"strings"
+	"sync"
+	"time"
 
 	"rattanspur.example/lib/ring"
 )
@@ -43,6 +47,9 @@
 // ErrCut says that a response ended before it was whole.
 var ErrCut = errors.New("response was cut")
 
+// writeTimeout bounds the time that a peer may take to accept one part.
+const writeTimeout = 30 * time.Second
+
 // Write writes the parts of a stream to w until its end. An error after the
 // head was written means that the caller must abort the connection, so that
 // the peer does not take the response for a whole one.
@@ -57,16 +64,23 @@
 			writeHead(w, part.Head)
 		}
 		if len(part.Data) > 0 {
+			// Writers without deadlines, such as recorders in tests, go on without one.
+			_ = flusher.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, err := w.Write(part.Data); err != nil {
 				return err
 			}
-			if err := flusher.Flush(); err != nil {
-				return err
-			}
 		}
 		if part.End {
 			return part.Err
 		}
+		// Parts that are ready are sent with this one, and a response that
+		// ends before the ring is empty is sent as a whole.
+		if s.Depth() > 0 {
+			continue
+		}
+		if err := flusher.Flush(); err != nil {
+			return err
+		}
 	}
 }
 
@@ -77,14 +91,18 @@
 	w.WriteHeader(h.Status)
 }
 
+// buffers are reused, so that a read of a few bytes does not cost a whole buffer.
+var buffers = sync.Pool{New: func() any { return new([partBytes]byte) }}
+
 // ReadBody puts the bytes of body on the stream. It returns the error that
 // ended the body early, if any, and does not put the last part.
 func ReadBody(ctx context.Context, body io.Reader, s *Stream) error {
+	buffer := buffers.Get().(*[partBytes]byte)
+	defer buffers.Put(buffer)
 	for {
-		buffer := make([]byte, partBytes)
-		n, err := body.Read(buffer)
+		n, err := body.Read(buffer[:])
 		if n > 0 {
-			if perr := s.Put(ctx, Part{Data: buffer[:n]}); perr != nil {
+			if perr := s.Put(ctx, Part{Data: bytes.Clone(buffer[:n])}); perr != nil {
 				return perr
 			}
 		}
@@ -103,11 +121,23 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// PassHeader returns a copy of a header without what belongs to one connection.
+// PassHeader returns a copy of a header without what belongs to one
+// connection.
 func PassHeader(h http.Header) http.Header {
 	out := h.Clone()
+	StripHop(out)
+	return out
+}
+
+// StripHop removes from a header what belongs to one connection, including the
+// headers that Connection lists.
+func StripHop(h http.Header) {
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
-		out.Del(name)
+		delete(h, name)
 	}
-	return out
 }
