--- a/agent/handover.go
+++ b/agent/handover.go
@@ -91,7 +91,7 @@
 		return gate.Failed
 	}
 	start := time.Now()
-	resp, err := a.upstream.Do(req)
+	resp, err := a.upstreamFor(g.meta).Do(req)
 	if err != nil {
 		return a.lost(ctx, g, err)
 	}
