bench/e2e: keep the innocent call in flight until the crash

Change: the engine sends nothing more to the innocent call, so that the crash ends it; the check and its counts are the same.

--- a/bench/e2e/engine_switch_test.go
+++ b/bench/e2e/engine_switch_test.go
@@ -99,7 +99,8 @@
 func TestCrashMakesSuspects(t *testing.T) {
 	o := small()
 	o.Engine = standin.EngineOptions{
-		ChecksFence: true, KeepsVersions: true, TokenTime: 20 * time.Millisecond, CrashOn: "poison",
+		ChecksFence: true, KeepsVersions: true, TokenTime: time.Millisecond,
+		CrashOn: "poison", SilentOn: "silent",
 	}
 	ctx, l, w := engineLab(t, o)
 	p := l.Agents[0]
@@ -111,7 +112,8 @@
 		return l.CallAgent(ctx, p, c, lab.ChatPath, lab.ChatBody(text))
 	}
 	var group sync.WaitGroup
-	group.Go(func() { _, _ = call("innocent", "tray-1") })
+	// The innocent call cannot complete before the crash.
+	group.Go(func() { _, _ = call("innocent", "silent") })
 	awaitCounts(ctx, t, p.Engine, "begun", func(c standin.EngineCounts) bool { return c.Running == 1 })
 	_, _ = call("guilty", "poison")
 	group.Wait()
