standin: end silent answers when the engine restarts

Cause: a silent answer went on until its caller gave up, although the engine it belonged to had crashed; the test of suspects took 24 s. Change: a restart ends it as it ends the others. Result: the test passes in a few seconds.

--- a/standin/chat.go
+++ b/standin/chat.go
@@ -109,7 +109,10 @@
 	tokens := answerTokens(string(call.loaded.Version), text)
 	if e.options.SilentOn != "" && strings.Contains(text, e.options.SilentOn) {
 		_ = http.NewResponseController(w).Flush()
-		<-r.Context().Done()
+		select {
+		case <-call.ended:
+		case <-r.Context().Done():
+		}
 		return false
 	}
 	if !stream {
