--- a/bench/scenario/route.go
+++ b/bench/scenario/route.go
@@ -39,7 +39,7 @@
 // Route measures what entry and agent add to a call, against the engines
 // called directly and against a naive round-robin proxy in the same run.
 func Route(ctx context.Context, env Env) error {
-	l, err := startServing(ctx, env, lab.Options{
+	l, model, err := startServing(ctx, env, lab.Options{
 		Agents: routeAgents, Entries: 1, Regions: []string{"burdwan"},
 		Limits: config.Limits{Cold: 64, Warm: 64, RampStep: 1},
 	})
@@ -57,10 +57,6 @@
 		cancel()
 		_ = naive.Wait()
 	}()
-	model, err := engineModel(l)
-	if err != nil {
-		return err
-	}
 	body, direct := chatBody(string(lab.Service), "tray", false), chatBody(model, "tray", false)
 	client := newClient()
 	ways := []*way{
@@ -80,7 +76,8 @@
 
 func sender(client *http.Client, base string, body []byte) func(context.Context) error {
 	return func(ctx context.Context) error {
-		return post(ctx, client, base+"/v1/chat/completions", body)
+		_, err := post(ctx, client, base+"/v1/chat/completions", body)
+		return err
 	}
 }
 
@@ -117,7 +114,7 @@
 
 // reportProcessorTime measures the calls that a process carries with one core.
 func reportProcessorTime(ctx context.Context, r *figure.Report, name string, pid int, call func(context.Context) error) error {
-	before, err := cpuTime(pid)
+	before, err := processorTime(pid)
 	if err != nil {
 		return err
 	}
@@ -125,7 +122,7 @@
 	start := time.Now()
 	closedLoop(ctx, busyWorkers, busyCalls, seen, call)
 	elapsed := time.Since(start)
-	after, err := cpuTime(pid)
+	after, err := processorTime(pid)
 	if err != nil {
 		return err
 	}
--- a/lib/node/watch.go
+++ b/lib/node/watch.go
@@ -31,14 +31,23 @@
 	down   bool
 }
 
-func (o *outage) failed(err error) {
+func (o *outage) failed(now time.Time, err error) {
 	o.down = true
-	if now := time.Now(); o.logged.IsZero() || now.Sub(o.logged) >= logEvery {
+	if o.logged.IsZero() || now.Sub(o.logged) >= logEvery {
 		o.logged = now
 		_ = level.Warn(o.node.logger).Log("msg", o.text+" could not be read", "err", err)
 	}
 }
 
+// invalid logs records of the instance list that were left out.
+func (o *outage) invalid(problems []error) {
+	if now := time.Now(); now.Sub(o.logged) >= logEvery {
+		o.logged = now
+		_ = level.Warn(o.node.logger).Log("msg", "records of the instance list were left out",
+			"count", len(problems), "first", problems[0])
+	}
+}
+
 func (o *outage) answered() {
 	if o.down {
 		o.down = false
@@ -101,7 +110,7 @@
 	defer cancel()
 	value, err := w.service.Read(limited, index, wait)
 	if err != nil {
-		w.outage.failed(err)
+		w.outage.failed(time.Now(), err)
 		return err
 	}
 	w.outage.answered()
@@ -155,10 +164,13 @@
 	defer cancel()
 	list, size, err := s.Read(limited)
 	if err != nil {
-		o.failed(err)
+		o.failed(time.Now(), err)
 		return list, size, err
 	}
 	o.answered()
+	if len(list.Invalid) > 0 {
+		o.invalid(list.Invalid)
+	}
 	_ = n.inbox.Put(ctx, listRead{list: list})
 	return list, size, nil
 }
