agent, engine: tell cold start by new connections; check reports and bodies

Cause: a new connection to an engine that had turned cold without a restart told so and was used all the same.

--- a/agent/connect.go
+++ b/agent/connect.go
@@ -17,13 +17,14 @@
 	idleTimeout = 30 * time.Second
 )
 
-// errOtherStart ends a new connection to a start of the upstream that the gate
-// does not know yet.
-var errOtherStart = errors.New("upstream has restarted since the last health check")
+// errTurnedCold ends a new connection to an upstream that restarted or turned
+// cold and of which the gate does not know it yet.
+var errTurnedCold = errors.New("upstream has turned cold since the last health check")
 
 // connected asks the gate whether a new connection may carry calls.
 type connected struct {
 	bootID string
+	warm   bool
 	answer *ring.Ring[bool]
 }
 
@@ -64,12 +65,12 @@
 		return err
 	}
 	answer := ring.New[bool](1, ring.Refuse)
-	if err := a.gate.Put(ctx, connected{bootID: report.BootID, answer: answer}); err != nil {
+	if err := a.gate.Put(ctx, connected{bootID: report.BootID, warm: report.Warm, answer: answer}); err != nil {
 		return err
 	}
 	same, err := answer.Take(ctx)
 	if err == nil && !same {
-		err = errOtherStart
+		err = errTurnedCold
 	}
 	return err
 }
--- a/agent/gatekeeper.go
+++ b/agent/gatekeeper.go
@@ -151,7 +151,7 @@
 	case upstreamSeen:
 		k.observe(now, ev.upstream)
 	case connected:
-		same := k.gate.Connected(now, ev.bootID)
+		same := k.gate.Connected(now, ev.bootID, ev.warm)
 		if !same {
 			_ = k.agent.probe.Put(ctx, struct{}{})
 		}
--- a/agent/handover.go
+++ b/agent/handover.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,6 +33,12 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "model name")
 	}
+	for field := range fields {
+		// Readers that ignore case would take such a field for the model.
+		if strings.EqualFold(field, "model") {
+			delete(fields, field)
+		}
+	}
 	fields["model"] = encoded
 	var out bytes.Buffer
 	encoder := json.NewEncoder(&out)
--- a/agent/handover_test.go
+++ b/agent/handover_test.go
@@ -59,6 +59,25 @@
 	}
 }
 
+// Guards against a body that an engine reads differently from the agent.
+func FuzzPinModel(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[]}`))
+	f.Add([]byte(`{"model":"a","model":"b","Model":"c"}`))
+	f.Add([]byte(`{"model":{"x":1},"\u006dodel":"d"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		out, err := pinModel(data, "root")
+		if err != nil {
+			return
+		}
+		var fields map[string]any
+		require.NoError(t, json.Unmarshal(out, &fields))
+		require.Equal(t, "root", fields["model"])
+		var folded struct{ Model any }
+		require.NoError(t, json.Unmarshal(out, &folded))
+		require.Equal(t, "root", folded.Model)
+	})
+}
+
 // Guards against net/http sending a request with an Idempotency-Key again when
 // a reused connection breaks after the upstream has read the request.
 func TestBrokenConnectionIsNotRepeated(t *testing.T) {
--- a/lib/engine/engine.go
+++ b/lib/engine/engine.go
@@ -30,39 +30,6 @@
 // order is not in progress any more.
 var ErrRefused = errors.New("engine refused the order")
 
-// Report is what an engine says of itself.
-type Report struct {
-	BootID  string   `json:"boot_id"`
-	Warm    bool     `json:"warm"`
-	Running int      `json:"running"`
-	Waiting int      `json:"waiting"`
-	Loaded  []Loaded `json:"loaded"`
-	// Fence is the highest fencing number seen; 0 if the engine ignores them.
-	Fence int64 `json:"fence"`
-}
-
-// Loaded is one version in the engine's memory.
-type Loaded struct {
-	Model   string        `json:"model"`
-	Version fleet.Version `json:"version"`
-	Root    fleet.Digest  `json:"root"`
-}
-
-// ServedName is the model name by which an engine serves exactly the version
-// with that root. Calls are sent with it, so that the request itself and not
-// the engine's state selects the weights.
-func ServedName(root fleet.Digest) string { return root.String() }
-
-// Has reports whether the engine holds the weights with that root.
-func (r *Report) Has(root fleet.Digest) bool {
-	for _, l := range r.Loaded {
-		if l.Root == root {
-			return true
-		}
-	}
-	return false
-}
-
 // LoadOrder asks an engine to load a version from a source URL.
 type LoadOrder struct {
 	Loaded
@@ -94,11 +61,11 @@
 
 // Report reads the engine's load report.
 func (c *Client) Report(ctx context.Context) (*Report, error) {
-	var r Report
-	if err := c.exchange(ctx, http.MethodGet, "/load", nil, &r); err != nil {
+	data, err := c.exchange(ctx, http.MethodGet, "/load", nil)
+	if err != nil {
 		return nil, err
 	}
-	return &r, nil
+	return DecodeReport(data)
 }
 
 // ReportOver reads the load report over a connection that carries nothing else
@@ -124,8 +91,7 @@
 	if err != nil || resp.StatusCode != http.StatusOK || resp.Close {
 		return nil, eris.Errorf("engine answered %d on a new connection: %v", resp.StatusCode, err)
 	}
-	var r Report
-	return &r, eris.Wrap(json.Unmarshal(data, &r), "engine report")
+	return DecodeReport(data)
 }
 
 // Probe checks a plain service: with a path, by a request that must not fail
@@ -167,39 +133,42 @@
 
 // Load orders a version; it returns when the engine has loaded it.
 func (c *Client) Load(ctx context.Context, o LoadOrder) error {
-	return c.exchange(ctx, http.MethodPost, "/orders/load", o, nil)
+	_, err := c.exchange(ctx, http.MethodPost, "/orders/load", o)
+	return err
 }
 
 // Unload orders a version to be freed.
 func (c *Client) Unload(ctx context.Context, o UnloadOrder) error {
-	return c.exchange(ctx, http.MethodPost, "/orders/unload", o, nil)
+	_, err := c.exchange(ctx, http.MethodPost, "/orders/unload", o)
+	return err
 }
 
-func (c *Client) exchange(ctx context.Context, method, path string, in, out any) error {
+// exchange sends a message and returns the answer's body.
+func (c *Client) exchange(ctx context.Context, method, path string, in any) ([]byte, error) {
 	var body io.Reader = http.NoBody
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
-			return eris.Wrap(err, "encode order")
+			return nil, eris.Wrap(err, "encode order")
 		}
 		body = bytes.NewReader(data)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
-		return eris.Wrap(err, "engine request")
+		return nil, eris.Wrap(err, "engine request")
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return eris.Wrap(err, "engine request")
+		return nil, eris.Wrap(err, "engine request")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	switch {
-	case resp.StatusCode == http.StatusConflict:
-		return ErrFenced
-	case resp.StatusCode != http.StatusOK:
-		return eris.Wrapf(ErrRefused, "engine answered %d on %s", resp.StatusCode, path)
-	case out == nil:
-		return nil
-	}
-	return eris.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(out), "engine report")
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return nil, ErrFenced
+	default:
+		return nil, eris.Wrapf(ErrRefused, "engine answered %d on %s", resp.StatusCode, path)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	return data, eris.Wrap(err, "engine answer")
 }
--- a/lib/gate/gate_test.go
+++ b/lib/gate/gate_test.go
@@ -100,6 +100,30 @@
 	}
 }
 
+// Guards against a limit that stays above or below what a newly adopted
+// configuration says.
+func TestLimitsFollowTheConfiguration(t *testing.T) {
+	configure := func(g *gate.Gate, cold, warm int) {
+		s := service
+		s.Limits = config.Limits{Cold: cold, Warm: warm, RampStep: 1}
+		g.Configure(&s, true)
+	}
+	g := open(t)
+	configure(g, 3, 12)
+	require.Equal(t, 3, g.Limit(), "a cold upstream takes the new cold limit")
+	for range 2 {
+		ticket, _ := g.Admit(start, call(start))
+		g.Done(start, ticket, gate.Completed)
+	}
+	require.Equal(t, 12, g.Limit())
+	configure(g, 3, 8)
+	require.Equal(t, 8, g.Limit())
+	configure(g, 3, 24)
+	require.Equal(t, 8, g.Limit(), "a greater limit is reached by completions")
+	configure(g, 10, 24)
+	require.Equal(t, 10, g.Limit())
+}
+
 // Guards against calls that reach a restarted upstream between the break of
 // its connections and the next health check, and against a check from before.
 func TestLostConnectionClosesUntilNextCheck(t *testing.T) {
@@ -123,14 +147,15 @@
 // gate has not taken in, whose cold start it does not know of.
 func TestConnectionToUnknownStartCloses(t *testing.T) {
 	g := open(t)
-	require.True(t, g.Connected(start, "one"))
+	require.True(t, g.Connected(start, "one", true))
+	require.False(t, g.Connected(start, "one", false), "cold without a restart")
 	now := start.Add(time.Millisecond)
-	require.False(t, g.Connected(now, "two"))
+	require.False(t, g.Connected(now, "two", true))
 	_, r := g.Admit(now, call(now))
 	require.Equal(t, gate.NotHealthy, r)
 	up := gate.Upstream{Asked: now, Healthy: true, Warm: true, BootID: "two", Root: rootA}
 	require.True(t, g.Observe(now, up).Cold)
-	require.True(t, g.Connected(now, "two"))
+	require.True(t, g.Connected(now, "two", true))
 }
 
 // Guards against innocent or repeated blame: a crash names each call that was
--- a/lib/gate/upstream.go
+++ b/lib/gate/upstream.go
@@ -72,10 +72,10 @@
 }
 
 // Connected takes in which start of the upstream a new connection leads to and
-// reports whether the gate knows it. If not, calls are refused until the next
-// health check.
-func (g *Gate) Connected(now time.Time, bootID string) bool {
-	if bootID == g.upstream.BootID {
+// whether it is warm, and reports whether the gate knows that already. If not,
+// calls are refused until the next health check.
+func (g *Gate) Connected(now time.Time, bootID string, warm bool) bool {
+	if bootID == g.upstream.BootID && (warm || !g.upstream.Warm) {
 		return true
 	}
 	g.lostAt = now
