--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -35,38 +36,44 @@
 	settings *settings.Agent
 	node     *node.Node
 	engine   *engine.Client
+	// upstream carries calls; its new connections are checked.
 	upstream *http.Client
-	weights  net.Listener
+	// plain says that the upstream is a plain service, without load reports.
+	plain   atomic.Bool
+	weights net.Listener
 
 	engineerViews *ring.Ring[node.View]
 	pullerViews   *ring.Ring[node.View]
 	gateViews     *ring.Ring[node.View]
 	reporterViews *ring.Ring[node.View]
 
-	engineer *ring.Ring[engineerEvent]
-	orders   *ring.Ring[order]
-	puller   *ring.Ring[pullerEvent]
-	fetches  *ring.Ring[fetch]
-	gate     *ring.Ring[gateEvent]
-	grants   *ring.Ring[grant]
-	rollouts *ring.Ring[*ring.Ring[rollout.State]]
+	engineer  *ring.Ring[engineerEvent]
+	orders    *ring.Ring[order]
+	puller    *ring.Ring[pullerEvent]
+	fetches   *ring.Ring[fetch]
+	inquiries *ring.Ring[inquiry]
+	gate      *ring.Ring[gateEvent]
+	grants    *ring.Ring[grant]
+	rollouts  *ring.Ring[*ring.Ring[rollout.State]]
 	// probe asks the reporter for a health check at once.
 	probe   *ring.Ring[struct{}]
 	metrics *agentMetrics
 
 	up   *pacing.Link
 	down *pacing.Link
+	// region paces what comes from other regions.
+	region      *pacing.Link
+	weightsHTTP *http.Client
 }
 
 // New returns an agent; Run starts it.
 func New(s *settings.Agent, logger log.Logger) *Agent {
 	n := node.New(s.Node, logger)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Calls, DisableCompression: true}}
-	return &Agent{
+	control := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	a := &Agent{
 		settings:      s,
 		node:          n,
-		engine:        engine.New(s.UpstreamURL, client),
-		upstream:      client,
+		engine:        engine.New(s.UpstreamURL, control),
 		engineerViews: n.Subscribe(),
 		pullerViews:   n.Subscribe(),
 		gateViews:     n.Subscribe(),
@@ -75,6 +82,7 @@
 		orders:        ring.New[order](1, ring.Wait),
 		puller:        ring.New[pullerEvent](messageRing, ring.Wait),
 		fetches:       ring.New[fetch](messageRing, ring.Wait),
+		inquiries:     ring.New[inquiry](messageRing, ring.Wait),
 		gate:          ring.New[gateEvent](messageRing, ring.Wait),
 		grants:        ring.New[grant](s.Calls, ring.Refuse),
 		rollouts:      ring.New[*ring.Ring[rollout.State]](messageRing, ring.Wait),
@@ -82,7 +90,11 @@
 		metrics:       newAgentMetrics(),
 		up:            pacing.NewLink(s.LinkUp),
 		down:          pacing.NewLink(s.LinkDown),
+		region:        pacing.NewLink(s.RegionLink),
+		weightsHTTP:   &http.Client{Transport: weightsTransport()},
 	}
+	a.upstream = a.upstreamClient()
+	return a
 }
 
 // Run serves until ctx ends and then stops gracefully.
@@ -124,6 +136,9 @@
 	for range fetchers {
 		g.Go("fetcher", a.runFetcher)
 	}
+	for range askers {
+		g.Go("asker", a.runAsker)
+	}
 	g.Go("gatekeeper", a.runGatekeeper)
 	for range a.settings.Calls {
 		g.Go("forwarder", a.runForwarder)
@@ -144,9 +159,10 @@
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/manifest", a.serveManifest)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/have", a.serveHave)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/chunks/{index}", a.serveChunk)
+	inside.Handle("/peer/", a.node.PeerHandler())
+	inside.HandleFunc("GET "+wire.PathTransfer, a.serveTransfer)
 	inside.Handle("GET "+wire.PathTimeline, a.node.TimelineHandler())
 	inside.HandleFunc("GET "+wire.PathStatus, a.serveStatus)
-	inside.Handle("/peer/", a.node.PeerHandler())
 	mux := http.NewServeMux()
 	mux.Handle("/", keys.Require(inside))
 	mux.HandleFunc("GET /readyz", a.serveReady)
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -191,8 +191,8 @@
 			return false
 		}
 		defer func() { _ = resp.Body.Close() }()
-		var s fullStatus
-		return json.NewDecoder(resp.Body).Decode(&s) == nil && s.Entry.Members > 1
+		var s statusReport
+		return json.NewDecoder(resp.Body).Decode(&s) == nil && s.Members > 1
 	}, testWait, 5*time.Millisecond)
 }
 
--- a/entry/status.go
+++ b/entry/status.go
@@ -28,25 +28,20 @@
 
 // statusReport is the state as operators see it.
 type statusReport struct {
-	Generation fleet.Generation      `json:"generation"`
-	Members    int                   `json:"members"`
-	Carried    int                   `json:"carried"`
-	Waiting    map[fleet.Service]int `json:"waiting"`
-	Suspects   int                   `json:"suspects"`
-	Stopping   bool                  `json:"stopping"`
+	node.Status
+	Carried  int                   `json:"carried"`
+	Waiting  map[fleet.Service]int `json:"waiting"`
+	Blocked  int                   `json:"crash_guard_records"`
+	Stopping bool                  `json:"stopping"`
 }
 
 func (r *router) answer(ctx context.Context, q question) {
 	s := status{config: r.view.Config, report: statusReport{
-		Members:  len(r.view.Members),
 		Carried:  r.carried,
 		Waiting:  map[fleet.Service]int{},
-		Suspects: r.guard.Len(),
+		Blocked:  r.guard.Len(),
 		Stopping: r.entry.stopping.Load(),
 	}}
-	if r.view.Config != nil {
-		s.report.Generation = r.view.Config.Generation
-	}
 	for key, lane := range r.lanes.byKey {
 		s.report.Waiting[key.service] += lane.Len()
 	}
@@ -68,16 +63,10 @@
 func (e *Entry) serveReady(w http.ResponseWriter, r *http.Request) {
 	s, err := e.ask(r.Context())
 	if err != nil || s.config == nil || s.report.Stopping {
-		http.Error(w, "router has no configuration or the process is stopping", http.StatusServiceUnavailable)
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
-	e.node.ReadyHandler().ServeHTTP(w, r)
-}
-
-// fullStatus is the answer to GET /status.
-type fullStatus struct {
-	node.Status
-	Entry statusReport `json:"entry"`
+	_, _ = w.Write([]byte("ready\n"))
 }
 
 func (e *Entry) serveStatus(w http.ResponseWriter, r *http.Request) {
@@ -86,12 +75,11 @@
 		http.Error(w, "router does not answer", http.StatusServiceUnavailable)
 		return
 	}
-	shared, err := e.node.Status(r.Context())
-	if err != nil {
+	if s.report.Status, err = e.node.Status(r.Context()); err != nil {
 		http.Error(w, "gossip duty does not answer", http.StatusServiceUnavailable)
 		return
 	}
-	wire.WriteJSON(w, fullStatus{Status: shared, Entry: s.report})
+	wire.WriteJSON(w, s.report)
 }
 
 // modelList is the answer to GET /v1/models.
