--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"maps"
@@ -11,6 +12,7 @@
 	"strings"
 	"time"
 
+	"rattanspur.example/lib/gate"
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/routing"
@@ -165,16 +167,32 @@
 		res.end = retry.Answered
 		res.failed = resp.StatusCode >= http.StatusInternalServerError
 	case wire.NotRun:
-		res.end = retry.Refused
-		if res.load != nil && res.load.InFlight >= res.load.Limit {
-			res.end = retry.Busy
-		}
+		res.end, res.detail = refusal(resp)
 	default:
 		res.end = retry.Lost
 	}
 	return res
 }
 
+// maxProblemBytes bounds a refusal that is read.
+const maxProblemBytes = 4 << 10
+
+// refusal returns why an agent refused a call. A replica without room for the
+// call is asked again soon; any other reason pauses it for longer.
+func refusal(resp *http.Response) (retry.End, string) {
+	var p wire.Problem
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxProblemBytes))
+	if err != nil || json.Unmarshal(data, &p) != nil {
+		return retry.Refused, resp.Status
+	}
+	switch gate.Reason(p.Detail) {
+	case gate.AtLimit, gate.Exclusive:
+		return retry.Busy, p.Detail
+	default:
+		return retry.Refused, p.Detail
+	}
+}
+
 // wholeBytes is the size up to which a response of known length is read whole
 // before it is passed on. If it breaks off, no byte has reached the caller yet.
 const wholeBytes = 16 << 10
