--- a/agent/once.go
+++ b/agent/once.go
@@ -202,6 +202,11 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), shortTimeout)
 	defer cancel()
+	// A token of an agent that admits no calls would only be refused later.
+	if state, err := a.askGateState(ctx); err != nil || !state.Ready {
+		wire.WriteProblem(w, refusal("", http.StatusServiceUnavailable, "upstream takes no calls now"))
+		return
+	}
 	answer := ring.New[issuedToken](1, ring.Refuse)
 	if err := a.once.events.Put(ctx, tokenQuestion{customer: in.Customer, answer: answer}); err != nil {
 		wire.WriteProblem(w, refusal("", http.StatusServiceUnavailable, err.Error()))
--- a/agent/status.go
+++ b/agent/status.go
@@ -64,6 +64,7 @@
 
 func (a *Agent) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	a.metrics.set.WritePrometheus(w)
+	a.once.metrics.WritePrometheus(w)
 	a.node.WriteMetrics(w)
 }
 
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -31,5 +31,6 @@
 		{Name: "config", Run: Config},
 		{Name: "control", Run: Control},
 		{Name: "route", Run: Route},
+		{Name: "once", Run: Once},
 	}
 }
--- a/lib/once/memory.go
+++ b/lib/once/memory.go
@@ -111,6 +111,8 @@
 	latest time.Time
 
 	records map[recordID]*record
+	// counts holds the number of records of each customer.
+	counts  map[fleet.Customer]int
 	held    []recordID
 	heldSum int
 	runs    uint64
@@ -121,7 +123,7 @@
 // NewMemory returns an empty memory.
 func NewMemory(s Start, r Rules) *Memory {
 	s.Began = s.Began.Round(0)
-	return &Memory{rules: r, start: s, latest: s.Began, records: map[recordID]*record{}}
+	return &Memory{rules: r, start: s, latest: s.Began, records: map[recordID]*record{}, counts: map[fleet.Customer]int{}}
 }
 
 // Len returns the number of keys and tokens in memory.
@@ -294,12 +296,13 @@
 // open admits a run if there is room. Records are never displaced, because a
 // displaced one could be accepted again.
 func (m *Memory) open(id recordID, r *record) Verdict {
-	if len(m.records) >= m.rules.MaxRecords {
+	if len(m.records) >= m.rules.MaxRecords || m.counts[id.customer] >= m.rules.MaxOfCustomer {
 		return refuse(Full)
 	}
 	m.runs++
 	r.state, r.run = running, m.runs
 	m.records[id] = r
+	m.counts[id.customer]++
 	return Verdict{Kind: Run, Ticket: Ticket{id: id, run: r.run}}
 }
 
@@ -330,7 +333,7 @@
 	}
 	switch result {
 	case NotRun:
-		delete(m.records, t.id)
+		m.remove(t.id)
 	case Ran:
 		r.state = answered
 		m.hold(t.id, r, a)
@@ -355,6 +358,14 @@
 	}
 }
 
+func (m *Memory) remove(id recordID) {
+	delete(m.records, id)
+	m.counts[id.customer]--
+	if m.counts[id.customer] == 0 {
+		delete(m.counts, id.customer)
+	}
+}
+
 func (m *Memory) drop(r *record) {
 	if r != nil && r.answer != nil {
 		m.heldSum -= r.answer.size()
@@ -373,7 +384,7 @@
 	for id, r := range m.records {
 		if r.state != running && m.expired(id, r, oldest, now) {
 			m.drop(r)
-			delete(m.records, id)
+			m.remove(id)
 		}
 	}
 	m.held = slices.DeleteFunc(m.held, func(id recordID) bool { return m.records[id] == nil })
--- a/lib/once/memory_test.go
+++ b/lib/once/memory_test.go
@@ -110,7 +110,7 @@
 // Guards against a second run of a repeated key or token, and against the
 // answer of another request.
 func TestRepeats(t *testing.T) {
-	m := newMemory(0, func(r *Rules) { r.MaxRecords = 4; r.MaxAnswerBytes = 8 })
+	m := newMemory(0, func(r *Rules) { r.MaxRecords, r.MaxOfCustomer, r.MaxAnswerBytes = 4, 3, 8 })
 	text, _, err := m.Issue(wall(0), "c")
 	require.NoError(t, err)
 	for _, s := range []Submission{
@@ -137,6 +137,10 @@
 	m.Finish(wall(4000), m.Admit(wall(4000), cut).Ticket, Lost, nil)
 	require.Equal(t, RunLost, m.Admit(wall(4000), cut).Reason)
 	require.Equal(t, Full, m.Admit(wall(4000), Submission{Key: keyAt(3000, 4).String()}).Reason)
+	m = newMemory(0, func(r *Rules) { r.MaxOfCustomer = 1 })
+	require.Equal(t, Run, m.Admit(wall(4000), Submission{Customer: "c", Key: keyAt(3000, 5).String()}).Kind)
+	require.Equal(t, Full, m.Admit(wall(4000), Submission{Customer: "c", Key: keyAt(3000, 6).String()}).Reason)
+	require.Equal(t, Run, m.Admit(wall(4000), Submission{Customer: "d", Key: keyAt(3000, 6).String()}).Kind)
 }
 
 // Guards against a token that is accepted late, by another start, by another
--- a/lib/once/naive_test.go
+++ b/lib/once/naive_test.go
@@ -44,7 +44,7 @@
 	return Rules{
 		ClockStep: simStep * time.Millisecond, KeyLifetime: simLifetime * time.Millisecond,
 		FutureWait: 30 * time.Millisecond, TokenLifetime: 400 * time.Millisecond,
-		Grace: simGrace * time.Millisecond, MaxRecords: 8, MaxAnswerBytes: 100, MaxHeldBytes: 300,
+		Grace: simGrace * time.Millisecond, MaxRecords: 8, MaxOfCustomer: 8, MaxAnswerBytes: 100, MaxHeldBytes: 300,
 	}
 }
 
--- a/lib/once/rules.go
+++ b/lib/once/rules.go
@@ -16,8 +16,10 @@
 	// Grace is how long a key or token is remembered after it is no longer
 	// accepted. Within it, an absent record proves that nothing was run.
 	Grace time.Duration
-	// MaxRecords bounds the keys and tokens in memory.
-	MaxRecords int
+	// MaxRecords bounds the keys and tokens in memory, MaxOfCustomer those of
+	// one customer, so that a flood of one leaves room for the others.
+	MaxRecords    int
+	MaxOfCustomer int
 	// MaxAnswerBytes bounds one answer that is kept, MaxHeldBytes all of them.
 	MaxAnswerBytes int
 	MaxHeldBytes   int
@@ -34,6 +36,7 @@
 		TokenLifetime:  2 * time.Minute,
 		Grace:          time.Minute,
 		MaxRecords:     1 << 16,
+		MaxOfCustomer:  1 << 15,
 		MaxAnswerBytes: 64 << 10,
 		MaxHeldBytes:   32 << 20,
 	}
