--- a/agent/once.go
+++ b/agent/once.go
@@ -130,8 +130,8 @@
 // onceStatus maps reasons that concern the submission itself; the other
 // refusals pass by themselves and have the status 503.
 var onceStatus = map[once.Reason]int{
-	once.NotUUID:       http.StatusBadRequest,
-	once.NoTime:        http.StatusBadRequest,
+	once.NotUUID:       http.StatusConflict,
+	once.NoTime:        http.StatusConflict,
 	once.NoOwners:      http.StatusConflict,
 	once.KeyExpired:    http.StatusConflict,
 	once.OtherRequest:  http.StatusConflict,
--- a/entry/once.go
+++ b/entry/once.go
@@ -190,7 +190,7 @@
 	}
 	key, err := once.ParseKey(keyText)
 	if err != nil {
-		return "", invalid(http.StatusBadRequest, string(once.KeyReason(err)))
+		return "", boundNotRun(c, http.StatusConflict, string(once.KeyReason(err)))
 	}
 	if len(s.Owners.Epochs) == 0 {
 		return "", boundNotRun(c, http.StatusConflict, string(once.NoOwners))
--- a/entry/status.go
+++ b/entry/status.go
@@ -28,20 +28,25 @@
 
 // statusReport is the state as operators see it.
 type statusReport struct {
-	node.Status
-	Carried  int                   `json:"carried"`
-	Waiting  map[fleet.Service]int `json:"waiting"`
-	Blocked  int                   `json:"crash_guard_records"`
-	Stopping bool                  `json:"stopping"`
+	Generation fleet.Generation      `json:"generation"`
+	Members    int                   `json:"members"`
+	Carried    int                   `json:"carried"`
+	Waiting    map[fleet.Service]int `json:"waiting"`
+	Suspects   int                   `json:"suspects"`
+	Stopping   bool                  `json:"stopping"`
 }
 
 func (r *router) answer(ctx context.Context, q question) {
 	s := status{config: r.view.Config, report: statusReport{
+		Members:  len(r.view.Members),
 		Carried:  r.carried,
 		Waiting:  map[fleet.Service]int{},
-		Blocked:  r.guard.Len(),
+		Suspects: r.guard.Len(),
 		Stopping: r.entry.stopping.Load(),
 	}}
+	if r.view.Config != nil {
+		s.report.Generation = r.view.Config.Generation
+	}
 	for key, lane := range r.lanes.byKey {
 		s.report.Waiting[key.service] += lane.Len()
 	}
@@ -63,10 +68,16 @@
 func (e *Entry) serveReady(w http.ResponseWriter, r *http.Request) {
 	s, err := e.ask(r.Context())
 	if err != nil || s.config == nil || s.report.Stopping {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		http.Error(w, "router has no configuration or the process is stopping", http.StatusServiceUnavailable)
 		return
 	}
-	_, _ = w.Write([]byte("ready\n"))
+	e.node.ReadyHandler().ServeHTTP(w, r)
+}
+
+// fullStatus is the answer to GET /status.
+type fullStatus struct {
+	node.Status
+	Entry statusReport `json:"entry"`
 }
 
 func (e *Entry) serveStatus(w http.ResponseWriter, r *http.Request) {
@@ -75,11 +86,12 @@
 		http.Error(w, "router does not answer", http.StatusServiceUnavailable)
 		return
 	}
-	if s.report.Status, err = e.node.Status(r.Context()); err != nil {
+	shared, err := e.node.Status(r.Context())
+	if err != nil {
 		http.Error(w, "gossip duty does not answer", http.StatusServiceUnavailable)
 		return
 	}
-	wire.WriteJSON(w, s.report)
+	wire.WriteJSON(w, fullStatus{Status: shared, Entry: s.report})
 }
 
 // modelList is the answer to GET /v1/models.
--- a/lib/retry/decide.go
+++ b/lib/retry/decide.go
@@ -38,9 +38,11 @@
 // Attempt is what the decision needs to know of an attempt that ended.
 type Attempt struct {
 	End End
-	// Failures counts the attempts of the call that failed, this one included.
+	// Failures counts the attempts of the call that may have been run and
+	// failed, this one included.
 	Failures int
-	// Placements counts all attempts of the call.
+	// Placements counts the attempts of the call that were not refused for lack
+	// of room; calls without room wait until their deadline.
 	Placements int
 	// Once says that the request may not be repeated.
 	Once bool
@@ -66,24 +68,27 @@
 const (
 	// maxFailures bounds the attempts of one call that fail.
 	maxFailures = 3
-	// maxPlacements bounds all attempts of one call. Refusals cost the
-	// upstream little and are no failures, but a call must not go round forever.
+	// maxPlacements bounds the attempts of one call. Refusals cost the upstream
+	// little and are no failures, but a call must not go round forever.
 	maxPlacements = 20
 )
 
 // Decide returns what follows an attempt. The spend function takes a retry
 // from the budgets; it is called only if everything else allows a retry.
-// Refusals spend nothing: while views differ, such as when a failure domain is
-// taken out of service, all calls may need a second attempt.
+// Attempts that were not run spend nothing: they cost the upstream little, and
+// while views differ, such as when a failure domain is taken out of service or
+// an instance has died, all calls may need a second attempt.
 func Decide(a Attempt, spend func() bool) Action {
 	switch {
 	case a.End == Answered || a.End == CallerLeft || a.Started:
 		return Finish
+	case a.End == Busy:
+		return Requeue
 	case a.Placements >= maxPlacements || a.End == TimedOut:
 		return GiveUp
-	case a.End == Busy || a.End == Refused:
+	case a.End.NotRun():
 		return Requeue
-	case a.Once && !a.End.NotRun():
+	case a.Once:
 		return GiveUp
 	case a.Failures < maxFailures && spend():
 		return Again
--- a/lib/routing/routing_test.go
+++ b/lib/routing/routing_test.go
@@ -79,18 +79,45 @@
 	members  []fleet.Instance
 	out      fleet.FailureDomain
 	inFlight map[fleet.InstanceID]int
-	limit    map[fleet.InstanceID]int
 	paused   map[fleet.InstanceID]time.Time
+	// failures and avoided follow the penalties: 0.5 s, doubled up to 15 s.
+	failures map[fleet.InstanceID]int
+	avoided  map[fleet.InstanceID]time.Time
 }
 
+func (n *naive) acceptable(m fleet.Instance, r Request) bool {
+	return m.State == fleet.StateLive && !m.Switching && m.FailureDomain != n.out &&
+		(m.Serving.IsZero() || slices.Contains(r.Roots, m.Serving)) && !slices.Contains(r.Tried, m.ID)
+}
+
+// valid reports whether a replica may get the call. One that failed may get it
+// only if every acceptable one failed.
 func (n *naive) valid(now time.Time, m fleet.Instance, r Request) bool {
-	limit := n.limit[m.ID]
-	if limit == 0 {
-		limit = 2
+	if !n.acceptable(m, r) || n.inFlight[m.ID] >= 2 || now.Before(n.paused[m.ID]) {
+		return false
 	}
-	return m.State == fleet.StateLive && !m.Switching && m.FailureDomain != n.out &&
-		(m.Serving.IsZero() || slices.Contains(r.Roots, m.Serving)) &&
-		!slices.Contains(r.Tried, m.ID) && n.inFlight[m.ID] < limit && !now.Before(n.paused[m.ID])
+	if !now.Before(n.avoided[m.ID]) {
+		return true
+	}
+	return !slices.ContainsFunc(n.members, func(o fleet.Instance) bool {
+		return n.acceptable(o, r) && !now.Before(n.avoided[o.ID])
+	})
+}
+
+// forget drops what is known of replicas that left and have no calls in flight.
+func (n *naive) forget() {
+	for _, m := range n.members {
+		if n.inFlight[m.ID] == 0 && (m.State != fleet.StateLive || m.Switching || m.FailureDomain == n.out) {
+			delete(n.failures, m.ID)
+			delete(n.avoided, m.ID)
+			delete(n.paused, m.ID)
+		}
+	}
+}
+
+func (n *naive) fail(now time.Time, id fleet.InstanceID) {
+	n.avoided[id] = now.Add(min(500*time.Millisecond<<n.failures[id], 15*time.Second))
+	n.failures[id]++
 }
 
 // Guards against a call that goes to a replica which is leaving, switching, out
@@ -98,7 +125,10 @@
 // call that waits although a replica could take it.
 func TestChoicesAgainstNaiveRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := &naive{inFlight: map[fleet.InstanceID]int{}, limit: map[fleet.InstanceID]int{}, paused: map[fleet.InstanceID]time.Time{}}
+		n := &naive{
+			inFlight: map[fleet.InstanceID]int{}, paused: map[fleet.InstanceID]time.Time{},
+			failures: map[fleet.InstanceID]int{}, avoided: map[fleet.InstanceID]time.Time{},
+		}
 		table := New(fleet.Instance{ID: "entry-0", Region: "r0"})
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		now := start
@@ -110,6 +140,7 @@
 				n.out = fleet.FailureDomain(fmt.Sprintf("d%d", random.IntN(17)))
 				n.members = drawMembers(t, count)
 				table.Update(document(t, n.out), n.members)
+				n.forget()
 			case 1:
 				id := member(random.IntN(count)).ID
 				table.Refused(now, id)
@@ -117,7 +148,11 @@
 					n.paused[id] = now.Add(refusedFor)
 				}
 			case 2:
-				table.Failed(now, member(random.IntN(count)).ID)
+				id := member(random.IntN(count)).ID
+				table.Failed(now, id)
+				if table.byID[id] != nil {
+					n.fail(now, id)
+				}
 			case 3:
 				id := member(random.IntN(count)).ID
 				if n.inFlight[id] > 0 {
