--- a/agent/once.go
+++ b/agent/once.go
@@ -130,8 +130,8 @@
 // onceStatus maps reasons that concern the submission itself; the other
 // refusals pass by themselves and have the status 503.
 var onceStatus = map[once.Reason]int{
-	once.NotUUID:       http.StatusBadRequest,
-	once.NoTime:        http.StatusBadRequest,
+	once.NotUUID:       http.StatusConflict,
+	once.NoTime:        http.StatusConflict,
 	once.NoOwners:      http.StatusConflict,
 	once.KeyExpired:    http.StatusConflict,
 	once.OtherRequest:  http.StatusConflict,
@@ -202,6 +202,11 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), shortTimeout)
 	defer cancel()
+	// A token of an agent that admits no calls would only be refused later.
+	if state, err := a.askGateState(ctx); err != nil || !state.Ready {
+		wire.WriteProblem(w, refusal("", http.StatusServiceUnavailable, "upstream takes no calls now"))
+		return
+	}
 	answer := ring.New[issuedToken](1, ring.Refuse)
 	if err := a.once.events.Put(ctx, tokenQuestion{customer: in.Customer, answer: answer}); err != nil {
 		wire.WriteProblem(w, refusal("", http.StatusServiceUnavailable, err.Error()))
