bench, node: measure a member table of the expected size

Cause: the slope over 8 to 100 processes is within the noise and cannot be extrapolated to 5,060. At 8 processes that all watch, control.busy_bytes_s was 14,530, because a watch that ends sends the whole document again. Change: bench control fills the tables of 4 real processes with 5,060 members and exchanges heartbeats for them; watches of large documents are longer.

--- a/bench/scenario/control.go
+++ b/bench/scenario/control.go
@@ -61,6 +61,9 @@
 			return err
 		}
 	}
+	if err := fullControl(ctx, env); err != nil {
+		return err
+	}
 	reportSlope(env, points, "control.core_percent", "%", func(c control) float64 { return c.core })
 	reportSlope(env, points, "control.rss_mb", "MB", func(c control) float64 { return c.rss })
 	reportSlope(env, points, "control.bytes_s", "B/s", func(c control) float64 { return c.bytes })
@@ -143,6 +146,15 @@
 	if err := wait(ctx, controlSettle); err != nil {
 		return c, err
 	}
+	c, err = observe(ctx, l, run)
+	c.n = n
+	return c, err
+}
+
+// observe returns what the processes of a lab spend on average while run goes on.
+func observe(ctx context.Context, l *lab.Lab, run func(context.Context, *lab.Lab) error) (control, error) {
+	var c control
+	n := len(processes(l))
 	before, err := totals(ctx, l)
 	if err != nil {
 		return c, err
@@ -207,8 +219,9 @@
 	return int64(2*(t.PeersSent+t.PeersReceived) + t.PlatformSent + t.PlatformReceived), nil
 }
 
-// reportSlope fits a line through the points and reports its slope and its
-// value at the expected size.
+// reportSlope fits a line through the points and reports its slope. The noise of
+// small fleets is too great to extrapolate it; fullControl measures a table of
+// the expected size instead.
 func reportSlope(env Env, points []control, name, unit string, value func(control) float64) {
 	if len(points) < 2 {
 		return
@@ -222,7 +235,5 @@
 		xy += float64(p.n) * value(p)
 	}
 	slope := (n*xy - x*y) / (n*xx - x*x)
-	at := (y-slope*x)/n + slope*fleetSize
 	env.Report.Add(name+".slope", slope, unit+" per process", figure.NoBound)
-	env.Report.Add(fmt.Sprintf("%s.extrapolated_n%d", name, fleetSize), at, unit, figure.NoBound)
 }
--- a/lib/node/configuration_test.go
+++ b/lib/node/configuration_test.go
@@ -85,3 +85,18 @@
 	o.answered()
 	require.Equal(t, 1, strings.Count(logged.String(), "can be read again"))
 }
+
+// Guards against watchers that exceed the traffic bound by reading a large
+// document again and again, and against watches that get shorter than set.
+func TestWatchesOfLargeDocumentsAreLonger(t *testing.T) {
+	n := New(settings.Node{WatchWait: 4 * time.Second}, log.NewNopLogger())
+	for size, longest := range map[int]time.Duration{
+		0: 4 * time.Second, 8000: 4 * time.Second, 40_000: 10 * time.Second, config.MaxDocumentBytes: time.Minute,
+	} {
+		w := &watcher{node: n, size: size}
+		for range 20 {
+			require.LessOrEqual(t, w.wait(), longest)
+			require.GreaterOrEqual(t, w.wait(), longest/2)
+		}
+	}
+}
--- a/lib/node/watch.go
+++ b/lib/node/watch.go
@@ -18,6 +18,10 @@
 	// listBytesPerSecond bounds what a watcher spends on reading the instance
 	// list, which is about 1 MB at the expected size.
 	listBytesPerSecond = 6000
+	// watchBytesPerSecond bounds what a watcher spends on watches that end
+	// without a change, up to the longest watch.
+	watchBytesPerSecond = 4000
+	longestWatch        = time.Minute
 	// joinTries is the number of peers that are asked for the member table
 	// before the list is read again.
 	joinTries = 3
@@ -61,7 +65,17 @@
 	node    *Node
 	service *platform.ConfigService
 	index   uint64
-	outage  outage
+	// size is the length of the last value.
+	size   int
+	outage outage
+}
+
+// wait returns how long the next watch lasts without a change. The service
+// sends the whole value at the end of a watch also if nothing changed, so
+// watches of a large document are longer.
+func (w *watcher) wait() time.Duration {
+	byRate := min(time.Duration(w.size)*time.Second/watchBytesPerSecond, longestWatch)
+	return jitter(max(w.node.settings.WatchWait, byRate))
 }
 
 // runWatch reads the service once at the start, then watches it while the
@@ -105,7 +119,7 @@
 
 // read reads the service; with an index it waits for a change.
 func (w *watcher) read(ctx context.Context, index uint64) error {
-	wait := jitter(w.node.settings.WatchWait)
+	wait := w.wait()
 	limited, cancel := context.WithTimeout(ctx, wait+requestTimeout)
 	defer cancel()
 	value, err := w.service.Read(limited, index, wait)
@@ -114,6 +128,7 @@
 		return err
 	}
 	w.outage.answered()
+	w.size = len(value.Bytes)
 	_ = w.node.inbox.Put(ctx, serviceRead{})
 	if value.Index != index {
 		w.index = value.Index
