--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -174,9 +174,6 @@
 	return res
 }
 
-// maxProblemBytes bounds a refusal that is read.
-const maxProblemBytes = 4 << 10
-
 // refusal returns why an agent refused a call. A replica without room for the
 // call is asked again soon; any other reason pauses it for longer.
 func refusal(resp *http.Response) (retry.End, string) {
