--- a/bench/e2e/burst_test.go
+++ b/bench/e2e/burst_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/bench/lab"
+	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/wire"
 )
 
@@ -119,3 +120,45 @@
 	awaitTransfer(ctx, t, l.Agents[0], func(s wire.TransferStatus) bool { return s.Ended > 0 })
 	require.NoError(t, l.AwaitServing(ctx, weights.Root.String(), 1))
 }
+
+// Guards against a version that was given up in mid-transfer and is loaded or
+// kept in memory although the earlier one is wanted again.
+func TestBurstBackAgainInTransfer(t *testing.T) {
+	l, ctx := burstLab(t, 3)
+	_, first, err := l.AddStore(6)
+	require.NoError(t, err)
+	_, second, err := l.AddStore(7)
+	require.NoError(t, err)
+	require.NoError(t, l.PublishProfile("burst-1", "v1", first))
+	require.NoError(t, l.AwaitServing(ctx, first.Root.String(), 3))
+	require.NoError(t, l.PublishProfile("burst-2", "v2", second))
+	awaitTransfer(ctx, t, l.Agents[0], func(s wire.TransferStatus) bool {
+		return s.Root == second.Root && half(s)
+	})
+	require.NoError(t, l.Publish(func(d *config.Document) { d.Services[0].Profile = "burst-1" }))
+	for _, p := range l.Agents {
+		awaitTransfer(ctx, t, p, func(s wire.TransferStatus) bool {
+			return s.Ended > 0 && s.HeldBytes <= int64(l.Options.ModelBytes+4<<10)
+		})
+		require.True(t, p.Engine.Holds(ctx, first.Root.String()))
+		require.False(t, p.Engine.Holds(ctx, second.Root.String()))
+	}
+}
+
+// Guards against a store that refuses and holds up the transfer, and against
+// agents that leave out the store.
+func TestBurstBusyStore(t *testing.T) {
+	l, ctx := burstLab(t, 2)
+	origin, weights, err := l.AddStore(8)
+	require.NoError(t, err)
+	store, same, err := l.AddStore(8)
+	require.NoError(t, err)
+	require.Equal(t, weights.Root, same.Root)
+	weights.Store = same.Origin
+	store.Busy.Store(true)
+	require.NoError(t, l.PublishProfile("burst-1", "v1", weights))
+	require.NoError(t, l.AwaitServing(ctx, weights.Root.String(), 2))
+	require.Positive(t, store.Refused.Load())
+	require.Zero(t, store.Bytes())
+	require.Positive(t, origin.Bytes())
+}
