--- a/bench/scenario/burst.go
+++ b/bench/scenario/burst.go
@@ -47,6 +47,11 @@
 	downSum      float64
 	serving      time.Duration
 	requests     wire.TransferStatus
+	// agentCores, busyCores and idleCores are means over the burst. A machine
+	// without idle cores makes the time one of the processor, not of the links.
+	agentCores float64
+	busyCores  float64
+	idleCores  float64
 }
 
 // burst measures how new weights reach all agents at once.
@@ -91,6 +96,7 @@
 	add("bytes_received_to_sent", b.downSum/(b.upSum+b.originCopies), figure.NoBound)
 	r.Note("N=%d: last transfer began %.3f and half were complete %.3f copies after publication; all engines loaded after %s; busy %d, corrupt %d, failed %d",
 		n, b.startCopies, b.halfCopies, b.serving.Round(time.Millisecond), b.requests.BusyAnswers, b.requests.CorruptChunks, b.requests.FailedRequests)
+	r.Note("N=%d: agents used %.1f cores; the machine had %.1f cores busy and %.1f idle", n, b.agentCores, b.busyCores, b.idleCores)
 }
 
 // runBurst publishes one profile to n agents that hold nothing.
@@ -122,6 +128,9 @@
 	if err := startIdle(ctx, l); err != nil {
 		return result, err
 	}
+	if err := result.addCores(l, -1); err != nil {
+		return result, err
+	}
 	published := time.Now()
 	if err := l.PublishProfile("burst-1", "v1", weights); err != nil {
 		return result, err
@@ -130,12 +139,33 @@
 		return result, err
 	}
 	result.serving = time.Since(published)
+	if err := result.addCores(l, 1); err != nil {
+		return result, err
+	}
+	result.agentCores /= result.serving.Seconds()
+	result.busyCores /= result.serving.Seconds()
+	result.idleCores /= result.serving.Seconds()
 	copyTime := time.Duration(float64(modelBytes) / float64(burstLink) * float64(time.Second))
 	err = result.collect(ctx, l, published, copyTime, float64(modelBytes))
 	result.originCopies = float64(store.Bytes()) / float64(modelBytes)
 	return result, err
 }
 
+// addCores adds the processor seconds spent so far, with a sign.
+func (b *burstResult) addCores(l *lab.Lab, sign float64) error {
+	for _, p := range l.Agents {
+		t, err := processorTime(p.PID())
+		if err != nil {
+			return err
+		}
+		b.agentCores += sign * t.Seconds()
+	}
+	busy, idle, err := machineTime()
+	b.busyCores += sign * busy.Seconds()
+	b.idleCores += sign * idle.Seconds()
+	return err
+}
+
 // collect reads the counters of every agent.
 func (b *burstResult) collect(ctx context.Context, l *lab.Lab, published time.Time, copyTime time.Duration, size float64) error {
 	peers := &wire.Client{HTTP: lab.HTTP, Keys: wire.Keys{lab.PeerKey}}
--- a/bench/scenario/proc.go
+++ b/bench/scenario/proc.go
@@ -53,3 +53,26 @@
 	}
 	return 0, eris.Errorf("/proc/%d/status has no VmRSS", pid)
 }
+
+// machineTime returns the processor time that the whole machine has spent at
+// work and idle, over all cores.
+func machineTime() (busy, idle time.Duration, err error) {
+	data, err := os.ReadFile("/proc/stat")
+	if err != nil {
+		return 0, 0, eris.Wrap(err, "machine time")
+	}
+	line, _, _ := strings.Cut(string(data), "\n")
+	const idleField, waitField = 3, 4
+	for i, text := range strings.Fields(line)[1:] {
+		ticks, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return 0, 0, eris.Wrap(err, "machine time")
+		}
+		if i == idleField || i == waitField {
+			idle += time.Duration(ticks) * clockTick
+		} else {
+			busy += time.Duration(ticks) * clockTick
+		}
+	}
+	return busy, idle, nil
+}
