--- a/agent/calls.go
+++ b/agent/calls.go
@@ -158,6 +158,11 @@
 		a.refuseGrant(g, gate.PastDeadline)
 		return
 	}
+	if reason := a.confirmOnce(g.ctx); reason != "" {
+		a.release(ctx, g.ticket)
+		a.refuseGrant(g, gate.Reason(reason))
+		return
+	}
 	answer := ring.New[verdict](1, ring.Refuse)
 	v := a.askGate(ctx, answer, recheck{ticket: g.ticket, answer: answer})
 	if v.reason != gate.Admitted {
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -34,5 +34,6 @@
 		{Name: "drain", Run: Drain},
 		{Name: "move", Run: Move},
 		{Name: "route", Run: Route},
+		{Name: "once", Run: Once},
 	}
 }
--- a/lib/routing/candidate.go
+++ b/lib/routing/candidate.go
@@ -91,8 +91,13 @@
 	return float64(c.inFlight(now)+1) / float64(c.limit)
 }
 
-// failed lengthens the time in which the replica is avoided.
+// failed avoids the replica. Failures while it is avoided do not count: the
+// calls in flight at a replica that restarts fail together, and their number
+// says nothing about how long it will be away.
 func (c *candidate) failed(now time.Time) {
+	if c.avoided(now) {
+		return
+	}
 	penalty := firstPenalty << min(c.failures, 10)
 	c.avoidUntil = now.Add(min(penalty, maxPenalty))
 	c.failures++
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -84,6 +84,10 @@
 	Linger time.Duration
 	// OrderTimeout bounds one order to the engine.
 	OrderTimeout time.Duration
+	// ClockStep bounds how far the clock of the machine may step back.
+	ClockStep time.Duration
+	// KeyLifetime is the age up to which a caller's key is accepted.
+	KeyLifetime time.Duration
 	// OrderSettle is the longest time that an order of an earlier agent may
 	// still take at an engine that ignores fencing tokens.
 	OrderSettle time.Duration
@@ -170,6 +174,8 @@
 	s.ChunkPeers = r.integer("agent", "chunk_peers", 16, 0)
 	s.Linger = r.duration("agent", "linger", 2*time.Minute)
 	s.OrderTimeout = r.duration("agent", "order_timeout", 5*time.Minute)
+	s.ClockStep = r.duration("agent", "clock_step", 2*time.Second)
+	s.KeyLifetime = r.duration("agent", "key_lifetime", 10*time.Minute)
 	s.OrderSettle = r.duration("agent", "order_settle", time.Minute)
 	s.ProgressTimeout = r.duration("agent", "progress_timeout", 30*time.Second)
 	s.HealthPath = r.text("agent", "health_path", "")
