bench/e2e: press a restarting engine also past the entries

Cause: TestEngineRestartUnderLoad ended at its bound of 60 s in 2 of 9 runs. The gate was ready, but entries avoid an agent for up to 15 s after the calls of one crash, each of which counts as a failure, so the engine got no work to restart under. Change: 24 callers with an old view send straight to the agent beside 24 callers through the entries, so that the pressure does not depend on the entries. The checks stay as they are.

--- a/bench/e2e/engine_test.go
+++ b/bench/e2e/engine_test.go
@@ -73,6 +73,29 @@
 	}
 }
 
+// loadAgent sends chat completions straight to an agent until stop is called.
+func loadAgent(ctx context.Context, l *lab.Lab, p *lab.Process, w config.Weights, callers int) (stop func()) {
+	var wait sync.WaitGroup
+	var ending atomic.Bool
+	for i := range callers {
+		wait.Go(func() {
+			for n := 0; !ending.Load() && ctx.Err() == nil; n++ {
+				c := wire.Call{
+					Request: fmt.Sprintf("stale-%d-%d", i, n), Service: lab.Service, Root: w.Root, Deadline: 10 * time.Second,
+				}
+				a, err := l.CallAgent(ctx, p, c, lab.ChatPath, lab.ChatBody("stale"))
+				if err != nil || a.Status != http.StatusOK {
+					pause(ctx, 10*time.Millisecond)
+				}
+			}
+		})
+	}
+	return func() {
+		ending.Store(true)
+		wait.Wait()
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -114,8 +137,11 @@
 		ColdBound: o.Limits.Cold, WarmBound: o.Limits.Warm,
 	}
 	ctx, l, w := engineLab(t, o)
-	stop := load(ctx, l, 48)
+	stop := load(ctx, l, 24)
 	victim := l.Agents[0]
+	// Entries avoid an agent after failures; these callers do not, like
+	// entries with an old view.
+	stopStale := loadAgent(ctx, l, victim, w, 24)
 	for range 3 {
 		before := victim.Engine.Counts(ctx).Finished
 		awaitCounts(ctx, t, victim.Engine, "serves", func(c standin.EngineCounts) bool { return c.Finished > before+40 })
@@ -123,6 +149,7 @@
 	}
 	before := victim.Engine.Counts(ctx).Finished
 	awaitCounts(ctx, t, victim.Engine, "serves again", func(c standin.EngineCounts) bool { return c.Finished > before })
+	stopStale()
 	stop()
 	require.NoError(t, l.AwaitReady(ctx, w.Root, l.Agents...))
 	for _, p := range l.Agents {
