--- a/agent/agent.go
+++ b/agent/agent.go
@@ -58,6 +58,7 @@
 	// probe asks the reporter for a health check at once.
 	probe   *ring.Ring[struct{}]
 	metrics *agentMetrics
+	once    *onceDuty
 
 	up   *pacing.Link
 	down *pacing.Link
@@ -78,6 +79,7 @@
 		pullerViews:   n.Subscribe(),
 		gateViews:     n.Subscribe(),
 		reporterViews: n.Subscribe(),
+		once:          newOnceDuty(n),
 		engineer:      ring.New[engineerEvent](messageRing, ring.Wait),
 		orders:        ring.New[order](1, ring.Wait),
 		puller:        ring.New[pullerEvent](messageRing, ring.Wait),
@@ -140,6 +142,7 @@
 		g.Go("asker", a.runAsker)
 	}
 	g.Go("gatekeeper", a.runGatekeeper)
+	g.Go("keeper", a.runKeeper)
 	for range a.settings.Calls {
 		g.Go("forwarder", a.runForwarder)
 	}
@@ -155,7 +158,8 @@
 func (a *Agent) handler() http.Handler {
 	keys := wire.Keys(a.settings.PeerKeys)
 	inside := http.NewServeMux()
-	inside.HandleFunc(wire.CallPath+"/", a.serveCall)
+	inside.HandleFunc(wire.CallPath+"/", a.guardOnce(a.serveCall))
+	inside.HandleFunc("POST "+wire.PathToken, a.serveToken)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/manifest", a.serveManifest)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/have", a.serveHave)
 	inside.HandleFunc("GET "+wire.PathWeights+"{root}/chunks/{index}", a.serveChunk)
--- a/agent/puller.go
+++ b/agent/puller.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/manifest"
 	"rattanspur.example/lib/node"
+	"rattanspur.example/lib/pacing"
 	"rattanspur.example/lib/transfer"
 	"rattanspur.example/lib/weightstore"
 	"rattanspur.example/lib/wire"
@@ -104,6 +106,8 @@
 	retries int
 	// reduceAt is when a loaded root is reduced to its share.
 	reduceAt time.Time
+	// tickAt is when the next tick is due; zero if none is.
+	tickAt time.Time
 
 	uploads  int
 	counters wire.TransferStatus
@@ -111,25 +115,61 @@
 
 func (a *Agent) runPuller(ctx context.Context) error {
 	p := &puller{agent: a}
-	ticker := time.NewTicker(pullerTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(pullerTick)
+	defer timer.Stop()
 	for {
 		select {
 		case v := <-a.pullerViews.Out():
 			p.setView(ctx, v)
 		case ev := <-a.puller.Out():
 			p.handle(ctx, ev)
-		case <-ticker.C:
+		case <-timer.C:
+			p.tickAt = time.Time{}
 			p.tick(ctx, time.Now())
 		case <-ctx.Done():
 			return nil
 		}
+		p.schedule(timer, time.Now())
 	}
 }
 
+// schedule sets when the next tick is due: soon during a transfer, at the next
+// planned step without one, and never if nothing is planned. A tick that is
+// due already stays so.
+func (p *puller) schedule(timer *time.Timer, now time.Time) {
+	next := p.nextTick(now)
+	if next.Equal(p.tickAt) {
+		return
+	}
+	p.tickAt = next
+	if next.IsZero() {
+		timer.Stop()
+		return
+	}
+	timer.Reset(next.Sub(now))
+}
+
+func (p *puller) nextTick(now time.Time) time.Time {
+	if p.try != nil {
+		soon := now.Add(pullerTick)
+		if !p.tickAt.IsZero() && p.tickAt.Before(soon) {
+			return p.tickAt
+		}
+		return soon
+	}
+	next := p.reduceAt
+	// Without a configuration that names the root, nothing is retried.
+	retries := p.wanted != nil && p.named == p.wanted.Weights.Root && !p.retryAt.IsZero()
+	if retries && (next.IsZero() || p.retryAt.Before(next)) {
+		next = p.retryAt
+	}
+	return next
+}
+
 // setView takes in the members and the root that the configuration names. An
 // unfinished transfer of another root ends.
 func (p *puller) setView(ctx context.Context, v node.View) {
+	before := p.peers
 	p.members = map[fleet.InstanceID]fleet.Instance{}
 	p.peers = nil
 	for _, m := range v.Members {
@@ -147,6 +187,11 @@
 		p.end("configuration no longer names the root", time.Now())
 		p.held = nil
 	}
+	// Views also change with what members serve, often in a burst; ranking is
+	// worth its time only if the members themselves changed.
+	if slices.Equal(before, p.peers) {
+		return
+	}
 	if p.try != nil {
 		p.try.place = p.place()
 		p.step(ctx, transfer.PeersChanged{Peers: p.peers})
@@ -244,5 +289,5 @@
 	}
 	place := p.place()
 	share := max(len(place.Drawers()), 1)
-	p.agent.region.SetRate(p.agent.settings.RegionLink / pacingShare(share))
+	p.agent.region.SetRate(p.agent.settings.RegionLink / pacing.BytesPerSecond(share))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,7 @@
 	stopping atomic.Bool
 	// snapshots answers the operator page.
 	snapshots *snapshots
+	once      *onceRoute
 }
 
 // New returns an entry; Run starts it.
@@ -58,6 +59,7 @@
 		inbox:     ring.New[event](2*s.Calls, ring.Wait),
 		attempts:  ring.New[attempt](s.Calls, ring.Refuse),
 		snapshots: newSnapshots(n),
+		once:      newOnceRoute(n, s),
 	}
 	e.metrics = newMetrics(e)
 	return e
@@ -87,6 +89,7 @@
 	for range e.settings.Calls {
 		g.Go("forwarder", e.runForwarder)
 	}
+	e.startOnce(g)
 	limited := newLimitedListener(listener, e.settings.Connections)
 	g.Go("server", func(context.Context) error { return serve(server, limited) })
 	select {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -37,8 +37,10 @@
 	prefix      uint64
 	fingerprint string
 	keySHA256   string
-	arrived     time.Time
-	stream      *relay.Stream
+	// token permits one run of a request that may not be repeated.
+	token   string
+	arrived time.Time
+	stream  *relay.Stream
 }
 
 // serveCall decodes a request, hands it to the router and writes what comes
@@ -56,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), e.settings.CallTimeout)
 	defer cancel()
 	c := newCall(ctx, id, r, body)
-	if err := e.inbox.Put(ctx, arrival{call: c}); err != nil {
+	if err := e.deliver(ctx, c); err != nil {
 		wire.WriteProblem(w, notRun(c, "entry takes no further calls now"))
 		return
 	}
@@ -67,6 +69,7 @@
 	model, prompt := inspect(r.URL.Path, body)
 	key := wire.Bearer(r.Header)
 	// Headers that only processes of the system set are not taken from callers.
+	token := r.Header.Get(wire.HeaderToken)
 	relay.StripHop(r.Header)
 	stripInternal(r.Header)
 	return &call{
@@ -80,6 +83,7 @@
 		prefix:      routing.PrefixOf(prompt),
 		fingerprint: retry.Fingerprint(r.URL.RequestURI(), body),
 		keySHA256:   keyDigest(key),
+		token:       token,
 		arrived:     time.Now(),
 		stream:      relay.NewStream(),
 	}
--- a/lib/routing/routing_test.go
+++ b/lib/routing/routing_test.go
@@ -116,6 +116,9 @@
 }
 
 func (n *naive) fail(now time.Time, id fleet.InstanceID) {
+	if now.Before(n.avoided[id]) {
+		return
+	}
 	n.avoided[id] = now.Add(min(500*time.Millisecond<<n.failures[id], 15*time.Second))
 	n.failures[id]++
 }
@@ -280,6 +283,17 @@
 	require.NotEqual(t, first.Instance.ID, c.Instance.ID)
 }
 
+// Guards against a replica that gets no calls for long because many calls in
+// flight failed when it restarted once.
+func TestOneRestartIsOneFailure(t *testing.T) {
+	table := newTable(t, 2)
+	for range 30 {
+		table.Failed(start, member(0).ID)
+	}
+	require.True(t, table.byID[member(0).ID].avoided(start))
+	require.False(t, table.byID[member(0).ID].avoided(start.Add(firstPenalty)))
+}
+
 // Guards against a suspect that shares a replica with other calls.
 func TestAloneWaitsForAnEmptyReplica(t *testing.T) {
 	table := newTable(t, 1)
