entry: tell the node only of newer configurations

Cause: every answer woke the gossip duty with the agent's configuration stamp. Change: only a stamp above the one that the call was decided by is passed on. The scenario route prints the ratio to the naive proxy, because absolute figures follow the load of the machine.

--- a/bench/scenario/route.go
+++ b/bench/scenario/route.go
@@ -68,10 +68,16 @@
 		return err
 	}
 	reportRoute(env.Report, ways)
-	if err := reportProcessorTime(ctx, env.Report, "naive_", naive.Process.Pid, ways[1].call); err != nil {
+	base, err := reportProcessorTime(ctx, env.Report, "naive_", naive.Process.Pid, ways[1].call)
+	if err != nil {
+		return err
+	}
+	perCore, err := reportProcessorTime(ctx, env.Report, "", l.Entries[0].PID(), ways[2].call)
+	if err != nil {
 		return err
 	}
-	return reportProcessorTime(ctx, env.Report, "", l.Entries[0].PID(), ways[2].call)
+	env.Report.Add("route.per_core_ratio", perCore/base, "ratio", figure.NoBound)
+	return nil
 }
 
 func sender(client *http.Client, base string, body []byte) func(context.Context) error {
@@ -113,10 +119,10 @@
 }
 
 // reportProcessorTime measures the calls that a process carries with one core.
-func reportProcessorTime(ctx context.Context, r *figure.Report, name string, pid int, call func(context.Context) error) error {
+func reportProcessorTime(ctx context.Context, r *figure.Report, name string, pid int, call func(context.Context) error) (float64, error) {
 	before, err := processorTime(pid)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	seen := newLatencies()
 	start := time.Now()
@@ -124,16 +130,16 @@
 	elapsed := time.Since(start)
 	after, err := processorTime(pid)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if seen.failed > 0 {
-		return eris.Wrapf(seen.lastError, "%d of %d calls failed", seen.failed, seen.calls)
+		return 0, eris.Wrapf(seen.lastError, "%d of %d calls failed", seen.failed, seen.calls)
 	}
 	r.Note("route: %s%d calls at %.0f a second, %d at a time", name, seen.calls, float64(seen.calls)/elapsed.Seconds(), busyWorkers)
 	perCore := float64(seen.calls) / (after - before).Seconds()
 	r.Add("route."+name+"requests_per_core_s", perCore, "requests/core-s", figure.NoBound)
 	r.Add("route."+name+"busy_p99_us", seen.quantile(99), "us", figure.NoBound)
-	return nil
+	return perCore, nil
 }
 
 // startNaive starts the naive proxy as a process of its own, so that both ways
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -151,7 +151,10 @@
 // this attempt: a refusal meant for another request would let a request run twice.
 func (t *try) receive(resp *http.Response) result {
 	res := result{detail: resp.Status}
-	if stamp, ok := wire.GetStamp(resp.Header); ok {
+	// Only a newer configuration than the one that the call was decided by is
+	// news for the node.
+	stamp, ok := wire.GetStamp(resp.Header)
+	if ok && stamp.Compare(t.attempt.meta.Config) > 0 {
 		t.entry.node.Heard(t.attempt.upstream.Address, stamp)
 	}
 	if l, ok := wire.GetLoad(resp.Header); ok {
