entry: pass answers to HEAD on

Cause: the length of an answer to HEAD was taken for the length of a body, so the call was taken for a broken one and was retried. Change: such answers are passed on as they are. Measured: the test of calls without a body fails without the change and passes with it.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -321,6 +321,28 @@
 	require.Equal(t, "/elsewhere", a.header.Get("Location"))
 }
 
+// Guards against calls without a body that are changed on the way, and against
+// the length of an answer to HEAD that is taken for the length of a body.
+func TestCallsWithoutBody(t *testing.T) {
+	agent := fakeAgent(t, func(w http.ResponseWriter, r *http.Request, _ *wire.Call) {
+		w.Header().Set(wire.HeaderOutcome, string(wire.Ran))
+		w.Header().Set("Seen", fmt.Sprint(r.Method, r.ContentLength, r.TransferEncoding))
+		_, _ = io.WriteString(w, "entries")
+	})
+	b := startEntry(t, nil, agent)
+	for _, method := range []string{http.MethodGet, http.MethodHead} {
+		req, err := http.NewRequestWithContext(b.ctx, method, "http://"+b.address+"/bookings/list", http.NoBody)
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer counter")
+		resp, err := b.client.Do(req)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Equal(t, method+"0 []", resp.Header.Get("Seen"))
+		require.EqualValues(t, len("entries"), resp.ContentLength)
+	}
+}
+
 // Guards against a body or a response beyond the limits.
 func TestBodyAndStreamLimits(t *testing.T) {
 	agent := fakeAgent(t, func(w http.ResponseWriter, _ *http.Request, _ *wire.Call) {
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -203,7 +203,9 @@
 // pass puts the response on the caller's stream.
 func (t *try) pass(ctx context.Context, resp *http.Response, res *result) {
 	head := t.head(resp)
-	if n := resp.ContentLength; n >= 0 && n <= min(wholeBytes, t.entry.settings.StreamBytes) {
+	n := resp.ContentLength
+	hasBody := t.attempt.call.method != http.MethodHead
+	if hasBody && n >= 0 && n <= min(wholeBytes, t.entry.settings.StreamBytes) {
 		t.passWhole(resp, head, res)
 		return
 	}
