bench/scenario: check histories under two pairs of faults in the tests

Cause: only the benchmark compared callers' histories with the ledger. Change: a test injects two pairs of faults for a few seconds, and another shows that the comparison notices second runs and wrong answers.

--- a/bench/scenario/once.go
+++ b/bench/scenario/once.go
@@ -131,17 +131,21 @@
 	random  *rand.Rand
 }
 
-// startOnce starts a lab in which all agents own keys for a day, or, with
-// processes that are cut off, none until the scenario publishes owners.
-func startOnce(ctx context.Context, binary string, cut func(*lab.Process) bool) (*onceRun, error) {
-	l, err := lab.Start(lab.Options{
+func onceOptions(binary string, cut func(*lab.Process) bool) lab.Options {
+	return lab.Options{
 		Binary: binary, Agents: 4, Entries: 2,
 		Regions:    []string{"burdwan", "hooghly"},
 		Limits:     config.Limits{Cold: 32, Warm: 64, RampStep: 4},
 		Ledger:     standin.NewLedger(5 * time.Millisecond),
 		ExtraAgent: "clock_step = 200ms\n",
 		CutOff:     cut,
-	})
+	}
+}
+
+// startOnce starts a lab in which all agents own keys for a day, or, with
+// processes that are cut off, none until the scenario publishes owners.
+func startOnce(ctx context.Context, binary string, cut func(*lab.Process) bool) (*onceRun, error) {
+	l, err := lab.Start(onceOptions(binary, cut))
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/bench/scenario/once_test.go
@@ -0,0 +1,49 @@
+package scenario
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/bench/lab"
+)
+
+// Guards against a second run and a wrong "not run" while an agent is killed
+// and another paused, and while a failure domain moves with the configuration
+// service down. The histories of all callers are compared with the ledger.
+func TestHistoriesUnderPairsOfFaults(t *testing.T) {
+	binary, err := lab.Build(t.TempDir())
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	r, err := startOnce(ctx, binary, nil)
+	require.NoError(t, err)
+	t.Cleanup(r.lab.Close)
+	faults := onceFaultList()
+	for _, set := range [][]fault{faults[0:2], faults[3:5]} {
+		r.reset()
+		require.NoError(t, r.during(ctx, func(ctx context.Context) error { return r.inject(ctx, set) }))
+		v := r.history.check(r.lab.Options.Ledger)
+		require.Positive(t, v.ran)
+		require.Zero(t, v.twice, "requests that ran more than once")
+		require.Zero(t, v.falseNotRun, "answers that were wrong")
+		require.NoError(t, r.await(ctx))
+	}
+}
+
+// Guards against a check that notices nothing: a booking that ran twice, a
+// submission that ran though it was told otherwise, and an answer without a run.
+func TestHistoryCheckNoticesFaults(t *testing.T) {
+	o := onceOptions("", nil)
+	h := &history{bookings: map[string][]submission{
+		"twice":   {{id: "twice/0", outcome: "ran"}, {id: "twice/1", outcome: "ran"}},
+		"refused": {{id: "refused/0", outcome: "not-run"}},
+		"never":   {{id: "never/0", outcome: "ran"}},
+	}}
+	o.Ledger.Count("twice", "twice/0")
+	o.Ledger.Count("twice", "twice/1")
+	o.Ledger.Count("refused", "refused/0")
+	require.Equal(t, verdict{bookings: 3, submissions: 4, ran: 2, twice: 1, falseNotRun: 2}, h.check(o.Ledger))
+}
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -49,7 +49,9 @@
 	return l.submissions[submission]
 }
 
-func (l *Ledger) count(booking, submission string) int {
+// Count takes in one run of a booking by one submission and returns how often
+// the booking ran so far.
+func (l *Ledger) Count(booking, submission string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.bookings[booking]++
@@ -81,7 +83,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	n := l.count(b.Name, r.Header.Get(HeaderSubmission))
+	n := l.Count(b.Name, r.Header.Get(HeaderSubmission))
 	time.Sleep(l.Delay)
 	if b.Drop {
 		panic(http.ErrAbortHandler)
