entry: apply the crash guard to calls with a key or token

Cause: such calls bypass the router, and with it the guard that stops contents which crash engines; a caller with a new key each time got past it. Change: the binder hears of suspects as the router does, and the fingerprint of these calls is the one that agents report.

--- a/entry/once.go
+++ b/entry/once.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"time"
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/duty"
@@ -15,6 +14,7 @@
 	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/once"
 	"rattanspur.example/lib/relay"
+	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/routing"
 	"rattanspur.example/lib/settings"
@@ -74,6 +74,8 @@
 	entry  *Entry
 	view   node.View
 	agents map[fleet.InstanceID]fleet.Instance
+	// guard holds what other processes report of requests that crash engines.
+	guard *retry.Guard
 }
 
 // deliver hands a call to the duty that routes it.
@@ -91,7 +93,7 @@
 
 // runBinder owns the routing of calls with a key or token.
 func (e *Entry) runBinder(ctx context.Context) error {
-	b := &binder{entry: e}
+	b := &binder{entry: e, guard: retry.NewGuard()}
 	for {
 		select {
 		case v := <-e.once.views.Out():
@@ -112,6 +114,15 @@
 			b.agents[m.ID] = m
 		}
 	}
+	now := time.Now()
+	for _, suspect := range v.Suspects {
+		b.guard.Heard(now, suspect.Fingerprint, suspect.Crashes, suspect.Last)
+	}
+}
+
+// blocked reports whether the content of a call crashed engines too often.
+func (b *binder) blocked(c *call) bool {
+	return b.guard.Check(time.Now(), c.fingerprint) == retry.Blocked
 }
 
 func (b *binder) arrive(ctx context.Context, c *call) {
@@ -126,9 +137,12 @@
 	}
 	var x errand
 	var p *wire.Problem
-	if isTokenCall(c) {
+	switch {
+	case isTokenCall(c):
 		x, p = b.tokenErrand(c, customer)
-	} else {
+	case b.blocked(c):
+		p = blocked(c)
+	default:
 		x, p = b.callErrand(c, customer)
 	}
 	if p == nil && b.entry.once.errands.Put(ctx, x) != nil {
@@ -155,7 +169,7 @@
 		Config:  b.view.Config.Stamp,
 		Key:     c.header.Get(wire.HeaderKey), Token: c.token,
 		Once:        true,
-		Fingerprint: contentDigest(c),
+		Fingerprint: c.fingerprint,
 	}
 	if profile != nil {
 		x.meta.Profile, x.meta.Root = profile.Name, profile.Weights.Root
@@ -240,18 +254,6 @@
 	return b.view.Config.DomainIn(m.FailureDomain)
 }
 
-// contentDigest identifies the content of a request, so that a key that is
-// used again with another request is noticed.
-func contentDigest(c *call) string {
-	h := sha256.New()
-	for _, part := range []string{c.method, c.path} {
-		_, _ = h.Write([]byte(part))
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(c.body)
-	return hex.EncodeToString(h.Sum(nil))
-}
-
 func boundNotRun(c *call, status int, detail string) *wire.Problem {
 	p := &wire.Problem{
 		Type: wire.ProblemNotRun, Title: "request was not run", Status: status,
