entry, agent: carry the clock with calls and answers

Cause: the timeline's clock travelled with heartbeats only, so that on machines with different clocks an agent's event could sort before the entry's event that caused it. Change: the entry stamps each call and observes the stamp of the answer. Result: a test with an agent 20 s ahead sees the entry's next call stamped after it.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -52,6 +52,7 @@
 	v := a.askAdmission(ctx, meta)
 	wire.SetLoad(w.Header(), v.load)
 	wire.SetStamp(w.Header(), v.stamp)
+	wire.SetClock(w.Header(), a.node.Clock(ctx))
 	if v.reason != gate.Admitted {
 		a.refused(meta, v.reason)
 		if v.reason == gate.Leaving {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/settings"
+	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/wire"
 )
 
@@ -62,6 +63,23 @@
 	require.EqualValues(t, 1, runs.Load())
 }
 
+// Guards against a timeline on which an agent's events sort before the entry's
+// events that caused them, or the entry's later events before the agent's.
+func TestClockTravelsWithCallAndAnswer(t *testing.T) {
+	ahead := timeline.Stamp{Wall: time.Now().Add(20 * time.Second).UnixMilli()}
+	calls := make(chan timeline.Stamp, 2)
+	agent := fakeAgent(t, func(w http.ResponseWriter, r *http.Request, meta *wire.Call) {
+		calls <- meta.Clock
+		wire.SetClock(w.Header(), ahead)
+		ran(w, r, meta)
+	})
+	b := startEntry(t, nil, agent)
+	require.Equal(t, http.StatusOK, b.post(oncePath, "counter", "{}").status)
+	require.Equal(t, http.StatusOK, b.post(oncePath, "counter", "{}").status)
+	require.True(t, (timeline.Stamp{}).Before(<-calls))
+	require.True(t, ahead.Before(<-calls))
+}
+
 // Guards against a second run of a request that may not be repeated: neither
 // the entry nor the HTTP transport, which repeats requests with an
 // Idempotency-Key by itself, may send it again on another connection.
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -113,6 +113,7 @@
 	req.Header = maps.Clone(c.header)
 	req.Header.Set(headerRequestID, c.id)
 	meta := t.attempt.meta
+	meta.Clock = t.entry.node.Clock(t.ctx)
 	if deadline, ok := c.ctx.Deadline(); ok {
 		meta.Deadline = time.Until(deadline)
 	}
@@ -157,6 +158,9 @@
 	if ok && stamp.Compare(t.attempt.meta.Config) > 0 {
 		t.entry.node.Heard(t.attempt.upstream.Address, stamp)
 	}
+	if clock, ok := wire.GetClock(resp.Header); ok {
+		t.entry.node.Observe(clock)
+	}
 	if l, ok := wire.GetLoad(resp.Header); ok {
 		res.load = &routing.Load{Limit: l.Limit, InFlight: l.InFlight}
 	}
