--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -151,7 +151,10 @@
 // this attempt: a refusal meant for another request would let a request run twice.
 func (t *try) receive(resp *http.Response) result {
 	res := result{detail: resp.Status}
-	if stamp, ok := wire.GetStamp(resp.Header); ok {
+	// Only a newer configuration than the one that the call was decided by is
+	// news for the node.
+	stamp, ok := wire.GetStamp(resp.Header)
+	if ok && stamp.Compare(t.attempt.meta.Config) > 0 {
 		t.entry.node.Heard(t.attempt.upstream.Address, stamp)
 	}
 	if l, ok := wire.GetLoad(resp.Header); ok {
@@ -197,7 +200,9 @@
 // pass puts the response on the caller's stream.
 func (t *try) pass(ctx context.Context, resp *http.Response, res *result) {
 	head := t.head(resp)
-	if n := resp.ContentLength; n >= 0 && n <= min(wholeBytes, t.entry.settings.StreamBytes) {
+	n := resp.ContentLength
+	hasBody := t.attempt.call.method != http.MethodHead
+	if hasBody && n >= 0 && n <= min(wholeBytes, t.entry.settings.StreamBytes) {
 		t.passWhole(resp, head, res)
 		return
 	}
