agent: pass redirects of the upstream on to the caller

Cause: the client for ordinary calls followed redirects, so a call could reach another server than the upstream that the gate counted it for. Change: both clients of the agent keep redirects.

--- a/agent/connect.go
+++ b/agent/connect.go
@@ -40,9 +40,14 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: transport, CheckRedirect: keepRedirect}
 }
 
+// keepRedirect makes a redirect of the upstream an answer for the caller. If
+// the agent followed it, the call would leave the upstream that the gate
+// counted it for.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 func (a *Agent) dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
 	limited, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
--- a/agent/handover_test.go
+++ b/agent/handover_test.go
@@ -103,6 +103,22 @@
 	}
 }
 
+// Guards against a call that follows a redirect to another upstream.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var elsewhere atomic.Int32
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { elsewhere.Add(1) }))
+	t.Cleanup(other.Close)
+	a := testAgent(t, http.RedirectHandler(other.URL, http.StatusSeeOther), bound)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	g := testGrant(ctx, fleet.Digest{}, "booking")
+	a.handOver(g)
+	part, err := g.stream.Take(ctx)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusSeeOther, part.Head.Status)
+	require.Zero(t, elsewhere.Load())
+}
+
 // Guards against an engine that goes on generating for a caller that left.
 func TestCallerThatLeavesCancelsUpstream(t *testing.T) {
 	begun, ended := make(chan struct{}), make(chan struct{})
--- a/agent/once.go
+++ b/agent/once.go
@@ -230,7 +230,7 @@
 func newOnceClient() *http.Client {
 	return &http.Client{
 		Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		CheckRedirect: keepRedirect,
 	}
 }
 
