--- a/bench/scenario/capacity.go
+++ b/bench/scenario/capacity.go
@@ -34,7 +34,7 @@
 // Capacity measures the cores inside this process at sizes that real processes
 // on one machine cannot reach.
 func Capacity(_ context.Context, env Env) error {
-	steps := []func(Env) error{capacityGossip, capacityConfig, capacityRouting, capacityTransfer, capacityChunk}
+	steps := []func(Env) error{capacityGossip, capacityConfig, capacityRouting, capacityTransfer, capacityChunk, capacityKeeper}
 	for _, step := range steps {
 		if err := step(env); err != nil {
 			return err
