duty, wire, bench: use one sleep and one reader of answers

Cause: six modules had written the same wait with a timer, wire read answers in two equal pieces of code, and tests used place names of one user. Change: duty.Sleep and readAnswer serve all; the tests name their regions north, middle and south.

--- a/agent/once.go
+++ b/agent/once.go
@@ -4,8 +4,8 @@
 	"context"
 	"maps"
 	"net/http"
-	"time"
 
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/once"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/timeline"
@@ -37,7 +37,7 @@
 	}
 	v := a.submit(ctx, s)
 	if v.Kind == once.Later {
-		pause(ctx, v.After)
+		_ = duty.Sleep(ctx, v.After)
 		s.Waited = true
 		v = a.submit(ctx, s)
 	}
@@ -241,12 +241,3 @@
 	}
 	return a.upstream
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/bench/cmd/demo/demo.go
+++ b/bench/cmd/demo/demo.go
@@ -9,6 +9,7 @@
 
 	"rattanspur.example/bench/lab"
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 )
 
@@ -94,12 +95,8 @@
 	if err := d.lab.PublishDomain(name, config.DomainOut); err != nil {
 		return err
 	}
-	timer := time.NewTimer(domainOutTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := duty.Sleep(ctx, domainOutTime); err != nil {
+		return err
 	}
 	d.say("bring failure domain %s back in", name)
 	return d.lab.PublishDomain(name, config.DomainIn)
--- a/bench/e2e/burst_retention_test.go
+++ b/bench/e2e/burst_retention_test.go
@@ -17,7 +17,7 @@
 func retentionLab(t *testing.T, agents int) (*lab.Lab, context.Context) {
 	t.Helper()
 	o := small()
-	o.Agents, o.Entries, o.Regions = agents, 0, []string{"burdwan"}
+	o.Agents, o.Entries, o.Regions = agents, 0, []string{"north"}
 	o.ModelBytes, o.ChunkBytes = 2<<20, 32<<10
 	o.Link, o.OriginLink = 2<<20, 4<<20
 	o.ExtraAgent = "linger = 300ms\n"
--- a/bench/e2e/engine_switch_test.go
+++ b/bench/e2e/engine_switch_test.go
@@ -120,7 +120,7 @@
 	awaitSuspects(ctx, t, l, 2)
 	require.NoError(t, l.AwaitReady(ctx, w.Root, p))
 	require.NoError(t, lab.Await(ctx, func() error {
-		a, err := call("innocent", "tray-1")
+		a, err := call("innocent", "text-1")
 		if err == nil && (a.Status != http.StatusOK || a.Outcome != wire.Ran) {
 			err = fmt.Errorf("status %d: %s", a.Status, a.Body)
 		}
--- a/bench/e2e/engine_test.go
+++ b/bench/e2e/engine_test.go
@@ -166,7 +166,7 @@
 func TestPausedAgentRunsNothingFromBefore(t *testing.T) {
 	o := small()
 	o.Agents, o.Entries = 1, 1
-	o.Regions = []string{"burdwan"}
+	o.Regions = []string{"north"}
 	o.ExtraAgent = "\n[node]\nwatch_wait = 200ms\n"
 	ctx, l, w := engineLab(t, o)
 	p := l.Agents[0]
@@ -186,7 +186,7 @@
 	// It is shorter than the age at which a health check counts as old (3 s),
 	// which else closes the gate too.
 	pause(ctx, 2500*time.Millisecond)
-	require.NoError(t, l.PublishDomain("burdwan", config.DomainOut))
+	require.NoError(t, l.PublishDomain("north", config.DomainOut))
 	l.Config.Down.Store(true)
 	require.NoError(t, l.Signal(p, syscall.SIGCONT))
 	wait.Wait()
@@ -245,7 +245,7 @@
 func TestCancelledAndSilentCalls(t *testing.T) {
 	o := small()
 	o.Agents, o.Entries = 1, 1
-	o.Regions = []string{"burdwan"}
+	o.Regions = []string{"north"}
 	o.Engine = standin.EngineOptions{TokenTime: 10 * time.Second, SilentOn: "hush"}
 	o.ExtraAgent = "progress_timeout = 1s\n"
 	ctx, l, w := engineLab(t, o)
--- a/bench/e2e/entry_faults_test.go
+++ b/bench/e2e/entry_faults_test.go
@@ -56,7 +56,7 @@
 	var wait sync.WaitGroup
 	for i := range calls {
 		wait.Go(func() {
-			text := fmt.Sprintf("tray-%d", i)
+			text := fmt.Sprintf("text-%d", i)
 			a, err := l.Chat(ctx, i%len(l.Entries), text)
 			if errs[i] = ownAnswer(a, err); errs[i] == nil && !strings.Contains(a.Body, text+" ") {
 				errs[i] = fmt.Errorf("another caller's answer: %s", a.Body)
--- a/bench/e2e/fleet_config_test.go
+++ b/bench/e2e/fleet_config_test.go
@@ -88,7 +88,7 @@
 func TestServiceDownAfterOneRead(t *testing.T) {
 	l, ctx := fleetLab(t)
 	l.Config.FailAfter(1)
-	require.NoError(t, l.PublishDomain("hooghly", config.DomainOut))
+	require.NoError(t, l.PublishDomain("middle", config.DomainOut))
 	awaitInForce(ctx, t, l, 2)
 	require.True(t, l.Config.Down.Load())
 }
@@ -98,7 +98,7 @@
 func TestOlderGenerationAfterRestart(t *testing.T) {
 	l, ctx := fleetLab(t)
 	old := l.Config.Value(lab.ConfigKey)
-	require.NoError(t, l.PublishDomain("hooghly", config.DomainOut))
+	require.NoError(t, l.PublishDomain("middle", config.DomainOut))
 	awaitInForce(ctx, t, l, 2)
 	l.Config.Put(lab.ConfigKey, old)
 	processes := all(l)
@@ -157,7 +157,7 @@
 	l, ctx := fleetLab(t)
 	paused := l.Agents[4]
 	require.NoError(t, l.Signal(paused, syscall.SIGSTOP))
-	require.NoError(t, l.PublishDomain("hooghly", config.DomainOut))
+	require.NoError(t, l.PublishDomain("middle", config.DomainOut))
 	for _, p := range all(l) {
 		if p != paused {
 			awaitStatus(ctx, t, p, func(s node.Status) bool { return s.Generation == 2 })
@@ -273,7 +273,7 @@
 		require.NoError(t, l.Signal(p, os.Kill))
 		require.NoError(t, l.Wait(ctx, p))
 	}
-	require.NoError(t, l.PublishDomain("hooghly", config.DomainOut))
+	require.NoError(t, l.PublishDomain("middle", config.DomainOut))
 	for _, p := range rest {
 		awaitStatus(ctx, t, p, func(s node.Status) bool { return s.Generation == 2 })
 	}
--- a/bench/lab/call.go
+++ b/bench/lab/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/wire"
 )
 
@@ -109,13 +110,4 @@
 	}
 }
 
-func pause(ctx context.Context) error {
-	timer := time.NewTimer(pollEvery)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func pause(ctx context.Context) error { return duty.Sleep(ctx, pollEvery) }
--- a/bench/scenario/cold.go
+++ b/bench/scenario/cold.go
@@ -10,6 +10,7 @@
 	"rattanspur.example/bench/figure"
 	"rattanspur.example/bench/lab"
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/standin"
 )
 
@@ -70,7 +71,7 @@
 	defer l.Close()
 	stop := callAll(ctx, l, coldCallers, func(lab.Answer, error) {})
 	for i := range coldFaults {
-		if err := wait(ctx, coldBetween); err != nil {
+		if err := duty.Sleep(ctx, coldBetween); err != nil {
 			stop()
 			return sum, err
 		}
@@ -81,7 +82,7 @@
 			e.TurnCold(ctx)
 		}
 	}
-	err = wait(ctx, coldBetween)
+	err = duty.Sleep(ctx, coldBetween)
 	stop()
 	for _, p := range l.Agents {
 		c := p.Engine.Counts(ctx)
@@ -103,7 +104,7 @@
 				a, err := l.Chat(ctx, i%len(l.Entries), "load")
 				seen(a, err)
 				if err != nil || a.Status != 200 {
-					_ = wait(ctx, refusedPause)
+					_ = duty.Sleep(ctx, refusedPause)
 				}
 			}
 		})
--- a/bench/scenario/config.go
+++ b/bench/scenario/config.go
@@ -11,6 +11,7 @@
 	"rattanspur.example/bench/figure"
 	"rattanspur.example/bench/lab"
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/wire"
@@ -29,7 +30,7 @@
 	startPatience = 60 * time.Second
 )
 
-var regions = []string{"burdwan", "hooghly", "medinipur"}
+var regions = []string{"north", "middle", "south"}
 
 // idle returns options for processes without weights: a quarter are entries.
 func idle(env Env, processes int) lab.Options {
@@ -51,7 +52,7 @@
 		return err
 	}
 	before := l.Config.Calls.Load()
-	if err := wait(ctx, callsWindow); err != nil {
+	if err := duty.Sleep(ctx, callsWindow); err != nil {
 		return err
 	}
 	calls := float64(l.Config.Calls.Load()-before) / callsWindow.Seconds()
@@ -89,7 +90,7 @@
 	}
 	var last time.Time
 	err := lab.Await(limited, func() error {
-		if err := wait(limited, time.Second); err != nil {
+		if err := duty.Sleep(limited, time.Second); err != nil {
 			return err
 		}
 		at, missing := adoptedAt(limited, l, g)
@@ -145,14 +146,3 @@
 func processes(l *lab.Lab) []*lab.Process {
 	return append(append([]*lab.Process(nil), l.Agents...), l.Entries...)
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/bench/scenario/control.go
+++ b/bench/scenario/control.go
@@ -12,6 +12,7 @@
 	"rattanspur.example/bench/figure"
 	"rattanspur.example/bench/lab"
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/wire"
@@ -99,7 +100,7 @@
 				return err
 			}
 		}
-		if err := wait(ctx, publishEvery); err != nil {
+		if err := duty.Sleep(ctx, publishEvery); err != nil {
 			return err
 		}
 	}
@@ -129,7 +130,7 @@
 }
 
 func measureControl(ctx context.Context, env Env, n int) (control, error) {
-	return measure(ctx, env, n, func(ctx context.Context, _ *lab.Lab) error { return wait(ctx, controlWindow) })
+	return measure(ctx, env, n, func(ctx context.Context, _ *lab.Lab) error { return duty.Sleep(ctx, controlWindow) })
 }
 
 // measure starts n processes and observes them while run goes on.
@@ -143,7 +144,7 @@
 	if err := startIdle(ctx, l); err != nil {
 		return c, err
 	}
-	if err := wait(ctx, controlSettle); err != nil {
+	if err := duty.Sleep(ctx, controlSettle); err != nil {
 		return c, err
 	}
 	c, err = observe(ctx, l, run)
--- a/bench/scenario/drain.go
+++ b/bench/scenario/drain.go
@@ -11,6 +11,7 @@
 	"rattanspur.example/bench/figure"
 	"rattanspur.example/bench/lab"
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/wire"
 	"rattanspur.example/standin"
 )
@@ -77,14 +78,14 @@
 	stop := callAll(ctx, l, drainCallers, counts.add)
 	defer stop()
 	for _, p := range l.Agents {
-		if err := wait(ctx, drainBetween); err != nil {
+		if err := duty.Sleep(ctx, drainBetween); err != nil {
 			return counts, err
 		}
 		if err := stopAndStart(ctx, l, p); err != nil {
 			return counts, err
 		}
 	}
-	return counts, wait(ctx, drainBetween)
+	return counts, duty.Sleep(ctx, drainBetween)
 }
 
 // stopAndStart stops an agent gracefully and waits until it serves again.
--- a/bench/scenario/fullcontrol.go
+++ b/bench/scenario/fullcontrol.go
@@ -12,6 +12,7 @@
 
 	"rattanspur.example/bench/figure"
 	"rattanspur.example/bench/lab"
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/gossip"
 	"rattanspur.example/lib/ring"
@@ -66,7 +67,7 @@
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go m.run(limited, l)
-	c, err := observe(ctx, l, func(ctx context.Context, _ *lab.Lab) error { return wait(ctx, controlWindow) })
+	c, err := observe(ctx, l, func(ctx context.Context, _ *lab.Lab) error { return duty.Sleep(ctx, controlWindow) })
 	if err != nil {
 		return err
 	}
--- a/bench/scenario/move.go
+++ b/bench/scenario/move.go
@@ -11,6 +11,7 @@
 	"rattanspur.example/bench/figure"
 	"rattanspur.example/bench/lab"
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/standin"
 )
@@ -52,7 +53,7 @@
 // domains leaves and returns under load, and how long its engines still get
 // new work.
 func Move(ctx context.Context, env Env) error {
-	regions := []string{"burdwan", "hooghly", "medinipur"}
+	regions := []string{"north", "middle", "south"}
 	l, _, err := startServing(ctx, env, lab.Options{
 		Agents: moveAgents, Entries: moveEntries, Regions: regions,
 		Engine: standin.EngineOptions{TokenTime: moveToken},
@@ -86,7 +87,7 @@
 // notes when the engines of the domain last began a call, from the time at
 // which the domain was published as out of service.
 func (p *movePlan) publish(ctx context.Context, l *lab.Lab, domain fleet.FailureDomain, last *atomic.Int64) error {
-	if err := sleepUntil(ctx, p.out); err != nil {
+	if err := duty.Sleep(ctx, time.Until(p.out)); err != nil {
 		return err
 	}
 	published := time.Now()
@@ -95,7 +96,7 @@
 		return err
 	}
 	for time.Now().Before(p.in) {
-		if err := sleepUntil(ctx, time.Now().Add(moveWatch)); err != nil {
+		if err := duty.Sleep(ctx, time.Until(time.Now().Add(moveWatch))); err != nil {
 			return err
 		}
 		if now := startedIn(ctx, l, domain); now != seen {
@@ -117,21 +118,10 @@
 	return n
 }
 
-func sleepUntil(ctx context.Context, at time.Time) error {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // moveCall sends a streamed call through one of the entries. It succeeds if the
 // whole answer to this very call arrives.
 func moveCall(ctx context.Context, client *http.Client, l *lab.Lab, i int) error {
-	text := fmt.Sprintf("tray-%d", i)
+	text := fmt.Sprintf("text-%d", i)
 	url := "http://" + l.Entries[i%len(l.Entries)].Address + "/v1/chat/completions"
 	answer, err := post(ctx, client, url, chatBody(string(lab.Service), text, true))
 	if err != nil {
--- a/bench/scenario/once.go
+++ b/bench/scenario/once.go
@@ -134,7 +134,7 @@
 func onceOptions(binary string, cut func(*lab.Process) bool) lab.Options {
 	return lab.Options{
 		Binary: binary, Agents: 4, Entries: 2,
-		Regions:    []string{"burdwan", "hooghly"},
+		Regions:    []string{"north", "middle"},
 		Limits:     config.Limits{Cold: 32, Warm: 64, RampStep: 4},
 		Ledger:     standin.NewLedger(5 * time.Millisecond),
 		ExtraAgent: "clock_step = 200ms\n",
--- a/bench/scenario/oncefaults.go
+++ b/bench/scenario/oncefaults.go
@@ -7,6 +7,7 @@
 
 	"rattanspur.example/bench/lab"
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 )
 
@@ -36,25 +37,16 @@
 			return err
 		}
 	}
-	sleepFor(ctx, faultTime)
+	_ = duty.Sleep(ctx, faultTime)
 	for _, f := range set {
 		if err := f.end(ctx, r); err != nil {
 			return err
 		}
 	}
-	sleepFor(ctx, faultTime)
+	_ = duty.Sleep(ctx, faultTime)
 	return nil
 }
 
-func sleepFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // killed and paused are different agents, so that pairs of faults combine.
 func (r *onceRun) killed() *lab.Process { return r.lab.Agents[0] }
 func (r *onceRun) paused() *lab.Process { return r.lab.Agents[1] }
@@ -95,11 +87,11 @@
 }
 
 func domainOut(_ context.Context, r *onceRun) error {
-	return r.lab.PublishDomain("hooghly", config.DomainOut)
+	return r.lab.PublishDomain("middle", config.DomainOut)
 }
 
 func domainIn(_ context.Context, r *onceRun) error {
-	return r.lab.PublishDomain("hooghly", config.DomainIn)
+	return r.lab.PublishDomain("middle", config.DomainIn)
 }
 
 // oncePartition changes the owners while an entry and half of the agents are
@@ -131,7 +123,7 @@
 		if err := r.lab.PublishAllocation(next); err != nil {
 			return err
 		}
-		sleepFor(ctx, 3*time.Second)
+		_ = duty.Sleep(ctx, 3*time.Second)
 		return r.inject(ctx, []fault{{begin: killAgent, end: relaunchAgent}, {begin: pauseAgent, end: resumeAgent}})
 	})
 	if err != nil {
--- a/bench/scenario/route.go
+++ b/bench/scenario/route.go
@@ -40,7 +40,7 @@
 // called directly and against a naive round-robin proxy in the same run.
 func Route(ctx context.Context, env Env) error {
 	l, model, err := startServing(ctx, env, lab.Options{
-		Agents: routeAgents, Entries: 1, Regions: []string{"burdwan"},
+		Agents: routeAgents, Entries: 1, Regions: []string{"north"},
 		Limits: config.Limits{Cold: 64, Warm: 64, RampStep: 1},
 	})
 	if err != nil {
@@ -57,7 +57,7 @@
 		cancel()
 		_ = naive.Wait()
 	}()
-	body, direct := chatBody(string(lab.Service), "tray", false), chatBody(model, "tray", false)
+	body, direct := chatBody(string(lab.Service), "text", false), chatBody(model, "text", false)
 	client := newClient()
 	ways := []*way{
 		{name: "direct", call: sender(client, l.Agents[0].EngineURL, direct)},
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -34,6 +34,7 @@
 		{Name: "drain", Run: Drain},
 		{Name: "move", Run: Move},
 		{Name: "route", Run: Route},
+		{Name: "stream", Run: Stream},
 		{Name: "once", Run: Once},
 	}
 }
--- a/entry/errand.go
+++ b/entry/errand.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/timeline"
@@ -117,7 +118,7 @@
 		case err != nil:
 			lost = err
 		}
-		if p != nil || x.meta.Attempt > resends || !wait(ctx, delay) {
+		if p != nil || x.meta.Attempt > resends || duty.Sleep(ctx, delay) != nil {
 			break
 		}
 		delay *= 2
@@ -234,15 +235,3 @@
 	_ = c.stream.Put(c.ctx, end)
 	return detail
 }
-
-// wait returns false if the context ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lib/node/watch.go
+++ b/lib/node/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/platform"
 	"rattanspur.example/lib/wire"
@@ -107,7 +108,7 @@
 func (w *watcher) watch(ctx context.Context) bool {
 	if w.read(ctx, w.index) != nil {
 		w.index = 0
-		sleep(ctx, jitter(2*retryDelay))
+		_ = duty.Sleep(ctx, jitter(2*retryDelay))
 	}
 	select {
 	case on := <-w.node.watches.Out():
@@ -198,7 +199,7 @@
 		if err == nil && n.joinPeers(ctx, list.Instances) {
 			return
 		}
-		sleep(ctx, jitter(2*retryDelay))
+		_ = duty.Sleep(ctx, jitter(2*retryDelay))
 	}
 }
 
@@ -239,12 +240,3 @@
 // jitter returns a duration between half of d and d, so that processes that
 // started or failed together don't stay in step.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/lib/settings/settings_test.go
+++ b/lib/settings/settings_test.go
@@ -12,8 +12,8 @@
 const valid = `[node]
 id = agent-1
 listen = 127.0.0.1:7001
-failure_domain = burdwan
-region = burdwan
+failure_domain = north
+region = north
 config_url = http://127.0.0.1:8500
 instances_url = http://[::1]:8600/list
 peer_keys = a,b
@@ -31,8 +31,8 @@
 	_, err = ParseAgent("agent.ini", []byte(`[node]
 id = agent-1
 listen = localhost:1
-failure_domain = burdwan
-region = burdwan
+failure_domain = north
+region = north
 config_url = http://config.example:8500
 instances_url = ftp://127.0.0.1
 peer_keys = a
--- a/lib/wire/peer.go
+++ b/lib/wire/peer.go
@@ -59,15 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return nil, eris.Wrap(err, "read answer")
-	}
-	if int64(len(data)) > limit {
-		return nil, eris.Errorf("answer is larger than %d bytes", limit)
-	}
-	return data, nil
+	return readAnswer(resp, limit)
 }
 
 // GetJSON reads a message from a path at a peer.
@@ -122,6 +114,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return readAnswer(resp, limit)
+}
+
+// readAnswer reads and closes the body of an answer.
+func readAnswer(resp *http.Response, limit int64) ([]byte, error) {
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
--- a/standin/chat.go
+++ b/standin/chat.go
@@ -106,7 +106,7 @@
 
 // answer writes the answer and reports whether it is whole.
 func (e *Engine) answer(w http.ResponseWriter, r *http.Request, call *running, stream bool, text string) bool {
-	tokens := answerTokens(string(call.loaded.Version), text)
+	tokens := answerTokens(string(call.loaded.Version), text, e.options.Tokens)
 	if e.options.SilentOn != "" && strings.Contains(text, e.options.SilentOn) {
 		_ = http.NewResponseController(w).Flush()
 		select {
@@ -139,9 +139,12 @@
 	}
 }
 
-func answerTokens(version, text string) []string {
+func answerTokens(version, text string, count int) []string {
+	if count == 0 {
+		count = tokensPerAnswer
+	}
 	tokens := []string{version, text}
-	for i := len(tokens); i < tokensPerAnswer; i++ {
+	for i := len(tokens); i < count; i++ {
 		tokens = append(tokens, fmt.Sprintf("t%d", i))
 	}
 	return tokens
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -19,11 +19,13 @@
 	"rattanspur.example/lib/ring"
 )
 
-// tokensPerAnswer is the number of tokens that an engine generates.
+// tokensPerAnswer is the number of tokens that an engine generates by default.
 const tokensPerAnswer = 8
 
 // EngineOptions set the behaviour of a stand-in engine.
 type EngineOptions struct {
+	// Tokens is the number of tokens of an answer; 0 means 8.
+	Tokens int
 	// TokenTime is the time between two tokens.
 	TokenTime time.Duration
 	// ChecksFence makes the engine refuse orders with an old number.
