entry, agent, wire: share the serving of listeners; stamp bound calls

Cause: entry and agent had the same function for serving, the errand of bound calls had written stripInternal again, and its calls carried no clock, so their events could sort before their cause. Change: wire.Serve and stripInternal serve both; the errand stamps its calls.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -113,8 +113,8 @@
 
 	g := duty.NewGroup(context.WithoutCancel(ctx))
 	a.start(g)
-	g.Go("server", func(context.Context) error { return serve(server, listener) })
-	g.Go("weights server", func(context.Context) error { return serve(weights, a.weights) })
+	g.Go("server", func(context.Context) error { return wire.Serve(server, listener) })
+	g.Go("weights server", func(context.Context) error { return wire.Serve(weights, a.weights) })
 	select {
 	case <-ctx.Done():
 	case <-g.Context().Done():
@@ -148,13 +148,6 @@
 	}
 }
 
-func serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !eris.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 func (a *Agent) handler() http.Handler {
 	keys := wire.Keys(a.settings.PeerKeys)
 	inside := http.NewServeMux()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,7 +91,7 @@
 	}
 	e.startOnce(g)
 	limited := newLimitedListener(listener, e.settings.Connections)
-	g.Go("server", func(context.Context) error { return serve(server, limited) })
+	g.Go("server", func(context.Context) error { return wire.Serve(server, limited) })
 	select {
 	case <-ctx.Done():
 	case <-g.Context().Done():
@@ -113,13 +113,6 @@
 	return eris.Wrap(err, "graceful stop")
 }
 
-func serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !eris.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 func (e *Entry) handler() (http.Handler, error) {
 	page, err := operator.Handler(e.snapshots, e.settings.OperatorKey)
 	if err != nil {
--- a/entry/errand.go
+++ b/entry/errand.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"rattanspur.example/lib/duty"
@@ -154,11 +153,8 @@
 		return boundNotRun(c, http.StatusBadRequest, err.Error()), nil
 	}
 	req.Header = relay.PassHeader(c.header)
-	for name := range req.Header {
-		if strings.HasPrefix(name, "Rattanspur-") {
-			req.Header.Del(name)
-		}
-	}
+	stripInternal(req.Header)
+	x.meta.Clock = e.node.Clock(ctx)
 	if deadline, ok := ctx.Deadline(); ok {
 		x.meta.Deadline = time.Until(deadline)
 	}
@@ -217,11 +213,7 @@
 // passBound puts the response on the caller's stream.
 func passBound(c *call, resp *http.Response) string {
 	h := relay.PassHeader(resp.Header)
-	for name := range h {
-		if strings.HasPrefix(name, "Rattanspur-") {
-			h.Del(name)
-		}
-	}
+	stripInternal(h)
 	h.Set(wire.HeaderOutcome, string(wire.Ran))
 	if err := c.stream.Put(c.ctx, relay.Part{Head: &relay.Head{Status: resp.StatusCode, Header: h}}); err != nil {
 		return err.Error()
