--- a/cmd/rattanspur/main.go
+++ b/cmd/rattanspur/main.go
@@ -123,6 +123,8 @@
 	return []command{
 		{"entry", "Run an entry", &entryCommand{}},
 		{"agent", "Run an agent beside an upstream", &agentCommand{}},
+		{"loader", "Run an agent that loads weights on the users' platform", &loaderCommand{}},
+		{"gateway", "Run an entry on the users' platform", &gatewayCommand{}},
 		{"status", "Show the state of running processes", &statusCommand{}},
 		{"timeline", "Show the merged events of running processes", &timelineCommand{}},
 		{"check", "Check a settings file or a configuration document", &checkCommand{}},
--- /dev/null
+++ b/lib/dispatch/place.go
@@ -0,0 +1,163 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"rattanspur.example/lib/published"
+)
+
+const (
+	// remoteCost is how much more loaded, as a share of its slots, an upstream
+	// of the own region may be before another region is used.
+	remoteCost = 0.3
+	// engineRoom is the part of an engine's slots that is used. A request that
+	// waits in the engine cannot go elsewhere any more.
+	engineRoom = 1.0
+	// plainRoom is that part for plain services, whose requests are short.
+	plainRoom = 2.0
+	// slowCost is what a time to the first byte of the route's whole goal adds
+	// to the cost of an upstream.
+	slowCost = 0.2
+	// firstByteGoals and gapGoals bound the silence of an upstream, in times of
+	// what the route asks for, and leastSilence bounds both from below.
+	firstByteGoals = 4
+	gapGoals       = 4
+	leastSilence   = time.Second
+)
+
+// try sends a request to an upstream with room, if there is one.
+func (c *Core) try(now time.Time, s *service, r *request) (Send, bool) {
+	u := c.pick(now, s, r)
+	if u == nil {
+		return Send{}, false
+	}
+	return c.send(now, s, r, u), true
+}
+
+func (c *Core) send(now time.Time, s *service, r *request, u *upstream) Send {
+	u.take(now, s.coldBound > 0)
+	r.at = u
+	r.waiting = false
+	r.attempts++
+	send := Send{
+		Ticket:    r.ticket,
+		Upstream:  u.ID,
+		Address:   u.Address,
+		Customer:  r.customerName(),
+		Deadline:  r.deadline,
+		Streaming: r.route.Kind == published.Streaming,
+		Hold:      r.route.Idempotent(),
+		Number:    r.attempts,
+	}
+	if s.published != nil && s.published.Engine != nil {
+		send.ExpectVersion = c.expected(now, s, r, u)
+	}
+	if r.route.Idempotent() {
+		send.FirstByte = max(firstByteGoals*r.route.Goal, leastSilence)
+	}
+	if send.Streaming {
+		send.Gap = max(gapGoals*r.route.GapGoal, leastSilence)
+	}
+	return send
+}
+
+// expected returns the version that must answer: the one that began the
+// answer, or the wanted one once older weights are due to be replaced.
+func (c *Core) expected(now time.Time, s *service, r *request, u *upstream) int64 {
+	if least := c.least(now, r.Model); least > 0 {
+		return least
+	}
+	if r.version > 0 {
+		return r.version
+	}
+	return u.serves(r.Model, s.published.Engine.Layers)
+}
+
+// least returns the version below which weights may begin no request, or 0.
+func (c *Core) least(now time.Time, model string) int64 {
+	w, ok := c.view.Wanted[model]
+	if !ok || now.Sub(w.Learned) < c.settings.VersionWithin-versionMargin {
+		return 0
+	}
+	return w.Version
+}
+
+// pick returns the best upstream with room, or nil. Upstreams that failed or
+// refused lately are used only if all others did so too.
+func (c *Core) pick(now time.Time, s *service, r *request) *upstream {
+	if s.published == nil {
+		return nil
+	}
+	var best, avoided *upstream
+	bestCost := 0.0
+	healthy := false
+	for _, u := range s.upstreams {
+		if !c.acceptable(now, s, r, u) {
+			continue
+		}
+		if now.Before(u.avoid) || slices.Contains(r.tried, u.ID) {
+			if u.strikes > 0 && u.mine == 0 && (avoided == nil || u.avoid.Before(avoided.avoid)) {
+				avoided = u
+			}
+			continue
+		}
+		healthy = true
+		if !c.hasRoom(now, s, u) {
+			continue
+		}
+		if cost := c.cost(now, r, u); best == nil || cost < bestCost {
+			best, bestCost = u, cost
+		}
+	}
+	if best == nil && !healthy && avoided != nil && c.hasRoom(now, s, avoided) {
+		return avoided
+	}
+	return best
+}
+
+// acceptable reports whether an upstream may get a request at all.
+func (c *Core) acceptable(now time.Time, s *service, r *request, u *upstream) bool {
+	if u.Draining || c.view.Out[u.Domain] || !c.allowed(r, u) {
+		return false
+	}
+	e := s.published.Engine
+	if e == nil {
+		return true
+	}
+	v := u.serves(r.Model, e.Layers)
+	if v == 0 || v < c.least(now, r.Model) {
+		return false
+	}
+	return r.version == 0 || v == r.version || c.least(now, r.Model) > r.version
+}
+
+// allowed reports whether the regions of route and customer include the
+// upstream's.
+func (c *Core) allowed(r *request, u *upstream) bool {
+	if len(r.route.Regions) > 0 && !slices.Contains(r.route.Regions, u.region) {
+		return false
+	}
+	return r.customer == nil || len(r.customer.Regions) == 0 || slices.Contains(r.customer.Regions, u.region)
+}
+
+func (c *Core) hasRoom(now time.Time, s *service, u *upstream) bool {
+	room := plainRoom
+	if s.published.Engine != nil {
+		room = engineRoom
+	}
+	return float64(u.load(now)) < room*float64(u.Slots) && u.bears(now, s.coldBound)
+}
+
+// cost compares upstreams: the load after one more request as a share of the
+// slots, and what distance and slowness add.
+func (c *Core) cost(now time.Time, r *request, u *upstream) float64 {
+	cost := float64(u.load(now)+1) / float64(max(u.Slots, 1))
+	if u.region != c.settings.Region {
+		cost += remoteCost
+	}
+	if goal := r.route.Goal; goal > 0 {
+		cost += slowCost * min(float64(u.firstByte)/float64(goal), 2)
+	}
+	return cost
+}
--- /dev/null
+++ b/lib/dispatch/upstream.go
@@ -0,0 +1,123 @@
+package dispatch
+
+import (
+	"time"
+
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/published"
+)
+
+const (
+	// loadLife is how long a report of an upstream's load counts.
+	loadLife = 1500 * time.Millisecond
+	// avoidFirst is how long an upstream is avoided after a failure; the time
+	// doubles with each further one up to avoidMost.
+	avoidFirst = 400 * time.Millisecond
+	avoidMost  = 6 * time.Second
+	// fullPause is how long an upstream gets nothing after it refused a request.
+	fullPause = 150 * time.Millisecond
+	// mismatchPause is that time if it turned out to be another upstream or to
+	// hold other weights, which the next view tells.
+	mismatchPause = 500 * time.Millisecond
+	// maxStrikes bounds the doublings of avoidFirst.
+	maxStrikes = 6
+	// coldWindow is the span in which requests to a cold upstream are counted.
+	coldWindow = time.Second
+	// coldMargin is the part of the bound on cold upstreams that is used.
+	// Requests that were sent apart may arrive within one window.
+	coldMargin = 0.8
+	// averageWeight is the weight of the past in a moving average.
+	averageWeight = 8
+)
+
+// upstream is what an entry knows of one upstream.
+type upstream struct {
+	*published.Upstream
+	region fleet.Region
+	// version overrides the published version if an answer named a newer one.
+	version int64
+	// mine counts the requests in flight from here.
+	mine int
+	// others is the load from elsewhere as of reported.
+	others   int
+	reported time.Time
+	strikes  int
+	avoid    time.Time
+	// coldUntil is when the upstream bears its full load.
+	coldUntil time.Time
+	// sent holds the times of the latest sends, for the bound while cold.
+	sent []time.Time
+	// firstByte is a moving average of the time to the first byte.
+	firstByte time.Duration
+	gone      bool
+}
+
+func (u *upstream) load(now time.Time) int {
+	if now.Sub(u.reported) > loadLife {
+		return u.mine
+	}
+	return u.mine + u.others
+}
+
+func (u *upstream) observe(now time.Time, o Observation) {
+	if o.Load != nil {
+		u.others = max(o.Load.Running+o.Load.Waiting-u.mine, 0)
+		u.reported = now
+	}
+	if o.Version > u.version {
+		u.version = o.Version
+	}
+	if o.ColdLeft > 0 {
+		u.coldUntil = now.Add(o.ColdLeft)
+	}
+}
+
+func (u *upstream) succeeded(firstByte time.Duration) {
+	u.strikes = 0
+	u.avoid = time.Time{}
+	if firstByte > 0 {
+		u.firstByte += (firstByte - u.firstByte) / averageWeight
+	}
+}
+
+func (u *upstream) failed(now time.Time) {
+	until := now.Add(min(avoidFirst<<u.strikes, avoidMost))
+	if until.After(u.avoid) {
+		u.avoid = until
+	}
+	u.strikes = min(u.strikes+1, maxStrikes)
+}
+
+func (u *upstream) pause(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(u.avoid) {
+		u.avoid = until
+	}
+}
+
+// serves returns the version of a model that the upstream serves whole, or 0.
+func (u *upstream) serves(model string, layers int) int64 {
+	v := published.Whole(u.Copies, model, layers)
+	if v == 0 {
+		return 0
+	}
+	return max(v, u.version)
+}
+
+// bears reports whether one more request keeps the bound on a cold upstream.
+func (u *upstream) bears(now time.Time, bound int) bool {
+	if bound <= 0 {
+		return true
+	}
+	for len(u.sent) > 0 && now.Sub(u.sent[0]) >= coldWindow {
+		u.sent = u.sent[1:]
+	}
+	return len(u.sent) < bound
+}
+
+// take counts a request in.
+func (u *upstream) take(now time.Time, bounded bool) {
+	u.mine++
+	if bounded {
+		u.sent = append(u.sent, now)
+	}
+}
--- a/lib/relay/events.go
+++ b/lib/relay/events.go
@@ -35,7 +35,7 @@
 	for {
 		n, err := body.Read(buffer[:])
 		held = append(held, buffer[:n]...)
-		whole := wholeEvents(held)
+		whole := WholeEvents(held)
 		if errors.Is(err, io.EOF) {
 			whole = len(held)
 		}
@@ -56,8 +56,8 @@
 	}
 }
 
-// wholeEvents returns the length of the whole events at the start of data.
-func wholeEvents(data []byte) int {
+// WholeEvents returns the length of the whole events at the start of data.
+func WholeEvents(data []byte) int {
 	last := bytes.LastIndex(data, eventEnd)
 	if last < 0 {
 		return 0
@@ -65,6 +65,19 @@
 	return last + len(eventEnd)
 }
 
+// LastEventID returns the id of the last event of whole events, or "".
+func LastEventID(events []byte) string {
+	for len(events) > 0 {
+		at := bytes.LastIndexByte(bytes.TrimSuffix(events, []byte("\n")), '\n')
+		line := events[at+1:]
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(id))
+		}
+		events = events[:at+1]
+	}
+	return ""
+}
+
 // WriteErrorEvent ends a stream of server-sent events with an error event, so
 // that the caller can tell a cut answer from a whole one.
 func WriteErrorEvent(w http.ResponseWriter, data []byte) error {
--- a/lib/retry/decide.go
+++ b/lib/retry/decide.go
@@ -26,6 +26,14 @@
 	CallerLeft
 )
 
+// endNames are the names of the ends as logs show them.
+var endNames = [...]string{
+	"answered", "busy", "refused", "unreachable", "lost", "silent", "mismatched", "timed-out", "caller-left",
+}
+
+// String returns the name of an end.
+func (e End) String() string { return endNames[e] }
+
 // NotRun reports whether it is certain that the attempt was not run.
 func (e End) NotRun() bool { return e == Busy || e == Refused || e == Unreachable }
 
--- /dev/null
+++ b/lib/staging/staging.go
@@ -0,0 +1,163 @@
+// Package staging decides what a loader does with the weights of the engine
+// beside it: which version to bring here, when to put it in place, and when to
+// order the engine to take it. The core is pure.
+package staging
+
+import (
+	"time"
+
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/published"
+)
+
+// Report is what an engine says of itself.
+type Report struct {
+	// Born tells one start of the engine from another.
+	Born int64
+	// Busy says that an order is in progress.
+	Busy bool
+	// Sequence counts the orders that the engine accepted since its start.
+	Sequence int64
+	Copies   []published.Copy
+	// Running and Waiting are numbers of requests.
+	Running int
+	Waiting int
+}
+
+// Action is what to do next.
+type Action uint8
+
+// The actions of a loader.
+const (
+	// Idle: the engine serves what it should, or something is in progress.
+	Idle Action = iota
+	// Fetch: bring the target version here.
+	Fetch
+	// Place: put the pieces in place for the engine.
+	Place
+	// Order: check what lies in place and order the engine to take it.
+	Order
+)
+
+const (
+	// turnFirst and turnLast are the parts of the time for a new version at
+	// which the first and the last engine of a service begin to take it. In
+	// between they take turns, so that the others go on serving.
+	turnFirst = 0.34
+	turnLast  = 0.66
+	// orderPatience is how long an order that began may show no effect before
+	// it is given again.
+	orderPatience = 4 * time.Second
+	// retryPause is the pause after an attempt that failed.
+	retryPause = 200 * time.Millisecond
+)
+
+// Core is the state of one loader. It is owned by one duty.
+type Core struct {
+	model string
+	// within is how long after its publication a version is due everywhere.
+	within time.Duration
+	layers int
+	target published.Wanted
+	// rank and count place the engine among those of its service.
+	rank, count int
+	report      Report
+	known       bool
+	// complete is the version of which all pieces are here.
+	complete int64
+	// placed is the version that lies in place at the engine with born.
+	placed     int64
+	placedBorn int64
+	ordered    int64
+	orderedAt  time.Time
+	orderBorn  int64
+	pauseUntil time.Time
+}
+
+// New returns a core for one model of the engine.
+func New(model string, layers int, within time.Duration) *Core {
+	return &Core{model: model, layers: layers, within: within, count: 1}
+}
+
+// SetTarget names the version that the engine is to serve.
+func (c *Core) SetTarget(w published.Wanted) { c.target = w }
+
+// Target returns the version that the engine is to serve; 0 if none is known.
+func (c *Core) Target() int64 { return c.target.Version }
+
+// SetRank places the engine among those of its service.
+func (c *Core) SetRank(rank, count int) { c.rank, c.count = rank, max(count, 1) }
+
+// SetReport takes in what the engine says.
+func (c *Core) SetReport(r Report) { c.report, c.known = r, true }
+
+// Lost says that the engine does not answer.
+func (c *Core) Lost() { c.known = false }
+
+// Loaded returns the version that the engine holds whole, or 0.
+func (c *Core) Loaded() int64 { return published.Whole(c.report.Copies, c.model, c.layers) }
+
+// Completed says that all pieces of a version are here.
+func (c *Core) Completed(version int64) { c.complete = version }
+
+// Placed says that all pieces of a version lie in place at the engine, as of
+// the start that is known.
+func (c *Core) Placed(version int64) { c.placed, c.placedBorn = version, c.report.Born }
+
+// Spoilt says that what lies in place is not what it should be.
+func (c *Core) Spoilt() { c.placed = 0 }
+
+// Ordered says that the engine accepted the order for a version.
+func (c *Core) Ordered(now time.Time, version int64) {
+	c.ordered, c.orderedAt, c.orderBorn = version, now, c.report.Born
+}
+
+// Failed says that an attempt failed; the next one waits a little.
+func (c *Core) Failed(now time.Time) { c.pauseUntil = now.Add(retryPause) }
+
+// Next returns what to do now.
+func (c *Core) Next(now time.Time) Action {
+	switch {
+	case c.target.Version == 0 || !c.known || now.Before(c.pauseUntil):
+		return Idle
+	case c.Loaded() == c.target.Version:
+		return Idle
+	case c.complete != c.target.Version:
+		return Fetch
+	case c.placed != c.target.Version || c.placedBorn != c.report.Born:
+		return Place
+	case c.report.Busy || c.inProgress(now) || now.Before(c.Turn()):
+		return Idle
+	default:
+		return Order
+	}
+}
+
+// inProgress reports whether the order for the target may still take effect.
+func (c *Core) inProgress(now time.Time) bool {
+	return c.ordered == c.target.Version && c.orderBorn == c.report.Born && now.Sub(c.orderedAt) < orderPatience
+}
+
+// Turn returns when the engine may begin to take the target. An engine that
+// serves nothing begins at once.
+func (c *Core) Turn() time.Time {
+	if c.Loaded() == 0 {
+		return time.Time{}
+	}
+	part := turnFirst + (turnLast-turnFirst)*float64(c.rank)/float64(c.count)
+	return c.target.Learned.Add(time.Duration(part * float64(c.within)))
+}
+
+// Rank returns the position of an engine among the engines of its service for
+// a version. The order differs between versions, and neighbours in it are
+// spread over failure domains by chance.
+func Rank(self fleet.InstanceID, others []fleet.InstanceID, version string) int {
+	mine := fleet.Rank(version, string(self))
+	rank := 0
+	for _, o := range others {
+		if o != self && fleet.Rank(version, string(o)) > mine {
+			rank++
+		}
+	}
+	return rank
+}
--- /dev/null
+++ b/lib/watcher/watcher.go
@@ -0,0 +1,197 @@
+// Package watcher keeps a process's view of what is published up to date: from
+// the platform's store while it answers, and from peers while it does not.
+package watcher
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"rattanspur.example/lib/duty"
+	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/ring"
+)
+
+// Source is where published items are read.
+type Source interface {
+	Snapshot(ctx context.Context, prefix string, stale bool) (published.Batch, error)
+	// Watch returns published.ErrCompacted if the history is gone.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (published.Batch, error)
+}
+
+const (
+	// watchWait is how long a watch waits. It bounds how long a connection
+	// that went silent goes unnoticed.
+	watchWait = 2500 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a failed read.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// expireEvery is the time between two looks at lapsed upstreams.
+	expireEvery = 250 * time.Millisecond
+)
+
+// News is a batch of changes from anywhere.
+type News struct {
+	published.Batch
+	// Whole says that the batch is a snapshot of the store.
+	Whole bool
+}
+
+// Watcher owns the state of one process. Its duties are Read, which reads the
+// source, and Keep, which owns the state.
+type Watcher struct {
+	source Source
+	prefix string
+	logger log.Logger
+	news   *ring.Ring[News]
+	views  []*ring.Ring[*published.View]
+	asks   *ring.Ring[ask]
+	// resume is where Read goes on; it is owned by Read.
+	resume uint64
+	lost   bool
+}
+
+type ask struct {
+	after uint64
+	reply *ring.Ring[Answer]
+}
+
+// Answer is what a process passes on to a peer.
+type Answer struct {
+	Changes  []published.Change
+	Revision uint64
+}
+
+// New returns a watcher of the items under a prefix.
+func New(source Source, prefix string, logger log.Logger) *Watcher {
+	return &Watcher{
+		source: source,
+		prefix: prefix,
+		logger: logger,
+		news:   ring.New[News](16, ring.Wait),
+		asks:   ring.New[ask](64, ring.Refuse),
+	}
+}
+
+// Subscribe returns a ring that always holds the newest view. It must be
+// called before Start.
+func (w *Watcher) Subscribe() *ring.Ring[*published.View] {
+	r := ring.New[*published.View](1, ring.DropOldest)
+	w.views = append(w.views, r)
+	return r
+}
+
+// Start runs the duties of the watcher.
+func (w *Watcher) Start(g *duty.Group) {
+	g.Go("store reader", w.read)
+	g.Go("view keeper", w.keep)
+}
+
+// Tell takes in a batch that a peer passed on.
+func (w *Watcher) Tell(ctx context.Context, b published.Batch) error {
+	return w.news.Put(ctx, News{Batch: b})
+}
+
+// Since returns the changes after a revision, for a peer.
+func (w *Watcher) Since(ctx context.Context, after uint64) (Answer, error) {
+	reply := ring.New[Answer](1, ring.Wait)
+	if err := w.asks.Put(ctx, ask{after: after, reply: reply}); err != nil {
+		return Answer{}, err
+	}
+	return reply.Take(ctx)
+}
+
+// read reads the source for as long as the process runs.
+func (w *Watcher) read(ctx context.Context) error {
+	pause := retryFirst
+	whole := true
+	for ctx.Err() == nil {
+		var n News
+		var err error
+		if whole {
+			n.Whole = true
+			n.Batch, err = w.source.Snapshot(ctx, w.prefix, false)
+		} else {
+			n.Batch, err = w.source.Watch(ctx, w.prefix, w.resume, watchWait)
+		}
+		if err != nil {
+			// After a failure the registrations may have lapsed meanwhile, and
+			// only a snapshot tells what is missing.
+			whole = true
+			w.failed(ctx, err)
+			jitter := time.Duration(rand.Int64N(int64(pause)))
+			_ = duty.Sleep(ctx, pause/2+jitter)
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		w.regained()
+		pause = retryFirst
+		whole = false
+		w.resume = n.Revision
+		for _, f := range n.Findings {
+			_ = w.logger.Log("event", "item-unreadable", "err", f)
+		}
+		if w.news.Put(ctx, n) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (w *Watcher) failed(ctx context.Context, err error) {
+	if w.lost || ctx.Err() != nil || errors.Is(err, published.ErrCompacted) {
+		return
+	}
+	w.lost = true
+	_ = w.logger.Log("event", "dependency-lost", "dependency", "store", "revision", w.resume, "err", err)
+}
+
+func (w *Watcher) regained() {
+	if w.lost {
+		w.lost = false
+		_ = w.logger.Log("event", "dependency-regained", "dependency", "store", "revision", w.resume)
+	}
+}
+
+// keep owns the state and hands out views.
+func (w *Watcher) keep(ctx context.Context) error {
+	state := published.NewState()
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		changed := false
+		select {
+		case n := <-w.news.Out():
+			if n.Whole {
+				changed = state.Replace(time.Now(), n.Changes, n.Revision)
+			} else {
+				changed = state.Apply(time.Now(), n.Changes, n.Revision)
+			}
+			state.Trim()
+		case q := <-w.asks.Out():
+			_ = q.reply.Put(ctx, Answer{Changes: state.Since(q.after), Revision: state.Revision()})
+		case <-ticker.C:
+			changed = state.Expire(time.Now())
+		case <-ctx.Done():
+			return nil
+		}
+		if changed {
+			w.publish(ctx, state.View())
+		}
+	}
+}
+
+func (w *Watcher) publish(ctx context.Context, v *published.View) {
+	version := int64(0)
+	if v.Config != nil {
+		version = v.Config.Version
+	}
+	_ = w.logger.Log("event", "view", "revision", v.Revision, "config", version,
+		"upstreams", len(v.Upstreams), "out", len(v.Out))
+	for _, r := range w.views {
+		_ = r.Put(ctx, v)
+	}
+}
--- /dev/null
+++ b/loader/keeper.go
@@ -0,0 +1,486 @@
+package loader
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/staging"
+	"rattanspur.example/lib/transfer"
+)
+
+// event is an input of the keeper.
+type event interface{ event() }
+
+// reported carries the engine's report, or why there is none.
+type reported struct {
+	report staging.Report
+	err    error
+}
+
+// listed carries the published engines and services, as of a stale read.
+type listed struct{ view *published.View }
+
+// manifestRead carries the manifest of a version.
+type manifestRead struct {
+	version  int64
+	manifest *staging.Manifest
+	err      error
+}
+
+// pieceRead carries the end of a request for a piece; data is verified.
+type pieceRead struct {
+	version int64
+	data    []byte
+	ended   transfer.ChunkEnded
+	err     error
+}
+
+// haveRead carries a peer's answer about what it holds of a version.
+type haveRead struct {
+	version int64
+	news    transfer.Event
+}
+
+// worked carries the end of a piece of work at the engine.
+type worked struct {
+	work work
+	// found are the verified pieces of a work that looked for them.
+	found map[int][]byte
+	err   error
+}
+
+// question asks the keeper for what it holds of a version.
+type question struct {
+	version int64
+	// piece is the number that is asked for; negative asks for the set.
+	piece int
+	reply *ring.Ring[answer]
+}
+
+// answer is what the keeper holds.
+type answer struct {
+	manifest *staging.Manifest
+	have     transfer.Set
+	data     []byte
+	busy     bool
+}
+
+// uploaded says that an upload has ended.
+type uploaded struct{}
+
+func (reported) event()     {}
+func (listed) event()       {}
+func (manifestRead) event() {}
+func (pieceRead) event()    {}
+func (haveRead) event()     {}
+func (worked) event()       {}
+func (question) event()     {}
+func (uploaded) event()     {}
+
+// holding is what is held of one version.
+type holding struct {
+	version  int64
+	manifest *staging.Manifest
+	data     [][]byte
+	count    int
+	core     *transfer.Core
+	begun    time.Time
+	// asking says that the manifest was asked for and has not come yet.
+	asking  bool
+	retryAt time.Time
+	// searched says that the pieces at the engine were looked at.
+	searching, searched bool
+	// logged says that the end of the transfer was logged.
+	logged bool
+}
+
+func (c *holding) whole() bool { return c.manifest != nil && c.count == len(c.data) }
+
+// keeper owns the pieces, the transfers and the decisions of a loader.
+type keeper struct {
+	loader *Loader
+	core   *staging.Core
+	model  string
+	view   *published.View
+	// wanted comes from the watcher, listing from the lister.
+	wanted  published.Wanted
+	copies  map[int64]*holding
+	uploads int
+	// working says that the worker has work.
+	working bool
+	report  staging.Report
+	listAt  time.Time
+	down    bool
+	loaded  int64
+}
+
+func (l *Loader) runKeeper(ctx context.Context) error {
+	k := &keeper{loader: l, copies: map[int64]*holding{}}
+	timer := time.NewTicker(tick)
+	defer timer.Stop()
+	l.askList(ctx)
+	for {
+		select {
+		case v := <-l.views.Out():
+			k.want(ctx, v)
+		case ev := <-l.events.Out():
+			k.handle(ctx, ev)
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil
+		}
+		k.advance(ctx, time.Now())
+	}
+}
+
+func (l *Loader) askList(ctx context.Context) { _ = l.lists.Put(ctx, struct{}{}) }
+
+// want takes in which version is named.
+func (k *keeper) want(ctx context.Context, v *published.View) {
+	for _, w := range v.Wanted {
+		if k.model == "" || w.Model == k.model {
+			k.wanted = w
+		}
+	}
+	k.loader.askList(ctx)
+	k.retarget()
+}
+
+func (k *keeper) handle(ctx context.Context, ev event) {
+	now := time.Now()
+	switch ev := ev.(type) {
+	case reported:
+		k.reported(now, ev)
+	case listed:
+		k.listed(now, ev.view)
+	case manifestRead:
+		k.manifestRead(now, ev)
+	case pieceRead:
+		k.pieceRead(ctx, now, ev)
+	case haveRead:
+		if c := k.copies[ev.version]; c != nil && c.core != nil {
+			k.step(ctx, now, c, ev.news)
+		}
+	case worked:
+		k.worked(now, ev)
+	case question:
+		_ = ev.reply.Put(ctx, k.answer(now, ev))
+	case uploaded:
+		k.uploads--
+	}
+}
+
+func (k *keeper) reported(now time.Time, ev reported) {
+	if ev.err != nil {
+		if !k.down {
+			k.down = true
+			_ = k.loader.logger.Log("event", "dependency-lost", "dependency", "engine", "err", ev.err)
+		}
+		if k.core != nil {
+			k.core.Lost()
+		}
+		return
+	}
+	if k.down || ev.report.Born != k.report.Born {
+		k.down = false
+		_ = k.loader.logger.Log("event", "engine-known", "born", ev.report.Born, "sequence", ev.report.Sequence)
+	}
+	k.report = ev.report
+	if k.core == nil {
+		return
+	}
+	k.core.SetReport(ev.report)
+	if v := k.core.Loaded(); v != k.loaded {
+		_ = k.loader.logger.Log("event", "engine-holds", "model", k.model, "version", v, "was", k.loaded,
+			"since-named", now.Sub(k.wanted.Learned).Seconds())
+		k.loaded = v
+	}
+}
+
+// listed takes in the engines and services that are published.
+func (k *keeper) listed(now time.Time, v *published.View) {
+	k.view = v
+	if v.Config == nil {
+		return
+	}
+	s := v.Config.Services[k.loader.settings.Service]
+	if s == nil || s.Engine == nil || len(s.Engine.Models) == 0 {
+		return
+	}
+	if k.core == nil {
+		k.model = s.Engine.Models[0]
+		k.core = staging.New(k.model, s.Engine.Layers, k.loader.settings.Within)
+		if !k.down && k.report.Born != 0 {
+			k.core.SetReport(k.report)
+		}
+	}
+	k.retarget()
+	for _, c := range k.copies {
+		if c.core != nil && !c.whole() {
+			k.step(context.Background(), now, c, transfer.PeersChanged{Peers: k.peers()})
+		}
+	}
+}
+
+// retarget names the target: the wanted version, or the first one while none
+// is named.
+func (k *keeper) retarget() {
+	if k.core == nil {
+		return
+	}
+	w := k.wanted
+	if w.Version == 0 {
+		w = published.Wanted{Model: k.model, Version: firstVersion}
+	}
+	if w.Version == k.core.Target() {
+		return
+	}
+	_ = k.loader.logger.Log("event", "version-named", "model", k.model, "version", w.Version, "loaded", k.core.Loaded())
+	k.core.SetTarget(w)
+	ids := make([]fleet.InstanceID, 0)
+	for _, p := range k.peers() {
+		ids = append(ids, p.ID)
+	}
+	k.core.SetRank(staging.Rank(k.self().ID, ids, strconv.FormatInt(w.Version, 10)), len(ids))
+	k.dropOld(w.Version)
+}
+
+// firstVersion is the version that engines hold before any is named.
+const firstVersion = 1
+
+// keptVersions is the number of versions whose pieces are kept: the target and
+// the one before it, which restarted engines may still need.
+const keptVersions = 2
+
+func (k *keeper) dropOld(target int64) {
+	for v := range k.copies {
+		if v <= target-keptVersions {
+			delete(k.copies, v)
+		}
+	}
+}
+
+func (k *keeper) self() transfer.Peer {
+	return transfer.Peer{ID: fleet.InstanceID(k.loader.settings.Listen), Region: k.loader.settings.Region}
+}
+
+// peers returns the loaders beside the engines of the own service.
+func (k *keeper) peers() []transfer.Peer {
+	if k.view == nil {
+		return nil
+	}
+	var out []transfer.Peer
+	for _, u := range k.view.Upstreams {
+		if u.Service != k.loader.settings.Service {
+			continue
+		}
+		if a := k.loader.settings.PeerAddress(u.Address); a != "" {
+			out = append(out, transfer.Peer{ID: fleet.InstanceID(a), Region: k.loader.settings.Regions[u.Domain]})
+		}
+	}
+	return out
+}
+
+// advance carries out what the core asks for.
+func (k *keeper) advance(ctx context.Context, now time.Time) {
+	if k.core == nil {
+		k.relist(ctx, now)
+		return
+	}
+	target := k.core.Target()
+	if c := k.copies[target]; c != nil && c.whole() {
+		k.core.Completed(target)
+	}
+	switch k.core.Next(now) {
+	case staging.Fetch:
+		k.open(now, target)
+	case staging.Place:
+		k.work(ctx, work{kind: place, copy: k.copies[target], sequence: k.report.Sequence})
+	case staging.Order:
+		k.work(ctx, work{kind: start, copy: k.copies[target], sequence: k.report.Sequence})
+	case staging.Idle:
+	}
+	for _, c := range k.copies {
+		k.drive(ctx, now, c)
+	}
+}
+
+func (k *keeper) relist(ctx context.Context, now time.Time) {
+	if now.Sub(k.listAt) < listEvery {
+		return
+	}
+	k.listAt = now
+	k.loader.askList(ctx)
+}
+
+// open begins to gather a version.
+func (k *keeper) open(now time.Time, version int64) *holding {
+	c := k.copies[version]
+	if c == nil {
+		c = &holding{version: version, begun: now}
+		k.copies[version] = c
+	}
+	return c
+}
+
+// drive moves the gathering of a version on.
+func (k *keeper) drive(ctx context.Context, now time.Time, c *holding) {
+	if c.whole() {
+		if !c.logged {
+			c.logged = true
+			_ = k.loader.logger.Log("event", "copy-complete", "model", k.model, "version", c.version,
+				"seconds", now.Sub(c.begun).Seconds())
+		}
+		return
+	}
+	k.relist(ctx, now)
+	switch {
+	case c.manifest == nil:
+		k.askManifest(ctx, now, c)
+	case !c.searched:
+		if !c.searching {
+			c.searching = k.work(ctx, work{kind: search, copy: c})
+		}
+	default:
+		if c.core == nil {
+			c.core = k.newTransfer(now, c)
+		}
+		k.step(ctx, now, c, transfer.Tick{})
+	}
+}
+
+func (k *keeper) newTransfer(now time.Time, c *holding) *transfer.Core {
+	t := transfer.New(transfer.Start{
+		Self: k.self(), StoreRegion: k.originRegion(), Root: c.manifest.Root(), Chunks: len(c.data), Have: c.set(),
+	}, limits, now)
+	t.Step(now, transfer.PeersChanged{Peers: k.peers()})
+	return t
+}
+
+func (c *holding) set() transfer.Set {
+	s := transfer.NewSet(len(c.data))
+	for i, d := range c.data {
+		if d != nil {
+			s.Add(i)
+		}
+	}
+	return s
+}
+
+func (k *keeper) originRegion() fleet.Region {
+	if o := k.originAt(); o != nil {
+		return k.loader.settings.Regions[o.FailureDomain]
+	}
+	return ""
+}
+
+func (k *keeper) originAt() *published.Origin {
+	if k.view == nil || k.view.Config == nil {
+		return nil
+	}
+	return k.view.Config.Origin()
+}
+
+// askManifest asks one source after the other for the digests.
+func (k *keeper) askManifest(ctx context.Context, now time.Time, c *holding) {
+	origin := k.originAt()
+	if c.asking || now.Before(c.retryAt) || origin == nil {
+		return
+	}
+	place := transfer.Place(k.self(), k.peers(), k.originRegion(), fleet.Digest{byte(c.version)}, limits.Drawers)
+	sources := place.ManifestSources(k.self(), false, now.Sub(c.begun), manifestTurn)
+	q := inquiry{version: c.version, model: k.model, origin: origin.Address, sources: sources}
+	c.asking = k.loader.asks.Put(ctx, q) == nil
+}
+
+// manifestTurn is how long a loader waits for peers before it asks the origin.
+const manifestTurn = 200 * time.Millisecond
+
+// manifestPause is the pause before sources are asked again.
+const manifestPause = 50 * time.Millisecond
+
+func (k *keeper) manifestRead(now time.Time, ev manifestRead) {
+	c := k.copies[ev.version]
+	if c == nil {
+		return
+	}
+	c.asking = false
+	if ev.err != nil {
+		c.retryAt = now.Add(manifestPause)
+		return
+	}
+	c.manifest = ev.manifest
+	c.data = make([][]byte, len(ev.manifest.Digests))
+}
+
+// step feeds the transfer and carries out its actions.
+func (k *keeper) step(ctx context.Context, now time.Time, c *holding, ev transfer.Event) {
+	origin := ""
+	if o := k.originAt(); o != nil {
+		origin = o.Address
+	}
+	for _, a := range c.core.Step(now, ev) {
+		switch a := a.(type) {
+		case transfer.RequestChunk:
+			f := fetch{manifest: c.manifest, number: a.Index, source: a.Source, origin: origin}
+			_ = k.loader.fetches.Put(ctx, f)
+		case transfer.RequestHave:
+			q := inquiry{version: c.version, model: k.model, have: &a, pieces: len(c.data)}
+			if k.loader.asks.Put(ctx, q) != nil {
+				c.core.Step(now, transfer.HaveFailed{Peer: a.Peer})
+			}
+		case transfer.Complete:
+		}
+	}
+}
+
+func (k *keeper) pieceRead(ctx context.Context, now time.Time, ev pieceRead) {
+	c := k.copies[ev.version]
+	if c == nil || c.core == nil {
+		return
+	}
+	k.loader.metrics.piece(ev.ended, len(ev.data))
+	if ev.ended.Outcome == transfer.Verified {
+		c.add(ev.ended.Index, ev.data)
+	} else if ev.ended.Outcome != transfer.Busy && ev.ended.Outcome != transfer.Absent {
+		_ = k.loader.logger.Log("event", "piece-failed", "version", ev.version, "piece", ev.ended.Index,
+			"peer", ev.ended.Source.Peer, "err", ev.err)
+	}
+	k.step(ctx, now, c, ev.ended)
+}
+
+func (c *holding) add(number int, data []byte) {
+	if c.data[number] == nil {
+		c.data[number] = data
+		c.count++
+	}
+}
+
+// answer tells a peer what is held. A version that the engine holds and that
+// is asked for is gathered from what lies at the engine.
+func (k *keeper) answer(now time.Time, q question) answer {
+	c := k.copies[q.version]
+	if c == nil && k.core != nil && k.core.Loaded() == q.version {
+		c = k.open(now, q.version)
+	}
+	if c == nil || c.manifest == nil {
+		return answer{}
+	}
+	a := answer{manifest: c.manifest}
+	switch {
+	case q.piece < 0:
+		a.have = c.set()
+	case q.piece < len(c.data) && c.data[q.piece] != nil:
+		if k.uploads >= maxUploads {
+			a.busy = true
+			break
+		}
+		k.uploads++
+		a.data = c.data[q.piece]
+	}
+	return a
+}
--- /dev/null
+++ b/loader/loader.go
@@ -0,0 +1,173 @@
+// Package loader is the role beside each model engine: it brings the wanted
+// weights to the machine, from other loaders and the origin, checks them, and
+// orders the engine to take them.
+package loader
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+
+	"rattanspur.example/lib/duty"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/sock"
+	"rattanspur.example/lib/staging"
+	"rattanspur.example/lib/transfer"
+	"rattanspur.example/lib/watcher"
+	"rattanspur.example/lib/wire"
+)
+
+// Engine is the engine on the own machine.
+type Engine interface {
+	Report(ctx context.Context) (staging.Report, error)
+	// Start orders the engine to take what lies at it, if it accepted no other
+	// order since its sequence was read.
+	Start(ctx context.Context, model string, version, sequence int64) error
+	Put(ctx context.Context, model string, number int, data []byte) error
+	Get(ctx context.Context, model string, number int) ([]byte, error)
+	Held(ctx context.Context, model string) ([]int, error)
+}
+
+// Origin is where weights come from.
+type Origin interface {
+	Manifest(ctx context.Context, address, model string, version int64) (*staging.Manifest, error)
+	Piece(ctx context.Context, address, model string, version int64, number int) ([]byte, error)
+}
+
+// Settings are those of one loader.
+type Settings struct {
+	Instance fleet.InstanceID
+	Domain   fleet.FailureDomain
+	Region   fleet.Region
+	Regions  map[fleet.FailureDomain]fleet.Region
+	// Listen is where other loaders reach this one, Metrics where metrics are read.
+	Listen  string
+	Metrics string
+	Service fleet.Service
+	// Within is how long after its publication a version is due everywhere.
+	Within time.Duration
+	// ListPrefixes are the prefixes of the published engines and services.
+	ListPrefixes []string
+	// PeerAddress returns where the loader beside an engine is reached.
+	PeerAddress func(engine string) string
+}
+
+const (
+	// fetchers is the number of requests in flight for pieces, askers of
+	// questions to peers.
+	fetchers = 4
+	askers   = 4
+	// maxUploads bounds the uploads of a loader; beyond it answers busy.
+	maxUploads = 4
+	// reportEvery is the time between two reads of the engine's report.
+	reportEvery = 200 * time.Millisecond
+	// listEvery is the time between two reads of the list of engines during a
+	// transfer.
+	listEvery = 500 * time.Millisecond
+	// tick is the time between two looks at what has become possible.
+	tick = 20 * time.Millisecond
+)
+
+// limits bound one transfer.
+var limits = transfer.Limits{
+	Peers:         16,
+	Drawers:       8,
+	Draws:         2,
+	PerSource:     1,
+	InFlight:      fetchers,
+	TakeoverDelay: 400 * time.Millisecond,
+	StallAfter:    time.Second,
+	HaveEvery:     50 * time.Millisecond,
+	HaveIdle:      500 * time.Millisecond,
+	SettleWait:    200 * time.Millisecond,
+	Copies:        3,
+}
+
+// Loader is one process of the role.
+type Loader struct {
+	settings Settings
+	engine   Engine
+	origin   Origin
+	store    watcher.Source
+	watcher  *watcher.Watcher
+	views    *ring.Ring[*published.View]
+	// events go to the keeper; jobs to the duties that carry them out.
+	events  *ring.Ring[event]
+	fetches *ring.Ring[fetch]
+	asks    *ring.Ring[inquiry]
+	works   *ring.Ring[work]
+	lists   *ring.Ring[struct{}]
+	peers   *http.Client
+	logger  log.Logger
+	metrics *loaderMetrics
+}
+
+// New returns a loader; Run starts it.
+func New(s Settings, engine Engine, origin Origin, store watcher.Source, w *watcher.Watcher, logger log.Logger) *Loader {
+	return &Loader{
+		settings: s,
+		engine:   engine,
+		origin:   origin,
+		store:    store,
+		watcher:  w,
+		views:    w.Subscribe(),
+		events:   ring.New[event](256, ring.Wait),
+		fetches:  ring.New[fetch](fetchers, ring.Wait),
+		asks:     ring.New[inquiry](64, ring.Refuse),
+		works:    ring.New[work](4, ring.Refuse),
+		lists:    ring.New[struct{}](1, ring.DropOldest),
+		peers:    &http.Client{Transport: sock.Transport(limits.PerSource)},
+		logger:   logger,
+		metrics:  newMetrics(),
+	}
+}
+
+// Run works until ctx ends.
+func (l *Loader) Run(ctx context.Context) error {
+	group := duty.NewGroup(ctx)
+	l.watcher.Start(group)
+	group.Go("keeper", l.runKeeper)
+	group.Go("reporter", l.runReporter)
+	group.Go("lister", l.runLister)
+	group.Go("worker", l.runWorker)
+	for range fetchers {
+		group.Go("fetcher", l.runFetcher)
+	}
+	for range askers {
+		group.Go("asker", l.runAsker)
+	}
+	for name, h := range map[string]struct {
+		address string
+		handler http.Handler
+	}{
+		"peers":   {l.settings.Listen, l.peerHandler()},
+		"metrics": {l.settings.Metrics, http.HandlerFunc(l.metrics.serve)},
+	} {
+		if err := l.listen(group, name, h.address, h.handler); err != nil {
+			return err
+		}
+	}
+	_ = l.logger.Log("event", "start", "role", "loader", "listen", l.settings.Listen)
+	err := group.Wait()
+	_ = l.logger.Log("event", "stop", "err", err)
+	return err
+}
+
+func (l *Loader) listen(group *duty.Group, name, address string, h http.Handler) error {
+	listener, err := sock.Listen(group.Context(), address)
+	if err != nil {
+		return eris.Wrapf(err, "listen for %s", name)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: peerTimeout, IdleTimeout: time.Minute}
+	group.Go(name, func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		return wire.Serve(server, listener)
+	})
+	return nil
+}
