--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -76,11 +76,7 @@
 
 // least returns the version below which weights may begin no request, or 0.
 func (c *Core) least(now time.Time, model string) int64 {
-	w, ok := c.view.Wanted[model]
-	if !ok || now.Sub(w.Learned) < c.settings.VersionWithin-versionMargin {
-		return 0
-	}
-	return w.Version
+	return c.view.Wanted[model].Due(now, c.settings.VersionWithin-versionMargin)
 }
 
 // pick returns the best upstream with room, or nil. Upstreams that failed or
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -220,6 +220,28 @@
 	Version int64
 	// Learned is when this process first saw the version.
 	Learned time.Time
+	// Earlier are the versions that were wanted before, the newest first; each
+	// is still due within its own time.
+	Earlier []Named
+}
+
+// Named is a version with the time at which this process first saw it.
+type Named struct {
+	Version int64
+	Learned time.Time
+}
+
+// Due returns the newest version that was wanted for at least a time, or 0.
+func (w Wanted) Due(now time.Time, after time.Duration) int64 {
+	if now.Sub(w.Learned) >= after {
+		return w.Version
+	}
+	for _, e := range w.Earlier {
+		if now.Sub(e.Learned) >= after {
+			return e.Version
+		}
+	}
+	return 0
 }
 
 // View is everything published, as of one revision. A view is immutable.
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -61,6 +61,8 @@
 	items    map[string]held
 	learned  map[string]Wanted
 	view     *View
+	// informed says that a snapshot was taken in.
+	informed bool
 }
 
 // NewState returns a state without items.
@@ -113,6 +115,7 @@
 	if changed {
 		s.rebuild(now)
 	}
+	s.informed = true
 	return changed
 }
 
@@ -169,16 +172,28 @@
 	s.view = v
 }
 
-// learn returns a wanted version with the time at which it was first seen.
+// learn returns a wanted version with the time at which it was first seen and
+// those that were wanted before.
 func (s *State) learn(now time.Time, key string, w Wanted) Wanted {
-	if known, ok := s.learned[key]; ok && known.Version == w.Version {
+	known, ok := s.learned[key]
+	if ok && known.Version == w.Version {
 		return known
 	}
-	w.Learned = now
+	// What the first snapshot names may have been named long before.
+	if s.informed {
+		w.Learned = now
+	}
+	if ok {
+		earlier := append([]Named{{Version: known.Version, Learned: known.Learned}}, known.Earlier...)
+		w.Earlier = earlier[:min(len(earlier), maxEarlier)]
+	}
 	s.learned[key] = w
 	return w
 }
 
+// maxEarlier bounds the versions that are remembered for a model.
+const maxEarlier = 8
+
 // Since returns the changes after a revision, removals included.
 func (s *State) Since(revision uint64) []Change {
 	var out []Change
--- a/lib/sock/sock.go
+++ b/lib/sock/sock.go
@@ -19,7 +19,7 @@
 	UserTimeout = 1500 * time.Millisecond
 	// probeIdle and probeInterval are the times before and between keep-alive
 	// probes; probeCount unanswered ones end the connection.
-	probeIdle     = 2 * time.Second
+	probeIdle     = time.Second
 	probeInterval = time.Second
 	probeCount    = 2
 	// idleConn is how long an idle connection of a transport is kept.
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -23,9 +23,9 @@
 }
 
 const (
-	// watchWait is how long a watch waits. It bounds how long a connection
-	// that went silent goes unnoticed.
-	watchWait = 2500 * time.Millisecond
+	// watchWait is how long a watch waits. Keep-alive probes notice a connection
+	// that goes silent meanwhile.
+	watchWait = 10 * time.Second
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
--- a/loader/duties.go
+++ b/loader/duties.go
@@ -10,7 +10,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/staging"
@@ -30,16 +29,26 @@
 )
 
 // runReporter reads the engine's report again and again; that costs nothing on
-// the own machine.
+// the own machine. A new pace takes effect at once.
 func (l *Loader) runReporter(ctx context.Context) error {
-	for ctx.Err() == nil {
+	pace := reportSoon
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case pace = <-l.pace.Out():
+			timer.Reset(pace)
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil
+		}
 		r, err := l.engine.Report(ctx)
 		if l.events.Put(ctx, reported{report: r, err: err}) != nil {
 			return nil
 		}
-		_ = duty.Sleep(ctx, reportEvery)
+		timer.Reset(pace)
 	}
-	return nil
 }
 
 // runLister reads which engines and services are published, when asked to.
@@ -98,10 +107,12 @@
 	}
 }
 
-func (l *Loader) fetch(ctx context.Context, f fetch) pieceRead {
-	ev := pieceRead{version: f.manifest.Version, ended: transfer.ChunkEnded{Index: f.number, Source: f.source}}
+func (l *Loader) fetch(ctx context.Context, f fetch) (ev pieceRead) {
+	ev = pieceRead{version: f.manifest.Version, ended: transfer.ChunkEnded{Index: f.number, Source: f.source}}
 	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
 	defer cancel()
+	begun := time.Now()
+	defer func() { ev.took = time.Since(begun) }()
 	if f.source.Kind == transfer.FromPeer {
 		path := weightsPath(f.manifest.Model, f.manifest.Version) + "/pieces/" + strconv.Itoa(f.number)
 		ev.data, ev.err = l.get(ctx, f.source.Peer, path, int64(f.manifest.PieceBytes))
--- a/loader/keeper.go
+++ b/loader/keeper.go
@@ -36,6 +36,7 @@
 	version int64
 	data    []byte
 	ended   transfer.ChunkEnded
+	took    time.Duration
 	err     error
 }
 
@@ -107,20 +108,21 @@
 	model  string
 	view   *published.View
 	// wanted comes from the watcher, listing from the lister.
-	wanted  published.Wanted
-	copies  map[int64]*holding
-	uploads int
+	wanted   published.Wanted
+	holdings map[int64]*holding
+	uploads  int
 	// working says that the worker has work.
 	working bool
 	report  staging.Report
 	listAt  time.Time
 	down    bool
 	loaded  int64
+	pace    time.Duration
 }
 
 func (l *Loader) runKeeper(ctx context.Context) error {
-	k := &keeper{loader: l, copies: map[int64]*holding{}}
-	timer := time.NewTicker(tick)
+	k := &keeper{loader: l, holdings: map[int64]*holding{}}
+	timer := time.NewTimer(tick)
 	defer timer.Stop()
 	l.askList(ctx)
 	for {
@@ -134,6 +136,33 @@
 			return nil
 		}
 		k.advance(ctx, time.Now())
+		if k.settled() {
+			timer.Reset(idleTick)
+			k.setPace(ctx, reportIdle)
+		} else {
+			timer.Reset(tick)
+			k.setPace(ctx, reportSoon)
+		}
+	}
+}
+
+// settled reports whether the engine serves the target and its pieces are here.
+func (k *keeper) settled() bool {
+	if k.core == nil || k.down || k.core.Loaded() != k.core.Target() {
+		return false
+	}
+	for _, h := range k.holdings {
+		if !h.whole() {
+			return false
+		}
+	}
+	return true
+}
+
+func (k *keeper) setPace(ctx context.Context, pace time.Duration) {
+	if k.pace != pace {
+		k.pace = pace
+		_ = k.loader.pace.Put(ctx, pace)
 	}
 }
 
@@ -162,7 +191,7 @@
 	case pieceRead:
 		k.pieceRead(ctx, now, ev)
 	case haveRead:
-		if c := k.copies[ev.version]; c != nil && c.core != nil {
+		if c := k.holdings[ev.version]; c != nil && c.core != nil {
 			k.step(ctx, now, c, ev.news)
 		}
 	case worked:
@@ -219,7 +248,7 @@
 		}
 	}
 	k.retarget()
-	for _, c := range k.copies {
+	for _, c := range k.holdings {
 		if c.core != nil && !c.whole() {
 			k.step(context.Background(), now, c, transfer.PeersChanged{Peers: k.peers()})
 		}
@@ -257,9 +286,9 @@
 const keptVersions = 2
 
 func (k *keeper) dropOld(target int64) {
-	for v := range k.copies {
+	for v := range k.holdings {
 		if v <= target-keptVersions {
-			delete(k.copies, v)
+			delete(k.holdings, v)
 		}
 	}
 }
@@ -292,19 +321,24 @@
 		return
 	}
 	target := k.core.Target()
-	if c := k.copies[target]; c != nil && c.whole() {
+	if c := k.holdings[target]; c != nil && c.whole() {
 		k.core.Completed(target)
 	}
 	switch k.core.Next(now) {
 	case staging.Fetch:
 		k.open(now, target)
 	case staging.Place:
-		k.work(ctx, work{kind: place, copy: k.copies[target], sequence: k.report.Sequence})
+		k.work(ctx, work{kind: place, copy: k.holdings[target], sequence: k.report.Sequence})
 	case staging.Order:
-		k.work(ctx, work{kind: start, copy: k.copies[target], sequence: k.report.Sequence})
+		k.work(ctx, work{kind: start, copy: k.holdings[target], sequence: k.report.Sequence})
 	case staging.Idle:
+		// The pieces of what the engine serves are gathered too, for engines
+		// that start empty.
+		if k.core.Loaded() == target {
+			k.open(now, target)
+		}
 	}
-	for _, c := range k.copies {
+	for _, c := range k.holdings {
 		k.drive(ctx, now, c)
 	}
 }
@@ -319,10 +353,10 @@
 
 // open begins to gather a version.
 func (k *keeper) open(now time.Time, version int64) *holding {
-	c := k.copies[version]
+	c := k.holdings[version]
 	if c == nil {
 		c = &holding{version: version, begun: now}
-		k.copies[version] = c
+		k.holdings[version] = c
 	}
 	return c
 }
@@ -348,17 +382,16 @@
 	default:
 		if c.core == nil {
 			c.core = k.newTransfer(now, c)
+			k.step(ctx, now, c, transfer.PeersChanged{Peers: k.peers()})
 		}
 		k.step(ctx, now, c, transfer.Tick{})
 	}
 }
 
 func (k *keeper) newTransfer(now time.Time, c *holding) *transfer.Core {
-	t := transfer.New(transfer.Start{
+	return transfer.New(transfer.Start{
 		Self: k.self(), StoreRegion: k.originRegion(), Root: c.manifest.Root(), Chunks: len(c.data), Have: c.set(),
 	}, limits, now)
-	t.Step(now, transfer.PeersChanged{Peers: k.peers()})
-	return t
 }
 
 func (c *holding) set() transfer.Set {
@@ -404,7 +437,7 @@
 const manifestPause = 50 * time.Millisecond
 
 func (k *keeper) manifestRead(now time.Time, ev manifestRead) {
-	c := k.copies[ev.version]
+	c := k.holdings[ev.version]
 	if c == nil {
 		return
 	}
@@ -439,11 +472,12 @@
 }
 
 func (k *keeper) pieceRead(ctx context.Context, now time.Time, ev pieceRead) {
-	c := k.copies[ev.version]
+	c := k.holdings[ev.version]
 	if c == nil || c.core == nil {
 		return
 	}
 	k.loader.metrics.piece(ev.ended, len(ev.data))
+	_ = k.loader.logger.Log("event", "piece", "piece", ev.ended.Index, "peer", ev.ended.Source.Peer, "kind", ev.ended.Source.Kind, "outcome", ev.ended.Outcome, "took", ev.took.Seconds())
 	if ev.ended.Outcome == transfer.Verified {
 		c.add(ev.ended.Index, ev.data)
 	} else if ev.ended.Outcome != transfer.Busy && ev.ended.Outcome != transfer.Absent {
@@ -463,7 +497,7 @@
 // answer tells a peer what is held. A version that the engine holds and that
 // is asked for is gathered from what lies at the engine.
 func (k *keeper) answer(now time.Time, q question) answer {
-	c := k.copies[q.version]
+	c := k.holdings[q.version]
 	if c == nil && k.core != nil && k.core.Loaded() == q.version {
 		c = k.open(now, q.version)
 	}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -64,13 +64,17 @@
 	askers   = 4
 	// maxUploads bounds the uploads of a loader; beyond it answers busy.
 	maxUploads = 4
-	// reportEvery is the time between two reads of the engine's report.
-	reportEvery = 200 * time.Millisecond
+	// reportSoon and reportIdle are the times between two reads of the engine's
+	// report while something is to be done, and else.
+	reportSoon = 100 * time.Millisecond
+	reportIdle = time.Second
 	// listEvery is the time between two reads of the list of engines during a
 	// transfer.
 	listEvery = 500 * time.Millisecond
-	// tick is the time between two looks at what has become possible.
-	tick = 20 * time.Millisecond
+	// tick is the time between two looks at what has become possible during a
+	// transfer, idleTick without one.
+	tick     = 20 * time.Millisecond
+	idleTick = 200 * time.Millisecond
 )
 
 // limits bound one transfer.
@@ -102,6 +106,8 @@
 	asks    *ring.Ring[inquiry]
 	works   *ring.Ring[work]
 	lists   *ring.Ring[struct{}]
+	// pace holds how long the reporter pauses.
+	pace    *ring.Ring[time.Duration]
 	peers   *http.Client
 	logger  log.Logger
 	metrics *loaderMetrics
@@ -121,6 +127,7 @@
 		asks:     ring.New[inquiry](64, ring.Refuse),
 		works:    ring.New[work](4, ring.Refuse),
 		lists:    ring.New[struct{}](1, ring.DropOldest),
+		pace:     ring.New[time.Duration](1, ring.DropOldest),
 		peers:    &http.Client{Transport: sock.Transport(limits.PerSource)},
 		logger:   logger,
 		metrics:  newMetrics(),
