gateways tell each other their requests in flight; turns use the whole time

Cause: each gateway estimated the load of a replica from answers up to 1.5 s old, so several filled the same one; engines took a new version all at once as soon as the copy was there. Change: lib/peering, datagrams every 100 ms with counts, suspects and revisions; a gateway pulls what is published from a peer that knows more; turns are spread up to 1.2 s before the version is due.

--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -18,9 +18,13 @@
 	"rattanspur.example/platform"
 )
 
-// metricsOffset is the internal port, counted from the first, where metrics
-// are read; deploy/system.toml names it.
-const metricsOffset = 1
+const (
+	// metricsOffset is the internal port, counted from the first, where metrics
+	// are read; deploy/system.toml names it.
+	metricsOffset = 1
+	// peersOffset is that for messages between gateways.
+	peersOffset = 2
+)
 
 // gatewayGCPercent lets the heap grow to several times what is live: it is a
 // few MB, and collections would take a fifth of the processor time.
@@ -53,7 +57,8 @@
 		Control:   s.Control,
 		Metrics:   internal(s, metricsOffset),
 		ReadyPath: platform.ReadyPath,
-		Seeds:     s.Seeds,
+		Peers:     internal(s, peersOffset),
+		Seeds:     s.Peers(peersOffset),
 		Grace:     s.Bounds.Grace,
 		Dispatch: dispatch.Settings{
 			Region:  s.Region,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,8 @@
 	Attempt(h http.Header, a *dispatch.Send, now time.Time, lastEvent string)
 	// Head reads what the head of an upstream's answer says.
 	Head(resp *http.Response) exchange.Head
+	// Published decodes an item that a peer passed on.
+	Published(key string, revision uint64, removed bool, raw []byte) (published.Change, error)
 	// Returned returns an answer's header as callers get it.
 	Returned(h http.Header) http.Header
 }
@@ -40,14 +42,17 @@
 type Settings struct {
 	Instance fleet.InstanceID
 	// Listen is where callers connect, Ready where readiness is asked, Control
-	// where other gateways reach this one, Metrics where metrics are read.
+	// where other gateways read this one's view, Peers where they send messages
+	// to, Metrics where metrics are read.
 	Listen  string
 	Ready   string
 	Control string
+	Peers   string
 	Metrics string
 	// ReadyPath is the path of the question for readiness.
 	ReadyPath string
-	Seeds     []string
+	// Seeds are addresses of some gateways' messages.
+	Seeds []string
 	// Grace is the time that a graceful stop may take.
 	Grace    time.Duration
 	Dispatch dispatch.Settings
@@ -77,6 +82,9 @@
 	watcher  *watcher.Watcher
 	views    *ring.Ring[*published.View]
 	inbox    *ring.Ring[event]
+	outgoing *ring.Ring[outgoing]
+	pulls    *ring.Ring[pull]
+	peerHTTP *http.Client
 	logger   log.Logger
 	metrics  *gatewayMetrics
 	tickets  atomic.Uint64
@@ -95,6 +103,9 @@
 		watcher:  w,
 		views:    w.Subscribe(),
 		inbox:    ring.New[event](inboxEvents, ring.Wait),
+		outgoing: ring.New[outgoing](1, ring.DropOldest),
+		pulls:    ring.New[pull](1, ring.Refuse),
+		peerHTTP: &http.Client{Transport: sock.Transport(1)},
 		logger:   logger,
 	}
 	g.bodyBytes.Store(defaultBodyBytes)
@@ -120,7 +131,13 @@
 	side := http.NewServeMux()
 	side.HandleFunc("GET "+g.settings.ReadyPath, g.serveReady)
 	side.HandleFunc("GET /metrics", g.metrics.serve)
-	for name, address := range map[string]string{"readiness": g.settings.Ready, "metrics": g.settings.Metrics} {
+	side.HandleFunc("GET "+pathChanges, g.serveChanges)
+	if err := g.startPeers(group); err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	for name, address := range map[string]string{
+		"readiness": g.settings.Ready, "metrics": g.settings.Metrics, "control": g.settings.Control,
+	} {
 		if err := g.listen(group, name, address, &http.Server{Handler: side}); err != nil {
 			return err
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,8 @@
 	latency   *metrics.Histogram
 	firstByte *metrics.Histogram
 	patience  *metrics.Histogram
+	// badMessages counts messages of peers that could not be read or sent.
+	badMessages *metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
@@ -29,6 +31,8 @@
 		latency:   set.NewHistogram("gateway_request_seconds"),
 		firstByte: set.NewHistogram("gateway_first_byte_seconds"),
 		patience:  set.NewHistogram("gateway_patience_seconds"),
+
+		badMessages: set.NewCounter("gateway_bad_messages_total"),
 	}
 	set.NewGauge("gateway_inbox_depth", func() float64 { return float64(g.inbox.Depth()) })
 	return m
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,213 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"rattanspur.example/lib/dispatch"
+	"rattanspur.example/lib/duty"
+	"rattanspur.example/lib/peering"
+	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/wire"
+)
+
+const (
+	// maxDatagram bounds a message between gateways.
+	maxDatagram = 32 << 10
+	// pullTimeout bounds a read of a peer's view.
+	pullTimeout = time.Second
+	// pullPause is the time between two reads of peers' views. The own watch
+	// usually brings what is new before the first one.
+	pullPause = 300 * time.Millisecond
+	// pathChanges is where a gateway passes on what is published.
+	pathChanges = "/peer/changes"
+)
+
+// heard carries a message of a peer to the router.
+type heard struct{ message *peering.Message }
+
+func (heard) event() {}
+
+// outgoing is a message for some peers.
+type outgoing struct {
+	message peering.Message
+	targets []string
+}
+
+// passedItem is a published item on its way between gateways, in the form in
+// which it was published.
+type passedItem struct {
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
+	Removed  bool   `json:"removed,omitempty"`
+	Raw      []byte `json:"raw,omitempty"`
+}
+
+// passedChanges is what one gateway passes on to another.
+type passedChanges struct {
+	Revision uint64       `json:"revision"`
+	Items    []passedItem `json:"items"`
+}
+
+// startPeers runs the duties that speak with other gateways.
+func (g *Gateway) startPeers(group *duty.Group) error {
+	if g.settings.Peers == "" {
+		return nil
+	}
+	conn, err := net.ListenPacket("udp4", g.settings.Peers)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(group.Context(), func() { _ = conn.Close() })
+	group.Go("peer receiver", func(ctx context.Context) error { return g.runReceiver(ctx, conn) })
+	group.Go("peer sender", func(ctx context.Context) error { return g.runSender(ctx, conn) })
+	group.Go("peer puller", g.runPuller)
+	return nil
+}
+
+func (g *Gateway) runReceiver(ctx context.Context, conn net.PacketConn) error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := conn.ReadFrom(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			// A refused datagram of an earlier send is reported here.
+			_ = duty.Sleep(ctx, peering.Every)
+			continue
+		}
+		var m peering.Message
+		if json.Unmarshal(buffer[:n], &m) != nil {
+			g.metrics.badMessages.Inc()
+			continue
+		}
+		if g.inbox.Put(ctx, heard{message: &m}) != nil {
+			return nil
+		}
+	}
+}
+
+func (g *Gateway) runSender(ctx context.Context, conn net.PacketConn) error {
+	for {
+		o, err := g.outgoing.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		data, err := json.Marshal(&o.message)
+		if err != nil || len(data) > maxDatagram {
+			g.metrics.badMessages.Inc()
+			continue
+		}
+		for _, t := range o.targets {
+			address, err := net.ResolveUDPAddr("udp4", t)
+			if err == nil {
+				// A lost message is replaced by the next one.
+				_, _ = conn.WriteTo(data, address)
+			}
+		}
+	}
+}
+
+// runPuller reads the view of a peer that knows more, which is how a gateway
+// that the store turns away stays up to date.
+func (g *Gateway) runPuller(ctx context.Context) error {
+	for {
+		p, err := g.pulls.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		if err := g.pull(ctx, p); err != nil {
+			_ = g.logger.Log("event", "peer-unreadable", "peer", p.peer, "err", err)
+		}
+		_ = duty.Sleep(ctx, pullPause)
+	}
+}
+
+// pull asks a peer for what is newer than a revision.
+type pull struct {
+	peer  string
+	after uint64
+}
+
+func (g *Gateway) pull(ctx context.Context, p pull) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	path := pathChanges + "?" + url.Values{"after": {strconv.FormatUint(p.after, 10)}}.Encode()
+	client := wire.Client{HTTP: g.peerHTTP}
+	var passed passedChanges
+	if err := client.GetJSON(ctx, p.peer, path, &passed); err != nil {
+		return err
+	}
+	b := published.Batch{Revision: passed.Revision}
+	for _, it := range passed.Items {
+		c, err := g.codec.Published(it.Key, it.Revision, it.Removed, it.Raw)
+		if err != nil {
+			return err
+		}
+		b.Changes = append(b.Changes, c)
+	}
+	_ = g.logger.Log("event", "view-pulled", "peer", p.peer, "after", p.after, "items", len(b.Changes))
+	return g.watcher.Tell(ctx, b)
+}
+
+// serveChanges passes on what is newer than a revision.
+func (g *Gateway) serveChanges(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	a, err := g.watcher.Since(r.Context(), after)
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	out := passedChanges{Revision: a.Revision}
+	for _, c := range a.Changes {
+		out.Items = append(out.Items, passedItem{Key: c.Key, Revision: c.Revision, Removed: c.Removed, Raw: c.Raw})
+	}
+	wire.WriteJSON(w, &out)
+}
+
+// heard takes in a message of a peer.
+func (r *router) heard(now time.Time, m *peering.Message) {
+	r.peers.Heard(now, m)
+	for _, s := range m.Suspects {
+		r.core.Suspects().Heard(now, s.Fingerprint, s.Crashes, now)
+	}
+}
+
+// gossip tells peers what they need and takes in what they told.
+func (r *router) gossip(ctx context.Context, now time.Time) {
+	r.peers.Expire(now)
+	r.core.SetProcesses(r.peers.Processes())
+	r.core.SetOthers(now, r.peers.Others(now))
+	g := r.gateway
+	_ = g.outgoing.Put(ctx, outgoing{
+		message: peering.Message{
+			From: g.settings.Peers, Control: g.settings.Control, Revision: r.revision,
+			InFlight: r.core.Load(), Suspects: suspects(r.core), Peers: r.peers.Named(),
+		},
+		targets: r.peers.Targets(now),
+	})
+	if peer, ok := r.peers.Newer(now, r.revision); ok {
+		_ = g.pulls.Put(ctx, pull{peer: peer, after: r.revision})
+	}
+}
+
+// maxSuspects bounds the suspects of one message.
+const maxSuspects = 16
+
+func suspects(c *dispatch.Core) []peering.Suspect {
+	var out []peering.Suspect
+	for f, n := range c.Suspects().Seen(maxSuspects) {
+		out = append(out, peering.Suspect{Fingerprint: f, Crashes: n})
+	}
+	return out
+}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -7,6 +7,7 @@
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/exchange"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
 )
@@ -73,6 +74,9 @@
 	flights map[dispatch.Ticket]*flight
 	idle    map[fleet.InstanceID][]*exchange.Conn
 	present map[fleet.InstanceID]bool
+	peers   *peering.Table
+	// revision is that of the newest item in the view.
+	revision uint64
 }
 
 func (g *Gateway) runRouter(ctx context.Context) error {
@@ -82,7 +86,10 @@
 		flights: map[dispatch.Ticket]*flight{},
 		idle:    map[fleet.InstanceID][]*exchange.Conn{},
 		present: map[fleet.InstanceID]bool{},
+		peers:   peering.NewTable(g.settings.Peers, g.settings.Seeds),
 	}
+	gossip := time.NewTicker(peering.Every)
+	defer gossip.Stop()
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
 	due := time.Now().Add(idleTick)
@@ -92,6 +99,8 @@
 			r.update(ctx, v)
 		case ev := <-g.inbox.Out():
 			r.step(ctx, ev)
+		case <-gossip.C:
+			r.gossip(ctx, time.Now())
 		case <-timer.C:
 			r.carryOut(ctx, r.core.Tick(time.Now()))
 			r.closeIdle(time.Now())
@@ -124,6 +133,7 @@
 			r.gateway.bodyBytes.Store(n)
 		}
 	}
+	r.revision = v.Revision
 	clear(r.present)
 	for _, u := range v.Upstreams {
 		r.present[u.ID] = true
@@ -146,6 +156,8 @@
 	case arrival:
 		r.flights[ev.ticket] = &flight{reply: ev.reply, call: ev.call}
 		r.carryOut(ctx, r.core.Arrive(now, ev.ticket, ev.call))
+	case heard:
+		r.heard(now, ev.message)
 	case observed:
 		r.core.Observe(now, ev.ticket, ev.seen)
 	case ended:
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -32,7 +32,7 @@
 	defaultPatience = 10 * time.Second
 	// versionMargin is how long before their time older weights get no more
 	// requests: a request may wait at the upstream before it begins.
-	versionMargin = 1200 * time.Millisecond
+	versionMargin = 700 * time.Millisecond
 	// leastProcesses is the number of entries that budgets are divided among
 	// until more are known.
 	leastProcesses = 4
@@ -116,6 +116,25 @@
 	}
 }
 
+// SetOthers tells how many requests other entries have at each upstream.
+// Upstreams that are not named have none.
+func (c *Core) SetOthers(now time.Time, counts map[fleet.InstanceID]int) {
+	for id, u := range c.upstreams {
+		u.told, u.toldAt = counts[id], now
+	}
+}
+
+// Load returns how many requests of this entry each upstream has.
+func (c *Core) Load() map[fleet.InstanceID]int {
+	out := map[fleet.InstanceID]int{}
+	for id, u := range c.upstreams {
+		if u.mine > 0 {
+			out[id] = u.mine
+		}
+	}
+	return out
+}
+
 // Waiting returns the number of requests that wait for an upstream.
 func (c *Core) Waiting() int {
 	n := 0
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -10,6 +10,8 @@
 const (
 	// loadLife is how long a report of an upstream's load counts.
 	loadLife = 1500 * time.Millisecond
+	// toldLife is how long the counts of other entries are used.
+	toldLife = 500 * time.Millisecond
 	// avoidFirst is how long an upstream is avoided after a failure; the time
 	// doubles with each further one up to avoidMost.
 	avoidFirst = 400 * time.Millisecond
@@ -38,9 +40,12 @@
 	version int64
 	// mine counts the requests in flight from here.
 	mine int
-	// others is the load from elsewhere as of reported.
+	// others is the load from elsewhere as an answer said at reported, told that
+	// which other entries said at toldAt.
 	others   int
 	reported time.Time
+	told     int
+	toldAt   time.Time
 	strikes  int
 	avoid    time.Time
 	// coldUntil is when the upstream bears its full load.
@@ -52,11 +57,17 @@
 	gone      bool
 }
 
+// load estimates the requests at the upstream. What other entries tell is
+// newer than what an answer said.
 func (u *upstream) load(now time.Time) int {
-	if now.Sub(u.reported) > loadLife {
+	switch {
+	case now.Sub(u.toldAt) <= toldLife:
+		return u.mine + u.told
+	case now.Sub(u.reported) <= loadLife:
+		return u.mine + u.others
+	default:
 		return u.mine
 	}
-	return u.mine + u.others
 }
 
 func (u *upstream) observe(now time.Time, o Observation) {
--- /dev/null
+++ b/lib/peering/peering.go
@@ -0,0 +1,201 @@
+// Package peering keeps the gateways of a deployment informed of each other:
+// who there is, how many requests each has at every upstream, which requests
+// are suspected of crashing upstreams, and how new each one's view is. The
+// table is pure; the messages are small, lossy, and replace each other.
+package peering
+
+import (
+	"slices"
+	"time"
+
+	"rattanspur.example/lib/fleet"
+)
+
+const (
+	// Every is the time between two messages to each peer.
+	Every = 100 * time.Millisecond
+	// loadLife is how long a peer's counts are used, and memberLife how long a
+	// silent peer still counts as one that shares the budgets.
+	loadLife   = 500 * time.Millisecond
+	memberLife = 20 * time.Second
+	// Fanout bounds the peers that a process sends to, and maxMembers the
+	// peers that it knows. Beyond Fanout, each message goes to the next ones
+	// in turn.
+	Fanout     = 12
+	maxMembers = 1024
+	// maxNamed bounds the peers that one message names.
+	maxNamed = 24
+)
+
+// Suspect is a request that may have crashed upstreams.
+type Suspect struct {
+	Fingerprint string `json:"f"`
+	Crashes     int    `json:"n"`
+}
+
+// Message is what a process tells its peers. The names are short because it is
+// sent often.
+type Message struct {
+	// From is where the sender is reached for messages, Control where its view
+	// can be read.
+	From    string `json:"from"`
+	Control string `json:"control"`
+	// Revision is that of the newest item in the sender's view.
+	Revision uint64 `json:"rev"`
+	// InFlight counts the sender's requests at each upstream.
+	InFlight map[fleet.InstanceID]int `json:"load,omitempty"`
+	Suspects []Suspect                `json:"suspects,omitempty"`
+	// Peers are addresses of others that the sender heard from.
+	Peers []string `json:"peers,omitempty"`
+}
+
+// member is what is known of one peer.
+type member struct {
+	address  string
+	control  string
+	heard    time.Time
+	revision uint64
+	inFlight map[fleet.InstanceID]int
+}
+
+// Table holds the peers of one process. It is owned by one duty.
+type Table struct {
+	self    string
+	members map[string]*member
+	seeds   []string
+	turn    int
+}
+
+// NewTable returns a table that knows the seeds by address.
+func NewTable(self string, seeds []string) *Table {
+	return &Table{self: self, members: map[string]*member{}, seeds: seeds}
+}
+
+// Heard takes in a message.
+func (t *Table) Heard(now time.Time, m *Message) {
+	if m.From == t.self || m.From == "" {
+		return
+	}
+	p := t.member(m.From)
+	if p == nil {
+		return
+	}
+	p.control, p.heard, p.revision, p.inFlight = m.Control, now, m.Revision, m.InFlight
+	for _, a := range m.Peers {
+		if a != t.self {
+			t.member(a)
+		}
+	}
+}
+
+func (t *Table) member(address string) *member {
+	p := t.members[address]
+	if p == nil && len(t.members) < maxMembers {
+		p = &member{address: address}
+		t.members[address] = p
+	}
+	return p
+}
+
+// Expire forgets peers that were silent for long.
+func (t *Table) Expire(now time.Time) {
+	for a, p := range t.members {
+		if !p.heard.IsZero() && now.Sub(p.heard) > memberLife {
+			delete(t.members, a)
+		}
+	}
+}
+
+// Processes returns the number of processes that share the budgets, this one
+// included.
+func (t *Table) Processes() int {
+	n := 1
+	for _, p := range t.members {
+		if !p.heard.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// Others returns the requests that peers have at each upstream.
+func (t *Table) Others(now time.Time) map[fleet.InstanceID]int {
+	sum := map[fleet.InstanceID]int{}
+	for _, p := range t.members {
+		if now.Sub(p.heard) > loadLife {
+			continue
+		}
+		for id, n := range p.inFlight {
+			sum[id] += n
+		}
+	}
+	return sum
+}
+
+// Newer returns the control address of the peer with the newest view, if it is
+// newer than a revision.
+func (t *Table) Newer(now time.Time, revision uint64) (string, bool) {
+	var best *member
+	for _, p := range t.members {
+		if now.Sub(p.heard) > loadLife || p.revision <= revision || p.control == "" {
+			continue
+		}
+		if best == nil || p.revision > best.revision {
+			best = p
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.control, true
+}
+
+// Targets returns the peers that the next message goes to: those heard from
+// lately, and in turn the seeds and the others.
+func (t *Table) Targets(now time.Time) []string {
+	var live, rest []string
+	for a, p := range t.members {
+		if now.Sub(p.heard) <= memberLife && !p.heard.IsZero() {
+			live = append(live, a)
+		} else {
+			rest = append(rest, a)
+		}
+	}
+	for _, s := range t.seeds {
+		if s != t.self && t.members[s] == nil {
+			rest = append(rest, s)
+		}
+	}
+	slices.Sort(live)
+	slices.Sort(rest)
+	t.turn++
+	out := rotate(live, t.turn*Fanout)
+	out = out[:min(len(out), Fanout)]
+	if len(rest) > 0 && t.turn%probeTurns == 0 {
+		out = append(out, rest[(t.turn/probeTurns)%len(rest)])
+	}
+	return out
+}
+
+// probeTurns is how many messages go out between two to peers that were not
+// heard from.
+const probeTurns = 2
+
+func rotate(list []string, by int) []string {
+	if len(list) <= Fanout {
+		return list
+	}
+	by %= len(list)
+	return append(slices.Clone(list[by:]), list[:by]...)
+}
+
+// Named returns addresses of peers for a message.
+func (t *Table) Named() []string {
+	var out []string
+	for a, p := range t.members {
+		if !p.heard.IsZero() && len(out) < maxNamed {
+			out = append(out, a)
+		}
+	}
+	return out
+}
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -244,8 +244,9 @@
 	return 0
 }
 
-// View is everything published, as of one revision. A view is immutable.
+// View is everything published, as one process knows it. A view is immutable.
 type View struct {
+	// Revision is that of the newest item.
 	Revision uint64
 	Config   *Config
 	// Upstreams are ordered by id.
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		if _, ok := h.item.(*Upstream); !ok {
-			s.items[key] = held{revision: revision}
+			s.items[key] = held{revision: h.revision}
 			changed = true
 		} else if h.lapses.IsZero() {
 			h.lapses = now.Add(LapseGrace)
@@ -152,11 +152,11 @@
 
 func (s *State) rebuild(now time.Time) {
 	v := &View{
-		Revision: s.revision,
 		Out:      map[fleet.FailureDomain]bool{},
 		Wanted:   map[string]Wanted{},
 	}
 	for key, h := range s.items {
+		v.Revision = max(v.Revision, h.revision)
 		switch item := h.item.(type) {
 		case *Config:
 			v.Config = item
--- a/lib/retry/guard.go
+++ b/lib/retry/guard.go
@@ -82,6 +82,18 @@
 	}
 }
 
+// Seen returns up to a number of requests with the crashes that this process
+// saw itself.
+func (g *Guard) Seen(most int) map[string]int {
+	out := map[string]int{}
+	for f, s := range g.suspects {
+		if s.seen > 0 && len(out) < most {
+			out[f] = s.seen
+		}
+	}
+	return out
+}
+
 // Succeeded clears a request: it ran to its end. It reports whether the
 // request was under suspicion.
 func (g *Guard) Succeeded(now time.Time, fingerprint string) bool {
--- a/lib/staging/staging.go
+++ b/lib/staging/staging.go
@@ -40,11 +40,12 @@
 )
 
 const (
-	// turnFirst and turnLast are the parts of the time for a new version at
-	// which the first and the last engine of a service begin to take it. In
-	// between they take turns, so that the others go on serving.
-	turnFirst = 0.34
-	turnLast  = 0.66
+	// turnFirst is the part of the time for a new version after which the first
+	// engine of a service begins to take it; the last one begins turnMargin
+	// before the time is over. In between they take turns, so that the others go
+	// on serving.
+	turnFirst  = 0.36
+	turnMargin = 1200 * time.Millisecond
 	// orderPatience is how long an order that began may show no effect before
 	// it is given again.
 	orderPatience = 4 * time.Second
@@ -144,8 +145,24 @@
 	if c.Loaded() == 0 {
 		return time.Time{}
 	}
-	part := turnFirst + (turnLast-turnFirst)*float64(c.rank)/float64(c.count)
-	return c.target.Learned.Add(time.Duration(part * float64(c.within)))
+	first := c.target.Learned.Add(time.Duration(turnFirst * float64(c.within)))
+	last := c.due().Add(-turnMargin)
+	if last.Before(first) {
+		return last
+	}
+	return first.Add(last.Sub(first) * time.Duration(c.rank) / time.Duration(c.count))
+}
+
+// due returns when what the engine holds may begin no more requests: that is
+// the time of the oldest version which is newer.
+func (c *Core) due() time.Time {
+	oldest := c.target.Learned
+	for _, e := range c.target.Earlier {
+		if e.Version > c.Loaded() {
+			oldest = e.Learned
+		}
+	}
+	return oldest.Add(c.within)
 }
 
 // Rank returns the position of an engine among the engines of its service for
