seeders on entry machines; turns that entries know; uploads paced

Cause: weights were passed on over the replicas' own links, so events of running streams were more than 120 ms late (124 of 346 at 18 s), and copies of version 2 took 3.4 to 4.3 s. Turns are computed from published data, so entries keep long requests away from an engine whose turn is near.

--- a/cmd/rattanspur/main.go
+++ b/cmd/rattanspur/main.go
@@ -124,6 +124,7 @@
 		{"entry", "Run an entry", &entryCommand{}},
 		{"agent", "Run an agent beside an upstream", &agentCommand{}},
 		{"loader", "Run an agent that loads weights on the users' platform", &loaderCommand{}},
+		{"seeder", "Run a seeder of weights on the users' platform", &seederCommand{}},
 		{"gateway", "Run an entry on the users' platform", &gatewayCommand{}},
 		{"status", "Show the state of running processes", &statusCommand{}},
 		{"timeline", "Show the merged events of running processes", &timelineCommand{}},
--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -12,6 +12,7 @@
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/logline"
+	"rattanspur.example/lib/pacing"
 	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/watcher"
 	"rattanspur.example/loader"
@@ -24,6 +25,18 @@
 	metricsOffset = 1
 	// peersOffset is that for messages between gateways.
 	peersOffset = 2
+	// seederMetricsOffset is that for the metrics of a seeder, which shares the
+	// machine of a gateway.
+	seederMetricsOffset = 3
+)
+
+const (
+	// uploadShare is the part of a machine's link that weights may take; the
+	// rest is for requests and answers.
+	uploadShare = 0.5
+	// engineUploads and seederUploads bound the pieces that are sent at a time.
+	engineUploads = 2
+	seederUploads = 32
 )
 
 // gatewayGCPercent lets the heap grow to several times what is live: it is a
@@ -78,6 +91,26 @@
 
 // Execute implements flags.Commander.
 func (c *loaderCommand) Execute([]string) error {
+	return runLoader(func(s *platform.Settings, l *loader.Settings) loader.Engine {
+		l.Metrics = internal(s, metricsOffset)
+		l.Engine, l.Service = s.Upstream, s.Service
+		l.Uploads = engineUploads
+		return platform.NewEngine(s.Upstream)
+	})
+}
+
+type seederCommand struct{}
+
+// Execute implements flags.Commander.
+func (c *seederCommand) Execute([]string) error {
+	return runLoader(func(s *platform.Settings, l *loader.Settings) loader.Engine {
+		l.Metrics = internal(s, seederMetricsOffset)
+		l.Uploads = seederUploads
+		return nil
+	})
+}
+
+func runLoader(fill func(s *platform.Settings, l *loader.Settings) loader.Engine) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -87,19 +120,20 @@
 	logger := out.Logger(string(s.Instance))
 	store := platform.NewStore(s.Store)
 	w := watcher.New(store, platform.WantedPrefix, logger)
-	l := loader.New(loader.Settings{
-		Instance:     s.Instance,
-		Domain:       s.Domain,
-		Region:       s.Region,
-		Regions:      s.Regions,
-		Listen:       s.LoaderAddress(s.Upstream),
-		Metrics:      internal(s, metricsOffset),
-		Service:      s.Service,
-		Within:       s.Bounds.VersionWithin,
-		ListPrefixes: platform.ListPrefixes,
-		PeerAddress:  s.LoaderAddress,
-	}, platform.NewEngine(s.Upstream), platform.NewOrigin(), store, w, logger)
-	return withLog(out, l)
+	l := loader.Settings{
+		Instance:      s.Instance,
+		Region:        s.Region,
+		Regions:       s.Regions,
+		Listen:        internal(s, 0),
+		Link:          pacing.BytesPerSecond(s.LinkBytesPerSecond * uploadShare),
+		Seeds:         s.Seeds,
+		SeederAddress: s.LoaderAddress,
+		Within:        s.Bounds.VersionWithin,
+		ListPrefixes:  platform.ListPrefixes,
+		PeerAddress:   s.LoaderAddress,
+	}
+	engine := fill(s, &l)
+	return withLog(out, loader.New(l, engine, platform.NewOrigin(), store, w, logger))
 }
 
 // internal returns the address of an internal port, counted from the first.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/exchange"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/sock"
@@ -132,6 +133,7 @@
 	side.HandleFunc("GET "+g.settings.ReadyPath, g.serveReady)
 	side.HandleFunc("GET /metrics", g.metrics.serve)
 	side.HandleFunc("GET "+pathChanges, g.serveChanges)
+	side.HandleFunc("GET "+peering.PathMembers, g.serveMembers)
 	if err := g.startPeers(group); err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -13,6 +13,7 @@
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/wire"
 )
 
@@ -28,6 +29,11 @@
 	pathChanges = "/peer/changes"
 )
 
+// census asks the router which gateways are alive.
+type census struct{ reply *ring.Ring[[]peering.Member] }
+
+func (census) event() {}
+
 // heard carries a message of a peer to the router.
 type heard struct{ message *peering.Message }
 
@@ -175,6 +181,26 @@
 	wire.WriteJSON(w, &out)
 }
 
+// serveMembers names the gateways that are alive, this one first.
+func (g *Gateway) serveMembers(w http.ResponseWriter, r *http.Request) {
+	reply := ring.New[[]peering.Member](1, ring.Wait)
+	if g.inbox.Put(r.Context(), census{reply: reply}) != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	members, err := reply.Take(r.Context())
+	if err != nil {
+		return
+	}
+	wire.WriteJSON(w, members)
+}
+
+func (r *router) census(ctx context.Context, now time.Time, c census) {
+	g := r.gateway
+	self := peering.Member{Control: g.settings.Control, Region: g.settings.Dispatch.Region}
+	_ = c.reply.Put(ctx, append([]peering.Member{self}, r.peers.Live(now)...))
+}
+
 // heard takes in a message of a peer.
 func (r *router) heard(now time.Time, m *peering.Message) {
 	r.peers.Heard(now, m)
@@ -192,6 +218,7 @@
 	_ = g.outgoing.Put(ctx, outgoing{
 		message: peering.Message{
 			From: g.settings.Peers, Control: g.settings.Control, Revision: r.revision,
+			Region:   g.settings.Dispatch.Region,
 			InFlight: r.core.Load(), Suspects: suspects(r.core), Peers: r.peers.Named(),
 		},
 		targets: r.peers.Targets(now),
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -158,6 +158,8 @@
 		r.carryOut(ctx, r.core.Arrive(now, ev.ticket, ev.call))
 	case heard:
 		r.heard(now, ev.message)
+	case census:
+		r.census(ctx, now, ev)
 	case observed:
 		r.core.Observe(now, ev.ticket, ev.seen)
 	case ended:
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -181,6 +181,7 @@
 			s.coldBound = c.coldBound(p)
 		}
 	}
+	c.setTurns()
 	return c.drain(now)
 }
 
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/staging"
 )
 
 const (
@@ -102,7 +103,7 @@
 		if !c.hasRoom(now, s, u) {
 			continue
 		}
-		if cost := c.cost(now, r, u); best == nil || cost < bestCost {
+		if cost := c.cost(now, s, r, u); best == nil || cost < bestCost {
 			best, bestCost = u, cost
 		}
 	}
@@ -146,8 +147,8 @@
 }
 
 // cost compares upstreams: the load after one more request as a share of the
-// slots, and what distance and slowness add.
-func (c *Core) cost(now time.Time, r *request, u *upstream) float64 {
+// slots, and what distance, slowness and a coming change of weights add.
+func (c *Core) cost(now time.Time, s *service, r *request, u *upstream) float64 {
 	cost := float64(u.load(now)+1) / float64(max(u.Slots, 1))
 	if u.region != c.settings.Region {
 		cost += remoteCost
@@ -155,5 +156,47 @@
 	if goal := r.route.Goal; goal > 0 {
 		cost += slowCost * min(float64(u.firstByte)/float64(goal), 2)
 	}
+	if e := s.published.Engine; e != nil && !u.turn.IsZero() && u.serves(r.Model, e.Layers) < c.view.Wanted[r.Model].Version {
+		over := now.Add(r.duration(e)).Sub(u.turn)
+		cost += turnCost * min(max(over.Seconds(), 0), turnMost.Seconds())
+	}
 	return cost
 }
+
+const (
+	// turnCost is what each second adds that a request would run on after its
+	// engine's turn to take new weights; the engine takes no requests meanwhile.
+	turnCost = 0.3
+	turnMost = 2 * time.Second
+	// prefillShare is how much longer a token takes while the engine reads the
+	// prompts of others in between.
+	prefillShare = 1.5
+)
+
+// duration estimates how long an engine takes for the request.
+func (r *request) duration(e *published.Engine) time.Duration {
+	return time.Duration(prefillShare * float64(e.Token) * float64(r.Answer))
+}
+
+// setTurns computes when the engines of each service take the wanted weights.
+func (c *Core) setTurns() {
+	for _, s := range c.services {
+		if s.published == nil || s.published.Engine == nil || len(s.published.Engine.Models) == 0 {
+			continue
+		}
+		model := s.published.Engine.Models[0]
+		w, ok := c.view.Wanted[model]
+		if !ok {
+			continue
+		}
+		addresses := make([]string, 0, len(s.upstreams))
+		for _, u := range s.upstreams {
+			addresses = append(addresses, u.Address)
+		}
+		for _, u := range s.upstreams {
+			rank := staging.Rank(u.Address, addresses, w.Version)
+			loaded := u.serves(model, s.published.Engine.Layers)
+			u.turn = staging.Turn(w, loaded, c.settings.VersionWithin, rank, len(addresses))
+		}
+	}
+}
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -55,6 +55,8 @@
 	// firstByte is a moving average of the time to the first byte.
 	firstByte time.Duration
 	gone      bool
+	// turn is when the upstream begins to take the wanted weights.
+	turn time.Time
 }
 
 // load estimates the requests at the upstream. What other entries tell is
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -18,6 +18,8 @@
 	// silent peer still counts as one that shares the budgets.
 	loadLife   = 500 * time.Millisecond
 	memberLife = 20 * time.Second
+	// liveLife is how long a silent peer is named as alive.
+	liveLife = 1500 * time.Millisecond
 	// Fanout bounds the peers that a process sends to, and maxMembers the
 	// peers that it knows. Beyond Fanout, each message goes to the next ones
 	// in turn.
@@ -27,6 +29,9 @@
 	maxNamed = 24
 )
 
+// PathMembers is where a gateway names the gateways that are alive.
+const PathMembers = "/peer/members"
+
 // Suspect is a request that may have crashed upstreams.
 type Suspect struct {
 	Fingerprint string `json:"f"`
@@ -38,8 +43,9 @@
 type Message struct {
 	// From is where the sender is reached for messages, Control where its view
 	// can be read.
-	From    string `json:"from"`
-	Control string `json:"control"`
+	From    string       `json:"from"`
+	Control string       `json:"control"`
+	Region  fleet.Region `json:"region"`
 	// Revision is that of the newest item in the sender's view.
 	Revision uint64 `json:"rev"`
 	// InFlight counts the sender's requests at each upstream.
@@ -53,6 +59,7 @@
 type member struct {
 	address  string
 	control  string
+	region   fleet.Region
 	heard    time.Time
 	revision uint64
 	inFlight map[fleet.InstanceID]int
@@ -80,7 +87,7 @@
 	if p == nil {
 		return
 	}
-	p.control, p.heard, p.revision, p.inFlight = m.Control, now, m.Revision, m.InFlight
+	p.control, p.region, p.heard, p.revision, p.inFlight = m.Control, m.Region, now, m.Revision, m.InFlight
 	for _, a := range m.Peers {
 		if a != t.self {
 			t.member(a)
@@ -132,6 +139,23 @@
 	return sum
 }
 
+// Member is a process that is alive.
+type Member struct {
+	Control string       `json:"control"`
+	Region  fleet.Region `json:"region"`
+}
+
+// Live returns the peers that were heard from just now.
+func (t *Table) Live(now time.Time) []Member {
+	var out []Member
+	for _, p := range t.members {
+		if now.Sub(p.heard) <= liveLife {
+			out = append(out, Member{Control: p.control, Region: p.region})
+		}
+	}
+	return out
+}
+
 // Newer returns the control address of the peer with the newest view, if it is
 // newer than a revision.
 func (t *Table) Newer(now time.Time, revision uint64) (string, bool) {
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -78,6 +78,9 @@
 	// Layers is the number of layers of the model.
 	Layers int
 	Models []string
+	// Token is the time that an engine with full slots takes for a token of
+	// each request.
+	Token time.Duration
 }
 
 // Origin is where weights come from.
--- a/lib/staging/staging.go
+++ b/lib/staging/staging.go
@@ -6,7 +6,6 @@
 import (
 	"time"
 
-	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/published"
 )
 
@@ -40,12 +39,6 @@
 )
 
 const (
-	// turnFirst is the part of the time for a new version after which the first
-	// engine of a service begins to take it; the last one begins turnMargin
-	// before the time is over. In between they take turns, so that the others go
-	// on serving.
-	turnFirst  = 0.36
-	turnMargin = 1200 * time.Millisecond
 	// orderPatience is how long an order that began may show no effect before
 	// it is given again.
 	orderPatience = 4 * time.Second
@@ -145,36 +138,5 @@
 	if c.Loaded() == 0 {
 		return time.Time{}
 	}
-	first := c.target.Learned.Add(time.Duration(turnFirst * float64(c.within)))
-	last := c.due().Add(-turnMargin)
-	if last.Before(first) {
-		return last
-	}
-	return first.Add(last.Sub(first) * time.Duration(c.rank) / time.Duration(c.count))
-}
-
-// due returns when what the engine holds may begin no more requests: that is
-// the time of the oldest version which is newer.
-func (c *Core) due() time.Time {
-	oldest := c.target.Learned
-	for _, e := range c.target.Earlier {
-		if e.Version > c.Loaded() {
-			oldest = e.Learned
-		}
-	}
-	return oldest.Add(c.within)
-}
-
-// Rank returns the position of an engine among the engines of its service for
-// a version. The order differs between versions, and neighbours in it are
-// spread over failure domains by chance.
-func Rank(self fleet.InstanceID, others []fleet.InstanceID, version string) int {
-	mine := fleet.Rank(version, string(self))
-	rank := 0
-	for _, o := range others {
-		if o != self && fleet.Rank(version, string(o)) > mine {
-			rank++
-		}
-	}
-	return rank
+	return Turn(c.target, c.Loaded(), c.within, c.rank, c.count)
 }
--- a/lib/transfer/bench_test.go
+++ b/lib/transfer/bench_test.go
@@ -17,7 +17,7 @@
 func benchCore(now time.Time) (*Core, []Peer) {
 	var peers []Peer
 	for i := range benchAgents {
-		peers = append(peers, Peer{fleet.InstanceID(fmt.Sprintf("agent-%d", i)), fleet.Region(fmt.Sprintf("region-%d", i%6))})
+		peers = append(peers, Peer{ID: fleet.InstanceID(fmt.Sprintf("agent-%d", i)), Region: fleet.Region(fmt.Sprintf("region-%d", i%6))})
 	}
 	limits := newSim(0, 0, "north").limits
 	limits.Peers, limits.Drawers, limits.InFlight, limits.PerSource = 16, 8, 4, 1
--- a/lib/transfer/core.go
+++ b/lib/transfer/core.go
@@ -178,11 +178,12 @@
 
 func (c *Core) pickExchange(now time.Time) (*peerState, int) {
 	c.turn++
+	seeded := c.seeded(now)
 	var best *peerState
 	bestIndex, bestLoad := 0, c.limits.PerSource
 	for k := range c.followed {
 		p := c.followed[(k+c.turn)%len(c.followed)]
-		if p.remote || !c.usable(now, p.source(), c.limits.PerSource) {
+		if p.remote || (seeded && !p.Seeder) || !c.usable(now, p.source(), c.limits.PerSource) {
 			continue
 		}
 		load := c.source(p.source()).inFlight
@@ -196,6 +197,17 @@
 	return best, bestIndex
 }
 
+// seeded reports whether a seeder of the own region answers. Then the narrow
+// links of the other peers are spared.
+func (c *Core) seeded(now time.Time) bool {
+	for _, p := range c.followed {
+		if p.Seeder && !p.remote && p.answered && p.failures == 0 && !now.Before(c.source(p.source()).avoid) {
+			return true
+		}
+	}
+	return false
+}
+
 // rarest returns the wanted chunk of a peer that the fewest peers hold. Equal
 // ones are taken from a start that differs for each agent and turn, so that
 // agents do not all request the same chunk.
--- a/lib/transfer/core_test.go
+++ b/lib/transfer/core_test.go
@@ -83,7 +83,7 @@
 	members := s.members(rootA)
 	for _, a := range s.agents {
 		kept := Retained(a.id, members, rootA, s.chunks, 3)
-		a.core = New(Start{Self: Peer{a.id, a.region}, Chunks: s.chunks, Root: rootA, Have: kept}, s.limits, s.now)
+		a.core = New(Start{Self: Peer{ID: a.id, Region: a.region}, Chunks: s.chunks, Root: rootA, Have: kept}, s.limits, s.now)
 		a.retaining = true
 	}
 	s.draws = 0
@@ -117,7 +117,7 @@
 // Guards against an answer to an earlier request that counts as a chunk.
 func TestEndWithoutRequestIsIgnored(t *testing.T) {
 	now := time.Unix(0, 0)
-	c := New(Start{Self: Peer{"a", "north"}, StoreRegion: "north", Chunks: 2}, Limits{InFlight: 1, Draws: 1}, now)
+	c := New(Start{Self: Peer{ID: "a", Region: "north"}, StoreRegion: "north", Chunks: 2}, Limits{InFlight: 1, Draws: 1}, now)
 	c.Step(now, ChunkEnded{Index: 1, Outcome: Verified})
 	c.Step(now, ChunkEnded{Index: 0, Source: Source{Peer: "b"}, Outcome: Verified})
 	require.Equal(t, 2, c.Missing())
--- a/lib/transfer/peers.go
+++ b/lib/transfer/peers.go
@@ -37,8 +37,9 @@
 	for _, p := range c.place.followed(c.start.Self, c.limits.Peers) {
 		state := c.peers[p.ID]
 		if state == nil {
-			state = &peerState{Peer: p, remote: p.Region != c.start.Self.Region, lastNews: c.begun}
+			state = &peerState{remote: p.Region != c.start.Self.Region, lastNews: c.begun}
 		}
+		state.Peer = p
 		next[p.ID] = state
 		c.followed = append(c.followed, state)
 	}
--- a/lib/transfer/placement.go
+++ b/lib/transfer/placement.go
@@ -41,18 +41,17 @@
 	}
 	key := root.String()
 	pl := Placement{Home: homeRegion(byRegion, store, key)}
-	pl.Local = ranked(byRegion[self.Region], key)
-	home := ranked(byRegion[pl.Home], key)
-	pl.HomeDrawers = home[:min(len(home), drawers)]
-	pl.drawers = min(len(pl.Local), drawers)
+	pl.Local, pl.drawers = drawersFirst(byRegion[self.Region], key, drawers)
+	home, n := drawersFirst(byRegion[pl.Home], key, drawers)
+	pl.HomeDrawers = home[:n]
 	for r, list := range byRegion {
 		if r == pl.Home {
 			continue
 		}
 		pl.others = append(pl.others, r)
 		if r != self.Region {
-			far := ranked(list, key)
-			pl.farDrawers = append(pl.farDrawers, far[:min(len(far), drawers)]...)
+			far, n := drawersFirst(list, key, drawers)
+			pl.farDrawers = append(pl.farDrawers, far[:n]...)
 		}
 	}
 	slices.Sort(pl.others)
@@ -65,6 +64,30 @@
 	return pl
 }
 
+// drawersFirst ranks the agents of a region and returns how many of the first
+// ones draw: the seeders if there are any, and else up to a limit.
+func drawersFirst(peers []Peer, key string, limit int) ([]Peer, int) {
+	list := ranked(peers, key)
+	slices.SortStableFunc(list, func(a, b Peer) int {
+		switch {
+		case a.Seeder == b.Seeder:
+			return 0
+		case a.Seeder:
+			return -1
+		default:
+			return 1
+		}
+	})
+	seeders := 0
+	for seeders < len(list) && list[seeders].Seeder {
+		seeders++
+	}
+	if seeders > 0 {
+		limit = min(limit, seeders)
+	}
+	return list, min(len(list), limit)
+}
+
 // homeRegion is the store's region if it has agents; otherwise the region
 // that ranks first, so that one region still draws for all.
 func homeRegion(byRegion map[fleet.Region][]Peer, store fleet.Region, key string) fleet.Region {
@@ -113,10 +136,13 @@
 	list := ranked(pl.Local, string(self.ID))
 	list = without(list, self.ID)
 	list = list[:min(len(list), count)]
-	if !pl.Drawer() {
+	if !pl.Drawer() && !pl.seeded() {
 		return list
 	}
 	list = union(list, pl.Drawers(), self.ID)
+	if !pl.Drawer() {
+		return list
+	}
 	if self.Region != pl.Home {
 		list = union(list, pl.HomeDrawers, self.ID)
 		list = union(list, pl.farDrawers, self.ID)
@@ -124,6 +150,9 @@
 	return list
 }
 
+// seeded reports whether the own region has seeders.
+func (pl *Placement) seeded() bool { return len(pl.Local) > 0 && pl.Local[0].Seeder }
+
 // parent returns the region from which an own region draws a chunk. For each
 // chunk the regions form a binary tree in the order of their rank, with the
 // home region above the first, so that the home region's drawers send each
--- a/lib/transfer/sim_test.go
+++ b/lib/transfer/sim_test.go
@@ -111,7 +111,7 @@
 func (s *sim) begin(a *simAgent, root fleet.Digest, have Set) {
 	a.root, a.start, a.done = root, s.now, time.Time{}
 	a.core = New(Start{
-		Self: Peer{a.id, a.region}, StoreRegion: "north", Root: root,
+		Self: Peer{ID: a.id, Region: a.region}, StoreRegion: "north", Root: root,
 		Chunks: s.chunks, HasStore: s.hasStore, Have: have,
 	}, s.limits, s.now)
 	core := a.core
--- a/lib/transfer/transfer.go
+++ b/lib/transfer/transfer.go
@@ -61,6 +61,9 @@
 type Peer struct {
 	ID     fleet.InstanceID
 	Region fleet.Region
+	// Seeder says that the peer's link carries much more than those of the
+	// others. Where a region has seeders, they alone draw and send.
+	Seeder bool
 }
 
 // Event is an input of the core.
--- a/loader/duties.go
+++ b/loader/duties.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/staging"
 	"rattanspur.example/lib/transfer"
@@ -58,7 +59,7 @@
 		if _, err := l.lists.Take(ctx); err != nil {
 			return nil
 		}
-		if l.list(ctx, state) && l.events.Put(ctx, listed{view: state.View()}) != nil {
+		if l.list(ctx, state) && l.events.Put(ctx, listed{view: state.View(), gateways: l.gateways(ctx)}) != nil {
 			return nil
 		}
 	}
@@ -81,6 +82,26 @@
 	return true
 }
 
+// gateways asks the seeds in turn which gateways are alive. Without an answer
+// there are no seeders to use.
+func (l *Loader) gateways(ctx context.Context) []peering.Member {
+	client := wire.Client{HTTP: l.peers}
+	for _, seed := range l.settings.Seeds {
+		if members, err := askMembers(ctx, client, seed); err == nil {
+			return members
+		}
+	}
+	return nil
+}
+
+func askMembers(ctx context.Context, client wire.Client, seed string) ([]peering.Member, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var members []peering.Member
+	err := client.GetJSON(ctx, seed, peering.PathMembers, &members)
+	return members, err
+}
+
 // fetch is one request for a piece.
 type fetch struct {
 	manifest *staging.Manifest
--- a/loader/keeper.go
+++ b/loader/keeper.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/staging"
@@ -21,8 +21,12 @@
 	err    error
 }
 
-// listed carries the published engines and services, as of a stale read.
-type listed struct{ view *published.View }
+// listed carries the published engines and services, as of a stale read, and
+// the gateways that are alive.
+type listed struct {
+	view     *published.View
+	gateways []peering.Member
+}
 
 // manifestRead carries the manifest of a version.
 type manifestRead struct {
@@ -103,10 +107,13 @@
 
 // keeper owns the pieces, the transfers and the decisions of a loader.
 type keeper struct {
-	loader *Loader
-	core   *staging.Core
-	model  string
-	view   *published.View
+	loader  *Loader
+	core    *staging.Core
+	model   string
+	service fleet.Service
+	view    *published.View
+	// gateways are alive and have a seeder beside them.
+	gateways []peering.Member
 	// wanted comes from the watcher, listing from the lister.
 	wanted   published.Wanted
 	holdings map[int64]*holding
@@ -148,7 +155,7 @@
 
 // settled reports whether the engine serves the target and its pieces are here.
 func (k *keeper) settled() bool {
-	if k.core == nil || k.down || k.core.Loaded() != k.core.Target() {
+	if k.core == nil || k.down || (!k.seeder() && k.core.Loaded() != k.core.Target()) {
 		return false
 	}
 	for _, h := range k.holdings {
@@ -185,7 +192,7 @@
 	case reported:
 		k.reported(now, ev)
 	case listed:
-		k.listed(now, ev.view)
+		k.listed(ctx, now, ev)
 	case manifestRead:
 		k.manifestRead(now, ev)
 	case pieceRead:
@@ -231,16 +238,17 @@
 }
 
 // listed takes in the engines and services that are published.
-func (k *keeper) listed(now time.Time, v *published.View) {
-	k.view = v
-	if v.Config == nil {
+func (k *keeper) listed(ctx context.Context, now time.Time, ev listed) {
+	k.view, k.gateways = ev.view, ev.gateways
+	if ev.view.Config == nil {
 		return
 	}
-	s := v.Config.Services[k.loader.settings.Service]
-	if s == nil || s.Engine == nil || len(s.Engine.Models) == 0 {
+	s := k.engines(ev.view.Config)
+	if s == nil {
 		return
 	}
 	if k.core == nil {
+		k.service = s.Name
 		k.model = s.Engine.Models[0]
 		k.core = staging.New(k.model, s.Engine.Layers, k.loader.settings.Within)
 		if !k.down && k.report.Born != 0 {
@@ -248,13 +256,31 @@
 		}
 	}
 	k.retarget()
+	k.setRank()
 	for _, c := range k.holdings {
 		if c.core != nil && !c.whole() {
-			k.step(context.Background(), now, c, transfer.PeersChanged{Peers: k.peers()})
+			k.step(ctx, now, c, transfer.PeersChanged{Peers: k.peers()})
+		}
+	}
+}
+
+// engines returns the service whose weights are handled here: that of the own
+// engine, and for a seeder the first one with engines.
+func (k *keeper) engines(c *published.Config) *published.Service {
+	var found *published.Service
+	for name, s := range c.Services {
+		if s.Engine == nil || len(s.Engine.Models) == 0 || (!k.seeder() && name != k.loader.settings.Service) {
+			continue
+		}
+		if found == nil || name < found.Name {
+			found = s
 		}
 	}
+	return found
 }
 
+func (k *keeper) seeder() bool { return k.loader.engine == nil }
+
 // retarget names the target: the wanted version, or the first one while none
 // is named.
 func (k *keeper) retarget() {
@@ -270,11 +296,6 @@
 	}
 	_ = k.loader.logger.Log("event", "version-named", "model", k.model, "version", w.Version, "loaded", k.core.Loaded())
 	k.core.SetTarget(w)
-	ids := make([]fleet.InstanceID, 0)
-	for _, p := range k.peers() {
-		ids = append(ids, p.ID)
-	}
-	k.core.SetRank(staging.Rank(k.self().ID, ids, strconv.FormatInt(w.Version, 10)), len(ids))
 	k.dropOld(w.Version)
 }
 
@@ -294,26 +315,46 @@
 }
 
 func (k *keeper) self() transfer.Peer {
-	return transfer.Peer{ID: fleet.InstanceID(k.loader.settings.Listen), Region: k.loader.settings.Region}
+	s := &k.loader.settings
+	return transfer.Peer{ID: fleet.InstanceID(s.Listen), Region: s.Region, Seeder: k.seeder()}
 }
 
-// peers returns the loaders beside the engines of the own service.
+// peers returns the loaders beside the engines of the service, and the seeders.
 func (k *keeper) peers() []transfer.Peer {
 	if k.view == nil {
 		return nil
 	}
 	var out []transfer.Peer
 	for _, u := range k.view.Upstreams {
-		if u.Service != k.loader.settings.Service {
+		if u.Service != k.service {
 			continue
 		}
 		if a := k.loader.settings.PeerAddress(u.Address); a != "" {
 			out = append(out, transfer.Peer{ID: fleet.InstanceID(a), Region: k.loader.settings.Regions[u.Domain]})
 		}
 	}
+	for _, g := range k.gateways {
+		if a := k.loader.settings.SeederAddress(g.Control); a != "" {
+			out = append(out, transfer.Peer{ID: fleet.InstanceID(a), Region: g.Region, Seeder: true})
+		}
+	}
 	return out
 }
 
+// setRank tells the turn of the own engine among those of its service.
+func (k *keeper) setRank() {
+	if k.seeder() {
+		return
+	}
+	var addresses []string
+	for _, u := range k.view.Upstreams {
+		if u.Service == k.service {
+			addresses = append(addresses, u.Address)
+		}
+	}
+	k.core.SetRank(staging.Rank(k.loader.settings.Engine, addresses, k.core.Target()), len(addresses))
+}
+
 // advance carries out what the core asks for.
 func (k *keeper) advance(ctx context.Context, now time.Time) {
 	if k.core == nil {
@@ -332,9 +373,7 @@
 	case staging.Order:
 		k.work(ctx, work{kind: start, copy: k.holdings[target], sequence: k.report.Sequence})
 	case staging.Idle:
-		// The pieces of what the engine serves are gathered too, for engines
-		// that start empty.
-		if k.core.Loaded() == target {
+		if k.seeder() {
 			k.open(now, target)
 		}
 	}
@@ -375,7 +414,7 @@
 	switch {
 	case c.manifest == nil:
 		k.askManifest(ctx, now, c)
-	case !c.searched:
+	case !c.searched && !k.seeder():
 		if !c.searching {
 			c.searching = k.work(ctx, work{kind: search, copy: c})
 		}
@@ -477,12 +516,11 @@
 		return
 	}
 	k.loader.metrics.piece(ev.ended, len(ev.data))
-	_ = k.loader.logger.Log("event", "piece", "piece", ev.ended.Index, "peer", ev.ended.Source.Peer, "kind", ev.ended.Source.Kind, "outcome", ev.ended.Outcome, "took", ev.took.Seconds())
+	_ = k.loader.logger.Log("event", "piece", "version", ev.version, "piece", ev.ended.Index, "peer", ev.ended.Source.Peer,
+		"source", sourceNames[ev.ended.Source.Kind], "outcome", outcomeNames[ev.ended.Outcome],
+		"took", ev.took.Seconds(), "err", ev.err)
 	if ev.ended.Outcome == transfer.Verified {
 		c.add(ev.ended.Index, ev.data)
-	} else if ev.ended.Outcome != transfer.Busy && ev.ended.Outcome != transfer.Absent {
-		_ = k.loader.logger.Log("event", "piece-failed", "version", ev.version, "piece", ev.ended.Index,
-			"peer", ev.ended.Source.Peer, "err", ev.err)
 	}
 	k.step(ctx, now, c, ev.ended)
 }
@@ -498,7 +536,7 @@
 // is asked for is gathered from what lies at the engine.
 func (k *keeper) answer(now time.Time, q question) answer {
 	c := k.holdings[q.version]
-	if c == nil && k.core != nil && k.core.Loaded() == q.version {
+	if c == nil && !k.seeder() && k.core != nil && k.core.Loaded() == q.version {
 		c = k.open(now, q.version)
 	}
 	if c == nil || c.manifest == nil {
@@ -509,7 +547,7 @@
 	case q.piece < 0:
 		a.have = c.set()
 	case q.piece < len(c.data) && c.data[q.piece] != nil:
-		if k.uploads >= maxUploads {
+		if k.uploads >= k.loader.settings.Uploads {
 			a.busy = true
 			break
 		}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -13,6 +13,7 @@
 
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/pacing"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/sock"
@@ -39,16 +40,27 @@
 	Piece(ctx context.Context, address, model string, version int64, number int) ([]byte, error)
 }
 
-// Settings are those of one loader.
+// Settings are those of one loader. A loader without an engine is a seeder: it
+// holds the weights for others and has a link that carries more than theirs.
 type Settings struct {
 	Instance fleet.InstanceID
-	Domain   fleet.FailureDomain
 	Region   fleet.Region
 	Regions  map[fleet.FailureDomain]fleet.Region
 	// Listen is where other loaders reach this one, Metrics where metrics are read.
 	Listen  string
 	Metrics string
+	// Engine is the published address of the engine and Service its service;
+	// empty for a seeder.
+	Engine  string
 	Service fleet.Service
+	// Link is the rate at which pieces are sent to other loaders.
+	Link pacing.BytesPerSecond
+	// Uploads bounds the pieces that are sent at a time.
+	Uploads int
+	// Seeds are addresses of gateways that know the others; SeederAddress
+	// returns where the seeder on a gateway's machine is reached.
+	Seeds         []string
+	SeederAddress func(gateway string) string
 	// Within is how long after its publication a version is due everywhere.
 	Within time.Duration
 	// ListPrefixes are the prefixes of the published engines and services.
@@ -62,8 +74,6 @@
 	// questions to peers.
 	fetchers = 4
 	askers   = 4
-	// maxUploads bounds the uploads of a loader; beyond it answers busy.
-	maxUploads = 4
 	// reportSoon and reportIdle are the times between two reads of the engine's
 	// report while something is to be done, and else.
 	reportSoon = 100 * time.Millisecond
@@ -109,11 +119,12 @@
 	// pace holds how long the reporter pauses.
 	pace    *ring.Ring[time.Duration]
 	peers   *http.Client
+	link    *pacing.Link
 	logger  log.Logger
 	metrics *loaderMetrics
 }
 
-// New returns a loader; Run starts it.
+// New returns a loader; Run starts it. The engine is nil for a seeder.
 func New(s Settings, engine Engine, origin Origin, store watcher.Source, w *watcher.Watcher, logger log.Logger) *Loader {
 	return &Loader{
 		settings: s,
@@ -129,6 +140,7 @@
 		lists:    ring.New[struct{}](1, ring.DropOldest),
 		pace:     ring.New[time.Duration](1, ring.DropOldest),
 		peers:    &http.Client{Transport: sock.Transport(limits.PerSource)},
+		link:     pacing.NewLink(s.Link),
 		logger:   logger,
 		metrics:  newMetrics(),
 	}
@@ -139,9 +151,11 @@
 	group := duty.NewGroup(ctx)
 	l.watcher.Start(group)
 	group.Go("keeper", l.runKeeper)
-	group.Go("reporter", l.runReporter)
 	group.Go("lister", l.runLister)
-	group.Go("worker", l.runWorker)
+	if l.engine != nil {
+		group.Go("reporter", l.runReporter)
+		group.Go("worker", l.runWorker)
+	}
 	for range fetchers {
 		group.Go("fetcher", l.runFetcher)
 	}
@@ -159,7 +173,7 @@
 			return err
 		}
 	}
-	_ = l.logger.Log("event", "start", "role", "loader", "listen", l.settings.Listen)
+	_ = l.logger.Log("event", "start", "role", "loader", "seeder", l.engine == nil, "listen", l.settings.Listen)
 	err := group.Wait()
 	_ = l.logger.Log("event", "stop", "err", err)
 	return err
--- a/loader/serve.go
+++ b/loader/serve.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/rotisserie/eris"
 
+	"rattanspur.example/lib/pacing"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/staging"
 	"rattanspur.example/lib/wire"
@@ -60,7 +62,7 @@
 	default:
 		defer func() { _ = l.events.Put(context.Background(), uploaded{}) }()
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.data)))
-		_, _ = w.Write(a.data)
+		_, _ = io.Copy(w, pacing.Reader(r.Context(), bytes.NewReader(a.data), l.link))
 	}
 }
 
