loaders tell gateways what their engines serve

Cause: an engine that had taken new weights was used only once its entry in the store had changed, 1 to 2 s later. Change: a datagram from the loader to each gateway when an order is accepted and when the engine holds a version.

--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -128,6 +128,8 @@
 		Link:          pacing.BytesPerSecond(s.LinkBytesPerSecond * uploadShare),
 		Seeds:         s.Seeds,
 		SeederAddress: s.LoaderAddress,
+		Notices:       internal(s, peersOffset),
+		NoticeAddress: func(gateway string) string { return s.Internal(gateway, peersOffset) },
 		Within:        s.Bounds.VersionWithin,
 		ListPrefixes:  platform.ListPrefixes,
 		PeerAddress:   s.LoaderAddress,
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -202,7 +202,13 @@
 }
 
 // heard takes in a message of a peer.
-func (r *router) heard(now time.Time, m *peering.Message) {
+func (r *router) heard(ctx context.Context, now time.Time, m *peering.Message) {
+	if e := m.Engine; e != nil {
+		r.carryOut(ctx, r.core.Notice(now, dispatch.Notice{
+			Address: e.Address, Born: e.Born, Model: e.Model, Version: e.Version, Was: e.Was,
+		}))
+		return
+	}
 	r.peers.Heard(now, m)
 	for _, s := range m.Suspects {
 		r.core.Suspects().Heard(now, s.Fingerprint, s.Crashes, now)
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -157,7 +157,7 @@
 		r.flights[ev.ticket] = &flight{reply: ev.reply, call: ev.call}
 		r.carryOut(ctx, r.core.Arrive(now, ev.ticket, ev.call))
 	case heard:
-		r.heard(now, ev.message)
+		r.heard(ctx, now, ev.message)
 	case census:
 		r.census(ctx, now, ev)
 	case observed:
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -181,7 +181,7 @@
 			s.coldBound = c.coldBound(p)
 		}
 	}
-	c.setTurns()
+	c.setTurns(now)
 	return c.drain(now)
 }
 
@@ -327,6 +327,17 @@
 	return r.route.Rank
 }
 
+// Notice takes in the word of a loader.
+func (c *Core) Notice(now time.Time, n Notice) []Action {
+	for _, u := range c.upstreams {
+		if u.Address == n.Address {
+			u.notice, u.noticed = n, now
+			u.pauseOver(now)
+		}
+	}
+	return c.drain(now)
+}
+
 // Left takes in that a caller left a request that waits.
 func (c *Core) Left(now time.Time, ticket Ticket) []Action {
 	r := c.requests[ticket]
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -72,7 +72,7 @@
 	if r.version > 0 {
 		return r.version
 	}
-	return u.serves(r.Model, s.published.Engine.Layers)
+	return u.serves(now, r.Model, s.published.Engine.Layers)
 }
 
 // least returns the version below which weights may begin no request, or 0.
@@ -122,7 +122,7 @@
 	if e == nil {
 		return true
 	}
-	v := u.serves(r.Model, e.Layers)
+	v := u.serves(now, r.Model, e.Layers)
 	if v == 0 || v < c.least(now, r.Model) {
 		return false
 	}
@@ -156,7 +156,7 @@
 	if goal := r.route.Goal; goal > 0 {
 		cost += slowCost * min(float64(u.firstByte)/float64(goal), 2)
 	}
-	if e := s.published.Engine; e != nil && !u.turn.IsZero() && u.serves(r.Model, e.Layers) < c.view.Wanted[r.Model].Version {
+	if e := s.published.Engine; e != nil && !u.turn.IsZero() && u.serves(now, r.Model, e.Layers) < c.view.Wanted[r.Model].Version {
 		over := now.Add(r.duration(e)).Sub(u.turn)
 		cost += turnCost * min(max(over.Seconds(), 0), turnMost.Seconds())
 	}
@@ -179,7 +179,7 @@
 }
 
 // setTurns computes when the engines of each service take the wanted weights.
-func (c *Core) setTurns() {
+func (c *Core) setTurns(now time.Time) {
 	for _, s := range c.services {
 		if s.published == nil || s.published.Engine == nil || len(s.published.Engine.Models) == 0 {
 			continue
@@ -195,7 +195,7 @@
 		}
 		for _, u := range s.upstreams {
 			rank := staging.Rank(u.Address, addresses, w.Version)
-			loaded := u.serves(model, s.published.Engine.Layers)
+			loaded := u.serves(now, model, s.published.Engine.Layers)
 			u.turn = staging.Turn(w, loaded, c.settings.VersionWithin, rank, len(addresses))
 		}
 	}
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -64,6 +64,18 @@
 	ColdLeft time.Duration
 }
 
+// Notice is what the loader beside an engine says of it.
+type Notice struct {
+	Address string
+	// Born tells one start of the engine from another.
+	Born  int64
+	Model string
+	// Version is what the engine serves; 0 while it takes new weights. Was is
+	// what it served before.
+	Version int64
+	Was     int64
+}
+
 // Action is an output of the core.
 type Action interface{ action() }
 
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -28,6 +28,9 @@
 	// coldMargin is the part of the bound on cold upstreams that is used.
 	// Requests that were sent apart may arrive within one window.
 	coldMargin = 0.8
+	// switchMost is how long an engine is taken to be busy with new weights
+	// after its loader said so.
+	switchMost = 6 * time.Second
 	// averageWeight is the weight of the past in a moving average.
 	averageWeight = 8
 )
@@ -55,6 +58,9 @@
 	// firstByte is a moving average of the time to the first byte.
 	firstByte time.Duration
 	gone      bool
+	// notice is the latest word of its loader, as of noticed.
+	notice  Notice
+	noticed time.Time
 	// turn is when the upstream begins to take the wanted weights.
 	turn time.Time
 }
@@ -107,9 +113,25 @@
 	}
 }
 
+// pauseOver ends a pause that was not caused by failures.
+func (u *upstream) pauseOver(now time.Time) {
+	if u.strikes == 0 && now.Before(u.avoid) {
+		u.avoid = now
+	}
+}
+
 // serves returns the version of a model that the upstream serves whole, or 0.
-func (u *upstream) serves(model string, layers int) int64 {
+// The word of its loader is ahead of what it publishes.
+func (u *upstream) serves(now time.Time, model string, layers int) int64 {
 	v := published.Whole(u.Copies, model, layers)
+	if n := &u.notice; n.Born == u.Born && n.Model == model && v <= n.Was {
+		switch {
+		case n.Version > 0:
+			return max(n.Version, u.version)
+		case now.Sub(u.noticed) < switchMost:
+			return 0
+		}
+	}
 	if v == 0 {
 		return 0
 	}
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -53,6 +53,21 @@
 	Suspects []Suspect                `json:"suspects,omitempty"`
 	// Peers are addresses of others that the sender heard from.
 	Peers []string `json:"peers,omitempty"`
+	// Engine is set in a notice of a loader, which sets nothing else.
+	Engine *Engine `json:"engine,omitempty"`
+}
+
+// Engine is what a loader tells gateways of the engine beside it, ahead of what
+// the engine publishes.
+type Engine struct {
+	Address string `json:"address"`
+	// Born tells one start of the engine from another.
+	Born  int64  `json:"born"`
+	Model string `json:"model"`
+	// Version is what the engine serves; 0 while it takes new weights.
+	Version int64 `json:"version"`
+	// Was is what it served before.
+	Was int64 `json:"was"`
 }
 
 // member is what is known of one peer.
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -29,6 +29,9 @@
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// gatherPause is the pause after changes, in which the next ones gather:
+	// each call to the store has its price.
+	gatherPause = 100 * time.Millisecond
 	// expireEvery is the time between two looks at lapsed upstreams.
 	expireEvery = 250 * time.Millisecond
 )
@@ -131,12 +134,16 @@
 		pause = retryFirst
 		whole = false
 		w.resume = n.Revision
+		gathered := len(n.Changes) > 0
 		for _, f := range n.Findings {
 			_ = w.logger.Log("event", "item-unreadable", "err", f)
 		}
 		if w.news.Put(ctx, n) != nil {
 			return nil
 		}
+		if gathered {
+			_ = duty.Sleep(ctx, gatherPause)
+		}
 	}
 	return nil
 }
--- a/loader/keeper.go
+++ b/loader/keeper.go
@@ -55,6 +55,7 @@
 	work work
 	// found are the verified pieces of a work that looked for them.
 	found map[int][]byte
+	took  time.Duration
 	err   error
 }
 
@@ -124,7 +125,9 @@
 	listAt  time.Time
 	down    bool
 	loaded  int64
-	pace    time.Duration
+	// served is the last version that the engine served.
+	served int64
+	pace   time.Duration
 }
 
 func (l *Loader) runKeeper(ctx context.Context) error {
@@ -190,7 +193,7 @@
 	now := time.Now()
 	switch ev := ev.(type) {
 	case reported:
-		k.reported(now, ev)
+		k.reported(ctx, now, ev)
 	case listed:
 		k.listed(ctx, now, ev)
 	case manifestRead:
@@ -202,7 +205,7 @@
 			k.step(ctx, now, c, ev.news)
 		}
 	case worked:
-		k.worked(now, ev)
+		k.worked(ctx, now, ev)
 	case question:
 		_ = ev.reply.Put(ctx, k.answer(now, ev))
 	case uploaded:
@@ -210,7 +213,7 @@
 	}
 }
 
-func (k *keeper) reported(now time.Time, ev reported) {
+func (k *keeper) reported(ctx context.Context, now time.Time, ev reported) {
 	if ev.err != nil {
 		if !k.down {
 			k.down = true
@@ -232,7 +235,11 @@
 	k.core.SetReport(ev.report)
 	if v := k.core.Loaded(); v != k.loaded {
 		_ = k.loader.logger.Log("event", "engine-holds", "model", k.model, "version", v, "was", k.loaded,
-			"since-named", now.Sub(k.wanted.Learned).Seconds())
+			"running", ev.report.Running, "waiting", ev.report.Waiting)
+		if v > 0 {
+			k.notify(ctx, v, k.served)
+			k.served = v
+		}
 		k.loaded = v
 	}
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -61,6 +61,10 @@
 	// returns where the seeder on a gateway's machine is reached.
 	Seeds         []string
 	SeederAddress func(gateway string) string
+	// Notices is where notices are sent from, and NoticeAddress returns where a
+	// gateway takes them.
+	Notices       string
+	NoticeAddress func(gateway string) string
 	// Within is how long after its publication a version is due everywhere.
 	Within time.Duration
 	// ListPrefixes are the prefixes of the published engines and services.
@@ -116,6 +120,7 @@
 	asks    *ring.Ring[inquiry]
 	works   *ring.Ring[work]
 	lists   *ring.Ring[struct{}]
+	notices *ring.Ring[notice]
 	// pace holds how long the reporter pauses.
 	pace    *ring.Ring[time.Duration]
 	peers   *http.Client
@@ -138,6 +143,7 @@
 		asks:     ring.New[inquiry](64, ring.Refuse),
 		works:    ring.New[work](4, ring.Refuse),
 		lists:    ring.New[struct{}](1, ring.DropOldest),
+		notices:  ring.New[notice](2, ring.DropOldest),
 		pace:     ring.New[time.Duration](1, ring.DropOldest),
 		peers:    &http.Client{Transport: sock.Transport(limits.PerSource)},
 		link:     pacing.NewLink(s.Link),
@@ -155,6 +161,7 @@
 	if l.engine != nil {
 		group.Go("reporter", l.runReporter)
 		group.Go("worker", l.runWorker)
+		group.Go("notifier", l.runNotifier)
 	}
 	for range fetchers {
 		group.Go("fetcher", l.runFetcher)
--- /dev/null
+++ b/loader/notify.go
@@ -0,0 +1,71 @@
+package loader
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"rattanspur.example/lib/duty"
+	"rattanspur.example/lib/peering"
+)
+
+const (
+	// noticeTimes is how often a notice is sent, since datagrams may be lost, and
+	// noticePause the pause in between.
+	noticeTimes = 3
+	noticePause = 60 * time.Millisecond
+)
+
+// notice is the word on the own engine, for some gateways.
+type notice struct {
+	engine  peering.Engine
+	targets []string
+}
+
+// runNotifier sends notices to gateways. A newer notice replaces an older one
+// that waits.
+func (l *Loader) runNotifier(ctx context.Context) error {
+	conn, err := net.ListenPacket("udp4", l.settings.Notices)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	for {
+		n, err := l.notices.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		data, err := json.Marshal(peering.Message{Engine: &n.engine})
+		if err != nil {
+			return err
+		}
+		for range noticeTimes {
+			l.send(conn, data, n.targets)
+			_ = duty.Sleep(ctx, noticePause)
+		}
+	}
+}
+
+func (l *Loader) send(conn net.PacketConn, data []byte, targets []string) {
+	for _, t := range targets {
+		if address, err := net.ResolveUDPAddr("udp4", t); err == nil {
+			// What is lost is sent again, and published soon after.
+			_, _ = conn.WriteTo(data, address)
+		}
+	}
+}
+
+// notify tells the gateways what the own engine serves; version 0 says that it
+// takes new weights.
+func (k *keeper) notify(ctx context.Context, version, was int64) {
+	n := notice{engine: peering.Engine{
+		Address: k.loader.settings.Engine, Born: k.report.Born, Model: k.model, Version: version, Was: was,
+	}}
+	for _, g := range k.gateways {
+		if a := k.loader.settings.NoticeAddress(g.Control); a != "" {
+			n.targets = append(n.targets, a)
+		}
+	}
+	_ = k.loader.notices.Put(ctx, n)
+}
--- a/loader/work.go
+++ b/loader/work.go
@@ -54,6 +54,7 @@
 			return nil
 		}
 		ev := worked{work: w}
+		begun := time.Now()
 		switch w.kind {
 		case search:
 			ev.found, ev.err = l.searchPieces(ctx, w)
@@ -62,6 +63,7 @@
 		case start:
 			ev.err = l.startEngine(ctx, w)
 		}
+		ev.took = time.Since(begun)
 		if l.events.Put(ctx, ev) != nil {
 			return nil
 		}
@@ -121,7 +123,7 @@
 }
 
 // worked takes in the end of a piece of work.
-func (k *keeper) worked(now time.Time, ev worked) {
+func (k *keeper) worked(ctx context.Context, now time.Time, ev worked) {
 	k.working = false
 	c := ev.work.copy
 	switch ev.work.kind {
@@ -139,10 +141,11 @@
 	case start:
 		if ev.err == nil {
 			k.core.Ordered(now, c.version)
+			k.notify(ctx, 0, k.served)
 		}
 	}
 	_ = k.loader.logger.Log("event", [...]string{"", "pieces-placed", "engine-ordered"}[ev.work.kind], "version", c.version,
-		"since-named", now.Sub(k.wanted.Learned).Seconds(), "sequence", ev.work.sequence, "err", ev.err)
+		"took", ev.took.Seconds(), "sequence", ev.work.sequence, "err", ev.err)
 	if ev.err != nil {
 		k.core.Failed(now)
 	}
