dispatch: prompts that wait at an engine bound what it gets

Cause: an engine with free slots got up to 16 requests at once and read their prompts one after the other, so the last ones began after their goal. Change: unread prompt tokens are counted for each engine, told to other gateways, and bound and order the choice.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -196,6 +196,9 @@
 // Head implements exchange.Answer. An answer that goes on at another upstream
 // keeps the head of the first one.
 func (c *carrier) Head(resp *http.Response) error {
+	if c.events {
+		_ = c.gateway.inbox.Put(context.Background(), began{ticket: c.ticket})
+	}
 	if c.started {
 		return nil
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -225,7 +225,7 @@
 		message: peering.Message{
 			From: g.settings.Peers, Control: g.settings.Control, Revision: r.revision,
 			Region:   g.settings.Dispatch.Region,
-			InFlight: r.core.Load(), Suspects: suspects(r.core), Peers: r.peers.Named(),
+			Loads: r.core.Loads(), Suspects: suspects(r.core), Peers: r.peers.Named(),
 		},
 		targets: r.peers.Targets(now),
 	})
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -28,6 +28,9 @@
 	seen   dispatch.Observation
 }
 
+// began says that the answer to a request began.
+type began struct{ ticket dispatch.Ticket }
+
 // ended says how an attempt ended. A connection that can be used again comes
 // back with it.
 type ended struct {
@@ -41,6 +44,7 @@
 
 func (arrival) event()  {}
 func (observed) event() {}
+func (began) event()    {}
 func (ended) event()    {}
 func (left) event()     {}
 
@@ -162,6 +166,8 @@
 		r.census(ctx, now, ev)
 	case observed:
 		r.core.Observe(now, ev.ticket, ev.seen)
+	case began:
+		r.carryOut(ctx, r.core.Began(now, ev.ticket))
 	case ended:
 		r.end(ctx, now, ev)
 	case left:
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -7,6 +7,7 @@
 
 	"rattanspur.example/lib/admission"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/retry"
 )
@@ -60,6 +61,8 @@
 	// version is that of the weights which began the answer; 0 if none did.
 	version int64
 	at      *upstream
+	// reading says that the upstream has not begun to answer.
+	reading bool
 	waiting bool
 }
 
@@ -116,20 +119,20 @@
 	}
 }
 
-// SetOthers tells how many requests other entries have at each upstream.
-// Upstreams that are not named have none.
-func (c *Core) SetOthers(now time.Time, counts map[fleet.InstanceID]int) {
+// SetOthers tells what other entries have at each upstream. Upstreams that are
+// not named have nothing.
+func (c *Core) SetOthers(now time.Time, loads map[fleet.InstanceID]peering.Load) {
 	for id, u := range c.upstreams {
-		u.told, u.toldAt = counts[id], now
+		u.told, u.toldAt = loads[id], now
 	}
 }
 
-// Load returns how many requests of this entry each upstream has.
-func (c *Core) Load() map[fleet.InstanceID]int {
-	out := map[fleet.InstanceID]int{}
+// Loads returns what this entry has at each upstream.
+func (c *Core) Loads() map[fleet.InstanceID]peering.Load {
+	out := map[fleet.InstanceID]peering.Load{}
 	for id, u := range c.upstreams {
 		if u.mine > 0 {
-			out[id] = u.mine
+			out[id] = peering.Load{Requests: u.mine, Prompt: u.prompt}
 		}
 	}
 	return out
@@ -356,5 +359,23 @@
 	}
 }
 
+// Began takes in that the answer to a request began.
+func (c *Core) Began(now time.Time, ticket Ticket) []Action {
+	r := c.requests[ticket]
+	if r == nil || r.at == nil {
+		return nil
+	}
+	r.begin()
+	return c.drain(now)
+}
+
+// begin counts out the prompt of a request, once for each attempt.
+func (r *request) begin() {
+	if r.reading {
+		r.reading = false
+		r.at.prompt -= r.Prompt
+	}
+}
+
 // Tick lets time pass.
 func (c *Core) Tick(now time.Time) []Action { return c.drain(now) }
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -17,6 +17,12 @@
 	engineRoom = 1.0
 	// plainRoom is that part for plain services, whose requests are short.
 	plainRoom = 2.0
+	// readingRoom is the part of a route's goal that the prompts which wait at an
+	// engine may take to be read: it reads them one after the other.
+	readingRoom = 0.35
+	// readingCost is what a time of reading of the route's whole goal adds to
+	// the cost of an engine.
+	readingCost = 1.0
 	// slowCost is what a time to the first byte of the route's whole goal adds
 	// to the cost of an upstream.
 	slowCost = 0.2
@@ -39,6 +45,8 @@
 func (c *Core) send(now time.Time, s *service, r *request, u *upstream) Send {
 	u.take(now, s.coldBound > 0)
 	r.at = u
+	r.reading = true
+	u.prompt += r.Prompt
 	r.waiting = false
 	r.attempts++
 	send := Send{
@@ -100,14 +108,14 @@
 			continue
 		}
 		healthy = true
-		if !c.hasRoom(now, s, u) {
+		if !c.hasRoom(now, s, r, u) {
 			continue
 		}
 		if cost := c.cost(now, s, r, u); best == nil || cost < bestCost {
 			best, bestCost = u, cost
 		}
 	}
-	if best == nil && !healthy && avoided != nil && c.hasRoom(now, s, avoided) {
+	if best == nil && !healthy && avoided != nil && c.hasRoom(now, s, r, avoided) {
 		return avoided
 	}
 	return best
@@ -138,12 +146,27 @@
 	return r.customer == nil || len(r.customer.Regions) == 0 || slices.Contains(r.customer.Regions, u.region)
 }
 
-func (c *Core) hasRoom(now time.Time, s *service, u *upstream) bool {
-	room := plainRoom
-	if s.published.Engine != nil {
-		room = engineRoom
+func (c *Core) hasRoom(now time.Time, s *service, r *request, u *upstream) bool {
+	if !u.bears(now, s.coldBound) {
+		return false
+	}
+	e := s.published.Engine
+	if e == nil {
+		return float64(u.load(now)) < plainRoom*float64(u.Slots)
+	}
+	if float64(u.load(now)) >= engineRoom*float64(u.Slots) {
+		return false
 	}
-	return float64(u.load(now)) < room*float64(u.Slots) && u.bears(now, s.coldBound)
+	unread := u.unread(now)
+	return unread == 0 || reading(e, unread+r.Prompt) <= time.Duration(readingRoom*float64(r.route.Goal))
+}
+
+// reading returns how long an engine reads a number of prompt tokens.
+func reading(e *published.Engine, tokens int) time.Duration {
+	if e.PromptPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / e.PromptPerSecond * float64(time.Second))
 }
 
 // cost compares upstreams: the load after one more request as a share of the
@@ -156,6 +179,9 @@
 	if goal := r.route.Goal; goal > 0 {
 		cost += slowCost * min(float64(u.firstByte)/float64(goal), 2)
 	}
+	if e := s.published.Engine; e != nil && r.route.Goal > 0 {
+		cost += readingCost * float64(reading(e, u.unread(now))) / float64(r.route.Goal)
+	}
 	if e := s.published.Engine; e != nil && !u.turn.IsZero() && u.serves(now, r.Model, e.Layers) < c.view.Wanted[r.Model].Version {
 		over := now.Add(r.duration(e)).Sub(u.turn)
 		cost += turnCost * min(max(over.Seconds(), 0), turnMost.Seconds())
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -140,6 +140,7 @@
 		return nil
 	}
 	u := r.at
+	r.begin()
 	r.at = nil
 	u.mine--
 	c.learn(now, u, r, e)
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
 )
 
@@ -41,13 +42,15 @@
 	region fleet.Region
 	// version overrides the published version if an answer named a newer one.
 	version int64
-	// mine counts the requests in flight from here.
-	mine int
+	// mine counts the requests in flight from here, prompt the prompt tokens of
+	// those that have no answer yet.
+	mine   int
+	prompt int
 	// others is the load from elsewhere as an answer said at reported, told that
 	// which other entries said at toldAt.
 	others   int
 	reported time.Time
-	told     int
+	told     peering.Load
 	toldAt   time.Time
 	strikes  int
 	avoid    time.Time
@@ -70,7 +73,7 @@
 func (u *upstream) load(now time.Time) int {
 	switch {
 	case now.Sub(u.toldAt) <= toldLife:
-		return u.mine + u.told
+		return u.mine + u.told.Requests
 	case now.Sub(u.reported) <= loadLife:
 		return u.mine + u.others
 	default:
@@ -78,6 +81,14 @@
 	}
 }
 
+// unread estimates the prompt tokens that wait to be read at the upstream.
+func (u *upstream) unread(now time.Time) int {
+	if now.Sub(u.toldAt) <= toldLife {
+		return u.prompt + u.told.Prompt
+	}
+	return u.prompt
+}
+
 func (u *upstream) observe(now time.Time, o Observation) {
 	if o.Load != nil {
 		u.others = max(o.Load.Running+o.Load.Waiting-u.mine, 0)
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -32,6 +32,14 @@
 // PathMembers is where a gateway names the gateways that are alive.
 const PathMembers = "/peer/members"
 
+// Load is what one process has at an upstream.
+type Load struct {
+	// Requests is the number in flight.
+	Requests int `json:"n"`
+	// Prompt is the number of prompt tokens of those that have no answer yet.
+	Prompt int `json:"p,omitempty"`
+}
+
 // Suspect is a request that may have crashed upstreams.
 type Suspect struct {
 	Fingerprint string `json:"f"`
@@ -48,9 +56,9 @@
 	Region  fleet.Region `json:"region"`
 	// Revision is that of the newest item in the sender's view.
 	Revision uint64 `json:"rev"`
-	// InFlight counts the sender's requests at each upstream.
-	InFlight map[fleet.InstanceID]int `json:"load,omitempty"`
-	Suspects []Suspect                `json:"suspects,omitempty"`
+	// Loads are the sender's requests at each upstream.
+	Loads    map[fleet.InstanceID]Load `json:"loads,omitempty"`
+	Suspects []Suspect                 `json:"suspects,omitempty"`
 	// Peers are addresses of others that the sender heard from.
 	Peers []string `json:"peers,omitempty"`
 	// Engine is set in a notice of a loader, which sets nothing else.
@@ -77,7 +85,7 @@
 	region   fleet.Region
 	heard    time.Time
 	revision uint64
-	inFlight map[fleet.InstanceID]int
+	loads    map[fleet.InstanceID]Load
 }
 
 // Table holds the peers of one process. It is owned by one duty.
@@ -102,7 +110,7 @@
 	if p == nil {
 		return
 	}
-	p.control, p.region, p.heard, p.revision, p.inFlight = m.Control, m.Region, now, m.Revision, m.InFlight
+	p.control, p.region, p.heard, p.revision, p.loads = m.Control, m.Region, now, m.Revision, m.Loads
 	for _, a := range m.Peers {
 		if a != t.self {
 			t.member(a)
@@ -140,15 +148,16 @@
 	return n
 }
 
-// Others returns the requests that peers have at each upstream.
-func (t *Table) Others(now time.Time) map[fleet.InstanceID]int {
-	sum := map[fleet.InstanceID]int{}
+// Others returns what peers have at each upstream.
+func (t *Table) Others(now time.Time) map[fleet.InstanceID]Load {
+	sum := map[fleet.InstanceID]Load{}
 	for _, p := range t.members {
 		if now.Sub(p.heard) > loadLife {
 			continue
 		}
-		for id, n := range p.inFlight {
-			sum[id] += n
+		for id, l := range p.loads {
+			had := sum[id]
+			sum[id] = Load{Requests: had.Requests + l.Requests, Prompt: had.Prompt + l.Prompt}
 		}
 	}
 	return sum
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -81,6 +81,8 @@
 	// Token is the time that an engine with full slots takes for a token of
 	// each request.
 	Token time.Duration
+	// PromptPerSecond is the number of prompt tokens that an engine reads.
+	PromptPerSecond float64
 }
 
 // Origin is where weights come from.
