--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -63,7 +63,6 @@
 	at      *upstream
 	// reading says that the upstream has not begun to answer.
 	reading bool
-	waiting bool
 }
 
 // lane is a queue of requests that wait for the same upstreams.
@@ -341,15 +340,20 @@
 	return c.drain(now)
 }
 
-// Left takes in that a caller left a request that waits.
+// Left takes in that a caller left a request that waits or that was not sent
+// yet.
 func (c *Core) Left(now time.Time, ticket Ticket) []Action {
 	r := c.requests[ticket]
-	if r == nil || !r.waiting {
+	if r == nil {
 		return nil
 	}
 	delete(c.requests, ticket)
-	r.deadline = now
-	return nil
+	if r.at == nil {
+		return nil
+	}
+	r.begin()
+	r.at.mine--
+	return c.drain(now)
 }
 
 // Observe takes in what the head of an answer said of the request's upstream.
--- /dev/null
+++ b/lib/dispatch/core_test.go
@@ -0,0 +1,370 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/peering"
+	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/retry"
+)
+
+const (
+	model  = "m"
+	engine = fleet.Service("engine")
+	desk   = fleet.Service("desk")
+)
+
+var start = time.Unix(1000, 0)
+
+func settings() Settings {
+	return Settings{
+		Region:        "north",
+		Regions:       map[fleet.FailureDomain]fleet.Region{"north-a": "north", "south-a": "south"},
+		Retries:       retry.WindowLimits{Ratio: 0.2, Reserve: 400, Window: 10 * time.Second},
+		VersionWithin: 8 * time.Second,
+		ColdOverrun:   1.5,
+		ColdSlack:     5,
+		Random:        func(int) int { return 0 },
+	}
+}
+
+func config() *published.Config {
+	c := &published.Config{
+		Keyed: true,
+		Routes: []published.Route{
+			{
+				Name: "stream", Host: "h", Prefix: "/stream/", Kind: published.Streaming, Resumable: true, MaxAttempts: 2,
+				Timeout: 6 * time.Second, Goal: 400 * time.Millisecond, GapGoal: 300 * time.Millisecond,
+				Targets: []published.Target{{Service: engine, Weight: 1}},
+			},
+			{
+				Name: "once", Host: "h", Prefix: "/once/", Kind: published.Unsafe, MaxAttempts: 2, Timeout: time.Second,
+				Goal: 150 * time.Millisecond, Targets: []published.Target{{Service: desk, Weight: 1}},
+			},
+			{
+				Name: "read", Host: "h", Prefix: "/read/", Kind: published.Safe, MaxAttempts: 2, Timeout: time.Second,
+				Goal: 150 * time.Millisecond, Targets: []published.Target{{Service: desk, Weight: 1}},
+			},
+			{
+				Name: "home", Host: "h", Prefix: "/home/", Kind: published.Safe, MaxAttempts: 2, Timeout: time.Second,
+				Goal: 150 * time.Millisecond, Targets: []published.Target{{Service: desk, Weight: 1}},
+				Regions: []fleet.Region{"south"},
+			},
+		},
+		Services: map[fleet.Service]*published.Service{
+			engine: {Name: engine, Engine: &published.Engine{
+				Slots: 4, Layers: 16, Models: []string{model}, PromptPerSecond: 10000, Token: 10 * time.Millisecond,
+			}},
+			desk: {Name: desk},
+		},
+		Customers: map[string]*published.Customer{"key": {Name: "customer"}},
+	}
+	c.Index()
+	return c
+}
+
+func replica(id string, version int64) *published.Upstream {
+	return &published.Upstream{
+		ID: fleet.InstanceID(id), Service: engine, Address: id, Domain: "north-a", Slots: 4, Born: 1,
+		Copies: []published.Copy{{Model: model, Version: version, Layers: 16}},
+	}
+}
+
+func counter(id string, domain fleet.FailureDomain) *published.Upstream {
+	return &published.Upstream{ID: fleet.InstanceID(id), Service: desk, Address: id, Domain: domain, Slots: 2}
+}
+
+func view(upstreams ...*published.Upstream) *published.View {
+	return &published.View{
+		Config: config(), Upstreams: upstreams, Out: map[fleet.FailureDomain]bool{}, Wanted: map[string]published.Wanted{},
+	}
+}
+
+// bench drives one core through time.
+type bench struct {
+	t    *testing.T
+	core *Core
+	now  time.Time
+	next Ticket
+}
+
+func newBench(t *testing.T, v *published.View) *bench {
+	b := &bench{t: t, core: New(settings()), now: start}
+	b.core.Update(b.now, v)
+	return b
+}
+
+func (b *bench) arrive(path string) (Ticket, []Action) {
+	b.next++
+	return b.next, b.core.Arrive(b.now, b.next, Call{
+		ID: "id", Host: "h", Path: path, Key: "key", Patience: 6 * time.Second, Model: model, Prompt: 100, Answer: 50,
+		Fingerprint: path + time.Duration(b.next).String(),
+	})
+}
+
+func (b *bench) sent(actions []Action) Send {
+	b.t.Helper()
+	require.Len(b.t, actions, 1)
+	s, ok := actions[0].(Send)
+	require.True(b.t, ok, "%T %+v", actions[0], actions[0])
+	return s
+}
+
+func (b *bench) refused(actions []Action) Refuse {
+	b.t.Helper()
+	require.Len(b.t, actions, 1)
+	r, ok := actions[0].(Refuse)
+	require.True(b.t, ok, "%T %+v", actions[0], actions[0])
+	return r
+}
+
+// Guards against a request that may run once and is sent again after its
+// outcome became unknown, and against a caller who is told it has not run.
+func TestUnsafeRequestIsNeverSentTwice(t *testing.T) {
+	for _, end := range []retry.End{retry.Lost, retry.Silent, retry.Mismatched} {
+		b := newBench(t, view(counter("a", "north-a"), counter("b", "north-a")))
+		ticket, actions := b.arrive("/once/1")
+		b.sent(actions)
+		r := b.refused(b.core.End(b.now, ticket, Ended{End: end}))
+		require.Equal(t, Unknown, r.Verdict, end.String())
+		require.Zero(t, r.After)
+	}
+}
+
+// Guards against a request that certainly has not run and is given up all the
+// same, or is sent to the upstream that refused it.
+func TestRefusedRequestGoesElsewhere(t *testing.T) {
+	b := newBench(t, view(counter("a", "north-a"), counter("b", "north-a")))
+	ticket, actions := b.arrive("/once/1")
+	first := b.sent(actions)
+	second := b.sent(b.core.End(b.now, ticket, Ended{End: retry.Busy}))
+	require.NotEqual(t, first.Upstream, second.Upstream)
+	require.Equal(t, 2, second.Number)
+}
+
+// Guards against a promise that a request has not run after one attempt may
+// have run and a later one was refused.
+func TestRefusalAfterUnknownAttemptPromisesNothing(t *testing.T) {
+	b := newBench(t, view(counter("a", "north-a"), counter("b", "north-a")))
+	ticket, actions := b.arrive("/read/1")
+	b.sent(actions)
+	b.sent(b.core.End(b.now, ticket, Ended{End: retry.Lost}))
+	r := b.refused(b.core.End(b.now, ticket, Ended{End: retry.Busy}))
+	require.Equal(t, Unknown, r.Verdict)
+}
+
+// Guards against more runs of one request than its route allows.
+func TestAttemptsAreBounded(t *testing.T) {
+	b := newBench(t, view(counter("a", "north-a"), counter("b", "north-a"), counter("c", "north-a")))
+	ticket, actions := b.arrive("/read/1")
+	b.sent(actions)
+	b.sent(b.core.End(b.now, ticket, Ended{End: retry.Lost}))
+	require.Equal(t, Unknown, b.refused(b.core.End(b.now, ticket, Ended{End: retry.Lost})).Verdict)
+}
+
+// Guards against a stream that goes on elsewhere without the event after which
+// it was cut: events would be missing or come twice.
+func TestStreamGoesOnOnlyFromAnEvent(t *testing.T) {
+	b := newBench(t, view(replica("a", 1), replica("b", 1)))
+	ticket, actions := b.arrive("/stream/1")
+	b.sent(actions)
+	require.Equal(t, Unknown, b.refused(b.core.End(b.now, ticket, Ended{End: retry.Lost, Started: true})).Verdict)
+	ticket, actions = b.arrive("/stream/2")
+	b.sent(actions)
+	b.sent(b.core.End(b.now, ticket, Ended{End: retry.Lost, Started: true, Resume: "7", Version: 1}))
+}
+
+// Guards against one answer from two versions of the weights.
+func TestStreamGoesOnWithTheSameVersion(t *testing.T) {
+	b := newBench(t, view(replica("a", 1), replica("b", 2)))
+	ticket, actions := b.arrive("/stream/1")
+	first := b.sent(actions)
+	version := map[fleet.InstanceID]int64{"a": 1, "b": 2}[first.Upstream]
+	actions = b.core.End(b.now, ticket, Ended{End: retry.Lost, Started: true, Resume: "7", Version: version})
+	for _, a := range actions {
+		send, ok := a.(Send)
+		require.False(t, ok && send.Upstream != first.Upstream, "stream went on with another version")
+	}
+}
+
+// Guards against work for an upstream that leaves, is out of service, holds no
+// weights, or lies outside the regions of the route.
+func TestUnacceptableUpstreamsGetNothing(t *testing.T) {
+	leaving := counter("leaving", "north-a")
+	leaving.Draining = true
+	partial := replica("partial", 1)
+	partial.Copies[0].Layers = 8
+	v := view(leaving, counter("out", "south-a"), partial, replica("empty", 0))
+	v.Upstreams[3].Copies = nil
+	v.Out["south-a"] = true
+	b := newBench(t, v)
+	for _, path := range []string{"/once/1", "/read/1", "/stream/1"} {
+		_, actions := b.arrive(path)
+		require.Equal(t, NotRun, b.refused(actions).Verdict, path)
+	}
+	b = newBench(t, view(counter("north", "north-a")))
+	_, actions := b.arrive("/home/1")
+	b.refused(actions)
+	b = newBench(t, view(counter("north", "north-a"), counter("south", "south-a")))
+	_, actions = b.arrive("/home/1")
+	require.Equal(t, fleet.InstanceID("south"), b.sent(actions).Upstream)
+}
+
+// Guards against a request that waits for an upstream which left meanwhile and
+// is sent to it when room appears.
+func TestWaitingRequestDoesNotGoToLeavingUpstream(t *testing.T) {
+	b := newBench(t, view(counter("a", "north-a")))
+	var running []Ticket
+	for range int(plainRoom) * 2 {
+		ticket, actions := b.arrive("/once/1")
+		b.sent(actions)
+		running = append(running, ticket)
+	}
+	_, actions := b.arrive("/once/1")
+	require.Empty(t, actions)
+	gone := counter("a", "north-a")
+	gone.Draining = true
+	b.core.Update(b.now, view(gone))
+	for _, a := range b.core.End(b.now, running[0], Ended{End: retry.Answered}) {
+		_, ok := a.(Send)
+		require.False(t, ok)
+	}
+}
+
+// Guards against requests that begin on older weights after the time for the
+// new ones, also if a still newer version was named in between.
+func TestOlderWeightsGetNothingAfterTheirTime(t *testing.T) {
+	v := view(replica("old", 1))
+	v.Wanted[model] = published.Wanted{
+		Model: model, Version: 3, Learned: start.Add(2 * time.Second),
+		Earlier: []published.Named{{Version: 2, Learned: start}},
+	}
+	b := newBench(t, v)
+	b.now = start.Add(7 * time.Second)
+	_, actions := b.arrive("/stream/1")
+	require.Equal(t, int64(1), b.sent(actions).ExpectVersion)
+	b.now = start.Add(8*time.Second - versionMargin)
+	_, actions = b.arrive("/stream/2")
+	b.refused(actions)
+	v.Upstreams = append(v.Upstreams, replica("new", 3))
+	b.core.Update(b.now, v)
+	_, actions = b.arrive("/stream/3")
+	s := b.sent(actions)
+	require.Equal(t, fleet.InstanceID("new"), s.Upstream)
+}
+
+// Guards against an engine that is used late after it took new weights, and
+// against requests for one that takes them.
+func TestWordOfLoaderIsAheadOfTheStore(t *testing.T) {
+	b := newBench(t, view(replica("a", 1)))
+	b.core.Notice(b.now, Notice{Address: "a", Born: 1, Model: model, Version: 0, Was: 1})
+	_, actions := b.arrive("/stream/1")
+	b.refused(actions)
+	b.core.Notice(b.now, Notice{Address: "a", Born: 1, Model: model, Version: 2, Was: 1})
+	_, actions = b.arrive("/stream/2")
+	require.Equal(t, int64(2), b.sent(actions).ExpectVersion)
+	// A notice about an earlier start says nothing about this one.
+	restarted := replica("a", 0)
+	restarted.Copies, restarted.Born = nil, 2
+	b.core.Update(b.now, view(restarted))
+	_, actions = b.arrive("/stream/3")
+	b.refused(actions)
+}
+
+// Guards against an engine that gets many prompts at once: it reads them one
+// after the other, and the last ones begin after their goal.
+func TestUnreadPromptsBoundAnEngine(t *testing.T) {
+	b := newBench(t, view(replica("a", 1)))
+	b.next++
+	long := Call{ID: "id", Host: "h", Path: "/stream/1", Key: "key", Model: model, Prompt: 1000, Patience: 6 * time.Second, Fingerprint: "1"}
+	b.sent(b.core.Arrive(b.now, b.next, long))
+	first := b.next
+	b.next++
+	long.Fingerprint = "2"
+	require.Empty(t, b.core.Arrive(b.now, b.next, long))
+	require.Len(t, b.core.Began(b.now, first), 1)
+}
+
+// Guards against an engine that several gateways fill together.
+func TestRequestsOfOtherGatewaysCount(t *testing.T) {
+	b := newBench(t, view(replica("a", 1)))
+	b.core.SetOthers(b.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}})
+	_, actions := b.arrive("/stream/1")
+	require.Empty(t, actions)
+	b.core.SetOthers(b.now, nil)
+	require.Len(t, b.core.Tick(b.now), 1)
+}
+
+// Guards against a request that is held until its caller leaves: it is refused
+// once its wait is over, with a time to come back that callers honour.
+func TestWaitEndsWithATimeToComeBack(t *testing.T) {
+	b := newBench(t, view(replica("a", 1)))
+	b.core.SetOthers(b.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}})
+	_, actions := b.arrive("/stream/1")
+	require.Empty(t, actions)
+	b.now = b.now.Add(time.Duration(streamWait*400) * time.Millisecond)
+	b.core.SetOthers(b.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}})
+	r := b.refused(b.core.Tick(b.now))
+	require.Equal(t, NotRun, r.Verdict)
+	require.Positive(t, r.After)
+	require.LessOrEqual(t, r.After, 2*time.Second)
+}
+
+// Guards against a caller who left while its request waited, and whose request
+// is sent later.
+func TestCallerThatLeftIsNotServed(t *testing.T) {
+	b := newBench(t, view(replica("a", 1)))
+	b.core.SetOthers(b.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}})
+	ticket, _ := b.arrive("/stream/1")
+	b.core.Left(b.now, ticket)
+	b.core.SetOthers(b.now, nil)
+	require.Empty(t, b.core.Tick(b.now))
+	require.Zero(t, b.core.InFlight())
+}
+
+// Guards against a caller who leaves between the order to send and the send:
+// the upstream's count would never go down again.
+func TestCallerThatLeavesBeforeTheSendIsCountedOut(t *testing.T) {
+	b := newBench(t, view(replica("a", 1)))
+	ticket, actions := b.arrive("/stream/1")
+	b.sent(actions)
+	b.core.Left(b.now, ticket)
+	require.Empty(t, b.core.Loads())
+	require.Zero(t, b.core.InFlight())
+}
+
+// Guards against a request that crashes every upstream which runs it.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	b := newBench(t, view(counter("a", "north-a"), counter("b", "north-a"), counter("c", "north-a"), counter("d", "north-a")))
+	sends := 0
+	for range 5 {
+		b.now = b.now.Add(10 * time.Second)
+		b.next++
+		actions := b.core.Arrive(b.now, b.next, Call{ID: "id", Host: "h", Path: "/read/1", Key: "key", Patience: time.Second, Fingerprint: "same"})
+		for len(actions) == 1 {
+			if _, ok := actions[0].(Send); !ok {
+				break
+			}
+			sends++
+			actions = b.core.End(b.now, b.next, Ended{End: retry.Lost})
+		}
+	}
+	require.Equal(t, retry.BlockAfter, sends)
+}
+
+// Guards against answers of the system's own that no verdict justifies.
+func TestUnknownRouteKeyAndConfiguration(t *testing.T) {
+	b := newBench(t, view())
+	_, actions := b.arrive("/none/1")
+	require.Equal(t, NoRoute, b.refused(actions).Verdict)
+	b.next++
+	r := b.refused(b.core.Arrive(b.now, b.next, Call{Host: "h", Path: "/read/1", Key: "other"}))
+	require.Equal(t, NoKey, r.Verdict)
+	fresh := New(settings())
+	r = b.refused(fresh.Arrive(b.now, 1, Call{Host: "h", Path: "/read/1", Key: "key"}))
+	require.Equal(t, NotRun, r.Verdict)
+}
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -47,7 +47,6 @@
 	r.at = u
 	r.reading = true
 	u.prompt += r.Prompt
-	r.waiting = false
 	r.attempts++
 	send := Send{
 		Ticket:    r.ticket,
@@ -101,7 +100,10 @@
 		if !c.acceptable(now, s, r, u) {
 			continue
 		}
-		if now.Before(u.avoid) || slices.Contains(r.tried, u.ID) {
+		if slices.Contains(r.tried, u.ID) {
+			continue
+		}
+		if now.Before(u.avoid) {
 			if u.strikes > 0 && u.mine == 0 && (avoided == nil || u.avoid.Before(avoided.avoid)) {
 				avoided = u
 			}
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -31,7 +31,6 @@
 	if !c.reachable(now, s, r) {
 		return c.giveUp(now, r, "no upstream can serve the request")
 	}
-	r.waiting = true
 	q := s.lanes[r.lane()]
 	if q == nil {
 		q = admission.New[*request](admission.Limits{PerCustomer: queueCustomer, Total: queueTotal})
--- /dev/null
+++ b/lib/exchange/exchange_test.go
@@ -0,0 +1,369 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/retry"
+)
+
+// upstream answers each connection with a script.
+type upstream struct {
+	t        *testing.T
+	listener net.Listener
+}
+
+func serve(t *testing.T, script func(c net.Conn, r *bufio.Reader)) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return &upstream{t: t, listener: l}
+}
+
+func (u *upstream) dial() *Conn {
+	c, err := Dial(context.Background(), u.listener.Addr().String())
+	require.NoError(u.t, err)
+	u.t.Cleanup(c.Close)
+	return c
+}
+
+// takeRequest reads one request and its body.
+func takeRequest(r *bufio.Reader) (*http.Request, []byte, error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(req.Body)
+	return req, body, err
+}
+
+func head(resp *http.Response) Head {
+	return Head{
+		Request: resp.Header.Get("Id"), NotRun: resp.Header.Get("Not-Run") != "",
+		Misdirected: resp.StatusCode == http.StatusMisdirectedRequest, Close: resp.Close,
+	}
+}
+
+// recorder keeps what is passed on.
+type recorder struct {
+	status int
+	body   bytes.Buffer
+	parts  int
+	fail   bool
+}
+
+func (r *recorder) Observe(*Head) {}
+
+func (r *recorder) Head(resp *http.Response) error {
+	r.status = resp.StatusCode
+	return nil
+}
+
+func (r *recorder) Part(data []byte) error {
+	if r.fail {
+		return io.ErrClosedPipe
+	}
+	r.parts++
+	r.body.Write(data)
+	return nil
+}
+
+func request(body string) *Request {
+	return &Request{ID: "1", Method: "POST", Target: "/a/b?c=%2f", Host: "h", Header: http.Header{"Id": {"1"}}, Body: []byte(body)}
+}
+
+func do(c *Conn, r *Request, o Options) (Outcome, *recorder) {
+	rec := &recorder{}
+	return Do(context.Background(), c, r, head, rec, o), rec
+}
+
+const stream = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/event-stream\r\n"
+
+// Guards against a request that reaches the upstream changed.
+func TestRequestArrivesAsItWas(t *testing.T) {
+	type arrived struct {
+		target, host string
+		body         []byte
+	}
+	got := make(chan arrived, 1)
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		req, body, err := takeRequest(r)
+		if err == nil {
+			got <- arrived{req.RequestURI, req.Host, body}
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok")
+	})
+	for _, size := range []int{0, 10, 4 * syncBody} {
+		body := strings.Repeat("x", size)
+		out, rec := do(u.dial(), request(body), Options{})
+		require.Equal(t, retry.Answered, out.End, out.Detail)
+		require.Equal(t, "ok", rec.body.String())
+		require.Equal(t, arrived{"/a/b?c=%2f", "h", []byte(body)}, <-got)
+	}
+}
+
+// Guards against bytes after a whole answer that are taken for the next answer.
+func TestStrayBytesSpoilAConnection(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+	late := make(chan struct{})
+	for name, script := range map[string]func(c net.Conn){
+		"at once": func(c net.Conn) { _, _ = io.WriteString(c, whole+whole) },
+		"late": func(c net.Conn) {
+			_, _ = io.WriteString(c, whole)
+			<-late
+			_, _ = io.WriteString(c, whole)
+		},
+	} {
+		u := serve(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = takeRequest(r)
+			script(c)
+			_, _, _ = takeRequest(r)
+		})
+		c := u.dial()
+		out, _ := do(c, request(""), Options{})
+		require.Equal(t, retry.Answered, out.End, name)
+		if name == "at once" {
+			require.False(t, out.Reusable)
+			continue
+		}
+		require.True(t, out.Reusable)
+		require.True(t, c.Fresh(time.Now()))
+		close(late)
+		require.Eventually(t, func() bool { return !c.Fresh(time.Now()) }, 10*time.Second, time.Millisecond)
+	}
+}
+
+// Guards against an answer to an earlier request that is passed on as this
+// one's, and against a refusal that is believed although it names another.
+func TestAnswerOfAnotherRequestIsNotPassedOn(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 503 No\r\nId: 2\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		u := serve(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = takeRequest(r)
+			_, _ = io.WriteString(c, answer)
+		})
+		out, rec := do(u.dial(), request(""), Options{})
+		require.Equal(t, retry.Mismatched, out.End)
+		require.False(t, out.Reusable)
+		require.Zero(t, rec.status)
+	}
+}
+
+// Guards against a request that is reported as not run without a word of the
+// upstream that says so.
+func TestOnlyTheUpstreamsWordMeansNotRun(t *testing.T) {
+	for answer, end := range map[string]retry.End{
+		"HTTP/1.1 503 No\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n": retry.Busy,
+		"HTTP/1.1 421 No\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n": retry.Refused,
+		"HTTP/1.1 503 No\r\nId: 1\r\nContent-Length: 0\r\n\r\n":               retry.Answered,
+		"": retry.Lost,
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nok": retry.Lost,
+		"nonsense\r\n\r\n": retry.Lost,
+	} {
+		u := serve(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = takeRequest(r)
+			_, _ = io.WriteString(c, answer)
+		})
+		out, rec := do(u.dial(), request(""), Options{})
+		require.Equal(t, end, out.End, answer)
+		if end != retry.Answered {
+			require.Zero(t, rec.status, answer)
+		}
+	}
+}
+
+// Guards against an answer without a length that was reset and looks complete.
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		u := serve(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = takeRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbytes")
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		out, _ := do(u.dial(), request(""), Options{})
+		if reset {
+			require.Equal(t, retry.Lost, out.End)
+		} else {
+			require.Equal(t, retry.Answered, out.End)
+		}
+		require.False(t, out.Reusable)
+	}
+}
+
+// Guards against an event that was cut in the middle and is passed on, and a
+// stream that goes on from the wrong event.
+func TestCutStreamEndsAfterAWholeEvent(t *testing.T) {
+	for _, end := range []string{"", "Transfer-Encoding: chunked\r\n"} {
+		body := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
+		if end != "" {
+			body = "29\r\n" + body + "\r\n"
+		}
+		u := serve(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = takeRequest(r)
+			_, _ = io.WriteString(c, stream+end+"\r\n"+body)
+		})
+		out, rec := do(u.dial(), request(""), Options{Events: true})
+		require.Equal(t, retry.Lost, out.End)
+		require.Equal(t, "2", out.Resume)
+		require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", rec.body.String())
+	}
+}
+
+// Guards against events that wait for later ones.
+func TestEventsArePassedOnAsTheyArrive(t *testing.T) {
+	passed := make(chan struct{})
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _, _ = takeRequest(r)
+		_, _ = io.WriteString(c, stream+"Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n")
+		<-passed
+		_, _ = io.WriteString(c, "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n")
+	})
+	rec := &signalling{passed: passed}
+	out := Do(context.Background(), u.dial(), request(""), head, rec, Options{Events: true})
+	require.Equal(t, retry.Answered, out.End, out.Detail)
+	require.Equal(t, 2, rec.parts)
+	require.True(t, out.Reusable)
+}
+
+type signalling struct {
+	recorder
+	passed chan struct{}
+}
+
+func (s *signalling) Part(data []byte) error {
+	if s.parts == 0 {
+		close(s.passed)
+	}
+	return s.recorder.Part(data)
+}
+
+// Guards against an answer that is appended to a stream which it does not
+// continue.
+func TestOnlyEventsContinueAStream(t *testing.T) {
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _, _ = takeRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 500 No\r\nId: 1\r\nContent-Length: 4\r\n\r\nfail")
+	})
+	out, rec := do(u.dial(), request(""), Options{Events: true, Resumed: true})
+	require.Equal(t, retry.Lost, out.End)
+	require.Zero(t, rec.parts)
+}
+
+// Guards against an upstream that accepts a request and says nothing.
+func TestSilenceEndsAnExchange(t *testing.T) {
+	quiet := make(chan struct{})
+	defer close(quiet)
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _, _ = takeRequest(r)
+		_, _ = io.WriteString(c, stream+"\r\nid: 1\ndata: a\n\n")
+		<-quiet
+	})
+	out, _ := do(u.dial(), request(""), Options{Events: true, FirstByte: time.Minute, Gap: time.Millisecond})
+	require.Equal(t, retry.Silent, out.End)
+	require.Equal(t, "1", out.Resume)
+	mute := serve(t, func(net.Conn, *bufio.Reader) { <-quiet })
+	out, _ = do(mute.dial(), request(""), Options{FirstByte: time.Millisecond})
+	require.Equal(t, retry.Silent, out.End)
+}
+
+// Guards against work that goes on at an upstream after the caller left.
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	begun := make(chan struct{})
+	u := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		_, _, _ = takeRequest(r)
+		close(begun)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-begun
+		cancel()
+	}()
+	c := u.dial()
+	out := Do(ctx, c, request(""), head, &recorder{}, Options{})
+	require.Equal(t, retry.CallerLeft, out.End)
+	require.False(t, out.Reusable)
+	c.Close()
+	<-closed
+}
+
+// Guards against a connection on which the rest of a long body is still due and
+// that is used for the next request.
+func TestAnswerBeforeTheBodyWasRead(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 400 No\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+		<-done
+	})
+	out, rec := do(u.dial(), request(strings.Repeat("x", 32<<20)), Options{})
+	require.Equal(t, retry.Answered, out.End)
+	require.Equal(t, 400, rec.status)
+	require.False(t, out.Reusable)
+}
+
+// Guards against a failure that reaches the caller although the request could
+// be sent again.
+func TestServerErrorIsHeld(t *testing.T) {
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _, _ = takeRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 500 No\r\nId: 1\r\nContent-Length: 4\r\n\r\nfail")
+	})
+	out, rec := do(u.dial(), request(""), Options{Hold: true})
+	require.True(t, out.Ended.Held)
+	require.True(t, out.Failed)
+	require.Equal(t, "fail", string(out.Held.Body))
+	require.Zero(t, rec.status)
+}
+
+// Guards against a caller that cannot be written to and is taken for a failure
+// of the upstream.
+func TestCallerThatAcceptsNothing(t *testing.T) {
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _, _ = takeRequest(r)
+		_, _ = io.WriteString(c, stream+"\r\nid: 1\ndata: a\n\n")
+	})
+	out := Do(context.Background(), u.dial(), request(""), head, &recorder{fail: true}, Options{Events: true})
+	require.Equal(t, retry.CallerLeft, out.End)
+}
+
+// Guards against a connection that is used again after the upstream's time for
+// idle connections.
+func TestIdleTimeOfTheUpstream(t *testing.T) {
+	c := &Conn{}
+	now := time.Now()
+	c.keep(now, time.Second)
+	require.False(t, c.Expired(now))
+	require.True(t, c.Expired(now.Add(time.Second-idleMargin)))
+	c.keep(now, 0)
+	require.True(t, c.Expired(now.Add(idleMost)))
+}
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -152,8 +152,8 @@
 
 func (s *State) rebuild(now time.Time) {
 	v := &View{
-		Out:      map[fleet.FailureDomain]bool{},
-		Wanted:   map[string]Wanted{},
+		Out:    map[fleet.FailureDomain]bool{},
+		Wanted: map[string]Wanted{},
 	}
 	for key, h := range s.items {
 		v.Revision = max(v.Revision, h.revision)
--- /dev/null
+++ b/lib/retry/window_test.go
@@ -0,0 +1,65 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a budget that several processes exceed together although each
+// keeps its part: in every window the repeats of all stay within the ratio of
+// all first attempts plus the reserve.
+func TestWindowsOfAllProcessesKeepTheBudget(t *testing.T) {
+	limits := WindowLimits{Ratio: 0.2, Reserve: 40, Window: 10 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		begun := time.Unix(1000, 0)
+		processes := rapid.IntRange(1, 5).Draw(t, "processes")
+		windows := make([]*Window, processes)
+		for i := range windows {
+			windows[i] = NewWindow(limits, begun)
+		}
+		type event struct {
+			at     time.Duration
+			repeat bool
+		}
+		var events []event
+		at := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			at += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			w := windows[rapid.IntRange(0, processes-1).Draw(t, "process")]
+			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+				w.First(begun.Add(at))
+				events = append(events, event{at: at})
+			} else if w.Spend(begun.Add(at), processes) {
+				events = append(events, event{at: at, repeat: true})
+			}
+		}
+		for _, last := range events {
+			first, repeats := 0.0, 0.0
+			for _, e := range events {
+				// First attempts of the part before the window count as well.
+				age := last.at - e.at
+				switch {
+				case age < 0 || age >= limits.Window+limits.Window/windowParts:
+				case e.repeat && age < limits.Window:
+					repeats++
+				case !e.repeat:
+					first++
+				}
+			}
+			require.LessOrEqual(t, repeats, limits.Ratio*first+limits.Reserve)
+		}
+	})
+}
+
+// Guards against repeats that are never allowed again.
+func TestWindowForgets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewWindow(WindowLimits{Reserve: 2, Window: 10 * time.Second}, now)
+	require.True(t, w.Spend(now, 1))
+	require.True(t, w.Spend(now, 1))
+	require.False(t, w.Spend(now.Add(9*time.Second), 1))
+	require.True(t, w.Spend(now.Add(11*time.Second), 1))
+}
