watcher: renew a watch within the time for a configuration

Change: a watch waits for the time within which a configuration must be in force, and at loaders half the time for a version. The servers for readiness and control are closed at a stop; the process did not end before.

--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -57,7 +57,7 @@
 	debug.SetMemoryLimit(s.MemoryBytes / 2)
 	out := logline.New(os.Stdout)
 	logger := out.Logger(string(s.Instance))
-	w := watcher.New(platform.NewStore(s.Store), "", logger)
+	w := watcher.New(platform.NewStore(s.Store), "", s.Bounds.ConfigWithin, logger)
 	g := gateway.New(gatewaySettings(s), platform.Codec{}, w, logger)
 	return withLog(out, g)
 }
@@ -119,7 +119,7 @@
 	out := logline.New(os.Stdout)
 	logger := out.Logger(string(s.Instance))
 	store := platform.NewStore(s.Store)
-	w := watcher.New(store, platform.WantedPrefix, logger)
+	w := watcher.New(store, platform.WantedPrefix, s.Bounds.VersionWithin/2, logger)
 	l := loader.Settings{
 		Instance:      s.Instance,
 		Region:        s.Region,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -160,7 +160,11 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for %s", name)
 	}
-	group.Go(name, func(context.Context) error { return wire.Serve(server, l) })
+	group.Go(name, func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		return wire.Serve(server, l)
+	})
 	return nil
 }
 
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/dispatch"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/retry"
+	"rattanspur.example/lib/watcher"
+	"rattanspur.example/platform"
+)
+
+// waitMost bounds how long a test waits for an event.
+const waitMost = 30 * time.Second
+
+// fakeSource publishes items as a store does. It can be out of reach.
+type fakeSource struct {
+	mu       sync.Mutex
+	down     bool
+	revision uint64
+	items    map[string]published.Change
+	changed  chan struct{}
+}
+
+func newSource() *fakeSource {
+	return &fakeSource{items: map[string]published.Change{}, changed: make(chan struct{})}
+}
+
+func (s *fakeSource) put(key, text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	c, err := platform.Codec{}.Published(key, s.revision, text == "", []byte(text))
+	if err != nil {
+		panic(err)
+	}
+	s.items[key] = c
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeSource) batch(after uint64) (published.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return published.Batch{}, net.ErrClosed
+	}
+	b := published.Batch{Revision: s.revision}
+	for _, c := range s.items {
+		if c.Revision > after {
+			b.Changes = append(b.Changes, c)
+		}
+	}
+	return b, nil
+}
+
+// Snapshot implements watcher.Source.
+func (s *fakeSource) Snapshot(context.Context, string, bool) (published.Batch, error) {
+	return s.batch(0)
+}
+
+// Watch implements watcher.Source.
+func (s *fakeSource) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (published.Batch, error) {
+	s.mu.Lock()
+	changed, news := s.changed, s.revision > after
+	s.mu.Unlock()
+	if !news {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return published.Batch{}, ctx.Err()
+		}
+	}
+	return s.batch(after)
+}
+
+const routes = `{"version":1,"routes":[
+ {"name":"stream","host":"h","prefix":"/stream/","route_kind":"streaming","timeout_ms":20000,"goal_ms":5000,"gap_goal_ms":5000,"service":"engine","max_attempts":2,"resumable":true},
+ {"name":"once","host":"h","prefix":"/once/","route_kind":"unsafe","timeout_ms":20000,"goal_ms":5000,"service":"desk","max_attempts":2},
+ {"name":"read","host":"h","prefix":"/read/","route_kind":"safe","timeout_ms":20000,"goal_ms":5000,"service":"desk","max_attempts":2},
+ {"name":"brief","host":"h","prefix":"/brief/","route_kind":"unsafe","timeout_ms":50,"goal_ms":50,"service":"desk","max_attempts":1}],
+ "services":[{"name":"desk"},{"name":"engine","engine":{"slots":4,"layers":2,"models":[{"name":"m"}]}}],
+ "limits":{"max_body_bytes":1000},"tenants":[{"name":"customer","api_keys":["key"]}]}`
+
+// upstreams start stand-ins of one service and publish them.
+func (s *fakeSource) upstream(t *testing.T, id, service string, h http.HandlerFunc) {
+	server := httptest.NewServer(h)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	s.put("servers/"+id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":4,"state":"ready","born":1,
+	 "models":[{"name":"m","version":1}],"layers":{"from":0,"to":2,"version":1}}`, service, server.Listener.Addr()))
+}
+
+// running is a gateway under test.
+type running struct {
+	t       *testing.T
+	gateway *Gateway
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func start(t *testing.T, source watcher.Source, seeds ...string) *running {
+	logger := log.NewLogfmtLogger(io.Discard)
+	w := watcher.New(source, "", time.Second, logger)
+	g := New(Settings{
+		Instance: "g", Listen: freeAddress(t), Ready: freeAddress(t), Control: freeAddress(t), Peers: freeAddress(t),
+		ReadyPath: platform.ReadyPath, Seeds: seeds, Grace: 4 * time.Second,
+		Dispatch: dispatch.Settings{
+			Region: "north", Regions: map[fleet.FailureDomain]fleet.Region{"a": "north"},
+			Retries: retry.WindowLimits{Reserve: 100, Window: 10 * time.Second}, VersionWithin: 8 * time.Second,
+			Random: func(int) int { return 0 },
+		},
+	}, platform.Codec{}, w, logger)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{t: t, gateway: g, stop: cancel, done: make(chan error, 1)}
+	go func() { r.done <- g.Run(ctx) }()
+	t.Cleanup(cancel)
+	require.Eventually(t, func() bool { return g.configured.Load() }, waitMost, time.Millisecond)
+	return r
+}
+
+func (r *running) request(ctx context.Context, method, path, body string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.gateway.settings.Listen+path, strings.NewReader(body))
+	require.NoError(r.t, err)
+	req.Host = "h"
+	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set("Rattanspur-Attempt-Id", "id-1")
+	req.Header.Set("Rattanspur-Deadline-Ms", "10000")
+	req.Header.Set("Rattanspur-Model", "m")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return client.Do(req)
+}
+
+// call sends a request and returns its status and body.
+func (r *running) call(method, path, body string) (int, string) {
+	r.t.Helper()
+	resp, err := r.request(context.Background(), method, path, body)
+	require.NoError(r.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(r.t, err)
+	return resp.StatusCode, string(data)
+}
+
+// answer writes an upstream's own answer.
+func answer(w http.ResponseWriter, r *http.Request, status int, body string) {
+	w.Header().Set("Rattanspur-Attempt-Id", r.Header.Get("Rattanspur-Attempt-Id"))
+	w.Header().Set("Rattanspur-Replica-Signature", "signed")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body)
+}
+
+// beginEvents begins a stream.
+func beginEvents(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	answer(w, r, http.StatusOK, "")
+}
+
+func writeEvent(w http.ResponseWriter, id int) {
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id)
+	_ = http.NewResponseController(w).Flush()
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -224,8 +224,8 @@
 	_ = g.outgoing.Put(ctx, outgoing{
 		message: peering.Message{
 			From: g.settings.Peers, Control: g.settings.Control, Revision: r.revision,
-			Region:   g.settings.Dispatch.Region,
-			Loads: r.core.Loads(), Suspects: suspects(r.core), Peers: r.peers.Named(),
+			Region: g.settings.Dispatch.Region,
+			Loads:  r.core.Loads(), Suspects: suspects(r.core), Peers: r.peers.Named(),
 		},
 		targets: r.peers.Targets(now),
 	})
--- a/lib/transfer/sources.go
+++ b/lib/transfer/sources.go
@@ -46,16 +46,28 @@
 		s.busies = 0
 		s.strikes = min(s.corrupt, s.strikes)
 	case Busy:
-		s.avoid = now.Add(busyFor << s.busies)
-		s.busies = min(s.busies+1, maxBusyDoublings)
+		s.rest(now)
 	case Corrupt:
 		s.corrupt++
-		s.strike(now)
+		if s.peer {
+			s.strike(now)
+			break
+		}
+		// Nothing replaces store and origin, which may spoil a few of many
+		// chunks: they are asked again soon.
+		s.rest(now)
 	case Failed, Absent, Changed:
 		s.strike(now)
 	}
 }
 
+// rest leaves a source alone for a short time that doubles until it sends a
+// right chunk.
+func (s *sourceState) rest(now time.Time) {
+	s.avoid = now.Add(busyFor << s.busies)
+	s.busies = min(s.busies+1, maxBusyDoublings)
+}
+
 func (s *sourceState) strike(now time.Time) {
 	wait := min(failedFor<<min(s.strikes, maxDoublings), maxAvoid)
 	s.strikes++
--- /dev/null
+++ b/lib/transfer/sources_test.go
@@ -0,0 +1,66 @@
+package transfer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an origin that spoils a few of many chunks and is left alone
+// for longer with each of them: nothing replaces it.
+func TestSpoiltChunksOfTheOriginCostLittleTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	origin := &sourceState{}
+	for range 20 {
+		origin.ended(now, ChunkEnded{Outcome: Corrupt})
+		require.LessOrEqual(t, origin.avoid.Sub(now), busyFor)
+		origin.ended(now, ChunkEnded{Outcome: Verified})
+	}
+	peer := &sourceState{peer: true}
+	for range maxCorrupt {
+		peer.ended(now, ChunkEnded{Outcome: Corrupt})
+	}
+	require.True(t, peer.banned())
+	require.GreaterOrEqual(t, peer.avoid.Sub(now), failedFor)
+}
+
+// Guards against an agent of a seeded region that sends over its narrow link,
+// and against one that is left without a source when the seeder is silent.
+func TestSeedersAloneSend(t *testing.T) {
+	now := time.Unix(1000, 0)
+	peers := []Peer{{ID: "seeder", Region: "north", Seeder: true}, {ID: "a", Region: "north"}, {ID: "b", Region: "north"}}
+	limits := newSim(0, 0, "north").limits
+	c := New(Start{Self: peers[1], StoreRegion: "north", Chunks: 4}, limits, now)
+	require.Empty(t, c.place.Drawers()[1:])
+	require.Equal(t, "seeder", string(c.setAndPlace(peers).Drawers()[0].ID))
+	have := NewSet(4)
+	for i := range 4 {
+		have.Add(i)
+	}
+	c.Step(now, HaveReceived{Peer: "b", Update: HaveUpdate{Full: true, Have: have}})
+	actions := c.Step(now, HaveReceived{Peer: "seeder", Update: HaveUpdate{Full: true, Have: have}})
+	for _, a := range actions {
+		if r, ok := a.(RequestChunk); ok {
+			require.Equal(t, "seeder", string(r.Source.Peer))
+		}
+	}
+	// The seeder does not answer: the other peer is used.
+	for i := range 4 {
+		c.Step(now, ChunkEnded{Index: i, Source: Source{Peer: "seeder"}, Outcome: Failed})
+	}
+	c.Step(now, HaveFailed{Peer: "seeder"})
+	c.Step(now, Tick{})
+	fromOther := 0
+	for _, f := range c.flights {
+		if f.source.Peer == "b" {
+			fromOther++
+		}
+	}
+	require.Positive(t, fromOther)
+}
+
+func (c *Core) setAndPlace(peers []Peer) *Placement {
+	c.setPeers(peers)
+	return &c.place
+}
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -23,9 +23,6 @@
 }
 
 const (
-	// watchWait is how long a watch waits. Keep-alive probes notice a connection
-	// that goes silent meanwhile.
-	watchWait = 10 * time.Second
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -48,6 +45,8 @@
 type Watcher struct {
 	source Source
 	prefix string
+	// wait is how long a watch waits.
+	wait   time.Duration
 	logger log.Logger
 	news   *ring.Ring[News]
 	views  []*ring.Ring[*published.View]
@@ -68,11 +67,13 @@
 	Revision uint64
 }
 
-// New returns a watcher of the items under a prefix.
-func New(source Source, prefix string, logger log.Logger) *Watcher {
+// New returns a watcher of the items under a prefix. A watch is renewed after
+// wait, because one that the store cut in silence brings no more news.
+func New(source Source, prefix string, wait time.Duration, logger log.Logger) *Watcher {
 	return &Watcher{
 		source: source,
 		prefix: prefix,
+		wait:   wait,
 		logger: logger,
 		news:   ring.New[News](16, ring.Wait),
 		asks:   ring.New[ask](64, ring.Refuse),
@@ -118,7 +119,7 @@
 			n.Whole = true
 			n.Batch, err = w.source.Snapshot(ctx, w.prefix, false)
 		} else {
-			n.Batch, err = w.source.Watch(ctx, w.prefix, w.resume, watchWait)
+			n.Batch, err = w.source.Watch(ctx, w.prefix, w.resume, w.wait)
 		}
 		if err != nil {
 			// After a failure the registrations may have lapsed meanwhile, and
--- /dev/null
+++ b/lib/watcher/watcher_test.go
@@ -0,0 +1,123 @@
+package watcher
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/duty"
+	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/ring"
+)
+
+// waitMost bounds how long a test waits for an event.
+const waitMost = 30 * time.Second
+
+// script is a source that plays steps; the last one repeats.
+type script struct {
+	mu       sync.Mutex
+	steps    []step
+	snapshot []published.Change
+	watches  int
+	waits    []time.Duration
+}
+
+type step struct {
+	batch published.Batch
+	err   error
+	// silent keeps the watch waiting for its whole time.
+	silent bool
+}
+
+func (s *script) Snapshot(context.Context, string, bool) (published.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return published.Batch{Changes: s.snapshot, Revision: uint64(len(s.snapshot))}, nil
+}
+
+func (s *script) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) (published.Batch, error) {
+	s.mu.Lock()
+	next := s.steps[min(s.watches, len(s.steps)-1)]
+	s.watches++
+	s.waits = append(s.waits, wait)
+	s.mu.Unlock()
+	if next.silent {
+		_ = duty.Sleep(ctx, wait)
+	}
+	return next.batch, next.err
+}
+
+func upstream(id string, revision uint64) published.Change {
+	return published.Change{Key: id, Revision: revision, Item: &published.Upstream{Address: id}}
+}
+
+func run(t *testing.T, s Source, wait time.Duration) (*Watcher, *ring.Ring[*published.View]) {
+	w := New(s, "", wait, log.NewLogfmtLogger(io.Discard))
+	views := w.Subscribe()
+	g := duty.NewGroup(context.Background())
+	w.Start(g)
+	t.Cleanup(func() {
+		g.Stop()
+		require.NoError(t, g.Wait())
+	})
+	return w, views
+}
+
+func next(t *testing.T, views *ring.Ring[*published.View]) *published.View {
+	ctx, cancel := context.WithTimeout(context.Background(), waitMost)
+	defer cancel()
+	v, err := views.Take(ctx)
+	require.NoError(t, err)
+	return v
+}
+
+// Guards against a process that goes on with an old view after the store cut
+// its watch in silence and discarded the history.
+func TestSilentWatchIsRenewed(t *testing.T) {
+	s := &script{
+		snapshot: []published.Change{upstream("a", 1)},
+		steps:    []step{{silent: true}, {err: published.ErrCompacted}, {silent: true}},
+	}
+	_, views := run(t, s, 10*time.Millisecond)
+	require.Len(t, next(t, views).Upstreams, 1)
+	s.mu.Lock()
+	s.snapshot = append(s.snapshot, upstream("b", 2))
+	s.mu.Unlock()
+	require.Len(t, next(t, views).Upstreams, 2)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.waits {
+		require.Equal(t, 10*time.Millisecond, w)
+	}
+}
+
+// Guards against a process that stays behind after the store was away.
+func TestStoreThatComesBack(t *testing.T) {
+	s := &script{
+		snapshot: []published.Change{upstream("a", 1)},
+		steps:    []step{{err: errors.New("refused")}, {batch: published.Batch{Changes: []published.Change{upstream("b", 5)}, Revision: 5}}, {silent: true}},
+	}
+	_, views := run(t, s, 10*time.Millisecond)
+	for len(next(t, views).Upstreams) < 2 {
+	}
+}
+
+// Guards against news of a peer that is lost, and against a peer that gets an
+// answer without what this process knows.
+func TestNewsOfPeersArePassedOn(t *testing.T) {
+	s := &script{snapshot: []published.Change{upstream("a", 1)}, steps: []step{{silent: true}}}
+	w, views := run(t, s, time.Second)
+	require.Len(t, next(t, views).Upstreams, 1)
+	require.NoError(t, w.Tell(context.Background(), published.Batch{Changes: []published.Change{upstream("b", 7)}, Revision: 7}))
+	require.Len(t, next(t, views).Upstreams, 2)
+	a, err := w.Since(context.Background(), 1)
+	require.NoError(t, err)
+	require.Len(t, a.Changes, 1)
+	require.Equal(t, "b", a.Changes[0].Key)
+}
