dispatch: new requests first, slots shared by demand, what waits ordered by its end

Ruled out: a limit on patience at 0.95 of the longest took first attempts for repeats, since callers' patience differs by 15 %. Change: requests that come back use only room that no new one needs; while new ones wait or are refused anywhere, gateways divide the slots of each replica by the rate of arrivals; waits are shorter and ordered by their end.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -44,6 +44,8 @@
 	// lastEvent is the last event that the caller has, if it can resume.
 	lastEvent string
 	held      *exchange.Held
+	// load is what the upstream said with its last answer; nil if nothing.
+	load *dispatch.Load
 }
 
 // serveCall reads a request, hands it to the router and carries out its orders.
@@ -130,7 +132,7 @@
 	c.gateway.metrics.attempt(out.End)
 	c.log("attempt", "number", a.Number, "upstream", a.Upstream, "expect", a.ExpectVersion,
 		"left", time.Until(a.Deadline).Seconds(), "end", out.End, "first", out.FirstByte.Seconds(),
-		"version", out.Version, "detail", out.Detail)
+		"version", out.Version, "load", c.load, "waited", a.Waited.Seconds(), "patience", c.call.Patience.Seconds(), "detail", out.Detail)
 	_ = c.gateway.inbox.Put(context.Background(), ended{ticket: c.ticket, end: out.Ended, conn: out.conn})
 }
 
@@ -188,6 +190,7 @@
 
 // Observe implements exchange.Answer.
 func (c *carrier) Observe(h *exchange.Head) {
+	c.load = h.Load
 	_ = c.gateway.inbox.Put(context.Background(), observed{ticket: c.ticket, seen: dispatch.Observation{
 		Load: h.Load, Version: h.Version, ColdLeft: h.ColdLeft,
 	}})
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -219,7 +219,8 @@
 func (r *router) gossip(ctx context.Context, now time.Time) {
 	r.peers.Expire(now)
 	r.core.SetProcesses(r.peers.Processes())
-	r.core.SetOthers(now, r.peers.Others(now))
+	demands := r.core.Demands(now)
+	r.core.SetOthers(now, r.peers.Others(now), r.peers.Shares(now, demands))
 	g := r.gateway
 	_ = g.outgoing.Put(ctx, outgoing{
 		message: peering.Message{
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -68,15 +68,37 @@
 // lane is a queue of requests that wait for the same upstreams.
 type lane = admission.Queue[*request]
 
+// lanes are queues by the regions that may serve their requests, so that
+// requests bound to a full region hold up no others.
+type lanes map[string]*lane
+
+// length returns the number of requests that wait.
+func (l lanes) length() int {
+	n := 0
+	for _, q := range l {
+		n += q.Len()
+	}
+	return n
+}
+
 // service holds the upstreams and the waiting requests of one service.
 type service struct {
 	name      fleet.Service
 	published *published.Service
 	upstreams []*upstream
-	// lanes hold the waiting requests by the regions that may serve them, so
-	// that requests bound to a full region hold up no others.
-	lanes  map[string]*lane
-	budget *retry.Window
+	// fresh holds the waiting requests that can still be in time, back those that
+	// come back after a refusal, which are served if room is left.
+	fresh, back lanes
+	budget      *retry.Window
+	// goal is the longest goal of the routes to the service.
+	goal time.Duration
+	// demand is the rate at which requests arrive here, share this entry's part
+	// of the slots as of sharedAt.
+	demand   rate
+	share    peering.Share
+	sharedAt time.Time
+	// refused is when a new request was last refused for lack of room.
+	refused time.Time
 	// coldBound is this process's part of what a cold upstream bears in
 	// coldWindow; 0 does not limit.
 	coldBound int
@@ -84,7 +106,9 @@
 
 // Core holds the decisions of one entry. It is owned by one duty.
 type Core struct {
-	settings  Settings
+	settings Settings
+	// begun is when the first view came; priorities count from it.
+	begun     time.Time
 	view      *published.View
 	services  map[fleet.Service]*service
 	upstreams map[fleet.InstanceID]*upstream
@@ -118,12 +142,26 @@
 	}
 }
 
-// SetOthers tells what other entries have at each upstream. Upstreams that are
-// not named have nothing.
-func (c *Core) SetOthers(now time.Time, loads map[fleet.InstanceID]peering.Load) {
+// SetOthers tells what other entries have at each upstream, and this entry's
+// part of the slots of each service. What is not named is nothing.
+func (c *Core) SetOthers(now time.Time, loads map[fleet.InstanceID]peering.Load, shares map[fleet.Service]peering.Share) {
 	for id, u := range c.upstreams {
 		u.told, u.toldAt = loads[id], now
 	}
+	for name, s := range c.services {
+		s.share, s.sharedAt = shares[name], now
+	}
+}
+
+// Demands returns how many requests for each service arrive and wait here.
+func (c *Core) Demands(now time.Time) map[fleet.Service]peering.Demand {
+	out := map[fleet.Service]peering.Demand{}
+	for name, s := range c.services {
+		if perSecond := s.demand.perSecond(now); perSecond > 0 {
+			out[name] = peering.Demand{PerSecond: perSecond, Waiting: s.fresh.length(), Refused: s.short(now)}
+		}
+	}
+	return out
 }
 
 // Loads returns what this entry has at each upstream.
@@ -141,9 +179,7 @@
 func (c *Core) Waiting() int {
 	n := 0
 	for _, s := range c.services {
-		for _, q := range s.lanes {
-			n += q.Len()
-		}
+		n += s.fresh.length() + s.back.length()
 	}
 	return n
 }
@@ -157,6 +193,9 @@
 // Update takes in a new view.
 func (c *Core) Update(now time.Time, v *published.View) []Action {
 	c.view = v
+	if c.begun.IsZero() {
+		c.begun = now
+	}
 	old := c.upstreams
 	c.upstreams = make(map[fleet.InstanceID]*upstream, len(v.Upstreams))
 	for _, s := range c.services {
@@ -181,6 +220,13 @@
 			s := c.service(now, name)
 			s.published = p
 			s.coldBound = c.coldBound(p)
+			s.goal = 0
+		}
+		for i := range v.Config.Routes {
+			for _, t := range v.Config.Routes[i].Targets {
+				s := c.service(now, t.Service)
+				s.goal = max(s.goal, v.Config.Routes[i].Goal)
+			}
 		}
 	}
 	c.setTurns(now)
@@ -207,7 +253,8 @@
 	if s == nil {
 		s = &service{
 			name:   name,
-			lanes:  map[string]*lane{},
+			fresh:  lanes{},
+			back:   lanes{},
 			budget: retry.NewWindow(c.settings.Retries, now),
 		}
 		c.services[name] = s
@@ -246,7 +293,10 @@
 	c.requests[ticket] = r
 	s := c.service(now, r.service)
 	s.budget.First(now)
-	if q := s.lanes[r.lane()]; q == nil || q.Len() == 0 {
+	if !r.returning {
+		s.demand.add(now)
+	}
+	if s.idle(r) {
 		if send, ok := c.try(now, s, r); ok {
 			return []Action{send}
 		}
@@ -280,7 +330,7 @@
 
 // returningShare is the part of a route's usual patience below which a caller
 // is taken to come back after a refusal.
-const returningShare = 0.95
+const returningShare = 0.8
 
 // lane names the regions that may serve the request.
 func (r *request) lane() string {
--- a/lib/dispatch/core_test.go
+++ b/lib/dispatch/core_test.go
@@ -292,10 +292,10 @@
 // Guards against an engine that several gateways fill together.
 func TestRequestsOfOtherGatewaysCount(t *testing.T) {
 	b := newBench(t, view(replica("a", 1)))
-	b.core.SetOthers(b.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}})
+	b.core.SetOthers(b.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}}, nil)
 	_, actions := b.arrive("/stream/1")
 	require.Empty(t, actions)
-	b.core.SetOthers(b.now, nil)
+	b.core.SetOthers(b.now, nil, nil)
 	require.Len(t, b.core.Tick(b.now), 1)
 }
 
@@ -303,11 +303,11 @@
 // once its wait is over, with a time to come back that callers honour.
 func TestWaitEndsWithATimeToComeBack(t *testing.T) {
 	b := newBench(t, view(replica("a", 1)))
-	b.core.SetOthers(b.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}})
+	b.core.SetOthers(b.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}}, nil)
 	_, actions := b.arrive("/stream/1")
 	require.Empty(t, actions)
-	b.now = b.now.Add(time.Duration(streamWait*400) * time.Millisecond)
-	b.core.SetOthers(b.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}})
+	b.now = b.now.Add(time.Duration(streamWait * float64(400*time.Millisecond)))
+	b.core.SetOthers(b.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}}, nil)
 	r := b.refused(b.core.Tick(b.now))
 	require.Equal(t, NotRun, r.Verdict)
 	require.Positive(t, r.After)
@@ -318,10 +318,10 @@
 // is sent later.
 func TestCallerThatLeftIsNotServed(t *testing.T) {
 	b := newBench(t, view(replica("a", 1)))
-	b.core.SetOthers(b.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}})
+	b.core.SetOthers(b.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}}, nil)
 	ticket, _ := b.arrive("/stream/1")
 	b.core.Left(b.now, ticket)
-	b.core.SetOthers(b.now, nil)
+	b.core.SetOthers(b.now, nil, nil)
 	require.Empty(t, b.core.Tick(b.now))
 	require.Zero(t, b.core.InFlight())
 }
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -15,10 +15,14 @@
 	// engineRoom is the part of an engine's slots that is used. A request that
 	// waits in the engine cannot go elsewhere any more.
 	engineRoom = 1.0
+	// backRoom is that part for requests that come back after a refusal. They
+	// are late already, and each one that is served while others arrive makes
+	// another one late.
+	backRoom = 0.75
 	// plainRoom is that part for plain services, whose requests are short.
 	plainRoom = 2.0
-	// readingRoom is the part of a route's goal that the prompts which wait at an
-	// engine may take to be read: it reads them one after the other.
+	// readingRoom is the part of a service's goal that the prompts which wait at
+	// an engine may take to be read: it reads them one after the other.
 	readingRoom = 0.35
 	// readingCost is what a time of reading of the route's whole goal adds to
 	// the cost of an engine.
@@ -56,6 +60,7 @@
 		Deadline:  r.deadline,
 		Streaming: r.route.Kind == published.Streaming,
 		Hold:      r.route.Idempotent(),
+		Waited:    now.Sub(r.arrived),
 		Number:    r.attempts,
 	}
 	if s.published != nil && s.published.Engine != nil {
@@ -93,6 +98,9 @@
 	if s.published == nil {
 		return nil
 	}
+	if s.published.Engine != nil && r.returning && !s.spare(now) {
+		return nil
+	}
 	var best, avoided *upstream
 	bestCost := 0.0
 	healthy := false
@@ -156,11 +164,15 @@
 	if e == nil {
 		return float64(u.load(now)) < plainRoom*float64(u.Slots)
 	}
-	if float64(u.load(now)) >= engineRoom*float64(u.Slots) {
+	room := engineRoom
+	if r.returning {
+		room = backRoom
+	}
+	if float64(u.load(now)) >= room*float64(u.Slots) || u.mine >= s.quota(now, u) {
 		return false
 	}
 	unread := u.unread(now)
-	return unread == 0 || reading(e, unread+r.Prompt) <= time.Duration(readingRoom*float64(r.route.Goal))
+	return unread == 0 || reading(e, unread+r.Prompt) <= time.Duration(readingRoom*float64(s.goal))
 }
 
 // reading returns how long an engine reads a number of prompt tokens.
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -11,9 +11,12 @@
 const (
 	// streamWait is the part of a stream's goal that a request may wait for
 	// room; the rest is the time to its first event.
-	streamWait = 0.5
+	streamWait = 0.3
 	// plainWait is that part of the time to the deadline for other requests.
 	plainWait = 0.5
+	// backWait is that part for a stream whose caller comes back: its goal is
+	// over.
+	backWait = 0.1
 	// promptCost and answerCost are the tokens that count as one unit of work.
 	promptCost = 1024
 	answerCost = 128
@@ -31,14 +34,15 @@
 	if !c.reachable(now, s, r) {
 		return c.giveUp(now, r, "no upstream can serve the request")
 	}
-	q := s.lanes[r.lane()]
+	l := s.lanesOf(r)
+	q := l[r.lane()]
 	if q == nil {
 		q = admission.New[*request](admission.Limits{PerCustomer: queueCustomer, Total: queueTotal})
-		s.lanes[r.lane()] = q
+		l[r.lane()] = q
 	}
 	reason := q.Push(now, admission.Item[*request]{
 		Customer: r.customerName(),
-		Priority: priority(r),
+		Priority: c.priority(r, until),
 		Cost:     1 + r.Prompt/promptCost + r.Answer/answerCost,
 		Deadline: until,
 		Value:    r,
@@ -49,18 +53,37 @@
 	return c.drain(now)
 }
 
-// priority orders the waiting requests of one customer: by rank, and requests
-// that can still be in time before those that come back after a refusal.
-func priority(r *request) int {
-	p := -2 * r.rank()
-	if r.returning {
-		p--
+// lanesOf returns the queues that a request belongs to.
+func (s *service) lanesOf(r *request) lanes {
+	if r.returning && r.route.Kind == published.Streaming {
+		return s.back
 	}
-	return p
+	return s.fresh
 }
 
+// idle reports whether no request waits that goes before a new one.
+func (s *service) idle(r *request) bool {
+	if q := s.fresh[r.lane()]; q != nil && q.Len() > 0 {
+		return false
+	}
+	q := s.lanesOf(r)[r.lane()]
+	return q == nil || q.Len() == 0
+}
+
+// priority orders the waiting requests of one customer: by rank, and then by
+// the end of their wait.
+func (c *Core) priority(r *request, until time.Time) int {
+	return -r.rank()*rankSpan - int(until.Sub(c.begun)/time.Millisecond)
+}
+
+// rankSpan is a difference in priority that no wait makes up for.
+const rankSpan = 1 << 40
+
 func (c *Core) waitUntil(now time.Time, r *request) time.Time {
-	if r.route.Kind == published.Streaming {
+	switch {
+	case r.route.Kind == published.Streaming && r.returning:
+		return now.Add(time.Duration(backWait * float64(r.deadline.Sub(now))))
+	case r.route.Kind == published.Streaming:
 		return r.arrived.Add(time.Duration(streamWait * float64(r.route.Goal)))
 	}
 	return now.Add(time.Duration(plainWait * float64(r.deadline.Sub(now))))
@@ -85,11 +108,17 @@
 func (c *Core) drain(now time.Time) []Action {
 	var actions []Action
 	for _, s := range c.services {
-		for name, q := range s.lanes {
-			actions = c.drainLane(now, s, q, actions)
-			if q.Len() == 0 {
-				delete(s.lanes, name)
-			}
+		actions = c.drainLanes(now, s, s.fresh, actions)
+		actions = c.drainLanes(now, s, s.back, actions)
+	}
+	return actions
+}
+
+func (c *Core) drainLanes(now time.Time, s *service, l lanes, actions []Action) []Action {
+	for name, q := range l {
+		actions = c.drainLane(now, s, q, actions)
+		if q.Len() == 0 {
+			delete(l, name)
 		}
 	}
 	return actions
@@ -98,10 +127,16 @@
 func (c *Core) drainLane(now time.Time, s *service, q *lane, actions []Action) []Action {
 	for _, it := range q.Expire(now, c.abandoned) {
 		if r := it.Value; !c.abandoned(r) {
+			if !r.returning {
+				s.refused = now
+			}
 			actions = append(actions, c.giveUp(now, r, "no upstream had room in time")...)
 		}
 	}
 	for it := q.Peek(); it != nil; it = q.Peek() {
+		if fresh := s.fresh[it.Value.lane()]; fresh != nil && fresh != q && fresh.Len() > 0 {
+			break
+		}
 		send, ok := c.try(now, s, it.Value)
 		if !ok {
 			break
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"rattanspur.example/lib/fleet"
@@ -37,6 +38,14 @@
 // Load is what an upstream says of its load.
 type Load struct{ Running, Waiting, Slots int }
 
+// String returns the load as logs show it; a nil load is not known.
+func (l *Load) String() string {
+	if l == nil {
+		return "unknown"
+	}
+	return fmt.Sprintf("%d+%d/%d", l.Running, l.Waiting, l.Slots)
+}
+
 // Ended says how an attempt ended.
 type Ended struct {
 	End retry.End
@@ -97,6 +106,8 @@
 	Streaming bool
 	// Hold asks to read a server error whole before it is passed on.
 	Hold bool
+	// Waited is how long the request waited before it was first sent.
+	Waited time.Duration
 	// Number counts the attempts of the request from 1.
 	Number int
 }
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -40,6 +40,14 @@
 	Prompt int `json:"p,omitempty"`
 }
 
+// Demand is what arrives and waits at one process for a service.
+type Demand struct {
+	PerSecond float64 `json:"r"`
+	Waiting   int     `json:"w,omitempty"`
+	// Refused says that requests were refused for lack of room lately.
+	Refused bool `json:"f,omitempty"`
+}
+
 // Suspect is a request that may have crashed upstreams.
 type Suspect struct {
 	Fingerprint string `json:"f"`
@@ -57,8 +65,10 @@
 	// Revision is that of the newest item in the sender's view.
 	Revision uint64 `json:"rev"`
 	// Loads are the sender's requests at each upstream.
-	Loads    map[fleet.InstanceID]Load `json:"loads,omitempty"`
-	Suspects []Suspect                 `json:"suspects,omitempty"`
+	Loads map[fleet.InstanceID]Load `json:"loads,omitempty"`
+	// Demands are what arrives and waits at the sender.
+	Demands  map[fleet.Service]Demand `json:"demands,omitempty"`
+	Suspects []Suspect                `json:"suspects,omitempty"`
 	// Peers are addresses of others that the sender heard from.
 	Peers []string `json:"peers,omitempty"`
 	// Engine is set in a notice of a loader, which sets nothing else.
@@ -86,6 +96,7 @@
 	heard    time.Time
 	revision uint64
 	loads    map[fleet.InstanceID]Load
+	demands  map[fleet.Service]Demand
 }
 
 // Table holds the peers of one process. It is owned by one duty.
@@ -110,7 +121,8 @@
 	if p == nil {
 		return
 	}
-	p.control, p.region, p.heard, p.revision, p.loads = m.Control, m.Region, now, m.Revision, m.Loads
+	p.control, p.region, p.heard, p.revision = m.Control, m.Region, now, m.Revision
+	p.loads, p.demands = m.Loads, m.Demands
 	for _, a := range m.Peers {
 		if a != t.self {
 			t.member(a)
@@ -163,6 +175,41 @@
 	return sum
 }
 
+// Share is a process's part of the slots of a service, by the requests that
+// arrive at each process. The parts of all processes follow each other from 0
+// to 1 in the order of their addresses.
+type Share struct {
+	Low, High float64
+	// Contended says that requests wait or are refused at other processes.
+	Contended bool
+}
+
+// Shares returns this process's parts, given what arrives here.
+func (t *Table) Shares(now time.Time, own map[fleet.Service]Demand) map[fleet.Service]Share {
+	out := map[fleet.Service]Share{}
+	for name, mine := range own {
+		var before, all float64
+		var s Share
+		for a, p := range t.members {
+			d, ok := p.demands[name]
+			if !ok || now.Sub(p.heard) > loadLife {
+				continue
+			}
+			all += d.PerSecond
+			if a < t.self {
+				before += d.PerSecond
+			}
+			s.Contended = s.Contended || d.Waiting > 0 || d.Refused
+		}
+		all += mine.PerSecond
+		if all > 0 {
+			s.Low, s.High = before/all, (before+mine.PerSecond)/all
+			out[name] = s
+		}
+	}
+	return out
+}
+
 // Member is a process that is alive.
 type Member struct {
 	Control string       `json:"control"`
