viewsync: processes that the store turns away learn from gateways; seeders take from anyone

Change: seeders take pieces from anyone, others stop waiting for a stuck seeder; the age of a wanted version is passed on; loaders read gateways while the store does not answer. Each fault has a test that failed first.

--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -14,6 +14,7 @@
 	"rattanspur.example/lib/logline"
 	"rattanspur.example/lib/pacing"
 	"rattanspur.example/lib/retry"
+	"rattanspur.example/lib/viewsync"
 	"rattanspur.example/lib/watcher"
 	"rattanspur.example/loader"
 	"rattanspur.example/platform"
@@ -135,7 +136,8 @@
 		PeerAddress:   s.LoaderAddress,
 	}
 	engine := fill(s, &l)
-	return withLog(out, loader.New(l, engine, platform.NewOrigin(), store, w, logger))
+	fallback := &viewsync.Fallback{Client: viewsync.NewClient(platform.Codec{}.Published), Members: s.Seeds}
+	return withLog(out, loader.New(l, engine, platform.NewOrigin(), store, fallback, w, logger))
 }
 
 // internal returns the address of an internal port, counted from the first.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/sock"
+	"rattanspur.example/lib/viewsync"
 	"rattanspur.example/lib/watcher"
 	"rattanspur.example/lib/wire"
 )
@@ -85,7 +86,7 @@
 	inbox    *ring.Ring[event]
 	outgoing *ring.Ring[outgoing]
 	pulls    *ring.Ring[pull]
-	peerHTTP *http.Client
+	sync     *viewsync.Client
 	logger   log.Logger
 	metrics  *gatewayMetrics
 	tickets  atomic.Uint64
@@ -106,7 +107,7 @@
 		inbox:    ring.New[event](inboxEvents, ring.Wait),
 		outgoing: ring.New[outgoing](1, ring.DropOldest),
 		pulls:    ring.New[pull](1, ring.Refuse),
-		peerHTTP: &http.Client{Transport: sock.Transport(1)},
+		sync:     viewsync.NewClient(codec.Published),
 		logger:   logger,
 	}
 	g.bodyBytes.Store(defaultBodyBytes)
@@ -132,7 +133,7 @@
 	side := http.NewServeMux()
 	side.HandleFunc("GET "+g.settings.ReadyPath, g.serveReady)
 	side.HandleFunc("GET /metrics", g.metrics.serve)
-	side.HandleFunc("GET "+pathChanges, g.serveChanges)
+	side.Handle("GET "+viewsync.Path, viewsync.Handler(g.watcher))
 	side.HandleFunc("GET "+peering.PathMembers, g.serveMembers)
 	if err := g.startPeers(group); err != nil {
 		return eris.Wrap(err, "listen for peers")
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -5,14 +5,11 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/peering"
-	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/wire"
 )
@@ -20,13 +17,9 @@
 const (
 	// maxDatagram bounds a message between gateways.
 	maxDatagram = 32 << 10
-	// pullTimeout bounds a read of a peer's view.
-	pullTimeout = time.Second
 	// pullPause is the time between two reads of peers' views. The own watch
 	// usually brings what is new before the first one.
 	pullPause = 300 * time.Millisecond
-	// pathChanges is where a gateway passes on what is published.
-	pathChanges = "/peer/changes"
 )
 
 // census asks the router which gateways are alive.
@@ -45,21 +38,6 @@
 	targets []string
 }
 
-// passedItem is a published item on its way between gateways, in the form in
-// which it was published.
-type passedItem struct {
-	Key      string `json:"key"`
-	Revision uint64 `json:"revision"`
-	Removed  bool   `json:"removed,omitempty"`
-	Raw      []byte `json:"raw,omitempty"`
-}
-
-// passedChanges is what one gateway passes on to another.
-type passedChanges struct {
-	Revision uint64       `json:"revision"`
-	Items    []passedItem `json:"items"`
-}
-
 // startPeers runs the duties that speak with other gateways.
 func (g *Gateway) startPeers(group *duty.Group) error {
 	if g.settings.Peers == "" {
@@ -142,45 +120,17 @@
 }
 
 func (g *Gateway) pull(ctx context.Context, p pull) error {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	path := pathChanges + "?" + url.Values{"after": {strconv.FormatUint(p.after, 10)}}.Encode()
-	client := wire.Client{HTTP: g.peerHTTP}
-	var passed passedChanges
-	if err := client.GetJSON(ctx, p.peer, path, &passed); err != nil {
+	b, err := g.sync.Changes(ctx, p.peer, p.after, "")
+	if err != nil {
 		return err
 	}
-	b := published.Batch{Revision: passed.Revision}
-	for _, it := range passed.Items {
-		c, err := g.codec.Published(it.Key, it.Revision, it.Removed, it.Raw)
-		if err != nil {
-			return err
-		}
-		b.Changes = append(b.Changes, c)
+	for _, f := range b.Findings {
+		_ = g.logger.Log("event", "item-unreadable", "peer", p.peer, "err", f)
 	}
 	_ = g.logger.Log("event", "view-pulled", "peer", p.peer, "after", p.after, "items", len(b.Changes))
 	return g.watcher.Tell(ctx, b)
 }
 
-// serveChanges passes on what is newer than a revision.
-func (g *Gateway) serveChanges(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	a, err := g.watcher.Since(r.Context(), after)
-	if err != nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	out := passedChanges{Revision: a.Revision}
-	for _, c := range a.Changes {
-		out.Items = append(out.Items, passedItem{Key: c.Key, Revision: c.Revision, Removed: c.Removed, Raw: c.Raw})
-	}
-	wire.WriteJSON(w, &out)
-}
-
 // serveMembers names the gateways that are alive, this one first.
 func (g *Gateway) serveMembers(w http.ResponseWriter, r *http.Request) {
 	reply := ring.New[[]peering.Member](1, ring.Wait)
@@ -230,8 +180,13 @@
 		},
 		targets: r.peers.Targets(now),
 	})
-	if peer, ok := r.peers.Newer(now, r.revision); ok {
-		_ = g.pulls.Put(ctx, pull{peer: peer, after: r.revision})
+	// The first read of a peer's view also tells since when versions are wanted.
+	after := r.revision
+	if !r.informed {
+		after = 0
+	}
+	if peer, ok := r.peers.Newer(now, after); ok && g.pulls.Put(ctx, pull{peer: peer, after: after}) == nil {
+		r.informed = true
 	}
 }
 
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -81,6 +81,8 @@
 	peers   *peering.Table
 	// revision is that of the newest item in the view.
 	revision uint64
+	// informed says that a peer's view was asked for since the start.
+	informed bool
 }
 
 func (g *Gateway) runRouter(ctx context.Context) error {
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -27,6 +27,8 @@
 	Item any
 	// Raw is the content as published, for passing it on.
 	Raw []byte
+	// Age is how long a peer has known a Wanted; 0 if that is not known.
+	Age time.Duration
 }
 
 // Batch is a set of changes up to a revision. Findings say which items could
@@ -81,6 +83,7 @@
 	changed := false
 	for i := range changes {
 		changed = s.put(&changes[i]) || changed
+		changed = s.recall(now, &changes[i]) || changed
 	}
 	s.revision = max(s.revision, revision)
 	if changed {
@@ -194,15 +197,33 @@
 // maxEarlier bounds the versions that are remembered for a model.
 const maxEarlier = 8
 
+// recall takes in since when a peer has known a wanted version. A process that
+// started later does not know, and must assume the worst until it hears.
+func (s *State) recall(now time.Time, c *Change) bool {
+	w, ok := c.Item.(Wanted)
+	known, learned := s.learned[c.Key]
+	if !ok || c.Age <= 0 || (learned && (known.Version != w.Version || !known.Learned.IsZero())) {
+		return false
+	}
+	w.Learned = now.Add(-c.Age)
+	s.learned[c.Key] = w
+	return true
+}
+
 // Since returns the changes after a revision, removals included.
-func (s *State) Since(revision uint64) []Change {
-	var out []Change
+func (s *State) Since(now time.Time, revision uint64) Batch {
+	b := Batch{Revision: s.revision}
 	for key, h := range s.items {
-		if h.revision > revision {
-			out = append(out, Change{Key: key, Revision: h.revision, Removed: h.item == nil, Item: h.item, Raw: h.raw})
+		if h.revision <= revision {
+			continue
+		}
+		c := Change{Key: key, Revision: h.revision, Removed: h.item == nil, Item: h.item, Raw: h.raw}
+		if w := s.learned[key]; h.item != nil && !w.Learned.IsZero() {
+			c.Age = now.Sub(w.Learned)
 		}
+		b.Changes = append(b.Changes, c)
 	}
-	return out
+	return b
 }
 
 // Records returns the number of keys that the state remembers, removed ones
--- a/lib/published/state_test.go
+++ b/lib/published/state_test.go
@@ -97,6 +97,21 @@
 	require.Equal(t, int64(2), s.View().Wanted["m"].Due(start, 8*time.Second))
 }
 
+// Guards against a process that restarts in the middle of a change of weights
+// and gives the old ones up, although a peer knows how much time is left.
+func TestPeerTellsSinceWhenAVersionIsWanted(t *testing.T) {
+	old := NewState()
+	old.Replace(start, []Change{wanted(1, 1)}, 1)
+	old.Apply(start.Add(time.Second), []Change{wanted(2, 2)}, 2)
+	passed := old.Since(start.Add(4*time.Second), 0)
+	fresh := NewState()
+	fresh.Replace(start.Add(4*time.Second), []Change{wanted(2, 2)}, 2)
+	fresh.Apply(start.Add(4*time.Second), passed.Changes, passed.Revision)
+	w := fresh.View().Wanted["m"]
+	require.Zero(t, w.Due(start.Add(8*time.Second), 8*time.Second))
+	require.Equal(t, int64(2), w.Due(start.Add(9*time.Second), 8*time.Second))
+}
+
 // Guards against removed keys that fill the memory of a long-lived process.
 func TestRemovedKeysAreBounded(t *testing.T) {
 	s := NewState()
--- a/lib/transfer/core.go
+++ b/lib/transfer/core.go
@@ -197,9 +197,13 @@
 	return best, bestIndex
 }
 
-// seeded reports whether a seeder of the own region answers. Then the narrow
-// links of the other peers are spared.
+// seeded reports whether a seeder of the own region answers and chunks arrive.
+// Then the narrow links of the other peers are spared. A seeder takes chunks
+// from anyone, or two of them would wait for each other.
 func (c *Core) seeded(now time.Time) bool {
+	if c.start.Self.Seeder || now.Sub(c.progress) >= c.delay(now) {
+		return false
+	}
 	for _, p := range c.followed {
 		if p.Seeder && !p.remote && p.answered && p.failures == 0 && !now.Before(c.source(p.source()).avoid) {
 			return true
--- a/lib/transfer/sources_test.go
+++ b/lib/transfer/sources_test.go
@@ -60,6 +60,39 @@
 	require.Positive(t, fromOther)
 }
 
+// Guards against two seeders of one region that wait for each other while
+// other peers of the region hold every chunk.
+func TestSeedersTakeChunksFromAnyone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	peers := []Peer{{ID: "s1", Region: "south", Seeder: true}, {ID: "s2", Region: "south", Seeder: true}, {ID: "a", Region: "south"}}
+	c := New(Start{Self: peers[0], StoreRegion: "north", Chunks: 4}, newSim(0, 0, "north").limits, now)
+	c.Step(now, PeersChanged{Peers: peers})
+	c.Step(now, HaveReceived{Peer: "s2", Update: HaveUpdate{Full: true, Have: NewSet(4)}})
+	have := NewSet(4)
+	for i := range 4 {
+		have.Add(i)
+	}
+	c.Step(now, HaveReceived{Peer: "a", Update: HaveUpdate{Full: true, Have: have}})
+	require.NotEmpty(t, c.flights)
+}
+
+// Guards against a leaf that waits for ever for a seeder which never gets the
+// chunks that another peer holds.
+func TestLeafDoesNotWaitForAStuckSeeder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	peers := []Peer{{ID: "s", Region: "south", Seeder: true}, {ID: "a", Region: "south"}, {ID: "b", Region: "south"}}
+	limits := newSim(0, 0, "north").limits
+	c := New(Start{Self: peers[1], StoreRegion: "north", Chunks: 4}, limits, now)
+	c.Step(now, PeersChanged{Peers: peers})
+	c.Step(now, HaveReceived{Peer: "s", Update: HaveUpdate{Full: true, Have: NewSet(4)}})
+	have := NewSet(4)
+	have.Add(1)
+	c.Step(now, HaveReceived{Peer: "b", Update: HaveUpdate{Full: true, Have: have}})
+	require.Empty(t, c.flights)
+	c.Step(now.Add(limits.TakeoverDelay), Tick{})
+	require.NotEmpty(t, c.flights)
+}
+
 func (c *Core) setAndPlace(peers []Peer) *Placement {
 	c.setPeers(peers)
 	return &c.place
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -49,8 +49,10 @@
 	wait   time.Duration
 	logger log.Logger
 	news   *ring.Ring[News]
-	views  []*ring.Ring[*published.View]
-	asks   *ring.Ring[ask]
+	// fallback may be nil.
+	fallback Fallback
+	views    []*ring.Ring[*published.View]
+	asks     *ring.Ring[ask]
 	// resume is where Read goes on; it is owned by Read.
 	resume uint64
 	lost   bool
@@ -58,13 +60,13 @@
 
 type ask struct {
 	after uint64
-	reply *ring.Ring[Answer]
+	reply *ring.Ring[published.Batch]
 }
 
-// Answer is what a process passes on to a peer.
-type Answer struct {
-	Changes  []published.Change
-	Revision uint64
+// Fallback is where items are read while the source does not answer.
+type Fallback interface {
+	// Snapshot returns what is known under a prefix, not all that is published.
+	Snapshot(ctx context.Context, prefix string) (published.Batch, error)
 }
 
 // New returns a watcher of the items under a prefix. A watch is renewed after
@@ -100,14 +102,18 @@
 }
 
 // Since returns the changes after a revision, for a peer.
-func (w *Watcher) Since(ctx context.Context, after uint64) (Answer, error) {
-	reply := ring.New[Answer](1, ring.Wait)
+func (w *Watcher) Since(ctx context.Context, after uint64) (published.Batch, error) {
+	reply := ring.New[published.Batch](1, ring.Wait)
 	if err := w.asks.Put(ctx, ask{after: after, reply: reply}); err != nil {
-		return Answer{}, err
+		return published.Batch{}, err
 	}
 	return reply.Take(ctx)
 }
 
+// SetFallback names where items are read while the source does not answer. It
+// must be called before Start.
+func (w *Watcher) SetFallback(f Fallback) { w.fallback = f }
+
 // read reads the source for as long as the process runs.
 func (w *Watcher) read(ctx context.Context) error {
 	pause := retryFirst
@@ -126,6 +132,7 @@
 			// only a snapshot tells what is missing.
 			whole = true
 			w.failed(ctx, err)
+			w.fallBack(ctx)
 			jitter := time.Duration(rand.Int64N(int64(pause)))
 			_ = duty.Sleep(ctx, pause/2+jitter)
 			pause = min(2*pause, retryMost)
@@ -149,6 +156,16 @@
 	return nil
 }
 
+// fallBack reads what others know.
+func (w *Watcher) fallBack(ctx context.Context) {
+	if w.fallback == nil || ctx.Err() != nil {
+		return
+	}
+	if b, err := w.fallback.Snapshot(ctx, w.prefix); err == nil {
+		_ = w.news.Put(ctx, News{Batch: b})
+	}
+}
+
 func (w *Watcher) failed(ctx context.Context, err error) {
 	if w.lost || ctx.Err() != nil || errors.Is(err, published.ErrCompacted) {
 		return
@@ -180,7 +197,7 @@
 			}
 			state.Trim()
 		case q := <-w.asks.Out():
-			_ = q.reply.Put(ctx, Answer{Changes: state.Since(q.after), Revision: state.Revision()})
+			_ = q.reply.Put(ctx, state.Since(time.Now(), q.after))
 		case <-ticker.C:
 			changed = state.Expire(time.Now())
 		case <-ctx.Done():
--- a/loader/duties.go
+++ b/loader/duties.go
@@ -71,6 +71,9 @@
 	var all published.Batch
 	for _, prefix := range l.settings.ListPrefixes {
 		b, err := l.store.Snapshot(ctx, prefix, true)
+		if err != nil {
+			b, err = l.fallback.Snapshot(ctx, prefix)
+		}
 		if err != nil {
 			return false
 		}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -112,6 +112,8 @@
 	engine   Engine
 	origin   Origin
 	store    watcher.Source
+	// fallback is read while the store does not answer.
+	fallback watcher.Fallback
 	watcher  *watcher.Watcher
 	views    *ring.Ring[*published.View]
 	// events go to the keeper; jobs to the duties that carry them out.
@@ -130,12 +132,14 @@
 }
 
 // New returns a loader; Run starts it. The engine is nil for a seeder.
-func New(s Settings, engine Engine, origin Origin, store watcher.Source, w *watcher.Watcher, logger log.Logger) *Loader {
+func New(s Settings, engine Engine, origin Origin, store watcher.Source, fallback watcher.Fallback, w *watcher.Watcher, logger log.Logger) *Loader {
+	w.SetFallback(fallback)
 	return &Loader{
 		settings: s,
 		engine:   engine,
 		origin:   origin,
 		store:    store,
+		fallback: fallback,
 		watcher:  w,
 		views:    w.Subscribe(),
 		events:   ring.New[event](256, ring.Wait),
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -18,6 +18,7 @@
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/staging"
+	"rattanspur.example/lib/viewsync"
 	"rattanspur.example/lib/watcher"
 )
 
@@ -240,7 +241,7 @@
 			Engine: s.store.engines[i], Service: "engine", Uploads: 4, Within: testWithin, ListPrefixes: []string{"all"},
 			SeederAddress: func(string) string { return "" }, NoticeAddress: func(string) string { return "" },
 			PeerAddress: func(engine string) string { return engine },
-		}, e, s.origin, s.store, w, logger)
+		}, e, s.origin, s.store, &viewsync.Fallback{}, w, logger)
 		wait.Go(func() { _ = l.Run(ctx) })
 	}
 	s.t.Cleanup(func() {
