--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -20,10 +20,10 @@
 	"github.com/rotisserie/eris"
 
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/confservice"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/manifest"
 	"rattanspur.example/lib/pacing"
-	"rattanspur.example/lib/platform"
 	"rattanspur.example/standin"
 )
 
@@ -173,7 +173,7 @@
 
 // PublishInstances sets the instance list after a lag.
 func (l *Lab) PublishInstances(lag time.Duration) {
-	var list, cut platform.InstanceList
+	var list, cut confservice.InstanceList
 	for _, p := range l.processes() {
 		if l.isCutOff(p) {
 			cut.Instances = append(cut.Instances, p.Instance)
--- a/cmd/rattanspur/explain.go
+++ b/cmd/rattanspur/explain.go
@@ -9,8 +9,8 @@
 	"text/tabwriter"
 
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/confservice"
 	"rattanspur.example/lib/fleet"
-	"rattanspur.example/lib/platform"
 	"rattanspur.example/lib/routing"
 )
 
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	list, err := platform.ReadInstances(context.Background(), http.DefaultClient, c.Instances)
+	list, err := confservice.ReadInstances(context.Background(), http.DefaultClient, c.Instances)
 	if err != nil {
 		return err
 	}
--- a/cmd/rattanspur/observe.go
+++ b/cmd/rattanspur/observe.go
@@ -11,9 +11,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"rattanspur.example/lib/confservice"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/node"
-	"rattanspur.example/lib/platform"
 	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/wire"
 )
@@ -44,7 +44,7 @@
 		}
 		return list, nil
 	}
-	published, err := platform.ReadInstances(ctx, http.DefaultClient, o.Instances)
+	published, err := confservice.ReadInstances(ctx, http.DefaultClient, o.Instances)
 	return append(list, published.Instances...), err
 }
 
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -19,8 +19,8 @@
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/confservice"
 	"rattanspur.example/lib/fleet"
-	"rattanspur.example/lib/platform"
 	"rattanspur.example/lib/settings"
 	"rattanspur.example/lib/wire"
 	"rattanspur.example/standin"
@@ -86,7 +86,7 @@
 	service := standin.NewConfigService()
 	service.Put("config", document(t))
 	list := &standin.InstanceList{}
-	list.Set(platform.InstanceList{Revision: 1, Instances: instances(agents)}, 0)
+	list.Set(confservice.InstanceList{Revision: 1, Instances: instances(agents)}, 0)
 	configServer, listServer := httptest.NewServer(service.Handler()), httptest.NewServer(list.Handler())
 	s := testSettings(freeAddress(t), configServer.URL, listServer.URL)
 	if change != nil {
--- a/lib/platform/platform.go
+++ b/lib/confservice/confservice.go
@@ -1,6 +1,6 @@
-// Package platform holds clients of what the platform gives: the configuration
+// Package confservice holds clients of what the platform gives: the configuration
 // service and the instance list. Both can only be read.
-package platform
+package confservice
 
 import (
 	"context"
--- a/lib/platform/platform_test.go
+++ b/lib/confservice/confservice_test.go
@@ -1,4 +1,4 @@
-package platform
+package confservice
 
 import (
 	"testing"
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -214,7 +214,7 @@
 // follow decides whether a request is done, is sent again, or is given up.
 func (c *Core) follow(now time.Time, r *request, u *upstream, e Ended) []Action {
 	s := c.service(now, r.service)
-	whole := e.End == retry.Answered && !(e.Failed && e.Held)
+	whole := e.End == retry.Answered && (!e.Failed || !e.Held)
 	switch {
 	case whole || e.End == retry.CallerLeft:
 		delete(c.requests, r.ticket)
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -246,15 +246,15 @@
 	events := x.options.Events && relay.IsEventStream(resp.Header)
 	var err error
 	switch {
-	case x.options.Resumed && !(events && resp.StatusCode == http.StatusOK):
+	case x.options.Resumed && (!events || resp.StatusCode != http.StatusOK):
 		x.out.End, x.out.Detail = retry.Lost, "no events to go on with: "+resp.Status
 		return
 	case failed && x.options.Hold, !events && resp.ContentLength >= 0 && resp.ContentLength <= holdBytes:
 		err = x.receiveWhole(resp, h, failed && x.options.Hold)
 	case events:
-		err = x.receiveEvents(resp, h)
+		err = x.receiveEvents(resp)
 	default:
-		err = x.receiveBody(resp, h)
+		err = x.receiveBody(resp)
 	}
 	if err != nil {
 		x.fail(err)
@@ -293,13 +293,13 @@
 	return nil
 }
 
-func (x *exchange) receiveBody(resp *http.Response, h *Head) error {
+func (x *exchange) receiveBody(resp *http.Response) error {
 	buffer := make([]byte, readBuffer)
 	for {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 || err == io.EOF {
 			x.first()
-			if perr := x.pass(resp, h, buffer[:n]); perr != nil {
+			if perr := x.pass(resp, buffer[:n]); perr != nil {
 				return perr
 			}
 		}
@@ -315,7 +315,7 @@
 // receiveEvents passes whole events on, each batch as soon as it is there. The
 // head is passed on with the first event: until then another upstream can
 // take over without a trace.
-func (x *exchange) receiveEvents(resp *http.Response, h *Head) error {
+func (x *exchange) receiveEvents(resp *http.Response) error {
 	buffer := make([]byte, readBuffer)
 	var held []byte
 	for {
@@ -330,7 +330,7 @@
 		}
 		if whole > 0 || err == io.EOF {
 			x.first()
-			if perr := x.pass(resp, h, held[:whole]); perr != nil {
+			if perr := x.pass(resp, held[:whole]); perr != nil {
 				return perr
 			}
 			if id := relay.LastEventID(held[:whole]); id != "" {
@@ -350,7 +350,7 @@
 	}
 }
 
-func (x *exchange) pass(resp *http.Response, h *Head, data []byte) error {
+func (x *exchange) pass(resp *http.Response, data []byte) error {
 	if !x.out.Started {
 		x.out.Started = true
 		if x.answer.Head(resp) != nil {
--- a/lib/node/gossip.go
+++ b/lib/node/gossip.go
@@ -8,9 +8,9 @@
 	"github.com/go-kit/log/level"
 
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/confservice"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/gossip"
-	"rattanspur.example/lib/platform"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/wire"
@@ -32,7 +32,7 @@
 	fetchFailed     struct{ stamp config.Stamp }
 	// serviceRead says that the configuration service answered.
 	serviceRead struct{}
-	listRead    struct{ list platform.InstanceList }
+	listRead    struct{ list confservice.InstanceList }
 	received    struct {
 		heartbeat *gossip.Heartbeat
 		answer    *ring.Ring[gossip.Heartbeat]
--- a/lib/node/watch.go
+++ b/lib/node/watch.go
@@ -7,9 +7,9 @@
 
 	"github.com/go-kit/log/level"
 
+	"rattanspur.example/lib/confservice"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
-	"rattanspur.example/lib/platform"
 	"rattanspur.example/lib/wire"
 )
 
@@ -64,7 +64,7 @@
 // watcher reads the configuration service.
 type watcher struct {
 	node    *Node
-	service *platform.ConfigService
+	service *confservice.ConfigService
 	index   uint64
 	// size is the length of the last value.
 	size   int
@@ -84,7 +84,7 @@
 func (n *Node) runWatch(ctx context.Context) error {
 	w := &watcher{
 		node:    n,
-		service: platform.NewConfigService(n.settings.ConfigURL, n.settings.ConfigKey, n.platform),
+		service: confservice.NewConfigService(n.settings.ConfigURL, n.settings.ConfigKey, n.platform),
 		outage:  outage{node: n, text: "configuration service"},
 	}
 	_ = w.read(ctx, 0)
@@ -141,7 +141,7 @@
 // runList joins the fleet at the start and then reads the instance list while
 // this process is a watcher.
 func (n *Node) runList(ctx context.Context) error {
-	service := platform.NewInstanceService(n.settings.InstancesURL, n.platform)
+	service := confservice.NewInstanceService(n.settings.InstancesURL, n.platform)
 	o := &outage{node: n, text: "instance list"}
 	n.join(ctx, service, o)
 	on := false
@@ -175,7 +175,7 @@
 	return on
 }
 
-func (n *Node) readList(ctx context.Context, s *platform.InstanceService, o *outage) (platform.InstanceList, int, error) {
+func (n *Node) readList(ctx context.Context, s *confservice.InstanceService, o *outage) (confservice.InstanceList, int, error) {
 	limited, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	list, size, err := s.Read(limited)
@@ -193,7 +193,7 @@
 
 // join reads the instance list and the member table of a peer. It keeps trying
 // until the list was read and a peer answered or none is listed.
-func (n *Node) join(ctx context.Context, s *platform.InstanceService, o *outage) {
+func (n *Node) join(ctx context.Context, s *confservice.InstanceService, o *outage) {
 	for ctx.Err() == nil {
 		list, _, err := n.readList(ctx, s, o)
 		if err == nil && n.joinPeers(ctx, list.Instances) {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"rattanspur.example/lib/platform"
+	"rattanspur.example/lib/confservice"
 )
 
 // maxWatch bounds a watch of the configuration service.
@@ -149,11 +149,11 @@
 	Calls atomic.Int64
 
 	mu   sync.Mutex
-	list platform.InstanceList
+	list confservice.InstanceList
 }
 
 // Set replaces the list after a delay.
-func (l *InstanceList) Set(list platform.InstanceList, lag time.Duration) {
+func (l *InstanceList) Set(list confservice.InstanceList, lag time.Duration) {
 	if lag > 0 {
 		time.AfterFunc(lag, func() { l.Set(list, 0) })
 		return
@@ -180,7 +180,7 @@
 		writeJSON(w, list)
 	})
 	mux.HandleFunc("PUT /v1/instances", func(w http.ResponseWriter, r *http.Request) {
-		var list platform.InstanceList
+		var list confservice.InstanceList
 		if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
