loaders read a small roster from gateways; more margin for versions

Change: gateways serve a roster of a few KB; the margin before a version is due is 1 s (0.7 s) at gateways and 0.9 s (0.6 s) for the last turn.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,7 +134,7 @@
 	side.HandleFunc("GET "+g.settings.ReadyPath, g.serveReady)
 	side.HandleFunc("GET /metrics", g.metrics.serve)
 	side.Handle("GET "+viewsync.Path, viewsync.Handler(g.watcher))
-	side.HandleFunc("GET "+peering.PathMembers, g.serveMembers)
+	side.HandleFunc("GET "+peering.PathRoster, g.serveRoster)
 	if err := g.startPeers(group); err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -9,6 +9,7 @@
 
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/duty"
+	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/wire"
@@ -22,10 +23,18 @@
 	pullPause = 300 * time.Millisecond
 )
 
-// census asks the router which gateways are alive.
-type census struct{ reply *ring.Ring[[]peering.Member] }
+// rosterAsk asks the router for what the loaders of a service need.
+type rosterAsk struct {
+	service fleet.Service
+	reply   *ring.Ring[rosterAnswer]
+}
+
+func (rosterAsk) event() {}
 
-func (census) event() {}
+type rosterAnswer struct {
+	roster peering.Roster
+	known  bool
+}
 
 // heard carries a message of a peer to the router.
 type heard struct{ message *peering.Message }
@@ -131,24 +140,30 @@
 	return g.watcher.Tell(ctx, b)
 }
 
-// serveMembers names the gateways that are alive, this one first.
-func (g *Gateway) serveMembers(w http.ResponseWriter, r *http.Request) {
-	reply := ring.New[[]peering.Member](1, ring.Wait)
-	if g.inbox.Put(r.Context(), census{reply: reply}) != nil {
+// serveRoster names what the loaders of a service need.
+func (g *Gateway) serveRoster(w http.ResponseWriter, r *http.Request) {
+	q := rosterAsk{service: fleet.Service(r.URL.Query().Get("service")), reply: ring.New[rosterAnswer](1, ring.Wait)}
+	if g.inbox.Put(r.Context(), q) != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	members, err := reply.Take(r.Context())
-	if err != nil {
-		return
+	a, err := q.reply.Take(r.Context())
+	switch {
+	case err != nil:
+	case !a.known:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		wire.WriteJSON(w, &a.roster)
 	}
-	wire.WriteJSON(w, members)
 }
 
-func (r *router) census(ctx context.Context, now time.Time, c census) {
-	g := r.gateway
-	self := peering.Member{Control: g.settings.Control, Region: g.settings.Dispatch.Region}
-	_ = c.reply.Put(ctx, append([]peering.Member{self}, r.peers.Live(now)...))
+func (r *router) roster(ctx context.Context, now time.Time, q rosterAsk) {
+	s := &r.gateway.settings
+	var a rosterAnswer
+	a.roster, a.known = peering.RosterOf(r.view, q.service, s.Dispatch.Regions)
+	self := peering.Member{Control: s.Control, Region: s.Dispatch.Region}
+	a.roster.Gateways = append([]peering.Member{self}, r.peers.Live(now)...)
+	_ = q.reply.Put(ctx, a)
 }
 
 // heard takes in a message of a peer.
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -79,6 +79,7 @@
 	idle    map[fleet.InstanceID][]*exchange.Conn
 	present map[fleet.InstanceID]bool
 	peers   *peering.Table
+	view    *published.View
 	// revision is that of the newest item in the view.
 	revision uint64
 	// informed says that a peer's view was asked for since the start.
@@ -139,7 +140,7 @@
 			r.gateway.bodyBytes.Store(n)
 		}
 	}
-	r.revision = v.Revision
+	r.view, r.revision = v, v.Revision
 	clear(r.present)
 	for _, u := range v.Upstreams {
 		r.present[u.ID] = true
@@ -164,8 +165,8 @@
 		r.carryOut(ctx, r.core.Arrive(now, ev.ticket, ev.call))
 	case heard:
 		r.heard(ctx, now, ev.message)
-	case census:
-		r.census(ctx, now, ev)
+	case rosterAsk:
+		r.roster(ctx, now, ev)
 	case observed:
 		r.core.Observe(now, ev.ticket, ev.seen)
 	case began:
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -33,7 +33,7 @@
 	defaultPatience = 10 * time.Second
 	// versionMargin is how long before their time older weights get no more
 	// requests: a request may wait at the upstream before it begins.
-	versionMargin = 700 * time.Millisecond
+	versionMargin = time.Second
 	// leastProcesses is the number of entries that budgets are divided among
 	// until more are known.
 	leastProcesses = 4
--- a/lib/dispatch/core_test.go
+++ b/lib/dispatch/core_test.go
@@ -244,7 +244,7 @@
 		Earlier: []published.Named{{Version: 2, Learned: start}},
 	}
 	b := newBench(t, v)
-	b.now = start.Add(7 * time.Second)
+	b.now = start.Add(8*time.Second - versionMargin - time.Millisecond)
 	_, actions := b.arrive("/stream/1")
 	require.Equal(t, int64(1), b.sent(actions).ExpectVersion)
 	b.now = start.Add(8*time.Second - versionMargin)
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -29,9 +29,6 @@
 	maxNamed = 24
 )
 
-// PathMembers is where a gateway names the gateways that are alive.
-const PathMembers = "/peer/members"
-
 // Load is what one process has at an upstream.
 type Load struct {
 	// Requests is the number in flight.
--- a/lib/staging/turn.go
+++ b/lib/staging/turn.go
@@ -14,7 +14,7 @@
 	turnFirst = 0.34
 	// turnMargin is how long before the time is over the last one begins. In
 	// between they take turns, so that the others go on serving.
-	turnMargin = 600 * time.Millisecond
+	turnMargin = 900 * time.Millisecond
 )
 
 // Turn returns when an engine that holds an older version begins to take the
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -28,7 +28,7 @@
 	retryMost  = 800 * time.Millisecond
 	// gatherPause is the pause after changes, in which the next ones gather:
 	// each call to the store has its price.
-	gatherPause = 100 * time.Millisecond
+	gatherPause = 250 * time.Millisecond
 	// expireEvery is the time between two looks at lapsed upstreams.
 	expireEvery = 250 * time.Millisecond
 )
--- a/loader/duties.go
+++ b/loader/duties.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
@@ -52,57 +55,68 @@
 	}
 }
 
-// runLister reads which engines and services are published, when asked to.
+// runLister reads the roster of the service, when asked to.
 func (l *Loader) runLister(ctx context.Context) error {
 	state := published.NewState()
 	for {
 		if _, err := l.lists.Take(ctx); err != nil {
 			return nil
 		}
-		if l.list(ctx, state) && l.events.Put(ctx, listed{view: state.View(), gateways: l.gateways(ctx)}) != nil {
+		r, ok := l.askRoster(ctx)
+		if !ok {
+			r, ok = l.readRoster(ctx, state)
+		}
+		if ok && l.events.Put(ctx, listed{roster: r}) != nil {
 			return nil
 		}
+		pause := listEvery
+		if !ok {
+			pause = storeEvery
+		}
+		_ = duty.Sleep(ctx, pause)
 	}
 }
 
-func (l *Loader) list(ctx context.Context, state *published.State) bool {
+// askRoster asks the seeds in turn for the roster. Processes on many machines
+// read it at the same time, so the first one to ask differs.
+func (l *Loader) askRoster(ctx context.Context) (peering.Roster, bool) {
+	client := wire.Client{HTTP: l.peers}
+	path := peering.PathRoster + "?" + url.Values{"service": {string(l.settings.Service)}}.Encode()
+	first := rand.IntN(max(len(l.settings.Seeds), 1))
+	for i := range l.settings.Seeds {
+		seed := l.settings.Seeds[(first+i)%len(l.settings.Seeds)]
+		if r, err := askRoster(ctx, client, seed, path); err == nil {
+			return r, true
+		}
+	}
+	return peering.Roster{}, false
+}
+
+func askRoster(ctx context.Context, client wire.Client, seed, path string) (peering.Roster, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var r peering.Roster
+	err := client.GetJSON(ctx, seed, path, &r)
+	return r, err
+}
+
+// readRoster makes the roster from what is published, while no gateway is
+// there to ask. It names no gateways.
+func (l *Loader) readRoster(ctx context.Context, state *published.State) (peering.Roster, bool) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	var all published.Batch
 	for _, prefix := range l.settings.ListPrefixes {
 		b, err := l.store.Snapshot(ctx, prefix, true)
 		if err != nil {
-			b, err = l.fallback.Snapshot(ctx, prefix)
-		}
-		if err != nil {
-			return false
+			return peering.Roster{}, false
 		}
 		all.Changes = append(all.Changes, b.Changes...)
 		all.Revision = max(all.Revision, b.Revision)
 	}
 	state.Replace(time.Now(), all.Changes, all.Revision)
 	state.Trim()
-	return true
-}
-
-// gateways asks the seeds in turn which gateways are alive. Without an answer
-// there are no seeders to use.
-func (l *Loader) gateways(ctx context.Context) []peering.Member {
-	client := wire.Client{HTTP: l.peers}
-	for _, seed := range l.settings.Seeds {
-		if members, err := askMembers(ctx, client, seed); err == nil {
-			return members
-		}
-	}
-	return nil
-}
-
-func askMembers(ctx context.Context, client wire.Client, seed string) ([]peering.Member, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	var members []peering.Member
-	err := client.GetJSON(ctx, seed, peering.PathMembers, &members)
-	return members, err
+	return peering.RosterOf(state.View(), l.settings.Service, l.settings.Regions)
 }
 
 // fetch is one request for a piece.
--- a/loader/event.go
+++ b/loader/event.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"rattanspur.example/lib/peering"
-	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/staging"
 	"rattanspur.example/lib/transfer"
@@ -19,12 +18,8 @@
 	err    error
 }
 
-// listed carries the published engines and services, as of a stale read, and
-// the gateways that are alive.
-type listed struct {
-	view     *published.View
-	gateways []peering.Member
-}
+// listed carries what is known of the service and the gateways.
+type listed struct{ roster peering.Roster }
 
 // manifestRead carries the manifest of a version.
 type manifestRead struct {
--- a/loader/gather.go
+++ b/loader/gather.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"rattanspur.example/lib/fleet"
-	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/transfer"
 )
 
@@ -48,33 +47,18 @@
 
 func (k *keeper) newTransfer(now time.Time, c *holding) *transfer.Core {
 	return transfer.New(transfer.Start{
-		Self: k.self(), StoreRegion: k.originRegion(), Root: c.manifest.Root(), Chunks: len(c.data), Have: c.set(),
+		Self: k.self(), StoreRegion: k.roster.OriginRegion, Root: c.manifest.Root(), Chunks: len(c.data), Have: c.set(),
 	}, limits, now)
 }
 
-func (k *keeper) originRegion() fleet.Region {
-	if o := k.originAt(); o != nil {
-		return k.loader.settings.Regions[o.FailureDomain]
-	}
-	return ""
-}
-
-func (k *keeper) originAt() *published.Origin {
-	if k.view == nil || k.view.Config == nil {
-		return nil
-	}
-	return k.view.Config.Origin()
-}
-
 // askManifest asks one source after the other for the digests.
 func (k *keeper) askManifest(ctx context.Context, now time.Time, c *holding) {
-	origin := k.originAt()
-	if c.asking || now.Before(c.retryAt) || origin == nil {
+	if c.asking || now.Before(c.retryAt) || k.roster.Origin == "" {
 		return
 	}
-	place := transfer.Place(k.self(), k.peers(), k.originRegion(), fleet.Digest{byte(c.version)}, limits.Drawers)
+	place := transfer.Place(k.self(), k.peers(), k.roster.OriginRegion, fleet.Digest{byte(c.version)}, limits.Drawers)
 	sources := place.ManifestSources(k.self(), false, now.Sub(c.begun), manifestTurn)
-	q := inquiry{version: c.version, model: k.model, origin: origin.Address, sources: sources}
+	q := inquiry{version: c.version, model: k.model, origin: k.roster.Origin, sources: sources}
 	c.asking = k.loader.asks.Put(ctx, q) == nil
 }
 
@@ -100,14 +84,10 @@
 
 // step feeds the transfer and carries out its actions.
 func (k *keeper) step(ctx context.Context, now time.Time, c *holding, ev transfer.Event) {
-	origin := ""
-	if o := k.originAt(); o != nil {
-		origin = o.Address
-	}
 	for _, a := range c.core.Step(now, ev) {
 		switch a := a.(type) {
 		case transfer.RequestChunk:
-			f := fetch{manifest: c.manifest, number: a.Index, source: a.Source, origin: origin}
+			f := fetch{manifest: c.manifest, number: a.Index, source: a.Source, origin: k.roster.Origin}
 			_ = k.loader.fetches.Put(ctx, f)
 		case transfer.RequestHave:
 			q := inquiry{version: c.version, model: k.model, have: &a, pieces: len(c.data)}
--- a/loader/keeper.go
+++ b/loader/keeper.go
@@ -13,13 +13,10 @@
 
 // keeper owns the pieces, the transfers and the decisions of a loader.
 type keeper struct {
-	loader  *Loader
-	core    *staging.Core
-	model   string
-	service fleet.Service
-	view    *published.View
-	// gateways are alive and have a seeder beside them.
-	gateways []peering.Member
+	loader *Loader
+	core   *staging.Core
+	model  string
+	roster peering.Roster
 	// wanted comes from the watcher, listing from the lister.
 	wanted   published.Wanted
 	holdings map[int64]*holding
@@ -149,20 +146,12 @@
 	}
 }
 
-// listed takes in the engines and services that are published.
+// listed takes in what is known of the service and the gateways.
 func (k *keeper) listed(ctx context.Context, now time.Time, ev listed) {
-	k.view, k.gateways = ev.view, ev.gateways
-	if ev.view.Config == nil {
-		return
-	}
-	s := k.engines(ev.view.Config)
-	if s == nil {
-		return
-	}
+	k.roster = ev.roster
 	if k.core == nil {
-		k.service = s.Name
-		k.model = s.Engine.Models[0]
-		k.core = staging.New(k.model, s.Engine.Layers, k.loader.settings.Within)
+		k.model = ev.roster.Model
+		k.core = staging.New(k.model, ev.roster.Layers, k.loader.settings.Within)
 		if !k.down && k.report.Born != 0 {
 			k.core.SetReport(k.report)
 		}
@@ -176,21 +165,6 @@
 	}
 }
 
-// engines returns the service whose weights are handled here: that of the own
-// engine, and for a seeder the first one with engines.
-func (k *keeper) engines(c *published.Config) *published.Service {
-	var found *published.Service
-	for name, s := range c.Services {
-		if s.Engine == nil || len(s.Engine.Models) == 0 || (!k.seeder() && name != k.loader.settings.Service) {
-			continue
-		}
-		if found == nil || name < found.Name {
-			found = s
-		}
-	}
-	return found
-}
-
 func (k *keeper) seeder() bool { return k.loader.engine == nil }
 
 // retarget names the target: the wanted version, or the first one while none
@@ -233,19 +207,13 @@
 
 // peers returns the loaders beside the engines of the service, and the seeders.
 func (k *keeper) peers() []transfer.Peer {
-	if k.view == nil {
-		return nil
-	}
-	var out []transfer.Peer
-	for _, u := range k.view.Upstreams {
-		if u.Service != k.service {
-			continue
-		}
-		if a := k.loader.settings.PeerAddress(u.Address); a != "" {
-			out = append(out, transfer.Peer{ID: fleet.InstanceID(a), Region: k.loader.settings.Regions[u.Domain]})
+	out := make([]transfer.Peer, 0, len(k.roster.Engines)+len(k.roster.Gateways))
+	for _, e := range k.roster.Engines {
+		if a := k.loader.settings.PeerAddress(e.Address); a != "" {
+			out = append(out, transfer.Peer{ID: fleet.InstanceID(a), Region: e.Region})
 		}
 	}
-	for _, g := range k.gateways {
+	for _, g := range k.roster.Gateways {
 		if a := k.loader.settings.SeederAddress(g.Control); a != "" {
 			out = append(out, transfer.Peer{ID: fleet.InstanceID(a), Region: g.Region, Seeder: true})
 		}
@@ -255,14 +223,9 @@
 
 // setRank tells the turn of the own engine among those of its service.
 func (k *keeper) setRank() {
-	if k.seeder() {
-		return
-	}
-	var addresses []string
-	for _, u := range k.view.Upstreams {
-		if u.Service == k.service {
-			addresses = append(addresses, u.Address)
-		}
+	addresses := make([]string, 0, len(k.roster.Engines))
+	for _, e := range k.roster.Engines {
+		addresses = append(addresses, e.Address)
 	}
 	k.core.SetRank(staging.Rank(k.loader.settings.Engine, addresses, k.core.Target()), len(addresses))
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -82,9 +82,10 @@
 	// report while something is to be done, and else.
 	reportSoon = 100 * time.Millisecond
 	reportIdle = time.Second
-	// listEvery is the time between two reads of the list of engines during a
-	// transfer.
-	listEvery = 500 * time.Millisecond
+	// listEvery is the time between two reads of the roster during a transfer,
+	// storeEvery after one that found neither a gateway nor the store.
+	listEvery  = 500 * time.Millisecond
+	storeEvery = 2 * time.Second
 	// tick is the time between two looks at what has become possible during a
 	// transfer, idleTick without one.
 	tick     = 20 * time.Millisecond
@@ -112,8 +113,6 @@
 	engine   Engine
 	origin   Origin
 	store    watcher.Source
-	// fallback is read while the store does not answer.
-	fallback watcher.Fallback
 	watcher  *watcher.Watcher
 	views    *ring.Ring[*published.View]
 	// events go to the keeper; jobs to the duties that carry them out.
@@ -139,7 +138,6 @@
 		engine:   engine,
 		origin:   origin,
 		store:    store,
-		fallback: fallback,
 		watcher:  w,
 		views:    w.Subscribe(),
 		events:   ring.New[event](256, ring.Wait),
--- a/loader/notify.go
+++ b/loader/notify.go
@@ -62,7 +62,7 @@
 	n := notice{engine: peering.Engine{
 		Address: k.loader.settings.Engine, Born: k.report.Born, Model: k.model, Version: version, Was: was,
 	}}
-	for _, g := range k.gateways {
+	for _, g := range k.roster.Gateways {
 		if a := k.loader.settings.NoticeAddress(g.Control); a != "" {
 			n.targets = append(n.targets, a)
 		}
