--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -5,8 +5,10 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 
 	"rattanspur.example/gateway"
 	"rattanspur.example/lib/dispatch"
@@ -60,12 +62,14 @@
 	logger := out.Logger(string(s.Instance))
 	w := watcher.New(platform.NewStore(s.Store), "", s.Bounds.ConfigWithin, logger)
 	g := gateway.New(gatewaySettings(s), platform.Codec{}, w, logger)
-	return withLog(out, g)
+	return withLog(out, g, func(s *platform.Settings) {
+		_ = logger.Log("event", "reload", "seeds", len(s.Seeds))
+		g.SetSeeds(s.Peers(peersOffset))
+	})
 }
 
 func gatewaySettings(s *platform.Settings) gateway.Settings {
 	return gateway.Settings{
-		Instance:  s.Instance,
 		Listen:    s.Listen,
 		Ready:     s.Ready,
 		Control:   s.Control,
@@ -122,7 +126,6 @@
 	store := platform.NewStore(s.Store)
 	w := watcher.New(store, platform.WantedPrefix, s.Bounds.VersionWithin/2, logger)
 	l := loader.Settings{
-		Instance:      s.Instance,
 		Region:        s.Region,
 		Regions:       s.Regions,
 		Listen:        internal(s, 0),
@@ -137,7 +140,31 @@
 	}
 	engine := fill(s, &l)
 	fallback := &viewsync.Fallback{Client: viewsync.NewClient(platform.Codec{}.Published), Members: s.Seeds}
-	return withLog(out, loader.New(l, engine, platform.NewOrigin(), store, fallback, w, logger))
+	return withLog(out, loader.New(l, engine, platform.NewOrigin(), store, fallback, w, logger), func(s *platform.Settings) {
+		// The seeds of a loader are used for a start; it goes on with those.
+		_ = logger.Log("event", "reload", "seeds", len(s.Seeds))
+	})
+}
+
+// watchSettings reads the settings again at each SIGHUP. Settings with findings
+// are reported and change nothing.
+func watchSettings(ctx context.Context, out *logline.Log, reload func(*platform.Settings)) error {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	for {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+		s, err := platform.LoadSettings()
+		if err != nil {
+			_ = out.Logger("").Log("event", "settings-unusable", "err", err)
+			continue
+		}
+		reload(s)
+	}
 }
 
 // internal returns the address of an internal port, counted from the first.
@@ -145,10 +172,12 @@
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.InternalPort+offset))
 }
 
-// withLog runs a role with the duty that writes its log.
-func withLog(out *logline.Log, r role) error {
+// withLog runs a role with the duties that write its log and that take in
+// changed settings when SIGHUP says so.
+func withLog(out *logline.Log, r role, reload func(*platform.Settings)) error {
 	g := duty.NewGroup(context.Background())
 	g.Go("log", out.Run)
+	g.Go("reload", func(ctx context.Context) error { return watchSettings(ctx, out, reload) })
 	err := run(r)
 	g.Stop()
 	_ = g.Wait()
--- /dev/null
+++ b/cmd/rattanspur/platform_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/logline"
+	"rattanspur.example/platform"
+)
+
+const bootText = `{"node_name":"n","ip":"10.1.0.40","zone":"z","internal_ports":[7700,7715],"seeds":["10.2.0.37:8000"],"platform":{"address":"10.200.1.7:8007"}}`
+
+// Guards against a process that SIGHUP ends, and settings that are not read
+// again.
+func TestHangupReadsTheSettingsAgain(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "boot.json")
+	require.NoError(t, os.WriteFile(file, []byte(bootText), 0o600))
+	t.Setenv(platform.SettingsVariable, file)
+	ctx, cancel := context.WithCancel(context.Background())
+	seen := make(chan *platform.Settings, 16)
+	done := make(chan error, 1)
+	go func() {
+		done <- watchSettings(ctx, logline.New(io.Discard), func(s *platform.Settings) { seen <- s })
+	}()
+	// The signal must not end the test before the duty listens.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	require.Eventually(t, func() bool {
+		_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		select {
+		case s := <-seen:
+			return len(s.Peers(peersOffset)) == 1
+		default:
+			return false
+		}
+	}, 30*time.Second, 10*time.Millisecond)
+	cancel()
+	require.NoError(t, <-done)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,7 +14,6 @@
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/exchange"
-	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
@@ -42,7 +41,6 @@
 
 // Settings are those of one gateway.
 type Settings struct {
-	Instance fleet.InstanceID
 	// Listen is where callers connect, Ready where readiness is asked, Control
 	// where other gateways read this one's view, Peers where they send messages
 	// to, Metrics where metrics are read.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -126,7 +126,7 @@
 	logger := log.NewLogfmtLogger(io.Discard)
 	w := watcher.New(source, "", time.Second, logger)
 	g := New(Settings{
-		Instance: "g", Listen: freeAddress(t), Ready: freeAddress(t), Control: freeAddress(t), Peers: freeAddress(t),
+		Listen: freeAddress(t), Ready: freeAddress(t), Control: freeAddress(t), Peers: freeAddress(t),
 		ReadyPath: platform.ReadyPath, Seeds: seeds, Grace: 4 * time.Second,
 		Dispatch: dispatch.Settings{
 			Region: "north", Regions: map[fleet.FailureDomain]fleet.Region{"a": "north"},
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -140,6 +140,16 @@
 	return g.watcher.Tell(ctx, b)
 }
 
+// newSeeds are the seeds of changed settings.
+type newSeeds struct{ seeds []string }
+
+func (newSeeds) event() {}
+
+// SetSeeds takes in the seeds of changed settings.
+func (g *Gateway) SetSeeds(seeds []string) {
+	_ = g.inbox.Put(context.Background(), newSeeds{seeds: seeds})
+}
+
 // serveRoster names what the loaders of a service need.
 func (g *Gateway) serveRoster(w http.ResponseWriter, r *http.Request) {
 	q := rosterAsk{service: fleet.Service(r.URL.Query().Get("service")), reply: ring.New[rosterAnswer](1, ring.Wait)}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -165,6 +165,8 @@
 		r.carryOut(ctx, r.core.Arrive(now, ev.ticket, ev.call))
 	case heard:
 		r.heard(ctx, now, ev.message)
+	case newSeeds:
+		r.peers.SetSeeds(ev.seeds)
 	case rosterAsk:
 		r.roster(ctx, now, ev)
 	case observed:
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -210,11 +210,6 @@
 		s := c.service(now, p.Service)
 		s.upstreams = append(s.upstreams, u)
 	}
-	for id, u := range old {
-		if c.upstreams[id] != u {
-			u.gone = true
-		}
-	}
 	if v.Config != nil {
 		for name, p := range v.Config.Services {
 			s := c.service(now, name)
--- a/lib/dispatch/core_test.go
+++ b/lib/dispatch/core_test.go
@@ -57,7 +57,7 @@
 		},
 		Services: map[fleet.Service]*published.Service{
 			engine: {Name: engine, Engine: &published.Engine{
-				Slots: 4, Layers: 16, Models: []string{model}, PromptPerSecond: 10000, Token: 10 * time.Millisecond,
+				Layers: 16, Models: []string{model}, PromptPerSecond: 10000, Token: 10 * time.Millisecond,
 			}},
 			desk: {Name: desk},
 		},
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -60,7 +60,6 @@
 	sent []time.Time
 	// firstByte is a moving average of the time to the first byte.
 	firstByte time.Duration
-	gone      bool
 	// notice is the latest word of its loader, as of noticed.
 	notice  Notice
 	noticed time.Time
--- a/lib/exchange/conn.go
+++ b/lib/exchange/conn.go
@@ -28,8 +28,6 @@
 	reader *bufio.Reader
 	// idleUntil is when an idle connection must be closed.
 	idleUntil time.Time
-	// used says that the connection carried a request before.
-	used bool
 }
 
 // Dial opens a connection to an upstream.
@@ -62,5 +60,4 @@
 		idle = min(idle, stated-idleMargin)
 	}
 	c.idleUntil = now.Add(idle)
-	c.used = true
 }
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -49,9 +49,6 @@
 	return log.With(log.NewLogfmtLogger(l), "ts", log.DefaultTimestampUTC, "up", uptime, "instance", instance)
 }
 
-// Dropped returns how many lines were dropped so far.
-func (l *Log) Dropped() uint64 { return l.lines.Drops() }
-
 // Run writes lines until ctx ends, and then what is left.
 func (l *Log) Run(ctx context.Context) error {
 	reported := uint64(0)
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -109,6 +109,9 @@
 	return &Table{self: self, members: map[string]*member{}, seeds: seeds}
 }
 
+// SetSeeds replaces the seeds.
+func (t *Table) SetSeeds(seeds []string) { t.seeds = seeds }
+
 // Heard takes in a message.
 func (t *Table) Heard(now time.Time, m *Message) {
 	if m.From == t.self || m.From == "" {
--- a/lib/peering/peering_test.go
+++ b/lib/peering/peering_test.go
@@ -74,3 +74,16 @@
 	require.Len(t, reached, 100)
 	require.LessOrEqual(t, len(table.Named()), maxNamed)
 }
+
+// Guards against seeds of changed settings that are never asked.
+func TestChangedSeeds(t *testing.T) {
+	table := NewTable("a", []string{"old"})
+	table.SetSeeds([]string{"new"})
+	found := map[string]bool{}
+	for range 10 {
+		for _, target := range table.Targets(start) {
+			found[target] = true
+		}
+	}
+	require.Equal(t, map[string]bool{"new": true}, found)
+}
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -70,11 +70,6 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	// Slots is the number of requests that an engine runs at once.
-	Slots int
-	// Chunks and ChunkBytes describe the weights of a model.
-	Chunks     int
-	ChunkBytes int
 	// Layers is the number of layers of the model.
 	Layers int
 	Models []string
@@ -89,17 +84,11 @@
 type Origin struct {
 	Address       string
 	FailureDomain fleet.FailureDomain
-	// MaxConns bounds the connections of all callers together.
-	MaxConns int
 }
 
 // Service is a set of upstreams that do the same work.
 type Service struct {
 	Name fleet.Service
-	// MaxConns bounds the connections of all callers to one upstream.
-	MaxConns int
-	// Cold is how long an upstream stays cold after its start.
-	Cold time.Duration
 	// ColdPerSecond is the number of requests a second that a cold upstream
 	// bears from all callers together; 0 does not limit.
 	ColdPerSecond float64
@@ -119,13 +108,8 @@
 	Regions []fleet.Region
 }
 
-// Limits bound what a caller may send; 0 means no limit is published.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
+// Limits bound what a caller may send; 0 means that no bound is published.
+type Limits struct{ BodyBytes int64 }
 
 // Config is one published configuration. It is immutable once decoded.
 type Config struct {
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -72,9 +72,6 @@
 	return &State{items: map[string]held{}, learned: map[string]Wanted{}, view: &View{}}
 }
 
-// Revision returns the revision up to which the state is complete.
-func (s *State) Revision() uint64 { return s.revision }
-
 // View returns the present view.
 func (s *State) View() *View { return s.view }
 
@@ -226,10 +223,6 @@
 	return b
 }
 
-// Records returns the number of keys that the state remembers, removed ones
-// included.
-func (s *State) Records() int { return len(s.items) }
-
 // maxRemoved bounds the removed keys that are remembered. A removed key must
 // be remembered only while an older change of it can still arrive.
 const maxRemoved = 4096
--- a/lib/published/state_test.go
+++ b/lib/published/state_test.go
@@ -119,7 +119,7 @@
 		s.Apply(start, []Change{{Key: "u/" + time.Duration(i).String(), Revision: i + 1, Removed: true}}, i+1)
 	}
 	s.Trim()
-	require.Equal(t, maxRemoved, s.Records())
+	require.Len(t, s.items, maxRemoved)
 }
 
 // Guards against a shorter prefix that hides a longer one, and a host that is
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -43,9 +43,8 @@
 // Settings are those of one loader. A loader without an engine is a seeder: it
 // holds the weights for others and has a link that carries more than theirs.
 type Settings struct {
-	Instance fleet.InstanceID
-	Region   fleet.Region
-	Regions  map[fleet.FailureDomain]fleet.Region
+	Region  fleet.Region
+	Regions map[fleet.FailureDomain]fleet.Region
 	// Listen is where other loaders reach this one, Metrics where metrics are read.
 	Listen  string
 	Metrics string
--- a/loader/work.go
+++ b/loader/work.go
@@ -105,7 +105,7 @@
 // startEngine reads every piece back right before the order: what lies at the
 // engine may have turned bad since it was put there.
 func (l *Loader) startEngine(ctx context.Context, w work) error {
-	for n, want := range w.data {
+	for n := range w.data {
 		data, err := l.engine.Get(ctx, w.manifest.Model, n)
 		if err != nil {
 			return err
@@ -114,9 +114,6 @@
 			continue
 		}
 		_ = l.logger.Log("event", "piece-spoilt", "version", w.manifest.Version, "piece", n)
-		if err := l.engine.Put(ctx, w.manifest.Model, n, want); err != nil {
-			return err
-		}
 		return errSpoilt
 	}
 	return l.engine.Start(ctx, w.manifest.Model, w.manifest.Version, w.sequence)
@@ -146,6 +143,9 @@
 	}
 	_ = k.loader.logger.Log("event", [...]string{"", "pieces-placed", "engine-ordered"}[ev.work.kind], "version", c.version,
 		"took", ev.took.Seconds(), "sequence", ev.work.sequence, "err", ev.err)
+	if eris.Is(ev.err, errSpoilt) {
+		k.core.Spoilt()
+	}
 	if ev.err != nil {
 		k.core.Failed(now)
 	}
