--- /dev/null
+++ b/lib/logline/logline_test.go
@@ -0,0 +1,61 @@
+package logline
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// buffer is a writer that tests may read while it is written.
+type buffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.String()
+}
+
+// Guards against a log that blocks whoever logs while nobody writes it, and
+// against drops that nobody counts.
+func TestLogNeverBlocksAndCountsDrops(t *testing.T) {
+	out := &buffer{}
+	l := New(out)
+	logger := l.Logger("g")
+	for i := range ringLines + 10 {
+		require.NoError(t, logger.Log("event", "e", "n", i))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	require.Eventually(t, func() bool { return strings.Contains(out.String(), "event=log-dropped") }, 30*time.Second, time.Millisecond)
+	cancel()
+	require.NoError(t, <-done)
+	require.NotContains(t, out.String(), " n=0\n", "the oldest lines are dropped")
+	require.Contains(t, out.String(), fmt.Sprintf("n=%d\n", ringLines+9))
+}
+
+// Guards against lines that are lost when a process stops.
+func TestStopWritesWhatIsLeft(t *testing.T) {
+	out := &buffer{}
+	l := New(out)
+	require.NoError(t, l.Logger("g").Log("event", "last"))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.NoError(t, l.Run(ctx))
+	require.Contains(t, out.String(), "instance=g event=last")
+}
--- /dev/null
+++ b/lib/viewsync/viewsync_test.go
@@ -0,0 +1,65 @@
+package viewsync
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/published"
+)
+
+type fixed struct{ batch published.Batch }
+
+func (f fixed) Since(context.Context, uint64) (published.Batch, error) { return f.batch, nil }
+
+func decode(key string, revision uint64, removed bool, raw []byte) (published.Change, error) {
+	c := published.Change{Key: key, Revision: revision, Removed: removed, Raw: raw}
+	if string(raw) == "unreadable" {
+		c.Removed = true
+		return c, errors.New("unreadable")
+	}
+	return c, nil
+}
+
+func serve(t *testing.T, b published.Batch) string {
+	s := httptest.NewServer(Handler(fixed{b}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// Guards against items that change on their way, and an item that cannot be
+// read and hides the others.
+func TestItemsArriveAsTheyWerePublished(t *testing.T) {
+	address := serve(t, published.Batch{Revision: 9, Changes: []published.Change{
+		{Key: "a/1", Revision: 5, Raw: []byte{0, 1, 255}, Age: 1500 * time.Millisecond},
+		{Key: "a/2", Revision: 6, Removed: true},
+		{Key: "a/3", Revision: 7, Raw: []byte("unreadable")},
+		{Key: "b/1", Revision: 8, Raw: []byte("other")},
+	}})
+	b, err := NewClient(decode).Changes(context.Background(), address, 0, "a/")
+	require.NoError(t, err)
+	require.Equal(t, uint64(9), b.Revision)
+	require.Len(t, b.Findings, 1)
+	require.Equal(t, []published.Change{
+		{Key: "a/1", Revision: 5, Raw: []byte{0, 1, 255}, Age: 1500 * time.Millisecond},
+		{Key: "a/2", Revision: 6, Removed: true},
+		{Key: "a/3", Revision: 7, Removed: true, Raw: []byte("unreadable")},
+	}, b.Changes)
+}
+
+// Guards against a fallback that ends with the first process that is down.
+func TestFallbackAsksTheNext(t *testing.T) {
+	up := serve(t, published.Batch{Revision: 1, Changes: []published.Change{{Key: "a", Revision: 1}}})
+	f := Fallback{Client: NewClient(decode), Members: []string{"127.0.0.1:1", up}}
+	b, err := f.Snapshot(context.Background(), "")
+	require.NoError(t, err)
+	require.Len(t, b.Changes, 1)
+	f.Members = f.Members[:1]
+	_, err = f.Snapshot(context.Background(), "")
+	require.Error(t, err)
+}
