dispatch: expect the version that a replica serves; never go on with another one

Cause: found by reading. While two versions were on their way, a replica with the newer one was asked for the one that was due and refused every request with 421; a stream whose version was due could go on with newer weights; a broken stream was cut if no other engine had a free slot at that moment. Change: the version that the replica serves is expected; a stream goes on with its own version only, and may go beyond the slots by a quarter. Each has a test that failed first.

--- a/lib/dispatch/core_test.go
+++ b/lib/dispatch/core_test.go
@@ -368,3 +368,43 @@
 	r = b.refused(fresh.Arrive(b.now, 1, Call{Host: "h", Path: "/read/1", Key: "key"}))
 	require.Equal(t, NotRun, r.Verdict)
 }
+
+// Guards against a replica with a still newer version that is asked for the
+// one which is due, and refuses every request while two versions are on their
+// way.
+func TestNewerWeightsThanDueAreExpectedAsTheyAre(t *testing.T) {
+	v := view(replica("new", 3))
+	v.Wanted[model] = published.Wanted{
+		Model: model, Version: 3, Learned: start.Add(2 * time.Second),
+		Earlier: []published.Named{{Version: 2, Learned: start}},
+	}
+	b := newBench(t, v)
+	b.now = start.Add(8 * time.Second)
+	_, actions := b.arrive("/stream/1")
+	require.Equal(t, int64(3), b.sent(actions).ExpectVersion)
+}
+
+// Guards against a stream that goes on with newer weights because its own are
+// due to be replaced: one answer comes from one version.
+func TestStreamOfOldWeightsDoesNotGoOnWithNewOnes(t *testing.T) {
+	v := view(replica("new", 2), replica("other", 2))
+	v.Wanted[model] = published.Wanted{Model: model, Version: 2}
+	b := newBench(t, v)
+	ticket, actions := b.arrive("/stream/1")
+	b.sent(actions)
+	actions = b.core.End(b.now, ticket, Ended{End: retry.Lost, Started: true, Resume: "7", Version: 1})
+	require.Equal(t, Unknown, b.refused(actions).Verdict)
+}
+
+// Guards against a stream that is cut in the middle because the other engines
+// have no free slot at that moment.
+func TestBrokenStreamGoesOnAtAFullEngine(t *testing.T) {
+	b := newBench(t, view(replica("a", 1), replica("b", 1)))
+	ticket, actions := b.arrive("/stream/1")
+	first := b.sent(actions)
+	loads := map[fleet.InstanceID]peering.Load{"a": {Requests: 4}, "b": {Requests: 4}}
+	loads[first.Upstream] = peering.Load{}
+	b.core.SetOthers(b.now, loads, nil)
+	s := b.sent(b.core.End(b.now, ticket, Ended{End: retry.Lost, Started: true, Resume: "7", Version: 1}))
+	require.NotEqual(t, first.Upstream, s.Upstream)
+}
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -19,6 +19,9 @@
 	// are late already, and each one that is served while others arrive makes
 	// another one late.
 	backRoom = 0.75
+	// resumeRoom is that part for requests that an upstream lost: an answer may
+	// have begun, and its caller waits for the next event.
+	resumeRoom = 1.25
 	// plainRoom is that part for plain services, whose requests are short.
 	plainRoom = 2.0
 	// readingRoom is the part of a service's goal that the prompts which wait at
@@ -64,7 +67,7 @@
 		Number:    r.attempts,
 	}
 	if s.published != nil && s.published.Engine != nil {
-		send.ExpectVersion = c.expected(now, s, r, u)
+		send.ExpectVersion = u.serves(now, r.Model, s.published.Engine.Layers)
 	}
 	if r.route.Idempotent() {
 		send.FirstByte = max(firstByteGoals*r.route.Goal, leastSilence)
@@ -75,18 +78,6 @@
 	return send
 }
 
-// expected returns the version that must answer: the one that began the
-// answer, or the wanted one once older weights are due to be replaced.
-func (c *Core) expected(now time.Time, s *service, r *request, u *upstream) int64 {
-	if least := c.least(now, r.Model); least > 0 {
-		return least
-	}
-	if r.version > 0 {
-		return r.version
-	}
-	return u.serves(now, r.Model, s.published.Engine.Layers)
-}
-
 // least returns the version below which weights may begin no request, or 0.
 func (c *Core) least(now time.Time, model string) int64 {
 	return c.view.Wanted[model].Due(now, c.settings.VersionWithin-versionMargin)
@@ -144,7 +135,7 @@
 	if v == 0 || v < c.least(now, r.Model) {
 		return false
 	}
-	return r.version == 0 || v == r.version || c.least(now, r.Model) > r.version
+	return r.version == 0 || v == r.version
 }
 
 // allowed reports whether the regions of route and customer include the
@@ -164,6 +155,9 @@
 	if e == nil {
 		return float64(u.load(now)) < plainRoom*float64(u.Slots)
 	}
+	if r.ran > 0 {
+		return float64(u.load(now)) < resumeRoom*float64(u.Slots)
+	}
 	room := engineRoom
 	if r.returning {
 		room = backRoom
