gateway: a stream whose events carry no ids does not go on

Cause: after a break it would go on from the event that the caller itself had named, and events would come twice. Found by reading; the test failed first.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -241,3 +241,25 @@
 		return status == http.StatusUnauthorized
 	}, waitMost, 10*time.Millisecond)
 }
+
+// Guards against events that come twice: a stream whose events carry no ids
+// would go on from the event that the caller named itself.
+func TestStreamWithoutIdsDoesNotGoOn(t *testing.T) {
+	source := newSource()
+	source.put("op/config", routes)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		beginEvents(w, r)
+		_, _ = io.WriteString(w, "data: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	source.upstream(t, "i-1", "engine", serve)
+	source.upstream(t, "i-2", "engine", serve)
+	g := start(t, source)
+	resp, err := g.resumed(http.MethodPost, "/stream/1", "5")
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	require.Error(t, err)
+	require.Equal(t, "data: a\n\n", string(body))
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -41,7 +41,8 @@
 	started bool
 	// events says that the answer is flushed part by part.
 	events bool
-	// lastEvent is the last event that the caller has, if it can resume.
+	// lastEvent is the last event that the caller has: the one it named, and
+	// later the last one that was passed on.
 	lastEvent string
 	held      *exchange.Held
 	// load is what the upstream said with its last answer; nil if nothing.
@@ -180,9 +181,9 @@
 }
 
 // resume returns the event after which the answer may go on elsewhere, or ""
-// if the caller has got none.
+// if the caller has got none that has an id.
 func (c *carrier) resume() string {
-	if !c.started {
+	if !c.started || c.lastEvent == c.call.LastEvent {
 		return ""
 	}
 	return c.lastEvent
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -143,6 +143,15 @@
 }
 
 func (r *running) request(ctx context.Context, method, path, body string) (*http.Response, error) {
+	return r.send(ctx, method, path, body, "")
+}
+
+// resumed sends a request that goes on after an event.
+func (r *running) resumed(method, path, lastEvent string) (*http.Response, error) {
+	return r.send(context.Background(), method, path, "", lastEvent)
+}
+
+func (r *running) send(ctx context.Context, method, path, body, lastEvent string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.gateway.settings.Listen+path, strings.NewReader(body))
 	require.NoError(r.t, err)
 	req.Host = "h"
@@ -150,6 +159,9 @@
 	req.Header.Set("Rattanspur-Attempt-Id", "id-1")
 	req.Header.Set("Rattanspur-Deadline-Ms", "10000")
 	req.Header.Set("Rattanspur-Model", "m")
+	if lastEvent != "" {
+		req.Header.Set("Last-Event-Id", lastEvent)
+	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	return client.Do(req)
 }
