dispatch: only an answer that began binds a version; errors in a row make an upstream avoided

Cause: found by reading. An attempt that was lost before its first event bound the request to that version; a single server error, which 14 % of some requests get by themselves, made an upstream avoided. Both have a test that failed first.

--- a/lib/dispatch/core_test.go
+++ b/lib/dispatch/core_test.go
@@ -408,3 +408,32 @@
 	s := b.sent(b.core.End(b.now, ticket, Ended{End: retry.Lost, Started: true, Resume: "7", Version: 1}))
 	require.NotEqual(t, first.Upstream, s.Upstream)
 }
+
+// Guards against a request that may go to one version only because an attempt
+// on it failed before the caller got anything.
+func TestLostAttemptWithoutAnAnswerBindsNoVersion(t *testing.T) {
+	b := newBench(t, view(replica("a", 1)))
+	ticket, actions := b.arrive("/stream/1")
+	b.sent(actions)
+	b.core.Update(b.now, view(replica("a", 1), replica("b", 2)))
+	s := b.sent(b.core.End(b.now, ticket, Ended{End: retry.Lost, Version: 1}))
+	require.Equal(t, fleet.InstanceID("b"), s.Upstream)
+}
+
+// Guards against an upstream that is avoided for an error which belongs to the
+// request, and against one that is not avoided although it fails all of them.
+func TestErrorsInARowMakeAnUpstreamAvoided(t *testing.T) {
+	b := newBench(t, view(counter("a", "north-a")))
+	fail := func() {
+		ticket, actions := b.arrive("/once/1")
+		b.sent(actions)
+		b.core.End(b.now, ticket, Ended{End: retry.Answered, Failed: true})
+	}
+	fail()
+	u := b.core.upstreams["a"]
+	require.False(t, b.now.Before(u.avoid))
+	for range errorsInARow - 1 {
+		fail()
+	}
+	require.True(t, b.now.Before(u.avoid))
+}
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -181,7 +181,7 @@
 	if !e.End.NotRun() {
 		r.ran++
 	}
-	if e.Version > 0 && r.version == 0 {
+	if e.Started && r.version == 0 {
 		r.version = e.Version
 	}
 	actions := c.follow(now, r, u, e)
@@ -192,7 +192,7 @@
 func (c *Core) learn(now time.Time, u *upstream, r *request, e Ended) {
 	switch {
 	case e.End == retry.Answered && e.Failed:
-		u.failed(now)
+		u.erred(now)
 	case e.End == retry.Answered:
 		u.succeeded(e.FirstByte)
 		c.guard.Succeeded(now, r.Fingerprint)
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -17,6 +17,9 @@
 	// doubles with each further one up to avoidMost.
 	avoidFirst = 400 * time.Millisecond
 	avoidMost  = 6 * time.Second
+	// errorsInARow is the number of server errors after which an upstream counts
+	// as failing.
+	errorsInARow = 3
 	// fullPause is how long an upstream gets nothing after it refused a request.
 	fullPause = 150 * time.Millisecond
 	// mismatchPause is that time if it turned out to be another upstream or to
@@ -53,7 +56,9 @@
 	told     peering.Load
 	toldAt   time.Time
 	strikes  int
-	avoid    time.Time
+	// errors counts the server errors in a row.
+	errors int
+	avoid  time.Time
 	// coldUntil is when the upstream bears its full load.
 	coldUntil time.Time
 	// sent holds the times of the latest sends, for the bound while cold.
@@ -102,13 +107,21 @@
 }
 
 func (u *upstream) succeeded(firstByte time.Duration) {
-	u.strikes = 0
+	u.strikes, u.errors = 0, 0
 	u.avoid = time.Time{}
 	if firstByte > 0 {
 		u.firstByte += (firstByte - u.firstByte) / averageWeight
 	}
 }
 
+// erred takes in a server error. One alone may belong to its request.
+func (u *upstream) erred(now time.Time) {
+	u.errors++
+	if u.errors >= errorsInARow {
+		u.failed(now)
+	}
+}
+
 func (u *upstream) failed(now time.Time) {
 	until := now.Add(min(avoidFirst<<u.strikes, avoidMost))
 	if until.After(u.avoid) {
