--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,18 +117,23 @@
 	done    chan error
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// hosts counts the loopback addresses that were given out.
+var hosts atomic.Int32
+
+// host returns a loopback address that no other process under test uses, so
+// that its ports are free. A port that is probed and closed may be taken before
+// it is used.
+func host() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid/256%64, pid%256, hosts.Add(1))
 }
 
 func start(t *testing.T, source watcher.Source, seeds ...string) *running {
 	logger := log.NewLogfmtLogger(io.Discard)
 	w := watcher.New(source, "", time.Second, logger)
+	ip := host()
 	g := New(Settings{
-		Listen: freeAddress(t), Ready: freeAddress(t), Control: freeAddress(t), Peers: freeAddress(t),
+		Listen: ip + ":7001", Ready: ip + ":7002", Control: ip + ":7003", Peers: ip + ":7004",
 		ReadyPath: platform.ReadyPath, Seeds: seeds, Grace: 4 * time.Second,
 		Dispatch: dispatch.Settings{
 			Region: "north", Regions: map[fleet.FailureDomain]fleet.Region{"a": "north"},
@@ -138,7 +145,14 @@
 	r := &running{t: t, gateway: g, stop: cancel, done: make(chan error, 1)}
 	go func() { r.done <- g.Run(ctx) }()
 	t.Cleanup(cancel)
-	require.Eventually(t, func() bool { return g.configured.Load() }, waitMost, time.Millisecond)
+	require.Eventually(t, func() bool {
+		select {
+		case err := <-r.done:
+			t.Fatalf("gateway ended: %v", err)
+		default:
+		}
+		return r.ready()
+	}, waitMost, time.Millisecond)
 	return r
 }
 
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -7,8 +7,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -211,11 +212,15 @@
 	engines []*fakeEngine
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// hosts counts the loopback addresses that were given out.
+var hosts atomic.Int32
+
+// host returns a loopback address that no other process under test uses, so
+// that its ports are free. A port that is probed and closed may be taken before
+// it is used.
+func host() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid/256%64, pid%256, hosts.Add(1))
 }
 
 func newSite(t *testing.T, engines ...*fakeEngine) *site {
@@ -224,7 +229,7 @@
 		store: &fakeStore{changed: make(chan struct{})},
 	}
 	for range engines {
-		s.store.engines = append(s.store.engines, freeAddress(t))
+		s.store.engines = append(s.store.engines, host()+":7101")
 	}
 	return s
 }
@@ -237,7 +242,7 @@
 		w := watcher.New(s.store, "wanted", time.Second, logger)
 		l := New(Settings{
 			Region: "north", Regions: map[fleet.FailureDomain]fleet.Region{"a": "north"},
-			Listen: s.store.engines[i], Metrics: freeAddress(s.t), Notices: "127.0.0.1:0",
+			Listen: s.store.engines[i], Metrics: host() + ":7102", Notices: "127.0.0.1:0",
 			Engine: s.store.engines[i], Service: "engine", Uploads: 4, Within: testWithin, ListPrefixes: []string{"all"},
 			SeederAddress: func(string) string { return "" }, NoticeAddress: func(string) string { return "" },
 			PeerAddress: func(engine string) string { return engine },
