--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -65,6 +65,9 @@
 	view     *View
 	// informed says that a snapshot was taken in.
 	informed bool
+	// complete is the revision up to which every key that exists is held: a
+	// change up to it of any other key was undone since.
+	complete uint64
 }
 
 // NewState returns a state without items.
@@ -79,7 +82,7 @@
 func (s *State) Apply(now time.Time, changes []Change, revision uint64) bool {
 	changed := false
 	for i := range changes {
-		changed = s.put(&changes[i]) || changed
+		changed = s.hear(&changes[i]) || changed
 		changed = s.recall(now, &changes[i]) || changed
 	}
 	s.revision = max(s.revision, revision)
@@ -112,6 +115,7 @@
 		}
 	}
 	s.revision = max(s.revision, revision)
+	s.complete = max(s.complete, revision)
 	if changed {
 		s.rebuild(now)
 	}
@@ -136,6 +140,16 @@
 	return changed
 }
 
+// hear puts a change that any process may have passed on. Peers may be behind:
+// what a snapshot lacked does not come back on their word.
+func (s *State) hear(c *Change) bool {
+	old, known := s.items[c.Key]
+	if known && c.Revision <= old.revision || !known && c.Revision <= s.complete {
+		return false
+	}
+	return s.put(c)
+}
+
 // put keeps a change that is newer than what is held of its key.
 func (s *State) put(c *Change) bool {
 	old, known := s.items[c.Key]
@@ -242,6 +256,9 @@
 	gone := map[string]bool{}
 	for _, key := range removed[:len(removed)-maxRemoved] {
 		gone[key] = true
+		if s.informed {
+			s.complete = max(s.complete, s.items[key].revision)
+		}
 	}
 	maps.DeleteFunc(s.items, func(key string, _ held) bool { return gone[key] })
 }
--- a/lib/published/state_test.go
+++ b/lib/published/state_test.go
@@ -66,6 +66,42 @@
 	require.Len(t, s.View().Upstreams, 1)
 }
 
+// Guards against an upstream that left before this process started and comes
+// back with the view of a peer that has not heard so yet: nothing would ever
+// remove it, because its removal lies before the snapshot.
+func TestPeerDoesNotBringBackWhatASnapshotLacks(t *testing.T) {
+	s := NewState()
+	s.Replace(start, []Change{ready("a", 3)}, 9)
+	require.False(t, s.Apply(start, []Change{ready("gone", 2)}, 5))
+	require.Len(t, s.View().Upstreams, 1)
+	require.True(t, s.Apply(start, []Change{ready("new", 10)}, 10))
+	require.Len(t, s.View().Upstreams, 2)
+}
+
+// Guards against a peer that ends the grace of a lapsed upstream: only the
+// store knows whether the registration was renewed.
+func TestPeerDoesNotRenewALapsedUpstream(t *testing.T) {
+	s := NewState()
+	s.Replace(start, []Change{ready("a", 1)}, 1)
+	s.Replace(start, nil, 5)
+	s.Apply(start, []Change{ready("a", 1)}, 4)
+	require.True(t, s.Expire(start.Add(LapseGrace)))
+	require.Empty(t, s.View().Upstreams)
+}
+
+// Guards against removed keys that were forgotten to stay within the bound and
+// come back with the view of a peer that is behind.
+func TestForgottenRemovalStaysRemoved(t *testing.T) {
+	s := NewState()
+	s.Replace(start, []Change{ready("a", 1)}, 1)
+	for i := range uint64(2 * maxRemoved) {
+		s.Apply(start, []Change{{Key: "u/" + time.Duration(i).String(), Revision: i + 2, Removed: true}}, i+2)
+	}
+	s.Trim()
+	s.Apply(start, []Change{ready(time.Duration(0).String(), 1)}, 1)
+	require.Len(t, s.View().Upstreams, 1)
+}
+
 // Guards against an entry that cannot be read and still names its last upstream.
 func TestUnreadableItemNamesNothing(t *testing.T) {
 	s := NewState()
