gateway: tell peers what arrives and waits

Cause: gateways computed their parts of an upstream's slots from the rates of their peers, but no message carried the rates. Change: the message carries the demands; a test reads them as a peer would.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -10,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/peering"
 )
 
 // Guards against a request that reaches the upstream without what it must know,
@@ -263,3 +267,28 @@
 	require.Error(t, err)
 	require.Equal(t, "data: a\n\n", string(body))
 }
+
+// Guards against gateways that divide the slots of an upstream by rates which
+// they never tell each other: each then takes all of them.
+func TestPeersHearWhatArrives(t *testing.T) {
+	peer, err := net.ListenPacket("udp4", host()+":7004")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = peer.Close() })
+	source := newSource()
+	source.put("op/config", routes)
+	source.upstream(t, "a", "desk", func(w http.ResponseWriter, r *http.Request) { answer(w, r, http.StatusOK, "a") })
+	g := start(t, source, peer.LocalAddr().String())
+	status, _ := g.call("GET", "/read/1", "")
+	require.Equal(t, http.StatusOK, status)
+	require.NoError(t, peer.SetReadDeadline(time.Now().Add(waitMost)))
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := peer.ReadFrom(buffer)
+		require.NoError(t, err, "no message named a demand")
+		var m peering.Message
+		require.NoError(t, json.Unmarshal(buffer[:n], &m))
+		if m.Demands["desk"].PerSecond > 0 {
+			return
+		}
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -201,7 +201,7 @@
 		message: peering.Message{
 			From: g.settings.Peers, Control: g.settings.Control, Revision: r.revision,
 			Region: g.settings.Dispatch.Region,
-			Loads:  r.core.Loads(), Suspects: suspects(r.core), Peers: r.peers.Named(),
+			Loads:  r.core.Loads(), Demands: demands, Suspects: suspects(r.core), Peers: r.peers.Named(),
 		},
 		targets: r.peers.Targets(now),
 	})
