seeder: 0.8 of the link for weights

The links of entry machines carry few other bytes. Change: seeders send at 0.8 of their link; loaders beside engines at half, as before.

--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -34,9 +34,11 @@
 )
 
 const (
-	// uploadShare is the part of a machine's link that weights may take; the
-	// rest is for requests and answers.
-	uploadShare = 0.5
+	// engineShare and seederShare are the parts of a machine's link that weights
+	// may take; the rest is for requests and answers. An engine's link is narrow,
+	// and its answers go the same way.
+	engineShare = 0.5
+	seederShare = 0.8
 	// engineUploads and seederUploads bound the pieces that are sent at a time.
 	engineUploads = 2
 	seederUploads = 32
@@ -99,7 +101,7 @@
 	return runLoader(func(s *platform.Settings, l *loader.Settings) loader.Engine {
 		l.Metrics = internal(s, metricsOffset)
 		l.Engine, l.Service = s.Upstream, s.Service
-		l.Uploads = engineUploads
+		l.Link, l.Uploads = linkShare(s, engineShare), engineUploads
 		return platform.NewEngine(s.Upstream)
 	})
 }
@@ -110,11 +112,16 @@
 func (c *seederCommand) Execute([]string) error {
 	return runLoader(func(s *platform.Settings, l *loader.Settings) loader.Engine {
 		l.Metrics = internal(s, seederMetricsOffset)
-		l.Uploads = seederUploads
+		l.Link, l.Uploads = linkShare(s, seederShare), seederUploads
 		return nil
 	})
 }
 
+// linkShare returns the rate of a part of the machine's link.
+func linkShare(s *platform.Settings, share float64) pacing.BytesPerSecond {
+	return pacing.BytesPerSecond(s.LinkBytesPerSecond * share)
+}
+
 func runLoader(fill func(s *platform.Settings, l *loader.Settings) loader.Engine) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
@@ -129,7 +136,6 @@
 		Region:        s.Region,
 		Regions:       s.Regions,
 		Listen:        internal(s, 0),
-		Link:          pacing.BytesPerSecond(s.LinkBytesPerSecond * uploadShare),
 		Seeds:         s.Seeds,
 		SeederAddress: s.LoaderAddress,
 		Notices:       internal(s, peersOffset),
