dispatch: nothing for entries of an engine's earlier start

Cause: after a loss of power the entries of earlier starts stay in the store until they lapse. Loaders knew the new starts, but told only of loaded weights, only the gateways that they knew then, and gateways dropped the word on an engine whose new entry they had not seen. Change: loaders tell of a new start at once, and for 4 s also gateways that come later; gateways keep the word by address and send nothing to entries of earlier starts there for 10 s.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -117,10 +117,22 @@
 	// patience holds, for each route, the longest time that a caller said it
 	// waits. A caller that comes back has less left.
 	patience map[string]time.Duration
+	// notices holds the latest word on the engine at each address.
+	notices map[string]noticed
 	// processes is the number of entries that share the budgets.
 	processes int
 }
 
+// noticed is the word of a loader as of a time.
+type noticed struct {
+	Notice
+	at time.Time
+}
+
+// noticeLife is how long the word on an address counts against entries of
+// earlier starts, and how long it is kept if no entry names the address.
+const noticeLife = 10 * time.Second
+
 // New returns a core without a view; it refuses requests until it has one.
 func New(s Settings) *Core {
 	return &Core{
@@ -130,6 +142,7 @@
 		requests:  map[Ticket]*request{},
 		guard:     retry.NewGuard(),
 		patience:  map[string]time.Duration{},
+		notices:   map[string]noticed{},
 		processes: leastProcesses,
 	}
 }
@@ -224,10 +237,21 @@
 			}
 		}
 	}
+	c.forgetNotices(now)
 	c.setTurns(now)
 	return c.drain(now)
 }
 
+func (c *Core) forgetNotices(now time.Time) {
+	named := make(map[string]bool, len(c.upstreams))
+	for _, u := range c.upstreams {
+		named[u.Address] = true
+	}
+	maps.DeleteFunc(c.notices, func(address string, n noticed) bool {
+		return !named[address] && now.Sub(n.at) > noticeLife
+	})
+}
+
 // adopt keeps what is known of an upstream, unless it started anew.
 func (c *Core) adopt(now time.Time, old *upstream, p *published.Upstream) *upstream {
 	u := old
@@ -240,6 +264,7 @@
 		}
 	}
 	u.Upstream = p
+	u.notice = c.notices[p.Address]
 	return u
 }
 
@@ -376,9 +401,13 @@
 
 // Notice takes in the word of a loader.
 func (c *Core) Notice(now time.Time, n Notice) []Action {
+	if n.Born < c.notices[n.Address].Born {
+		return nil
+	}
+	c.notices[n.Address] = noticed{Notice: n, at: now}
 	for _, u := range c.upstreams {
 		if u.Address == n.Address {
-			u.notice, u.noticed = n, now
+			u.notice = c.notices[n.Address]
 			u.pauseOver(now)
 		}
 	}
--- a/lib/dispatch/core_test.go
+++ b/lib/dispatch/core_test.go
@@ -437,3 +437,33 @@
 	}
 	require.True(t, b.now.Before(u.avoid))
 }
+
+// Guards against requests that go to the entry of an engine's earlier start
+// until it lapses: each is rejected, and the retry budget is gone when the
+// engines are back.
+func TestEarlierStartOfAnEngineGetsNothing(t *testing.T) {
+	at := func(id string, born int64, copies ...published.Copy) *published.Upstream {
+		u := replica(id, 2)
+		u.Address, u.Born, u.Copies = "address", born, copies
+		return u
+	}
+	whole := published.Copy{Model: model, Version: 2, Layers: 16}
+	old, fresh := at("old", 1, whole), at("new", 2)
+	restarted := Notice{Address: "address", Born: 2, Model: model}
+	loaded := Notice{Address: "address", Born: 2, Model: model, Version: 2}
+
+	b := newBench(t, view(old, fresh))
+	require.Empty(t, b.core.Notice(b.now, restarted))
+	_, actions := b.arrive("/stream/1")
+	b.refused(actions)
+	require.Empty(t, b.core.Notice(b.now, loaded))
+	_, actions = b.arrive("/stream/2")
+	require.Equal(t, fleet.InstanceID("new"), b.sent(actions).Upstream)
+
+	// The word may come before the entry that it is about.
+	b = newBench(t, view(old))
+	require.Empty(t, b.core.Notice(b.now, loaded))
+	b.core.Update(b.now, view(old, fresh))
+	_, actions = b.arrive("/stream/3")
+	require.Equal(t, fleet.InstanceID("new"), b.sent(actions).Upstream)
+}
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -65,9 +65,8 @@
 	sent []time.Time
 	// firstByte is a moving average of the time to the first byte.
 	firstByte time.Duration
-	// notice is the latest word of its loader, as of noticed.
-	notice  Notice
-	noticed time.Time
+	// notice is the latest word of the loader at its address.
+	notice noticed
 	// turn is when the upstream begins to take the wanted weights.
 	turn time.Time
 }
@@ -143,15 +142,25 @@
 	}
 }
 
+// superseded reports whether the engine at the address has started anew since
+// the entry was published. The entry of the earlier start lapses soon; after
+// that the address may belong to another upstream.
+func (u *upstream) superseded(now time.Time) bool {
+	return u.Born > 0 && u.notice.Born > u.Born && now.Sub(u.notice.at) < noticeLife
+}
+
 // serves returns the version of a model that the upstream serves whole, or 0.
 // The word of its loader is ahead of what it publishes.
 func (u *upstream) serves(now time.Time, model string, layers int) int64 {
+	if u.superseded(now) {
+		return 0
+	}
 	v := published.Whole(u.Copies, model, layers)
 	if n := &u.notice; n.Born == u.Born && n.Model == model && v <= n.Was {
 		switch {
 		case n.Version > 0:
 			return max(n.Version, u.version)
-		case now.Sub(u.noticed) < switchMost:
+		case now.Sub(n.at) < switchMost:
 			return 0
 		}
 	}
--- a/loader/keeper.go
+++ b/loader/keeper.go
@@ -29,11 +29,15 @@
 	loaded  int64
 	// served is the last version that the engine served.
 	served int64
+	// word is what gateways were told last, told the gateways that got it.
+	word   peering.Engine
+	wordAt time.Time
+	told   map[string]bool
 	pace   time.Duration
 }
 
 func (l *Loader) runKeeper(ctx context.Context) error {
-	k := &keeper{loader: l, holdings: map[int64]*holding{}}
+	k := &keeper{loader: l, holdings: map[int64]*holding{}, told: map[string]bool{}}
 	timer := time.NewTimer(tick)
 	defer timer.Stop()
 	l.askList(ctx)
@@ -130,11 +134,15 @@
 		k.down = false
 		_ = k.loader.logger.Log("event", "engine-known", "born", ev.report.Born, "sequence", ev.report.Sequence)
 	}
+	anew := k.report.Born != 0 && ev.report.Born != k.report.Born
 	k.report = ev.report
 	if k.core == nil {
 		return
 	}
 	k.core.SetReport(ev.report)
+	if anew && k.core.Loaded() == 0 {
+		k.notify(ctx, 0, 0)
+	}
 	if v := k.core.Loaded(); v != k.loaded {
 		_ = k.loader.logger.Log("event", "engine-holds", "model", k.model, "version", v, "was", k.loaded,
 			"running", ev.report.Running, "waiting", ev.report.Waiting)
@@ -155,9 +163,13 @@
 		if !k.down && k.report.Born != 0 {
 			k.core.SetReport(k.report)
 		}
+		if k.core.Loaded() == 0 && k.report.Born != 0 {
+			k.notify(ctx, 0, 0)
+		}
 	}
 	k.retarget()
 	k.setRank()
+	k.tell(ctx)
 	for _, c := range k.holdings {
 		if c.core != nil && !c.whole() {
 			k.step(ctx, now, c, transfer.PeersChanged{Peers: k.peers()})
@@ -255,6 +267,9 @@
 	for _, c := range k.holdings {
 		k.drive(ctx, now, c)
 	}
+	if now.Sub(k.wordAt) < tellFor {
+		k.relist(ctx, now)
+	}
 }
 
 func (k *keeper) relist(ctx context.Context, now time.Time) {
--- a/loader/notify.go
+++ b/loader/notify.go
@@ -15,6 +15,9 @@
 	// noticePause the pause in between.
 	noticeTimes = 3
 	noticePause = 60 * time.Millisecond
+	// tellFor is how long gateways that were not known are looked for; after that
+	// the engine's entry tells them the same.
+	tellFor = 4 * time.Second
 )
 
 // notice is the word on the own engine, for some gateways.
@@ -57,15 +60,33 @@
 }
 
 // notify tells the gateways what the own engine serves; version 0 says that it
-// takes new weights.
+// takes new weights or has none.
 func (k *keeper) notify(ctx context.Context, version, was int64) {
-	n := notice{engine: peering.Engine{
+	k.word = peering.Engine{
 		Address: k.loader.settings.Engine, Born: k.report.Born, Model: k.model, Version: version, Was: was,
-	}}
+	}
+	k.wordAt = time.Now()
+	clear(k.told)
+	k.tell(ctx)
+}
+
+// tell passes the latest word on to the gateways that have not got it. Those
+// that started meanwhile take the entry of an earlier start for a running
+// engine.
+func (k *keeper) tell(ctx context.Context) {
+	if k.word.Born == 0 || k.word.Born != k.report.Born {
+		return
+	}
+	n := notice{engine: k.word}
 	for _, g := range k.roster.Gateways {
-		if a := k.loader.settings.NoticeAddress(g.Control); a != "" {
-			n.targets = append(n.targets, a)
+		a := k.loader.settings.NoticeAddress(g.Control)
+		if a == "" || k.told[a] {
+			continue
 		}
+		k.told[a] = true
+		n.targets = append(n.targets, a)
+	}
+	if len(n.targets) > 0 {
+		_ = k.loader.notices.Put(ctx, n)
 	}
-	_ = k.loader.notices.Put(ctx, n)
 }
