dispatch: the margin before a version's time follows the time to the first token

Cause: a request begins with its first token. Change: the margin is 0.7 s and 2.5 times the mean time to the first token or the reading time of what waits, whichever is longer. The test of the boundary names the new one, 25 ms earlier than its old form for the same margin.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -31,9 +31,12 @@
 const (
 	// defaultPatience is assumed of callers that do not say how long they wait.
 	defaultPatience = 10 * time.Second
-	// versionMargin is how long before their time older weights get no more
-	// requests: a request may wait at the upstream before it begins.
-	versionMargin = time.Second
+	// versionMargin is how long before their time older weights begin no more
+	// requests: their time counts from the acknowledgement, which is older than
+	// the own knowledge of it. A request is taken to begin within beginFactor
+	// times the mean time to the first token.
+	versionMargin = 700 * time.Millisecond
+	beginFactor   = 2.5
 	// leastProcesses is the number of entries that budgets are divided among
 	// until more are known.
 	leastProcesses = 4
--- a/lib/dispatch/core_test.go
+++ b/lib/dispatch/core_test.go
@@ -244,10 +244,12 @@
 		Earlier: []published.Named{{Version: 2, Learned: start}},
 	}
 	b := newBench(t, v)
-	b.now = start.Add(8*time.Second - versionMargin - time.Millisecond)
+	// The prompt of 100 tokens is read in 10 ms.
+	margin := versionMargin + time.Duration(beginFactor*float64(10*time.Millisecond))
+	b.now = start.Add(8*time.Second - margin - time.Millisecond)
 	_, actions := b.arrive("/stream/1")
 	require.Equal(t, int64(1), b.sent(actions).ExpectVersion)
-	b.now = start.Add(8*time.Second - versionMargin)
+	b.now = start.Add(8*time.Second - margin)
 	_, actions = b.arrive("/stream/2")
 	b.refused(actions)
 	v.Upstreams = append(v.Upstreams, replica("new", 3))
@@ -467,3 +469,24 @@
 	_, actions = b.arrive("/stream/3")
 	require.Equal(t, fleet.InstanceID("new"), b.sent(actions).Upstream)
 }
+
+// Guards against requests that are sent in time and begin too late: one that
+// waits at a loaded engine gets its first token on weights that are due to be
+// replaced.
+func TestSlowEngineGetsNothingShortlyBeforeItsWeightsAreDue(t *testing.T) {
+	v := view(replica("slow", 1))
+	v.Wanted[model] = published.Wanted{Model: model, Version: 2, Learned: start.Add(5 * time.Second)}
+	b := newBench(t, v)
+	for range 30 {
+		ticket, actions := b.arrive("/stream/1")
+		b.sent(actions)
+		b.core.End(b.now, ticket, Ended{End: retry.Answered, FirstByte: 800 * time.Millisecond})
+	}
+	due := start.Add(13 * time.Second)
+	b.now = due.Add(-4 * time.Second)
+	_, actions := b.arrive("/stream/2")
+	b.sent(actions)
+	b.now = due.Add(-1500 * time.Millisecond)
+	_, actions = b.arrive("/stream/3")
+	b.refused(actions)
+}
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -78,9 +78,13 @@
 	return send
 }
 
-// least returns the version below which weights may begin no request, or 0.
-func (c *Core) least(now time.Time, model string) int64 {
-	return c.view.Wanted[model].Due(now, c.settings.VersionWithin-versionMargin)
+// least returns the version below which the weights of an upstream may begin no
+// more requests, or 0. A request begins with its first token, which takes longer
+// the more the upstream has to do.
+func (c *Core) least(now time.Time, e *published.Engine, r *request, u *upstream) int64 {
+	first := max(u.firstByte, reading(e, u.unread(now)+r.Prompt))
+	margin := versionMargin + time.Duration(beginFactor*float64(first))
+	return c.view.Wanted[r.Model].Due(now, c.settings.VersionWithin-margin)
 }
 
 // pick returns the best upstream with room, or nil. Upstreams that failed or
@@ -132,7 +136,7 @@
 		return true
 	}
 	v := u.serves(now, r.Model, e.Layers)
-	if v == 0 || v < c.least(now, r.Model) {
+	if v == 0 || v < c.least(now, e, r, u) {
 		return false
 	}
 	return r.version == 0 || v == r.version
