dispatch: others are taken to send as this entry does until they tell

Cause: an upstream that comes back empty, as each engine does after it took new weights, is the best one for every entry, and each hears of the others' requests 100 ms later. Change: for 150 ms each own request at an upstream counts once more for every other entry, by the rates that they tell, when upstreams are compared.

--- a/lib/dispatch/core_test.go
+++ b/lib/dispatch/core_test.go
@@ -490,3 +490,21 @@
 	_, actions = b.arrive("/stream/3")
 	b.refused(actions)
 }
+
+// Guards against entries that all send to an upstream which has just come back
+// empty, since each hears of the others' requests only later.
+func TestReturningUpstreamIsNotFloodedByAllEntries(t *testing.T) {
+	b := newBench(t, view(replica("empty", 1), replica("used", 1)))
+	loads := map[fleet.InstanceID]peering.Load{"used": {Requests: 2}}
+	shares := map[fleet.Service]peering.Share{engine: {Low: 0, High: 0.125}}
+	b.core.SetOthers(b.now, loads, shares)
+	to := func() fleet.InstanceID {
+		_, actions := b.arrive("/stream/1")
+		return b.sent(actions).Upstream
+	}
+	require.Equal(t, fleet.InstanceID("empty"), to())
+	require.Equal(t, fleet.InstanceID("used"), to(), "seven others have sent as much")
+	b.now = b.now.Add(hearAfter)
+	b.core.SetOthers(b.now, loads, shares)
+	require.Equal(t, fleet.InstanceID("empty"), to(), "the others have told what they sent")
+}
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -184,7 +184,7 @@
 // cost compares upstreams: the load after one more request as a share of the
 // slots, and what distance, slowness and a coming change of weights add.
 func (c *Core) cost(now time.Time, s *service, r *request, u *upstream) float64 {
-	cost := float64(u.load(now)+1) / float64(max(u.Slots, 1))
+	cost := (float64(u.load(now)+1) + u.unheard(now, s)) / float64(max(u.Slots, 1))
 	if u.region != c.settings.Region {
 		cost += remoteCost
 	}
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -13,6 +13,11 @@
 	loadLife = 1500 * time.Millisecond
 	// toldLife is how long the counts of other entries are used.
 	toldLife = 500 * time.Millisecond
+	// hearAfter is how long it takes until an entry has heard what others sent,
+	// and unheardMost bounds the requests that others are taken to send for each
+	// own one.
+	hearAfter   = 150 * time.Millisecond
+	unheardMost = 16
 	// avoidFirst is how long an upstream is avoided after a failure; the time
 	// doubles with each further one up to avoidMost.
 	avoidFirst = 400 * time.Millisecond
@@ -63,6 +68,8 @@
 	coldUntil time.Time
 	// sent holds the times of the latest sends, for the bound while cold.
 	sent []time.Time
+	// recent holds the times of sends that other entries may not have heard of.
+	recent []time.Time
 	// firstByte is a moving average of the time to the first byte.
 	firstByte time.Duration
 	// notice is the latest word of the loader at its address.
@@ -84,6 +91,19 @@
 	}
 }
 
+// unheard estimates what other entries have sent to the upstream and not told
+// yet: they see the same loads as this one, and send as it does.
+func (u *upstream) unheard(now time.Time, s *service) float64 {
+	for len(u.recent) > 0 && now.Sub(u.recent[0]) >= hearAfter {
+		u.recent = u.recent[1:]
+	}
+	part := s.share.High - s.share.Low
+	if part <= 0 || now.Sub(s.sharedAt) > toldLife {
+		return 0
+	}
+	return float64(len(u.recent)) * min(1/part-1, unheardMost)
+}
+
 // unread estimates the prompt tokens that wait to be read at the upstream.
 func (u *upstream) unread(now time.Time) int {
 	if now.Sub(u.toldAt) <= toldLife {
@@ -184,6 +204,7 @@
 // take counts a request in.
 func (u *upstream) take(now time.Time, bounded bool) {
 	u.mine++
+	u.recent = append(u.recent, now)
 	if bounded {
 		u.sent = append(u.sent, now)
 	}
