--- a/lib/requestlog/requestlog.go
+++ b/lib/requestlog/requestlog.go
@@ -3,6 +3,9 @@
 package requestlog
 
 import (
+	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -49,29 +52,64 @@
 	return p, nil
 }
 
+// maxLine bounds a line; what is longer is passed over.
+const maxLine = 64 << 10
+
 func (p *Path) read(id string, r io.Reader) error {
 	believed := map[string]Line{}
-	d := logfmt.NewDecoder(r)
-	for d.ScanRecord() {
-		l := parse(d)
-		switch {
-		case l.Request == id:
-			p.Lines = append(p.Lines, l)
-			if b, ok := believed[l.Instance]; ok {
-				p.Before[l.Instance] = b
-			}
-		case slices.Contains(viewEvents, l.Event):
-			believed[l.Instance] = l
-		case l.Event == "log-dropped":
-			p.Missing = append(p.Missing, "an instance dropped lines of its log: "+l.Text)
+	unread := 0
+	in := bufio.NewReaderSize(r, maxLine)
+	for {
+		text, err := in.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if l, perr := parse(text); perr == nil {
+			p.take(id, l, believed)
+		} else if bytes.Contains(text, []byte("request="+id)) {
+			unread++
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
 		}
 	}
-	return d.Err()
+	if unread > 0 {
+		p.Missing = append(p.Missing, fmt.Sprintf("lines with the request's id that could not be read: %d", unread))
+	}
+	return nil
 }
 
-func parse(d *logfmt.Decoder) Line {
+// take takes in a line; believed holds what each instance said last of what it
+// believes.
+func (p *Path) take(id string, l Line, believed map[string]Line) {
+	switch {
+	case l.Request == id:
+		p.Lines = append(p.Lines, l)
+		if b, ok := believed[l.Instance]; ok {
+			p.Before[l.Instance] = b
+		}
+	case slices.Contains(viewEvents, l.Event):
+		believed[l.Instance] = l
+	case l.Event == "log-dropped":
+		p.Missing = append(p.Missing, "an instance dropped lines of its log: "+l.Text)
+	}
+}
+
+// firstField begins each line that a process writes; what a collector puts
+// before it is passed over.
+var firstField = []byte("ts=")
+
+func parse(data []byte) (Line, error) {
 	var l Line
 	var text []string
+	if i := bytes.Index(data, firstField); i > 0 {
+		data = data[i:]
+	}
+	d := logfmt.NewDecoder(bytes.NewReader(data))
+	d.ScanRecord()
 	for d.ScanKeyval() {
 		key, value := string(d.Key()), string(d.Value())
 		switch key {
@@ -89,7 +127,7 @@
 		}
 	}
 	l.Text = strings.Join(text, " ")
-	return l
+	return l, d.Err()
 }
 
 // findMissing names what the path lacks.
--- a/lib/requestlog/requestlog_test.go
+++ b/lib/requestlog/requestlog_test.go
@@ -44,6 +44,21 @@
 	require.Contains(t, find(t, "b").Missing[0], "not sent to any upstream")
 }
 
+// Guards against a log that cannot be read because of one line: collectors put
+// their own fields before a line, supervisors write text of their own, and a
+// killed process leaves a line without its end.
+func TestOtherTextInALogIsPassedOver(t *testing.T) {
+	text := `unquoted "text of a supervisor
+   1.5 collector g1/stdout ts=2026-01-01T00:00:02Z instance=g1 event=attempt request=a number=1 end=answered
+ts=2026-01-01T00:00:03Z instance=g1 event=attempt request=a detail="cut o
+` + strings.Repeat("x", 2*maxLine) + `
+ts=2026-01-01T00:00:04Z instance=g1 event=attempt request=a number=2 end=answered`
+	p, err := Find("a", strings.NewReader(text))
+	require.NoError(t, err)
+	require.Len(t, p.Lines, 2)
+	require.Equal(t, []string{"lines with the request's id that could not be read: 1"}, p.Missing)
+}
+
 // FuzzFind looks for logs that stop the command.
 func FuzzFind(f *testing.F) {
 	f.Add(gatewayLog)
