--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -33,6 +33,11 @@
 	seederMetricsOffset = 3
 )
 
+// peerReads is how often a loader asks gateways for versions within the time in
+// which a version must be in force. Each watch of the store has its price, and a
+// watch that was cut in silence lasts long.
+const peerReads = 4
+
 const (
 	// engineShare and seederShare are the parts of a machine's link that weights
 	// may take; the rest is for requests and answers. An engine's link is narrow,
@@ -131,7 +136,7 @@
 	out := logline.New(os.Stdout)
 	logger := out.Logger(string(s.Instance))
 	store := platform.NewStore(s.Store)
-	w := watcher.New(store, platform.WantedPrefix, s.Bounds.VersionWithin/2, logger)
+	w := watcher.New(store, platform.WantedPrefix, platform.MaxWatch, logger)
 	l := loader.Settings{
 		Region:        s.Region,
 		Regions:       s.Regions,
@@ -141,6 +146,7 @@
 		Notices:       internal(s, peersOffset),
 		NoticeAddress: func(gateway string) string { return s.Internal(gateway, peersOffset) },
 		Within:        s.Bounds.VersionWithin,
+		PeerEvery:     s.Bounds.VersionWithin / peerReads,
 		ListPrefixes:  platform.ListPrefixes,
 		PeerAddress:   s.LoaderAddress,
 	}
--- a/lib/viewsync/viewsync.go
+++ b/lib/viewsync/viewsync.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -108,7 +109,9 @@
 	return b, nil
 }
 
-// Fallback reads the view of the first of some processes that answers.
+// Fallback reads the view of the first of some processes that answers. Each
+// read begins with another one, so that one that is behind does not hold a
+// reader back.
 type Fallback struct {
 	Client  *Client
 	Members []string
@@ -118,9 +121,10 @@
 // is published.
 func (f *Fallback) Snapshot(ctx context.Context, prefix string) (published.Batch, error) {
 	err := eris.New("no process to ask")
-	for _, m := range f.Members {
+	first := rand.IntN(max(len(f.Members), 1))
+	for i := range f.Members {
 		var b published.Batch
-		if b, err = f.Client.Changes(ctx, m, 0, prefix); err == nil {
+		if b, err = f.Client.Changes(ctx, f.Members[(first+i)%len(f.Members)], 0, prefix); err == nil {
 			return b, nil
 		}
 	}
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -49,10 +49,12 @@
 	wait   time.Duration
 	logger log.Logger
 	news   *ring.Ring[News]
-	// fallback may be nil.
-	fallback Fallback
-	views    []*ring.Ring[*published.View]
-	asks     *ring.Ring[ask]
+	// fallback may be nil; it is read each peerEvery, or if that is 0 only while
+	// the source does not answer.
+	fallback  Fallback
+	peerEvery time.Duration
+	views     []*ring.Ring[*published.View]
+	asks      *ring.Ring[ask]
 	// resume is where Read goes on; it is owned by Read.
 	resume uint64
 	lost   bool
@@ -94,6 +96,9 @@
 func (w *Watcher) Start(g *duty.Group) {
 	g.Go("store reader", w.read)
 	g.Go("view keeper", w.keep)
+	if w.peerEvery > 0 {
+		g.Go("peer reader", w.readPeers)
+	}
 }
 
 // Tell takes in a batch that a peer passed on.
@@ -110,9 +115,19 @@
 	return reply.Take(ctx)
 }
 
-// SetFallback names where items are read while the source does not answer. It
-// must be called before Start.
-func (w *Watcher) SetFallback(f Fallback) { w.fallback = f }
+// SetFallback names where items are read while the source does not answer, and
+// again after each pause of every unless that is 0. It must be called before
+// Start.
+func (w *Watcher) SetFallback(f Fallback, every time.Duration) { w.fallback, w.peerEvery = f, every }
+
+// readPeers reads what others know for as long as the process runs. A watch
+// that the source cut in silence brings no news until it is renewed.
+func (w *Watcher) readPeers(ctx context.Context) error {
+	for duty.Sleep(ctx, w.peerEvery) == nil && ctx.Err() == nil {
+		w.fallBack(ctx)
+	}
+	return nil
+}
 
 // read reads the source for as long as the process runs.
 func (w *Watcher) read(ctx context.Context) error {
--- a/lib/watcher/watcher_test.go
+++ b/lib/watcher/watcher_test.go
@@ -121,3 +121,28 @@
 	require.Len(t, a.Changes, 1)
 	require.Equal(t, "b", a.Changes[0].Key)
 }
+
+// peerView is a fallback that holds some changes.
+type peerView []published.Change
+
+// Snapshot implements Fallback.
+func (p peerView) Snapshot(context.Context, string) (published.Batch, error) {
+	return published.Batch{Changes: p, Revision: 9}, nil
+}
+
+// Guards against a process that waits for its watch to be renewed although
+// others know better: a watch that was cut in silence lasts its whole time.
+func TestPeersAreReadBesideASilentWatch(t *testing.T) {
+	s := &script{snapshot: []published.Change{upstream("a", 1)}, steps: []step{{silent: true}}}
+	w := New(s, "", time.Hour, log.NewLogfmtLogger(io.Discard))
+	w.SetFallback(peerView{upstream("b", 9)}, time.Millisecond)
+	views := w.Subscribe()
+	g := duty.NewGroup(context.Background())
+	w.Start(g)
+	t.Cleanup(func() {
+		g.Stop()
+		require.NoError(t, g.Wait())
+	})
+	for len(next(t, views).Upstreams) < 2 {
+	}
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -56,6 +56,8 @@
 	Link pacing.BytesPerSecond
 	// Uploads bounds the pieces that are sent at a time.
 	Uploads int
+	// PeerEvery is the time between two questions to gateways for versions.
+	PeerEvery time.Duration
 	// Seeds are addresses of gateways that know the others; SeederAddress
 	// returns where the seeder on a gateway's machine is reached.
 	Seeds         []string
@@ -131,7 +133,7 @@
 
 // New returns a loader; Run starts it. The engine is nil for a seeder.
 func New(s Settings, engine Engine, origin Origin, store watcher.Source, fallback watcher.Fallback, w *watcher.Watcher, logger log.Logger) *Loader {
-	w.SetFallback(fallback)
+	w.SetFallback(fallback, s.PeerEvery)
 	return &Loader{
 		settings: s,
 		engine:   engine,
