exchange: a success without a signature is not passed on; one way to start a server

Cause: the head of an answer said whether an upstream had signed it, and nothing looked at it; a success that nobody signed reached the caller.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,7 +17,6 @@
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
-	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/viewsync"
 	"rattanspur.example/lib/watcher"
 	"rattanspur.example/lib/wire"
@@ -125,7 +124,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}
-	if err := g.listen(group, "front", g.settings.Listen, front); err != nil {
+	if err := wire.Start(group, "front", g.settings.Listen, front); err != nil {
 		return err
 	}
 	side := http.NewServeMux()
@@ -139,7 +138,10 @@
 	for name, address := range map[string]string{
 		"readiness": g.settings.Ready, "metrics": g.settings.Metrics, "control": g.settings.Control,
 	} {
-		if err := g.listen(group, name, address, &http.Server{Handler: side}); err != nil {
+		if address == "" {
+			continue
+		}
+		if err := wire.Start(group, name, address, &http.Server{Handler: side}); err != nil {
 			return err
 		}
 	}
@@ -151,22 +153,6 @@
 	return g.stop(front, group)
 }
 
-func (g *Gateway) listen(group *duty.Group, name, address string, server *http.Server) error {
-	if address == "" {
-		return nil
-	}
-	l, err := sock.Listen(group.Context(), address)
-	if err != nil {
-		return eris.Wrapf(err, "listen for %s", name)
-	}
-	group.Go(name, func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		return wire.Serve(server, l)
-	})
-	return nil
-}
-
 // stop says that the process is not ready, waits until the platform sends no
 // more connections, and lets the requests in progress end.
 func (g *Gateway) stop(front *http.Server, group *duty.Group) error {
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -200,9 +200,6 @@
 	return n
 }
 
-// InFlight returns the number of requests that have not ended.
-func (c *Core) InFlight() int { return len(c.requests) }
-
 // Suspects returns the crashes that this process counts for requests.
 func (c *Core) Suspects() *retry.Guard { return c.guard }
 
--- a/lib/dispatch/core_test.go
+++ b/lib/dispatch/core_test.go
@@ -325,7 +325,7 @@
 	b.core.Left(b.now, ticket)
 	b.core.SetOthers(b.now, nil, nil)
 	require.Empty(t, b.core.Tick(b.now))
-	require.Zero(t, b.core.InFlight())
+	require.Zero(t, len(b.core.requests))
 }
 
 // Guards against a caller who leaves between the order to send and the send:
@@ -336,7 +336,7 @@
 	b.sent(actions)
 	b.core.Left(b.now, ticket)
 	require.Empty(t, b.core.Loads())
-	require.Zero(t, b.core.InFlight())
+	require.Zero(t, len(b.core.requests))
 }
 
 // Guards against a request that crashes every upstream which runs it.
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -18,8 +18,9 @@
 type Head struct {
 	// Request is the id of the request that the answer belongs to.
 	Request string
-	// Signed says that the answer is an upstream's own.
-	Signed bool
+	// Unsigned says that the answer does not bear an upstream's signature, as
+	// each of its own answers does.
+	Unsigned bool
 	// NotRun says that the request has not run; Misdirected that another
 	// upstream or other weights were asked for.
 	NotRun      bool
@@ -148,6 +149,8 @@
 	switch {
 	case h.Request != x.request.ID && x.request.ID != "":
 		x.out.End, x.out.Detail = retry.Mismatched, "answer names another request"
+	case h.Unsigned && resp.StatusCode/100 == 2:
+		x.out.End, x.out.Detail = retry.Mismatched, "success without an upstream's signature"
 	case h.NotRun:
 		x.answer.Observe(&h)
 		x.refused(resp, &h)
--- a/lib/exchange/exchange_test.go
+++ b/lib/exchange/exchange_test.go
@@ -62,6 +62,7 @@
 	return Head{
 		Request: resp.Header.Get("Id"), NotRun: resp.Header.Get("Not-Run") != "",
 		Misdirected: resp.StatusCode == http.StatusMisdirectedRequest, Close: resp.Close,
+		Unsigned: resp.Header.Get("Unsigned") != "",
 	}
 }
 
@@ -173,6 +174,23 @@
 	}
 }
 
+// Guards against a success that no upstream stands for, such as bytes of a
+// faulty one that look like an answer.
+func TestUnsignedSuccessIsNotPassedOn(t *testing.T) {
+	for answer, end := range map[string]retry.End{
+		"HTTP/1.1 200 OK\r\nId: 1\r\nUnsigned: 1\r\nContent-Length: 2\r\n\r\nok":   retry.Mismatched,
+		"HTTP/1.1 500 No\r\nId: 1\r\nUnsigned: 1\r\nContent-Length: 2\r\n\r\nno":   retry.Answered,
+		"HTTP/1.1 404 None\r\nId: 1\r\nUnsigned: 1\r\nContent-Length: 2\r\n\r\nno": retry.Answered,
+	} {
+		u := serve(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = takeRequest(r)
+			_, _ = io.WriteString(c, answer)
+		})
+		out, _ := do(u.dial(), request(""), Options{})
+		require.Equal(t, end, out.End, answer)
+	}
+}
+
 // Guards against a request that is reported as not run without a word of the
 // upstream that says so.
 func TestOnlyTheUpstreamsWordMeansNotRun(t *testing.T) {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/rotisserie/eris"
 
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
@@ -179,7 +178,8 @@
 		"peers":   {l.settings.Listen, l.peerHandler()},
 		"metrics": {l.settings.Metrics, http.HandlerFunc(l.metrics.serve)},
 	} {
-		if err := l.listen(group, name, h.address, h.handler); err != nil {
+		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: peerTimeout, IdleTimeout: time.Minute}
+		if err := wire.Start(group, name, h.address, server); err != nil {
 			return err
 		}
 	}
@@ -188,17 +188,3 @@
 	_ = l.logger.Log("event", "stop", "err", err)
 	return err
 }
-
-func (l *Loader) listen(group *duty.Group, name, address string, h http.Handler) error {
-	listener, err := sock.Listen(group.Context(), address)
-	if err != nil {
-		return eris.Wrapf(err, "listen for %s", name)
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: peerTimeout, IdleTimeout: time.Minute}
-	group.Go(name, func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		return wire.Serve(server, listener)
-	})
-	return nil
-}
