transfer: an origin that was away is asked again within a second

The only seeder of the home region failed six times and then left the origin alone for 16 s; the others helped themselves with two pieces a second. Change: the pause after failures of store or origin is at most 1 s.

--- a/lib/transfer/sources.go
+++ b/lib/transfer/sources.go
@@ -7,8 +7,10 @@
 	busyFor = 30 * time.Millisecond
 	// failedFor is that time for a source that failed or sent a wrong chunk.
 	failedFor = 500 * time.Millisecond
-	// maxAvoid bounds the growth of both.
-	maxAvoid = 30 * time.Second
+	// maxAvoid bounds the growth of both for peers, and maxAvoidOrigin for store
+	// and origin, which nothing replaces.
+	maxAvoid       = 30 * time.Second
+	maxAvoidOrigin = time.Second
 	// maxBusyDoublings keeps a busy peer in use: it refuses for the moment only.
 	maxBusyDoublings = 4
 	// maxCorrupt is the number of wrong chunks after which a peer is not asked
@@ -69,7 +71,11 @@
 }
 
 func (s *sourceState) strike(now time.Time) {
-	wait := min(failedFor<<min(s.strikes, maxDoublings), maxAvoid)
+	most := maxAvoidOrigin
+	if s.peer {
+		most = maxAvoid
+	}
+	wait := min(failedFor<<min(s.strikes, maxDoublings), most)
 	s.strikes++
 	s.avoid = now.Add(wait)
 }
--- a/lib/transfer/sources_test.go
+++ b/lib/transfer/sources_test.go
@@ -25,6 +25,20 @@
 	require.GreaterOrEqual(t, peer.avoid.Sub(now), failedFor)
 }
 
+// Guards against an origin that was away for some seconds and is left alone for
+// many more: nothing replaces it, and a region without another drawer gets
+// nothing meanwhile.
+func TestOriginThatWasAwayIsAskedAgainSoon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	origin, peer := &sourceState{}, &sourceState{peer: true}
+	for range 8 {
+		origin.ended(now, ChunkEnded{Outcome: Failed})
+		peer.ended(now, ChunkEnded{Outcome: Failed})
+		require.LessOrEqual(t, origin.avoid.Sub(now), time.Second)
+	}
+	require.Greater(t, peer.avoid.Sub(now), 10*time.Second)
+}
+
 // Guards against an agent of a seeded region that sends over its narrow link,
 // and against one that is left without a source when the seeder is silent.
 func TestSeedersAloneSend(t *testing.T) {
