staging: an earlier version that is here serves while the target cannot be brought

Change: at its turn an engine takes the newest complete version that is wanted, newer than what it serves and allowed for 1.5 s more; the target follows when it is here.

--- a/lib/staging/staging.go
+++ b/lib/staging/staging.go
@@ -30,7 +30,7 @@
 const (
 	// Idle: the engine serves what it should, or something is in progress.
 	Idle Action = iota
-	// Fetch: bring the target version here.
+	// Fetch: bring the version here.
 	Fetch
 	// Place: put the pieces in place for the engine.
 	Place
@@ -57,8 +57,8 @@
 	rank, count int
 	report      Report
 	known       bool
-	// complete is the version of which all pieces are here.
-	complete int64
+	// complete holds the versions of which all pieces are here.
+	complete map[int64]bool
 	// placed is the version that lies in place at the engine with born.
 	placed     int64
 	placedBorn int64
@@ -70,7 +70,7 @@
 
 // New returns a core for one model of the engine.
 func New(model string, layers int, within time.Duration) *Core {
-	return &Core{model: model, layers: layers, within: within, count: 1}
+	return &Core{model: model, layers: layers, within: within, count: 1, complete: map[int64]bool{}}
 }
 
 // SetTarget names the version that the engine is to serve.
@@ -92,7 +92,16 @@
 func (c *Core) Loaded() int64 { return published.Whole(c.report.Copies, c.model, c.layers) }
 
 // Completed says that all pieces of a version are here.
-func (c *Core) Completed(version int64) { c.complete = version }
+func (c *Core) Completed(version int64) { c.complete[version] = true }
+
+// Dropped says that the pieces of a version are here no longer.
+func (c *Core) Dropped(version int64) { delete(c.complete, version) }
+
+// Behind reports whether the engine is known to serve another version than the
+// target.
+func (c *Core) Behind() bool {
+	return c.target.Version != 0 && c.known && c.Loaded() != c.target.Version
+}
 
 // Placed says that all pieces of a version lie in place at the engine, as of
 // the start that is known.
@@ -109,27 +118,49 @@
 // Failed says that an attempt failed; the next one waits a little.
 func (c *Core) Failed(now time.Time) { c.pauseUntil = now.Add(retryPause) }
 
-// Next returns what to do now.
-func (c *Core) Next(now time.Time) Action {
+// Next returns what to do now, and for which version.
+func (c *Core) Next(now time.Time) (Action, int64) {
+	if !c.Behind() || now.Before(c.pauseUntil) {
+		return Idle, 0
+	}
+	version := c.choose(now)
 	switch {
-	case c.target.Version == 0 || !c.known || now.Before(c.pauseUntil):
-		return Idle
-	case c.Loaded() == c.target.Version:
-		return Idle
-	case c.complete != c.target.Version:
-		return Fetch
-	case c.placed != c.target.Version || c.placedBorn != c.report.Born:
-		return Place
-	case c.report.Busy || c.inProgress(now) || now.Before(c.Turn()):
-		return Idle
+	case version == 0:
+		return Fetch, c.target.Version
+	case c.placed != version || c.placedBorn != c.report.Born:
+		return Place, version
+	case c.report.Busy || c.inProgress(now, version) || now.Before(c.Turn()):
+		return Idle, version
 	default:
-		return Order
+		return Order, version
+	}
+}
+
+// leastUse is how long an earlier version must still be allowed to be worth its
+// order, which costs the engine a break.
+const leastUse = 1500 * time.Millisecond
+
+// choose returns the version to take next, or 0 if none is here: the target,
+// or once it is the engine's turn the newest earlier version that is wanted,
+// newer than what it serves, and allowed for some time.
+func (c *Core) choose(now time.Time) int64 {
+	if c.complete[c.target.Version] {
+		return c.target.Version
+	}
+	if now.Before(c.Turn()) {
+		return 0
+	}
+	for _, e := range c.target.Earlier {
+		if e.Version > c.Loaded() && c.complete[e.Version] && due(c.target, e.Version, c.within).Sub(now) > leastUse {
+			return e.Version
+		}
 	}
+	return 0
 }
 
-// inProgress reports whether the order for the target may still take effect.
-func (c *Core) inProgress(now time.Time) bool {
-	return c.ordered == c.target.Version && c.orderBorn == c.report.Born && now.Sub(c.orderedAt) < orderPatience
+// inProgress reports whether the order for a version may still take effect.
+func (c *Core) inProgress(now time.Time, version int64) bool {
+	return c.ordered == version && c.orderBorn == c.report.Born && now.Sub(c.orderedAt) < orderPatience
 }
 
 // Turn returns when the engine may begin to take the target. An engine that
--- a/lib/staging/staging_test.go
+++ b/lib/staging/staging_test.go
@@ -28,27 +28,33 @@
 	return published.Wanted{Model: "m", Version: version, Learned: start}
 }
 
+// next returns the next action alone.
+func next(c *Core, now time.Time) Action {
+	a, _ := c.Next(now)
+	return a
+}
+
 // Guards against an order before every piece lies in place, and against one
 // that is given while another is in progress.
 func TestPathOfAVersion(t *testing.T) {
 	c := New("m", 16, within)
 	now := start
-	require.Equal(t, Idle, c.Next(now))
+	require.Equal(t, Idle, next(c, now))
 	c.SetTarget(target(2))
-	require.Equal(t, Idle, c.Next(now), "the engine is not known")
+	require.Equal(t, Idle, next(c, now), "the engine is not known")
 	c.SetReport(holds(0, 1, false))
-	require.Equal(t, Fetch, c.Next(now))
+	require.Equal(t, Fetch, next(c, now))
 	c.Completed(2)
-	require.Equal(t, Place, c.Next(now))
+	require.Equal(t, Place, next(c, now))
 	c.Placed(2)
-	require.Equal(t, Order, c.Next(now))
+	require.Equal(t, Order, next(c, now))
 	c.Ordered(now, 2)
-	require.Equal(t, Idle, c.Next(now))
-	require.Equal(t, Order, c.Next(now.Add(orderPatience)), "an order without effect is given again")
+	require.Equal(t, Idle, next(c, now))
+	require.Equal(t, Order, next(c, now.Add(orderPatience)), "an order without effect is given again")
 	c.SetReport(holds(0, 1, true))
-	require.Equal(t, Idle, c.Next(now.Add(orderPatience)))
+	require.Equal(t, Idle, next(c, now.Add(orderPatience)))
 	c.SetReport(holds(2, 1, false))
-	require.Equal(t, Idle, c.Next(now.Add(time.Hour)))
+	require.Equal(t, Idle, next(c, now.Add(time.Hour)))
 }
 
 // Guards against an engine that restarted and is taken to hold what lay at it
@@ -61,9 +67,9 @@
 	c.Placed(2)
 	c.Ordered(start, 2)
 	c.SetReport(holds(0, 2, false))
-	require.Equal(t, Place, c.Next(start))
+	require.Equal(t, Place, next(c, start))
 	c.Placed(2)
-	require.Equal(t, Order, c.Next(start))
+	require.Equal(t, Order, next(c, start))
 }
 
 // Guards against an engine that begins on weights of an older target.
@@ -74,9 +80,44 @@
 	c.Completed(2)
 	c.Placed(2)
 	c.SetTarget(target(3))
-	require.Equal(t, Fetch, c.Next(start))
+	require.Equal(t, Fetch, next(c, start))
+	c.Completed(3)
+	require.Equal(t, Place, next(c, start), "pieces of version 2 lie in place")
+}
+
+// Guards against an engine that serves nothing, or weights that are due to be
+// replaced, while the target cannot be brought and an earlier version that is
+// still allowed is here.
+func TestEarlierVersionServesWhileTheTargetIsMissing(t *testing.T) {
+	w := published.Wanted{
+		Model: "m", Version: 3, Learned: start.Add(2 * time.Second), Earlier: []published.Named{{Version: 2, Learned: start}},
+	}
+	c := New("m", 16, within)
+	c.SetTarget(w)
+	c.SetReport(holds(1, 1, false))
+	c.Completed(2)
+	turn := c.Turn()
+	require.Equal(t, Fetch, next(c, turn.Add(-time.Millisecond)), "the target may come before the turn")
+	a, version := c.Next(turn)
+	require.Equal(t, Place, a)
+	require.Equal(t, int64(2), version)
+	c.Placed(2)
+	require.Equal(t, Order, next(c, turn))
+	c.Ordered(turn, 2)
+	c.SetReport(holds(2, 1, false))
+	require.Equal(t, Fetch, next(c, turn))
 	c.Completed(3)
-	require.Equal(t, Place, c.Next(start), "pieces of version 2 lie in place")
+	a, version = c.Next(turn)
+	require.Equal(t, Place, a)
+	require.Equal(t, int64(3), version)
+
+	empty := New("m", 16, within)
+	empty.SetTarget(w)
+	empty.SetReport(holds(0, 1, false))
+	empty.Completed(2)
+	_, version = empty.Next(start.Add(3 * time.Second))
+	require.Equal(t, int64(2), version)
+	require.Equal(t, Fetch, next(empty, w.Learned.Add(within-leastUse)), "too short a use")
 }
 
 // Guards against pieces that turned bad in place and are ordered all the same.
@@ -87,7 +128,7 @@
 	c.Completed(2)
 	c.Placed(2)
 	c.Spoilt()
-	require.Equal(t, Place, c.Next(start))
+	require.Equal(t, Place, next(c, start))
 }
 
 // Guards against engines that all leave service at once, and against one whose
--- a/loader/keeper.go
+++ b/loader/keeper.go
@@ -208,6 +208,7 @@
 	for v := range k.holdings {
 		if v <= target-keptVersions {
 			delete(k.holdings, v)
+			k.core.Dropped(v)
 		}
 	}
 }
@@ -248,21 +249,20 @@
 		k.relist(ctx, now)
 		return
 	}
-	target := k.core.Target()
-	if c := k.holdings[target]; c != nil && c.whole() {
-		k.core.Completed(target)
+	for version, c := range k.holdings {
+		if c.whole() {
+			k.core.Completed(version)
+		}
+	}
+	if k.core.Behind() || k.seeder() {
+		k.open(now, k.core.Target())
 	}
-	switch k.core.Next(now) {
-	case staging.Fetch:
-		k.open(now, target)
+	switch action, version := k.core.Next(now); action {
 	case staging.Place:
-		k.work(ctx, work{kind: place, copy: k.holdings[target], sequence: k.report.Sequence})
+		k.work(ctx, work{kind: place, copy: k.holdings[version], sequence: k.report.Sequence})
 	case staging.Order:
-		k.work(ctx, work{kind: start, copy: k.holdings[target], sequence: k.report.Sequence})
-	case staging.Idle:
-		if k.seeder() {
-			k.open(now, target)
-		}
+		k.work(ctx, work{kind: start, copy: k.holdings[version], sequence: k.report.Sequence})
+	case staging.Idle, staging.Fetch:
 	}
 	for _, c := range k.holdings {
 		k.drive(ctx, now, c)
