gateway: a restarted one asks again since when a version is wanted

Change: while the time of a version is not known, one peer after the other is asked for it, for 4 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,8 @@
 	Metrics string
 	// ReadyPath is the path of the question for readiness.
 	ReadyPath string
+	// WantedPrefix begins the keys of the versions that upstreams are to serve.
+	WantedPrefix string
 	// Seeds are addresses of some gateways' messages.
 	Seeds []string
 	// Grace is the time that a graceful stop may take.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/peering"
+	"rattanspur.example/lib/published"
 )
 
 // Guards against a request that reaches the upstream without what it must know,
@@ -292,3 +293,31 @@
 		}
 	}
 }
+
+// Guards against a gateway that was restarted while the store was away, reads a
+// new version in its first snapshot and refuses everything, because it does not
+// know since when the version is wanted and asks nobody again.
+func TestTimeOfAVersionIsAskedForAgain(t *testing.T) {
+	knowing, fresh := newSource(), newSource()
+	knowing.put("op/config", routes)
+	knowing.put("op/version/m", `{"model":"m","version":1}`)
+	a := start(t, knowing)
+	fresh.down = true
+	b := start(t, fresh, a.gateway.settings.Peers)
+	fresh.put("op/config", routes)
+	fresh.put("op/version/m", `{"model":"m","version":1}`)
+	fresh.put("op/version/m", `{"model":"m","version":2}`)
+	fresh.mu.Lock()
+	fresh.down = false
+	fresh.mu.Unlock()
+	require.Eventually(t, func() bool {
+		known, err := b.gateway.watcher.Since(context.Background(), 0)
+		require.NoError(t, err)
+		for _, c := range known.Changes {
+			if w, ok := c.Item.(published.Wanted); ok && w.Version == 2 && c.Age > 0 {
+				return true
+			}
+		}
+		return false
+	}, waitMost, time.Millisecond)
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -11,6 +11,7 @@
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
+	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/wire"
 )
@@ -122,14 +123,15 @@
 	}
 }
 
-// pull asks a peer for what is newer than a revision.
+// pull asks a peer for what is newer than a revision, under a prefix.
 type pull struct {
-	peer  string
-	after uint64
+	peer   string
+	after  uint64
+	prefix string
 }
 
 func (g *Gateway) pull(ctx context.Context, p pull) error {
-	b, err := g.sync.Changes(ctx, p.peer, p.after, "")
+	b, err := g.sync.Changes(ctx, p.peer, p.after, p.prefix)
 	if err != nil {
 		return err
 	}
@@ -212,6 +214,40 @@
 	}
 	if peer, ok := r.peers.Newer(now, after); ok && g.pulls.Put(ctx, pull{peer: peer, after: after}) == nil {
 		r.informed = true
+	} else if !ok && now.Before(r.unsureUntil) {
+		r.askTimes(ctx, now)
+	}
+}
+
+// unsureFor is how long peers are asked since when a version is wanted. They
+// may hear of it later than a process that has just started.
+const unsureFor = 4 * time.Second
+
+// askTimes asks a peer since when versions are wanted, another one each time.
+func (r *router) askTimes(ctx context.Context, now time.Time) {
+	live := r.peers.Live(now)
+	if len(live) == 0 {
+		return
+	}
+	r.asked++
+	p := pull{peer: live[r.asked%len(live)].Control, prefix: r.gateway.settings.WantedPrefix}
+	_ = r.gateway.pulls.Put(ctx, p)
+}
+
+// noteUnsure notes until when peers are asked for the times of wanted versions.
+func (r *router) noteUnsure(now time.Time, v *published.View) {
+	unsure := false
+	for model, w := range v.Wanted {
+		if !w.Learned.IsZero() {
+			continue
+		}
+		unsure = true
+		if r.view == nil || r.view.Wanted[model].Version != w.Version {
+			r.unsureUntil = now.Add(unsureFor)
+		}
+	}
+	if !unsure {
+		r.unsureUntil = time.Time{}
 	}
 }
 
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -84,6 +84,10 @@
 	revision uint64
 	// informed says that a peer's view was asked for since the start.
 	informed bool
+	// unsureUntil is when peers are asked no longer since when versions are
+	// wanted, asked counts the questions.
+	unsureUntil time.Time
+	asked       int
 }
 
 func (g *Gateway) runRouter(ctx context.Context) error {
@@ -140,6 +144,7 @@
 			r.gateway.bodyBytes.Store(n)
 		}
 	}
+	r.noteUnsure(time.Now(), v)
 	r.view, r.revision = v, v.Revision
 	clear(r.present)
 	for _, u := range v.Upstreams {
