dispatch: requests that come back get room at engines that are half empty

Cause: while new requests wait or are refused at any gateway, those that come back got nothing. Change: while room is scarce they get it at engines below half of their slots; the parts of the slots that gateways share hold for them as for others.

--- a/lib/dispatch/core_test.go
+++ b/lib/dispatch/core_test.go
@@ -508,3 +508,23 @@
 	b.core.SetOthers(b.now, loads, shares)
 	require.Equal(t, fleet.InstanceID("empty"), to(), "the others have told what they sent")
 }
+
+// Guards against requests that come back and are refused for good beside engines
+// that are half empty, because somebody refused a new one a moment ago, as after
+// a restart of all engines; and against those that take the room of new ones.
+func TestRequestThatComesBackGetsSpareRoom(t *testing.T) {
+	for others, sent := range map[int]bool{0: true, 1: true, 2: false, 3: false} {
+		b := newBench(t, view(replica("a", 1)))
+		first, actions := b.arrive("/stream/1")
+		b.sent(actions)
+		b.core.End(b.now, first, Ended{End: retry.Answered})
+		b.core.SetOthers(b.now,
+			map[fleet.InstanceID]peering.Load{"a": {Requests: others}},
+			map[fleet.Service]peering.Share{engine: {High: 1, Contended: true}})
+		b.next++
+		actions = b.core.Arrive(b.now, b.next, Call{
+			ID: "id", Host: "h", Path: "/stream/1", Key: "key", Patience: 3 * time.Second, Model: model, Prompt: 100, Answer: 50,
+		})
+		require.Equal(t, sent, len(actions) > 0, "%d requests of others", others)
+	}
+}
--- a/lib/dispatch/demand.go
+++ b/lib/dispatch/demand.go
@@ -36,7 +36,7 @@
 }
 
 // shortTime is how long a refusal for lack of room counts as a sign that there
-// is none for requests that come back.
+// is little.
 const shortTime = time.Second
 
 // short reports whether new requests were refused here lately.
@@ -44,13 +44,6 @@
 	return !s.refused.IsZero() && now.Sub(s.refused) < shortTime
 }
 
-// spare reports whether requests that come back may take room: while new ones
-// are refused at any entry, each one that is late already would make another
-// one late.
-func (s *service) spare(now time.Time) bool {
-	return !s.contended(now)
-}
-
 // contended reports whether new requests wait or are refused at any entry.
 func (s *service) contended(now time.Time) bool {
 	if s.short(now) || s.fresh.length() > 0 {
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -19,6 +19,9 @@
 	// are late already, and each one that is served while others arrive makes
 	// another one late.
 	backRoom = 0.75
+	// scarceRoom is that part for them while new requests wait or are refused
+	// anywhere.
+	scarceRoom = 0.5
 	// resumeRoom is that part for requests that an upstream lost: an answer may
 	// have begun, and its caller waits for the next event.
 	resumeRoom = 1.25
@@ -93,9 +96,6 @@
 	if s.published == nil {
 		return nil
 	}
-	if s.published.Engine != nil && r.returning && !s.spare(now) {
-		return nil
-	}
 	var best, avoided *upstream
 	bestCost := 0.0
 	healthy := false
@@ -165,6 +165,9 @@
 	room := engineRoom
 	if r.returning {
 		room = backRoom
+		if s.contended(now) {
+			room = scarceRoom
+		}
 	}
 	if float64(u.load(now)) >= room*float64(u.Slots) || u.mine >= s.quota(now, u) {
 		return false
