--- a/soak/check.go
+++ b/soak/check.go
@@ -38,6 +38,9 @@
 	}
 	for attempt, a := range r.answers {
 		v.answer(attempt, a)
+		if timed && a.status == http.StatusUnauthorized {
+			v.denied(attempt, a)
+		}
 	}
 	slices.Sort(v.broken)
 	return v.broken
@@ -105,6 +108,26 @@
 	}
 }
 
+// denied checks a refusal of a key: it is broken if the key was published long
+// enough before the request and not revoked before the answer.
+func (v *verdict) denied(attempt string, a answered) {
+	s := v.sent[attempt]
+	known := false
+	for _, c := range v.named {
+		due := c.from.Add(configTime + bindSlack)
+		switch {
+		case c.value != s.key:
+		case c.what == "revoked" && c.from.Before(a.at):
+			return
+		case c.what == "key" && s.at.After(due) && v.calm(s.gateway, due.Add(-configTime), a.at):
+			known = true
+		}
+	}
+	if known {
+		v.add("DENIED", attempt, "%s was answered 401", s.key)
+	}
+}
+
 // eventsOf is a whole stream.
 func eventsOf(version int64) string {
 	var b strings.Builder
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// Guards against a refusal of a key that every gateway must know, and against a
+// check that holds a right refusal against them.
+func TestRefusedKeys(t *testing.T) {
+	denied := one(order)
+	clear(denied.runs)
+	denied.answers["a"] = answered{attempt: "a", status: http.StatusUnauthorized, at: begin.Add(time.Minute)}
+	require.Empty(t, check(denied, true), "nobody published the key")
+	denied.named = []named{{what: "key", value: "key", from: begin.Add(time.Minute - configTime)}}
+	require.Empty(t, check(denied, true), "it was published just before")
+	denied.named[0].from = begin
+	require.NotEmpty(t, check(denied, true))
+	require.Empty(t, check(denied, false))
+	denied.named = append(denied.named, named{what: "revoked", value: "key", from: begin.Add(time.Second)})
+	require.Empty(t, check(denied, true), "it was revoked")
+}
+
 // Guards against promises with a time that are held against a process which
 // was disturbed meanwhile.
 func TestDisturbedProcessIsExcused(t *testing.T) {
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -27,8 +27,8 @@
 
 func newConfiguration(w *world) *configuration {
 	c := &configuration{world: w}
-	c.publish("key-0")
 	first := "key-0"
+	w.ledger.names("key", first, c.publish(first))
 	c.key.Store(&first)
 	return c
 }
