--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -192,10 +192,14 @@
 	return s.batch(prefix), nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, prefix string, _ uint64, _ time.Duration) (published.Batch, error) {
+func (s *fakeStore) Watch(ctx context.Context, prefix string, after uint64, _ time.Duration) (published.Batch, error) {
 	s.mu.Lock()
 	changed := s.changed
 	s.mu.Unlock()
+	// What changed since the last read is there at once.
+	if b := s.batch(prefix); b.Revision > after {
+		return b, nil
+	}
 	select {
 	case <-changed:
 		return s.batch(prefix), nil
