one function builds programs, one fixes seeds; the soak's names in one place

Change: standin/program builds for soak and bench, lib/proptest fixes seeds (each package keeps its own), soak/names.go holds the names, wire.WriteJSON serves both. No assertion, seed or bound changes.

--- a/bench/e2e/path_test.go
+++ b/bench/e2e/path_test.go
@@ -14,6 +14,7 @@
 	"rattanspur.example/bench/lab"
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/wire"
+	"rattanspur.example/standin/program"
 )
 
 var binary string
@@ -23,7 +24,7 @@
 	if err != nil {
 		panic(err)
 	}
-	if binary, err = lab.Build(dir); err != nil {
+	if binary, err = program.Build(dir, program.Product); err != nil {
 		panic(err)
 	}
 	code := m.Run()
--- a/bench/scenario/once.go
+++ b/bench/scenario/once.go
@@ -18,6 +18,7 @@
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/wire"
 	"rattanspur.example/standin"
+	"rattanspur.example/standin/program"
 )
 
 const (
@@ -330,7 +331,7 @@
 		return err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	binary, err := lab.Build(dir, "-tags", "onceunsafe")
+	binary, err := program.Build(dir, program.Product, "-tags", "onceunsafe")
 	if err != nil {
 		return err
 	}
--- a/bench/scenario/once_test.go
+++ b/bench/scenario/once_test.go
@@ -7,14 +7,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"rattanspur.example/bench/lab"
+	"rattanspur.example/standin/program"
 )
 
 // Guards against a second run and a wrong "not run" while an agent is killed
 // and another paused, and while a failure domain moves with the configuration
 // service down. The histories of all callers are compared with the ledger.
 func TestHistoriesUnderPairsOfFaults(t *testing.T) {
-	binary, err := lab.Build(t.TempDir())
+	binary, err := program.Build(t.TempDir(), program.Product)
 	require.NoError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
--- a/lib/gossip/main_test.go
+++ b/lib/gossip/main_test.go
@@ -1,15 +1,9 @@
 package gossip
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"rattanspur.example/lib/proptest"
 )
 
-// TestMain fixes the seed of property tests; -rapid.seed overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, "1") }
--- a/lib/retry/retry_test.go
+++ b/lib/retry/retry_test.go
@@ -1,9 +1,7 @@
 package retry
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,15 +9,10 @@
 	"pgregory.net/rapid"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/proptest"
 )
 
-// TestMain fixes the seed of the generated cases.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20260101"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, "20260101") }
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/lib/routing/routing_test.go
+++ b/lib/routing/routing_test.go
@@ -1,10 +1,8 @@
 package routing
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -14,15 +12,10 @@
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/proptest"
 )
 
-// TestMain fixes the seed of the generated cases.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20260101"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, "20260101") }
 
 const service fleet.Service = "advisory"
 
--- a/lib/transfer/property_test.go
+++ b/lib/transfer/property_test.go
@@ -1,10 +1,8 @@
 package transfer
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -12,15 +10,10 @@
 	"pgregory.net/rapid"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/proptest"
 )
 
-// TestMain fixes the seed of the properties; the flag overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "4711"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, "4711") }
 
 // Guards against combinations of faults that leave a live agent without its
 // weights, and against a chunk that counts although no request verified it.
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -144,10 +144,10 @@
 		req.ContentLength = int64(len(s.body))
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
-	req.Header.Set("Rattanspur-Attempt-Id", s.attempt)
-	req.Header.Set("Rattanspur-Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
-	req.Header.Set("Rattanspur-Model", modelName)
-	req.Header.Set("Rattanspur-Token-Counts", "40,12")
+	req.Header.Set(headerAttempt, s.attempt)
+	req.Header.Set(headerDeadline, strconv.FormatInt(patience.Milliseconds(), 10))
+	req.Header.Set(headerModel, modelName)
+	req.Header.Set(headerTokens, "40,12")
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0, 0
@@ -155,7 +155,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(bufio.NewReader(resp.Body))
 	c.world.ledger.gets(answered{
-		attempt: s.attempt, status: resp.StatusCode, signature: resp.Header.Get("Rattanspur-Replica-Signature"),
+		attempt: s.attempt, status: resp.StatusCode, signature: resp.Header.Get(headerSignature),
 		body: string(data), whole: err == nil, at: time.Now(),
 	})
 	if err != nil {
--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"rattanspur.example/soak"
+	"rattanspur.example/standin/program"
 )
 
 type options struct {
@@ -55,13 +56,13 @@
 		return 0, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	binary, err := soak.Build(dir, "cmd/rattanspur")
+	binary, err := program.Build(dir, program.Product)
 	if err != nil {
 		return 0, err
 	}
 	gateway := binary
 	if o.Naive {
-		if gateway, err = soak.Build(dir, "soak/cmd/naive"); err != nil {
+		if gateway, err = program.Build(dir, "soak/cmd/naive"); err != nil {
 			return 0, err
 		}
 	}
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -62,7 +62,7 @@
 			"resumable": resumable, "priority": 0,
 		}
 	}
-	return c.world.store.put("op/config", map[string]any{
+	return c.world.store.put(keyConfig, map[string]any{
 		"version": c.version,
 		"routes": []any{
 			route(lookup.String(), "safe", deskService, 2000, 500, false),
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -91,7 +91,7 @@
 
 func (d *director) nameVersion() {
 	d.version++
-	at := d.world.store.put("op/version/"+modelName, map[string]any{"model": modelName, "version": d.version})
+	at := d.world.store.put(keyVersion+modelName, map[string]any{"model": modelName, "version": d.version})
 	d.world.ledger.names("version", fmt.Sprint(d.version), at)
 }
 
@@ -263,10 +263,10 @@
 	zone := pick(d, zones)
 	var ended func()
 	d.add(from, "evacuate "+zone, func() {
-		ended = d.world.ledger.names("evacuated", zone, d.world.store.put("op/evacuate/"+zone, map[string]any{}))
+		ended = d.world.ledger.names("evacuated", zone, d.world.store.put(keyOut+zone, map[string]any{}))
 	})
 	d.add(to, "end: evacuate "+zone, func() {
 		ended()
-		d.world.store.remove("op/evacuate/" + zone)
+		d.world.store.remove(keyOut + zone)
 	})
 }
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -94,15 +94,13 @@
 func (r *replica) boot() {
 	tell(r.now, func(s *start) {
 		s.ctx, s.end = context.WithCancel(r.world.group.Context())
-		s.id = "i-" + hex.EncodeToString(binary(rand.Uint32()))
+		s.id = "i-" + strconv.FormatUint(rand.Uint64(), 16)
 		s.born = time.Now().UnixMilli()
 		s.up, s.draining, s.hidden, s.running = true, false, false, 0
 	})
 	r.link.set(passing)
 }
 
-func binary(v uint32) []byte { return []byte{byte(v >> 24), byte(v >> 16), byte(v >> 8), byte(v)} }
-
 // crash ends the start at once. A crash keeps what lies at an engine, a loss
 // of power does not; neither keeps what it had loaded.
 func (r *replica) crash(power bool) {
@@ -137,13 +135,13 @@
 				missing = time.Now()
 			}
 			if hidden := ask(r.now, func(s *start) bool { return s.hidden }); hidden || time.Since(missing) > 3*heartbeat {
-				r.world.store.remove("servers/" + id)
+				r.world.store.remove(keyUpstream + id)
 				delete(published, id)
 				missing = time.Time{}
 			}
 		}
 		if text := fmt.Sprint(now.entry); !now.gone && published[now.id] != text {
-			r.world.store.put("servers/"+now.id, now.entry)
+			r.world.store.put(keyUpstream+now.id, now.entry)
 			published[now.id] = text
 		}
 		if duty.Sleep(ctx, heartbeat) != nil || ctx.Err() != nil {
@@ -180,9 +178,9 @@
 		return left{s.id, r.entry(s)}
 	})
 	if silent {
-		return l.id, r.world.store.remove("servers/" + l.id)
+		return l.id, r.world.store.remove(keyUpstream + l.id)
 	}
-	return l.id, r.world.store.put("servers/"+l.id, l.entry)
+	return l.id, r.world.store.put(keyUpstream+l.id, l.entry)
 }
 
 // admitted is what a request that may run knows of its replica.
@@ -200,11 +198,11 @@
 		if s.weights != nil {
 			a.version = s.weights.loaded
 		}
-		expect := h.Get("Rattanspur-Expect-Version")
+		expect := h.Get(headerExpectVersion)
 		switch {
 		case !s.up:
 			a.status = 0
-		case h.Get("Rattanspur-Expect-Replica") != s.id:
+		case h.Get(headerExpectID) != s.id:
 			a.status = http.StatusMisdirectedRequest
 		case expect != "" && expect != strconv.FormatInt(a.version, 10):
 			a.status = http.StatusMisdirectedRequest
@@ -233,17 +231,17 @@
 	if err != nil {
 		return
 	}
-	attempt := req.Header.Get("Rattanspur-Attempt-Id")
+	attempt := req.Header.Get(headerAttempt)
 	a := r.admit(req.Header)
-	w.Header().Set("Rattanspur-Attempt-Id", attempt)
-	w.Header().Set("Rattanspur-Replica-Load", fmt.Sprintf("%d,0,%d", a.running, replicaSlots))
+	w.Header().Set(headerAttempt, attempt)
+	w.Header().Set(headerLoad, fmt.Sprintf("%d,0,%d", a.running, replicaSlots))
 	switch a.status {
 	case 0:
 		cut(w)
 		return
 	case http.StatusOK:
 	default:
-		w.Header().Set("Rattanspur-Not-Executed", "1")
+		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(a.status)
 		return
 	}
@@ -251,11 +249,11 @@
 	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	n := ran{
 		attempt: attempt, replica: a.id, service: r.service, zone: r.zone, address: r.link.address, path: req.URL.Path,
-		body: string(body), tenant: req.Header.Get("Rattanspur-Tenant"), keyed: req.Header.Get("Authorization") != "",
+		body: string(body), tenant: req.Header.Get(headerCustomer), keyed: req.Header.Get("Authorization") != "",
 		version: a.version, after: after, at: time.Now(), signature: sign(a.id, attempt, a.version),
 	}
 	r.world.ledger.runs(n)
-	w.Header().Set("Rattanspur-Replica-Signature", n.signature)
+	w.Header().Set(headerSignature, n.signature)
 	ctx, cancel := context.WithCancel(req.Context())
 	defer cancel()
 	defer context.AfterFunc(a.ctx, cancel)()
@@ -307,8 +305,8 @@
 	}
 	defer func() { _ = c.Close() }()
 	for _, id := range []string{n.attempt, "stray"} {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRattanspur-Attempt-Id: %s\r\nRattanspur-Replica-Signature: %s\r\nContent-Length: %d\r\n\r\n%s",
-			id, n.signature, len(text), text)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+			headerAttempt, id, headerSignature, n.signature, len(text), text)
 	}
 	time.Sleep(workTime)
 }
@@ -327,7 +325,7 @@
 
 func (r *replica) events(ctx context.Context, w http.ResponseWriter, n *ran) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Rattanspur-Weight-Versions", strconv.FormatInt(n.version, 10))
+	w.Header().Set(headerVersion, strconv.FormatInt(n.version, 10))
 	breakAt := -1
 	if rand.IntN(faultOneIn/3) == 0 {
 		breakAt = rand.IntN(streamEvents)
--- a/soak/seeds_test.go
+++ b/soak/seeds_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/standin/program"
 )
 
 // failedSeeds are the seeds that ever broke a promise, each with the cause.
@@ -22,7 +24,7 @@
 // Guards against a fault that a soak has found before. The faults are those of
 // the seed for as long as the short soak lasts.
 func TestSeedsThatFailedBefore(t *testing.T) {
-	binary := build(t, "cmd/rattanspur")
+	binary := build(t, program.Product)
 	for _, s := range failedSeeds {
 		t.Run(fmt.Sprint(s.seed), func(t *testing.T) {
 			t.Parallel()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/standin/program"
 )
 
 // short returns the options of a soak that is short enough for every run of
@@ -19,9 +21,9 @@
 	}
 }
 
-func build(t *testing.T, program string) string {
+func build(t *testing.T, folder string) string {
 	t.Helper()
-	binary, err := Build(t.TempDir(), program)
+	binary, err := program.Build(t.TempDir(), folder)
 	require.NoError(t, err)
 	return binary
 }
@@ -30,7 +32,7 @@
 // runs twice, a refusal that is not true, mixed answers, weights taken from
 // incomplete pieces, a process that ends by itself or serves no more.
 func TestPromisesHoldUnderFaults(t *testing.T) {
-	binary := build(t, "cmd/rattanspur")
+	binary := build(t, program.Product)
 	for _, seed := range []uint64{1, 2} {
 		r, err := Run(context.Background(), short(t, seed, binary, binary))
 		require.NoError(t, err)
@@ -42,14 +44,14 @@
 // Guards against checks that find nothing: the naive baseline sends a request
 // again after its outcome became unknown.
 func TestNaiveBaselineBreaksPromises(t *testing.T) {
-	r, err := Run(context.Background(), short(t, 1, build(t, "cmd/rattanspur"), build(t, "soak/cmd/naive")))
+	r, err := Run(context.Background(), short(t, 1, build(t, program.Product), build(t, "soak/cmd/naive")))
 	require.NoError(t, err)
 	require.Contains(t, strings.Join(r.Broken, "\n"), "TWICE")
 }
 
 // Guards against a soak that leaves processes behind.
 func TestProcessesEndWithTheirSoak(t *testing.T) {
-	binary := build(t, "cmd/rattanspur")
+	binary := build(t, program.Product)
 	w, err := newWorld(context.Background(), short(t, 1, binary, binary))
 	require.NoError(t, err)
 	started := w.processes()
--- a/soak/store.go
+++ b/soak/store.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rattanspur.example/lib/duty"
+	"rattanspur.example/lib/wire"
 )
 
 const (
@@ -96,7 +97,7 @@
 		More     bool    `json:"has_more"`
 		Revision uint64  `json:"current_rev"`
 	}
-	writeJSON(w, ask(s.state, func(st *storeState) page {
+	wire.WriteJSON(w, ask(s.state, func(st *storeState) page {
 		p := page{Revision: st.revision}
 		for key, e := range st.items {
 			if strings.HasPrefix(key, prefix) && key > after {
@@ -137,13 +138,13 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(found.Events) > 0:
-			writeJSON(w, found)
+			wire.WriteJSON(w, found)
 			return
 		}
 		select {
 		case <-found.changed:
 		case <-timer.C:
-			writeJSON(w, found)
+			wire.WriteJSON(w, found)
 			return
 		case <-r.Context().Done():
 			return
@@ -160,8 +161,3 @@
 	}
 	return f
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/soak/weights.go
+++ b/soak/weights.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"rattanspur.example/lib/duty"
+	"rattanspur.example/lib/wire"
 )
 
 const (
@@ -105,7 +106,7 @@
 		})
 	}
 	handle("GET /rattanspur/report", func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, ask(r.now, func(s *start) map[string]any {
+		wire.WriteJSON(w, ask(r.now, func(s *start) map[string]any {
 			e := map[string]any{
 				"stage": "colocated", "busy": s.weights.taking, "sequence": s.weights.sequence, "queued": 0,
 				"running": s.running, "born": s.born,
@@ -125,7 +126,7 @@
 	})
 	handle("GET /rattanspur/stage-get/"+modelName, func(w http.ResponseWriter, req *http.Request) {
 		if !req.URL.Query().Has("num") {
-			writeJSON(w, ask(r.now, func(s *start) map[string]any {
+			wire.WriteJSON(w, ask(r.now, func(s *start) map[string]any {
 				held := []int{}
 				for number := range s.weights.staged {
 					held = append(held, number)
@@ -198,7 +199,7 @@
 			sum := sha256.Sum256(pieceOf(version, i))
 			digests = append(digests, hex.EncodeToString(sum[:]))
 		}
-		writeJSON(w, map[string]any{
+		wire.WriteJSON(w, map[string]any{
 			"model": modelName, "version": version, "chunk_bytes": pieceSize, "layers": layers, "digests": digests,
 		})
 	})
--- a/soak/world.go
+++ b/soak/world.go
@@ -91,7 +91,7 @@
 		return err
 	}
 	w.config = newConfiguration(w)
-	w.store.put("op/version/"+modelName, map[string]any{"model": modelName, "version": 1})
+	w.store.put(keyVersion+modelName, map[string]any{"model": modelName, "version": 1})
 	for i := range w.options.Engines {
 		r, err := newReplica(w, fmt.Sprintf("engine-%d", i), engineService, zones[i%len(zones)])
 		if err != nil {
