emulator: engines, callers and gateways without network and clock

Cause: many gateways choose engines by knowledge that is some 100 ms old. Results depend on scenario and seed alone.

--- /dev/null
+++ b/emulator/call.go
@@ -0,0 +1,94 @@
+package emulator
+
+import (
+	"time"
+
+	"rattanspur.example/lib/dispatch"
+)
+
+// call is a caller's request, including its retry after a rejection.
+type call struct {
+	sim          *simulation
+	class        *Class
+	gateway      *gateway
+	ticket       dispatch.Ticket
+	promptTokens int
+	totalEvents  int
+	maxTokens    int
+	// expectedTokens is the caller's estimate of the length of the answer.
+	expectedTokens int
+	firstSentAt    time.Time
+	deadline       time.Time
+	retriesLeft    int
+	rejections     int
+	// events counts the events received, of which the last arrived at lastEventAt.
+	events      int
+	lastEventAt time.Time
+	late        bool
+	done        bool
+	job         *job
+}
+
+// remainingTokens returns the number of tokens that an engine has yet to
+// generate.
+func (c *call) remainingTokens(perEvent int) int { return (c.totalEvents - c.events) * perEvent }
+
+// eventReceived records an event that arrived at the gateway.
+func (c *call) eventReceived() {
+	now := c.sim.clock.now
+	if c.events == 0 {
+		c.late = now.Sub(c.firstSentAt) > c.class.Goal
+	} else if now.Sub(c.lastEventAt) > c.class.GapGoal {
+		c.late = true
+	}
+	c.events++
+	c.lastEventAt = now
+}
+
+// completed records that all events have arrived.
+func (c *call) completed() {
+	if c.late {
+		c.finish(outcomeLate)
+		return
+	}
+	c.finish(outcomeInTime)
+}
+
+// refused handles a rejection: the caller returns after the stated delay if it
+// has a retry left and the delay leaves it enough time.
+func (c *call) refused(after time.Duration) {
+	c.rejections++
+	left := c.deadline.Sub(c.sim.clock.now)
+	if c.retriesLeft == 0 || after > left/3 {
+		c.finish(outcomeRefused)
+		return
+	}
+	c.retriesLeft--
+	c.sim.clock.after(after+2*c.sim.scenario.Network.Caller, func() { c.sim.gatewayFor(c).arrive(c) })
+}
+
+// failed records that the request ended without an answer.
+func (c *call) failed() { c.finish(outcomeFailed) }
+
+// expire ends a call whose deadline has passed.
+func (c *call) expire() {
+	if c.done {
+		return
+	}
+	if c.job != nil {
+		c.job.canceled = true
+	}
+	if g := c.gateway; g != nil && g.calls[c.ticket] == c {
+		delete(g.calls, c.ticket)
+		g.execute(g.core.Cancel(c.sim.clock.now, c.ticket))
+	}
+	c.finish(outcomeFailed)
+}
+
+func (c *call) finish(o outcome) {
+	if c.done {
+		return
+	}
+	c.done = true
+	c.sim.result.add(c.firstSentAt.Sub(c.sim.startedAt), c.class.Name, o, c.rejections)
+}
--- /dev/null
+++ b/emulator/gateway.go
@@ -0,0 +1,157 @@
+package emulator
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"rattanspur.example/lib/dispatch"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/peering"
+	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/retry"
+)
+
+const (
+	// coreTick is the time between two ticks of a gateway's core.
+	coreTick = 20 * time.Millisecond
+	// firstByteLimit is the time after which the emulated connection gives up on
+	// an engine that is down.
+	connectTimeout = time.Second
+)
+
+// gateway runs the product's dispatch core and peer table with delayed
+// knowledge of the other gateways.
+type gateway struct {
+	sim     *simulation
+	address string
+	region  int
+	core    *dispatch.Core
+	table   *peering.Table
+	calls   map[dispatch.Ticket]*call
+	next    dispatch.Ticket
+}
+
+func newGateway(s *simulation, address string, region int, seeds []string) *gateway {
+	g := &gateway{
+		sim: s, address: address, region: region, calls: map[dispatch.Ticket]*call{}, table: peering.NewTable(address, regionName(region), seeds),
+	}
+	random := rand.New(rand.NewPCG(s.seed, uint64(len(s.gateways))))
+	g.core = dispatch.New(dispatch.Settings{
+		Self: address, Region: regionName(region), Regions: s.regions(), OldVersionGrace: s.scenario.Weights.Window, Random: random.IntN,
+		Retries: retry.WindowLimits{Ratio: 0.2, Reserve: 270, Window: 10 * time.Second},
+	})
+	return g
+}
+
+// start begins the periodic work of the gateway.
+func (g *gateway) start(offset time.Duration) {
+	g.core.Update(g.sim.clock.now, g.sim.view)
+	g.sim.every(offset, coreTick, func() { g.execute(g.core.Tick(g.sim.clock.now)) })
+	g.sim.every(offset, peering.SendInterval, g.gossip)
+}
+
+// gossip exchanges state with the peers, as the router duty does.
+func (g *gateway) gossip() {
+	now := g.sim.clock.now
+	g.table.Expire(now)
+	g.core.SetProcesses(g.table.Processes())
+	demands := g.core.Demands(now)
+	g.core.SetPeerLoads(now, g.table.PeerLoads(now), g.table.Shares(now, demands))
+	m := &peering.Message{
+		From: g.address, Region: regionName(g.region), Loads: g.core.Loads(), Demands: demands, Peers: g.table.KnownPeers(),
+	}
+	for _, t := range g.table.Targets(now) {
+		peer := g.sim.gatewayAt(t)
+		if peer == nil || g.sim.random.Float64() < g.sim.scenario.Network.DatagramLoss {
+			continue
+		}
+		g.sim.clock.after(g.sim.delay(g.region, peer.region), func() { peer.table.Record(g.sim.clock.now, m) })
+	}
+}
+
+// arrive handles a request of a caller.
+func (g *gateway) arrive(c *call) {
+	g.next++
+	c.ticket, c.gateway = g.next, g
+	g.calls[c.ticket] = c
+	g.execute(g.core.Arrive(g.sim.clock.now, c.ticket, dispatch.Call{
+		Host: hostName, Path: "/" + c.class.Name + "/", TimeBudget: c.deadline.Sub(g.sim.clock.now), Model: modelName,
+		PromptTokens: c.promptTokens, MaxAnswerTokens: c.maxTokens, ExpectedAnswerTokens: c.expectedTokens,
+	}))
+}
+
+// execute carries out the actions of the core.
+func (g *gateway) execute(actions []dispatch.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case dispatch.Send:
+			g.send(&a)
+		case dispatch.Refuse:
+			c := g.calls[a.Ticket]
+			delete(g.calls, a.Ticket)
+			if a.Verdict == dispatch.NotRun {
+				c.refused(a.RetryAfter)
+			} else {
+				c.failed()
+			}
+		case dispatch.Finish:
+			delete(g.calls, a.Ticket)
+		case dispatch.Deliver:
+		}
+	}
+}
+
+// send carries out one attempt at an engine. The answer travels back with the
+// same delay.
+func (g *gateway) send(a *dispatch.Send) {
+	c := g.calls[a.Ticket]
+	e := g.sim.engines[a.Upstream]
+	delay := g.sim.delay(g.region, e.region)
+	sentAt := g.sim.clock.now
+	result := dispatch.AttemptResult{Version: a.ExpectVersion}
+	back := func(f func()) { g.sim.clock.after(delay, f) }
+	end := func(how retry.End) {
+		back(func() {
+			result.End, result.Started = how, c.events > 0
+			if c.events > 0 {
+				result.LastEventID = "event"
+			}
+			if how == retry.Answered {
+				c.completed()
+			}
+			g.execute(g.core.AttemptEnded(g.sim.clock.now, a.Ticket, result))
+		})
+	}
+	j := &job{promptTokens: c.promptTokens, remaining: c.remainingTokens(g.sim.scenario.Engine.Stride)}
+	j.onStart = func(o dispatch.Observation) {
+		back(func() {
+			result.FirstByte = g.sim.clock.now.Sub(sentAt)
+			g.core.Observe(g.sim.clock.now, a.Ticket, o)
+			g.execute(g.core.ResponseStarted(g.sim.clock.now, a.Ticket))
+		})
+	}
+	j.onEvent = func() { back(c.eventReceived) }
+	j.onEnd = end
+	c.job = j
+	g.sim.clock.after(delay, func() {
+		switch {
+		case e.down:
+			g.sim.clock.after(connectTimeout, func() { end(retry.Unreachable) })
+		case !e.submit(j, a.ExpectVersion):
+			if a.ExpectVersion != 0 && e.version != a.ExpectVersion && e.loading == 0 {
+				result.Misdirected = true
+				end(retry.Refused)
+				return
+			}
+			end(retry.Busy)
+		}
+	})
+}
+
+// applyNotice delivers a loader's notice.
+func (g *gateway) applyNotice(n dispatch.Notice) { g.execute(g.core.ApplyNotice(g.sim.clock.now, n)) }
+
+func (g *gateway) applyView(v *published.View) { g.execute(g.core.Update(g.sim.clock.now, v)) }
+
+// regionName returns the name of the region with the given number.
+func regionName(n int) fleet.Region { return fleet.Region(rune('a' + n)) }
--- /dev/null
+++ b/emulator/result.go
@@ -0,0 +1,114 @@
+package emulator
+
+import "time"
+
+// outcome is how a caller's request ended.
+type outcome uint8
+
+const (
+	// outcomeInTime means a complete answer within the goals.
+	outcomeInTime outcome = iota
+	// outcomeLate means a complete answer that missed a goal.
+	outcomeLate
+	// outcomeRefused means that the request was rejected and has not run.
+	outcomeRefused
+	// outcomeFailed means that the request ended without a complete answer.
+	outcomeFailed
+)
+
+// Tally counts requests by their outcome.
+type Tally struct {
+	Asked, InTime, Late, Refused, Failed int
+	// Returned counts those that were answered after a rejection.
+	Returned int
+}
+
+// InTimeShare returns the fraction of the requests that were answered in time.
+func (t *Tally) InTimeShare() float64 { return share(t.InTime, t.Asked) }
+
+// ServedShare returns the fraction of the requests that were answered.
+func (t *Tally) ServedShare() float64 { return share(t.InTime+t.Late, t.Asked) }
+
+// RefusedShare returns the fraction of the requests that were refused for good.
+func (t *Tally) RefusedShare() float64 { return share(t.Refused, t.Asked) }
+
+func share(n, of int) float64 {
+	if of == 0 {
+		return 0
+	}
+	return float64(n) / float64(of)
+}
+
+// Result holds the counts of one run: in total, by class, and for each second by
+// the time at which the caller first sent the request.
+type Result struct {
+	Total   Tally
+	Classes map[string]*Tally
+	Seconds []Tally
+	// LoadedAfter holds the times from the publication of the weights until each
+	// engine served them, in that order.
+	LoadedAfter []time.Duration
+	// OutFor holds the times for which engines accepted no requests because of a
+	// change of weights.
+	OutFor []time.Duration
+}
+
+// MeanOutFor returns the mean of OutFor, or 0 if there was no change of weights.
+func (r *Result) MeanOutFor() time.Duration {
+	if len(r.OutFor) == 0 {
+		return 0
+	}
+	var sum time.Duration
+	for _, d := range r.OutFor {
+		sum += d
+	}
+	return sum / time.Duration(len(r.OutFor))
+}
+
+func newResult(length time.Duration) *Result {
+	return &Result{Classes: map[string]*Tally{}, Seconds: make([]Tally, int(length/time.Second)+1)}
+}
+
+// add counts a request that was first sent at the time at.
+func (r *Result) add(at time.Duration, class string, o outcome, rejections int) {
+	if r.Classes[class] == nil {
+		r.Classes[class] = &Tally{}
+	}
+	second := min(int(at/time.Second), len(r.Seconds)-1)
+	for _, t := range []*Tally{&r.Total, r.Classes[class], &r.Seconds[second]} {
+		t.add(o, rejections > 0)
+	}
+}
+
+func (t *Tally) add(o outcome, returned bool) {
+	t.Asked++
+	switch o {
+	case outcomeInTime:
+		t.InTime++
+	case outcomeLate:
+		t.Late++
+	case outcomeRefused:
+		t.Refused++
+	case outcomeFailed:
+		t.Failed++
+	}
+	if returned && (o == outcomeInTime || o == outcomeLate) {
+		t.Returned++
+	}
+}
+
+// Between returns the sum of the counts of the seconds from from to until.
+func (r *Result) Between(from, until time.Duration) Tally {
+	var sum Tally
+	for i, t := range r.Seconds {
+		if at := time.Duration(i) * time.Second; at >= from && at < until {
+			sum.Asked += t.Asked
+			sum.InTime += t.InTime
+			sum.Late += t.Late
+			sum.Refused += t.Refused
+			sum.Failed += t.Failed
+			sum.Returned += t.Returned
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/emulator/simulation.go
@@ -0,0 +1,349 @@
+// Package emulator plays a deployment without network and clock: model engines
+// that work in passes, callers that return after a rejection, and gateways that
+// run the product's dispatch core with delayed knowledge of each other. It shows
+// what a decision of that core does to callers under a load.
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"rattanspur.example/lib/dispatch"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/staging"
+)
+
+const (
+	hostName    = "emulated"
+	modelName   = "model"
+	serviceName = fleet.Service("engines")
+	layers      = 1
+	// firstVersion is the version that engines serve at the start, newVersion the
+	// one that WeightChange publishes.
+	firstVersion = 1
+	newVersion   = 2
+	// warmUp is how long gateways exchange messages before the traffic starts.
+	warmUp = 2 * time.Second
+)
+
+// simulation is the state of one run.
+type simulation struct {
+	scenario  *Scenario
+	seed      uint64
+	random    *rand.Rand
+	clock     clock
+	startedAt time.Time
+	engines   map[fleet.InstanceID]*engine
+	// order holds the engines in the order in which they joined.
+	order    []*engine
+	gateways []*gateway
+	weights  []float64
+	view     *published.View
+	result   *Result
+}
+
+// Run plays a scenario with a seed.
+func Run(sc *Scenario, seed uint64) *Result {
+	s := &simulation{
+		scenario: sc, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), engines: map[fleet.InstanceID]*engine{},
+		result: newResult(sc.Traffic.Length),
+	}
+	s.clock.now = time.Unix(1000, 0)
+	s.startedAt = s.clock.now.Add(warmUp)
+	for i := range sc.Fleet.Engines {
+		s.addEngine(i)
+	}
+	s.publish()
+	s.startGateways()
+	s.scheduleEvents()
+	s.clock.runUntil(s.startedAt.Add(sc.Traffic.Length + sc.Traffic.Deadline))
+	return s.result
+}
+
+func (s *simulation) startGateways() {
+	seeds := []string{gatewayAddress(0), gatewayAddress(1), gatewayAddress(2)}
+	for i := range s.scenario.Fleet.Gateways {
+		s.gateways = append(s.gateways, newGateway(s, gatewayAddress(i), i%s.scenario.Fleet.Regions, seeds))
+		s.weights = append(s.weights, 1+s.scenario.Traffic.Unevenness*(2*s.random.Float64()-1))
+	}
+	for _, g := range s.gateways {
+		g.start(time.Duration(s.random.Int64N(int64(100 * time.Millisecond))))
+	}
+}
+
+func gatewayAddress(i int) string { return fmt.Sprintf("gateway-%03d", i) }
+
+// scheduleEvents schedules the traffic and what happens to the fleet.
+func (s *simulation) scheduleEvents() {
+	sc := s.scenario
+	s.clock.at(s.startedAt, s.nextArrival)
+	for i := range sc.Fleet.AddedEngines {
+		at := sc.Fleet.AddedFrom + (sc.Fleet.AddedUntil-sc.Fleet.AddedFrom)*time.Duration(i)/time.Duration(sc.Fleet.AddedEngines)
+		s.clock.at(s.startedAt.Add(at), func() {
+			s.addEngine(sc.Fleet.Engines + i)
+			s.publishLater()
+		})
+	}
+	if sc.Weights.At > 0 {
+		s.clock.at(s.startedAt.Add(sc.Weights.At), s.publishWeights)
+	}
+	if sc.Crash.At > 0 {
+		s.clock.at(s.startedAt.Add(sc.Crash.At), s.crashEngines)
+	}
+}
+
+func (s *simulation) addEngine(i int) {
+	e := &engine{
+		model: &s.scenario.Engine, clock: &s.clock, id: fleet.InstanceID(fmt.Sprintf("engine-%04d", i)),
+		address: fmt.Sprintf("address-%04d", i), region: i % s.scenario.Fleet.Regions, version: firstVersion, starts: 1,
+	}
+	if s.view != nil && s.view.Desired[modelName].Version == newVersion {
+		e.version = newVersion
+	}
+	s.engines[e.id] = e
+	s.order = append(s.order, e)
+}
+
+// every runs a function at an offset from now and then at each interval.
+func (s *simulation) every(offset, interval time.Duration, f func()) {
+	var repeat func()
+	repeat = func() {
+		f()
+		s.clock.after(interval, repeat)
+	}
+	s.clock.after(offset, repeat)
+}
+
+// delay returns the one-way delay between two regions.
+func (s *simulation) delay(a, b int) time.Duration {
+	if a == b {
+		return s.scenario.Network.InRegion
+	}
+	return s.scenario.Network.CrossRegion
+}
+
+func (s *simulation) regions() map[fleet.FailureDomain]fleet.Region {
+	out := map[fleet.FailureDomain]fleet.Region{}
+	for i := range s.scenario.Fleet.Regions {
+		out[fleet.FailureDomain(regionName(i))] = regionName(i)
+	}
+	return out
+}
+
+func (s *simulation) gatewayAt(address string) *gateway {
+	i := slices.IndexFunc(s.gateways, func(g *gateway) bool { return g.address == address })
+	if i < 0 {
+		return nil
+	}
+	return s.gateways[i]
+}
+
+// gatewayFor picks the gateway of a request at random by weight. A request that
+// returns reaches any gateway.
+func (s *simulation) gatewayFor(*call) *gateway {
+	total := 0.0
+	for _, w := range s.weights {
+		total += w
+	}
+	n := s.random.Float64() * total
+	for i, w := range s.weights {
+		if n -= w; n < 0 {
+			return s.gateways[i]
+		}
+	}
+	return s.gateways[len(s.gateways)-1]
+}
+
+// nextArrival lets a caller send a request and schedules the next one.
+func (s *simulation) nextArrival() {
+	sc := s.scenario
+	at := s.clock.now.Sub(s.startedAt)
+	if at >= sc.Traffic.Length {
+		return
+	}
+	s.newCall()
+	s.clock.after(time.Duration(s.random.ExpFloat64()/s.rate(at)*float64(time.Second)), s.nextArrival)
+}
+
+// rate returns the requests per second at a time.
+func (s *simulation) rate(at time.Duration) float64 {
+	t := &s.scenario.Traffic
+	rate := t.PerSecond
+	if at < t.RampUntil {
+		rate *= t.RampFrom + (1-t.RampFrom)*float64(at)/float64(t.RampUntil)
+	}
+	if t.BurstFactor > 0 && at >= t.BurstAt && at < t.BurstAt+t.BurstFor {
+		rate *= t.BurstFactor
+	}
+	return rate
+}
+
+func (s *simulation) newCall() {
+	class := s.pickClass()
+	events := max(int(math.Round(s.size(class.Events, class.Spread, class.MaxEvents))), 1)
+	stride := s.scenario.Engine.Stride
+	c := &call{
+		sim: s, class: class, totalEvents: events, firstSentAt: s.clock.now, maxTokens: int(class.MaxEvents) * stride,
+		expectedTokens: int(float64(events*stride) * math.Exp(s.random.NormFloat64()*s.scenario.Traffic.EstimateError)),
+		promptTokens:   int(s.size(class.PromptTokens, class.Spread, class.MaxPromptTokens)),
+		deadline:       s.clock.now.Add(s.scenario.Traffic.Deadline), retriesLeft: s.scenario.Traffic.Retries,
+	}
+	s.clock.at(c.deadline, c.expire)
+	s.clock.after(s.scenario.Network.Caller, func() { s.gatewayFor(c).arrive(c) })
+}
+
+func (s *simulation) pickClass() *Class {
+	total := 0.0
+	for i := range s.scenario.Classes {
+		total += s.scenario.Classes[i].Weight
+	}
+	n := s.random.Float64() * total
+	for i := range s.scenario.Classes {
+		if n -= s.scenario.Classes[i].Weight; n < 0 {
+			return &s.scenario.Classes[i]
+		}
+	}
+	return &s.scenario.Classes[0]
+}
+
+// size draws a log-normally distributed size.
+func (s *simulation) size(mean, spread, largest float64) float64 {
+	variance := math.Log(1 + spread*spread)
+	return min(mean*math.Exp(s.random.NormFloat64()*math.Sqrt(variance)-variance/2), largest)
+}
+
+// publishLater publishes the fleet after the delay of registrations.
+func (s *simulation) publishLater() {
+	s.clock.after(s.scenario.Network.Registration, func() {
+		s.publish()
+		for _, g := range s.gateways {
+			g.applyView(s.view)
+		}
+	})
+}
+
+// publish makes a view of the present state.
+func (s *simulation) publish() {
+	v := &published.View{Revision: 1, Config: s.config(), OutOfService: map[fleet.FailureDomain]bool{}, Desired: map[string]published.DesiredVersion{}}
+	if s.view != nil {
+		v.Revision = s.view.Revision + 1
+		v.Desired = s.view.Desired
+	}
+	for _, e := range s.order {
+		if e.down {
+			continue
+		}
+		u := &published.Upstream{
+			ID: e.id, Service: serviceName, Address: e.address, Domain: fleet.FailureDomain(regionName(e.region)),
+			Slots: s.scenario.Engine.Slots, StartTime: e.starts, Revision: v.Revision,
+		}
+		if e.version > 0 {
+			u.Copies = []published.Copy{{Model: modelName, Version: e.version, Layers: layers}}
+		}
+		v.Upstreams = append(v.Upstreams, u)
+	}
+	s.view = v
+}
+
+func (s *simulation) config() *published.Config {
+	m := &s.scenario.Engine
+	c := &published.Config{Version: 1, Services: map[fleet.Service]*published.Service{serviceName: {
+		Name: serviceName, Engine: &published.Engine{
+			Layers: layers, Models: []string{modelName}, PromptTokensPerSecond: m.PromptTokensPerSecond,
+			TimePerToken: m.Step + time.Duration(m.Slots)*m.StepPerRequest,
+		},
+	}}}
+	for i := range s.scenario.Classes {
+		class := &s.scenario.Classes[i]
+		c.Routes = append(c.Routes, published.Route{
+			Name: class.Name, Host: hostName, Prefix: "/" + class.Name + "/", Kind: published.Streaming, Resumable: true,
+			Targets: []published.Target{{Service: serviceName, Weight: 1}}, Timeout: s.scenario.Traffic.Deadline,
+			LatencyGoal: class.Goal, GapGoal: class.GapGoal, MaxAttempts: 2,
+		})
+	}
+	c.Index()
+	return c
+}
+
+// crashEngines takes a share of the engines down, and back up without weights;
+// their loaders then order the desired version at once.
+func (s *simulation) crashEngines() {
+	count := int(s.scenario.Crash.Share * float64(len(s.order)))
+	for _, i := range s.random.Perm(len(s.order))[:count] {
+		e := s.order[i]
+		e.crash()
+		s.clock.after(s.scenario.Crash.For, func() {
+			e.restart()
+			version := max(s.view.Desired[modelName].Version, firstVersion)
+			e.order(version, func() { s.engineLoaded(e, 0) })
+		})
+	}
+	s.publishLater()
+}
+
+// engineLoaded tells gateways that an engine serves its version.
+func (s *simulation) engineLoaded(e *engine, previous int64) {
+	if desired := s.view.Desired[modelName]; desired.Version == e.version {
+		s.result.LoadedAfter = append(s.result.LoadedAfter, s.clock.now.Sub(desired.FirstSeen))
+	}
+	s.notify(e, e.version, previous)
+	s.publishLater()
+}
+
+// notify sends the notice of an engine's loader to all gateways.
+func (s *simulation) notify(e *engine, version, previous int64) {
+	n := dispatch.Notice{Address: e.address, StartTime: e.starts, Model: modelName, Version: version, PreviousVersion: previous}
+	for _, g := range s.gateways {
+		s.clock.after(s.delay(e.region, g.region), func() { g.applyNotice(n) })
+	}
+}
+
+// publishWeights names the new version. Each loader orders it at the engine's
+// update slot, or later if its copy arrives later.
+func (s *simulation) publishWeights() {
+	now := s.clock.now
+	w := s.scenario.Weights
+	desired := published.DesiredVersion{
+		Model: modelName, Version: newVersion, FirstSeen: now, Previous: []published.PreviousVersion{{Version: firstVersion}},
+	}
+	v := *s.view
+	v.Desired = map[string]published.DesiredVersion{modelName: desired}
+	s.view = &v
+	for _, g := range s.gateways {
+		g.applyView(s.view)
+	}
+	addresses := make([]string, 0, len(s.order))
+	for _, e := range s.order {
+		addresses = append(addresses, e.address)
+	}
+	ranks := staging.Ranks(addresses, newVersion)
+	copies := s.random.Perm(len(s.order))
+	for i, e := range s.order {
+		copyAt := now.Add(w.CopiesFrom + (w.CopiesUntil-w.CopiesFrom)*time.Duration(copies[i])/time.Duration(len(s.order)))
+		slot := staging.SlotStart(desired, firstVersion, w.Window, ranks[e.address], len(addresses))
+		s.clock.at(later(slot, copyAt), func() { s.orderWeights(e) })
+	}
+}
+
+func (s *simulation) orderWeights(e *engine) {
+	if e.down || e.version != firstVersion {
+		return
+	}
+	s.notify(e, 0, firstVersion)
+	orderedAt := s.clock.now
+	e.order(newVersion, func() {
+		s.result.OutFor = append(s.result.OutFor, s.clock.now.Sub(orderedAt))
+		s.engineLoaded(e, firstVersion)
+	})
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
