dispatch: each gateway owns the engines that its demand pays for

Cause: 21 gateways chose the engine with the least load of all 204 by reports that are 100 to 200 ms old, so that all found the same ones empty: 13 in 100 streams met an engine with all slots taken while 40 in 100 slots were free, and an engine that returned with new weights got up to 22 requests for 8 slots. Change: the slots of all usable engines stand in one row, sorted by region, and each gateway owns the part that its share of the demand covers. Engines of others cost more: a few neighbors, fixed by hashing, a quarter of the slots, all others more than any load. While the service is contended a gateway uses only its own slots, as before with a rounded share of each engine. The duration of a request follows the caller's estimate of the answer's length, since the largest length is the same for all of them. Ranks of update slots are computed for all engines at once (204 squared hashes before, on each change of the view).

--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -91,6 +91,7 @@
 		Seeds:                s.PeerAddresses(peersOffset),
 		GracePeriod:          s.Bounds.Grace,
 		Dispatch: dispatch.Settings{
+			Self:    s.Listen,
 			Region:  s.Region,
 			Regions: s.Regions,
 			Retries: retry.WindowLimits{
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -101,7 +101,7 @@
 		active:         map[dispatch.Ticket]*activeRequest{},
 		idleConns:      map[fleet.InstanceID][]*exchange.Conn{},
 		knownUpstreams: map[fleet.InstanceID]bool{},
-		peers:          peering.NewTable(g.settings.Peers, g.settings.Seeds),
+		peers:          peering.NewTable(g.settings.Peers, g.settings.Dispatch.Region, g.settings.Seeds),
 	}
 	gossip := time.NewTicker(peering.SendInterval)
 	defer gossip.Stop()
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -14,6 +14,8 @@
 
 // Settings configure a Core.
 type Settings struct {
+	// Self distinguishes this entry from others.
+	Self   string
 	Region fleet.Region
 	// Regions maps each failure domain to its region.
 	Regions map[fleet.FailureDomain]fleet.Region
@@ -182,6 +184,7 @@
 	for name, s := range c.services {
 		s.share, s.shareAt = shares[name], now
 	}
+	c.divideSlots(now)
 }
 
 // Demands returns the rate of new requests and the number of waiting ones at
@@ -254,8 +257,12 @@
 			}
 		}
 	}
+	for _, s := range c.services {
+		s.sortByRegion()
+	}
 	c.expireNotices(now)
 	c.setUpdateSlots(now)
+	c.divideSlots(now)
 	return c.drain(now)
 }
 
@@ -275,7 +282,7 @@
 func (c *Core) mergeUpstream(now time.Time, old *upstream, p *published.Upstream) *upstream {
 	u := old
 	if u == nil || u.StartTime != p.StartTime || u.Address != p.Address || u.Service != p.Service {
-		u = &upstream{region: c.settings.Regions[p.Domain]}
+		u = &upstream{region: c.settings.Regions[p.Domain], affinity: affinity(c.settings.Self, p.ID)}
 	}
 	if u.Upstream == nil || u.Revision != p.Revision {
 		if p.ColdRemaining > 0 {
@@ -433,6 +440,7 @@
 			u.endPause(now)
 		}
 	}
+	c.divideSlots(now)
 	return c.drain(now)
 }
 
--- a/lib/dispatch/demand.go
+++ b/lib/dispatch/demand.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"rattanspur.example/lib/fleet"
 )
 
 // rateTimeConstant is the time constant of the exponential average of a rate.
@@ -53,21 +51,3 @@
 	}
 	return s.share.Contended && now.Sub(s.shareAt) <= peerLoadTTL
 }
-
-// quota returns how many slots of an upstream this entry may use. While the
-// service is contended, the entries divide the slots of each upstream exactly
-// among themselves. Free sharing would not be fair: the loads of other entries
-// arrive late, and the entry with the most requests at an upstream would be the
-// first to see a slot become free.
-func (s *service) quota(now time.Time, u *upstream) int {
-	if !s.contended(now) || s.share.High <= s.share.Low {
-		return u.Slots
-	}
-	offset := float64(fleet.RendezvousWeight("quota", string(u.ID))%quotaOffsets) / quotaOffsets
-	slots := float64(u.Slots)
-	return int(s.share.High*slots+offset) - int(s.share.Low*slots+offset)
-}
-
-// quotaOffsets is the number of rounding offsets. Each upstream has one of
-// them, so that the slots lost or gained by rounding differ between upstreams.
-const quotaOffsets = 64
--- /dev/null
+++ b/lib/dispatch/ownership.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"rattanspur.example/lib/fleet"
+)
+
+// Each entry knows its own requests at once and those of others only later, so an
+// upstream is loaded most evenly if few entries send to it. Most requests go to the
+// upstreams that an entry owns, some to its neighbors, and others are used only if
+// none of these has capacity.
+const (
+	// neighborCost and strangerCost are the costs added to an upstream of which
+	// this entry owns nothing, in proportion to what it does not own.
+	neighborCost = 0.25
+	strangerCost = 1.5
+	// neighborFactor is the number of neighbors for each upstream that an entry
+	// owns. minNeighbors is the smallest number of neighbors.
+	neighborFactor = 2
+	minNeighbors   = 16
+)
+
+// sortByRegion sorts the upstreams of a service by region and then by ID. Entries
+// are ordered by region too, so that most own upstreams of their own region.
+func (s *service) sortByRegion() {
+	slices.SortFunc(s.upstreams, func(a, b *upstream) int {
+		return cmp.Or(cmp.Compare(a.region, b.region), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// divideSlots determines which part of each upstream this entry owns. The slots
+// of all usable upstreams stand in one row, and each entry owns the part of the
+// row that its share covers, so that ownership follows the demand and each slot
+// has one owner.
+func (c *Core) divideSlots(now time.Time) {
+	for _, s := range c.services {
+		known := s.share.High > s.share.Low && now.Sub(s.shareAt) <= peerLoadTTL
+		total := 0
+		for _, u := range s.upstreams {
+			u.usable = c.usable(now, s, u)
+			if u.usable {
+				total += u.Slots
+			}
+		}
+		neighbors := max(neighborFactor*(s.share.High-s.share.Low), minNeighbors/float64(max(len(s.upstreams), 1)))
+		low, high := s.share.Low*float64(total), s.share.High*float64(total)
+		first := 0
+		for _, u := range s.upstreams {
+			u.neighbor = u.affinity < neighbors
+			switch {
+			case !known:
+				u.ownSlots, u.ownFraction = u.Slots, 1
+				continue
+			case !u.usable:
+				u.ownSlots, u.ownFraction = 0, 0
+				continue
+			}
+			from, until := max(float64(first), low), min(float64(first+u.Slots), high)
+			u.ownSlots = max(slotsBefore(until)-slotsBefore(from), 0)
+			u.ownFraction = max(until-from, 0) / float64(max(u.Slots, 1))
+			first += u.Slots
+		}
+	}
+}
+
+// foreignCost returns the cost of sending to an upstream that this entry does not
+// own.
+func (u *upstream) foreignCost() float64 {
+	if u.neighbor {
+		return neighborCost * (1 - u.ownFraction)
+	}
+	return strangerCost * (1 - u.ownFraction)
+}
+
+// affinity returns a number from 0 to 1 for an entry and an upstream. The entry's
+// neighbors are the upstreams with the lowest numbers, so that a change of either
+// set moves few of them.
+func affinity(entry string, id fleet.InstanceID) float64 {
+	return float64(fleet.RendezvousWeight(entry, string(id))) / math.MaxUint64
+}
+
+// slotsBefore returns the number of slots in a row whose middle lies before a
+// position.
+func slotsBefore(position float64) int { return int(math.Ceil(position - 0.5)) }
+
+// usable reports whether an upstream can serve requests now, with weights that
+// are not overdue.
+func (c *Core) usable(now time.Time, s *service, u *upstream) bool {
+	if u.Draining || c.view.OutOfService[u.Domain] {
+		return false
+	}
+	if s.published == nil || s.published.Engine == nil || len(s.published.Engine.Models) == 0 {
+		return true
+	}
+	model := s.published.Engine.Models[0]
+	v := u.servedVersion(now, model, s.published.Engine.Layers)
+	return v != 0 && v >= c.view.Desired[model].Due(now, c.settings.OldVersionGrace)
+}
+
+// quota returns how many slots of an upstream this entry may use. While the
+// service is contended, it may use only those that it owns. Free sharing would
+// not be fair: the loads of other entries arrive late, and the entry with the
+// most requests at an upstream would be the first to see a slot become free.
+func (s *service) quota(now time.Time, u *upstream) int {
+	if !s.contended(now) {
+		return u.Slots
+	}
+	return u.ownSlots
+}
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -197,14 +197,15 @@
 }
 
 // cost returns the cost of sending a request to an upstream: the load after one
-// more request as a fraction of the slots, plus the costs of a remote region, a
-// slow first byte, unread prompts, and an update of the weights that is due
+// more request as a fraction of the slots, plus the costs of a remote region, of an
+// upstream that others own, a slow first byte, unread prompts, and an update of the weights that is due
 // before the request would end.
 func (c *Core) cost(now time.Time, s *service, r *request, u *upstream) float64 {
 	cost := (float64(u.load(now)+1) + u.unreportedSends(now, s)) / float64(max(u.Slots, 1))
 	if u.region != c.settings.Region {
 		cost += remoteRegionCost
 	}
+	cost += u.foreignCost()
 	if goal := r.route.LatencyGoal; goal > 0 {
 		cost += firstByteCost * min(float64(u.meanFirstByte)/float64(goal), 2)
 	}
@@ -222,17 +223,26 @@
 	// updateOverlapCost is the cost added for each second that a request would
 	// run past its engine's update slot; the engine takes no requests meanwhile.
 	// maxUpdateOverlap bounds the time that counts.
-	updateOverlapCost = 0.3
+	updateOverlapCost = 0.6
 	maxUpdateOverlap  = 2 * time.Second
 	// prefillSlowdown is the factor by which a token takes longer because the
 	// engine reads the prompts of other requests in between.
 	prefillSlowdown = 1.5
 )
 
-// duration estimates how long an engine takes to generate the longest answer
-// that the request allows.
+// duration estimates how long an engine takes to read the prompt and to generate
+// the answer.
 func (r *request) duration(e *published.Engine) time.Duration {
-	return time.Duration(prefillSlowdown * float64(e.TimePerToken) * float64(r.MaxAnswerTokens))
+	return promptTime(e, r.PromptTokens) + time.Duration(prefillSlowdown*float64(e.TimePerToken)*float64(r.answerTokens()))
+}
+
+// answerTokens estimates the length of the answer: by the caller's estimate, or
+// else by the longest answer that the request allows.
+func (r *request) answerTokens() int {
+	if r.ExpectedAnswerTokens > 0 {
+		return min(r.ExpectedAnswerTokens, r.MaxAnswerTokens)
+	}
+	return r.MaxAnswerTokens
 }
 
 // setUpdateSlots computes when each engine updates to the target weights of its
@@ -251,10 +261,10 @@
 		for _, u := range s.upstreams {
 			addresses = append(addresses, u.Address)
 		}
+		ranks := staging.Ranks(addresses, w.Version)
 		for _, u := range s.upstreams {
-			rank := staging.Rank(u.Address, addresses, w.Version)
 			loaded := u.servedVersion(now, model, s.published.Engine.Layers)
-			u.updateSlot = staging.SlotStart(w, loaded, c.settings.OldVersionGrace, rank, len(addresses))
+			u.updateSlot = staging.SlotStart(w, loaded, c.settings.OldVersionGrace, ranks[u.Address], len(addresses))
 		}
 	}
 }
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -29,6 +29,9 @@
 	Model           string
 	PromptTokens    int
 	MaxAnswerTokens int
+	// ExpectedAnswerTokens is the caller's estimate of the length of the answer; 0
+	// if it gave none.
+	ExpectedAnswerTokens int
 	// LastEvent is the id of the last event that the caller received; it is set
 	// if the caller resumes a stream.
 	LastEvent string
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -80,6 +80,14 @@
 	notice receivedNotice
 	// updateSlot is when the upstream begins to load the target weights.
 	updateSlot time.Time
+	// affinity determines whether the upstream is a neighbor; see ownership.go.
+	affinity float64
+	// usable, neighbor, ownSlots and ownFraction are set by divideSlots: whether
+	// the upstream counts, and how much of it this entry owns.
+	usable      bool
+	neighbor    bool
+	ownSlots    int
+	ownFraction float64
 }
 
 // load estimates the number of requests at the upstream. Reports of other
@@ -97,7 +105,8 @@
 
 // unreportedSends estimates how many requests other entries have sent to the
 // upstream and not reported yet. It assumes that they see the same loads as this
-// entry and send at the same rate in proportion to their shares.
+// entry and send at the same rate in proportion to their shares, apart from what
+// this entry owns.
 func (u *upstream) unreportedSends(now time.Time, s *service) float64 {
 	for len(u.recentSends) > 0 && now.Sub(u.recentSends[0]) >= peerLoadDelay {
 		u.recentSends = u.recentSends[1:]
@@ -106,7 +115,7 @@
 	if slotShare <= 0 || now.Sub(s.shareAt) > peerLoadTTL {
 		return 0
 	}
-	return float64(len(u.recentSends)) * min(1/slotShare-1, maxUnreportedFactor)
+	return float64(len(u.recentSends)) * min(1/slotShare-1, maxUnreportedFactor) * (1 - u.ownFraction)
 }
 
 // pendingPromptTokens estimates the prompt tokens that the upstream has yet to
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -6,6 +6,7 @@
 package peering
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -105,15 +106,16 @@
 // Table holds the known peers of one process. It is owned by one duty.
 type Table struct {
 	self    string
+	region  fleet.Region
 	members map[string]*member
 	seeds   []string
 	round   int
 }
 
-// NewTable returns a table for the process at address self that finds its peers
-// through the seed addresses.
-func NewTable(self string, seeds []string) *Table {
-	return &Table{self: self, members: map[string]*member{}, seeds: seeds}
+// NewTable returns a table for the process at address self in a region. It finds
+// its peers through the seed addresses.
+func NewTable(self string, region fleet.Region, seeds []string) *Table {
+	return &Table{self: self, region: region, members: map[string]*member{}, seeds: seeds}
 }
 
 // SetSeeds replaces the seed addresses.
@@ -187,8 +189,8 @@
 
 // Share is a process's share of the slots of a service, in proportion to the
 // requests that arrive at each process. It is the interval from Low to High;
-// the intervals of all processes, in the order of their addresses, divide the
-// range from 0 to 1.
+// the intervals of all processes, in the order of their regions and addresses,
+// divide the range from 0 to 1.
 type Share struct {
 	Low, High float64
 	// Contended is true if requests wait or are refused at other processes.
@@ -207,7 +209,7 @@
 				continue
 			}
 			all += d.PerSecond
-			if a < t.self {
+			if cmp.Or(cmp.Compare(p.region, t.region), cmp.Compare(a, t.self)) < 0 {
 				before += d.PerSecond
 			}
 			s.Contended = s.Contended || d.Waiting > 0 || d.Refused
--- a/lib/peering/peering_test.go
+++ b/lib/peering/peering_test.go
@@ -14,7 +14,7 @@
 
 // Guards against a peer that is never discovered because it is not a seed.
 func TestPeersAreDiscoveredThroughPeers(t *testing.T) {
-	a := NewTable("a", []string{"b", "a"})
+	a := NewTable("a", "north", []string{"b", "a"})
 	found := map[string]bool{}
 	for range 10 {
 		for _, target := range a.Targets(start) {
@@ -34,7 +34,7 @@
 
 // Guards against using the loads of a peer that stopped sending messages.
 func TestStaleLoadsAreIgnored(t *testing.T) {
-	table := NewTable("a", nil)
+	table := NewTable("a", "north", nil)
 	table.Record(start, &Message{From: "b", Loads: map[fleet.InstanceID]Load{"x": {Requests: 2, PromptTokens: 5}}})
 	table.Record(start.Add(loadTTL), &Message{From: "c", Loads: map[fleet.InstanceID]Load{"x": {Requests: 1}}})
 	require.Equal(t, Load{Requests: 3, PromptTokens: 5}, table.PeerLoads(start.Add(loadTTL))["x"])
@@ -46,7 +46,7 @@
 
 // Guards against reading a peer's view that is not newer than the process's own.
 func TestNewerView(t *testing.T) {
-	table := NewTable("a", nil)
+	table := NewTable("a", "north", nil)
 	table.Record(start, &Message{From: "b", Control: "cb", Revision: 5})
 	table.Record(start, &Message{From: "c", Control: "cc", Revision: 7})
 	peer, ok := table.PeerWithNewerView(start, 5)
@@ -59,7 +59,7 @@
 // Guards against a number of messages that grows with the fleet, and against
 // peers that never receive a message.
 func TestMessagesAreBounded(t *testing.T) {
-	table := NewTable("self", nil)
+	table := NewTable("self", "north", nil)
 	for i := range 100 {
 		table.Record(start, &Message{From: fmt.Sprintf("peer-%d", i)})
 	}
@@ -77,7 +77,7 @@
 
 // Guards against never contacting the seeds of changed settings.
 func TestChangedSeeds(t *testing.T) {
-	table := NewTable("a", []string{"old"})
+	table := NewTable("a", "north", []string{"old"})
 	table.SetSeeds([]string{"new"})
 	found := map[string]bool{}
 	for range 10 {
--- a/lib/staging/staging_test.go
+++ b/lib/staging/staging_test.go
@@ -140,8 +140,10 @@
 		all = append(all, fmt.Sprintf("10.0.0.%d:1", i))
 	}
 	seen := map[int]bool{}
+	ranks := Ranks(all, 2)
 	for _, e := range all {
 		rank := Rank(e, all, 2)
+		require.Equal(t, rank, ranks[e], "entries and loaders must compute the same slots")
 		require.False(t, seen[rank])
 		seen[rank] = true
 		slot := SlotStart(target(2), 1, updateWindow, rank, engines)
--- a/lib/staging/updateslot.go
+++ b/lib/staging/updateslot.go
@@ -1,6 +1,8 @@
 package staging
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -57,3 +59,21 @@
 	}
 	return rank
 }
+
+// Ranks returns the Rank of each of the addresses in all.
+func Ranks(all []string, version int64) map[string]int {
+	key := strconv.FormatInt(version, 10)
+	weights := make(map[string]uint64, len(all))
+	for _, a := range all {
+		weights[a] = fleet.RendezvousWeight(key, a)
+	}
+	sorted := slices.Clone(all)
+	slices.SortFunc(sorted, func(a, b string) int { return cmp.Compare(weights[b], weights[a]) })
+	ranks := make(map[string]int, len(weights))
+	for i, a := range sorted {
+		if _, known := ranks[a]; !known {
+			ranks[a] = i
+		}
+	}
+	return ranks
+}
