dispatch: owners of an engine get half of its cold budget

Cause: with 21 gateways each might send one request a second to an engine, at all times, since engines become cold without notice. The smallest limit of one request also broke the budget as soon as there were more gateways than the budget had requests. Change: half of the budget for a cold engine goes to its owners, by the share that they have among all processes known for 20 s, so that a gateway that is cut off keeps to its part; all gateways divide the other half exactly, the remainder by their order.

--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -53,6 +53,20 @@
 	require.Len(t, r.LoadedAfter, s.Fleet.Engines)
 }
 
+// Pattern: overload for some seconds, until engines are added. Guards against a
+// service that goes on refusing requests after the overload, because the gateways
+// divide the slots among themselves and each may not use what it has got.
+func TestOverloadEndsWhenEnginesAreAdded(t *testing.T) {
+	s := manyGateways(t)
+	s.Fleet = Fleet{Regions: 5, Gateways: 21, Engines: 96, AddedEngines: 108, AddedFrom: 2 * time.Second, AddedUntil: 4 * time.Second}
+	s.Traffic.PerSecond = 954
+	s.Traffic.Length = 10 * time.Second
+	r := Run(s, 1)
+	require.Positive(t, r.Total.Refused)
+	after := r.Between(7*time.Second, 10*time.Second)
+	require.GreaterOrEqual(t, after.InTimeShare(), minInTime)
+}
+
 // Pattern: many engines crash at once and return without weights. Guards against
 // requests that fail although other engines can resume them, and against a service
 // that does not recover.
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -14,8 +14,8 @@
 const (
 	// coreTick is the time between two ticks of a gateway's core.
 	coreTick = 20 * time.Millisecond
-	// firstByteLimit is the time after which the emulated connection gives up on
-	// an engine that is down.
+	// connectTimeout is the time after which an attempt at an engine that is down
+	// ends.
 	connectTimeout = time.Second
 )
 
@@ -38,6 +38,7 @@
 	random := rand.New(rand.NewPCG(s.seed, uint64(len(s.gateways))))
 	g.core = dispatch.New(dispatch.Settings{
 		Self: address, Region: regionName(region), Regions: s.regions(), OldVersionGrace: s.scenario.Weights.Window, Random: random.IntN,
+		ColdOverrun: s.scenario.Engine.ColdOverrun, ColdSlack: s.scenario.Engine.ColdSlack,
 		Retries: retry.WindowLimits{Ratio: 0.2, Reserve: 270, Window: 10 * time.Second},
 	})
 	return g
@@ -54,7 +55,7 @@
 func (g *gateway) gossip() {
 	now := g.sim.clock.now
 	g.table.Expire(now)
-	g.core.SetProcesses(g.table.Processes())
+	g.core.SetProcesses(g.table.Position(), g.table.Processes())
 	demands := g.core.Demands(now)
 	g.core.SetPeerLoads(now, g.table.PeerLoads(now), g.table.Shares(now, demands))
 	m := &peering.Message{
--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -55,6 +55,12 @@
 	// FirstToken is the time from the end of reading a prompt to its first token
 	// on an engine that has nothing else to do.
 	FirstToken time.Duration `ini:"first_token"`
+	// ColdPerSecond is the number of requests per second that a cold engine bears;
+	// 0 means no limit. ColdOverrun and ColdSlack raise it, as in the settings of a
+	// gateway.
+	ColdPerSecond float64 `ini:"cold_per_second"`
+	ColdOverrun   float64 `ini:"cold_overrun"`
+	ColdSlack     float64 `ini:"cold_slack"`
 	// LoadWeights is the time in which an idle engine loads a version.
 	LoadWeights time.Duration `ini:"load_weights"`
 }
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -252,7 +252,7 @@
 func (s *simulation) config() *published.Config {
 	m := &s.scenario.Engine
 	c := &published.Config{Version: 1, Services: map[fleet.Service]*published.Service{serviceName: {
-		Name: serviceName, Engine: &published.Engine{
+		Name: serviceName, ColdPerSecond: m.ColdPerSecond, Engine: &published.Engine{
 			Layers: layers, Models: []string{modelName}, PromptTokensPerSecond: m.PromptTokensPerSecond,
 			TimePerToken: m.Step + time.Duration(m.Slots)*m.StepPerRequest,
 		},
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -204,7 +204,7 @@
 // times are missing.
 func (r *router) gossip(ctx context.Context, now time.Time) {
 	r.peers.Expire(now)
-	r.core.SetProcesses(r.peers.Processes())
+	r.core.SetProcesses(r.peers.Position(), r.peers.Processes())
 	demands := r.core.Demands(now)
 	r.core.SetPeerLoads(now, r.peers.PeerLoads(now), r.peers.Shares(now, demands))
 	g := r.gateway
--- a/lib/dispatch/cold_test.go
+++ b/lib/dispatch/cold_test.go
@@ -1,12 +1,15 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/retry"
 )
@@ -26,7 +29,7 @@
 		cores := make([]*Core, entries)
 		for i := range cores {
 			cores[i] = New(settings())
-			cores[i].SetProcesses(entries)
+			cores[i].SetProcesses(i, entries)
 			cores[i].Update(start, v)
 		}
 		now := start
@@ -44,18 +47,77 @@
 			}
 		}
 		bound := service.ColdPerSecond*settings().ColdOverrun + settings().ColdSlack
-		for i := range sent {
-			n := 0
-			for _, at := range sent[i:] {
-				if at.Sub(sent[i]) < time.Second {
-					n++
+		require.LessOrEqual(t, float64(mostWithin(sent, time.Second)), bound)
+	})
+}
+
+// Guards against owners of a cold upstream that together exceed its limit with the
+// entries that own nothing of it, also if some entries are cut off from the others
+// and keep to the shares that they knew.
+func TestColdUpstreamWithOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := view(replica("a", 1), replica("b", 1), replica("c", 1))
+		for _, u := range v.Upstreams {
+			u.Slots = 1000
+		}
+		service := v.Config.Services[engine]
+		service.ColdPerSecond = float64(rapid.IntRange(8, 60).Draw(t, "rate"))
+		service.Engine.PromptTokensPerSecond = 0
+		entries := rapid.IntRange(4, 12).Draw(t, "entries")
+		cores := make([]*Core, entries)
+		shares := make([]peering.Share, entries)
+		low := 0.0
+		for i := range cores {
+			s := settings()
+			s.Self = fmt.Sprint("entry-", i)
+			cores[i] = New(s)
+			cores[i].SetProcesses(i, entries)
+			cores[i].Update(start, v)
+			high := low + (1-low)*rapid.Float64Range(0, 1).Draw(t, "part")
+			if i == entries-1 {
+				high = 1
+			}
+			shares[i] = peering.Share{Low: low, High: high, KnownLow: low, KnownHigh: high}
+			if rapid.IntRange(0, 4).Draw(t, "cut off") == 0 {
+				shares[i].Low, shares[i].High = 0, 1
+			}
+			low = high
+		}
+		now := start
+		sent := map[fleet.InstanceID][]time.Time{}
+		for ticket := range Ticket(rapid.IntRange(10, 300).Draw(t, "requests")) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, entries-1).Draw(t, "entry")
+			cores[i].SetPeerLoads(now, nil, map[fleet.Service]peering.Share{engine: shares[i]})
+			for _, a := range cores[i].Arrive(now, ticket, Call{Host: "h", Path: "/stream/1", Key: "key", Model: model}) {
+				if s, ok := a.(Send); ok {
+					sent[s.Upstream] = append(sent[s.Upstream], now)
+					cores[i].AttemptEnded(now, ticket, AttemptResult{End: retry.Answered})
 				}
 			}
-			require.LessOrEqual(t, float64(n), bound)
+		}
+		bound := service.ColdPerSecond*settings().ColdOverrun + settings().ColdSlack
+		for id, times := range sent {
+			require.LessOrEqual(t, float64(mostWithin(times, time.Second)), bound, "%s", id)
 		}
 	})
 }
 
+// mostWithin returns the largest number of times within any span of that length.
+func mostWithin(times []time.Time, span time.Duration) int {
+	most := 0
+	for i := range times {
+		n := 0
+		for _, at := range times[i:] {
+			if at.Sub(times[i]) < span {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 // Guards against sends that contradict the current view: whatever changes, a
 // request never goes to an upstream that is draining, out of service, or without
 // the complete weights.
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -114,9 +114,9 @@
 	shareAt time.Time
 	// rejectedAt is when a new request was last rejected for lack of capacity.
 	rejectedAt time.Time
-	// coldLimit is how many requests this process may send to a cold upstream
-	// in each coldWindow; 0 means no limit.
-	coldLimit int
+	// coldBudget is how many requests all entries together may send to a cold
+	// upstream in each coldWindow; 0 means no limit.
+	coldBudget float64
 }
 
 // Core makes the dispatch decisions of one entry. It is not safe for concurrent
@@ -135,8 +135,9 @@
 	timeBudgets map[string]time.Duration
 	// notices holds the latest loader notice by engine address.
 	notices map[string]receivedNotice
-	// processes is the number of entries that divide the shared budgets.
-	processes int
+	// processes is the number of entries that divide the shared budgets, position
+	// the place of this one in their order.
+	processes, position int
 }
 
 // receivedNotice is a loader notice and the time of its receipt.
@@ -165,13 +166,11 @@
 	}
 }
 
-// SetProcesses sets the number of entries that divide the shared budgets. Values
-// below minProcesses count as minProcesses.
-func (c *Core) SetProcesses(n int) {
-	c.processes = max(n, minProcesses)
-	for _, s := range c.services {
-		s.coldLimit = c.coldLimit(s.published)
-	}
+// SetProcesses sets the number of entries that divide the shared budgets, and the
+// position of this one in their order, from 0. Numbers below minProcesses count as
+// minProcesses.
+func (c *Core) SetProcesses(position, n int) {
+	c.position, c.processes = position, max(n, minProcesses)
 }
 
 // SetPeerLoads sets the load that the other entries have at each upstream, and
@@ -247,7 +246,7 @@
 		for name, p := range v.Config.Services {
 			s := c.service(now, name)
 			s.published = p
-			s.coldLimit = c.coldLimit(p)
+			s.coldBudget = c.coldBudget(p)
 			s.maxGoal = 0
 		}
 		for i := range v.Config.Routes {
@@ -283,6 +282,7 @@
 	u := old
 	if u == nil || u.StartTime != p.StartTime || u.Address != p.Address || u.Service != p.Service {
 		u = &upstream{region: c.settings.Regions[p.Domain], affinity: affinity(c.settings.Self, p.ID)}
+		u.offset = int(fleet.RendezvousWeight("offset", string(p.ID)) % maxOffset)
 	}
 	if u.Upstream == nil || u.Revision != p.Revision {
 		if p.ColdRemaining > 0 {
@@ -308,14 +308,13 @@
 	return s
 }
 
-// coldLimit returns how many requests this process may send to a cold upstream
-// in each coldWindow; 0 means no limit.
-func (c *Core) coldLimit(p *published.Service) int {
+// coldBudget returns how many requests all entries together may send to a cold
+// upstream in each coldWindow; 0 means no limit.
+func (c *Core) coldBudget(p *published.Service) float64 {
 	if p == nil || p.ColdPerSecond <= 0 {
 		return 0
 	}
-	total := p.ColdPerSecond*c.settings.ColdOverrun + c.settings.ColdSlack
-	return max(int(total*coldLimitFraction/float64(c.processes)), 1)
+	return (p.ColdPerSecond*c.settings.ColdOverrun + c.settings.ColdSlack) * coldLimitFraction
 }
 
 // Arrive handles a new request: it sends, queues or rejects it.
--- a/lib/dispatch/ownership.go
+++ b/lib/dispatch/ownership.go
@@ -38,7 +38,7 @@
 // has one owner.
 func (c *Core) divideSlots(now time.Time) {
 	for _, s := range c.services {
-		known := s.share.High > s.share.Low && now.Sub(s.shareAt) <= peerLoadTTL
+		shared := s.share.High > s.share.Low && now.Sub(s.shareAt) <= peerLoadTTL
 		total := 0
 		for _, u := range s.upstreams {
 			u.usable = c.usable(now, s, u)
@@ -47,26 +47,57 @@
 			}
 		}
 		neighbors := max(neighborFactor*(s.share.High-s.share.Low), minNeighbors/float64(max(len(s.upstreams), 1)))
-		low, high := s.share.Low*float64(total), s.share.High*float64(total)
+		live := part{low: s.share.Low * float64(total), high: s.share.High * float64(total)}
+		known := part{low: s.share.KnownLow * float64(total), high: s.share.KnownHigh * float64(total)}
 		first := 0
 		for _, u := range s.upstreams {
 			u.neighbor = u.affinity < neighbors
+			u.ownSlots, u.ownFraction = 0, 0
+			knownFraction := 0.0
 			switch {
-			case !known:
+			case !shared:
 				u.ownSlots, u.ownFraction = u.Slots, 1
-				continue
-			case !u.usable:
-				u.ownSlots, u.ownFraction = 0, 0
-				continue
+			case u.usable:
+				u.ownSlots, u.ownFraction = live.of(first, u.Slots)
+				_, knownFraction = known.of(first, u.Slots)
+				first += u.Slots
 			}
-			from, until := max(float64(first), low), min(float64(first+u.Slots), high)
-			u.ownSlots = max(slotsBefore(until)-slotsBefore(from), 0)
-			u.ownFraction = max(until-from, 0) / float64(max(u.Slots, 1))
-			first += u.Slots
+			u.coldLimit = c.coldLimit(s.coldBudget, u, knownFraction)
 		}
 	}
 }
 
+// part is the part of a row of slots from low to high.
+type part struct{ low, high float64 }
+
+// of returns how many of the slots from first on lie in the part, and which
+// fraction of them. A slot lies in the part that contains its middle.
+func (p part) of(first, slots int) (count int, fraction float64) {
+	from, until := max(float64(first), p.low), min(float64(first+slots), p.high)
+	return max(slotsBefore(until)-slotsBefore(from), 0), max(until-from, 0) / float64(max(slots, 1))
+}
+
+// ownerColdFraction is the fraction of the budget for a cold upstream that its
+// owners have, by what they own. All entries share the rest equally.
+const ownerColdFraction = 0.5
+
+// coldLimit returns how many requests this entry may send to an upstream in each
+// coldWindow, out of a budget for all entries; 0 means none.
+func (c *Core) coldLimit(budget float64, u *upstream, ownFraction float64) int {
+	owners := budget * ownerColdFraction
+	return int(owners*ownFraction) + c.equalPart(int(budget-owners), u)
+}
+
+// equalPart divides a whole number among all entries. The entries that get the
+// remainder differ between upstreams.
+func (c *Core) equalPart(total int, u *upstream) int {
+	part := total / c.processes
+	if (c.position+u.offset)%c.processes < total%c.processes {
+		part++
+	}
+	return part
+}
+
 // foreignCost returns the cost of sending to an upstream that this entry does not
 // own.
 func (u *upstream) foreignCost() float64 {
@@ -76,6 +107,9 @@
 	return strangerCost * (1 - u.ownFraction)
 }
 
+// maxOffset bounds the offsets of upstreams in the order of the entries.
+const maxOffset = 1 << 16
+
 // affinity returns a number from 0 to 1 for an entry and an upstream. The entry's
 // neighbors are the upstreams with the lowest numbers, so that a change of either
 // set moves few of them.
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -59,7 +59,7 @@
 }
 
 func (c *Core) send(now time.Time, s *service, r *request, u *upstream) Send {
-	u.recordSend(now, s.coldLimit > 0)
+	u.recordSend(now, s.coldBudget > 0)
 	r.upstream = u
 	r.promptPending = true
 	u.promptTokens += r.PromptTokens
@@ -163,7 +163,7 @@
 
 // hasCapacity reports whether the upstream may get the request now.
 func (c *Core) hasCapacity(now time.Time, s *service, r *request, u *upstream) bool {
-	if !u.withinColdLimit(now, s.coldLimit) {
+	if s.coldBudget > 0 && !u.withinColdLimit(now) {
 		return false
 	}
 	e := s.published.Engine
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -82,12 +82,17 @@
 	updateSlot time.Time
 	// affinity determines whether the upstream is a neighbor; see ownership.go.
 	affinity float64
+	// offset shifts the order of the entries in which remainders are divided.
+	offset int
 	// usable, neighbor, ownSlots and ownFraction are set by divideSlots: whether
 	// the upstream counts, and how much of it this entry owns.
 	usable      bool
 	neighbor    bool
 	ownSlots    int
 	ownFraction float64
+	// coldLimit is how many requests this entry may send in each coldWindow, if
+	// the service has a limit for cold upstreams.
+	coldLimit int
 }
 
 // load estimates the number of requests at the upstream. Reports of other
@@ -209,17 +214,13 @@
 	return max(v, u.version)
 }
 
-// withinColdLimit reports whether one more request keeps within the limit for a
-// cold upstream; 0 means no limit. The limit applies at all times, not only until
-// coldUntil.
-func (u *upstream) withinColdLimit(now time.Time, limit int) bool {
-	if limit <= 0 {
-		return true
-	}
+// withinColdLimit reports whether one more request keeps within this entry's limit
+// for a cold upstream. The limit applies at all times, not only until coldUntil.
+func (u *upstream) withinColdLimit(now time.Time) bool {
 	for len(u.coldSends) > 0 && now.Sub(u.coldSends[0]) >= coldWindow {
 		u.coldSends = u.coldSends[1:]
 	}
-	return len(u.coldSends) < limit
+	return len(u.coldSends) < u.coldLimit
 }
 
 // recordSend counts a request as in flight. Its time is kept for the limit on
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -172,6 +172,24 @@
 	return n
 }
 
+// Position returns how many of the other processes stand before this one in the
+// order of their regions and addresses.
+func (t *Table) Position() int {
+	n := 0
+	for a, p := range t.members {
+		if !p.lastSeen.IsZero() && t.before(a, p) {
+			n++
+		}
+	}
+	return n
+}
+
+// before reports whether a peer stands before this process in the order of all
+// processes.
+func (t *Table) before(address string, p *member) bool {
+	return cmp.Or(cmp.Compare(p.region, t.region), cmp.Compare(address, t.self)) < 0
+}
+
 // PeerLoads returns the sum of the peers' loads at each upstream.
 func (t *Table) PeerLoads(now time.Time) map[fleet.InstanceID]Load {
 	sum := map[fleet.InstanceID]Load{}
@@ -193,6 +211,10 @@
 // divide the range from 0 to 1.
 type Share struct {
 	Low, High float64
+	// KnownLow and KnownHigh are the same, but the range is divided among all
+	// processes that sent a message within memberTTL, with their last demands. A
+	// process that is cut off from the others keeps to its part.
+	KnownLow, KnownHigh float64
 	// Contended is true if requests wait or are refused at other processes.
 	Contended bool
 }
@@ -201,28 +223,48 @@
 func (t *Table) Shares(now time.Time, own map[fleet.Service]Demand) map[fleet.Service]Share {
 	out := map[fleet.Service]Share{}
 	for name, mine := range own {
-		var before, all float64
+		var live, known division
 		var s Share
 		for a, p := range t.members {
 			d, ok := p.demands[name]
-			if !ok || now.Sub(p.lastSeen) > loadTTL {
+			if !ok || now.Sub(p.lastSeen) > memberTTL {
 				continue
 			}
-			all += d.PerSecond
-			if cmp.Or(cmp.Compare(p.region, t.region), cmp.Compare(a, t.self)) < 0 {
-				before += d.PerSecond
+			before := t.before(a, p)
+			known.add(d.PerSecond, before)
+			if now.Sub(p.lastSeen) > loadTTL {
+				continue
 			}
+			live.add(d.PerSecond, before)
 			s.Contended = s.Contended || d.Waiting > 0 || d.Refused
 		}
-		all += mine.PerSecond
-		if all > 0 {
-			s.Low, s.High = before/all, (before+mine.PerSecond)/all
+		if live.all+mine.PerSecond > 0 {
+			s.Low, s.High = live.interval(mine.PerSecond)
+			s.KnownLow, s.KnownHigh = known.interval(mine.PerSecond)
 			out[name] = s
 		}
 	}
 	return out
 }
 
+// division sums up the demands of peers: of all of them, and of those that stand
+// before this process in the order.
+type division struct{ all, before float64 }
+
+func (d *division) add(perSecond float64, before bool) {
+	d.all += perSecond
+	if before {
+		d.before += perSecond
+	}
+}
+
+// interval returns the part of the range from 0 to 1 that this process's demand
+// covers.
+func (d *division) interval(own float64) (low, high float64) {
+	all := d.all + own
+	return d.before / all, (d.before + own) / all
+}
+
 // Member is a live process.
 type Member struct {
 	Control string       `json:"control"`
--- a/lib/peering/peering_test.go
+++ b/lib/peering/peering_test.go
@@ -56,6 +56,38 @@
 	require.False(t, ok)
 }
 
+// Guards against processes that own the same slots, or leave slots to none: their
+// shares must divide the range from 0 to 1 in one order, and a process that is cut
+// off must keep to what it had.
+func TestSharesDivideTheRange(t *testing.T) {
+	const service = fleet.Service("s")
+	type process struct {
+		name   string
+		region fleet.Region
+		demand map[fleet.Service]Demand
+	}
+	processes := []process{
+		{"d", "east", map[fleet.Service]Demand{service: {PerSecond: 10}}},
+		{"b", "north", map[fleet.Service]Demand{service: {PerSecond: 20}}},
+		{"c", "north", map[fleet.Service]Demand{service: {PerSecond: 30}}},
+		{"a", "west", map[fleet.Service]Demand{service: {PerSecond: 40}}},
+	}
+	low := 0.0
+	for i, self := range processes {
+		table := NewTable(self.name, self.region, nil)
+		for _, p := range processes {
+			table.Record(start, &Message{From: p.name, Region: p.region, Demands: p.demand})
+		}
+		require.Equal(t, i, table.Position())
+		share := table.Shares(start, self.demand)[service]
+		require.InDelta(t, low, share.Low, 1e-9)
+		low = share.High
+		cutOff := table.Shares(start.Add(2*loadTTL), self.demand)[service]
+		require.Equal(t, Share{High: 1, KnownLow: share.Low, KnownHigh: share.High}, cutOff)
+	}
+	require.InDelta(t, 1, low, 1e-9)
+}
+
 // Guards against a number of messages that grows with the fleet, and against
 // peers that never receive a message.
 func TestMessagesAreBounded(t *testing.T) {
