staging: engines with the version before the target update last

Change: engines that serve a version which is itself still replacing an older one update after the engines that serve the older one; until then the older ones may load the version between. The order of the engines differs by the version that they have loaded, and the core computes it itself. The emulator runs the product's staging core for each engine and plays two versions. Result: engines leaving service within one second: 85 of 200 before, at most 66 now (test).

--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -103,7 +103,7 @@
 	Retries  int           `ini:"retries"`
 }
 
-// WeightChange is the publication of a new version of the weights.
+// WeightChange is the publication of one or two new versions of the weights.
 type WeightChange struct {
 	// At is the time of the publication; 0 means that there is none.
 	At time.Duration `ini:"at"`
@@ -114,6 +114,11 @@
 	// first and the last loader hold a complete copy.
 	CopiesFrom  time.Duration `ini:"copies_from"`
 	CopiesUntil time.Duration `ini:"copies_until"`
+	// SecondAt, SecondCopiesFrom and SecondCopiesUntil are the same for a second
+	// new version.
+	SecondAt          time.Duration `ini:"second_at"`
+	SecondCopiesFrom  time.Duration `ini:"second_copies_from"`
+	SecondCopiesUntil time.Duration `ini:"second_copies_until"`
 }
 
 // Crash takes engines down at the same moment. They come back without weights.
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -14,7 +14,6 @@
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/published"
-	"rattanspur.example/lib/staging"
 )
 
 const (
@@ -22,10 +21,8 @@
 	modelName   = "model"
 	serviceName = fleet.Service("engines")
 	layers      = 1
-	// firstVersion is the version that engines serve at the start, newVersion the
-	// one that WeightChange publishes.
+	// firstVersion is the version that engines serve at the start.
 	firstVersion = 1
-	newVersion   = 2
 	// warmUp is how long gateways exchange messages before the traffic starts.
 	warmUp = 2 * time.Second
 )
@@ -38,12 +35,15 @@
 	clock     clock
 	startedAt time.Time
 	engines   map[fleet.InstanceID]*engine
-	// order holds the engines in the order in which they joined.
-	order    []*engine
-	gateways []*gateway
-	weights  []float64
-	view     *published.View
-	result   *Result
+	// order holds the engines in the order in which they joined, loaders those
+	// beside them, and addresses theirs.
+	order     []*engine
+	loaders   []*loader
+	addresses []string
+	gateways  []*gateway
+	weights   []float64
+	view      *published.View
+	result    *Result
 }
 
 // Run plays a scenario with a seed.
@@ -88,8 +88,11 @@
 			s.publishLater()
 		})
 	}
-	if sc.Weights.At > 0 {
-		s.clock.at(s.startedAt.Add(sc.Weights.At), s.publishWeights)
+	if w := sc.Weights; w.At > 0 {
+		s.clock.at(s.startedAt.Add(w.At), func() { s.publishWeights(w.CopiesFrom, w.CopiesUntil) })
+	}
+	if w := sc.Weights; w.SecondAt > 0 {
+		s.clock.at(s.startedAt.Add(w.SecondAt), func() { s.publishWeights(w.SecondCopiesFrom, w.SecondCopiesUntil) })
 	}
 	if sc.Crash.At > 0 {
 		s.clock.at(s.startedAt.Add(sc.Crash.At), s.crashEngines)
@@ -101,11 +104,16 @@
 		model: &s.scenario.Engine, clock: &s.clock, id: fleet.InstanceID(fmt.Sprintf("engine-%04d", i)),
 		address: fmt.Sprintf("address-%04d", i), region: i % s.scenario.Fleet.Regions, version: firstVersion, starts: 1,
 	}
-	if s.view != nil && s.view.Desired[modelName].Version == newVersion {
-		e.version = newVersion
+	if s.view != nil {
+		e.version = s.desired().Version
 	}
 	s.engines[e.id] = e
 	s.order = append(s.order, e)
+	s.addresses = append(s.addresses, e.address)
+	l := newLoader(s, e)
+	l.core.MarkComplete(e.version)
+	s.loaders = append(s.loaders, l)
+	s.every(time.Duration(s.random.Int64N(int64(loaderTick))), loaderTick, l.step)
 }
 
 // every runs a function at an offset from now and then at each interval.
@@ -269,8 +277,7 @@
 	return c
 }
 
-// crashEngines takes a share of the engines down, and back up without weights;
-// their loaders then order the desired version at once.
+// crashEngines takes a share of the engines down, and back up without weights.
 func (s *simulation) crashEngines() {
 	count := int(s.scenario.Crash.Share * float64(len(s.order)))
 	for _, i := range s.random.Perm(len(s.order))[:count] {
@@ -278,17 +285,19 @@
 		e.crash()
 		s.clock.after(s.scenario.Crash.For, func() {
 			e.restart()
-			version := max(s.view.Desired[modelName].Version, firstVersion)
-			e.order(version, func() { s.engineLoaded(e, 0) })
+			s.notify(e, 0, 0)
+			s.publishLater()
 		})
 	}
 	s.publishLater()
 }
 
-// engineLoaded tells gateways that an engine serves its version.
-func (s *simulation) engineLoaded(e *engine, previous int64) {
-	if desired := s.view.Desired[modelName]; desired.Version == e.version {
+// engineLoaded records that an engine serves a version for which it accepted no
+// requests for a while, and tells the gateways.
+func (s *simulation) engineLoaded(e *engine, previous int64, outFor time.Duration) {
+	if desired := s.desired(); desired.Version == e.version && desired.Version != firstVersion {
 		s.result.LoadedAfter = append(s.result.LoadedAfter, s.clock.now.Sub(desired.FirstSeen))
+		s.result.OutFor = append(s.result.OutFor, outFor)
 	}
 	s.notify(e, e.version, previous)
 	s.publishLater()
@@ -302,48 +311,30 @@
 	}
 }
 
-// publishWeights names the new version. Each loader orders it at the engine's
-// update slot, or later if its copy arrives later.
-func (s *simulation) publishWeights() {
-	now := s.clock.now
-	w := s.scenario.Weights
-	desired := published.DesiredVersion{
-		Model: modelName, Version: newVersion, FirstSeen: now, Previous: []published.PreviousVersion{{Version: firstVersion}},
+// desired returns the version that engines should serve.
+func (s *simulation) desired() published.DesiredVersion {
+	if d, ok := s.view.Desired[modelName]; ok {
+		return d
+	}
+	return published.DesiredVersion{Model: modelName, Version: firstVersion}
+}
+
+// publishWeights names the next version. Loaders get their copies of it in a random
+// order from copiesFrom to copiesUntil later.
+func (s *simulation) publishWeights(copiesFrom, copiesUntil time.Duration) {
+	now, was := s.clock.now, s.desired()
+	next := published.DesiredVersion{
+		Model: modelName, Version: was.Version + 1, FirstSeen: now,
+		Previous: append([]published.PreviousVersion{{Version: was.Version, FirstSeen: was.FirstSeen}}, was.Previous...),
 	}
 	v := *s.view
-	v.Desired = map[string]published.DesiredVersion{modelName: desired}
+	v.Desired = map[string]published.DesiredVersion{modelName: next}
 	s.view = &v
 	for _, g := range s.gateways {
 		g.applyView(s.view)
 	}
-	addresses := make([]string, 0, len(s.order))
-	for _, e := range s.order {
-		addresses = append(addresses, e.address)
-	}
-	ranks := staging.Ranks(addresses, newVersion)
-	copies := s.random.Perm(len(s.order))
-	for i, e := range s.order {
-		copyAt := now.Add(w.CopiesFrom + (w.CopiesUntil-w.CopiesFrom)*time.Duration(copies[i])/time.Duration(len(s.order)))
-		slot := staging.SlotStart(desired, firstVersion, w.Window, ranks[e.address], len(addresses))
-		s.clock.at(later(slot, copyAt), func() { s.orderWeights(e) })
-	}
-}
-
-func (s *simulation) orderWeights(e *engine) {
-	if e.down || e.version != firstVersion {
-		return
-	}
-	s.notify(e, 0, firstVersion)
-	orderedAt := s.clock.now
-	e.order(newVersion, func() {
-		s.result.OutFor = append(s.result.OutFor, s.clock.now.Sub(orderedAt))
-		s.engineLoaded(e, firstVersion)
-	})
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+	for i, at := range s.random.Perm(len(s.loaders)) {
+		after := copiesFrom + (copiesUntil-copiesFrom)*time.Duration(at)/time.Duration(len(s.loaders))
+		s.clock.after(after, func() { s.loaders[i].core.MarkComplete(next.Version) })
 	}
-	return b
 }
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -261,10 +261,13 @@
 		for _, u := range s.upstreams {
 			addresses = append(addresses, u.Address)
 		}
-		ranks := staging.Ranks(addresses, w.Version)
+		ranks := map[int64]map[string]int{}
 		for _, u := range s.upstreams {
 			loaded := u.servedVersion(now, model, s.published.Engine.Layers)
-			u.updateSlot = staging.SlotStart(w, loaded, c.settings.OldVersionGrace, ranks[u.Address], len(addresses))
+			if ranks[loaded] == nil {
+				ranks[loaded] = staging.Ranks(addresses, loaded)
+			}
+			u.updateSlot = staging.SlotStart(w, loaded, c.settings.OldVersionGrace, ranks[loaded][u.Address], len(addresses))
 		}
 	}
 }
--- a/lib/staging/staging.go
+++ b/lib/staging/staging.go
@@ -57,10 +57,14 @@
 	updateWindow time.Duration
 	layers       int
 	target       published.DesiredVersion
-	// rank is the position of the engine among the count engines of its service.
-	rank, count int
-	report      Report
-	hasReport   bool
+	// address is the engine's address, engines those of all engines of its service.
+	// ranks holds their positions while ranksFor is the loaded version.
+	address   string
+	engines   []string
+	ranks     map[string]int
+	ranksFor  int64
+	report    Report
+	hasReport bool
 	// complete holds the versions of which the loader has all pieces.
 	complete map[int64]bool
 	// placed is the version whose pieces are stored at the engine process with
@@ -78,7 +82,7 @@
 // New returns a core for one model of the engine. updateWindow is the time after
 // the publication of a version within which all engines must serve it.
 func New(model string, layers int, updateWindow time.Duration) *Core {
-	return &Core{model: model, layers: layers, updateWindow: updateWindow, count: 1, complete: map[int64]bool{}}
+	return &Core{model: model, layers: layers, updateWindow: updateWindow, complete: map[int64]bool{}}
 }
 
 // SetTarget sets the version that the engine is to serve.
@@ -87,8 +91,21 @@
 // Target returns the version that the engine is to serve, or 0 if none is known.
 func (c *Core) Target() int64 { return c.target.Version }
 
-// SetRank sets the position of the engine among the engines of its service.
-func (c *Core) SetRank(rank, count int) { c.rank, c.count = rank, max(count, 1) }
+// SetEngines sets the address of the engine and those of all engines of its
+// service, among which the update slots are divided.
+func (c *Core) SetEngines(address string, all []string) {
+	c.address, c.engines, c.ranks = address, all, nil
+}
+
+// rank returns the position of the engine among the engines of its service. An
+// engine that is not among them comes first.
+func (c *Core) rank() int {
+	if c.ranks == nil || c.ranksFor != c.Loaded() {
+		c.ranksFor = c.Loaded()
+		c.ranks = Ranks(c.engines, c.ranksFor)
+	}
+	return c.ranks[c.address]
+}
 
 // SetReport records the latest report of the engine.
 func (c *Core) SetReport(r Report) { c.report, c.hasReport = r, true }
@@ -182,5 +199,5 @@
 	if c.Loaded() == 0 {
 		return time.Time{}
 	}
-	return SlotStart(c.target, c.Loaded(), c.updateWindow, c.rank, c.count)
+	return SlotStart(c.target, c.Loaded(), c.updateWindow, c.rank(), len(c.engines))
 }
--- a/lib/staging/staging_test.go
+++ b/lib/staging/staging_test.go
@@ -140,10 +140,9 @@
 		all = append(all, fmt.Sprintf("10.0.0.%d:1", i))
 	}
 	seen := map[int]bool{}
-	ranks := Ranks(all, 2)
+	ranks := Ranks(all, 1)
 	for _, e := range all {
-		rank := Rank(e, all, 2)
-		require.Equal(t, rank, ranks[e], "entries and loaders must compute the same slots")
+		rank := ranks[e]
 		require.False(t, seen[rank])
 		seen[rank] = true
 		slot := SlotStart(target(2), 1, updateWindow, rank, engines)
@@ -160,11 +159,48 @@
 	require.True(t, SlotStart(w, 2, updateWindow, engines-1, engines).After(last))
 }
 
+// Guards against engines that leave service all at once because a second version
+// became the target shortly after the first: those that have loaded the first one
+// must wait until the others are updated.
+func TestSlotsOfTwoVersionsFollowEachOther(t *testing.T) {
+	const engines = 200
+	var all []string
+	for i := range engines {
+		all = append(all, fmt.Sprintf("10.0.0.%d:1", i))
+	}
+	second := start.Add(2 * time.Second)
+	w := target(3)
+	w.FirstSeen = second
+	w.Previous = []published.PreviousVersion{{Version: 2, FirstSeen: start}, {Version: 1}}
+	var slots []time.Time
+	for address, rank := range Ranks(all, 1) {
+		slot := SlotStart(w, 1, updateWindow, rank, engines)
+		slots = append(slots, slot)
+		// Without version 3, the engine loads version 2 meanwhile.
+		if slot.Before(second.Add(time.Duration(firstSlotFraction * float64(updateWindow)))) {
+			again := SlotStart(w, 2, updateWindow, Ranks(all, 2)[address], engines)
+			require.False(t, again.After(second.Add(updateWindow-lastSlotMargin)))
+			slots = append(slots, again)
+		}
+	}
+	most := 0
+	for _, from := range slots {
+		n := 0
+		for _, s := range slots {
+			if !s.Before(from) && s.Before(from.Add(time.Second)) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	require.LessOrEqual(t, most, engines/3, "engines that leave service within one second")
+}
+
 // Guards against an engine without weights that waits for an update slot.
 func TestEmptyEngineUpdatesAtOnce(t *testing.T) {
 	c := New("m", 16, updateWindow)
 	c.SetTarget(target(2))
-	c.SetRank(5, 6)
+	c.SetEngines("engine", []string{"engine", "other"})
 	c.SetReport(reportOf(1, 1, false))
 	require.True(t, c.SlotStart().After(start))
 	c.SetReport(reportOf(0, 1, false))
--- a/lib/staging/updateslot.go
+++ b/lib/staging/updateslot.go
@@ -25,9 +25,16 @@
 // target. rank is the position of the engine among the count engines of its
 // service. Entries compute the same time, to avoid sending the engine long
 // requests shortly before it.
+//
+// If the loaded version itself became the target only a short time ago, its engines
+// update after those that serve an older version, which is due first.
 func SlotStart(target published.DesiredVersion, loaded int64, updateWindow time.Duration, rank, count int) time.Time {
-	first := target.FirstSeen.Add(time.Duration(firstSlotFraction * float64(updateWindow)))
-	last := usableUntil(target, loaded, updateWindow).Add(-lastSlotMargin)
+	next, ownFirstSeen := firstSeenAround(target, loaded)
+	first := next.Add(time.Duration(firstSlotFraction * float64(updateWindow)))
+	if due := ownFirstSeen.Add(updateWindow - lastSlotMargin); !ownFirstSeen.IsZero() && due.After(first) {
+		first = due
+	}
+	last := next.Add(updateWindow - lastSlotMargin)
 	if last.Before(first) {
 		return last
 	}
@@ -37,37 +44,35 @@
 // usableUntil returns the time after which no new request may start on the
 // loaded version: the end of the update window of the oldest newer target.
 func usableUntil(target published.DesiredVersion, loaded int64, updateWindow time.Duration) time.Time {
-	oldest := target.FirstSeen
-	for _, e := range target.Previous {
-		if e.Version > loaded {
-			oldest = e.FirstSeen
-		}
-	}
-	return oldest.Add(updateWindow)
+	next, _ := firstSeenAround(target, loaded)
+	return next.Add(updateWindow)
 }
 
-// Rank returns the position, from 0, of the engine with address self among the
-// addresses of all engines of its service. The order differs between versions.
-func Rank(self string, all []string, version int64) int {
-	key := strconv.FormatInt(version, 10)
-	ownWeight := fleet.RendezvousWeight(key, self)
-	rank := 0
-	for _, other := range all {
-		if other != self && fleet.RendezvousWeight(key, other) > ownWeight {
-			rank++
+// firstSeenAround returns when the oldest version that is newer than the loaded one
+// became the target, and when the loaded one did; zero if that is not known.
+func firstSeenAround(target published.DesiredVersion, loaded int64) (next, own time.Time) {
+	next = target.FirstSeen
+	for _, e := range target.Previous {
+		switch {
+		case e.Version > loaded:
+			next = e.FirstSeen
+		case e.Version == loaded:
+			own = e.FirstSeen
 		}
 	}
-	return rank
+	return next, own
 }
 
-// Ranks returns the Rank of each of the addresses in all.
-func Ranks(all []string, version int64) map[string]int {
-	key := strconv.FormatInt(version, 10)
-	weights := make(map[string]uint64, len(all))
-	for _, a := range all {
+// Ranks returns the positions, from 0, of the engines with the given addresses among
+// the engines of their service. The order differs between the versions that engines
+// have loaded, so that those of each version are spread over all positions.
+func Ranks(addresses []string, loaded int64) map[string]int {
+	key := strconv.FormatInt(loaded, 10)
+	weights := make(map[string]uint64, len(addresses))
+	for _, a := range addresses {
 		weights[a] = fleet.RendezvousWeight(key, a)
 	}
-	sorted := slices.Clone(all)
+	sorted := slices.Clone(addresses)
 	slices.SortFunc(sorted, func(a, b string) int { return cmp.Compare(weights[b], weights[a]) })
 	ranks := make(map[string]int, len(weights))
 	for i, a := range sorted {
--- a/loader/coordinator.go
+++ b/loader/coordinator.go
@@ -174,7 +174,7 @@
 		}
 	}
 	c.updateTarget()
-	c.setRank()
+	c.setEngines()
 	c.sendLastNotice(ctx)
 	for _, vc := range c.copies {
 		if vc.core != nil && !vc.complete() {
@@ -240,14 +240,14 @@
 	return out
 }
 
-// setRank passes the engine's position among the engines of its service to the
-// staging core, which derives the update slot from it.
-func (c *coordinator) setRank() {
+// setEngines passes the engines of the service to the staging core, which derives
+// the update slot from them.
+func (c *coordinator) setEngines() {
 	addresses := make([]string, 0, len(c.roster.Engines))
 	for _, e := range c.roster.Engines {
 		addresses = append(addresses, e.Address)
 	}
-	c.core.SetRank(staging.Rank(c.loader.settings.Engine, addresses, c.core.Target()), len(addresses))
+	c.core.SetEngines(c.loader.settings.Engine, addresses)
 }
 
 // advance carries out the next action of the staging core and advances all
