exchange: bound the head of a response, and let only events renew a stream

A stalled stream whose upstream sends a byte, a comment or a blank line now and then never ended, since any byte renewed the progress timeout. A server error over 64 KiB was cut there and passed on as complete. A stream without a progress timeout was cut at the first-byte timeout. Change: heads are limited to 64 KiB in exchange and in all transports of both front ends. Only a complete event with a field renews the progress timeout; comments do not, because callers wait for events. What exceeds the size that is held is passed on as it arrives.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -21,6 +21,7 @@
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/rollout"
 	"rattanspur.example/lib/settings"
+	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/wire"
 )
 
@@ -74,7 +75,7 @@
 // New returns an agent that Run starts.
 func New(s *settings.Agent, logger log.Logger) *Agent {
 	n := node.New(s.Node, logger)
-	control := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	control := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: sock.MaxHeadBytes}}
 	a := &Agent{
 		settings:            s,
 		node:                n,
--- a/agent/connect.go
+++ b/agent/connect.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/sock"
 )
 
 const (
@@ -37,10 +38,11 @@
 // reaches a restarted engine before the gate treats it as cold.
 func (a *Agent) upstreamClient() *http.Client {
 	transport := &http.Transport{
-		DialContext:         a.dialUpstream,
-		MaxIdleConnsPerHost: a.settings.MaxCalls,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxResponseHeaderBytes: sock.MaxHeadBytes,
+		DialContext:            a.dialUpstream,
+		MaxIdleConnsPerHost:    a.settings.MaxCalls,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
 	}
 	return &http.Client{Transport: transport, CheckRedirect: returnRedirect}
 }
--- a/agent/fetcher.go
+++ b/agent/fetcher.go
@@ -12,6 +12,7 @@
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/manifest"
 	"rattanspur.example/lib/pacing"
+	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/transfer"
 	"rattanspur.example/lib/weightstore"
 	"rattanspur.example/lib/wire"
@@ -47,10 +48,11 @@
 // limits the number of idle connections, because an agent talks to few peers.
 func weightsTransport() *http.Transport {
 	return &http.Transport{
-		MaxIdleConns:        64,
-		MaxIdleConnsPerHost: transferLimits.MaxInFlightPerPeer,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
+		MaxResponseHeaderBytes: sock.MaxHeadBytes,
+		MaxIdleConns:           64,
+		MaxIdleConnsPerHost:    transferLimits.MaxInFlightPerPeer,
+		IdleConnTimeout:        30 * time.Second,
+		DisableCompression:     true,
 	}
 }
 
--- a/agent/once.go
+++ b/agent/once.go
@@ -8,6 +8,7 @@
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/once"
 	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/wire"
 )
@@ -231,7 +232,7 @@
 // closed an idle connection at the same time. Redirects are not followed.
 func newOnceClient() *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: sock.MaxHeadBytes},
 		CheckRedirect: returnRedirect,
 	}
 }
--- a/entry/conn_pools.go
+++ b/entry/conn_pools.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/sock"
 )
 
 const (
@@ -76,6 +77,7 @@
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &http.Transport{
+		MaxResponseHeaderBytes: sock.MaxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
--- a/entry/once_worker.go
+++ b/entry/once_worker.go
@@ -13,6 +13,7 @@
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/relay"
+	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/wire"
 )
@@ -42,9 +43,10 @@
 func newBoundClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: connectTimeout}).DialContext,
-			DisableKeepAlives:  true,
-			DisableCompression: true,
+			MaxResponseHeaderBytes: sock.MaxHeadBytes,
+			DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/lib/engine/engine.go
+++ b/lib/engine/engine.go
@@ -23,6 +23,9 @@
 // maxReportBytes is the largest load report, in bytes, that is read.
 const maxReportBytes = 1 << 20
 
+// maxHeadBytes is the largest head of a response, in bytes, that is read.
+const maxHeadBytes = 64 << 10
+
 // ErrFenced reports that the engine refused an order with an old fencing token.
 var ErrFenced = errors.New("engine refused an old fencing token")
 
@@ -82,7 +85,7 @@
 	if err := req.Write(conn); err != nil {
 		return nil, eris.Wrap(err, "send engine request")
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxHeadBytes+maxReportBytes)), req)
 	if err != nil {
 		return nil, eris.Wrap(err, "read engine response")
 	}
--- a/lib/exchange/conn.go
+++ b/lib/exchange/conn.go
@@ -6,7 +6,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"rattanspur.example/lib/sock"
@@ -26,6 +29,7 @@
 // Conn is a connection to an upstream that carries one request at a time.
 type Conn struct {
 	net    net.Conn
+	limit  *limitedReader
 	reader *bufio.Reader
 	// idleUntil is when the connection must be closed if it is idle.
 	idleUntil time.Time
@@ -37,7 +41,41 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{net: c, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	limit := &limitedReader{reader: c}
+	return &Conn{net: c, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, nil
+}
+
+// errHeadTooLarge is returned for a response whose head exceeds sock.MaxHeadBytes.
+var errHeadTooLarge = errors.New("head of the response is larger than the limit")
+
+// limitedReader fails once more bytes were read than are left while it is limited.
+// The head of a response is held in memory as a whole, and a faulty upstream may
+// send one without end.
+type limitedReader struct {
+	reader  io.Reader
+	limited bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.reader.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// readHead reads the head of a response to a request with the given method.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.limit.limited, c.limit.left = true, sock.MaxHeadBytes
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	c.limit.limited = false
+	return resp, err
 }
 
 // Close closes the connection.
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -65,10 +65,9 @@
 
 // Options are the timeouts of an exchange and how its response is handled.
 type Options struct {
-	// FirstByteTimeout is the maximum time until the first piece of an event
+	// FirstByteTimeout is the maximum time until the first event of an event
 	// stream, or until the end of any other response. ProgressTimeout is that
-	// between two pieces of an event stream. 0 sets no limit, but without a
-	// ProgressTimeout, FirstByteTimeout limits the whole stream.
+	// between two events of an event stream. 0 sets no limit.
 	FirstByteTimeout time.Duration
 	ProgressTimeout  time.Duration
 	// EventStream is whether to pass on only complete events if the body
@@ -154,7 +153,7 @@
 		return
 	}
 	x.setReadTimeout(x.options.FirstByteTimeout)
-	resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+	resp, err := x.conn.readHead(x.request.Method)
 	if err != nil {
 		x.fail(err)
 		return
@@ -303,14 +302,10 @@
 		x.outcome.Held = &HeldResponse{Response: resp, Head: *h, Body: body}
 		return nil
 	}
-	x.outcome.Started = true
-	if err := x.receiver.Head(resp); err != nil {
-		return errCallerWrite
-	}
-	if len(body) > 0 && x.receiver.Part(body) != nil {
-		return errCallerWrite
+	if err := x.passOn(resp, body); err != nil || len(body) <= maxHeldBytes {
+		return err
 	}
-	return nil
+	return x.receiveBody(resp)
 }
 
 func (x *exchange) receiveBody(resp *http.Response) error {
@@ -335,6 +330,9 @@
 // receiveEvents passes on complete events as soon as they arrive. The head is
 // passed on with the first event: until then, the request can be retried at
 // another upstream without the caller noticing.
+//
+// Only an event counts as progress, not single bytes of one and not comments: an
+// upstream that stalls may go on sending those, and callers wait for events.
 func (x *exchange) receiveEvents(resp *http.Response) error {
 	buffer := make([]byte, readBufferBytes)
 	var pending []byte
@@ -348,6 +346,7 @@
 		if err == io.EOF {
 			whole = len(pending)
 		}
+		progress := relay.HasEvent(pending[:whole])
 		if whole > 0 || err == io.EOF {
 			x.recordFirstByte()
 			if passErr := x.passOn(resp, pending[:whole]); passErr != nil {
@@ -366,8 +365,20 @@
 		case len(pending) > maxHeldBytes:
 			return relay.ErrEventTooLarge
 		}
-		x.setReadTimeout(x.options.ProgressTimeout)
+		if progress {
+			x.extendReadTimeout(x.options.ProgressTimeout)
+		}
+	}
+}
+
+// extendReadTimeout replaces the read timeout by one from now on, or by none if d is
+// 0.
+func (x *exchange) extendReadTimeout(d time.Duration) {
+	if d == 0 {
+		x.clearReadTimeout()
+		return
 	}
+	x.setReadTimeout(d)
 }
 
 func (x *exchange) passOn(resp *http.Response, data []byte) error {
--- a/lib/exchange/exchange_test.go
+++ b/lib/exchange/exchange_test.go
@@ -312,6 +312,104 @@
 	require.Equal(t, retry.Stalled, out.End)
 }
 
+// Guards against a stalled stream that never ends because its upstream sends single
+// bytes, comments or blank lines now and then.
+func TestOnlyEventsRenewTheProgressTimeout(t *testing.T) {
+	for name, filler := range map[string]string{"bytes of an event": "x", "comments": ": still here\n\n", "blank lines": "\n\n"} {
+		u := serve(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = readRequest(r)
+			_, err := io.WriteString(c, streamHead+"\r\nid: 1\ndata: a\n\n")
+			for err == nil {
+				time.Sleep(20 * time.Millisecond)
+				_, err = io.WriteString(c, filler)
+			}
+		})
+		out, _ := do(u.dial(), request(""), Options{EventStream: true, ProgressTimeout: 100 * time.Millisecond})
+		require.Equal(t, retry.Stalled, out.End, name)
+		require.Equal(t, "1", out.LastEventID, name)
+	}
+}
+
+// Guards against cutting a stream that is slow but sound: its events arrive in
+// single bytes, and without a ProgressTimeout the whole stream takes longer than the
+// FirstByteTimeout.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	const body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _, _ = readRequest(r)
+		_, _ = io.WriteString(c, streamHead+"\r\n")
+		for i := range len(body) {
+			time.Sleep(10 * time.Millisecond)
+			_, _ = io.WriteString(c, body[i:i+1])
+		}
+	})
+	for _, progress := range []time.Duration{0, time.Minute} {
+		out, rec := do(u.dial(), request(""), Options{EventStream: true, FirstByteTimeout: 250 * time.Millisecond, ProgressTimeout: progress})
+		require.Equal(t, retry.Answered, out.End, out.Detail)
+		require.Equal(t, body, rec.body.String())
+	}
+}
+
+// Guards against a head without end that is read into memory until the process has
+// none left.
+func TestHeadWithoutEnd(t *testing.T) {
+	for name, start := range map[string]string{"status line": "HTTP/1.1 200 ", "header": "HTTP/1.1 200 OK\r\nX: ", "headers": ""} {
+		written := make(chan int, 1)
+		u := serve(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = readRequest(r)
+			filler := strings.Repeat("a", 4096)
+			if start == "" {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+				filler = strings.Repeat("A: b\r\n", 700)
+			}
+			n, err := io.WriteString(c, start)
+			for err == nil {
+				var k int
+				k, err = io.WriteString(c, filler)
+				n += k
+			}
+			written <- n
+		})
+		conn := u.dial()
+		out, rec := do(conn, request(""), Options{})
+		require.Equal(t, retry.Lost, out.End, name)
+		require.False(t, out.Reusable)
+		require.Zero(t, rec.parts)
+		require.LessOrEqual(t, conn.limit.left, 0)
+		conn.Close()
+		<-written
+	}
+}
+
+// Guards against a body without end that keeps an upstream's slot and its caller
+// beyond the timeouts, or that is held in memory.
+func TestBodyWithoutEnd(t *testing.T) {
+	endless := func(head string) *upstream {
+		return serve(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = readRequest(r)
+			_, err := io.WriteString(c, head)
+			for err == nil {
+				_, err = io.WriteString(c, strings.Repeat("a", 4096))
+			}
+		})
+	}
+	refusal := endless("HTTP/1.1 503 No\r\nId: 1\r\nNot-Run: 1\r\n\r\n")
+	out, _ := do(refusal.dial(), request(""), Options{})
+	require.Equal(t, retry.Busy, out.End)
+	require.False(t, out.Reusable)
+
+	failure := endless("HTTP/1.1 500 No\r\nId: 1\r\n\r\n")
+	out, _ = do(failure.dial(), request(""), Options{FirstByteTimeout: 200 * time.Millisecond, HoldServerErrors: true})
+	require.Equal(t, retry.Stalled, out.End, "the caller must not take what arrived for the whole body")
+	require.Nil(t, out.Held)
+
+	event := endless(streamHead + "\r\n")
+	out, rec := do(event.dial(), request(""), Options{EventStream: true, FirstByteTimeout: time.Minute})
+	require.Equal(t, retry.Lost, out.End)
+	require.Contains(t, out.Detail, "larger than the limit")
+	require.Zero(t, rec.parts)
+}
+
 // Guards against an upstream that keeps working on a request after the caller
 // disconnected.
 func TestEndOfContextClosesTheConnection(t *testing.T) {
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -15,6 +15,7 @@
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/settings"
+	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/wire"
 )
@@ -102,7 +103,7 @@
 		logger:       logger,
 		startTime:    time.Now(),
 		metrics:      metrics.NewSet(),
-		peers:        &wire.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}, Keys: s.PeerKeys},
+		peers:        &wire.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: sock.MaxHeadBytes}}, Keys: s.PeerKeys},
 		inbox:        ring.New[gossipEvent](messageRingSize, ring.Wait),
 		notices:      ring.New[gossipEvent](messageRingSize, ring.DropOldest),
 		documents:    ring.New[document](documentRingSize, ring.Wait),
--- a/lib/node/traffic.go
+++ b/lib/node/traffic.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"rattanspur.example/lib/sock"
 )
 
 // connectTimeout limits the time to open a connection for control messages.
@@ -30,10 +32,11 @@
 		return &countingConn{Conn: conn, counter: c}, nil
 	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConns:        idleConnections,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     idleTimeout,
+		MaxResponseHeaderBytes: sock.MaxHeadBytes,
+		DialContext:            dial,
+		MaxIdleConns:           idleConnections,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        idleTimeout,
 
 		ResponseHeaderTimeout: headerTimeout,
 	}}
--- a/lib/relay/events.go
+++ b/lib/relay/events.go
@@ -68,6 +68,17 @@
 	return last + len(eventSeparator)
 }
 
+// HasEvent reports whether a sequence of complete events contains a field of an
+// event, and not only comments and blank lines.
+func HasEvent(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if line[0] != ':' && line[0] != '\n' && line[0] != '\r' {
+			return true
+		}
+	}
+	return false
+}
+
 // LastEventID returns the last event ID in a sequence of complete events, or "".
 func LastEventID(events []byte) string {
 	for len(events) > 0 {
--- a/lib/sock/sock.go
+++ b/lib/sock/sock.go
@@ -22,6 +22,9 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
+	// MaxHeadBytes is the maximum size of the head of a response. It is held in
+	// memory as a whole, and a faulty server may send one without end.
+	MaxHeadBytes = 64 << 10
 	// idleConnTimeout is how long a transport keeps an idle connection.
 	idleConnTimeout = 10 * time.Second
 )
@@ -64,10 +67,11 @@
 // idlePerHost idle connections to each host.
 func Transport(idlePerHost int) *http.Transport {
 	return &http.Transport{
-		DialContext:         Dial,
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		MaxResponseHeaderBytes: MaxHeadBytes,
+		DialContext:            Dial,
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
 	}
 }
 
