gateway: a panic of the core ends one request instead of the process

Cause: one event that a core trips over ended a gateway and with it every request that it carried. Change: the router recovers, logs the stack, counts the panic and builds a new core from what is published. Requests that wait are refused, as not run if they were never sent; requests in an attempt go on and end with it.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -131,6 +131,11 @@
 }
 
 func start(t *testing.T, source watcher.Source, seeds ...string) *testGateway {
+	return startWithRandom(t, source, func(int) int { return 0 }, seeds...)
+}
+
+// startWithRandom starts a gateway whose core takes random numbers from a function.
+func startWithRandom(t *testing.T, source watcher.Source, random func(int) int, seeds ...string) *testGateway {
 	logger := log.NewLogfmtLogger(io.Discard)
 	w := watcher.New(source, "", time.Second, logger)
 	ip := newHost()
@@ -140,7 +145,7 @@
 		Dispatch: dispatch.Settings{
 			Region: "north", Regions: map[fleet.FailureDomain]fleet.Region{"a": "north"},
 			Retries: retry.WindowLimits{Reserve: 100, Window: 10 * time.Second}, OldVersionGrace: 8 * time.Second,
-			Random: func(int) int { return 0 },
+			Random: random,
 		},
 	}, platform.Codec{}, w, logger)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,6 +21,8 @@
 	// badMessages counts messages of peers that could not be decoded, and
 	// messages to peers that could not be encoded or were too large.
 	badMessages *metrics.Counter
+	// panics counts the panics after which the core was replaced.
+	panics *metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
@@ -34,6 +36,7 @@
 		timeBudget: set.NewHistogram("gateway_patience_seconds"),
 
 		badMessages: set.NewCounter("gateway_bad_messages_total"),
+		panics:      set.NewCounter("gateway_panics_total"),
 	}
 	set.NewGauge("gateway_inbox_depth", func() float64 { return float64(g.inbox.Depth()) })
 	return m
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -57,12 +57,15 @@
 }
 
 // activeRequest is a request that has a handler. upstream and conn belong to its
-// current attempt.
+// latest attempt; inAttempt is set while that is in progress. orphaned is set if the
+// core that sent it was replaced.
 type activeRequest struct {
-	commands *ring.Ring[command]
-	call     dispatch.Call
-	upstream fleet.InstanceID
-	conn     *exchange.Conn
+	commands  *ring.Ring[command]
+	call      dispatch.Call
+	upstream  fleet.InstanceID
+	conn      *exchange.Conn
+	inAttempt bool
+	orphaned  bool
 }
 
 const (
@@ -111,14 +114,13 @@
 	for {
 		select {
 		case v := <-g.views.Out():
-			r.applyView(ctx, v)
+			r.protect(ctx, func() { r.applyView(ctx, v) })
 		case ev := <-g.inbox.Out():
-			r.handleEvent(ctx, ev)
+			r.protect(ctx, func() { r.handleEvent(ctx, ev) })
 		case <-gossip.C:
-			r.gossip(ctx, time.Now())
+			r.protect(ctx, func() { r.gossip(ctx, time.Now()) })
 		case <-timer.C:
-			r.execute(ctx, r.core.Tick(time.Now()))
-			r.closeExpired(time.Now())
+			r.protect(ctx, func() { r.tick(ctx) })
 			nextTick = time.Time{}
 		case <-ctx.Done():
 			return nil
@@ -127,6 +129,13 @@
 	}
 }
 
+// tick lets the core handle the passing of time and closes expired idle connections.
+func (r *router) tick(ctx context.Context) {
+	now := time.Now()
+	r.execute(ctx, r.core.Tick(now))
+	r.closeExpired(now)
+}
+
 // schedule makes sure that the timer fires within queueInterval if requests are
 // queued, or within idleInterval otherwise. nextTick is the time for which the
 // timer is set, or zero if it has fired. It returns the time of the next tick.
@@ -207,7 +216,16 @@
 	if ev.conn != nil {
 		r.putIdle(req.upstream, ev.conn)
 	}
-	r.execute(ctx, r.core.AttemptEnded(now, ev.ticket, ev.result))
+	if !req.orphaned {
+		r.protect(ctx, func() {
+			actions := r.core.AttemptEnded(now, ev.ticket, ev.result)
+			req.inAttempt = false
+			r.execute(ctx, actions)
+		})
+	}
+	if req.orphaned {
+		r.endOrphan(ctx, ev)
+	}
 }
 
 // putIdle makes a connection available for the next request. It closes the
@@ -253,7 +271,7 @@
 		switch a := a.(type) {
 		case dispatch.Send:
 			req := r.active[a.Ticket]
-			req.upstream = a.Upstream
+			req.upstream, req.inAttempt = a.Upstream, true
 			req.conn = r.takeIdle(a.Upstream)
 			r.sendCommand(ctx, a.Ticket, command{action: a, conn: req.conn}, false)
 		case dispatch.Deliver:
--- a/lib/duty/duty.go
+++ b/lib/duty/duty.go
@@ -28,8 +28,9 @@
 // Context returns the context that the duties run under.
 func (g *Group) Context() context.Context { return g.ctx }
 
-// Go starts a duty as one goroutine. A panic is not recovered, because the
-// state that the duty owns may be incomplete and must not be served.
+// Go starts a duty as one goroutine. A panic is not recovered here, because the
+// state that the duty owns may be incomplete and must not be served. A duty that can
+// rebuild its state recovers by itself.
 func (g *Group) Go(name string, f Func) {
 	g.waitGroup.Go(func() {
 		if err := f(g.ctx); err != nil && g.ctx.Err() == nil {
