dispatch: reject at once while waiting requests make no progress

Change: once requests wait and none was sent for 250 ms, further ones are rejected at once with a time to come back. Those that wait are still sent if an upstream returns.

--- a/lib/dispatch/capacity_test.go
+++ b/lib/dispatch/capacity_test.go
@@ -50,6 +50,32 @@
 	require.LessOrEqual(t, r.RetryAfter, 2*time.Second)
 }
 
+// Pattern: all engines lost at once. Guards against callers that wait in turn although
+// nothing was sent for a while: further ones are rejected at once, until an engine
+// has capacity again.
+func TestStalledServiceRejectsAtOnce(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	full := map[fleet.InstanceID]peering.Load{"a": {Requests: 4}}
+	returning := func() []Action {
+		h.next++
+		return h.core.Arrive(h.now, h.next, Call{Host: "h", Path: "/stream/1", Key: "key", TimeBudget: 4 * time.Second, Model: model})
+	}
+	first, actions := h.arrive("/stream/1")
+	h.sent(actions)
+	h.core.AttemptEnded(h.now, first, AttemptResult{End: retry.Answered})
+	h.core.SetPeerLoads(h.now, full, nil)
+	require.Empty(t, returning())
+	h.now = h.now.Add(stallTime)
+	h.core.SetPeerLoads(h.now, full, nil)
+	r := h.refused(returning())
+	require.Equal(t, NotRun, r.Verdict)
+	require.Positive(t, r.RetryAfter)
+	h.core.SetPeerLoads(h.now, nil, nil)
+	h.sent(h.core.Tick(h.now))
+	_, actions = h.arrive("/stream/1")
+	h.sent(actions)
+}
+
 // Guards against a stream that breaks off because the other engines have no free
 // slot when its engine is lost.
 func TestLostStreamResumesAtAFullEngine(t *testing.T) {
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -114,6 +114,9 @@
 	shareAt time.Time
 	// rejectedAt is when a new request was last rejected for lack of capacity.
 	rejectedAt time.Time
+	// idleSince is when the waiting requests last made progress: one was sent, or the
+	// first one began to wait.
+	idleSince time.Time
 	// coldBudget is how many requests all entries together may send to a cold
 	// upstream in each coldWindow; 0 means no limit.
 	coldBudget float64
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -60,6 +60,7 @@
 
 func (c *Core) send(now time.Time, s *service, r *request, u *upstream) Send {
 	u.recordSend(now, s.coldBudget > 0)
+	s.idleSince = now
 	r.upstream = u
 	r.promptPending = true
 	u.promptTokens += r.PromptTokens
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -37,6 +37,9 @@
 	if !c.servable(now, s, r) {
 		return c.giveUp(now, r, "no upstream can serve the request")
 	}
+	if s.stalled(now) {
+		return c.giveUp(now, r, "waiting requests make no progress")
+	}
 	queues := s.queuesFor(r)
 	q := queues[r.queueKey()]
 	if q == nil {
@@ -56,6 +59,22 @@
 	return c.drain(now)
 }
 
+// stallTime is the time without progress of the waiting requests of a service after
+// which further ones are rejected at once. It is longer than most pauses between two
+// sends at a service that is merely busy.
+const stallTime = 250 * time.Millisecond
+
+// stalled reports whether requests wait and none of them could be sent for stallTime,
+// as when all upstreams were lost at once. Those that wait already are still sent if
+// an upstream returns.
+func (s *service) stalled(now time.Time) bool {
+	if s.newRequests.length()+s.returningRequests.length() == 0 {
+		s.idleSince = now
+		return false
+	}
+	return now.Sub(s.idleSince) >= stallTime
+}
+
 // queuesFor returns the queues that a request belongs to.
 func (s *service) queuesFor(r *request) regionQueues {
 	if r.returning && r.route.Kind == published.Streaming {
