loader, platform: leave the origin's connections to those who fetch the weights

While the origin was away all 225 processes came to query it for the manifest every 50 ms, and each kept its connection for 10 s; an origin accepts 48. The time matches the idle timeout; the connections themselves were not logged.

--- a/lib/sock/sock.go
+++ b/lib/sock/sock.go
@@ -64,7 +64,7 @@
 }
 
 // Transport returns a transport for control traffic that keeps up to
-// idlePerHost idle connections to each host.
+// idlePerHost idle connections to each host for idleConnTimeout.
 func Transport(idlePerHost int) *http.Transport {
 	return &http.Transport{
 		MaxResponseHeaderBytes: MaxHeadBytes,
--- a/loader/copytransfer.go
+++ b/loader/copytransfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rattanspur.example/lib/fleet"
@@ -59,15 +60,27 @@
 		return
 	}
 	placement := transfer.NewPlacement(c.self(), c.peers(), c.roster.OriginRegion, fleet.Digest{byte(vc.version)}, limits.Fetchers)
-	sources := placement.ManifestSources(c.self(), false, now.Sub(vc.startedAt), originManifestDelay)
+	waited := now.Sub(later(vc.startedAt, vc.originQueriedAt))
+	sources := placement.ManifestSources(c.self(), false, waited, originManifestDelay)
 	q := query{version: vc.version, model: c.model, origin: c.roster.Origin, sources: sources}
 	vc.manifestRequested = c.loader.queries.Put(ctx, q) == nil
+	if vc.manifestRequested && slices.Contains(sources, transfer.Source{Kind: transfer.FromOrigin}) {
+		vc.originQueriedAt = now
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // originManifestDelay is how long a loader queries only its peers for a manifest
-// before it also queries the origin. Loaders further back in the ranking wait a
-// multiple of it; fetchers in the origin's region do not wait.
-const originManifestDelay = 200 * time.Millisecond
+// before it also queries the origin, once each time. Loaders further back in the
+// ranking wait a multiple of it, so that an origin that returns after an outage is
+// not queried by all at once; fetchers in the origin's region do not wait.
+const originManifestDelay = 400 * time.Millisecond
 
 // manifestRetryInterval is the delay after a failed query for a manifest.
 const manifestRetryInterval = 50 * time.Millisecond
--- a/loader/versioncopy.go
+++ b/loader/versioncopy.go
@@ -20,6 +20,8 @@
 	// manifestRequested is set while a query for the manifest is pending.
 	manifestRequested bool
 	retryAt           time.Time
+	// originQueriedAt is when the origin was last queried for the manifest.
+	originQueriedAt time.Time
 	// searching is set while the engine is searched for stored pieces, searched
 	// once that search has ended.
 	searching, searched bool
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,15 +42,15 @@
 	}
 }
 
-// naiveSeed is the seed of the soak of the naive baseline. With it, three orders lose
-// their answers in the first 25 calls of the callers.
-const naiveSeed = 11
+// naiveSeed is the seed of the soak of the naive baseline. With it, eight orders lose
+// their answers in the first 50 calls of the callers.
+const naiveSeed = 10259
 
 // Guards against a soak of the naive baseline that by chance contains no lost answer
 // of a request that may not be repeated: the seed alone decides which attempts lose
 // theirs.
 func TestSeedDeterminesLostAnswers(t *testing.T) {
-	const callsOfEach = 25
+	const callsOfEach = 50
 	lost := 0
 	for i := range shortOptions(t, naiveSeed, "", "").Callers {
 		for call := 1; call <= callsOfEach; call++ {
@@ -63,7 +63,7 @@
 			}
 		}
 	}
-	require.GreaterOrEqual(t, lost, 2)
+	require.GreaterOrEqual(t, lost, 8)
 }
 
 // Guards against checks that find no violation at all: the naive baseline resends
