--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		var m peering.Message
-		if json.Unmarshal(buffer[:n], &m) != nil {
+		if json.Unmarshal(buffer[:n], &m) != nil || !m.Valid() {
 			g.metrics.badMessages.Inc()
 			continue
 		}
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -78,6 +78,35 @@
 	Engine *EngineNotice `json:"engine,omitempty"`
 }
 
+// maxPerSecond and maxCount bound the rates and the counts in a message. Larger ones,
+// and negative ones, would distort the decisions of the receiver.
+const (
+	maxPerSecond = 1e6
+	maxCount     = 1 << 30
+)
+
+// Valid reports whether all numbers in the message are possible.
+func (m *Message) Valid() bool {
+	for _, l := range m.Loads {
+		if !validCount(l.Requests) || !validCount(l.PromptTokens) {
+			return false
+		}
+	}
+	for _, d := range m.Demands {
+		if d.PerSecond < 0 || d.PerSecond > maxPerSecond || !validCount(d.Waiting) {
+			return false
+		}
+	}
+	for _, s := range m.Suspects {
+		if !validCount(s.Crashes) {
+			return false
+		}
+	}
+	return true
+}
+
+func validCount(n int) bool { return n >= 0 && n <= maxCount }
+
 // EngineNotice is a loader's notice to gateways about its engine. It arrives
 // before the engine's own registration changes.
 type EngineNotice struct {
--- a/lib/peering/peering_test.go
+++ b/lib/peering/peering_test.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -88,6 +89,31 @@
 	require.InDelta(t, 1, low, 1e-9)
 }
 
+// Guards against a malformed message that distorts what the receiver believes: a
+// negative demand would leave it with a share outside the range from 0 to 1.
+func FuzzMessage(f *testing.F) {
+	f.Add([]byte(`{"from":"b","region":"north","loads":{"x":{"n":2,"p":100}},"demands":{"s":{"r":3.5,"w":1}}}`))
+	f.Add([]byte(`{"from":"b","demands":{"s":{"r":-3}}}`))
+	f.Add([]byte(`{"from":"b","demands":{"s":{"r":1e308}},"loads":{"x":{"n":-1}}}`))
+	f.Add([]byte(`{"from":"b","peers":["","a"],"suspects":[{"f":"","n":-1}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m Message
+		if json.Unmarshal(data, &m) != nil || !m.Valid() {
+			return
+		}
+		table := NewTable("a", "north", nil)
+		table.Record(start, &m)
+		share := table.Shares(start, map[fleet.Service]Demand{"s": {PerSecond: 1}})["s"]
+		require.True(t, 0 <= share.Low && share.Low < share.High && share.High <= 1, "%+v", share)
+		for _, l := range table.PeerLoads(start) {
+			require.GreaterOrEqual(t, l.Requests, 0)
+			require.GreaterOrEqual(t, l.PromptTokens, 0)
+		}
+		table.Targets(start)
+		table.Live(start)
+	})
+}
+
 // Guards against a number of messages that grows with the fleet, and against
 // peers that never receive a message.
 func TestMessagesAreBounded(t *testing.T) {
