--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -143,17 +143,6 @@
 	processes, position int
 }
 
-// receivedNotice is a loader notice and the time of its receipt.
-type receivedNotice struct {
-	Notice
-	receivedAt time.Time
-}
-
-// noticeTTL is how long a notice overrides the published upstreams of earlier
-// engine starts at its address, and how long it is retained if no published
-// upstream has the address.
-const noticeTTL = 10 * time.Second
-
 // New returns a core without a view. It rejects requests until Update gives it
 // one with a configuration.
 func New(s Settings) *Core {
@@ -268,17 +257,6 @@
 	return c.drain(now)
 }
 
-// expireNotices removes old notices about addresses that no upstream has.
-func (c *Core) expireNotices(now time.Time) {
-	named := make(map[string]bool, len(c.upstreams))
-	for _, u := range c.upstreams {
-		named[u.Address] = true
-	}
-	maps.DeleteFunc(c.notices, func(address string, n receivedNotice) bool {
-		return !named[address] && now.Sub(n.receivedAt) > noticeTTL
-	})
-}
-
 // mergeUpstream applies a published upstream to the state kept for it. The
 // state is reset if the upstream restarted or changed its address or service.
 func (c *Core) mergeUpstream(now time.Time, old *upstream, p *published.Upstream) *upstream {
@@ -429,23 +407,6 @@
 	return r.route.Rank
 }
 
-// ApplyNotice applies a loader's notice, unless a notice about a later start of
-// the engine at that address is known.
-func (c *Core) ApplyNotice(now time.Time, n Notice) []Action {
-	if n.StartTime < c.notices[n.Address].StartTime {
-		return nil
-	}
-	c.notices[n.Address] = receivedNotice{Notice: n, receivedAt: now}
-	for _, u := range c.upstreams {
-		if u.Address == n.Address {
-			u.notice = c.notices[n.Address]
-			u.endPause(now)
-		}
-	}
-	c.divideSlots(now)
-	return c.drain(now)
-}
-
 // Cancel ends a request whose caller disconnected while it was queued or before
 // its send was carried out.
 func (c *Core) Cancel(now time.Time, ticket Ticket) []Action {
--- a/lib/dispatch/ownership.go
+++ b/lib/dispatch/ownership.go
@@ -32,37 +32,45 @@
 	})
 }
 
-// divideSlots determines which part of each upstream this entry owns. The slots
-// of all usable upstreams stand in one row, and each entry owns the part of the
-// row that its share covers, so that ownership follows the demand and each slot
-// has one owner.
+// divideSlots determines which part of each upstream this entry owns, and how many
+// requests it may send to an upstream that is cold.
 func (c *Core) divideSlots(now time.Time) {
 	for _, s := range c.services {
-		shared := s.share.High > s.share.Low && now.Sub(s.shareAt) <= peerLoadTTL
-		total := 0
 		for _, u := range s.upstreams {
 			u.usable = c.usable(now, s, u)
-			if u.usable {
-				total += u.Slots
-			}
 		}
-		neighbors := max(neighborFactor*(s.share.High-s.share.Low), minNeighbors/float64(max(len(s.upstreams), 1)))
-		live := part{low: s.share.Low * float64(total), high: s.share.High * float64(total)}
-		known := part{low: s.share.KnownLow * float64(total), high: s.share.KnownHigh * float64(total)}
-		first := 0
+		s.divide(now)
 		for _, u := range s.upstreams {
-			u.neighbor = u.affinity < neighbors
-			u.ownSlots, u.ownFraction = 0, 0
-			knownFraction := 0.0
-			switch {
-			case !shared:
-				u.ownSlots, u.ownFraction = u.Slots, 1
-			case u.usable:
-				u.ownSlots, u.ownFraction = live.of(first, u.Slots)
-				_, knownFraction = known.of(first, u.Slots)
-				first += u.Slots
-			}
-			u.coldLimit = c.coldLimit(s.coldBudget, u, knownFraction)
+			u.coldLimit = c.coldLimit(s.coldBudget, u)
+		}
+	}
+}
+
+// divide determines what this entry owns. The slots of all usable upstreams stand
+// in one row, and each entry owns the part of the row that its share covers, so
+// that ownership follows the demand and each slot has one owner.
+func (s *service) divide(now time.Time) {
+	shared := s.share.High > s.share.Low && now.Sub(s.shareAt) <= peerLoadTTL
+	total := 0
+	for _, u := range s.upstreams {
+		if u.usable {
+			total += u.Slots
+		}
+	}
+	neighbors := max(neighborFactor*(s.share.High-s.share.Low), minNeighbors/float64(max(len(s.upstreams), 1)))
+	live := part{low: s.share.Low * float64(total), high: s.share.High * float64(total)}
+	known := part{low: s.share.KnownLow * float64(total), high: s.share.KnownHigh * float64(total)}
+	first := 0
+	for _, u := range s.upstreams {
+		u.neighbor = u.affinity < neighbors
+		u.ownSlots, u.ownFraction, u.knownFraction = 0, 0, 0
+		switch {
+		case !shared:
+			u.ownSlots, u.ownFraction = u.Slots, 1
+		case u.usable:
+			u.ownSlots, u.ownFraction = live.of(first, u.Slots)
+			_, u.knownFraction = known.of(first, u.Slots)
+			first += u.Slots
 		}
 	}
 }
@@ -83,9 +91,9 @@
 
 // coldLimit returns how many requests this entry may send to an upstream in each
 // coldWindow, out of a budget for all entries; 0 means none.
-func (c *Core) coldLimit(budget float64, u *upstream, ownFraction float64) int {
+func (c *Core) coldLimit(budget float64, u *upstream) int {
 	owners := budget * ownerColdFraction
-	return int(owners*ownFraction) + c.equalPart(int(budget-owners), u)
+	return int(owners*u.knownFraction) + c.equalPart(int(budget-owners), u)
 }
 
 // equalPart divides a whole number among all entries. The entries that get the
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -85,11 +85,13 @@
 	// offset shifts the order of the entries in which remainders are divided.
 	offset int
 	// usable, neighbor, ownSlots and ownFraction are set by divideSlots: whether
-	// the upstream counts, and how much of it this entry owns.
-	usable      bool
-	neighbor    bool
-	ownSlots    int
-	ownFraction float64
+	// the upstream counts, and how much of it this entry owns. knownFraction is the
+	// same among all known entries, also those that are silent.
+	usable        bool
+	neighbor      bool
+	ownSlots      int
+	ownFraction   float64
+	knownFraction float64
 	// coldLimit is how many requests this entry may send in each coldWindow, if
 	// the service has a limit for cold upstreams.
 	coldLimit int
