emulator: attempts have a type of their own

Cause: the gateway's send held the whole life of an attempt in nested functions. Change: attempt.go; a parameter that was not used is gone. No change of results is intended. Result: the tests of the emulator pass.

--- /dev/null
+++ b/emulator/attempt.go
@@ -0,0 +1,64 @@
+package emulator
+
+import (
+	"time"
+
+	"rattanspur.example/lib/dispatch"
+	"rattanspur.example/lib/retry"
+)
+
+// attempt is one attempt of a call at an engine. What the engine reports travels back
+// to the gateway with the same delay as the request.
+type attempt struct {
+	gateway *gateway
+	call    *call
+	engine  *engine
+	send    dispatch.Send
+	sentAt  time.Time
+	delay   time.Duration
+	result  dispatch.AttemptResult
+}
+
+// arrive passes the request to the engine.
+func (a *attempt) arrive(j *job) {
+	e := a.engine
+	switch {
+	case e.down:
+		a.gateway.sim.clock.after(connectTimeout, func() { a.end(retry.Unreachable) })
+	case e.submit(j, a.send.ExpectVersion):
+	case e.loading == 0 && a.send.ExpectVersion != 0 && a.send.ExpectVersion != e.version:
+		a.result.Misdirected = true
+		a.end(retry.Refused)
+	default:
+		a.end(retry.Busy)
+	}
+}
+
+// reply runs a function at the gateway after the delay of the network.
+func (a *attempt) reply(f func()) { a.gateway.sim.clock.after(a.delay, f) }
+
+// started reports the head of the response.
+func (a *attempt) started(o dispatch.Observation) {
+	a.reply(func() {
+		g := a.gateway
+		now := g.sim.clock.now
+		a.result.FirstByte = now.Sub(a.sentAt)
+		g.core.Observe(now, a.send.Ticket, o)
+		g.execute(g.core.ResponseStarted(now, a.send.Ticket))
+	})
+}
+
+// end reports the end of the attempt.
+func (a *attempt) end(how retry.End) {
+	a.reply(func() {
+		a.result.End = how
+		if a.call.events > 0 {
+			a.result.Started, a.result.LastEventID = true, "event"
+		}
+		if how == retry.Answered {
+			a.call.completed()
+		}
+		g := a.gateway
+		g.execute(g.core.AttemptEnded(g.sim.clock.now, a.send.Ticket, a.result))
+	})
+}
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -102,51 +102,19 @@
 	}
 }
 
-// send carries out one attempt at an engine. The answer travels back with the
-// same delay.
-func (g *gateway) send(a *dispatch.Send) {
-	c := g.calls[a.Ticket]
-	e := g.sim.engines[a.Upstream]
-	delay := g.sim.delay(g.region, e.region)
-	sentAt := g.sim.clock.now
-	result := dispatch.AttemptResult{Version: a.ExpectVersion}
-	back := func(f func()) { g.sim.clock.after(delay, f) }
-	end := func(how retry.End) {
-		back(func() {
-			result.End, result.Started = how, c.events > 0
-			if c.events > 0 {
-				result.LastEventID = "event"
-			}
-			if how == retry.Answered {
-				c.completed()
-			}
-			g.execute(g.core.AttemptEnded(g.sim.clock.now, a.Ticket, result))
-		})
+// send starts one attempt at an engine.
+func (g *gateway) send(send *dispatch.Send) {
+	c := g.calls[send.Ticket]
+	e := g.sim.engines[send.Upstream]
+	a := &attempt{
+		gateway: g, call: c, engine: e, send: *send, sentAt: g.sim.clock.now, delay: g.sim.delay(g.region, e.region),
+		result: dispatch.AttemptResult{Version: send.ExpectVersion},
 	}
-	j := &job{promptTokens: c.promptTokens, remaining: c.remainingTokens(g.sim.scenario.Engine.Stride)}
-	j.onStart = func(o dispatch.Observation) {
-		back(func() {
-			result.FirstByte = g.sim.clock.now.Sub(sentAt)
-			g.core.Observe(g.sim.clock.now, a.Ticket, o)
-			g.execute(g.core.ResponseStarted(g.sim.clock.now, a.Ticket))
-		})
+	c.job = &job{
+		promptTokens: c.promptTokens, remaining: c.remainingTokens(g.sim.scenario.Engine.Stride),
+		onStart: a.started, onEvent: func() { a.reply(c.eventReceived) }, onEnd: a.end,
 	}
-	j.onEvent = func() { back(c.eventReceived) }
-	j.onEnd = end
-	c.job = j
-	g.sim.clock.after(delay, func() {
-		switch {
-		case e.down:
-			g.sim.clock.after(connectTimeout, func() { end(retry.Unreachable) })
-		case !e.submit(j, a.ExpectVersion):
-			if a.ExpectVersion != 0 && e.version != a.ExpectVersion && e.loading == 0 {
-				result.Misdirected = true
-				end(retry.Refused)
-				return
-			}
-			end(retry.Busy)
-		}
-	})
+	g.sim.clock.after(a.delay, func() { a.arrive(c.job) })
 }
 
 // applyNotice delivers a loader's notice.
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -150,9 +150,9 @@
 	return s.gateways[i]
 }
 
-// gatewayFor picks the gateway of a request at random by weight. A request that
+// pickGateway picks the gateway of a request at random by weight. A request that
 // returns reaches any gateway.
-func (s *simulation) gatewayFor(*call) *gateway {
+func (s *simulation) pickGateway() *gateway {
 	total := 0.0
 	for _, w := range s.weights {
 		total += w
@@ -201,7 +201,7 @@
 		deadline:       s.clock.now.Add(s.scenario.Traffic.Deadline), retriesLeft: s.scenario.Traffic.Retries,
 	}
 	s.clock.at(c.deadline, c.expire)
-	s.clock.after(s.scenario.Network.Caller, func() { s.gatewayFor(c).arrive(c) })
+	s.clock.after(s.scenario.Network.Caller, func() { s.pickGateway().arrive(c) })
 }
 
 func (s *simulation) pickClass() *Class {
