dispatch: wrap a comment

Cause: a line of the comment on the cost of an upstream was too long. Change: the same text, wrapped. No change of code. Result: none to measure.

--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -199,8 +199,8 @@
 
 // cost returns the cost of sending a request to an upstream: the load after one
 // more request as a fraction of the slots, plus the costs of a remote region, of an
-// upstream that others own, a slow first byte, unread prompts, and an update of the weights that is due
-// before the request would end.
+// upstream that others own, a slow first byte, unread prompts, and an update of the
+// weights that is due before the request would end.
 func (c *Core) cost(now time.Time, s *service, r *request, u *upstream) float64 {
 	cost := (float64(u.load(now)+1) + u.unreportedSends(now, s)) / float64(max(u.Slots, 1))
 	if u.region != c.settings.Region {
