dispatch: engines of a service stop together before their weights are due

Each engine stopped by its own mean time to the first token, so that the fastest ones were used longest and the requests of the last moments of all gateways went to them; that they were flooded is inferred from the wait. Change: the service's mean counts for all its engines, and only owners send to an engine in the last 0.3 s before it stops. Result: the new test fails with either part switched off.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -41,6 +41,9 @@
 	// token.
 	versionMargin    = 700 * time.Millisecond
 	firstTokenFactor = 2.5
+	// foreignVersionMargin is how much earlier entries stop that own nothing of the
+	// upstream and know its load only with a delay.
+	foreignVersionMargin = 300 * time.Millisecond
 	// minProcesses is the smallest number of entries that shared budgets are
 	// divided among.
 	minProcesses = 4
@@ -117,6 +120,8 @@
 	// idleSince is when the waiting requests last made progress: one was sent, or the
 	// first one began to wait.
 	idleSince time.Time
+	// meanFirstByte is the mean of the upstreams' mean times to the first byte.
+	meanFirstByte time.Duration
 	// coldBudget is how many requests all entries together may send to a cold
 	// upstream in each coldWindow; 0 means no limit.
 	coldBudget float64
--- a/lib/dispatch/ownership.go
+++ b/lib/dispatch/ownership.go
@@ -40,6 +40,7 @@
 			u.usable = c.usable(now, s, u)
 		}
 		s.divide(now)
+		s.averageFirstByte()
 		for _, u := range s.upstreams {
 			u.coldLimit = c.coldLimit(s.coldBudget, u)
 		}
@@ -75,6 +76,20 @@
 	}
 }
 
+// averageFirstByte sets the mean time to the first byte of the upstreams that have
+// one.
+func (s *service) averageFirstByte() {
+	var sum time.Duration
+	known := 0
+	for _, u := range s.upstreams {
+		if u.usable && u.meanFirstByte > 0 {
+			sum += u.meanFirstByte
+			known++
+		}
+	}
+	s.meanFirstByte = sum / time.Duration(max(known, 1))
+}
+
 // part is the part of a row of slots from low to high.
 type part struct{ low, high float64 }
 
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -90,10 +90,16 @@
 
 // minVersion returns the lowest version of the weights with which an upstream
 // may still begin a request, or 0 if any may. A request begins with its first
-// token, which takes longer the more prompts the upstream has to read.
-func (c *Core) minVersion(now time.Time, e *published.Engine, r *request, u *upstream) int64 {
-	first := max(u.meanFirstByte, promptTime(e, u.pendingPromptTokens(now)+r.PromptTokens))
+// token, which takes longer the more prompts the upstream has to read. The service's
+// mean counts for all its upstreams: otherwise the fastest ones would be used longest,
+// and all requests of the last moments would go to them. For the same reason only
+// owners send to an upstream shortly before its weights are due.
+func (c *Core) minVersion(now time.Time, s *service, r *request, u *upstream) int64 {
+	first := max(s.meanFirstByte, u.meanFirstByte, promptTime(s.published.Engine, u.pendingPromptTokens(now)+r.PromptTokens))
 	margin := versionMargin + time.Duration(firstTokenFactor*float64(first))
+	if u.ownSlots == 0 {
+		margin += foreignVersionMargin
+	}
 	return c.view.Desired[r.Model].Due(now, c.settings.OldVersionGrace-margin)
 }
 
@@ -147,7 +153,7 @@
 		return true
 	}
 	v := u.servedVersion(now, r.Model, e.Layers)
-	if v == 0 || v < c.minVersion(now, e, r, u) {
+	if v == 0 || v < c.minVersion(now, s, r, u) {
 		return false
 	}
 	return r.version == 0 || v == r.version
--- a/lib/dispatch/weights_test.go
+++ b/lib/dispatch/weights_test.go
@@ -7,10 +7,37 @@
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/retry"
 )
 
+// Pattern: weights that fall due everywhere at once. Guards against the requests of
+// the last moments all going to the engines that were fastest so far, where they would
+// wait and begin after the weights are due, and against entries that send to engines
+// of others then, whose load they know only with a delay.
+func TestEnginesStopTogetherBeforeTheirWeightsAreDue(t *testing.T) {
+	v := view(replica("fast", 1), replica("slow", 1))
+	v.Desired[model] = published.DesiredVersion{Model: model, Version: 2, FirstSeen: start, Previous: []published.PreviousVersion{{Version: 1}}}
+	h := newHarness(t, v)
+	s := h.core.services[engine]
+	h.core.upstreams["fast"].meanFirstByte = 100 * time.Millisecond
+	h.core.upstreams["slow"].meanFirstByte = 300 * time.Millisecond
+	share := func(high float64) {
+		h.core.SetPeerLoads(h.now, nil, map[fleet.Service]peering.Share{engine: {High: high, KnownHigh: high}})
+	}
+	r := &request{Call: Call{Model: model}}
+	due := settings().OldVersionGrace - versionMargin
+	h.now = start.Add(due - 400*time.Millisecond)
+	share(1)
+	require.Equal(t, int64(2), h.core.minVersion(h.now, s, r, h.core.upstreams["fast"]), "its own mean would allow 250 ms before it is due")
+	h.now = start.Add(due - 600*time.Millisecond)
+	share(1)
+	require.Equal(t, int64(1), h.core.minVersion(h.now, s, r, h.core.upstreams["fast"]))
+	share(0.01)
+	require.Equal(t, int64(2), h.core.minVersion(h.now, s, r, h.core.upstreams["fast"]), "not an own upstream")
+}
+
 // Guards against one response from two versions of the weights.
 func TestStreamResumesWithTheSameVersion(t *testing.T) {
 	h := newHarness(t, view(replica("a", 1), replica("b", 2)))
