gateway: an attempt's log line says how long the desired version was known

Cause: the logs cannot tell a request that was sent too late, by a process that counts the update window from a late first sight, from one that was sent in time and waited inside its engine. Change: the line "attempt" has the newest desired version and for how long the process knew it at the send (desired, desired-for), beside the expected version and the time to the first event (first).

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -137,6 +137,7 @@
 	out := c.exchange(ctx, a, conn)
 	c.gateway.metrics.recordAttempt(out.End)
 	c.log("attempt", "number", a.Attempt, "upstream", a.Upstream, "expect", a.ExpectVersion,
+		"desired", a.DesiredVersion, "desired-for", a.DesiredFor.Seconds(),
 		"left", time.Until(a.Deadline).Seconds(), "end", out.End, "first", out.FirstByte.Seconds(),
 		"version", out.Version, "load", c.load, "waited", a.Waited.Seconds(), "patience", c.call.TimeBudget.Seconds(), "detail", out.Detail)
 	_ = c.gateway.inbox.Put(context.Background(), attemptEnded{ticket: c.ticket, result: out.AttemptResult, conn: out.conn})
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -78,6 +78,7 @@
 	}
 	if s.published != nil && s.published.Engine != nil {
 		send.ExpectVersion = u.servedVersion(now, r.Model, s.published.Engine.Layers)
+		send.DesiredVersion, send.DesiredFor = c.desired(now, r.Model)
 	}
 	if r.route.Idempotent() {
 		send.FirstByteTimeout = max(firstByteTimeoutFactor*r.route.LatencyGoal, minProgressTimeout)
@@ -88,6 +89,16 @@
 	return send
 }
 
+// desired returns the newest desired version of a model and how long it has been
+// desired; both are 0 if unknown.
+func (c *Core) desired(now time.Time, model string) (version int64, age time.Duration) {
+	d := c.view.Desired[model]
+	if d.FirstSeen.IsZero() {
+		return d.Version, 0
+	}
+	return d.Version, now.Sub(d.FirstSeen)
+}
+
 // minVersion returns the lowest version of the weights with which an upstream
 // may still begin a request, or 0 if any may. A request begins with its first
 // token, which takes longer the more prompts the upstream has to read. The service's
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -102,6 +102,11 @@
 	// ExpectVersion is the only version of the weights that may respond; 0 for
 	// any.
 	ExpectVersion int64
+	// DesiredVersion is the newest version that upstreams should serve, and
+	// DesiredFor how long it has been desired as far as this process knows; 0 if
+	// unknown.
+	DesiredVersion int64
+	DesiredFor     time.Duration
 	// Deadline ends the attempt.
 	Deadline time.Time
 	// FirstByteTimeout and GapTimeout limit the time to the first byte and between
