published, gateway: the earliest sight of a version counts everywhere

Cause: each process counted the update window from its own first sight of a version. An entry that stood still while the version was named saw it 4.8 s late, and used engines with old weights as much longer. The age that peers report was taken only by a process that had no sight of its own. Change: gateways report the ages of recent versions in each message, loaders get them with the versions; the earliest sight wins, in State.ApplyAges, also for previous versions that a process missed. Peers' views need not be queried for first sights any more; that code is gone. Result: TestLateProcessTakesTheAgeOfItsPeers failed before (Due returned 1, not 2).

--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -81,15 +81,14 @@
 
 func gatewaySettings(s *platform.Settings) gateway.Settings {
 	return gateway.Settings{
-		Listen:               s.Listen,
-		Ready:                s.Ready,
-		Control:              s.Control,
-		Metrics:              internalAddress(s, metricsOffset),
-		ReadyPath:            platform.ReadyPath,
-		Peers:                internalAddress(s, peersOffset),
-		DesiredVersionPrefix: platform.DesiredVersionPrefix,
-		Seeds:                s.PeerAddresses(peersOffset),
-		GracePeriod:          s.Bounds.Grace,
+		Listen:      s.Listen,
+		Ready:       s.Ready,
+		Control:     s.Control,
+		Metrics:     internalAddress(s, metricsOffset),
+		ReadyPath:   platform.ReadyPath,
+		Peers:       internalAddress(s, peersOffset),
+		Seeds:       s.PeerAddresses(peersOffset),
+		GracePeriod: s.Bounds.Grace,
 		Dispatch: dispatch.Settings{
 			Self:    s.Listen,
 			Region:  s.Region,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,9 +58,6 @@
 	Metrics string
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
-	// DesiredVersionPrefix is the key prefix of the items that state which version
-	// of a model upstreams should serve.
-	DesiredVersionPrefix string
 	// Seeds are the Peers addresses of some gateways.
 	Seeds []string
 	// GracePeriod is the maximum duration of a graceful stop.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -298,9 +298,8 @@
 
 // Guards against a gateway that refuses all requests after a restart during a
 // store outage. Its first snapshot contains a new desired version, and it would
-// never learn the first-seen time of that version if it did not query its peers
-// again.
-func TestFirstSeenTimeIsPulledAgainAfterRestart(t *testing.T) {
+// never learn the first-seen time of that version if its peers did not report it.
+func TestFirstSeenTimeIsLearntAfterRestart(t *testing.T) {
 	runningSource, restartedSource := newSource(), newSource()
 	runningSource.put("op/config", configJSON)
 	runningSource.put("op/version/m", `{"model":"m","version":1}`)
@@ -316,11 +315,40 @@
 	require.Eventually(t, func() bool {
 		batch, err := b.gateway.watcher.Since(context.Background(), 0)
 		require.NoError(t, err)
-		for _, c := range batch.Changes {
-			if desired, ok := c.Item.(published.DesiredVersion); ok && desired.Version == 2 && c.Age > 0 {
-				return true
-			}
-		}
-		return false
+		ages := batch.Ages["m"]
+		return len(ages) > 0 && ages[0].Version == 2
+	}, testTimeout, time.Millisecond)
+}
+
+// Guards against a gateway that stood still while a version was published and sends
+// requests to engines with older weights after the update window, since it counts
+// from its own late sight.
+func TestAgeOfAPeerEndsOldWeights(t *testing.T) {
+	source := newSource()
+	source.put("op/config", configJSON)
+	source.put("op/version/m", `{"model":"m","version":1}`)
+	source.upstream(t, "i-1", "engine", func(w http.ResponseWriter, r *http.Request) { startStream(w, r); writeEvent(w, 1) })
+	g := start(t, source)
+	require.Eventually(t, func() bool {
+		status, _ := g.call(http.MethodPost, "/stream/x", "")
+		return status == http.StatusOK
+	}, testTimeout, time.Millisecond)
+	source.put("op/version/m", `{"model":"m","version":2}`)
+	reported := published.VersionAge{Version: 2, AgeMS: time.Minute.Milliseconds()}
+	message, err := json.Marshal(&peering.Message{From: newHost() + ":7004", Versions: map[string][]published.VersionAge{"m": {reported}}})
+	require.NoError(t, err)
+	peer, err := net.Dial("udp4", g.gateway.settings.Peers)
+	require.NoError(t, err)
+	defer func() { _ = peer.Close() }()
+	require.Eventually(t, func() bool {
+		_, err := peer.Write(message)
+		require.NoError(t, err)
+		batch, err := g.gateway.watcher.Since(context.Background(), 0)
+		require.NoError(t, err)
+		return len(batch.Ages["m"]) > 0 && batch.Ages["m"][0].AgeMS >= reported.AgeMS
+	}, testTimeout, time.Millisecond)
+	require.Eventually(t, func() bool {
+		status, _ := g.call(http.MethodPost, "/stream/x", "")
+		return status == http.StatusServiceUnavailable
 	}, testTimeout, time.Millisecond)
 }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -141,7 +141,7 @@
 	ip := newHost()
 	g := New(Settings{
 		Listen: ip + ":7001", Ready: ip + ":7002", Control: ip + ":7003", Peers: ip + ":7004",
-		ReadyPath: platform.ReadyPath, DesiredVersionPrefix: platform.DesiredVersionPrefix, Seeds: seeds, GracePeriod: 4 * time.Second,
+		ReadyPath: platform.ReadyPath, Seeds: seeds, GracePeriod: 4 * time.Second,
 		Dispatch: dispatch.Settings{
 			Region: "north", Regions: map[fleet.FailureDomain]fleet.Region{"a": "north"},
 			Retries: retry.WindowLimits{Reserve: 100, Window: 10 * time.Second}, OldVersionGrace: 8 * time.Second,
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -128,16 +128,14 @@
 	}
 }
 
-// viewPull is a request to read from a peer the changes after a revision, of keys
-// with a prefix.
+// viewPull is a request to read from a peer the changes after a revision.
 type viewPull struct {
-	peer   string
-	after  uint64
-	prefix string
+	peer  string
+	after uint64
 }
 
 func (g *Gateway) pullView(ctx context.Context, p viewPull) error {
-	b, err := g.viewClient.Changes(ctx, p.peer, p.after, p.prefix)
+	b, err := g.viewClient.Changes(ctx, p.peer, p.after, "")
 	if err != nil {
 		return err
 	}
@@ -194,74 +192,37 @@
 		return
 	}
 	r.peers.Record(now, m)
+	if r.view != nil && r.view.Learns(now, m.Versions) {
+		_ = r.gateway.watcher.EnqueueAges(ctx, m.Versions)
+	}
 	for _, s := range m.Suspects {
 		r.core.Suspects().ApplyReport(now, s.Fingerprint, s.Crashes, now)
 	}
 }
 
 // gossip applies what peers have reported and sends them this gateway's state.
-// It also requests a read of a peer's view if that view is newer or first-seen
-// times are missing.
+// It also requests a read of a peer's view if that view is newer.
 func (r *router) gossip(ctx context.Context, now time.Time) {
 	r.peers.Expire(now)
 	r.core.SetProcesses(r.peers.Position(), r.peers.Processes())
 	demands := r.core.Demands(now)
 	r.core.SetPeerLoads(now, r.peers.PeerLoads(now), r.peers.Shares(now, demands))
 	g := r.gateway
+	var versions map[string][]published.VersionAge
+	if r.view != nil {
+		versions = r.view.Ages(now)
+	}
 	_ = g.outbound.Put(ctx, outboundMessage{
 		message: peering.Message{
 			From: g.settings.Peers, Control: g.settings.Control, Revision: r.revision,
 			Region: g.settings.Dispatch.Region,
 			Loads:  r.core.Loads(), Demands: demands, Suspects: suspects(r.core), Peers: r.peers.KnownPeers(),
+			Versions: versions,
 		},
 		targets: r.peers.Targets(now),
 	})
-	// The first read of a peer's view starts at revision 0, so that it includes
-	// the first-seen times of the desired versions.
-	after := r.revision
-	if !r.pulledAll {
-		after = 0
-	}
-	if peer, ok := r.peers.PeerWithNewerView(now, after); ok && g.pulls.Put(ctx, viewPull{peer: peer, after: after}) == nil {
-		r.pulledAll = true
-	} else if !ok && now.Before(r.pullFirstSeenUntil) {
-		r.pullFirstSeenTimes(ctx, now)
-	}
-}
-
-// firstSeenPullPeriod is how long peers are queried for the first-seen time of a
-// desired version. They may see the version later than a process that has just
-// started.
-const firstSeenPullPeriod = 4 * time.Second
-
-// pullFirstSeenTimes requests a read of one peer's desired versions, to learn when
-// they were first seen. It selects another peer each time.
-func (r *router) pullFirstSeenTimes(ctx context.Context, now time.Time) {
-	live := r.peers.Live(now)
-	if len(live) == 0 {
-		return
-	}
-	r.firstSeenPulls++
-	p := viewPull{peer: live[r.firstSeenPulls%len(live)].Control, prefix: r.gateway.settings.DesiredVersionPrefix}
-	_ = r.gateway.pulls.Put(ctx, p)
-}
-
-// updateFirstSeenDeadline sets until when peers are queried for first-seen times:
-// for firstSeenPullPeriod after a desired version without a first-seen time
-// appears, and not at all if no first-seen time is missing.
-func (r *router) updateFirstSeenDeadline(now time.Time, v *published.View) {
-	missing := false
-	for model, desired := range v.Desired {
-		if !desired.FirstSeen.IsZero() {
-			continue
-		}
-		missing = true
-		if r.view == nil || r.view.Desired[model].Version != desired.Version {
-			r.pullFirstSeenUntil = now.Add(firstSeenPullPeriod)
-		}
-	}
-	if !missing {
-		r.pullFirstSeenUntil = time.Time{}
+	if peer, ok := r.peers.PeerWithNewerView(now, r.revision); ok {
+		_ = g.pulls.Put(ctx, viewPull{peer: peer, after: r.revision})
 	}
 }
 
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -88,13 +88,6 @@
 	view           *published.View
 	// revision is the revision of the newest item in the view.
 	revision uint64
-	// pulledAll is true once a read of a peer's whole view was requested.
-	pulledAll bool
-	// pullFirstSeenUntil is the time until which peers are queried for the
-	// first-seen times of desired versions, firstSeenPulls the number of these
-	// queries.
-	pullFirstSeenUntil time.Time
-	firstSeenPulls     int
 }
 
 func (g *Gateway) runRouter(ctx context.Context) error {
@@ -159,7 +152,6 @@
 			r.gateway.maxBodyBytes.Store(n)
 		}
 	}
-	r.updateFirstSeenDeadline(time.Now(), v)
 	r.view, r.revision = v, v.Revision
 	clear(r.knownUpstreams)
 	for _, u := range v.Upstreams {
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/published"
 )
 
 const (
@@ -71,6 +72,8 @@
 	// Demands is the demand for each service at the sender.
 	Demands  map[fleet.Service]Demand `json:"demands,omitempty"`
 	Suspects []Suspect                `json:"suspects,omitempty"`
+	// Versions says how long the sender has known the desired versions, by model.
+	Versions map[string][]published.VersionAge `json:"versions,omitempty"`
 	// Peers lists addresses of processes that the sender has received messages
 	// from.
 	Peers []string `json:"peers,omitempty"`
@@ -102,7 +105,7 @@
 			return false
 		}
 	}
-	return true
+	return published.ValidAges(m.Versions)
 }
 
 func validCount(n int) bool { return n >= 0 && n <= maxCount }
--- /dev/null
+++ b/lib/published/ages.go
@@ -0,0 +1,143 @@
+package published
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxReportedAge is the age up to which versions are reported to peers.
+	maxReportedAge = 10 * time.Minute
+	// ageTolerance is the difference between two processes' ages of a version that
+	// is put down to the delay of messages.
+	ageTolerance = 20 * time.Millisecond
+)
+
+// Ages returns the known ages of the desired versions and of the previous ones, by
+// model. Models without a recent change are left out.
+func (v *View) Ages(now time.Time) map[string][]VersionAge {
+	var out map[string][]VersionAge
+	for model, d := range v.Desired {
+		ages := d.ages(now)
+		if len(ages) == 0 {
+			continue
+		}
+		if out == nil {
+			out = map[string][]VersionAge{}
+		}
+		out[model] = ages
+	}
+	return out
+}
+
+// ages returns the ages of the desired version and of the previous ones that are
+// known and at most maxReportedAge old, the newest first.
+func (d DesiredVersion) ages(now time.Time) []VersionAge {
+	var out []VersionAge
+	add := func(version int64, firstSeen time.Time) {
+		if age := now.Sub(firstSeen); !firstSeen.IsZero() && age >= 0 && age <= maxReportedAge {
+			out = append(out, VersionAge{Version: version, AgeMS: age.Milliseconds()})
+		}
+	}
+	add(d.Version, d.FirstSeen)
+	for _, p := range d.Previous {
+		add(p.Version, p.FirstSeen)
+	}
+	return out
+}
+
+// Learns reports whether the ages that a peer reports change what the view says
+// about a desired version.
+func (v *View) Learns(now time.Time, ages map[string][]VersionAge) bool {
+	for model, list := range ages {
+		d, ok := v.Desired[model]
+		if _, changed := d.withAges(now, list); ok && changed {
+			return true
+		}
+	}
+	return false
+}
+
+// ApplyAges takes over what a peer reports about desired versions, by model. The
+// update window begins with the publication, so the earliest sight of any process
+// counts: a process may have stood still, or been cut off, when a version was
+// published. It reports whether the view changed.
+func (s *State) ApplyAges(now time.Time, ages map[string][]VersionAge) bool {
+	changed := false
+	for key, d := range s.desired {
+		next, ok := d.withAges(now, ages[d.Model])
+		if ok {
+			s.desired[key] = next
+			changed = true
+		}
+	}
+	if changed {
+		s.rebuild(now)
+	}
+	return changed
+}
+
+// withAges returns the desired version with the ages that a peer reports, and
+// whether they differ from what was known. An earlier sight of a version replaces a
+// later one, and versions that this process missed are added to the previous ones.
+// Versions that are newer than the desired one are ignored: their item follows.
+func (d DesiredVersion) withAges(now time.Time, ages []VersionAge) (DesiredVersion, bool) {
+	changed := false
+	d.Previous = slices.Clone(d.Previous)
+	for _, a := range ages {
+		firstSeen := now.Add(-time.Duration(a.AgeMS) * time.Millisecond)
+		switch {
+		case a.Version == d.Version:
+			changed = setEarlier(&d.FirstSeen, firstSeen) || changed
+		case a.Version < d.Version:
+			changed = d.setPrevious(a.Version, firstSeen) || changed
+		}
+	}
+	return d, changed
+}
+
+// setPrevious sets when a previous version was first seen. It reports whether that
+// changed.
+func (d *DesiredVersion) setPrevious(version int64, firstSeen time.Time) bool {
+	for i := range d.Previous {
+		if d.Previous[i].Version == version {
+			return setEarlier(&d.Previous[i].FirstSeen, firstSeen)
+		}
+	}
+	if full := len(d.Previous) >= maxPreviousVersions; full && version < d.Previous[len(d.Previous)-1].Version {
+		return false
+	}
+	d.Previous = append(d.Previous, PreviousVersion{Version: version, FirstSeen: firstSeen})
+	slices.SortFunc(d.Previous, func(a, b PreviousVersion) int { return cmp.Compare(b.Version, a.Version) })
+	d.Previous = d.Previous[:min(len(d.Previous), maxPreviousVersions)]
+	return true
+}
+
+// setEarlier replaces an unknown time, or one that is later by more than
+// ageTolerance. It reports whether it did.
+func setEarlier(known *time.Time, firstSeen time.Time) bool {
+	if !known.IsZero() && known.Sub(firstSeen) <= ageTolerance {
+		return false
+	}
+	*known = firstSeen
+	return true
+}
+
+// validAge is the longest age that a peer may report.
+const validAge = 2 * maxReportedAge
+
+// ValidAges reports whether all ages in a message are possible.
+func ValidAges(ages map[string][]VersionAge) bool {
+	for _, list := range ages {
+		if len(list) > maxPreviousVersions+1 {
+			return false
+		}
+		for _, a := range list {
+			if a.AgeMS < 0 || a.AgeMS > validAge.Milliseconds() {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -217,8 +217,8 @@
 type DesiredVersion struct {
 	Model   string
 	Version int64
-	// FirstSeen is when this process or a peer first saw the version; zero if
-	// unknown, as for a version in the first snapshot.
+	// FirstSeen is when the first of this process and its peers saw the version;
+	// zero if unknown, as for a version in the first snapshot.
 	FirstSeen time.Time
 	// Previous lists the versions that were desired before, the newest first.
 	// Each still becomes due by its own FirstSeen.
@@ -245,6 +245,13 @@
 	return 0
 }
 
+// VersionAge is how long a process has known that a version of a model is desired,
+// in milliseconds. The JSON names are short because it is sent often.
+type VersionAge struct {
+	Version int64 `json:"v"`
+	AgeMS   int64 `json:"a"`
+}
+
 // View is the published state as one process knows it. A view is immutable.
 type View struct {
 	// Revision is the revision of the newest item.
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -28,8 +28,6 @@
 	Item any
 	// Raw is the content as published, for forwarding it to peers.
 	Raw []byte
-	// Age is how long a peer has known a DesiredVersion; 0 if unknown.
-	Age time.Duration
 }
 
 // Batch is a set of changes up to a revision. Findings has one error for each
@@ -38,6 +36,8 @@
 	Changes  []Change
 	Revision uint64
 	Findings []error
+	// Ages holds what a peer reports about the desired versions, by model.
+	Ages map[string][]VersionAge
 }
 
 // ErrCompacted is returned by a source that no longer has the requested
@@ -85,7 +85,6 @@
 	changed := false
 	for i := range changes {
 		changed = s.applyChange(&changes[i]) || changed
-		changed = s.applyAge(now, &changes[i]) || changed
 	}
 	s.revision = max(s.revision, revision)
 	if changed {
@@ -213,32 +212,14 @@
 // maxPreviousVersions is the number of previous versions kept for a model.
 const maxPreviousVersions = 8
 
-// applyAge sets FirstSeen of a desired version from the age that a peer reports.
-// A process that started later does not know the age itself; until a peer
-// reports it, the version counts as due.
-func (s *State) applyAge(now time.Time, c *Change) bool {
-	d, ok := c.Item.(DesiredVersion)
-	known, exists := s.desired[c.Key]
-	if !ok || c.Age <= 0 || (exists && (known.Version != d.Version || !known.FirstSeen.IsZero())) {
-		return false
-	}
-	d.FirstSeen = now.Add(-c.Age)
-	s.desired[c.Key] = d
-	return true
-}
-
 // Since returns the changes after a revision, including removals.
 func (s *State) Since(now time.Time, revision uint64) Batch {
-	b := Batch{Revision: s.revision}
+	b := Batch{Revision: s.revision, Ages: s.view.Ages(now)}
 	for key, e := range s.items {
 		if e.revision <= revision {
 			continue
 		}
-		c := Change{Key: key, Revision: e.revision, Removed: e.item == nil, Item: e.item, Raw: e.raw}
-		if d := s.desired[key]; e.item != nil && !d.FirstSeen.IsZero() {
-			c.Age = now.Sub(d.FirstSeen)
-		}
-		b.Changes = append(b.Changes, c)
+		b.Changes = append(b.Changes, Change{Key: key, Revision: e.revision, Removed: e.item == nil, Item: e.item, Raw: e.raw})
 	}
 	return b
 }
--- a/lib/published/state_test.go
+++ b/lib/published/state_test.go
@@ -145,11 +145,65 @@
 	restarted := NewState()
 	restarted.Replace(start.Add(4*time.Second), []Change{desired(2, 2)}, 2)
 	restarted.Apply(start.Add(4*time.Second), batch.Changes, batch.Revision)
+	restarted.ApplyAges(start.Add(4*time.Second), batch.Ages)
 	w := restarted.View().Desired["m"]
 	require.Zero(t, w.Due(start.Add(8*time.Second), 8*time.Second))
 	require.Equal(t, int64(2), w.Due(start.Add(9*time.Second), 8*time.Second))
 }
 
+// Guards against a process that stood still while a version was published and counts
+// the update window from its own late sight: requests began on old weights after it.
+func TestLateProcessTakesTheAgeOfItsPeers(t *testing.T) {
+	peer := NewState()
+	peer.Replace(start, []Change{desired(1, 1)}, 1)
+	peer.Apply(start.Add(time.Second), []Change{desired(2, 2)}, 2)
+	late := NewState()
+	late.Replace(start, []Change{desired(1, 1)}, 1)
+	late.Apply(start.Add(6*time.Second), []Change{desired(2, 2)}, 2)
+	batch := peer.Since(start.Add(7*time.Second), 0)
+	late.Apply(start.Add(7*time.Second), batch.Changes, batch.Revision)
+	late.ApplyAges(start.Add(7*time.Second), batch.Ages)
+	w := late.View().Desired["m"]
+	require.Equal(t, int64(1), w.Due(start.Add(9*time.Second-1), 8*time.Second))
+	require.Equal(t, int64(2), w.Due(start.Add(9*time.Second), 8*time.Second))
+}
+
+// Guards against a process that missed a version altogether, because the next one was
+// published before it woke, and keeps using what was desired before the missed one.
+func TestMissedVersionIsLearntFromPeers(t *testing.T) {
+	peer := NewState()
+	peer.Replace(start, []Change{desired(1, 1)}, 1)
+	peer.Apply(start.Add(time.Second), []Change{desired(2, 2)}, 2)
+	peer.Apply(start.Add(3*time.Second), []Change{desired(3, 3)}, 3)
+	late := NewState()
+	late.Replace(start, []Change{desired(1, 1)}, 1)
+	late.Apply(start.Add(6*time.Second), []Change{desired(3, 3)}, 3)
+	require.True(t, late.ApplyAges(start.Add(6*time.Second), peer.View().Ages(start.Add(6*time.Second))))
+	w := late.View().Desired["m"]
+	at := func(seconds int) int64 { return w.Due(start.Add(time.Duration(seconds)*time.Second), 8*time.Second) }
+	require.Equal(t, []int64{1, 2, 2, 3}, []int64{at(8), at(9), at(10), at(11)})
+}
+
+// Guards against a later report that moves the first sight of a version, and against
+// reports that echo between processes without end.
+func TestOnlyEarlierSightsOfAVersionCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState()
+		s.Replace(start, []Change{desired(1, 1)}, 1)
+		now := start.Add(time.Minute)
+		s.Apply(now, []Change{desired(2, 2)}, 2)
+		earliest := int64(0)
+		for _, age := range rapid.SliceOf(rapid.Int64Range(0, 30_000)).Draw(t, "ages in ms") {
+			report := map[string][]VersionAge{"m": {{Version: 2, AgeMS: age}}}
+			s.ApplyAges(now, report)
+			require.False(t, s.ApplyAges(now, report))
+			earliest = max(earliest, age)
+		}
+		known := s.View().Ages(now)["m"][0].AgeMS
+		require.InDelta(t, earliest, known, float64(ageTolerance.Milliseconds()))
+	})
+}
+
 // Guards against unbounded memory use by removed keys in a long-lived process.
 func TestRemovedKeysAreBounded(t *testing.T) {
 	s := NewState()
--- a/lib/viewsync/viewsync.go
+++ b/lib/viewsync/viewsync.go
@@ -34,15 +34,14 @@
 	Revision uint64 `json:"revision"`
 	Removed  bool   `json:"removed,omitempty"`
 	Raw      []byte `json:"raw,omitempty"`
-	// AgeMS is how long the sender has known a desired version, in
-	// milliseconds; 0 if unknown.
-	AgeMS int64 `json:"age_ms,omitempty"`
 }
 
 // changes is the JSON response with the items of one process.
 type changes struct {
 	Revision uint64 `json:"revision"`
 	Items    []item `json:"items"`
+	// Ages says how long the sender has known the desired versions, by model.
+	Ages map[string][]published.VersionAge `json:"ages,omitempty"`
 }
 
 // Source provides the items that a Handler serves.
@@ -65,12 +64,10 @@
 			return
 		}
 		prefix := r.URL.Query().Get("prefix")
-		out := changes{Revision: b.Revision}
+		out := changes{Revision: b.Revision, Ages: b.Ages}
 		for _, c := range b.Changes {
 			if strings.HasPrefix(c.Key, prefix) {
-				out.Items = append(out.Items, item{
-					Key: c.Key, Revision: c.Revision, Removed: c.Removed, Raw: c.Raw, AgeMS: c.Age.Milliseconds(),
-				})
+				out.Items = append(out.Items, item{Key: c.Key, Revision: c.Revision, Removed: c.Removed, Raw: c.Raw})
 			}
 		}
 		wire.WriteJSON(w, &out)
@@ -100,12 +97,14 @@
 		return published.Batch{}, eris.Wrapf(err, "read view of %s", address)
 	}
 	b := published.Batch{Revision: response.Revision}
+	if published.ValidAges(response.Ages) {
+		b.Ages = response.Ages
+	}
 	for _, it := range response.Items {
 		change, err := c.decode(it.Key, it.Revision, it.Removed, it.Raw)
 		if err != nil {
 			b.Findings = append(b.Findings, err)
 		}
-		change.Age = time.Duration(it.AgeMS) * time.Millisecond
 		b.Changes = append(b.Changes, change)
 	}
 	return b, nil
--- a/lib/viewsync/viewsync_test.go
+++ b/lib/viewsync/viewsync_test.go
@@ -6,7 +6,6 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -35,8 +34,9 @@
 // Guards against items that are altered in transfer, and against an item that
 // cannot be decoded and hides the others.
 func TestItemsAreReadAsPublished(t *testing.T) {
-	address := serve(t, published.Batch{Revision: 9, Changes: []published.Change{
-		{Key: "a/1", Revision: 5, Raw: []byte{0, 1, 255}, Age: 1500 * time.Millisecond},
+	ages := map[string][]published.VersionAge{"m": {{Version: 2, AgeMS: 1500}}}
+	address := serve(t, published.Batch{Revision: 9, Ages: ages, Changes: []published.Change{
+		{Key: "a/1", Revision: 5, Raw: []byte{0, 1, 255}},
 		{Key: "a/2", Revision: 6, Removed: true},
 		{Key: "a/3", Revision: 7, Raw: []byte("unreadable")},
 		{Key: "b/1", Revision: 8, Raw: []byte("other")},
@@ -44,9 +44,10 @@
 	b, err := NewClient(decode).Changes(context.Background(), address, 0, "a/")
 	require.NoError(t, err)
 	require.Equal(t, uint64(9), b.Revision)
+	require.Equal(t, ages, b.Ages)
 	require.Len(t, b.Findings, 1)
 	require.Equal(t, []published.Change{
-		{Key: "a/1", Revision: 5, Raw: []byte{0, 1, 255}, Age: 1500 * time.Millisecond},
+		{Key: "a/1", Revision: 5, Raw: []byte{0, 1, 255}},
 		{Key: "a/2", Revision: 6, Removed: true},
 		{Key: "a/3", Revision: 7, Removed: true, Raw: []byte("unreadable")},
 	}, b.Changes)
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -116,6 +116,12 @@
 	return w.updates.Put(ctx, Update{Batch: b})
 }
 
+// EnqueueAges queues what a peer reports about the ages of desired versions. It
+// returns an error if ctx ends first.
+func (w *Watcher) EnqueueAges(ctx context.Context, ages map[string][]published.VersionAge) error {
+	return w.EnqueuePeerChanges(ctx, published.Batch{Ages: ages})
+}
+
 // Since returns the changes after a revision, for a peer. It returns an error if
 // too many queries wait or ctx ends first.
 func (w *Watcher) Since(ctx context.Context, after uint64) (published.Batch, error) {
@@ -224,6 +230,7 @@
 			} else {
 				changed = state.Apply(time.Now(), u.Changes, u.Revision)
 			}
+			changed = state.ApplyAges(time.Now(), u.Ages) || changed
 			state.Trim()
 		case q := <-w.queries.Out():
 			_ = q.reply.Put(ctx, state.Since(time.Now(), q.after))
