dispatch, exchange: a stream that has not begun when its weights end is moved

Cause: the end of a version was kept by an estimate alone: sending stops 0.7 s and 2.5 mean times to the first token before it. Nothing ended an attempt that waits inside an engine which becomes slower than that. Change: the core says by when a stream must have begun (Send.BeginBy, 0.4 s before the end of the weights that it expects); the exchange ends it then, and the request begins elsewhere within its attempts and its budget. The end (not-begun) is no failure of the upstream. Result: TestWaitingRequestLeavesOldWeightsInTime failed before (504 after the deadline).

--- a/emulator/attempt.go
+++ b/emulator/attempt.go
@@ -17,6 +17,7 @@
 	sentAt  time.Time
 	delay   time.Duration
 	result  dispatch.AttemptResult
+	ended   bool
 }
 
 // arrive passes the request to the engine.
@@ -26,6 +27,7 @@
 	case e.down:
 		a.gateway.sim.clock.after(connectTimeout, func() { a.end(retry.Unreachable) })
 	case e.submit(j, a.send.ExpectVersion):
+		a.limitBegin(j)
 	case e.loading == 0 && a.send.ExpectVersion != 0 && a.send.ExpectVersion != e.version:
 		a.result.Misdirected = true
 		a.end(retry.Refused)
@@ -34,6 +36,19 @@
 	}
 }
 
+// limitBegin ends the attempt if its first event does not come in time.
+func (a *attempt) limitBegin(j *job) {
+	if a.send.BeginBy.IsZero() {
+		return
+	}
+	a.gateway.sim.clock.at(a.send.BeginBy, func() {
+		if !j.started && !j.canceled && !a.ended {
+			j.canceled = true
+			a.end(retry.NotBegun)
+		}
+	})
+}
+
 // reply runs a function at the gateway after the delay of the network.
 func (a *attempt) reply(f func()) { a.gateway.sim.clock.after(a.delay, f) }
 
@@ -50,6 +65,7 @@
 
 // end reports the end of the attempt.
 func (a *attempt) end(how retry.End) {
+	a.ended = true
 	a.reply(func() {
 		a.result.End = how
 		if a.call.events > 0 {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -334,21 +334,38 @@
 		return status == http.StatusOK
 	}, testTimeout, time.Millisecond)
 	source.put("op/version/m", `{"model":"m","version":2}`)
-	reported := published.VersionAge{Version: 2, AgeMS: time.Minute.Milliseconds()}
-	message, err := json.Marshal(&peering.Message{From: newHost() + ":7004", Versions: map[string][]published.VersionAge{"m": {reported}}})
-	require.NoError(t, err)
-	peer, err := net.Dial("udp4", g.gateway.settings.Peers)
-	require.NoError(t, err)
-	defer func() { _ = peer.Close() }()
-	require.Eventually(t, func() bool {
-		_, err := peer.Write(message)
-		require.NoError(t, err)
-		batch, err := g.gateway.watcher.Since(context.Background(), 0)
-		require.NoError(t, err)
-		return len(batch.Ages["m"]) > 0 && batch.Ages["m"][0].AgeMS >= reported.AgeMS
-	}, testTimeout, time.Millisecond)
+	g.learnAge("m", published.VersionAge{Version: 2, AgeMS: time.Minute.Milliseconds()})
 	require.Eventually(t, func() bool {
 		status, _ := g.call(http.MethodPost, "/stream/x", "")
 		return status == http.StatusServiceUnavailable
 	}, testTimeout, time.Millisecond)
 }
+
+// Guards against a request that waits inside an engine until its weights are out of
+// date: it has to begin elsewhere instead.
+func TestWaitingRequestLeavesOldWeightsInTime(t *testing.T) {
+	source := newSource()
+	source.put("op/config", configJSON)
+	source.put("op/version/m", `{"model":"m","version":1}`)
+	arrived := make(chan struct{})
+	source.upstream(t, "i-1", "engine", func(w http.ResponseWriter, r *http.Request) {
+		startStream(w, r)
+		_ = http.NewResponseController(w).Flush()
+		close(arrived)
+		<-r.Context().Done()
+	})
+	g := start(t, source)
+	source.put("op/version/m", `{"model":"m","version":2}`)
+	g.learnAge("m", published.VersionAge{Version: 2, AgeMS: 5000})
+	result := make(chan string, 1)
+	go func() {
+		_, body := g.call(http.MethodPost, "/stream/x", "")
+		result <- body
+	}()
+	<-arrived
+	source.upstreamWithVersion(t, "i-2", "engine", 2, func(w http.ResponseWriter, r *http.Request) {
+		startStream(w, r)
+		writeEvent(w, 1)
+	})
+	require.Equal(t, "id: 1\ndata: 1\n\n", <-result)
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -173,7 +173,8 @@
 	}
 	c.streaming = a.Streaming
 	out := exchange.Do(ctx, conn, request, c.gateway.codec.Head, c, exchange.Options{
-		FirstByteTimeout: a.FirstByteTimeout, ProgressTimeout: a.GapTimeout, EventStream: a.Streaming, HoldServerErrors: a.HoldErrors, Resumed: c.started,
+		FirstByteTimeout: a.FirstByteTimeout, BeginBy: a.BeginBy, ProgressTimeout: a.GapTimeout, EventStream: a.Streaming,
+		HoldServerErrors: a.HoldErrors, Resumed: c.started,
 	})
 	c.held = out.Held
 	if out.LastEventID != "" {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -19,6 +20,7 @@
 
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/watcher"
@@ -102,13 +104,18 @@
 // upstream starts a server that stands in for an upstream of a service and
 // publishes it.
 func (s *fakeSource) upstream(t *testing.T, id, service string, h http.HandlerFunc) {
+	s.upstreamWithVersion(t, id, service, 1, h)
+}
+
+// upstreamWithVersion does the same for an upstream with a version of the weights.
+func (s *fakeSource) upstreamWithVersion(t *testing.T, id, service string, version int, h http.HandlerFunc) {
 	server := httptest.NewServer(h)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
 	s.put("servers/"+id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":4,"state":"ready","born":1,
-	 "models":[{"name":"m","version":1}],"layers":{"from":0,"to":2,"version":1}}`, service, server.Listener.Addr()))
+	 "models":[{"name":"m","version":%d}],"layers":{"from":0,"to":2,"version":%d}}`, service, server.Listener.Addr(), version, version))
 }
 
 // testGateway is a running gateway under test. done receives the result of Run.
@@ -163,6 +170,24 @@
 	return r
 }
 
+// learnAge sends the gateway a peer's message with the age of a version until the
+// gateway has taken it over.
+func (r *testGateway) learnAge(model string, age published.VersionAge) {
+	message, err := json.Marshal(&peering.Message{From: newHost() + ":7004", Versions: map[string][]published.VersionAge{model: {age}}})
+	require.NoError(r.t, err)
+	peer, err := net.Dial("udp4", r.gateway.settings.Peers)
+	require.NoError(r.t, err)
+	defer func() { _ = peer.Close() }()
+	require.Eventually(r.t, func() bool {
+		_, err := peer.Write(message)
+		require.NoError(r.t, err)
+		batch, err := r.gateway.watcher.Since(context.Background(), 0)
+		require.NoError(r.t, err)
+		known := batch.Ages[model]
+		return len(known) > 0 && known[0].Version == age.Version && known[0].AgeMS >= age.AgeMS
+	}, testTimeout, time.Millisecond)
+}
+
 func (r *testGateway) request(ctx context.Context, method, path, body string) (*http.Response, error) {
 	return r.send(ctx, method, path, body, "")
 }
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -44,6 +44,10 @@
 	// foreignVersionMargin is how much earlier entries stop that own nothing of the
 	// upstream and know its load only with a delay.
 	foreignVersionMargin = 300 * time.Millisecond
+	// beginMargin is how long before the end of the grace period a request must have
+	// begun on old weights, or its attempt is ended. It covers the delay with which
+	// processes learn of the new version and with which the upstream notices the end.
+	beginMargin = 400 * time.Millisecond
 	// minProcesses is the smallest number of entries that shared budgets are
 	// divided among.
 	minProcesses = 4
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -84,6 +84,7 @@
 		send.FirstByteTimeout = max(firstByteTimeoutFactor*r.route.LatencyGoal, minProgressTimeout)
 	}
 	if send.Streaming {
+		send.BeginBy = c.beginBy(r.Model, send.ExpectVersion)
 		send.GapTimeout = max(gapTimeoutFactor*r.route.GapGoal, minProgressTimeout)
 	}
 	return send
@@ -99,6 +100,17 @@
 	return d.Version, now.Sub(d.FirstSeen)
 }
 
+// beginBy returns when a stream must have begun on a version of the weights, or zero
+// if the version has no end yet. The estimate behind minVersion does not bound how
+// long a request waits inside an engine that becomes slow.
+func (c *Core) beginBy(model string, version int64) time.Time {
+	d := c.view.Desired[model]
+	if version == 0 || version >= d.Version {
+		return time.Time{}
+	}
+	return staging.UsableUntil(d, version, c.settings.OldVersionGrace).Add(-beginMargin)
+}
+
 // minVersion returns the lowest version of the weights with which an upstream
 // may still begin a request, or 0 if any may. A request begins with its first
 // token, which takes longer the more prompts the upstream has to read. The service's
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -113,6 +113,9 @@
 	// events; 0 means no limit.
 	FirstByteTimeout time.Duration
 	GapTimeout       time.Duration
+	// BeginBy is when the first event must have arrived, because the weights of the
+	// upstream may not begin requests any later; zero for no limit.
+	BeginBy time.Time
 	// Streaming is set if the response consists of events.
 	Streaming bool
 	// HoldErrors is set if a server error must be read completely and held
--- a/lib/dispatch/weights_test.go
+++ b/lib/dispatch/weights_test.go
@@ -75,6 +75,29 @@
 	require.Equal(t, fleet.InstanceID("new"), s.Upstream)
 }
 
+// Guards against requests that wait inside an engine until its weights are out of date,
+// and against an engine that is avoided because such a request was taken away from it.
+func TestStreamHasToBeginBeforeItsWeightsEnd(t *testing.T) {
+	v := view(replica("old", 1))
+	h := newHarness(t, v)
+	_, actions := h.arrive("/stream/1")
+	require.Zero(t, h.sent(actions).BeginBy, "no newer version is desired")
+	v.Desired[model] = published.DesiredVersion{
+		Model: model, Version: 3, FirstSeen: start.Add(-time.Second),
+		Previous: []published.PreviousVersion{{Version: 2, FirstSeen: start.Add(-6 * time.Second)}, {Version: 1}},
+	}
+	h.core.Update(h.now, v)
+	ticket, actions := h.arrive("/stream/2")
+	s := h.sent(actions)
+	require.Equal(t, start.Add(settings().OldVersionGrace-6*time.Second-beginMargin), s.BeginBy, "version 2 ends it, which was desired first")
+	h.now = s.BeginBy
+	v.Upstreams = append(v.Upstreams, replica("new", 3))
+	h.core.Update(h.now, v)
+	resent := h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.NotBegun}))
+	require.Equal(t, fleet.InstanceID("new"), resent.Upstream)
+	require.Zero(t, h.core.upstreams["old"].failures)
+}
+
 // Guards against an engine that gets requests while it loads new weights, and
 // against one that gets none although it has loaded them.
 func TestLoaderNoticeOverridesPublishedVersion(t *testing.T) {
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -70,6 +70,9 @@
 	// between two events of an event stream. 0 sets no limit.
 	FirstByteTimeout time.Duration
 	ProgressTimeout  time.Duration
+	// BeginBy is the time by which the first event of an event stream must have
+	// arrived; zero sets no limit. An exchange that it ends is retry.NotBegun.
+	BeginBy time.Time
 	// EventStream is whether to pass on only complete events if the body
 	// consists of server-sent events.
 	EventStream bool
@@ -152,7 +155,7 @@
 		x.fail(err)
 		return
 	}
-	x.setReadTimeout(x.options.FirstByteTimeout)
+	x.setReadTimeout(x.firstByteTimeout())
 	resp, err := x.conn.readHead(x.request.Method)
 	if err != nil {
 		x.fail(err)
@@ -204,6 +207,29 @@
 	return nil
 }
 
+// firstByteTimeout returns the time until the first byte must have arrived; 0 for no
+// limit.
+func (x *exchange) firstByteTimeout() time.Duration {
+	timeout := x.options.FirstByteTimeout
+	if x.options.BeginBy.IsZero() {
+		return timeout
+	}
+	left := max(time.Until(x.options.BeginBy), minTimeout)
+	if timeout == 0 {
+		return left
+	}
+	return min(timeout, left)
+}
+
+// minTimeout replaces timeouts that are over already, since 0 sets no limit.
+const minTimeout = time.Millisecond
+
+// tooLate reports whether the time for the first event is over and none came.
+func (x *exchange) tooLate() bool {
+	begin := x.options.BeginBy
+	return !begin.IsZero() && x.outcome.FirstByte == 0 && !time.Now().Before(begin)
+}
+
 func (x *exchange) setReadTimeout(d time.Duration) {
 	if d > 0 && x.ctx.Err() == nil {
 		_ = x.conn.net.SetReadDeadline(time.Now().Add(d))
@@ -234,6 +260,9 @@
 		x.outcome.End = retry.Canceled
 	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, errNoData):
 		x.outcome.End = retry.Stalled
+		if x.tooLate() {
+			x.outcome.End = retry.NotBegun
+		}
 	default:
 		x.outcome.End = retry.Lost
 	}
--- a/lib/exchange/exchange_test.go
+++ b/lib/exchange/exchange_test.go
@@ -312,6 +312,30 @@
 	require.Equal(t, retry.Stalled, out.End)
 }
 
+// Guards against a stream that begins after the time for that, at an upstream that sends
+// the head of its answer early, and against one that is cut although it has begun.
+func TestStreamBeginsInTimeOrEnds(t *testing.T) {
+	quiet := make(chan struct{})
+	defer close(quiet)
+	serveText := func(text string) *Conn {
+		return serve(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = readRequest(r)
+			_, _ = io.WriteString(c, text)
+			<-quiet
+		}).dial()
+	}
+	in := func(d time.Duration) Options {
+		return Options{EventStream: true, FirstByteTimeout: time.Minute, ProgressTimeout: time.Millisecond, BeginBy: time.Now().Add(d)}
+	}
+	out, _ := do(serveText(streamHead+"\r\ndata:"), request(""), in(time.Millisecond))
+	require.Equal(t, retry.NotBegun, out.End)
+	require.False(t, out.Reusable)
+	out, _ = do(serveText(streamHead+"\r\nid: 1\ndata: a\n\n"), request(""), in(time.Minute))
+	require.Equal(t, retry.Stalled, out.End, "it stopped after it had begun")
+	out, _ = do(serveText(""), request(""), in(-time.Hour))
+	require.Equal(t, retry.NotBegun, out.End)
+}
+
 // Guards against a stalled stream that never ends because its upstream sends single
 // bytes, comments or blank lines now and then.
 func TestOnlyEventsRenewTheProgressTimeout(t *testing.T) {
--- a/lib/retry/decide.go
+++ b/lib/retry/decide.go
@@ -30,11 +30,16 @@
 	TimedOut
 	// Canceled means that the caller ended the request.
 	Canceled
+	// NotBegun means that the response had not begun when the time for that was
+	// over, and the attempt was ended. The request may have been run; the upstream
+	// is not at fault.
+	NotBegun
 )
 
 // endNames holds the names of the ends in logs.
 var endNames = [...]string{
 	"answered", "busy", "refused", "unreachable", "lost", "silent", "mismatched", "timed-out", "caller-left",
+	"not-begun",
 }
 
 // String returns the name of an end.
--- a/lib/staging/staging.go
+++ b/lib/staging/staging.go
@@ -180,7 +180,7 @@
 		return 0
 	}
 	for _, e := range c.target.Previous {
-		if e.Version > c.Loaded() && c.complete[e.Version] && usableUntil(c.target, e.Version, c.updateWindow).Sub(now) > minRemainingUse {
+		if e.Version > c.Loaded() && c.complete[e.Version] && UsableUntil(c.target, e.Version, c.updateWindow).Sub(now) > minRemainingUse {
 			return e.Version
 		}
 	}
--- a/lib/staging/updateslot.go
+++ b/lib/staging/updateslot.go
@@ -41,9 +41,9 @@
 	return first.Add(last.Sub(first) * time.Duration(rank) / time.Duration(max(count, 1)))
 }
 
-// usableUntil returns the time after which no new request may start on the
+// UsableUntil returns the time after which no new request may start on the
 // loaded version: the end of the update window of the oldest newer target.
-func usableUntil(target published.DesiredVersion, loaded int64, updateWindow time.Duration) time.Time {
+func UsableUntil(target published.DesiredVersion, loaded int64, updateWindow time.Duration) time.Time {
 	next, _ := firstSeenAround(target, loaded)
 	return next.Add(updateWindow)
 }
