gateway: a request whose caller has left is not sent

Cause: a process that wakes reads requests whose callers have closed behind them, and sent each one, since nothing looked at the caller before a send.

--- /dev/null
+++ b/gateway/handler_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/dispatch"
+	"rattanspur.example/lib/exchange"
+	"rattanspur.example/lib/retry"
+)
+
+// Guards against requests that are sent on although their callers have left: a gateway
+// that stood still reads all of them when it wakes.
+func TestRequestOfACallerThatLeftIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	source := newSource()
+	source.put("op/config", configJSON)
+	g := start(t, source)
+	conn, err := exchange.Dial(context.Background(), listener.Addr().String())
+	require.NoError(t, err)
+	upstream, err := listener.Accept()
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c := &callHandler{gateway: g.gateway, r: httptest.NewRequestWithContext(ctx, http.MethodPost, "/read/x", nil)}
+	out := c.exchange(ctx, &dispatch.Send{Deadline: time.Now().Add(time.Minute)}, conn)
+	require.Equal(t, retry.Canceled, out.End)
+	require.Same(t, conn, out.conn, "the connection can carry another request")
+	conn.Close()
+	n, err := upstream.Read(make([]byte, 1))
+	require.Zero(t, n, "part of the request arrived")
+	require.Error(t, err)
+}
