poison: design and types of the evidence about requests that crash upstreams

Cause: crashes are counted by whole requests, which never repeat when a part of a prompt is harmful. Result: it compiles; nothing uses it yet.

--- /dev/null
+++ b/lib/poison/types.go
@@ -0,0 +1,115 @@
+// Package poison finds out which requests crash the upstreams that run them, from
+// the crashes that several gateways observe, and says which requests may run. It
+// is pure: events come with their time, and nothing waits or does I/O.
+package poison
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/zeebo/blake3"
+
+	"rattanspur.example/lib/fleet"
+)
+
+// Trait identifies a property that requests may share: a part of a prompt, or the
+// request itself. The traits of a request are ordered from the broadest to the most
+// specific one.
+type Trait uint64
+
+// PartTrait returns the trait of the requests whose prompt contains a part.
+func PartTrait(part string) Trait { return Trait(hash("part", part, nil)) }
+
+// RequestTrait returns the trait of one request and its repetitions.
+func RequestTrait(key, target string, body []byte) Trait {
+	return Trait(hash(key, target, body))
+}
+
+// CrashID identifies the crash of one start of an upstream.
+type CrashID uint64
+
+// NewCrashID returns the identifier of the crash of the start of an upstream. The
+// start time distinguishes the starts of the same instance.
+func NewCrashID(upstream fleet.InstanceID, startTime int64) CrashID {
+	return CrashID(hash(string(upstream), "", binary.BigEndian.AppendUint64(nil, uint64(startTime))))
+}
+
+func hash(a, b string, data []byte) uint64 {
+	h := blake3.New()
+	for _, s := range [...]string{a, b} {
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(s))))
+		_, _ = h.WriteString(s)
+	}
+	_, _ = h.Write(data)
+	return binary.BigEndian.Uint64(h.Sum(nil))
+}
+
+// Verdict says how a request may run.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Clear means that the request runs like any other.
+	Clear Verdict = iota
+	// Suspected means that the request may crash its upstream: all requests with
+	// the trait of the decision run on one upstream, and are not repeated if it is
+	// lost.
+	Suspected
+	// Probe means that the request would be blocked, but that one request may run,
+	// as a suspected one, to find out whether the trait is still harmful.
+	Probe
+	// Blocked means that the request must not run.
+	Blocked
+)
+
+// Decision is a verdict and the trait that it rests on; the trait is 0 if the
+// verdict is Clear.
+type Decision struct {
+	Verdict Verdict
+	Trait   Trait
+	// Episodes is the number of episodes of crashes that count against the trait.
+	Episodes int
+}
+
+// Suspect is a trait of requests that were lost in a crash before their answer
+// began.
+type Suspect struct {
+	Trait Trait `json:"t"`
+	// Depth is the greatest position of the trait among the traits of such a
+	// request, from 0 for the broadest one.
+	Depth int `json:"d,omitempty"`
+	// Known is set if answers to requests with the trait began shortly before the
+	// crash, Cleared if one began after it.
+	Known   bool `json:"k,omitempty"`
+	Cleared bool `json:"c,omitempty"`
+}
+
+// Report is the evidence about one crash, for other gateways.
+type Report struct {
+	Crash CrashID `json:"i"`
+	// AgeMS is the time since the crash in milliseconds.
+	AgeMS int64 `json:"a"`
+	// Refuted is set if the upstream turned out not to have crashed.
+	Refuted  bool      `json:"r,omitempty"`
+	Suspects []Suspect `json:"s,omitempty"`
+}
+
+const (
+	// BlockAfter is the number of episodes of crashes after which a trait is
+	// convicted.
+	BlockAfter = 3
+	// episodeGap is the time within which crashes belong to one episode. A failure
+	// domain that loses power and a gateway whose connections are reset lose many
+	// upstreams at once.
+	episodeGap = 200 * time.Millisecond
+	// knownFor is how long a trait is known after an answer began.
+	knownFor = time.Minute
+	// refutationTime is the time after a crash within which an answer refutes it. A
+	// crashed upstream does not return that soon.
+	refutationTime = time.Second
+	// evidenceTTL is how long evidence is kept after its last change.
+	evidenceTTL = 10 * time.Minute
+	// probeInterval is the time without a crash after which a convicted trait is
+	// probed. Each gateway adds a delay of its own of up to the same time.
+	probeInterval = time.Minute
+)
