poison: evidence, verdicts and reports

Cause: lib/poison has an interface without logic. Change: events and reports of other gateways are joined into a set of records that only grow; verdicts are derived from it when it changed. A record is also sent once to a gateway whose report lacks part of it.

--- /dev/null
+++ b/lib/poison/bounds_test.go
@@ -0,0 +1,195 @@
+package poison
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// requireBounds checks the limits and that the index agrees with the records.
+func requireBounds(t require.TestingT, d *Detector, now time.Time) {
+	require.LessOrEqual(t, d.Crashes(), maxRecords)
+	require.LessOrEqual(t, len(d.begun.entries), maxRecentTraits+1)
+	require.Equal(t, len(d.begun.positions), len(d.begun.entries)-1)
+	open := 0
+	for _, r := range d.evidence.records {
+		require.LessOrEqual(t, len(r.suspects), maxSuspects)
+		require.True(t, slices.IsSortedFunc(r.suspects, compareTraits))
+		for _, s := range r.suspects {
+			require.Equal(t, r.counts(s), slices.Contains(d.evidence.open[s.Trait], r))
+			if r.counts(s) {
+				open++
+			}
+		}
+	}
+	for _, records := range d.evidence.open {
+		open -= len(records)
+	}
+	require.Zero(t, open, "the index lists records that do not count")
+	reports := d.Reports(now)
+	require.LessOrEqual(t, len(reports), maxReports)
+	for i := range reports {
+		require.True(t, reports[i].Valid())
+	}
+	require.LessOrEqual(t, len(d.probes), maxRecords/BlockAfter)
+}
+
+// Guards against state or messages that grow with the input.
+func TestBoundsHoldForAnyInput(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d, other := New("gateway"), New("other")
+		now := start
+		for range rapid.IntRange(1, 6).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "s")) * time.Second)
+			first := rapid.IntRange(1, 1000).Draw(t, "first")
+			count := rapid.IntRange(1, 300).Draw(t, "count")
+			traits := make([]Trait, rapid.IntRange(0, 300).Draw(t, "traits"))
+			for i := range count {
+				for j := range traits {
+					traits[j] = Trait(first + i*j)
+				}
+				switch rapid.IntRange(0, 3).Draw(t, "event") {
+				case 0:
+					d.Began(now, traits)
+				case 1:
+					other.Lost(now, CrashID(first+i), traits)
+				default:
+					d.Lost(now, CrashID(first+i), traits)
+				}
+			}
+			d.Merge(now, export(other, now))
+			d.Answered(now.Add(time.Second), CrashID(first), now.Add(time.Millisecond))
+			for _, t := range d.Convicted(now) {
+				d.ProbeSent(now, t)
+			}
+			requireBounds(t, d, now)
+		}
+	})
+}
+
+// Guards against an attack with long requests that hides the cause among traits
+// that are known to be sound.
+func TestKnownSuspectsAreLeftOutFirst(t *testing.T) {
+	d := New("gateway")
+	var known, unknown []Trait
+	for i := range Trait(maxSuspects) {
+		known = append(known, i+1)
+		unknown = append(unknown, i+1000)
+	}
+	d.Began(start, known)
+	d.Lost(start, 1, known)
+	require.Len(t, d.evidence.records[1].suspects, maxSuspects)
+	d.Lost(start, 1, unknown)
+	for _, s := range d.evidence.records[1].suspects {
+		require.False(t, s.Known)
+	}
+}
+
+// Guards against evidence that is displaced by crashes that explain nothing.
+func TestCrashesThatExplainNothingAreDroppedFirst(t *testing.T) {
+	d := New("gateway")
+	now := crashes(start, d, 3, 7)
+	for i := range CrashID(2 * maxRecords) {
+		now = now.Add(time.Second)
+		d.Lost(now, 1000+i, []Trait{8})
+		d.Began(now, []Trait{8})
+	}
+	require.Equal(t, maxRecords, d.Crashes())
+	require.Equal(t, []Trait{7}, d.Convicted(now))
+}
+
+// Guards against evidence that stays for ever, and convictions with it.
+func TestEvidenceExpires(t *testing.T) {
+	d := New("gateway")
+	now := crashes(start, d, 3, 7)
+	require.Equal(t, []Trait{7}, d.Convicted(start.Add(evidenceTTL)))
+	require.Empty(t, d.Convicted(now.Add(evidenceTTL+time.Second)))
+	require.Zero(t, d.Crashes())
+	require.Empty(t, d.evidence.open)
+}
+
+// Guards against a table of answers that grows or forgets traits in use.
+func TestRecentTraitsForgetTheOldest(t *testing.T) {
+	r := newRecentTraits()
+	for i := range Trait(3 * maxRecentTraits) {
+		r.touch(i, start)
+		r.touch(0, start)
+	}
+	_, found := r.last(0)
+	require.True(t, found)
+	_, found = r.last(2 * maxRecentTraits)
+	require.False(t, found)
+	_, found = r.last(3*maxRecentTraits - 1)
+	require.True(t, found)
+	require.Len(t, r.positions, maxRecentTraits)
+}
+
+// FuzzReports guards against messages that break a gateway.
+func FuzzReports(f *testing.F) {
+	d := New("gateway")
+	now := crashes(start, d, 4, 7, 8)
+	seed, err := json.Marshal(d.Reports(now))
+	require.NoError(f, err)
+	f.Add(seed)
+	f.Add([]byte(`[{"i":1,"a":-5,"s":[{"t":3,"d":-1}]},{"i":1,"a":600000,"r":true}]`))
+	f.Add([]byte(`[{"i":18446744073709551615,"s":[{"t":1},{"t":1,"k":true}]}]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var reports []Report
+		if json.Unmarshal(data, &reports) != nil {
+			return
+		}
+		d := merged(start, reports)
+		before := state(d)
+		requireBounds(t, d, start)
+		d.Merge(start, reports)
+		if len(before) < maxRecords {
+			require.Equal(t, before, state(d))
+		}
+	})
+}
+
+func fullDetector() (*Detector, time.Time) {
+	d := New("gateway")
+	now := start
+	for i := range CrashID(maxRecords) {
+		now = now.Add(time.Second)
+		var traits []Trait
+		for j := range Trait(maxSuspects) {
+			traits = append(traits, j%8*Trait(i%16)+j)
+		}
+		d.Lost(now, i, traits)
+	}
+	return d, now
+}
+
+func BenchmarkBegan(b *testing.B) {
+	d, now := fullDetector()
+	next := Trait(1 << 32)
+	b.ReportAllocs()
+	for b.Loop() {
+		next++
+		d.Began(now, []Trait{1 << 31, 1<<31 + 1, next})
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	d, now := fullDetector()
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Check(now, []Trait{1, 2, 1 << 31})
+	}
+}
+
+// BenchmarkCheckAfterChange includes the derivation of the verdicts.
+func BenchmarkCheckAfterChange(b *testing.B) {
+	d, now := fullDetector()
+	b.ReportAllocs()
+	for b.Loop() {
+		d.evidence.changed = true
+		d.Check(now, []Trait{1, 2, 1 << 31})
+	}
+}
--- /dev/null
+++ b/lib/poison/evidence.go
@@ -0,0 +1,267 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxRecords is the number of crashes of which evidence is kept.
+	maxRecords = 256
+	// maxSuspects is the number of suspects of one crash.
+	maxSuspects = 32
+	// maxDepth is the greatest depth of a suspect; deeper traits count as this deep.
+	maxDepth = 255
+	// timeTolerance is how much earlier a crash must turn out to be for its record
+	// to be sent again. Transit times differ from message to message, so smaller
+	// corrections would never end.
+	timeTolerance = 50 * time.Millisecond
+)
+
+// crash is what one source says about a crash.
+type crash struct {
+	id       CrashID
+	at       time.Time
+	refuted  bool
+	suspects []Suspect
+}
+
+// record is the join of all that is known about a crash.
+type record struct {
+	crash
+	// announcedAt is the time of the crash at the last change of the record, and
+	// changedAt the time of that change.
+	announcedAt, changedAt time.Time
+	// pending is the number of messages that the record still takes part in, and
+	// sentIn the number of the last message that contained it.
+	pending int
+	sentIn  int64
+	// explained is set if the crash counts against a convicted trait.
+	explained bool
+}
+
+// evidence is a set of records that only grow, up to its bounds. Every event is
+// joined into it, and joins are idempotent, commutative and associative.
+type evidence struct {
+	records map[CrashID]*record
+	// open lists the records that count against a trait: those that are not
+	// refuted and in which the trait is a suspect that was not cleared.
+	open map[Trait][]*record
+	// changed is set if the records changed since it was last unset.
+	changed bool
+	// nextExpiry is the earliest time at which a record may expire.
+	nextExpiry time.Time
+	// joined is space for the suspects of one join.
+	joined []Suspect
+}
+
+func newEvidence() evidence {
+	return evidence{records: map[CrashID]*record{}, open: map[Trait][]*record{}}
+}
+
+// counts reports whether a crash counts against a suspect of it.
+func (c *crash) counts(s Suspect) bool { return !c.refuted && !s.Cleared }
+
+// countsAgainst reports whether the crash counts against a trait.
+func (c *crash) countsAgainst(t Trait) bool {
+	s, found := c.suspect(t)
+	return found && c.counts(s)
+}
+
+// suspect returns the suspect of a record, whose suspects are sorted by trait.
+func (c *crash) suspect(t Trait) (Suspect, bool) {
+	i, found := findSuspect(c.suspects, t)
+	if !found {
+		return Suspect{}, false
+	}
+	return c.suspects[i], true
+}
+
+// explains reports whether the crash counts against any trait.
+func (c *crash) explains() bool {
+	return !c.refuted && slices.ContainsFunc(c.suspects, func(s Suspect) bool { return !s.Cleared })
+}
+
+func findSuspect(sorted []Suspect, t Trait) (int, bool) {
+	return slices.BinarySearchFunc(sorted, t, func(s Suspect, t Trait) int { return cmp.Compare(s.Trait, t) })
+}
+
+// join adds what a source says about a crash. It returns the record, which is nil if
+// there is no space for it.
+func (e *evidence) join(now time.Time, c crash) *record {
+	r := e.records[c.id]
+	if r == nil {
+		c.suspects = joinSuspects(e.joined[:0], c.suspects)
+		return e.insert(now, c)
+	}
+	e.joined = joinSuspects(append(e.joined[:0], r.suspects...), c.suspects)
+	c.suspects = e.joined
+	c.refuted = c.refuted || r.refuted
+	grown := c.refuted != r.refuted || !slices.Equal(c.suspects, r.suspects)
+	if grown {
+		e.replace(r, c)
+	}
+	if c.at.Before(r.at) {
+		r.at = c.at
+		e.changed = true
+	}
+	if grown || r.announcedAt.Sub(r.at) > timeTolerance {
+		r.announce(now)
+	}
+	return r
+}
+
+// joinSuspects joins two lists of suspects into the space of the first one. The
+// result is sorted by trait and within the bound.
+func joinSuspects(space, added []Suspect) []Suspect {
+	space = append(space, added...)
+	slices.SortFunc(space, compareTraits)
+	joined := space[:0]
+	for _, s := range space {
+		last := len(joined) - 1
+		if last < 0 || joined[last].Trait != s.Trait {
+			joined = append(joined, s)
+			continue
+		}
+		joined[last].Depth = max(joined[last].Depth, s.Depth)
+		joined[last].Known = joined[last].Known || s.Known
+		joined[last].Cleared = joined[last].Cleared || s.Cleared
+	}
+	if len(joined) <= maxSuspects {
+		return joined
+	}
+	// Known suspects are left out first, since they are less likely to be the cause.
+	slices.SortStableFunc(joined, compareKnown)
+	joined = joined[:maxSuspects]
+	slices.SortFunc(joined, compareTraits)
+	return joined
+}
+
+func compareTraits(a, b Suspect) int { return cmp.Compare(a.Trait, b.Trait) }
+
+// compareKnown orders unknown suspects before known ones.
+func compareKnown(a, b Suspect) int {
+	switch {
+	case a.Known == b.Known:
+		return 0
+	case b.Known:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// replace sets the suspects of a record and whether it is refuted.
+func (e *evidence) replace(r *record, c crash) {
+	old := r.crash
+	r.suspects = slices.Clone(c.suspects)
+	r.refuted = c.refuted
+	e.updateIndex(r, &old)
+	e.changed = true
+}
+
+// updateIndex updates the index after a change of a record.
+func (e *evidence) updateIndex(r *record, old *crash) {
+	for _, s := range old.suspects {
+		if old.counts(s) && !r.countsAgainst(s.Trait) {
+			e.unindex(r, s.Trait)
+		}
+	}
+	for _, s := range r.suspects {
+		if r.counts(s) && !old.countsAgainst(s.Trait) {
+			e.open[s.Trait] = append(e.open[s.Trait], r)
+		}
+	}
+}
+
+func (e *evidence) unindex(r *record, t Trait) {
+	rest := slices.DeleteFunc(e.open[t], func(other *record) bool { return other == r })
+	e.open[t] = rest
+	if len(rest) == 0 {
+		delete(e.open, t)
+	}
+}
+
+// insert adds a record. If there are too many, it drops the one that is worth least,
+// which may be the added one.
+func (e *evidence) insert(now time.Time, c crash) *record {
+	if len(e.records) >= maxRecords {
+		worst := e.worst()
+		if compareWorth(&c, &worst.crash) < 0 {
+			return nil
+		}
+		e.remove(worst)
+	}
+	r := &record{crash: crash{id: c.id, at: c.at}}
+	r.announce(now)
+	if len(e.records) == 0 {
+		e.nextExpiry = now.Add(evidenceTTL)
+	}
+	e.records[c.id] = r
+	e.replace(r, c)
+	return r
+}
+
+func (e *evidence) worst() *record {
+	var worst *record
+	for _, r := range e.records {
+		if worst == nil || compareWorth(&r.crash, &worst.crash) < 0 {
+			worst = r
+		}
+	}
+	return worst
+}
+
+// compareWorth orders crashes that explain nothing before others, then older ones
+// before newer ones.
+func compareWorth(a, b *crash) int {
+	if a.explains() != b.explains() {
+		if b.explains() {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id))
+}
+
+func (e *evidence) remove(r *record) {
+	delete(e.records, r.id)
+	old := r.crash
+	r.suspects = nil
+	e.updateIndex(r, &old)
+	e.changed = true
+}
+
+// clear records that an answer to a request with the trait began, in all crashes
+// known now.
+func (e *evidence) clear(now time.Time, t Trait) {
+	for _, r := range slices.Clone(e.open[t]) {
+		e.join(now, crash{id: r.id, at: r.at, suspects: []Suspect{{Trait: t, Cleared: true}}})
+	}
+}
+
+// expire drops the records that did not change for long.
+func (e *evidence) expire(now time.Time) {
+	if len(e.records) == 0 || !now.After(e.nextExpiry) {
+		return
+	}
+	e.nextExpiry = now.Add(evidenceTTL)
+	for _, r := range e.records {
+		expiry := r.changedAt.Add(evidenceTTL)
+		if now.After(expiry) {
+			e.remove(r)
+			continue
+		}
+		if expiry.Before(e.nextExpiry) {
+			e.nextExpiry = expiry
+		}
+	}
+}
+
+// announce makes the record take part in the next messages.
+func (r *record) announce(now time.Time) {
+	r.changedAt = now
+	r.announcedAt = r.at
+	r.pending = messagesPerChange
+}
