dispatch, gateway: find requests that crash upstreams by their traits

Cause: retry.Guard counts crashes by the whole request, so that a part of prompts that many different requests share goes on crashing engines, and a lost request is sent again at once to the next engine.

Change: the gateway describes a request by the shared parts of its prompt and by itself, and asks lib/poison how it may run. Blocked requests are rejected, also while they wait; suspected ones go to one upstream, wait in queues of their own and are not sent again after a crash. Gateways exchange reports of crashes.

TestCrashingRequestIsStopped moved to suspicion_test.go: a lost upstream now returns with a later start, because losses of one start count as one crash; it also checks that a lost request is not sent again.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -67,7 +67,7 @@
 	if !c.readBody() {
 		return
 	}
-	c.call.Fingerprint = retry.Fingerprint(c.call.Key+" "+r.RequestURI, c.body)
+	c.call.Traits = traits(&c.call, r.RequestURI, c.body)
 	c.header = g.codec.RequestHeader(r.Header)
 	c.lastEventID = c.call.LastEvent
 	g.metrics.recordArrival(c.call.TimeBudget)
@@ -136,9 +136,15 @@
 	defer cancel()
 	out := c.exchange(ctx, a, conn)
 	c.gateway.metrics.recordAttempt(out.End)
-	c.log("attempt", "number", a.Attempt, "upstream", a.Upstream, "expect", a.ExpectVersion,
+	fields := []any{
+		"number", a.Attempt, "upstream", a.Upstream, "expect", a.ExpectVersion,
 		"left", time.Until(a.Deadline).Seconds(), "end", out.End, "first", out.FirstByte.Seconds(),
-		"version", out.Version, "load", c.load, "waited", a.Waited.Seconds(), "patience", c.call.TimeBudget.Seconds(), "detail", out.Detail)
+		"version", out.Version, "load", c.load, "waited", a.Waited.Seconds(), "patience", c.call.TimeBudget.Seconds(), "detail", out.Detail,
+	}
+	if out.End.Crash() {
+		fields = append(fields, "begun", out.Started || out.FirstByte > 0, "traits", formatTraits(c.call.Traits))
+	}
+	c.log("attempt", fields...)
 	_ = c.gateway.inbox.Put(context.Background(), attemptEnded{ticket: c.ticket, result: out.AttemptResult, conn: out.conn})
 }
 
@@ -207,7 +213,9 @@
 // Head implements exchange.Receiver. If a response is resumed at another
 // upstream, the head that was already written stays.
 func (c *callHandler) Head(resp *http.Response) error {
-	if c.streaming {
+	// A server error is not the beginning of an answer; the end of the attempt
+	// reports it.
+	if c.streaming && resp.StatusCode < http.StatusInternalServerError {
 		_ = c.gateway.inbox.Put(context.Background(), responseStarted{ticket: c.ticket})
 	}
 	if c.started {
@@ -250,8 +258,13 @@
 // was already written, it aborts the connection instead, so that the caller does
 // not treat the response as complete.
 func (c *callHandler) refuse(a *dispatch.Refuse) {
-	c.log("refused", "verdict", a.Verdict, "reason", a.Reason, "after", a.RetryAfter.Seconds(),
-		"waited", time.Since(c.arrivedAt).Seconds())
+	fields := []any{
+		"verdict", a.Verdict, "reason", a.Reason, "after", a.RetryAfter.Seconds(), "waited", time.Since(c.arrivedAt).Seconds(),
+	}
+	if a.Trait != 0 {
+		fields = append(fields, "trait", dispatch.FormatTrait(a.Trait))
+	}
+	c.log("refused", fields...)
 	if c.started {
 		c.abort()
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,6 +24,12 @@
 	badMessages *metrics.Counter
 	// panics counts the panics after which the core was replaced.
 	panics *metrics.Counter
+	// blocked counts the requests that were rejected because of a convicted trait.
+	blocked *metrics.Counter
+	// crashRecords and convictedTraits are set by the router, which owns the
+	// evidence.
+	crashRecords    atomic.Int64
+	convictedTraits atomic.Int64
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
@@ -37,7 +44,10 @@
 
 		badMessages: set.NewCounter("gateway_bad_messages_total"),
 		panics:      set.NewCounter("gateway_panics_total"),
+		blocked:     set.NewCounter("gateway_blocked_total"),
 	}
+	set.NewGauge("gateway_crash_records", func() float64 { return float64(m.crashRecords.Load()) })
+	set.NewGauge("gateway_convicted_traits", func() float64 { return float64(m.convictedTraits.Load()) })
 	set.NewGauge("gateway_inbox_depth", func() float64 { return float64(g.inbox.Depth()) })
 	return m
 }
@@ -51,8 +61,11 @@
 	m.set.GetOrCreateCounter(`gateway_attempts_total{end="` + end.String() + `"}`).Inc()
 }
 
-func (m *gatewayMetrics) recordRefusal(v dispatch.Verdict) {
-	m.set.GetOrCreateCounter(`gateway_refused_total{verdict="` + v.String() + `"}`).Inc()
+func (m *gatewayMetrics) recordRefusal(a *dispatch.Refuse) {
+	m.set.GetOrCreateCounter(`gateway_refused_total{verdict="` + a.Verdict.String() + `"}`).Inc()
+	if a.Trait != 0 {
+		m.blocked.Inc()
+	}
 }
 
 func (m *gatewayMetrics) serve(w http.ResponseWriter, _ *http.Request) {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -98,7 +98,7 @@
 		if err != nil {
 			return nil
 		}
-		data, err := json.Marshal(&o.message)
+		data, err := encodeMessage(o.message)
 		if err != nil || len(data) > maxDatagramBytes {
 			g.metrics.badMessages.Inc()
 			continue
@@ -113,6 +113,19 @@
 	}
 }
 
+// encodeMessage encodes a message. It leaves out the last reports of crashes if the
+// message would be too large: loads are needed in every message, reports are sent
+// in several.
+func encodeMessage(m peering.Message) ([]byte, error) {
+	for {
+		data, err := json.Marshal(&m)
+		if err != nil || len(data) <= maxDatagramBytes || len(m.Crashes) == 0 {
+			return data, err
+		}
+		m.Crashes = m.Crashes[:len(m.Crashes)/2]
+	}
+}
+
 // runPuller reads changes from peers that have a newer view. This keeps a gateway
 // that cannot read the store up to date.
 func (g *Gateway) runPuller(ctx context.Context) error {
@@ -194,8 +207,9 @@
 		return
 	}
 	r.peers.Record(now, m)
-	for _, s := range m.Suspects {
-		r.core.Suspects().ApplyReport(now, s.Fingerprint, s.Crashes, now)
+	if len(m.Crashes) > 0 {
+		r.execute(ctx, r.core.ApplyReports(now, m.Crashes))
+		r.checkConvictions(now)
 	}
 }
 
@@ -204,6 +218,7 @@
 // times are missing.
 func (r *router) gossip(ctx context.Context, now time.Time) {
 	r.peers.Expire(now)
+	r.checkConvictions(now)
 	r.core.SetProcesses(r.peers.Position(), r.peers.Processes())
 	demands := r.core.Demands(now)
 	r.core.SetPeerLoads(now, r.peers.PeerLoads(now), r.peers.Shares(now, demands))
@@ -212,7 +227,7 @@
 		message: peering.Message{
 			From: g.settings.Peers, Control: g.settings.Control, Revision: r.revision,
 			Region: g.settings.Dispatch.Region,
-			Loads:  r.core.Loads(), Demands: demands, Suspects: suspects(r.core), Peers: r.peers.KnownPeers(),
+			Loads:  r.core.Loads(), Demands: demands, Crashes: r.core.Detector().Reports(now), Peers: r.peers.KnownPeers(),
 		},
 		targets: r.peers.Targets(now),
 	})
@@ -264,14 +279,3 @@
 		r.pullFirstSeenUntil = time.Time{}
 	}
 }
-
-// maxSuspectsPerMessage is the maximum number of suspects in one message.
-const maxSuspectsPerMessage = 16
-
-func suspects(c *dispatch.Core) []peering.Suspect {
-	var out []peering.Suspect
-	for f, n := range c.Suspects().Observed(maxSuspectsPerMessage) {
-		out = append(out, peering.Suspect{Fingerprint: f, Crashes: n})
-	}
-	return out
-}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -8,6 +8,7 @@
 	"rattanspur.example/lib/exchange"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
 )
@@ -95,6 +96,9 @@
 	// queries.
 	pullFirstSeenUntil time.Time
 	firstSeenPulls     int
+	// convicted maps the traits that were convicted at the last check to their
+	// episodes.
+	convicted map[poison.Trait]int
 }
 
 func (g *Gateway) runRouter(ctx context.Context) error {
@@ -221,6 +225,9 @@
 			actions := r.core.AttemptEnded(now, ev.ticket, ev.result)
 			req.inAttempt = false
 			r.execute(ctx, actions)
+			if ev.result.End.Crash() {
+				r.checkConvictions(now)
+			}
 		})
 	}
 	if req.orphaned {
@@ -273,11 +280,12 @@
 			req := r.active[a.Ticket]
 			req.upstream, req.inAttempt = a.Upstream, true
 			req.conn = r.takeIdle(a.Upstream)
+			r.recordProbe(req, &a)
 			r.sendCommand(ctx, a.Ticket, command{action: a, conn: req.conn}, false)
 		case dispatch.Deliver:
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
 		case dispatch.Refuse:
-			r.gateway.metrics.recordRefusal(a.Verdict)
+			r.gateway.metrics.recordRefusal(&a)
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
 		case dispatch.Finish:
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -8,6 +8,7 @@
 	"rattanspur.example/lib/admission"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/retry"
 )
@@ -79,14 +80,24 @@
 	upstream *upstream
 	// promptPending is set until the upstream begins to respond.
 	promptPending bool
+	// sentTo and sentAt are the start of the upstream that runs the current attempt
+	// and the time of its send. answering is set once its answer began.
+	sentTo    poison.CrashID
+	sentAt    time.Time
+	answering bool
+	// begun is set once the answer began, at any upstream.
+	begun bool
+	// suspect is the suspected trait whose upstream the request may go to; 0 if it
+	// may go to any. It is constant while the request is in one queue.
+	suspect poison.Trait
 }
 
 // requestQueue holds requests that may be served in the same regions.
 type requestQueue = admission.Queue[*request]
 
-// regionQueues maps a set of allowed regions to its queue (see
-// request.queueKey), so that requests bound to a full region do not block
-// others.
+// regionQueues maps a set of allowed regions, and the suspicion on the requests, to
+// its queue (see request.queueKey), so that requests bound to a full region or to
+// one upstream do not block others.
 type regionQueues map[string]*requestQueue
 
 // length returns the number of waiting requests in all queues.
@@ -107,7 +118,10 @@
 	// returningRequests holds streams that are retried after a rejection; they
 	// are served only if capacity is left.
 	newRequests, returningRequests regionQueues
-	retryBudget                    *retry.Window
+	// suspectedRequests holds requests of both kinds that may go to one upstream
+	// only. They are no sign of missing capacity.
+	suspectedRequests regionQueues
+	retryBudget       *retry.Window
 	// maxGoal is the longest first-byte goal of the routes to the service.
 	maxGoal time.Duration
 	// demand is the rate at which new requests arrive at this entry. share is
@@ -137,7 +151,7 @@
 	services  map[fleet.Service]*service
 	upstreams map[fleet.InstanceID]*upstream
 	requests  map[Ticket]*request
-	guard     *retry.Guard
+	detector  *poison.Detector
 	// timeBudgets holds the longest time budget of a caller for each route. The
 	// budget of a caller that retries is shorter.
 	timeBudgets map[string]time.Duration
@@ -156,7 +170,7 @@
 		services:    map[fleet.Service]*service{},
 		upstreams:   map[fleet.InstanceID]*upstream{},
 		requests:    map[Ticket]*request{},
-		guard:       retry.NewGuard(),
+		detector:    poison.New(s.Self),
 		timeBudgets: map[string]time.Duration{},
 		notices:     map[string]receivedNotice{},
 		processes:   minProcesses,
@@ -211,14 +225,11 @@
 func (c *Core) Waiting() int {
 	n := 0
 	for _, s := range c.services {
-		n += s.newRequests.length() + s.returningRequests.length()
+		n += s.newRequests.length() + s.suspectedRequests.length() + s.returningRequests.length()
 	}
 	return n
 }
 
-// Suspects returns the guard that counts the crashes caused by each request.
-func (c *Core) Suspects() *retry.Guard { return c.guard }
-
 // Update applies a new view and returns the actions that it makes possible.
 func (c *Core) Update(now time.Time, v *published.View) []Action {
 	c.view = v
@@ -267,7 +278,9 @@
 func (c *Core) mergeUpstream(now time.Time, old *upstream, p *published.Upstream) *upstream {
 	u := old
 	if u == nil || u.StartTime != p.StartTime || u.Address != p.Address || u.Service != p.Service {
-		u = &upstream{region: c.settings.Regions[p.Domain], affinity: affinity(c.settings.Self, p.ID)}
+		u = &upstream{
+			region: c.settings.Regions[p.Domain], affinity: affinity(c.settings.Self, p.ID), crashID: poison.NewCrashID(p.ID, p.StartTime),
+		}
 		u.offset = int(fleet.RendezvousWeight("offset", string(p.ID)) % maxOffset)
 	}
 	if u.Upstream == nil || u.Revision != p.Revision {
@@ -286,6 +299,7 @@
 		s = &service{
 			name:              name,
 			newRequests:       regionQueues{},
+			suspectedRequests: regionQueues{},
 			returningRequests: regionQueues{},
 			retryBudget:       retry.NewWindow(c.settings.Retries, now),
 		}
@@ -318,9 +332,11 @@
 		return []Action{Refuse{Ticket: ticket, Verdict: NoKey, Reason: "unknown key"}}
 	}
 	r := c.newRequest(now, ticket, call, route, customer)
-	if c.guard.Check(now, call.Fingerprint) == retry.Blocked {
-		return []Action{Refuse{Ticket: ticket, Verdict: NotRun, Reason: "request crashed several upstreams"}}
+	d := c.decide(now, r)
+	if d.Verdict == poison.Blocked {
+		return []Action{c.block(r, d)}
 	}
+	r.suspect = suspectedTrait(d)
 	c.requests[ticket] = r
 	s := c.service(now, r.service)
 	s.retryBudget.RecordFirst(now)
@@ -328,7 +344,7 @@
 		s.demand.add(now)
 	}
 	if s.noneAhead(r) {
-		if send, ok := c.trySend(now, s, r); ok {
+		if send, ok := c.trySend(now, s, r, d); ok {
 			return []Action{send}
 		}
 	}
@@ -363,8 +379,8 @@
 // which a request is taken for the retry of a rejected one.
 const returningThreshold = 0.8
 
-// queueKey identifies the set of regions that may serve the request.
-func (r *request) queueKey() string {
+// regionKey identifies the set of regions that may serve the request.
+func (r *request) regionKey() string {
 	var b strings.Builder
 	for _, region := range r.route.Regions {
 		b.WriteString(string(region) + ",")
@@ -443,6 +459,7 @@
 		return nil
 	}
 	r.releasePrompt()
+	c.recordBegan(now, r)
 	return c.drain(now)
 }
 
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/staging"
 )
@@ -50,12 +51,14 @@
 
 // trySend sends a request if an acceptable upstream has capacity. It returns
 // false otherwise.
-func (c *Core) trySend(now time.Time, s *service, r *request) (Send, bool) {
-	u := c.pick(now, s, r)
+func (c *Core) trySend(now time.Time, s *service, r *request, d poison.Decision) (Send, bool) {
+	u := c.pick(now, s, r, d)
 	if u == nil {
 		return Send{}, false
 	}
-	return c.send(now, s, r, u), true
+	send := c.send(now, s, r, u)
+	send.Probe = c.recordSent(now, r, u, d)
+	return send, true
 }
 
 func (c *Core) send(now time.Time, s *service, r *request, u *upstream) Send {
@@ -107,8 +110,12 @@
 // upstreams that have not failed the request, and picks the one with the lowest
 // cost among those that have capacity and are not avoided. If all of them are
 // avoided, it picks the one whose avoidance after a failure ends first, among
-// those without a request of this entry in flight, if that one has capacity.
-func (c *Core) pick(now time.Time, s *service, r *request) *upstream {
+// those without a request of this entry in flight, if that one has capacity. All
+// requests with a suspected trait go to one upstream.
+func (c *Core) pick(now time.Time, s *service, r *request, d poison.Decision) *upstream {
+	if t := suspectedTrait(d); t != 0 {
+		return c.pickSuspected(now, s, r, t)
+	}
 	if s.published == nil {
 		return nil
 	}
@@ -187,7 +194,12 @@
 			maxLoad = maxContendedReturningLoad
 		}
 	}
-	if float64(u.load(now)) >= maxLoad*float64(u.Slots) || u.inFlight >= s.quota(now, u) {
+	if float64(u.load(now)) >= maxLoad*float64(u.Slots) {
+		return false
+	}
+	// A suspected request has no other upstream to go to, and most entries own
+	// nothing of that one.
+	if r.suspect == 0 && u.inFlight >= s.quota(now, u) {
 		return false
 	}
 	unread := u.pendingPromptTokens(now)
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rattanspur.example/lib/admission"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/retry"
 )
@@ -40,13 +41,7 @@
 	if s.stalled(now) {
 		return c.giveUp(now, r, "waiting requests make no progress")
 	}
-	queues := s.queuesFor(r)
-	q := queues[r.queueKey()]
-	if q == nil {
-		q = admission.New[*request](admission.Limits{PerCustomer: maxQueuedPerCustomer, Total: maxQueued})
-		queues[r.queueKey()] = q
-	}
-	reason := q.Push(now, admission.Item[*request]{
+	reason := s.push(now, admission.Item[*request]{
 		Customer: r.customerName(),
 		Priority: c.priority(r, until),
 		Cost:     1 + r.PromptTokens/promptTokensPerUnit + r.MaxAnswerTokens/answerTokensPerUnit,
@@ -77,16 +72,25 @@
 
 // queuesFor returns the queues that a request belongs to.
 func (s *service) queuesFor(r *request) regionQueues {
-	if r.returning && r.route.Kind == published.Streaming {
+	switch {
+	case r.suspect != 0:
+		return s.suspectedRequests
+	case r.returningStream():
 		return s.returningRequests
 	}
 	return s.newRequests
 }
 
+// newAhead reports whether new requests wait that go before a returning one.
+func (s *service) newAhead(r *request) bool {
+	q := s.newRequests[r.regionKey()]
+	return r.returningStream() && q != nil && q.Len() > 0
+}
+
 // noneAhead reports whether no waiting request goes before a request that has
 // just arrived.
 func (s *service) noneAhead(r *request) bool {
-	if q := s.newRequests[r.queueKey()]; q != nil && q.Len() > 0 {
+	if s.newAhead(r) {
 		return false
 	}
 	q := s.queuesFor(r)[r.queueKey()]
@@ -133,8 +137,13 @@
 func (c *Core) drain(now time.Time) []Action {
 	var actions []Action
 	for _, s := range c.services {
-		actions = c.drainQueues(now, s, s.newRequests, actions)
-		actions = c.drainQueues(now, s, s.returningRequests, actions)
+		groups := [...]regionQueues{s.newRequests, s.suspectedRequests, s.returningRequests}
+		for _, queues := range groups {
+			actions = c.sweep(now, s, queues, actions)
+		}
+		for _, queues := range groups {
+			actions = c.drainQueues(now, s, queues, actions)
+		}
 	}
 	return actions
 }
@@ -152,19 +161,18 @@
 // drainQueue drains one queue. A returning request is not sent while new ones
 // wait for the same regions.
 func (c *Core) drainQueue(now time.Time, s *service, q *requestQueue, actions []Action) []Action {
-	for _, it := range q.Expire(now, c.abandoned) {
-		if r := it.Value; !c.abandoned(r) {
-			if !r.returning {
-				s.rejectedAt = now
-			}
-			actions = append(actions, c.giveUp(now, r, "no upstream had room in time")...)
-		}
-	}
 	for it := q.Peek(); it != nil; it = q.Peek() {
-		if ahead := s.newRequests[it.Value.queueKey()]; ahead != nil && ahead != q && ahead.Len() > 0 {
+		r := it.Value
+		if s.newAhead(r) {
 			break
 		}
-		send, ok := c.trySend(now, s, it.Value)
+		d := c.decide(now, r)
+		if d.Verdict == poison.Blocked {
+			q.Take(now)
+			actions = append(actions, c.block(r, d))
+			continue
+		}
+		send, ok := c.trySend(now, s, r, d)
 		if !ok {
 			break
 		}
@@ -225,7 +233,6 @@
 		u.recordServerError(now)
 	case e.End == retry.Answered:
 		u.recordSuccess(e.FirstByte)
-		c.guard.Succeeded(now, r.Fingerprint)
 	case e.Misdirected:
 		u.pause(now, misdirectedPause)
 	case e.End == retry.Busy || e.End == retry.Refused:
@@ -233,9 +240,7 @@
 	case e.End.Failure():
 		u.recordFailure(now)
 	}
-	if e.End.Crash() {
-		c.guard.Crashed(now, r.Fingerprint)
-	}
+	c.recordEvidence(now, r, e)
 	if e.End.Failure() || e.ServerError || e.Misdirected {
 		r.failedUpstreams = append(r.failedUpstreams, u.ID)
 	}
@@ -246,12 +251,16 @@
 func (c *Core) nextAction(now time.Time, r *request, u *upstream, e AttemptResult) []Action {
 	s := c.service(now, r.service)
 	delivered := e.End == retry.Answered && (!e.ServerError || !e.Held)
+	d := c.decide(now, r)
+	r.suspect = suspectedTrait(d)
 	switch {
 	case delivered || e.End == retry.Canceled:
 		delete(c.requests, r.ticket)
 		return []Action{Finish{Ticket: r.ticket}}
-	case c.mayRetry(now, s, r, e):
-		if send, ok := c.trySend(now, s, r); ok {
+	case d.Verdict == poison.Blocked && r.possibleRuns == 0:
+		return []Action{c.block(r, d)}
+	case c.mayRetry(now, s, r, d, e):
+		if send, ok := c.trySend(now, s, r, d); ok {
 			return []Action{send}
 		}
 		if e.End.NotRun() && r.possibleRuns == 0 {
@@ -266,8 +275,9 @@
 }
 
 // mayRetry reports whether the request may be sent once more. It takes a retry
-// from the budget unless the upstream was unreachable.
-func (c *Core) mayRetry(now time.Time, s *service, r *request, e AttemptResult) bool {
+// from the budget unless the upstream was unreachable. A suspected request is not
+// sent again after a crash, so that it crashes no second upstream.
+func (c *Core) mayRetry(now time.Time, s *service, r *request, d poison.Decision, e AttemptResult) bool {
 	if !now.Before(r.deadline) {
 		return false
 	}
@@ -277,7 +287,7 @@
 	if e.Started && e.LastEventID == "" {
 		return false
 	}
-	if c.guard.Check(now, r.Fingerprint) == retry.Blocked {
+	if d.Verdict == poison.Blocked || (e.End.Crash() && d.Verdict != poison.Clear) {
 		return false
 	}
 	// An unreachable upstream has not received the request, so that a retry adds
--- /dev/null
+++ b/lib/dispatch/suspicion.go
@@ -0,0 +1,201 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"rattanspur.example/lib/admission"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
+	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/retry"
+)
+
+// blockedReason is the reason given to callers whose request is blocked.
+const blockedReason = "request crashed several upstreams"
+
+// FormatTrait returns a trait as logs show it.
+func FormatTrait(t poison.Trait) string { return fmt.Sprintf("%016x", uint64(t)) }
+
+// Detector returns the evidence about requests that crash upstreams.
+func (c *Core) Detector() *poison.Detector { return c.detector }
+
+// ApplyReports adds the evidence of another entry. Waiting requests that must not
+// run any more are rejected at once.
+func (c *Core) ApplyReports(now time.Time, reports []poison.Report) []Action {
+	if len(reports) == 0 {
+		return nil
+	}
+	c.detector.Merge(now, reports)
+	return c.drain(now)
+}
+
+// decide returns how a request may run. A request whose answer began before is not
+// under suspicion, because a trait that crashes upstreams never gets that far.
+func (c *Core) decide(now time.Time, r *request) poison.Decision {
+	d := c.detector.Check(now, r.Traits)
+	if r.begun && d.Verdict != poison.Blocked {
+		return poison.Decision{}
+	}
+	return d
+}
+
+// suspectedTrait returns the trait whose requests all go to one upstream, or 0 if
+// the request may go anywhere.
+func suspectedTrait(d poison.Decision) poison.Trait {
+	if d.Verdict == poison.Suspected || d.Verdict == poison.Probe {
+		return d.Trait
+	}
+	return 0
+}
+
+// pickSuspected returns the upstream for requests with a suspected trait: among the
+// acceptable ones that are not avoided and have not failed the request, the one with
+// the greatest rendezvous weight. It returns nil if that one has no capacity.
+func (c *Core) pickSuspected(now time.Time, s *service, r *request, t poison.Trait) *upstream {
+	if s.published == nil {
+		return nil
+	}
+	key := FormatTrait(t)
+	var first *upstream
+	greatest := uint64(0)
+	for _, u := range s.upstreams {
+		weight := fleet.RendezvousWeight(key, string(u.ID))
+		if first != nil && weight <= greatest {
+			continue
+		}
+		if now.Before(u.avoidUntil) || slices.Contains(r.failedUpstreams, u.ID) || !c.acceptable(now, s, r, u) {
+			continue
+		}
+		first, greatest = u, weight
+	}
+	if first == nil || !c.hasCapacity(now, s, r, first) {
+		return nil
+	}
+	return first
+}
+
+// recordSent keeps which start of an upstream a request was sent to, since a view
+// may replace the upstream before the attempt ends. It returns the trait that the
+// request probes, or 0.
+func (c *Core) recordSent(now time.Time, r *request, u *upstream, d poison.Decision) poison.Trait {
+	r.sentTo, r.sentAt, r.answering = u.crashID, now, false
+	if d.Verdict != poison.Probe {
+		return 0
+	}
+	c.detector.ProbeSent(now, d.Trait)
+	return d.Trait
+}
+
+// recordBegan records that the answer of the current attempt began. Only the first
+// call for an attempt has an effect.
+func (c *Core) recordBegan(now time.Time, r *request) {
+	if r.answering {
+		return
+	}
+	r.answering, r.begun = true, true
+	c.detector.Began(now, r.Traits)
+	c.detector.Answered(now, r.sentTo, r.sentAt)
+}
+
+// recordEvidence records what the end of an attempt says about the traits of its
+// request. A request whose answer began, here or at an earlier upstream, did not
+// cause the loss of its upstream.
+func (c *Core) recordEvidence(now time.Time, r *request, e AttemptResult) {
+	switch {
+	case e.End == retry.Answered && e.ServerError:
+		c.detector.Answered(now, r.sentTo, r.sentAt)
+		return
+	case e.End == retry.Answered:
+		c.recordBegan(now, r)
+	}
+	r.begun = r.begun || e.Started || (e.FirstByte > 0 && !e.ServerError)
+	if e.End.Crash() && !r.begun && e.FirstByte == 0 {
+		c.detector.Lost(now, r.sentTo, r.Traits)
+	}
+}
+
+// block rejects a request with a convicted trait. It must not have run.
+func (c *Core) block(r *request, d poison.Decision) Action {
+	delete(c.requests, r.ticket)
+	return Refuse{Ticket: r.ticket, Verdict: NotRun, Reason: blockedReason, Trait: d.Trait}
+}
+
+// queueKey identifies the queue of a request: the regions that may serve it and the
+// suspicion that it is under, so that requests which may go to one upstream only do
+// not block others.
+func (r *request) queueKey() string {
+	key := r.regionKey()
+	if r.suspect != 0 {
+		key += ";!" + FormatTrait(r.suspect)
+	}
+	if r.returningStream() {
+		key += ";returning"
+	}
+	return key
+}
+
+// returningStream reports whether the request goes after new ones.
+func (r *request) returningStream() bool {
+	return r.returning && r.route.Kind == published.Streaming
+}
+
+// push adds a request to its queue.
+func (s *service) push(now time.Time, it admission.Item[*request]) admission.Reason {
+	queues, key := s.queuesFor(it.Value), it.Value.queueKey()
+	if it.Value.suspect != 0 && queues.length() >= maxQueued {
+		return admission.QueueFull
+	}
+	q := queues[key]
+	if q == nil {
+		q = admission.New[*request](admission.Limits{PerCustomer: maxQueuedPerCustomer, Total: maxQueued})
+		queues[key] = q
+	}
+	return q.Push(now, it)
+}
+
+// sweep takes the requests out of the queues whose wait is over, which must not run
+// any more, or which belong to another queue because suspicion changed.
+func (c *Core) sweep(now time.Time, s *service, queues regionQueues, actions []Action) []Action {
+	var moved []admission.Item[*request]
+	remove := func(r *request) bool { return c.abandoned(r) || c.misplaced(now, r) }
+	for _, q := range queues {
+		for _, it := range q.Expire(now, remove) {
+			r := it.Value
+			d := c.decide(now, r)
+			switch {
+			case c.abandoned(r):
+			case d.Verdict == poison.Blocked:
+				actions = append(actions, c.block(r, d))
+			case now.Before(it.Deadline):
+				r.suspect = suspectedTrait(d)
+				moved = append(moved, it)
+			default:
+				actions = append(actions, c.expire(now, s, r)...)
+			}
+		}
+	}
+	for _, it := range moved {
+		if reason := s.push(now, it); reason != admission.Queued {
+			actions = append(actions, c.giveUp(now, it.Value, string(reason))...)
+		}
+	}
+	return actions
+}
+
+// misplaced reports whether a waiting request must not run any more or belongs to
+// another queue.
+func (c *Core) misplaced(now time.Time, r *request) bool {
+	d := c.decide(now, r)
+	return d.Verdict == poison.Blocked || suspectedTrait(d) != r.suspect
+}
+
+// expire rejects a request whose wait is over. A suspected request waited for one
+// upstream, which says nothing about the capacity of the service.
+func (c *Core) expire(now time.Time, s *service, r *request) []Action {
+	if !r.returning && r.suspect == 0 {
+		s.rejectedAt = now
+	}
+	return c.giveUp(now, r, "no upstream had room in time")
+}
--- /dev/null
+++ b/lib/dispatch/suspicion_test.go
@@ -0,0 +1,224 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/peering"
+	"rattanspur.example/lib/poison"
+	"rattanspur.example/lib/retry"
+)
+
+var first, harmful = poison.PartTrait("first"), poison.PartTrait("harmful")
+
+// arriveWith lets a request arrive whose prompt has shared parts. No two of these
+// requests are alike.
+func (h *harness) arriveWith(path string, parts ...poison.Trait) (Ticket, []Action) {
+	h.next++
+	traits := slices.Concat(parts, []poison.Trait{poison.RequestTrait("key", path, fmt.Append(nil, h.next))})
+	return h.next, h.core.Arrive(h.now, h.next, Call{
+		ID: "id", Host: "h", Path: path, Key: "key", TimeBudget: 6 * time.Second, Model: model, PromptTokens: 100, MaxAnswerTokens: 50, Traits: traits,
+	})
+}
+
+// crash ends an attempt with the loss of its upstream before the answer began, and
+// publishes the next start of that upstream.
+func (h *harness) crash(ticket Ticket, send Send) []Action {
+	actions := h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Lost})
+	v := *h.core.view
+	for i, u := range v.Upstreams {
+		if u.ID == send.Upstream {
+			next := *u
+			next.StartTime++
+			v.Upstreams[i] = &next
+		}
+	}
+	return append(actions, h.core.Update(h.now, &v)...)
+}
+
+// reports returns the evidence of another entry: a trait was alone in a number of
+// crashes, one a second.
+func reports(t poison.Trait, crashes int) []poison.Report {
+	out := make([]poison.Report, 0, crashes)
+	for i := range crashes {
+		id := poison.NewCrashID("other", int64(i))
+		out = append(out, poison.Report{Crash: id, AgeMS: int64(1000 * (i + 1)), Suspects: []poison.Suspect{{Trait: t}}})
+	}
+	return out
+}
+
+// Guards against a request that goes on crashing the upstreams that run it, and
+// against one that is sent again after it was lost.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	h := newHarness(t, view(deskUpstream("a", "north-a"), deskUpstream("b", "north-a"), deskUpstream("c", "north-a"), deskUpstream("d", "north-a")))
+	traits := []poison.Trait{poison.RequestTrait("key", "/read/1", nil)}
+	sends := 0
+	for range 5 {
+		h.now = h.now.Add(10 * time.Second)
+		h.next++
+		actions := h.core.Arrive(h.now, h.next, Call{ID: "id", Host: "h", Path: "/read/1", Key: "key", TimeBudget: time.Second, Traits: traits})
+		if _, ok := actions[0].(Send); !ok {
+			require.Equal(t, traits[0], h.refused(actions).Trait)
+			continue
+		}
+		sends++
+		require.Equal(t, OutcomeUnknown, h.refused(h.crash(h.next, h.sent(actions))).Verdict, "a lost suspect is not sent again")
+	}
+	require.Equal(t, poison.BlockAfter, sends)
+}
+
+// Guards against a part of a prompt that crashes one upstream after the other
+// because no two requests with it are alike, and against sound requests that are
+// rejected because they have a part or the customer in common with those.
+func TestHarmfulPartIsBlocked(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1), replica("b", 1), replica("c", 1), replica("d", 1)))
+	sends := 0
+	for range 8 {
+		h.now = h.now.Add(time.Second)
+		sound, actions := h.arriveWith("/stream/1", first)
+		h.sent(actions)
+		h.core.ResponseStarted(h.now, sound)
+		if ticket, actions := h.arriveWith("/stream/1", first, harmful); sends < poison.BlockAfter {
+			sends++
+			require.Equal(t, OutcomeUnknown, h.refused(h.crash(ticket, h.sent(actions))).Verdict)
+		} else {
+			r := h.refused(actions)
+			require.Equal(t, NotRun, r.Verdict)
+			require.Equal(t, harmful, r.Trait)
+		}
+		h.core.AttemptEnded(h.now, sound, AttemptResult{End: retry.Answered, FirstByte: time.Millisecond})
+	}
+}
+
+// Guards against suspected requests that crash several upstreams at once, and
+// against others that wait behind them although they may go elsewhere.
+func TestSuspectedRequestsGoToOneUpstream(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1), replica("b", 1), replica("c", 1)))
+	h.core.ApplyReports(h.now, reports(harmful, 1))
+	ticket, actions := h.arriveWith("/stream/1", harmful)
+	target := h.sent(actions).Upstream
+	h.core.SetPeerLoads(h.now, map[fleet.InstanceID]peering.Load{target: {Requests: 4}}, nil)
+	waiting, actions := h.arriveWith("/stream/1", harmful)
+	require.Empty(t, actions)
+	for range 3 {
+		_, actions := h.arriveWith("/stream/1", first)
+		require.NotEqual(t, target, h.sent(actions).Upstream)
+	}
+	require.False(t, h.core.services[engine].contended(h.now), "one upstream is full, not the service")
+	h.core.SetPeerLoads(h.now, nil, nil)
+	require.Equal(t, Send{Ticket: waiting, Upstream: target}, idOf(h.sent(h.core.Tick(h.now))))
+	h.core.ResponseStarted(h.now, ticket)
+	require.Equal(t, poison.Clear, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict, "an answer clears the part")
+}
+
+func idOf(s Send) Send { return Send{Ticket: s.Ticket, Upstream: s.Upstream} }
+
+// Guards against a waiting request that comes under suspicion and holds up the ones
+// behind it while its upstream has no capacity, and against one that goes on waiting
+// for that upstream after it was cleared.
+func TestWaitingRequestsAreReassessed(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
+	full := map[fleet.InstanceID]peering.Load{"a": {Requests: 4}, "b": {Requests: 4}}
+	h.core.SetPeerLoads(h.now, full, nil)
+	suspect, actions := h.arriveWith("/stream/1", harmful)
+	require.Empty(t, actions)
+	sound, actions := h.arriveWith("/stream/1", first)
+	require.Empty(t, actions)
+	require.Empty(t, h.core.ApplyReports(h.now, reports(harmful, 1)))
+	r := h.core.requests[suspect]
+	target := h.core.pickSuspected(h.now, h.core.services[engine], &request{Call: r.Call, route: r.route}, harmful)
+	require.Nil(t, target, "no upstream has capacity")
+	h.core.SetPeerLoads(h.now, nil, nil)
+	target = h.core.pickSuspected(h.now, h.core.services[engine], &request{Call: r.Call, route: r.route}, harmful)
+	h.core.SetPeerLoads(h.now, map[fleet.InstanceID]peering.Load{target.ID: {Requests: 4}}, nil)
+	require.Equal(t, sound, h.sent(h.core.Tick(h.now)).Ticket)
+	h.core.Detector().Began(h.now, []poison.Trait{harmful})
+	send := h.sent(h.core.Tick(h.now))
+	require.Equal(t, suspect, send.Ticket)
+	require.NotEqual(t, target.ID, send.Upstream)
+}
+
+// Guards against a sound request that fails only because it was lost together with
+// the one that caused the crash: once a trait explains it, the request is sent again.
+func TestRequestOfAnExplainedCrashIsRetried(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
+	h.core.ApplyReports(h.now, reports(harmful, poison.BlockAfter-1))
+	cause, actions := h.arriveWith("/stream/1", harmful)
+	send := h.sent(actions)
+	other := map[fleet.InstanceID]fleet.InstanceID{"a": "b", "b": "a"}[send.Upstream]
+	h.core.SetPeerLoads(h.now, map[fleet.InstanceID]peering.Load{other: {Requests: 3}}, nil)
+	sound, actions := h.arriveWith("/stream/1", first)
+	require.Equal(t, send.Upstream, h.sent(actions).Upstream)
+	h.refused(h.core.AttemptEnded(h.now, cause, AttemptResult{End: retry.Lost}))
+	require.Equal(t, other, h.sent(h.core.AttemptEnded(h.now, sound, AttemptResult{End: retry.Lost})).Upstream)
+}
+
+// Guards against a blocked request that still runs because it was waiting, or at an
+// entry that knows the crashes only from others.
+func TestPeersEvidenceBlocksAtOnce(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	h.core.SetPeerLoads(h.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}}, nil)
+	_, actions := h.arriveWith("/stream/1", first, harmful)
+	require.Empty(t, actions)
+	r := h.refused(h.core.ApplyReports(h.now, reports(harmful, poison.BlockAfter)))
+	require.Equal(t, Refuse{Ticket: h.next, Verdict: NotRun, Reason: blockedReason, Trait: harmful}, r)
+	_, actions = h.arriveWith("/stream/1", harmful)
+	require.Equal(t, harmful, h.refused(actions).Trait)
+	require.Empty(t, h.core.requests)
+}
+
+// Guards against a convicted part that is never tried again, against several
+// requests that try it at once, and against one that counts although it only waits.
+func TestOneRequestProbes(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	h.core.ApplyReports(h.now, reports(harmful, poison.BlockAfter))
+	h.now = h.now.Add(3 * time.Minute)
+	h.core.SetPeerLoads(h.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}}, nil)
+	probe, actions := h.arriveWith("/stream/1", harmful)
+	require.Empty(t, actions)
+	other, actions := h.arriveWith("/stream/1", harmful)
+	require.Empty(t, actions)
+	h.core.SetPeerLoads(h.now, nil, nil)
+	actions = h.core.Tick(h.now)
+	require.Len(t, actions, 2)
+	require.Equal(t, harmful, actions[0].(Send).Probe)
+	require.Equal(t, Refuse{Ticket: other, Verdict: NotRun, Reason: blockedReason, Trait: harmful}, actions[1])
+	h.core.ResponseStarted(h.now, probe)
+	_, actions = h.arriveWith("/stream/1", harmful)
+	require.Zero(t, h.sent(actions).Probe)
+}
+
+// Guards against suspicion after a loss that was no crash: the upstream goes on to
+// answer, be it with a server error.
+func TestAnswerRefutesCrash(t *testing.T) {
+	for _, serverError := range []bool{false, true} {
+		h := newHarness(t, view(deskUpstream("a", "north-a")))
+		lost, actions := h.arriveWith("/once/1", harmful)
+		h.sent(actions)
+		h.core.AttemptEnded(h.now, lost, AttemptResult{End: retry.Lost})
+		h.now = h.now.Add(minAvoidance)
+		ticket, actions := h.arriveWith("/once/1", first)
+		h.sent(actions)
+		h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Answered, ServerError: serverError})
+		require.Equal(t, poison.Clear, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict)
+	}
+}
+
+// Guards against a crash that is counted for a later start of the upstream: the view
+// may replace it before the attempt ends, and another entry reports the same crash.
+func TestCrashNamesTheStartThatGotTheRequest(t *testing.T) {
+	v := view(replica("a", 1))
+	h := newHarness(t, v)
+	ticket, actions := h.arriveWith("/stream/1", harmful)
+	h.sent(actions)
+	restarted := replica("a", 1)
+	restarted.StartTime = 2
+	h.core.Update(h.now, view(restarted))
+	h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Lost})
+	require.Equal(t, poison.NewCrashID("a", 1), h.core.Detector().Reports(h.now)[0].Crash)
+}
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/retry"
 )
 
@@ -35,8 +36,12 @@
 	// LastEvent is the id of the last event that the caller received; it is set
 	// if the caller resumes a stream.
 	LastEvent string
-	// Fingerprint identifies the combination of path, customer and body.
-	Fingerprint string
+	// PromptParts identifies the parts of the prompt that other requests may share,
+	// in their order.
+	PromptParts []string
+	// Traits describes the request to the search for requests that crash upstreams,
+	// from the broadest trait to the most specific one.
+	Traits []poison.Trait
 }
 
 // Load is the load that an upstream reports, in requests.
@@ -117,6 +122,8 @@
 	Waited time.Duration
 	// Attempt is the number of this attempt of the request, from 1.
 	Attempt int
+	// Probe is the convicted trait that the request probes; 0 if it probes none.
+	Probe poison.Trait
 }
 
 // Deliver requests that the held response is passed on to the caller.
@@ -153,6 +160,9 @@
 	// RetryAfter is the delay after which the caller should retry; 0 if none is
 	// given.
 	RetryAfter time.Duration
+	// Trait is the convicted trait of a blocked request; 0 if there is another
+	// reason.
+	Trait poison.Trait
 }
 
 // Finish ends a request that needs no further action.
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -5,6 +5,7 @@
 
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/published"
 )
 
@@ -49,6 +50,8 @@
 type upstream struct {
 	*published.Upstream
 	region fleet.Region
+	// crashID identifies the crash of this start of the upstream.
+	crashID poison.CrashID
 	// version overrides the published version if a response named a newer one.
 	version int64
 	// inFlight counts the requests in flight from this entry, promptTokens the
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -1,6 +1,6 @@
 // Package peering exchanges state between the gateways of a deployment: which
 // gateways are alive, how many requests each has in flight at every upstream,
-// which requests are suspected of crashing upstreams, and the revision of each
+// the evidence about requests that crash upstreams, and the revision of each
 // gateway's view. The table performs no I/O. Messages are small and may be lost;
 // each replaces the previous one of its sender.
 package peering
@@ -11,6 +11,7 @@
 	"time"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
 )
 
 const (
@@ -50,12 +51,6 @@
 	Refused bool `json:"f,omitempty"`
 }
 
-// Suspect is a request that may have crashed upstreams.
-type Suspect struct {
-	Fingerprint string `json:"f"`
-	Crashes     int    `json:"n"`
-}
-
 // Message is the state that a process sends to its peers. The JSON names are
 // short because it is sent often.
 type Message struct {
@@ -69,8 +64,10 @@
 	// Loads is the sender's load at each upstream.
 	Loads map[fleet.InstanceID]Load `json:"loads,omitempty"`
 	// Demands is the demand for each service at the sender.
-	Demands  map[fleet.Service]Demand `json:"demands,omitempty"`
-	Suspects []Suspect                `json:"suspects,omitempty"`
+	Demands map[fleet.Service]Demand `json:"demands,omitempty"`
+	// Crashes is evidence about crashes of upstreams. Unlike the other fields, a
+	// message without it does not replace that of earlier messages.
+	Crashes []poison.Report `json:"crashes,omitempty"`
 	// Peers lists addresses of processes that the sender has received messages
 	// from.
 	Peers []string `json:"peers,omitempty"`
@@ -97,8 +94,8 @@
 			return false
 		}
 	}
-	for _, s := range m.Suspects {
-		if !validCount(s.Crashes) {
+	for i := range m.Crashes {
+		if !m.Crashes[i].Valid() {
 			return false
 		}
 	}
