--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -117,6 +117,32 @@
 	gateway *Gateway
 	stop    context.CancelFunc
 	done    chan error
+	logs    *logBuffer
+}
+
+// logBuffer keeps what a gateway logs.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// line returns the first line of an event, or "" if there is none.
+func (b *logBuffer) line(event string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.Lines(b.text.String()) {
+		if strings.HasPrefix(line, "event="+event+" ") {
+			return line
+		}
+	}
+	return ""
 }
 
 // hostCount counts the addresses that newHost has returned.
@@ -136,7 +162,8 @@
 
 // startWithRandom starts a gateway whose core takes random numbers from a function.
 func startWithRandom(t *testing.T, source watcher.Source, random func(int) int, seeds ...string) *testGateway {
-	logger := log.NewLogfmtLogger(io.Discard)
+	logs := &logBuffer{}
+	logger := log.NewLogfmtLogger(logs)
 	w := watcher.New(source, "", time.Second, logger)
 	ip := newHost()
 	g := New(Settings{
@@ -149,7 +176,7 @@
 		},
 	}, platform.Codec{}, w, logger)
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &testGateway{t: t, gateway: g, stop: cancel, done: make(chan error, 1)}
+	r := &testGateway{t: t, gateway: g, stop: cancel, done: make(chan error, 1), logs: logs}
 	go func() { r.done <- g.Run(ctx) }()
 	t.Cleanup(cancel)
 	require.Eventually(t, func() bool {
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -85,8 +85,11 @@
 	active         map[dispatch.Ticket]*activeRequest
 	idleConns      map[fleet.InstanceID][]*exchange.Conn
 	knownUpstreams map[fleet.InstanceID]bool
-	peers          *peering.Table
-	view           *published.View
+	// convicted maps the traits that were convicted at the last check to their
+	// episodes.
+	convicted map[poison.Trait]int
+	peers     *peering.Table
+	view      *published.View
 	// revision is the revision of the newest item in the view.
 	revision uint64
 	// pulledAll is true once a read of a peer's whole view was requested.
@@ -96,9 +99,6 @@
 	// queries.
 	pullFirstSeenUntil time.Time
 	firstSeenPulls     int
-	// convicted maps the traits that were convicted at the last check to their
-	// episodes.
-	convicted map[poison.Trait]int
 }
 
 func (g *Gateway) runRouter(ctx context.Context) error {
--- a/gateway/suspicion_test.go
+++ b/gateway/suspicion_test.go
@@ -5,19 +5,25 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/poison"
+	"rattanspur.example/lib/watcher"
+	"rattanspur.example/platform"
 )
 
 // Guards against a gateway that forwards requests with a part of which other
-// gateways know that it crashes upstreams, and against one that rejects sound
-// requests of the same customer with the same first part.
+// gateways know that it crashes upstreams, against one that rejects sound requests of
+// the same customer with the same first part, and against a rejection whose cause the
+// log does not show.
 func TestPartThatPeersConvictedIsBlocked(t *testing.T) {
 	source := newSource()
 	source.put("op/config", configJSON)
@@ -42,9 +48,13 @@
 	require.Equal(t, http.StatusOK, g.callWithParts("/once/1", "first:10,own:30"))
 	require.Equal(t, http.StatusOK, g.callWithParts("/once/1", "harmful:20"), "the last part is no shared one")
 	require.Equal(t, uint64(1), g.gateway.metrics.blocked.Get())
+	trait := "trait=" + dispatch.FormatTrait(poison.PartTrait("harmful"))
+	require.Contains(t, g.logs.line("trait-blocked"), trait+" episodes=3")
+	require.Contains(t, g.logs.line("refused"), trait)
 }
 
-// Guards against a crash that only the gateway learns of which lost the request.
+// Guards against a crash that only the gateway learns of which lost the request, and
+// against a log that does not show what was lost.
 func TestCrashIsReportedToPeers(t *testing.T) {
 	peer, err := net.ListenPacket("udp4", newHost()+":7004")
 	require.NoError(t, err)
@@ -54,6 +64,8 @@
 	source.upstream(t, "i-1", "desk", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 	g := start(t, source, peer.LocalAddr().String())
 	require.Equal(t, http.StatusBadGateway, g.callWithParts("/once/1", "first:10,own:30"))
+	require.Contains(t, g.logs.line("attempt"), "end=lost")
+	require.Contains(t, g.logs.line("attempt"), "begun=false traits="+dispatch.FormatTrait(poison.PartTrait("first"))+",")
 	require.NoError(t, peer.SetReadDeadline(time.Now().Add(testTimeout)))
 	buffer := make([]byte, maxDatagramBytes)
 	for {
@@ -93,3 +105,19 @@
 	require.Len(t, got.Loads, loads)
 	require.NotEmpty(t, got.Crashes)
 }
+
+// Guards against a server error that counts as the beginning of an answer: it would
+// clear a part that makes engines fail.
+func TestServerErrorIsNoBeginning(t *testing.T) {
+	logger := log.NewNopLogger()
+	g := New(Settings{}, platform.Codec{}, watcher.New(newSource(), "", time.Second, logger), logger)
+	for status, events := range map[int]int{http.StatusInternalServerError: 0, http.StatusOK: 1} {
+		c := &callHandler{gateway: g, w: httptest.NewRecorder(), streaming: true}
+		require.NoError(t, c.Head(&http.Response{StatusCode: status}))
+		require.Equal(t, events, g.inbox.Depth(), status)
+		for range events {
+			_, err := g.inbox.Take(t.Context())
+			require.NoError(t, err)
+		}
+	}
+}
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -251,12 +251,13 @@
 func (c *Core) nextAction(now time.Time, r *request, u *upstream, e AttemptResult) []Action {
 	s := c.service(now, r.service)
 	delivered := e.End == retry.Answered && (!e.ServerError || !e.Held)
+	if delivered || e.End == retry.Canceled {
+		delete(c.requests, r.ticket)
+		return []Action{Finish{Ticket: r.ticket}}
+	}
 	d := c.decide(now, r)
 	r.suspect = suspectedTrait(d)
 	switch {
-	case delivered || e.End == retry.Canceled:
-		delete(c.requests, r.ticket)
-		return []Action{Finish{Ticket: r.ticket}}
 	case d.Verdict == poison.Blocked && r.possibleRuns == 0:
 		return []Action{c.block(r, d)}
 	case c.mayRetry(now, s, r, d, e):
--- a/lib/dispatch/suspicion_test.go
+++ b/lib/dispatch/suspicion_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
@@ -109,13 +110,27 @@
 		_, actions := h.arriveWith("/stream/1", first)
 		require.NotEqual(t, target, h.sent(actions).Upstream)
 	}
+	require.Equal(t, 1, h.core.Waiting())
 	require.False(t, h.core.services[engine].contended(h.now), "one upstream is full, not the service")
+	h.core.ApplyReports(h.now, reports(h.traitElsewhere(target), 1))
+	_, actions = h.arriveWith("/stream/1", h.traitElsewhere(target))
+	require.NotEqual(t, target, h.sent(actions).Upstream, "another suspicion does not wait for this upstream")
 	h.core.SetPeerLoads(h.now, nil, nil)
 	require.Equal(t, Send{Ticket: waiting, Upstream: target}, idOf(h.sent(h.core.Tick(h.now))))
 	h.core.ResponseStarted(h.now, ticket)
 	require.Equal(t, poison.Clear, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict, "an answer clears the part")
 }
 
+// traitElsewhere returns a trait whose suspected requests go to another upstream.
+func (h *harness) traitElsewhere(target fleet.InstanceID) poison.Trait {
+	r := &request{Call: Call{Model: model}, route: h.core.view.Config.Route("h", "/stream/")}
+	for t := harmful + 1; ; t++ {
+		if u := h.core.pickSuspected(h.now, h.core.services[engine], r, t); u != nil && u.ID != target {
+			return t
+		}
+	}
+}
+
 func idOf(s Send) Send { return Send{Ticket: s.Ticket, Upstream: s.Upstream} }
 
 // Guards against a waiting request that comes under suspicion and holds up the ones
@@ -172,6 +187,51 @@
 	require.Empty(t, h.core.requests)
 }
 
+// Guards against a blocked request that is sent again after it was refused for lack
+// of capacity, or whose caller is asked to come back.
+func TestRefusedRequestIsBlocked(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
+	ticket, actions := h.arriveWith("/stream/1", harmful)
+	h.sent(actions)
+	h.core.ApplyReports(h.now, reports(harmful, poison.BlockAfter))
+	r := h.refused(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Busy}))
+	require.Equal(t, Refuse{Ticket: ticket, Verdict: NotRun, Reason: blockedReason, Trait: harmful}, r)
+}
+
+// Guards against a suspected request that waits in vain: for an upstream that refuses
+// requests, or for slots that other entries own while the service is contended. If
+// its wait is over, the service is not short of capacity.
+func TestSuspectedRequestIsServed(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
+	h.core.ApplyReports(h.now, reports(harmful, 1))
+	h.core.SetPeerLoads(h.now, nil, map[fleet.Service]peering.Share{engine: {Low: 1, High: 1.01, Contended: true}})
+	plain, actions := h.arriveWith("/stream/1", first)
+	require.Empty(t, actions, "this entry owns no slots")
+	h.core.Cancel(h.now, plain)
+	ticket, actions := h.arriveWith("/stream/1", harmful)
+	refusing := h.sent(actions).Upstream
+	require.NotEqual(t, refusing, h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Busy})).Upstream)
+	h.core.SetPeerLoads(h.now, map[fleet.InstanceID]peering.Load{"a": {Requests: 4}, "b": {Requests: 4}}, nil)
+	_, actions = h.arriveWith("/stream/1", harmful)
+	require.Empty(t, actions)
+	h.now = h.now.Add(200 * time.Millisecond)
+	require.Equal(t, "no upstream had room in time", h.refused(h.core.Tick(h.now)).Reason)
+	require.False(t, h.core.services[engine].rejectedRecently(h.now))
+}
+
+// Guards against a stream that ends because a part of its prompt came under suspicion
+// after its answer began, and against counting its loss as the fault of that part.
+func TestStreamThatBeganIsNoSuspect(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
+	ticket, actions := h.arriveWith("/stream/1", harmful)
+	h.sent(actions)
+	h.core.ResponseStarted(h.now, ticket)
+	h.core.ApplyReports(h.now, reports(harmful, 2))
+	h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Lost, Started: true, FirstByte: time.Millisecond, LastEventID: "7", Version: 1}))
+	h.refused(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Lost, Started: true, LastEventID: "7", Version: 1}))
+	require.Equal(t, 2, h.core.Detector().Crashes(), "only those that were reported")
+}
+
 // Guards against a convicted part that is never tried again, against several
 // requests that try it at once, and against one that counts although it only waits.
 func TestOneRequestProbes(t *testing.T) {
@@ -222,3 +282,64 @@
 	h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Lost})
 	require.Equal(t, poison.NewCrashID("a", 1), h.core.Detector().Reports(h.now)[0].Crash)
 }
+
+// Guards against requests that get lost, end twice or run although they are blocked
+// when suspicion moves them between queues.
+func TestRequestsOutliveChangesOfSuspicion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &harness{core: New(settings()), now: start}
+		h.core.Update(h.now, view(replica("a", 1), replica("b", 1)))
+		parts := []poison.Trait{first, harmful, harmful + 1}
+		open := map[Ticket]bool{}
+		var running []Ticket
+		apply := func(actions []Action) {
+			for _, a := range actions {
+				switch a := a.(type) {
+				case Send:
+					running = append(running, a.Ticket)
+					d := h.core.decide(h.now, h.core.requests[a.Ticket])
+					require.True(t, d.Verdict != poison.Blocked || d.Trait == a.Probe, "%+v", d)
+				case Refuse:
+					require.True(t, open[a.Ticket])
+					delete(open, a.Ticket)
+				case Finish:
+					require.True(t, open[a.Ticket])
+					delete(open, a.Ticket)
+				}
+			}
+		}
+		end := func(i int, e retry.End) {
+			ticket := running[i]
+			running = slices.Delete(running, i, i+1)
+			apply(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: e}))
+		}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			h.now = h.now.Add(time.Duration(rapid.SampledFrom([]int{0, 10, 100, 90_000}).Draw(t, "ms")) * time.Millisecond)
+			part := rapid.SampledFrom(parts).Draw(t, "part")
+			switch step := rapid.IntRange(0, 6).Draw(t, "step"); {
+			case step == 0 && len(running) > 0:
+				end(rapid.IntRange(0, len(running)-1).Draw(t, "which"), rapid.SampledFrom([]retry.End{retry.Answered, retry.Busy, retry.Lost, retry.Stalled}).Draw(t, "end"))
+			case step == 1:
+				apply(h.core.ApplyReports(h.now, reports(part, rapid.IntRange(1, 4).Draw(t, "crashes"))))
+			case step == 2 && len(running) > 0:
+				apply(h.core.ResponseStarted(h.now, rapid.SampledFrom(running).Draw(t, "started")))
+			case step == 3:
+				load := peering.Load{Requests: rapid.IntRange(0, 4).Draw(t, "load")}
+				h.core.SetPeerLoads(h.now, map[fleet.InstanceID]peering.Load{"a": load, "b": {Requests: 4}}, nil)
+			default:
+				open[h.next+1] = true
+				_, actions := h.arriveWith("/stream/1", part)
+				apply(actions)
+			}
+		}
+		for len(running) > 0 {
+			end(0, retry.Answered)
+		}
+		h.now = h.now.Add(10 * time.Second)
+		apply(h.core.Tick(h.now))
+		require.Empty(t, open)
+		require.Empty(t, h.core.requests)
+		require.Zero(t, h.core.Waiting())
+		require.Empty(t, h.core.Loads())
+	})
+}
