--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -7,6 +7,14 @@
 	"github.com/stretchr/testify/require"
 )
 
+// Traits of the scenarios. The request traits are those from 100.
+const (
+	firstPart Trait = iota + 1
+	laterPart
+	otherPart
+	request Trait = 100
+)
+
 // crashes records crashes with the same suspects, a second apart, and returns the
 // time of the last one. Their identifiers follow those of the crashes known.
 func crashes(now time.Time, d *Detector, count int, traits ...Trait) time.Time {
@@ -17,8 +25,225 @@
 	return now
 }
 
-func TestSmoke(t *testing.T) {
+// event is one step of a scenario, at a time in milliseconds.
+type event struct {
+	atMS   int
+	kind   string
+	crash  CrashID
+	traits []Trait
+}
+
+// Guards against sound traits that are blocked for others, and harmful ones that
+// are not found.
+func TestVerdictsOfScenarios(t *testing.T) {
+	for name, s := range map[string]struct {
+		events []event
+		want   map[Trait]Verdict
+	}{
+		"a part beside a first part that sound requests share": {
+			events: []event{
+				{0, "lost", 1, []Trait{firstPart, laterPart, request}},
+				{1000, "lost", 2, []Trait{firstPart, laterPart, request + 1}},
+				{2000, "lost", 3, []Trait{firstPart, laterPart, request + 2}},
+			},
+			want: map[Trait]Verdict{firstPart: Clear, laterPart: Blocked, request: Clear},
+		},
+		"a known first part beside a part with fewer crashes": {
+			events: []event{
+				{0, "began", 0, []Trait{firstPart}},
+				{100, "lost", 1, []Trait{firstPart, laterPart, request}},
+				{1000, "lost", 2, []Trait{firstPart, laterPart, request + 1}},
+				{2000, "lost", 3, []Trait{firstPart, laterPart, request + 2}},
+				{3000, "lost", 4, []Trait{firstPart, otherPart, request + 3}},
+			},
+			want: map[Trait]Verdict{firstPart: Clear, laterPart: Blocked, otherPart: Suspected},
+		},
+		"a first part that was known and became harmful": {
+			events: []event{
+				{0, "began", 0, []Trait{firstPart}},
+				{100, "lost", 1, []Trait{firstPart, request}},
+				{1000, "lost", 2, []Trait{firstPart, request + 1}},
+				{2000, "lost", 3, []Trait{firstPart, request + 2}},
+			},
+			want: map[Trait]Verdict{firstPart: Blocked, request: Clear},
+		},
+		"a known trait is suspected after two episodes": {
+			events: []event{
+				{0, "began", 0, []Trait{firstPart, otherPart}},
+				{100, "lost", 1, []Trait{firstPart, laterPart}},
+				{1000, "lost", 2, []Trait{firstPart}},
+				{2000, "lost", 3, []Trait{otherPart}},
+			},
+			want: map[Trait]Verdict{firstPart: Suspected, laterPart: Suspected, otherPart: Clear},
+		},
+		"requests that only shared upstreams begin elsewhere": {
+			events: []event{
+				{0, "lost", 1, []Trait{laterPart}},
+				{0, "lost", 1, []Trait{otherPart}},
+				{1000, "lost", 2, []Trait{laterPart}},
+				{1000, "lost", 2, []Trait{otherPart}},
+				{1500, "began", 0, []Trait{otherPart}},
+				{2000, "lost", 3, []Trait{laterPart}},
+				{2000, "lost", 3, []Trait{otherPart}},
+			},
+			want: map[Trait]Verdict{laterPart: Blocked, otherPart: Clear},
+		},
+		"a failure domain that is lost at once": {
+			events: []event{
+				{0, "lost", 1, []Trait{firstPart, request}},
+				{50, "lost", 2, []Trait{firstPart, request}},
+				{100, "lost", 3, []Trait{firstPart, request}},
+				{200, "lost", 4, []Trait{firstPart, request}},
+			},
+			want: map[Trait]Verdict{firstPart: Suspected, request: Suspected},
+		},
+		"connections that are reset": {
+			events: []event{
+				{0, "lost", 1, []Trait{request}},
+				{1000, "lost", 2, []Trait{request}},
+				{2000, "lost", 3, []Trait{request}},
+				{2500, "answered", 3, nil},
+			},
+			want: map[Trait]Verdict{request: Suspected},
+		},
+		"an answer long after the crash refutes nothing": {
+			events: []event{
+				{0, "lost", 1, []Trait{request}},
+				{1000, "lost", 2, []Trait{request}},
+				{2000, "lost", 3, []Trait{request}},
+				{3001, "answered", 3, nil},
+			},
+			want: map[Trait]Verdict{request: Blocked},
+		},
+		"one request that is repeated alone": {
+			events: []event{
+				{0, "lost", 1, []Trait{firstPart, laterPart, request}},
+				{1000, "lost", 2, []Trait{firstPart, laterPart, request}},
+				{2000, "lost", 3, []Trait{firstPart, laterPart, request}},
+			},
+			want: map[Trait]Verdict{firstPart: Clear, laterPart: Clear, request: Blocked},
+		},
+		"a repeated request, then others with its part": {
+			events: []event{
+				{0, "lost", 1, []Trait{laterPart, request}},
+				{1000, "lost", 2, []Trait{laterPart, request}},
+				{2000, "lost", 3, []Trait{laterPart, request}},
+				{3000, "lost", 4, []Trait{laterPart, request + 1}},
+			},
+			want: map[Trait]Verdict{laterPart: Blocked, request: Clear, request + 1: Clear},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := New("gateway")
+			now := start
+			for _, e := range s.events {
+				now = start.Add(time.Duration(e.atMS) * time.Millisecond)
+				switch e.kind {
+				case "lost":
+					d.Lost(now, e.crash, e.traits)
+				case "began":
+					d.Began(now, e.traits)
+				case "answered":
+					d.Answered(now, e.crash, now)
+				}
+			}
+			for trait, want := range s.want {
+				require.Equal(t, want, d.Check(now, []Trait{trait}).Verdict, "trait %d", trait)
+			}
+		})
+	}
+}
+
+// Guards against two gateways that count the same crash twice.
+func TestCrashThatTwoGatewaysReportCountsOnce(t *testing.T) {
+	a, b := New("a"), New("b")
+	now := crashes(start, a, 2, request)
+	crashes(start.Add(300*time.Millisecond), b, 2, request)
+	a.Merge(now, b.Reports(now))
+	require.Equal(t, 2, a.Crashes())
+	require.Equal(t, Decision{Verdict: Suspected, Trait: request, Episodes: 2}, a.Check(now, []Trait{request}))
+}
+
+// Guards against a request with several traits that follows the milder verdict.
+func TestStrictestTraitDecides(t *testing.T) {
 	d := New("gateway")
-	now := crashes(start, d, 3, 7)
-	require.Equal(t, Blocked, d.Check(now, []Trait{7}).Verdict)
+	now := crashes(start, d, 3, laterPart)
+	now = crashes(now, d, 1, otherPart)
+	want := Decision{Verdict: Blocked, Trait: laterPart, Episodes: 3}
+	require.Equal(t, want, d.Check(now, []Trait{firstPart, otherPart, laterPart, request}))
+	require.Equal(t, want, d.Check(now, []Trait{laterPart, otherPart}))
+}
+
+// Guards against a trait that stays blocked when it is harmless again.
+func TestHarmlessTraitIsProbedOnceAndFreeEverywhere(t *testing.T) {
+	a, b := New("a"), New("b")
+	now := crashes(start, a, 3, request)
+	b.Merge(now, a.Reports(now))
+	require.Equal(t, []Trait{request}, b.Convicted(now), "a new detector learns convictions")
+	check := func(d *Detector, now time.Time) Verdict { return d.Check(now, []Trait{request}).Verdict }
+	probeAt := now.Add(probeInterval + probeDelay("a", request))
+	require.Equal(t, Blocked, check(a, probeAt.Add(-time.Millisecond)))
+	require.Equal(t, Probe, check(a, probeAt))
+	a.ProbeSent(probeAt, request)
+	require.Equal(t, Blocked, check(a, probeAt.Add(probeRepeat-time.Millisecond)))
+	require.Equal(t, Probe, check(a, probeAt.Add(probeRepeat)), "the probe got no answer")
+	a.Began(probeAt, []Trait{request})
+	b.Merge(probeAt, a.Reports(probeAt))
+	require.Equal(t, Clear, check(a, probeAt))
+	require.Equal(t, Clear, check(b, probeAt))
+}
+
+// Guards against probes at a rate that crashes upstreams one after the other.
+func TestCrashOfAProbeRenewsTheConviction(t *testing.T) {
+	d := New("gateway")
+	now := crashes(start, d, 3, request)
+	now = now.Add(2 * probeInterval)
+	d.ProbeSent(now, request)
+	now = crashes(now, d, 1, request)
+	require.Equal(t, Blocked, d.Check(now.Add(probeInterval-time.Millisecond), []Trait{request}).Verdict)
+	require.Equal(t, 4, d.Check(now, []Trait{request}).Episodes)
+}
+
+// Guards against gateways that all probe at the same time.
+func TestProbeDelaysDiffer(t *testing.T) {
+	a, b := probeDelay("a", request), probeDelay("b", request)
+	require.NotEqual(t, a, b)
+	require.Less(t, max(a, b), probeInterval)
+}
+
+// Guards against a process that stood still and sends crashes with ages that are too
+// small, and without what it missed.
+func TestMessageOfAProcessThatStoodStillChangesNoVerdict(t *testing.T) {
+	a, b := New("a"), New("b")
+	now := crashes(start, a, 3, request)
+	late := a.Reports(now)
+	b.Merge(now, late)
+	now = crashes(now, b, 1, laterPart)
+	b.Began(now, []Trait{laterPart})
+	before := state(b)
+	now = now.Add(5 * time.Second)
+	b.Merge(now, late)
+	require.Equal(t, before, state(b))
+	require.Equal(t, []Trait{request}, b.Convicted(now))
+}
+
+// Guards against records that are left out of messages, or sent in too many.
+func TestReportsRepeatWhatCounts(t *testing.T) {
+	d := New("gateway")
+	require.Nil(t, d.Reports(start))
+	now := crashes(start, d, 40, request)
+	now = crashes(now, d, 1, otherPart)
+	contained := map[CrashID]int{}
+	reports := d.Reports(now)
+	require.Len(t, reports, maxReports)
+	require.Equal(t, CrashID(40), reports[0].Crash, "convicted traits first, then the newest")
+	for range 2 * 41 * messagesPerChange / maxReports {
+		d.Reports(now)
+	}
+	for range 3 * messagesPerRepeat {
+		for _, r := range d.Reports(now) {
+			contained[r.Crash]++
+		}
+	}
+	require.Len(t, contained, 40, "the repeated records are those of the convicted trait, in rotation")
 }
