--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -124,6 +124,32 @@
 	gateway *Gateway
 	stop    context.CancelFunc
 	done    chan error
+	logs    *logBuffer
+}
+
+// logBuffer keeps what a gateway logs.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// line returns the first line of an event, or "" if there is none.
+func (b *logBuffer) line(event string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.Lines(b.text.String()) {
+		if strings.HasPrefix(line, "event="+event+" ") {
+			return line
+		}
+	}
+	return ""
 }
 
 // hostCount counts the addresses that newHost has returned.
@@ -143,7 +169,8 @@
 
 // startWithRandom starts a gateway whose core takes random numbers from a function.
 func startWithRandom(t *testing.T, source watcher.Source, random func(int) int, seeds ...string) *testGateway {
-	logger := log.NewLogfmtLogger(io.Discard)
+	logs := &logBuffer{}
+	logger := log.NewLogfmtLogger(logs)
 	w := watcher.New(source, "", time.Second, logger)
 	ip := newHost()
 	g := New(Settings{
@@ -156,7 +183,7 @@
 		},
 	}, platform.Codec{}, w, logger)
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &testGateway{t: t, gateway: g, stop: cancel, done: make(chan error, 1)}
+	r := &testGateway{t: t, gateway: g, stop: cancel, done: make(chan error, 1), logs: logs}
 	go func() { r.done <- g.Run(ctx) }()
 	t.Cleanup(cancel)
 	require.Eventually(t, func() bool {
@@ -197,7 +224,18 @@
 	return r.send(context.Background(), method, path, "", lastEvent)
 }
 
-func (r *testGateway) send(ctx context.Context, method, path, body, lastEvent string) (*http.Response, error) {
+// callWithParts sends a request to a path with the header that lists the parts of
+// its prompt, and returns its status.
+func (r *testGateway) callWithParts(path, parts string) int {
+	r.t.Helper()
+	resp, err := r.send(context.Background(), http.MethodPost, path, "", "", "Rattanspur-Prefix-Hash", parts)
+	require.NoError(r.t, err)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// send sends a request with further headers, given as names and values.
+func (r *testGateway) send(ctx context.Context, method, path, body, lastEvent string, headers ...string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.gateway.settings.Listen+path, strings.NewReader(body))
 	require.NoError(r.t, err)
 	req.Host = "h"
@@ -208,6 +246,9 @@
 	if lastEvent != "" {
 		req.Header.Set("Last-Event-Id", lastEvent)
 	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	return client.Do(req)
 }
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -8,6 +8,7 @@
 	"rattanspur.example/lib/exchange"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
 )
@@ -84,8 +85,11 @@
 	active         map[dispatch.Ticket]*activeRequest
 	idleConns      map[fleet.InstanceID][]*exchange.Conn
 	knownUpstreams map[fleet.InstanceID]bool
-	peers          *peering.Table
-	view           *published.View
+	// convicted maps the traits that were convicted at the last check to their
+	// episodes.
+	convicted map[poison.Trait]int
+	peers     *peering.Table
+	view      *published.View
 	// revision is the revision of the newest item in the view.
 	revision uint64
 }
@@ -213,6 +217,9 @@
 			actions := r.core.AttemptEnded(now, ev.ticket, ev.result)
 			req.inAttempt = false
 			r.execute(ctx, actions)
+			if ev.result.End.Crash() {
+				r.checkConvictions(now)
+			}
 		})
 	}
 	if req.orphaned {
@@ -265,11 +272,12 @@
 			req := r.active[a.Ticket]
 			req.upstream, req.inAttempt = a.Upstream, true
 			req.conn = r.takeIdle(a.Upstream)
+			r.recordProbe(req, &a)
 			r.sendCommand(ctx, a.Ticket, command{action: a, conn: req.conn}, false)
 		case dispatch.Deliver:
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
 		case dispatch.Refuse:
-			r.gateway.metrics.recordRefusal(a.Verdict)
+			r.gateway.metrics.recordRefusal(&a)
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
 		case dispatch.Finish:
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
