--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -132,6 +132,15 @@
 			},
 			want: map[Trait]Verdict{laterPart: Blocked, request: Clear, request + 1: Clear},
 		},
+		"a repeated request and others with its part in the same episodes": {
+			events: []event{
+				{0, "lost", 1, []Trait{laterPart, request}},
+				{1000, "lost", 2, []Trait{laterPart, request}},
+				{2000, "lost", 3, []Trait{laterPart, request}},
+				{2100, "lost", 4, []Trait{laterPart, request + 1}},
+			},
+			want: map[Trait]Verdict{laterPart: Blocked, request: Clear, request + 1: Clear},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := New("gateway")
--- a/lib/poison/verdict.go
+++ b/lib/poison/verdict.go
@@ -23,6 +23,8 @@
 	// and last the time of the last one of these crashes.
 	episodes int
 	last     time.Time
+	// crashes is the number of crashes that count against the trait.
+	crashes int
 	// convicted is set if the trait is convicted, else it is suspected.
 	convicted bool
 	// probeAt is the time from which a convicted trait may be probed.
@@ -38,6 +40,7 @@
 	}
 	return cmp.Or(
 		cmp.Compare(other.episodes, f.episodes),
+		cmp.Compare(other.crashes, f.crashes),
 		cmp.Compare(other.depth, f.depth),
 		cmp.Compare(f.trait, other.trait),
 	) < 0
@@ -119,7 +122,7 @@
 
 // count counts the episodes of the crashes that are not explained.
 func (f *finding) count() {
-	f.episodes = 0
+	f.episodes, f.crashes = 0, 0
 	var start time.Time
 	for _, r := range f.records {
 		if r.explained {
@@ -129,6 +132,7 @@
 			f.episodes++
 			start = r.at
 		}
+		f.crashes++
 		f.last = r.at
 	}
 }
--- a/lib/poison/verdict_test.go
+++ b/lib/poison/verdict_test.go
@@ -49,11 +49,11 @@
 	unexplained := slices.Clone(all)
 	for {
 		var best Trait
-		var bestKey [4]int
+		var bestKey [5]int
 		for t := Trait(1); t <= 8; t++ {
 			known, depth, _ := evidenceAgainst(all, t)
 			_, _, times := evidenceAgainst(unexplained, t)
-			key := [4]int{0, naiveEpisodes(times), depth, -int(t)}
+			key := [5]int{0, naiveEpisodes(times), len(times), depth, -int(t)}
 			if !known {
 				key[0] = 1
 			}
