poison: five crashes in two episodes convict an unknown trait

Cause: while many requests with a harmful part are in progress, a whole service can be lost within two episodes; a conviction took three, and came late. Change: an unknown trait is convicted after three episodes, or after five crashes in two. The naive verdicts follow, and are drawn with crashes that come fast, so that the property test notices the rule.

--- a/lib/poison/verdict.go
+++ b/lib/poison/verdict.go
@@ -8,6 +8,11 @@
 )
 
 const (
+	// blockAfterCrashes is the number of crashes after which an unknown trait is
+	// convicted with blockAfterFast episodes: while many requests with it are in
+	// progress, a whole service may be lost within two episodes.
+	blockAfterCrashes = 5
+	blockAfterFast    = 2
 	// suspectAfter and suspectKnownAfter are the numbers of episodes of crashes after
 	// which an unknown and a known trait are suspected.
 	suspectAfter      = 1
@@ -58,7 +63,7 @@
 	}
 	rest := candidates
 	for {
-		rest = withEpisodes(rest, BlockAfter)
+		rest = convictable(rest)
 		if len(rest) == 0 {
 			break
 		}
@@ -89,15 +94,16 @@
 	return f
 }
 
-// withEpisodes returns the findings with a number of episodes that are not explained.
-func withEpisodes(findings []finding, least int) []finding {
+// convictable returns the findings whose crashes that are not explained convict them.
+func convictable(findings []finding) []finding {
 	var rest []finding
 	for _, f := range findings {
-		if len(f.records) < least {
+		if len(f.records) < BlockAfter {
 			continue
 		}
 		f.count()
-		if f.episodes >= least {
+		fast := !f.known && f.episodes >= blockAfterFast && f.crashes >= blockAfterCrashes
+		if f.episodes >= BlockAfter || fast {
 			rest = append(rest, f)
 		}
 	}
--- a/lib/poison/verdict_test.go
+++ b/lib/poison/verdict_test.go
@@ -57,7 +57,8 @@
 			if !known {
 				key[0] = 1
 			}
-			if key[1] >= 3 && (best == 0 || slices.Compare(key[:], bestKey[:]) > 0) {
+			fast := !known && key[1] == 2 && len(times) >= 5
+			if (key[1] >= 3 || fast) && (best == 0 || slices.Compare(key[:], bestKey[:]) > 0) {
 				best, bestKey = t, key
 			}
 		}
@@ -82,13 +83,44 @@
 	return outcomes
 }
 
+// Guards against a whole service that is lost within two episodes, because many requests
+// with an unknown harmful trait are in progress, and against the conviction of a known
+// trait as fast.
+func TestFastCrashesConvictAnUnknownTrait(t *testing.T) {
+	times := []time.Duration{0, 10, 20, 30, 250}
+	for _, known := range []bool{false, true} {
+		d := New("gateway")
+		if known {
+			d.Began(start, []Trait{7})
+		}
+		for i, ms := range times {
+			now := start.Add(ms * time.Millisecond)
+			require.NotEqual(t, Blocked, d.Check(now, []Trait{7}).Verdict)
+			d.Lost(now, CrashID(i), []Trait{7})
+		}
+		end := start.Add(time.Second)
+		require.Equal(t, !known, d.Check(end, []Trait{7}).Verdict == Blocked)
+	}
+}
+
+// genFastCrashes draws crashes that follow each other fast, mostly with unknown traits.
+func genFastCrashes() *rapid.Generator[[]Report] {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Report {
+		r := Report{Crash: CrashID(rapid.IntRange(1, 12).Draw(t, "crash")), AgeMS: int64(rapid.IntRange(0, 4).Draw(t, "age")) * 100}
+		for trait := Trait(1); trait <= 3; trait++ {
+			r.Suspects = append(r.Suspects, Suspect{Trait: trait, Known: rapid.IntRange(0, 20).Draw(t, "known") == 0, Cleared: rapid.Bool().Draw(t, "cleared")})
+		}
+		return r
+	}), 4, 12)
+}
+
 // Guards against verdicts that differ from the specification, also after a change
 // of the evidence.
 func TestVerdictsMatchANaiveImplementation(t *testing.T) {
 	convictions := 0
 	rapid.Check(t, func(t *rapid.T) {
 		d := New("gateway")
-		for _, message := range rapid.SliceOfN(genReports(), 1, 3).Draw(t, "messages") {
+		for _, message := range rapid.SliceOfN(rapid.OneOf(genReports(), genFastCrashes()), 1, 3).Draw(t, "messages") {
 			d.Merge(start, message)
 			d.refresh(start)
 			want := naiveVerdicts(slices.Collect(maps.Values(state(d))))
