poison: the trait of a whole request counts as known

Cause: each new request is one that nobody has answered, so its own trait was unknown, and one loss made it suspected: no request that was lost before its answer began was sent again, also after a crash without any harmful request. Change: traits of whole requests are marked, and count as known: they are suspected after two episodes. Shared parts stay as they were.

--- a/lib/poison/detector.go
+++ b/lib/poison/detector.go
@@ -45,7 +45,7 @@
 		suspects[i] = Suspect{
 			Trait: t,
 			Depth: min(i, maxDepth),
-			Known: begun && now.Sub(begunAt) <= knownFor,
+			Known: t&requestTrait != 0 || begun && now.Sub(begunAt) <= knownFor,
 		}
 	}
 	d.evidence.join(now, crash{id: id, at: now, suspects: suspects})
--- a/lib/poison/types.go
+++ b/lib/poison/types.go
@@ -17,12 +17,15 @@
 // specific one.
 type Trait uint64
 
+// requestTrait is set in the traits of whole requests.
+const requestTrait Trait = 1 << 63
+
 // PartTrait returns the trait of the requests whose prompt contains a part.
-func PartTrait(part string) Trait { return Trait(hash("part", part, nil)) }
+func PartTrait(part string) Trait { return Trait(hash("part", part, nil)) &^ requestTrait }
 
 // RequestTrait returns the trait of one request and its repetitions.
 func RequestTrait(key, target string, body []byte) Trait {
-	return Trait(hash(key, target, body))
+	return Trait(hash(key, target, body)) | requestTrait
 }
 
 // CrashID identifies the crash of one start of an upstream.
@@ -79,7 +82,8 @@
 	// request, from 0 for the broadest one.
 	Depth int `json:"d,omitempty"`
 	// Known is set if answers to requests with the trait began shortly before the
-	// crash, Cleared if one began after it.
+	// crash, Cleared if one began after it. Traits of whole requests count as known:
+	// that no answer to a request began before says nothing about it.
 	Known   bool `json:"k,omitempty"`
 	Cleared bool `json:"c,omitempty"`
 }
