lib/sock/socktest: scripted TCP servers for tests of several modules

The tests of lib/exchange start servers that write exact bytes and end the connection in a chosen way. Tests of gateway, agent and entry need the same, so the server moves from lib/exchange into a package of its own. The tests of lib/exchange are unchanged otherwise; go test -race ./lib/exchange passes.

--- a/lib/exchange/exchange_test.go
+++ b/lib/exchange/exchange_test.go
@@ -14,50 +14,26 @@
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/retry"
+	"rattanspur.example/lib/sock/socktest"
 )
 
 // upstream is a server that runs a script on each connection.
 type upstream struct {
-	t        *testing.T
-	listener net.Listener
+	t       *testing.T
+	address string
 }
 
-func serve(t *testing.T, script func(c net.Conn, r *bufio.Reader)) *upstream {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				script(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return &upstream{t: t, listener: l}
+func serve(t *testing.T, script socktest.Script) *upstream {
+	return &upstream{t: t, address: socktest.Serve(t, script)}
 }
 
 func (u *upstream) dial() *Conn {
-	c, err := Dial(context.Background(), u.listener.Addr().String())
+	c, err := Dial(context.Background(), u.address)
 	require.NoError(u.t, err)
 	u.t.Cleanup(c.Close)
 	return c
 }
 
-// readRequest reads one request and its body.
-func readRequest(r *bufio.Reader) (*http.Request, []byte, error) {
-	req, err := http.ReadRequest(r)
-	if err != nil {
-		return nil, nil, err
-	}
-	body, err := io.ReadAll(req.Body)
-	return req, body, err
-}
-
 func head(resp *http.Response) Head {
 	return Head{
 		Request: resp.Header.Get("Id"), NotRun: resp.Header.Get("Not-Run") != "",
@@ -109,7 +85,7 @@
 	}
 	got := make(chan arrived, 1)
 	u := serve(t, func(c net.Conn, r *bufio.Reader) {
-		req, body, err := readRequest(r)
+		req, body, err := socktest.ReadRequest(r)
 		if err == nil {
 			got <- arrived{req.RequestURI, req.Host, body}
 		}
@@ -138,9 +114,9 @@
 		},
 	} {
 		u := serve(t, func(c net.Conn, r *bufio.Reader) {
-			_, _, _ = readRequest(r)
+			_, _, _ = socktest.ReadRequest(r)
 			script(c)
-			_, _, _ = readRequest(r)
+			_, _, _ = socktest.ReadRequest(r)
 		})
 		c := u.dial()
 		out, _ := do(c, request(""), Options{})
@@ -165,7 +141,7 @@
 		"HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
 	} {
 		u := serve(t, func(c net.Conn, r *bufio.Reader) {
-			_, _, _ = readRequest(r)
+			_, _, _ = socktest.ReadRequest(r)
 			_, _ = io.WriteString(c, response)
 		})
 		out, rec := do(u.dial(), request(""), Options{})
@@ -184,7 +160,7 @@
 		"HTTP/1.1 404 None\r\nId: 1\r\nUnsigned: 1\r\nContent-Length: 2\r\n\r\nno": retry.Answered,
 	} {
 		u := serve(t, func(c net.Conn, r *bufio.Reader) {
-			_, _, _ = readRequest(r)
+			_, _, _ = socktest.ReadRequest(r)
 			_, _ = io.WriteString(c, response)
 		})
 		out, _ := do(u.dial(), request(""), Options{})
@@ -204,7 +180,7 @@
 		"nonsense\r\n\r\n": retry.Lost,
 	} {
 		u := serve(t, func(c net.Conn, r *bufio.Reader) {
-			_, _, _ = readRequest(r)
+			_, _, _ = socktest.ReadRequest(r)
 			_, _ = io.WriteString(c, response)
 		})
 		out, rec := do(u.dial(), request(""), Options{})
@@ -220,7 +196,7 @@
 func TestAnswerThatEndsWithItsConnection(t *testing.T) {
 	for _, reset := range []bool{false, true} {
 		u := serve(t, func(c net.Conn, r *bufio.Reader) {
-			_, _, _ = readRequest(r)
+			_, _, _ = socktest.ReadRequest(r)
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbytes")
 			if reset {
 				_ = c.(*net.TCPConn).SetLinger(0)
@@ -245,7 +221,7 @@
 			body = "29\r\n" + body + "\r\n"
 		}
 		u := serve(t, func(c net.Conn, r *bufio.Reader) {
-			_, _, _ = readRequest(r)
+			_, _, _ = socktest.ReadRequest(r)
 			_, _ = io.WriteString(c, streamHead+end+"\r\n"+body)
 		})
 		out, rec := do(u.dial(), request(""), Options{EventStream: true})
@@ -259,7 +235,7 @@
 func TestEventsArePassedOnAsTheyArrive(t *testing.T) {
 	passed := make(chan struct{})
 	u := serve(t, func(c net.Conn, r *bufio.Reader) {
-		_, _, _ = readRequest(r)
+		_, _, _ = socktest.ReadRequest(r)
 		_, _ = io.WriteString(c, streamHead+"Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n")
 		<-passed
 		_, _ = io.WriteString(c, "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n")
@@ -286,7 +262,7 @@
 // Guards against appending to a stream a response that does not continue it.
 func TestOnlyEventsContinueAStream(t *testing.T) {
 	u := serve(t, func(c net.Conn, r *bufio.Reader) {
-		_, _, _ = readRequest(r)
+		_, _, _ = socktest.ReadRequest(r)
 		_, _ = io.WriteString(c, "HTTP/1.1 500 No\r\nId: 1\r\nContent-Length: 4\r\n\r\nfail")
 	})
 	out, rec := do(u.dial(), request(""), Options{EventStream: true, Resumed: true})
@@ -300,7 +276,7 @@
 	quiet := make(chan struct{})
 	defer close(quiet)
 	u := serve(t, func(c net.Conn, r *bufio.Reader) {
-		_, _, _ = readRequest(r)
+		_, _, _ = socktest.ReadRequest(r)
 		_, _ = io.WriteString(c, streamHead+"\r\nid: 1\ndata: a\n\n")
 		<-quiet
 	})
@@ -317,7 +293,7 @@
 func TestOnlyEventsRenewTheProgressTimeout(t *testing.T) {
 	for name, filler := range map[string]string{"bytes of an event": "x", "comments": ": still here\n\n", "blank lines": "\n\n"} {
 		u := serve(t, func(c net.Conn, r *bufio.Reader) {
-			_, _, _ = readRequest(r)
+			_, _, _ = socktest.ReadRequest(r)
 			_, err := io.WriteString(c, streamHead+"\r\nid: 1\ndata: a\n\n")
 			for err == nil {
 				time.Sleep(20 * time.Millisecond)
@@ -336,7 +312,7 @@
 func TestSlowStreamIsNotCut(t *testing.T) {
 	const body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	u := serve(t, func(c net.Conn, r *bufio.Reader) {
-		_, _, _ = readRequest(r)
+		_, _, _ = socktest.ReadRequest(r)
 		_, _ = io.WriteString(c, streamHead+"\r\n")
 		for i := range len(body) {
 			time.Sleep(10 * time.Millisecond)
@@ -356,7 +332,7 @@
 	for name, start := range map[string]string{"status line": "HTTP/1.1 200 ", "header": "HTTP/1.1 200 OK\r\nX: ", "headers": ""} {
 		written := make(chan int, 1)
 		u := serve(t, func(c net.Conn, r *bufio.Reader) {
-			_, _, _ = readRequest(r)
+			_, _, _ = socktest.ReadRequest(r)
 			filler := strings.Repeat("a", 4096)
 			if start == "" {
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
@@ -386,7 +362,7 @@
 func TestBodyWithoutEnd(t *testing.T) {
 	endless := func(head string) *upstream {
 		return serve(t, func(c net.Conn, r *bufio.Reader) {
-			_, _, _ = readRequest(r)
+			_, _, _ = socktest.ReadRequest(r)
 			_, err := io.WriteString(c, head)
 			for err == nil {
 				_, err = io.WriteString(c, strings.Repeat("a", 4096))
@@ -416,7 +392,7 @@
 	closed := make(chan struct{})
 	received := make(chan struct{})
 	u := serve(t, func(_ net.Conn, r *bufio.Reader) {
-		_, _, _ = readRequest(r)
+		_, _, _ = socktest.ReadRequest(r)
 		close(received)
 		_, _ = r.ReadByte()
 		close(closed)
@@ -454,7 +430,7 @@
 // could be retried.
 func TestServerErrorIsHeld(t *testing.T) {
 	u := serve(t, func(c net.Conn, r *bufio.Reader) {
-		_, _, _ = readRequest(r)
+		_, _, _ = socktest.ReadRequest(r)
 		_, _ = io.WriteString(c, "HTTP/1.1 500 No\r\nId: 1\r\nContent-Length: 4\r\n\r\nfail")
 	})
 	out, rec := do(u.dial(), request(""), Options{HoldServerErrors: true})
@@ -468,7 +444,7 @@
 // the upstream.
 func TestCallerThatCannotBeWrittenTo(t *testing.T) {
 	u := serve(t, func(c net.Conn, r *bufio.Reader) {
-		_, _, _ = readRequest(r)
+		_, _, _ = socktest.ReadRequest(r)
 		_, _ = io.WriteString(c, streamHead+"\r\nid: 1\ndata: a\n\n")
 	})
 	out := Do(context.Background(), u.dial(), request(""), head, &recorder{fail: true}, Options{EventStream: true})
