lib/relay: events end with a blank line of any line end

Events were separated only at LF LF. In a stream whose lines end with CRLF or CR no event was ever found: nothing was passed on before the end of the stream, an answer of more than 64 KiB failed as one event that is too large, and a complete stream that ended with its connection counted as broken off. Lines now end with LF, CRLF or CR, as the format of server-sent events states.

In lib/exchange a whole CRLF stream without a length that ended with FIN was retry.Lost ('unexpected EOF') instead of retry.Answered. That more than 64 KiB failed follows from the code and was not run.

--- a/lib/relay/events.go
+++ b/lib/relay/events.go
@@ -16,8 +16,8 @@
 // limit.
 var ErrEventTooLarge = errors.New("server-sent event is larger than the limit")
 
-// eventSeparator ends each server-sent event.
-var eventSeparator = []byte("\n\n")
+// lineEnds are the bytes that end a line of an event: LF, CR, or both as CRLF.
+const lineEnds = "\r\n"
 
 // IsEventStream reports whether a response body consists of server-sent events.
 func IsEventStream(h http.Header) bool {
@@ -59,20 +59,30 @@
 }
 
 // WholeEventsLength returns the length in bytes of the complete events at the
-// start of data.
+// start of data, which starts with an event. A blank line ends an event; lines end
+// with LF, CRLF or CR.
 func WholeEventsLength(data []byte) int {
-	last := bytes.LastIndex(data, eventSeparator)
-	if last < 0 {
-		return 0
+	end := bytes.LastIndexAny(data, lineEnds) + 1
+	for end > 0 {
+		start := end - 1
+		if bytes.HasSuffix(data[:end], []byte("\r\n")) {
+			start--
+		}
+		if start == 0 || isLineEnd(rune(data[start-1])) {
+			return end
+		}
+		end = bytes.LastIndexAny(data[:start], lineEnds) + 1
 	}
-	return last + len(eventSeparator)
+	return 0
 }
 
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
+
 // HasEvent reports whether a sequence of complete events contains a field of an
 // event, and not only comments and blank lines.
 func HasEvent(events []byte) bool {
-	for line := range bytes.Lines(events) {
-		if line[0] != ':' && line[0] != '\n' && line[0] != '\r' {
+	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
+		if line[0] != ':' {
 			return true
 		}
 	}
@@ -82,12 +92,12 @@
 // LastEventID returns the last event ID in a sequence of complete events, or "".
 func LastEventID(events []byte) string {
 	for len(events) > 0 {
-		newline := bytes.LastIndexByte(bytes.TrimSuffix(events, []byte("\n")), '\n')
-		line := events[newline+1:]
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		events = bytes.TrimRight(events, lineEnds)
+		start := bytes.LastIndexAny(events, lineEnds) + 1
+		if id, ok := bytes.CutPrefix(events[start:], []byte("id:")); ok {
 			return string(bytes.TrimSpace(id))
 		}
-		events = events[:newline+1]
+		events = events[:start]
 	}
 	return ""
 }
@@ -96,7 +106,7 @@
 // that the caller can distinguish a truncated response from a complete one.
 func WriteErrorEvent(w http.ResponseWriter, data []byte) error {
 	event := append([]byte("event: error\ndata: "), data...)
-	if _, err := w.Write(append(event, eventSeparator...)); err != nil {
+	if _, err := w.Write(append(event, "\n\n"...)); err != nil {
 		return err
 	}
 	return http.NewResponseController(w).Flush()
