lib/relay: a stream that ends inside an event is broken off

ReadEvents passed on what followed the last whole event when the body ended, and reported a complete stream. An answer without a length whose upstream closed its connection inside an event reached the caller with the piece of the event and looked complete. ReadEvents now drops the piece and returns io.ErrUnexpectedEOF, so that the entry ends the stream with an error event.

Before: TestReadEventsEndsAfterAWholeEvent: 'inside a line, at once': expected 'unexpected EOF', actual nil. Now go test -race -count=20 ./lib/relay passes.

--- a/lib/relay/events.go
+++ b/lib/relay/events.go
@@ -27,9 +27,9 @@
 
 // ReadEvents puts the server-sent events of body on the stream, only complete
 // ones: if body is cut off, the stream ends between two events, so that an error
-// event may follow. It returns nil at the end of body, and otherwise the error of
-// reading body or of the stream, or ErrEventTooLarge. It does not put the part
-// that marks the end of the response.
+// event may follow. It returns nil at the end of body, io.ErrUnexpectedEOF if that
+// is inside an event, and otherwise the error of reading body or of the stream, or
+// ErrEventTooLarge. It does not put the part that marks the end of the response.
 func ReadEvents(ctx context.Context, body io.Reader, s *Stream) error {
 	buffer := buffers.Get().(*[readBufferBytes]byte)
 	defer buffers.Put(buffer)
@@ -37,17 +37,15 @@
 	for {
 		n, err := body.Read(buffer[:])
 		pending = append(pending, buffer[:n]...)
-		whole := WholeEventsLength(pending)
-		if errors.Is(err, io.EOF) {
-			whole = len(pending)
-		}
-		if whole > 0 {
+		if whole := WholeEventsLength(pending); whole > 0 {
 			if putErr := s.Put(ctx, Part{Data: pending[:whole:whole]}); putErr != nil {
 				return putErr
 			}
 			pending = bytes.Clone(pending[whole:])
 		}
 		switch {
+		case errors.Is(err, io.EOF) && len(pending) > 0:
+			return io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
--- a/lib/relay/events_test.go
+++ b/lib/relay/events_test.go
@@ -1,7 +1,12 @@
 package relay
 
 import (
+	"context"
+	"errors"
+	"io"
+	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/stretchr/testify/require"
 )
@@ -35,3 +40,35 @@
 		require.Equal(t, c.lastID, LastEventID([]byte(c.whole)), c.name)
 	}
 }
+
+// Guards against a cut event that is passed on as the end of a complete stream.
+func TestReadEventsEndsAfterAWholeEvent(t *testing.T) {
+	reset := errors.New("connection reset")
+	for _, c := range []struct {
+		name, body, passed string
+		end, expected      error
+	}{
+		{"whole", "data: a\n\ndata: b\n\n", "data: a\n\ndata: b\n\n", io.EOF, nil},
+		{"empty", "", "", io.EOF, nil},
+		{"inside a line", "data: a\n\nda", "data: a\n\n", io.EOF, io.ErrUnexpectedEOF},
+		{"before the blank line", "data: a\n\ndata: b\n", "data: a\n\n", io.EOF, io.ErrUnexpectedEOF},
+		{"before the blank line, CRLF", "data: a\r\n\r\ndata: b\r\n", "data: a\r\n\r\n", io.EOF, io.ErrUnexpectedEOF},
+		{"reset", "data: a\n\n", "data: a\n\n", reset, reset},
+	} {
+		body := io.MultiReader(strings.NewReader(c.body), iotest.ErrReader(c.end))
+		for name, r := range map[string]io.Reader{"at once": strings.NewReader(c.body), "byte by byte": iotest.OneByteReader(body)} {
+			if name == "at once" && c.end != io.EOF {
+				continue
+			}
+			s := NewStream()
+			require.Equal(t, c.expected, ReadEvents(context.Background(), r, s), "%s, %s", c.name, name)
+			var passed strings.Builder
+			for s.Depth() > 0 {
+				part, err := s.Take(context.Background())
+				require.NoError(t, err)
+				passed.Write(part.Data)
+			}
+			require.Equal(t, c.passed, passed.String(), "%s, %s", c.name, name)
+		}
+	}
+}
