entry: a short stream that ends inside an event is retried

An event stream of at most 16 KiB whose agent states its length is read whole before it is passed on. One that ended inside an event went to the caller as a complete answer. It now counts as broken off; nothing has been passed on, so a request that may be repeated is sent again.

--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -238,7 +238,11 @@
 // passBuffered reads a short response completely and passes it on as one part.
 func (x *exchange) passBuffered(resp *http.Response, head *relay.Head, res *result) {
 	body := make([]byte, resp.ContentLength)
-	if _, err := io.ReadFull(x.limitedBody(resp), body); err != nil {
+	_, err := io.ReadFull(x.limitedBody(resp), body)
+	if err == nil && relay.EndsInsideEvent(resp.Header, body) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		res.end, res.detail = x.truncatedEnd(err), err.Error()
 		return
 	}
--- a/lib/relay/events.go
+++ b/lib/relay/events.go
@@ -76,6 +76,16 @@
 
 func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
 
+// EndsInsideEvent reports whether a body consists of server-sent events and the
+// last one is not complete. tail is the body or at least its last TailBytes.
+func EndsInsideEvent(h http.Header, tail []byte) bool {
+	return IsEventStream(h) && WholeEventsLength(tail) < len(tail)
+}
+
+// TailBytes is how much of the end of a body shows whether it ends with a blank
+// line: two line ends of two bytes each.
+const TailBytes = 4
+
 // HasEvent reports whether a sequence of complete events contains a field of an
 // event, and not only comments and blank lines.
 func HasEvent(events []byte) bool {
