agent: an upstream's stream that ends inside an event is broken off

The agent relayed a stream as plain bytes. When the upstream closed its connection inside an event, the agent counted the call as completed, ended its own answer to the entry as a complete one and kept it as the answer of a request that may run only once.

Before: TestEndOfAnUpstreamsAnswer: 'stream, cut': expected 'id: 1, data: a', actual 'id: 1, data: a, id: 2, da'. That the answer was kept and replayed follows from the code and was not run. Now go test -race ./agent passes, this test 100 times.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -140,8 +140,9 @@
 	return req, nil
 }
 
-// relayResponse puts the response on the stream. If reading it fails, the stream
-// ends with relay.ErrTruncated.
+// relayResponse puts the response on the stream, of server-sent events only
+// complete ones. If reading it fails or it ends inside an event, the stream ends
+// with relay.ErrTruncated.
 func (a *Agent) relayResponse(ctx context.Context, call admittedCall, resp *http.Response, p *progressTimer) error {
 	head := &relay.Head{Status: resp.StatusCode, Header: relay.ForwardHeader(resp.Header)}
 	head.Header.Set(wire.HeaderOutcome, string(wire.Ran))
@@ -149,7 +150,11 @@
 	if err := call.stream.Put(ctx, relay.Part{Head: head}); err != nil {
 		return err
 	}
-	err := relay.ReadBody(ctx, progressReader{Reader: resp.Body, timer: p}, call.stream)
+	read := relay.ReadBody
+	if relay.IsEventStream(resp.Header) {
+		read = relay.ReadEvents
+	}
+	err := read(ctx, progressReader{Reader: resp.Body, timer: p}, call.stream)
 	end := relay.Part{End: true}
 	if err != nil {
 		end.Err = relay.ErrTruncated
