lib/exchange: a delimited stream that ends inside an event is broken off

A stream with a length or with a last chunk that ended inside an event was passed on with the piece of the event and counted as answered. Only one that ended with its connection counted as broken off. Both are now retry.Lost, end for the caller after the last whole event, go on at another upstream if the request may be repeated, and their connection is closed. Whole events that are read together with the end of the body are passed on before the end is judged.

--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -329,7 +329,8 @@
 
 // receiveEvents passes on complete events as soon as they arrive. The head is
 // passed on with the first event: until then, the request can be retried at
-// another upstream without the caller noticing.
+// another upstream without the caller noticing. A stream that ends inside an event
+// has been broken off, also if its length or its last chunk marks the end.
 //
 // Only an event counts as progress, not single bytes of one and not comments: an
 // upstream that stalls may go on sending those, and callers wait for events.
@@ -340,14 +341,9 @@
 		n, err := resp.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		whole := relay.WholeEventsLength(pending)
-		if err == io.EOF && whole < len(pending) && !isDelimited(resp) {
-			return io.ErrUnexpectedEOF
-		}
-		if err == io.EOF {
-			whole = len(pending)
-		}
+		complete := err == io.EOF && whole == len(pending)
 		progress := relay.HasEvent(pending[:whole])
-		if whole > 0 || err == io.EOF {
+		if whole > 0 || complete {
 			x.recordFirstByte()
 			if passErr := x.passOn(resp, pending[:whole]); passErr != nil {
 				return passErr
@@ -358,8 +354,10 @@
 			pending = append(pending[:0], pending[whole:]...)
 		}
 		switch {
-		case err == io.EOF:
+		case complete:
 			return nil
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
 		case err != nil:
 			return err
 		case len(pending) > maxHeldBytes:
