lib/exchange: comments do not start a stream

A comment before the first event passed the head on to the caller. If the stream then broke off inside its first event, the request could neither be sent again nor go on after an event, and the caller's answer was cut although it had received no event. Comments now wait for the first event, or for the end of a complete stream.

Before: TestCommentsDoNotStartAStream: out.Started: 'Should be false'. Now go test -race ./lib/exchange passes.

--- a/lib/exchange/ending_test.go
+++ b/lib/exchange/ending_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -130,6 +131,26 @@
 	}
 }
 
+// Guards against a retry at another upstream that is lost because the caller
+// already has the head of a stream which broke off in its first event.
+func TestCommentsDoNotStartAStream(t *testing.T) {
+	u := serve(t, socktest.Respond(framed(untilClose, "200 OK", "text/event-stream", ": hello\n\nid: 1\nda"), socktest.FIN))
+	out, rec := do(u.dial(), request(""), Options{EventStream: true})
+	require.Equal(t, retry.Lost, out.End)
+	require.False(t, out.Started)
+	require.Zero(t, rec.parts)
+	const body = ": hello\n\nid: 1\ndata: a\n\n"
+	u = serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _, _ = socktest.ReadRequest(r)
+		for line := range strings.Lines(framed(untilClose, "200 OK", "text/event-stream", body)) {
+			_, _ = io.WriteString(c, line)
+		}
+	})
+	out, rec = do(u.dial(), request(""), Options{EventStream: true})
+	require.Equal(t, retry.Answered, out.End)
+	require.Equal(t, body, rec.body.String())
+}
+
 // Guards against treating a response without a body as one that lasts until its
 // connection ends, and the reverse.
 func TestAnswersWithoutBody(t *testing.T) {
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -327,10 +327,11 @@
 	}
 }
 
-// receiveEvents passes on complete events as soon as they arrive. The head is
-// passed on with the first event: until then, the request can be retried at
-// another upstream without the caller noticing. A stream that ends inside an event
-// has been broken off, also if its length or its last chunk marks the end.
+// receiveEvents passes on complete events as soon as they arrive. The head, and
+// comments that precede the first event, are passed on with that event: until
+// then, the request can be retried at another upstream without the caller
+// noticing. A stream that ends inside an event has been broken off, also if its
+// length or its last chunk marks the end.
 //
 // Only an event counts as progress, not single bytes of one and not comments: an
 // upstream that stalls may go on sending those, and callers wait for events.
@@ -343,7 +344,7 @@
 		whole := relay.WholeEventsLength(pending)
 		complete := err == io.EOF && whole == len(pending)
 		progress := relay.HasEvent(pending[:whole])
-		if whole > 0 || complete {
+		if complete || progress || whole > 0 && x.outcome.Started {
 			x.recordFirstByte()
 			if passErr := x.passOn(resp, pending[:whole]); passErr != nil {
 				return passErr
