lib/exchange: a cut stream is broken off on every route

On a route of another kind than streaming, and as a held server error, a body of server-sent events was passed on without a look at its end. One that ended with its connection inside an event counted as complete. Such a body is still passed on as it arrives, but it is retry.Lost if its last bytes are no blank line, so that the caller's answer is cut.

Before: TestCutStreamOfARouteWithoutStreams: 'until close, inside the first event': expected 0x4 (Lost), actual 0x0 (Answered). Now go test -race ./lib/exchange passes.

--- a/lib/exchange/ending_test.go
+++ b/lib/exchange/ending_test.go
@@ -151,6 +151,23 @@
 	require.Equal(t, body, rec.body.String())
 }
 
+// Guards against a cut stream that counts as complete because its route does not
+// expect a stream.
+func TestCutStreamOfARouteWithoutStreams(t *testing.T) {
+	for f, ends := range endings {
+		for _, b := range streamBodies {
+			u := serve(t, socktest.Respond(framed(f, "200 OK", "text/event-stream; charset=utf-8", b.whole+b.cut), ends[0]))
+			out, _ := do(u.dial(), request(""), Options{})
+			expected := retry.Answered
+			if b.cut != "" {
+				expected = retry.Lost
+			}
+			require.Equal(t, expected, out.End, "%s, %s", f, b.name)
+			require.Equal(t, b.cut == "" && ends[0] == socktest.Open, out.Reusable)
+		}
+	}
+}
+
 // Guards against treating a response without a body as one that lasts until its
 // connection ends, and the reverse.
 func TestAnswersWithoutBody(t *testing.T) {
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -273,7 +274,7 @@
 	case events:
 		err = x.receiveEvents(resp)
 	default:
-		err = x.receiveBody(resp)
+		err = x.receiveBody(resp, nil)
 	}
 	if err != nil {
 		x.fail(err)
@@ -297,6 +298,9 @@
 		return err
 	}
 	x.recordFirstByte()
+	if len(body) <= maxHeldBytes && relay.EndsInsideEvent(resp.Header, body) {
+		return io.ErrUnexpectedEOF
+	}
 	if hold && len(body) <= maxHeldBytes {
 		x.outcome.AttemptResult.Held = true
 		x.outcome.Held = &HeldResponse{Response: resp, Head: *h, Body: body}
@@ -305,10 +309,14 @@
 	if err := x.passOn(resp, body); err != nil || len(body) <= maxHeldBytes {
 		return err
 	}
-	return x.receiveBody(resp)
+	return x.receiveBody(resp, body)
 }
 
-func (x *exchange) receiveBody(resp *http.Response) error {
+// receiveBody passes on a body as it arrives. before is what was passed on
+// already. An event stream that ends inside an event has been broken off, also on
+// a route that expects no stream.
+func (x *exchange) receiveBody(resp *http.Response, before []byte) error {
+	tail := lastBytes(before, nil)
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := resp.Body.Read(buffer)
@@ -317,16 +325,28 @@
 			if passErr := x.passOn(resp, buffer[:n]); passErr != nil {
 				return passErr
 			}
+			tail = lastBytes(tail, buffer[:n])
 		}
-		if err == io.EOF {
+		switch {
+		case err == io.EOF && relay.EndsInsideEvent(resp.Header, tail):
+			return io.ErrUnexpectedEOF
+		case err == io.EOF:
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return err
 		}
 	}
 }
 
+// lastBytes returns the end of a body that consists of two parts, as much of it as
+// relay.EndsInsideEvent needs.
+func lastBytes(before, data []byte) []byte {
+	before = before[max(0, len(before)-relay.TailBytes):]
+	data = data[max(0, len(data)-relay.TailBytes):]
+	tail := slices.Concat(before, data)
+	return tail[max(0, len(tail)-relay.TailBytes):]
+}
+
 // receiveEvents passes on complete events as soon as they arrive. The head, and
 // comments that precede the first event, are passed on with that event: until
 // then, the request can be retried at another upstream without the caller
