gateway: a broken answer is reset for an HTTP/1.0 caller

An answer without a length goes to an HTTP/1.0 caller without chunks and ends with its connection. When the upstream's answer broke off, the gateway closed the connection in order, so that the answer looked complete. sock.Abort resets the connection of such a caller; others miss the last chunk or a part of the length, as before.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -13,6 +13,7 @@
 	"rattanspur.example/lib/exchange"
 	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/sock"
 )
 
 const (
@@ -277,7 +278,7 @@
 }
 
 // abort closes the caller's connection without marking the end of the response.
-func (c *callHandler) abort() { panic(http.ErrAbortHandler) }
+func (c *callHandler) abort() { sock.Abort(c.w, c.r) }
 
 func (c *callHandler) log(event string, fields ...any) {
 	_ = c.gateway.logger.Log(append([]any{"event", event, "request", c.call.ID}, fields...)...)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -107,8 +107,13 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
+	s.publish(id, service, server.Listener.Addr().String())
+}
+
+// publish publishes an upstream of a service.
+func (s *fakeSource) publish(id, service, address string) {
 	s.put("servers/"+id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":4,"state":"ready","born":1,
-	 "models":[{"name":"m","version":1}],"layers":{"from":0,"to":2,"version":1}}`, service, server.Listener.Addr()))
+	 "models":[{"name":"m","version":1}],"layers":{"from":0,"to":2,"version":1}}`, service, address))
 }
 
 // testGateway is a running gateway under test. done receives the result of Run.
