gateway: a caller that closes its sending side gets no empty success

net/http cancels the context of a request when its caller closes the sending side. The handler then returned, and net/http wrote 200 with an empty body, or the last chunk of a stream that was between two upstreams, to a caller that still reads. The handler now aborts the connection.

Before: TestCallerThatClosesItsSendingSide, HTTP/1.1: 'An error is expected but got nil'. Now go test -race ./gateway passes.

--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -153,3 +153,18 @@
 		})
 	}
 }
+
+// Guards against an empty success for a caller that has closed its sending side and
+// still reads: the gateway takes it for a caller that has left.
+func TestCallerThatClosesItsSendingSide(t *testing.T) {
+	source := newSource()
+	source.put("op/config", configJSON)
+	source.scripted(t, "i-1", "desk", func(_ net.Conn, r *bufio.Reader) {
+		_, _, _ = socktest.ReadRequest(r)
+		_, _ = r.ReadByte()
+	})
+	for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		_, err := parse(start(t, source).callRaw(version, "/read/1", true))
+		require.Error(t, err, version)
+	}
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -73,7 +73,7 @@
 	c.lastEventID = c.call.LastEvent
 	g.metrics.recordArrival(c.call.TimeBudget)
 	if g.inbox.Put(r.Context(), arrival{ticket: c.ticket, call: c.call, commands: c.commands}) != nil {
-		return
+		c.abort()
 	}
 	c.run()
 }
@@ -110,7 +110,9 @@
 		if err != nil {
 			_ = c.gateway.inbox.Put(context.Background(), callerDisconnected{ticket: c.ticket})
 			c.log("caller-left", "waited", time.Since(c.arrivedAt).Seconds())
-			return
+			// A caller that has only closed its sending side still reads, and a
+			// handler that returns ends the response as a complete one.
+			c.abort()
 		}
 		switch a := cmd.action.(type) {
 		case dispatch.Send:
