entry: a broken answer is reset for an HTTP/1.0 caller

The entry closed the connection in order after an answer that broke off. An HTTP/1.0 caller takes that for the end of an answer without a length. The entry now resets the connection of such a caller with sock.Abort, as the gateway does.

Before: TestBrokenAnswerDoesNotLookComplete, HTTP/1.0 /bookings/half: 'An error is expected but got nil'. Now go test -race ./entry passes.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -15,6 +15,7 @@
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/routing"
+	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/wire"
 )
 
@@ -113,7 +114,7 @@
 		_ = relay.WriteErrorEvent(w, data)
 	default:
 		e.metrics.truncations.Inc()
-		panic(http.ErrAbortHandler)
+		sock.Abort(w, r)
 	}
 }
 
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"net"
 	"sync"
 )
@@ -52,3 +53,12 @@
 	c.once.Do(c.release)
 	return err
 }
+
+// SetLinger sets how the connection is closed, like net.TCPConn.SetLinger.
+func (c *limitedConn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.SetLinger(seconds)
+}
