--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -114,8 +114,13 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
+	s.publish(id, service, server.Listener.Addr().String(), version)
+}
+
+// publish publishes an upstream of a service with a version of the weights.
+func (s *fakeSource) publish(id, service, address string, version int) {
 	s.put("servers/"+id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":4,"state":"ready","born":1,
-	 "models":[{"name":"m","version":%d}],"layers":{"from":0,"to":2,"version":%d}}`, service, server.Listener.Addr(), version, version))
+	 "models":[{"name":"m","version":%d}],"layers":{"from":0,"to":2,"version":%d}}`, service, address, version, version))
 }
 
 // testGateway is a running gateway under test. done receives the result of Run.
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -302,7 +303,7 @@
 	case events:
 		err = x.receiveEvents(resp)
 	default:
-		err = x.receiveBody(resp)
+		err = x.receiveBody(resp, nil)
 	}
 	if err != nil {
 		x.fail(err)
@@ -326,6 +327,9 @@
 		return err
 	}
 	x.recordFirstByte()
+	if len(body) <= maxHeldBytes && relay.EndsInsideEvent(resp.Header, body) {
+		return io.ErrUnexpectedEOF
+	}
 	if hold && len(body) <= maxHeldBytes {
 		x.outcome.AttemptResult.Held = true
 		x.outcome.Held = &HeldResponse{Response: resp, Head: *h, Body: body}
@@ -334,10 +338,14 @@
 	if err := x.passOn(resp, body); err != nil || len(body) <= maxHeldBytes {
 		return err
 	}
-	return x.receiveBody(resp)
+	return x.receiveBody(resp, body)
 }
 
-func (x *exchange) receiveBody(resp *http.Response) error {
+// receiveBody passes on a body as it arrives. before is what was passed on
+// already. An event stream that ends inside an event has been broken off, also on
+// a route that expects no stream.
+func (x *exchange) receiveBody(resp *http.Response, before []byte) error {
+	tail := lastBytes(before, nil)
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := resp.Body.Read(buffer)
@@ -346,19 +354,33 @@
 			if passErr := x.passOn(resp, buffer[:n]); passErr != nil {
 				return passErr
 			}
+			tail = lastBytes(tail, buffer[:n])
 		}
-		if err == io.EOF {
+		switch {
+		case err == io.EOF && relay.EndsInsideEvent(resp.Header, tail):
+			return io.ErrUnexpectedEOF
+		case err == io.EOF:
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return err
 		}
 	}
 }
 
-// receiveEvents passes on complete events as soon as they arrive. The head is
-// passed on with the first event: until then, the request can be retried at
-// another upstream without the caller noticing.
+// lastBytes returns the end of a body that consists of two parts, as much of it as
+// relay.EndsInsideEvent needs.
+func lastBytes(before, data []byte) []byte {
+	before = before[max(0, len(before)-relay.TailBytes):]
+	data = data[max(0, len(data)-relay.TailBytes):]
+	tail := slices.Concat(before, data)
+	return tail[max(0, len(tail)-relay.TailBytes):]
+}
+
+// receiveEvents passes on complete events as soon as they arrive. The head, and
+// comments that precede the first event, are passed on with that event: until
+// then, the request can be retried at another upstream without the caller
+// noticing. A stream that ends inside an event has been broken off, also if its
+// length or its last chunk marks the end.
 //
 // Only an event counts as progress, not single bytes of one and not comments: an
 // upstream that stalls may go on sending those, and callers wait for events.
@@ -369,14 +391,9 @@
 		n, err := resp.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		whole := relay.WholeEventsLength(pending)
-		if err == io.EOF && whole < len(pending) && !isDelimited(resp) {
-			return io.ErrUnexpectedEOF
-		}
-		if err == io.EOF {
-			whole = len(pending)
-		}
+		complete := err == io.EOF && whole == len(pending)
 		progress := relay.HasEvent(pending[:whole])
-		if whole > 0 || err == io.EOF {
+		if complete || progress || whole > 0 && x.outcome.Started {
 			x.recordFirstByte()
 			if passErr := x.passOn(resp, pending[:whole]); passErr != nil {
 				return passErr
@@ -387,8 +404,10 @@
 			pending = append(pending[:0], pending[whole:]...)
 		}
 		switch {
-		case err == io.EOF:
+		case complete:
 			return nil
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
 		case err != nil:
 			return err
 		case len(pending) > maxHeldBytes:
--- a/lib/relay/events.go
+++ b/lib/relay/events.go
@@ -16,8 +16,8 @@
 // limit.
 var ErrEventTooLarge = errors.New("server-sent event is larger than the limit")
 
-// eventSeparator ends each server-sent event.
-var eventSeparator = []byte("\n\n")
+// lineEnds are the bytes that end a line of an event: LF, CR, or both as CRLF.
+const lineEnds = "\r\n"
 
 // IsEventStream reports whether a response body consists of server-sent events.
 func IsEventStream(h http.Header) bool {
@@ -27,9 +27,9 @@
 
 // ReadEvents puts the server-sent events of body on the stream, only complete
 // ones: if body is cut off, the stream ends between two events, so that an error
-// event may follow. It returns nil at the end of body, and otherwise the error of
-// reading body or of the stream, or ErrEventTooLarge. It does not put the part
-// that marks the end of the response.
+// event may follow. It returns nil at the end of body, io.ErrUnexpectedEOF if that
+// is inside an event, and otherwise the error of reading body or of the stream, or
+// ErrEventTooLarge. It does not put the part that marks the end of the response.
 func ReadEvents(ctx context.Context, body io.Reader, s *Stream) error {
 	buffer := buffers.Get().(*[readBufferBytes]byte)
 	defer buffers.Put(buffer)
@@ -37,17 +37,15 @@
 	for {
 		n, err := body.Read(buffer[:])
 		pending = append(pending, buffer[:n]...)
-		whole := WholeEventsLength(pending)
-		if errors.Is(err, io.EOF) {
-			whole = len(pending)
-		}
-		if whole > 0 {
+		if whole := WholeEventsLength(pending); whole > 0 {
 			if putErr := s.Put(ctx, Part{Data: pending[:whole:whole]}); putErr != nil {
 				return putErr
 			}
 			pending = bytes.Clone(pending[whole:])
 		}
 		switch {
+		case errors.Is(err, io.EOF) && len(pending) > 0:
+			return io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
@@ -59,20 +57,40 @@
 }
 
 // WholeEventsLength returns the length in bytes of the complete events at the
-// start of data.
+// start of data, which starts with an event. A blank line ends an event; lines end
+// with LF, CRLF or CR.
 func WholeEventsLength(data []byte) int {
-	last := bytes.LastIndex(data, eventSeparator)
-	if last < 0 {
-		return 0
+	end := bytes.LastIndexAny(data, lineEnds) + 1
+	for end > 0 {
+		start := end - 1
+		if bytes.HasSuffix(data[:end], []byte("\r\n")) {
+			start--
+		}
+		if start == 0 || isLineEnd(rune(data[start-1])) {
+			return end
+		}
+		end = bytes.LastIndexAny(data[:start], lineEnds) + 1
 	}
-	return last + len(eventSeparator)
+	return 0
 }
 
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
+
+// EndsInsideEvent reports whether a body consists of server-sent events and the
+// last one is not complete. tail is the body or at least its last TailBytes.
+func EndsInsideEvent(h http.Header, tail []byte) bool {
+	return IsEventStream(h) && WholeEventsLength(tail) < len(tail)
+}
+
+// TailBytes is how much of the end of a body shows whether it ends with a blank
+// line: two line ends of two bytes each.
+const TailBytes = 4
+
 // HasEvent reports whether a sequence of complete events contains a field of an
 // event, and not only comments and blank lines.
 func HasEvent(events []byte) bool {
-	for line := range bytes.Lines(events) {
-		if line[0] != ':' && line[0] != '\n' && line[0] != '\r' {
+	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
+		if line[0] != ':' {
 			return true
 		}
 	}
@@ -82,12 +100,12 @@
 // LastEventID returns the last event ID in a sequence of complete events, or "".
 func LastEventID(events []byte) string {
 	for len(events) > 0 {
-		newline := bytes.LastIndexByte(bytes.TrimSuffix(events, []byte("\n")), '\n')
-		line := events[newline+1:]
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		events = bytes.TrimRight(events, lineEnds)
+		start := bytes.LastIndexAny(events, lineEnds) + 1
+		if id, ok := bytes.CutPrefix(events[start:], []byte("id:")); ok {
 			return string(bytes.TrimSpace(id))
 		}
-		events = events[:newline+1]
+		events = events[:start]
 	}
 	return ""
 }
@@ -96,7 +114,7 @@
 // that the caller can distinguish a truncated response from a complete one.
 func WriteErrorEvent(w http.ResponseWriter, data []byte) error {
 	event := append([]byte("event: error\ndata: "), data...)
-	if _, err := w.Write(append(event, eventSeparator...)); err != nil {
+	if _, err := w.Write(append(event, "\n\n"...)); err != nil {
 		return err
 	}
 	return http.NewResponseController(w).Flush()
