emulator: requests with a part that crashes engines

Change: prompts have a first part in common with others, rarely a second one, and a part of their own; a share of one class's requests holds a part at which the engine crashes instead of making the first event. The engine restarts with its weights. Such requests are counted apart. Requests also carry the fingerprint that the gateway computes; without it all crashes counted against one request. A crash can also take down all engines of a region.

--- a/emulator/attempt.go
+++ b/emulator/attempt.go
@@ -22,7 +22,12 @@
 // arrive passes the request to the engine.
 func (a *attempt) arrive(j *job) {
 	e := a.engine
+	if j.harmful && !e.down {
+		a.gateway.sim.result.Harm.reached(a.gateway.sim.clock.now)
+	}
 	switch {
+	case e.down && e.refuses:
+		a.end(retry.Unreachable)
 	case e.down:
 		a.gateway.sim.clock.after(connectTimeout, func() { a.end(retry.Unreachable) })
 	case e.submit(j, a.send.ExpectVersion):
--- a/emulator/call.go
+++ b/emulator/call.go
@@ -10,6 +10,7 @@
 type call struct {
 	sim          *simulation
 	class        *Class
+	prompt       prompt
 	gateway      *gateway
 	ticket       dispatch.Ticket
 	promptTokens int
@@ -90,5 +91,17 @@
 		return
 	}
 	c.done = true
-	c.sim.result.add(c.firstSentAt.Sub(c.sim.startedAt), c.class.Name, o, c.rejections)
+	r := c.sim.result
+	if c.prompt.harmful {
+		if o == outcomeRefused {
+			r.Harm.Refused++
+		}
+		return
+	}
+	at := c.firstSentAt.Sub(c.sim.startedAt)
+	e := ending{outcome: o, begun: c.events > 0, returned: c.rejections > 0}
+	r.add(at, c.class.Name, e)
+	if c.sim.scenario.Harmful.during(c.class.Name, at) {
+		r.Harm.addSound(&c.prompt, e)
+	}
 }
--- a/emulator/cmd/emulate/main.go
+++ b/emulator/cmd/emulate/main.go
@@ -28,7 +28,7 @@
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
 	}
-	fmt.Println("scenario seed asked in_time served refused failed returned loaded_first loaded_half loaded_last mean_out")
+	fmt.Println("scenario seed asked in_time served refused failed returned loaded_first loaded_half loaded_last mean_out blocked")
 	for _, path := range o.Positional.Scenarios {
 		scenario, err := emulator.ReadScenario(path)
 		if err != nil {
@@ -45,8 +45,11 @@
 // print writes the counts of one run.
 func print(path string, seed uint64, r *emulator.Result, timeline bool) {
 	t := &r.Total
-	fmt.Printf("%s %d %d %.3f %.3f %.3f %d %d %s %s\n", path, seed, t.Asked, t.InTimeShare(), t.ServedShare(), t.RefusedShare(),
-		t.Failed, t.Returned, loadTimes(r.LoadedAfter), r.MeanOutFor().Round(time.Millisecond))
+	fmt.Printf("%s %d %d %.3f %.3f %.3f %d %d %s %s %d\n", path, seed, t.Asked, t.InTimeShare(), t.ServedShare(), t.RefusedShare(),
+		t.Failed, t.Returned, loadTimes(r.LoadedAfter), r.MeanOutFor().Round(time.Millisecond), r.Blocked)
+	if r.Harm != nil {
+		printHarm(r.Harm)
+	}
 	if !timeline {
 		return
 	}
@@ -56,6 +59,21 @@
 	}
 }
 
+// printHarm writes what harmful requests did, and what became of the sound ones of
+// their class that were sent at the same time.
+func printHarm(h *emulator.Harm) {
+	fmt.Printf("  harmful: %d requests, %d crashes, %d attempts reached engines, %d of them late; %d requests refused\n",
+		h.Requests, h.Crashes, h.Reached, h.ReachedLate, h.Refused)
+	for _, g := range []struct {
+		name  string
+		tally *emulator.Tally
+	}{{"same first part", &h.Beside}, {"other first part", &h.Apart}} {
+		t := g.tally
+		fmt.Printf("  sound, %s: asked %d, begun %.3f, in time %d, late %d, refused %d, failed %d\n", g.name, t.Asked, t.BegunShare(),
+			t.InTime, t.Late, t.Refused, t.Failed)
+	}
+}
+
 // loadTimes returns when the first engine, half of them and the last one served
 // the published weights.
 func loadTimes(after []time.Duration) string {
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -22,6 +22,8 @@
 	onEvent func()
 	onEnd   func(retry.End)
 	started bool
+	// harmful is set if the engine crashes instead of making the first event.
+	harmful bool
 	// canceled is set once the caller has left.
 	canceled bool
 }
@@ -44,6 +46,11 @@
 	loading  int64
 	onLoaded func()
 	down     bool
+	// refuses is set if a down engine refuses connections, as when its process ended
+	// and its machine did not.
+	refuses bool
+	// onHarm is called when a harmful request makes the engine crash.
+	onHarm func()
 	// starts counts the starts of the engine. Work of an earlier start is lost.
 	starts int64
 }
@@ -120,10 +127,18 @@
 	return duration + time.Duration(float64(read)/e.model.PromptTokensPerSecond*float64(time.Second))
 }
 
+// begins reports whether the pass that ends makes the first event of a request.
+func (j *job) begins() bool { return !j.canceled && !j.started && j.unread == 0 }
+
 // endPass emits an event of each request whose prompt is read, and begins the
-// next pass.
+// next pass. The engine crashes instead if one of the first events is that of a
+// harmful request.
 func (e *engine) endPass() {
 	e.inPass = false
+	if slices.ContainsFunc(e.running, func(j *job) bool { return j.harmful && j.begins() }) {
+		e.onHarm()
+		return
+	}
 	running := e.running
 	e.running = nil
 	var ended []*job
@@ -192,5 +207,9 @@
 	}
 }
 
-// restart brings a crashed engine back without weights.
-func (e *engine) restart() { e.down = false }
+// restart brings a crashed engine back with a version of the weights; 0 means
+// without weights.
+func (e *engine) restart(version int64) {
+	e.down, e.refuses = false, false
+	e.version = version
+}
--- a/emulator/engine_test.go
+++ b/emulator/engine_test.go
@@ -79,6 +79,6 @@
 	c.runUntil(c.now.Add(time.Second))
 	require.Len(t, *events, 1)
 	require.Equal(t, retry.Lost, *end)
-	e.restart()
+	e.restart(0)
 	require.False(t, e.submit(j, 1), "no weights after a restart")
 }
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -17,6 +17,9 @@
 	// connectTimeout is the time after which an attempt at an engine that is down
 	// ends.
 	connectTimeout = time.Second
+	// blockedReason is the core's reason for refusing a request that is like those
+	// that crashed engines.
+	blockedReason = "request crashed several upstreams"
 )
 
 // gateway runs the product's dispatch core and peer table with delayed
@@ -60,23 +63,46 @@
 	g.core.SetPeerLoads(now, g.table.PeerLoads(now), g.table.Shares(now, demands))
 	m := &peering.Message{
 		From: g.address, Region: regionName(g.region), Loads: g.core.Loads(), Demands: demands, Peers: g.table.KnownPeers(),
+		Suspects: g.suspects(),
 	}
 	for _, t := range g.table.Targets(now) {
 		peer := g.sim.gatewayAt(t)
 		if peer == nil || g.sim.random.Float64() < g.sim.scenario.Network.DatagramLoss {
 			continue
 		}
-		g.sim.clock.after(g.sim.delay(g.region, peer.region), func() { peer.table.Record(g.sim.clock.now, m) })
+		g.sim.clock.after(g.sim.delay(g.region, peer.region), func() { peer.receive(m) })
 	}
 }
 
+// receive applies a message of a peer.
+func (g *gateway) receive(m *peering.Message) {
+	now := g.sim.clock.now
+	g.table.Record(now, m)
+	for _, s := range m.Suspects {
+		g.core.Suspects().ApplyReport(now, s.Fingerprint, s.Crashes, now)
+	}
+}
+
+// maxSuspectsPerMessage is the maximum number of suspects in one message.
+const maxSuspectsPerMessage = 16
+
+func (g *gateway) suspects() []peering.Suspect {
+	var out []peering.Suspect
+	for f, n := range g.core.Suspects().Observed(maxSuspectsPerMessage) {
+		out = append(out, peering.Suspect{Fingerprint: f, Crashes: n})
+	}
+	return out
+}
+
 // arrive handles a request of a caller.
 func (g *gateway) arrive(c *call) {
 	g.next++
 	c.ticket, c.gateway = g.next, g
 	g.calls[c.ticket] = c
+	path := "/" + c.class.Name + "/"
 	g.execute(g.core.Arrive(g.sim.clock.now, c.ticket, dispatch.Call{
-		Host: hostName, Path: "/" + c.class.Name + "/", TimeBudget: c.deadline.Sub(g.sim.clock.now), Model: modelName,
+		Host: hostName, Path: path, Key: c.prompt.key, TimeBudget: c.deadline.Sub(g.sim.clock.now), Model: modelName,
+		Fingerprint:  retry.Fingerprint(c.prompt.key+" "+path, c.prompt.body()),
 		PromptTokens: c.promptTokens, MaxAnswerTokens: c.maxTokens, ExpectedAnswerTokens: c.expectedTokens,
 	}))
 }
@@ -90,6 +116,9 @@
 		case dispatch.Refuse:
 			c := g.calls[a.Ticket]
 			delete(g.calls, a.Ticket)
+			if a.Reason == blockedReason && !c.prompt.harmful {
+				g.sim.result.Blocked++
+			}
 			if a.Verdict == dispatch.NotRun {
 				c.refused(a.RetryAfter)
 			} else {
@@ -111,7 +140,7 @@
 		result: dispatch.AttemptResult{Version: send.ExpectVersion},
 	}
 	c.job = &job{
-		promptTokens: c.promptTokens, remaining: c.remainingTokens(g.sim.scenario.Engine.Stride),
+		promptTokens: c.promptTokens, remaining: c.remainingTokens(g.sim.scenario.Engine.Stride), harmful: c.prompt.harmful,
 		onStart: a.started, onEvent: func() { a.reply(c.eventReceived) }, onEnd: a.end,
 	}
 	g.sim.clock.after(a.delay, func() { a.arrive(c.job) })
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -19,10 +19,19 @@
 // Tally counts requests by their outcome.
 type Tally struct {
 	Asked, InTime, Late, Refused, Failed int
+	// Begun counts those of which the caller received at least one event.
+	Begun int
 	// Returned counts those that were answered after a rejection.
 	Returned int
 }
 
+// ending is how a request ended for its caller.
+type ending struct {
+	outcome  outcome
+	begun    bool
+	returned bool
+}
+
 // InTimeShare returns the fraction of the requests that were answered in time.
 func (t *Tally) InTimeShare() float64 { return share(t.InTime, t.Asked) }
 
@@ -32,6 +41,9 @@
 // RefusedShare returns the fraction of the requests that were refused for good.
 func (t *Tally) RefusedShare() float64 { return share(t.Refused, t.Asked) }
 
+// BegunShare returns the fraction of the requests whose answer began.
+func (t *Tally) BegunShare() float64 { return share(t.Begun, t.Asked) }
+
 func share(n, of int) float64 {
 	if of == 0 {
 		return 0
@@ -48,6 +60,11 @@
 	// LoadedAfter holds the times from the publication of the weights until each
 	// engine served them, in that order.
 	LoadedAfter []time.Duration
+	// Blocked is the number of requests that were refused because they are like
+	// those that crashed engines, without the harmful ones.
+	Blocked int
+	// Harm is nil if the scenario has no harmful requests. They count nowhere else.
+	Harm *Harm
 	// OutFor holds the times for which engines accepted no requests because of a
 	// change of weights.
 	OutFor []time.Duration
@@ -70,19 +87,22 @@
 }
 
 // add counts a request that was first sent at the time at.
-func (r *Result) add(at time.Duration, class string, o outcome, rejections int) {
+func (r *Result) add(at time.Duration, class string, e ending) {
 	if r.Classes[class] == nil {
 		r.Classes[class] = &Tally{}
 	}
 	second := min(int(at/time.Second), len(r.Seconds)-1)
 	for _, t := range []*Tally{&r.Total, r.Classes[class], &r.Seconds[second]} {
-		t.add(o, rejections > 0)
+		t.add(e)
 	}
 }
 
-func (t *Tally) add(o outcome, returned bool) {
+func (t *Tally) add(e ending) {
 	t.Asked++
-	switch o {
+	if e.begun {
+		t.Begun++
+	}
+	switch e.outcome {
 	case outcomeInTime:
 		t.InTime++
 	case outcomeLate:
@@ -92,7 +112,7 @@
 	case outcomeFailed:
 		t.Failed++
 	}
-	if returned && (o == outcomeInTime || o == outcomeLate) {
+	if e.returned && (e.outcome == outcomeInTime || e.outcome == outcomeLate) {
 		t.Returned++
 	}
 }
@@ -102,13 +122,19 @@
 	var sum Tally
 	for i, t := range r.Seconds {
 		if at := time.Duration(i) * time.Second; at >= from && at < until {
-			sum.Asked += t.Asked
-			sum.InTime += t.InTime
-			sum.Late += t.Late
-			sum.Refused += t.Refused
-			sum.Failed += t.Failed
-			sum.Returned += t.Returned
+			sum.merge(&t)
 		}
 	}
 	return sum
 }
+
+// merge adds the counts of another tally.
+func (t *Tally) merge(o *Tally) {
+	t.Asked += o.Asked
+	t.InTime += o.InTime
+	t.Late += o.Late
+	t.Refused += o.Refused
+	t.Failed += o.Failed
+	t.Begun += o.Begun
+	t.Returned += o.Returned
+}
--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -3,10 +3,13 @@
 import (
 	"iter"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"gopkg.in/ini.v1"
+
+	"rattanspur.example/lib/fleet"
 )
 
 // Scenario describes one emulated deployment and what happens to it. All times
@@ -18,6 +21,8 @@
 	Traffic Traffic      `ini:"traffic"`
 	Weights WeightChange `ini:"weights"`
 	Crash   Crash        `ini:"crash"`
+	Prompts Prompts      `ini:"prompts"`
+	Harmful Harmful      `ini:"harmful"`
 	// Classes are the kinds of request, one for each section whose name starts
 	// with classPrefix.
 	Classes []Class `ini:"-"`
@@ -121,11 +126,49 @@
 	SecondCopiesUntil time.Duration `ini:"second_copies_until"`
 }
 
-// Crash takes engines down at the same moment. They come back without weights.
+// Crash takes engines down at the same moment: a share of all of them, or all of
+// one region if Region is set.
 type Crash struct {
-	At    time.Duration `ini:"at"`
-	For   time.Duration `ini:"for"`
-	Share float64       `ini:"share"`
+	At     time.Duration `ini:"at"`
+	For    time.Duration `ini:"for"`
+	Share  float64       `ini:"share"`
+	Region fleet.Region  `ini:"region"`
+	// KeepsWeights is set if the engines serve their version again when they come
+	// back. Otherwise they come back without weights.
+	KeepsWeights bool `ini:"keeps_weights"`
+}
+
+// Prompts describes what the prompts of different requests have in common. Each
+// request also has a part of its own.
+type Prompts struct {
+	// Customers is the number of callers' keys; 0 means that requests have none.
+	Customers int `ini:"customers"`
+	// FirstParts is the number of first parts of each class, of which a few are
+	// frequent; 0 means that prompts have none in common.
+	FirstParts int `ini:"first_parts"`
+	// FurtherShare is the fraction of the requests with a second shared part, of
+	// which each class has FurtherParts.
+	FurtherParts int     `ini:"further_parts"`
+	FurtherShare float64 `ini:"further_share"`
+}
+
+// Harmful makes a share of the requests of a class crash each engine that begins
+// to answer them: their second shared part does.
+type Harmful struct {
+	// Class is the name of the class; empty means that there are no such requests.
+	Class string  `ini:"class"`
+	Share float64 `ini:"share"`
+	// From and Until limit when such requests are first sent.
+	From  time.Duration `ini:"from"`
+	Until time.Duration `ini:"until"`
+	// Down is how long an engine is down after a crash. It keeps its weights.
+	Down time.Duration `ini:"down"`
+}
+
+// during reports whether requests of a class that are first sent at a time may be
+// harmful.
+func (h *Harmful) during(class string, at time.Duration) bool {
+	return h.Class != "" && class == h.Class && at >= h.From && at < h.Until
 }
 
 // Class is a kind of request.
@@ -236,6 +279,7 @@
 
 // check reports a value without which a scenario cannot be played.
 func (s *Scenario) check(path string) error {
+	h := s.Harmful
 	for _, c := range []struct {
 		valid bool
 		what  string
@@ -245,6 +289,13 @@
 		{s.Engine.PromptTokensPerSecond > 0 && s.Engine.ChunkTokens > 0, "[engine] needs prompt_tokens_per_second and chunk_tokens"},
 		{s.Traffic.Length > 0 && s.Traffic.PerSecond > 0 && s.Traffic.Deadline > 0, "[traffic] needs length, per_second and deadline"},
 		{len(s.Classes) > 0, "no section [" + classPrefix + "NAME]"},
+		{s.Crash.Region == "" || s.hasRegion(s.Crash.Region), "[crash] region: no such region: " + string(s.Crash.Region)},
+		{s.Prompts.FurtherShare == 0 || s.Prompts.FurtherParts > 0, "[prompts] further_share needs further_parts"},
+		{h.Class == "" || s.hasClass(h.Class), "[harmful] class: no section [" + classPrefix + h.Class + "]"},
+		{h.Class == "" || h.Share > 0 && h.Share <= 1, "[harmful] needs a share above 0 and up to 1"},
+		{h.Class == "" || h.Until > h.From && h.Down > 0, "[harmful] needs until after from, and down"},
+		{h.Class == "" || s.Prompts.FirstParts > 0, "[harmful] needs first_parts in [prompts]"},
+		{h.Class != "" || h == Harmful{}, "[harmful] needs class"},
 	} {
 		if !c.valid {
 			return eris.Errorf("scenario %s: %s", path, c.what)
@@ -252,3 +303,16 @@
 	}
 	return nil
 }
+
+func (s *Scenario) hasClass(name string) bool {
+	return slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == name })
+}
+
+func (s *Scenario) hasRegion(name fleet.Region) bool {
+	for i := range s.Fleet.Regions {
+		if regionName(i) == name {
+			return true
+		}
+	}
+	return false
+}
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -43,6 +43,7 @@
 	gateways  []*gateway
 	weights   []float64
 	view      *published.View
+	prompts   *prompter
 	result    *Result
 }
 
@@ -50,7 +51,10 @@
 func Run(sc *Scenario, seed uint64) *Result {
 	s := &simulation{
 		scenario: sc, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), engines: map[fleet.InstanceID]*engine{},
-		result: newResult(sc.Traffic.Length),
+		result: newResult(sc.Traffic.Length), prompts: newPrompter(sc, seed),
+	}
+	if sc.Harmful.Class != "" {
+		s.result.Harm = newHarm()
 	}
 	s.clock.now = time.Unix(1000, 0)
 	s.startedAt = s.clock.now.Add(warmUp)
@@ -61,6 +65,9 @@
 	s.startGateways()
 	s.scheduleEvents()
 	s.clock.runUntil(s.startedAt.Add(sc.Traffic.Length + sc.Traffic.Deadline))
+	if s.result.Harm != nil {
+		s.result.Harm.divide()
+	}
 	return s.result
 }
 
@@ -107,6 +114,7 @@
 	if s.view != nil {
 		e.version = s.desired().Version
 	}
+	e.onHarm = func() { s.crashByRequest(e) }
 	s.engines[e.id] = e
 	s.order = append(s.order, e)
 	s.addresses = append(s.addresses, e.address)
@@ -199,6 +207,10 @@
 		expectedTokens: int(float64(events*stride) * math.Exp(s.random.NormFloat64()*s.scenario.Traffic.EstimateError)),
 		promptTokens:   int(s.size(class.PromptTokens, class.Spread, class.MaxPromptTokens)),
 		deadline:       s.clock.now.Add(s.scenario.Traffic.Deadline), retriesLeft: s.scenario.Traffic.Retries,
+		prompt: s.prompts.next(class.Name, s.clock.now.Sub(s.startedAt)),
+	}
+	if c.prompt.harmful {
+		s.result.Harm.sent(&c.prompt)
 	}
 	s.clock.at(c.deadline, c.expire)
 	s.clock.after(s.scenario.Network.Caller, func() { s.pickGateway().arrive(c) })
@@ -277,21 +289,62 @@
 	return c
 }
 
-// crashEngines takes a share of the engines down, and back up without weights.
+// crashEngines takes the engines of the scenario's crash down.
 func (s *simulation) crashEngines() {
-	count := int(s.scenario.Crash.Share * float64(len(s.order)))
-	for _, i := range s.random.Perm(len(s.order))[:count] {
-		e := s.order[i]
-		e.crash()
-		s.clock.after(s.scenario.Crash.For, func() {
-			e.restart()
-			s.notify(e, 0, 0)
-			s.publishLater()
-		})
+	crash := &s.scenario.Crash
+	for _, e := range s.crashing() {
+		s.crashEngine(e, crash.For, crash.KeepsWeights)
 	}
 	s.publishLater()
 }
 
+// crashing returns the engines of a region, or else a share of all of them.
+func (s *simulation) crashing() []*engine {
+	var out []*engine
+	crash := &s.scenario.Crash
+	if crash.Region != "" {
+		for _, e := range s.order {
+			if regionName(e.region) == crash.Region {
+				out = append(out, e)
+			}
+		}
+		return out
+	}
+	for _, i := range s.random.Perm(len(s.order))[:int(crash.Share*float64(len(s.order)))] {
+		out = append(out, s.order[i])
+	}
+	return out
+}
+
+// crashByRequest takes an engine down because of a harmful request. Its machine runs
+// on and refuses connections meanwhile.
+func (s *simulation) crashByRequest(e *engine) {
+	s.result.Harm.crashed(s.clock.now)
+	s.crashEngine(e, s.scenario.Harmful.Down, true)
+	e.refuses = true
+	s.publishLater()
+}
+
+// crashEngine takes an engine down, and back up after a while. Its loader sends a
+// notice if it comes back without weights.
+func (s *simulation) crashEngine(e *engine, down time.Duration, keepsWeights bool) {
+	if e.down {
+		return
+	}
+	version := int64(0)
+	if keepsWeights {
+		version = e.version
+	}
+	e.crash()
+	s.clock.after(down, func() {
+		e.restart(version)
+		if version == 0 {
+			s.notify(e, 0, 0)
+		}
+		s.publishLater()
+	})
+}
+
 // engineLoaded records that an engine serves a version for which it accepted no
 // requests for a while, and tells the gateways.
 func (s *simulation) engineLoaded(e *engine, previous int64, outFor time.Duration) {
