emulator: play the search for requests that crash engines

Cause: the emulator gave the core fingerprints, which the core no longer has.

Change: gateways fill the traits of requests and exchange reports of crashes as the router does. Refusals count as blocked if they name a trait.

--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -17,9 +17,6 @@
 	// connectTimeout is the time after which an attempt at an engine that is down
 	// ends.
 	connectTimeout = time.Second
-	// blockedReason is the core's reason for refusing a request that is like those
-	// that crashed engines.
-	blockedReason = "request crashed several upstreams"
 )
 
 // gateway runs the product's dispatch core and peer table with delayed
@@ -63,7 +60,7 @@
 	g.core.SetPeerLoads(now, g.table.PeerLoads(now), g.table.Shares(now, demands))
 	m := &peering.Message{
 		From: g.address, Region: regionName(g.region), Loads: g.core.Loads(), Demands: demands, Peers: g.table.KnownPeers(),
-		Suspects: g.suspects(),
+		Crashes: g.core.Detector().Reports(now),
 	}
 	for _, t := range g.table.Targets(now) {
 		peer := g.sim.gatewayAt(t)
@@ -78,20 +75,7 @@
 func (g *gateway) receive(m *peering.Message) {
 	now := g.sim.clock.now
 	g.table.Record(now, m)
-	for _, s := range m.Suspects {
-		g.core.Suspects().ApplyReport(now, s.Fingerprint, s.Crashes, now)
-	}
-}
-
-// maxSuspectsPerMessage is the maximum number of suspects in one message.
-const maxSuspectsPerMessage = 16
-
-func (g *gateway) suspects() []peering.Suspect {
-	var out []peering.Suspect
-	for f, n := range g.core.Suspects().Observed(maxSuspectsPerMessage) {
-		out = append(out, peering.Suspect{Fingerprint: f, Crashes: n})
-	}
-	return out
+	g.execute(g.core.ApplyReports(now, m.Crashes))
 }
 
 // arrive handles a request of a caller.
@@ -102,7 +86,7 @@
 	path := "/" + c.class.Name + "/"
 	g.execute(g.core.Arrive(g.sim.clock.now, c.ticket, dispatch.Call{
 		Host: hostName, Path: path, Key: c.prompt.key, TimeBudget: c.deadline.Sub(g.sim.clock.now), Model: modelName,
-		Fingerprint:  retry.Fingerprint(c.prompt.key+" "+path, c.prompt.body()),
+		Traits:       c.prompt.traits(path),
 		PromptTokens: c.promptTokens, MaxAnswerTokens: c.maxTokens, ExpectedAnswerTokens: c.expectedTokens,
 	}))
 }
@@ -116,7 +100,7 @@
 		case dispatch.Refuse:
 			c := g.calls[a.Ticket]
 			delete(g.calls, a.Ticket)
-			if a.Reason == blockedReason && !c.prompt.harmful {
+			if a.Trait != 0 && !c.prompt.harmful {
 				g.sim.result.Blocked++
 			}
 			if a.Verdict == dispatch.NotRun {
--- a/emulator/prompt.go
+++ b/emulator/prompt.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"rattanspur.example/lib/poison"
 )
 
 const (
@@ -40,6 +42,16 @@
 	return p.shared[0]
 }
 
+// traits returns the traits of a request with this prompt, from the broadest to the
+// most specific one.
+func (p *prompt) traits(path string) []poison.Trait {
+	out := make([]poison.Trait, 0, len(p.shared)+1)
+	for _, part := range p.shared {
+		out = append(out, poison.PartTrait(part))
+	}
+	return append(out, poison.RequestTrait(p.key, path, p.body()))
+}
+
 // prompter draws the prompts of a scenario.
 type prompter struct {
 	scenario *Scenario
