peering: repeatable choice of named peers and sums of shares

Cause: with more than 24 peers a message names those that the iteration over a map returns first, and shares are sums of fractions in the order of a map.

Change: the named peers are picked by a sequence of random numbers that depends on the address alone, and demands are added in the order of addresses.

--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -7,6 +7,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -136,12 +138,18 @@
 	members map[string]*member
 	seeds   []string
 	round   int
+	// random picks the peers that messages name. Its sequence depends on the address
+	// alone, so that a simulation can be repeated.
+	random *rand.Rand
 }
 
 // NewTable returns a table for the process at address self in a region. It finds
 // its peers through the seed addresses.
 func NewTable(self string, region fleet.Region, seeds []string) *Table {
-	return &Table{self: self, region: region, members: map[string]*member{}, seeds: seeds}
+	return &Table{
+		self: self, region: region, members: map[string]*member{}, seeds: seeds,
+		random: rand.New(rand.NewPCG(fleet.RendezvousWeight("peers", self), 0)),
+	}
 }
 
 // SetSeeds replaces the seed addresses.
@@ -248,10 +256,13 @@
 // Shares returns this process's share of each service, given its own demand.
 func (t *Table) Shares(now time.Time, own map[fleet.Service]Demand) map[fleet.Service]Share {
 	out := map[fleet.Service]Share{}
+	// Sums of fractions depend on their order.
+	addresses := slices.Sorted(maps.Keys(t.members))
 	for name, mine := range own {
 		var live, known division
 		var s Share
-		for a, p := range t.members {
+		for _, a := range addresses {
+			p := t.members[a]
 			d, ok := p.demands[name]
 			if !ok || now.Sub(p.lastSeen) > memberTTL {
 				continue
@@ -369,13 +380,18 @@
 }
 
 // KnownPeers returns the addresses of up to maxPeersPerMessage peers that have
-// sent a message.
+// sent a message; others each time, if there are more.
 func (t *Table) KnownPeers() []string {
 	var out []string
 	for a, p := range t.members {
-		if !p.lastSeen.IsZero() && len(out) < maxPeersPerMessage {
+		if !p.lastSeen.IsZero() {
 			out = append(out, a)
 		}
 	}
+	slices.Sort(out)
+	if len(out) > maxPeersPerMessage {
+		t.random.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		out = out[:maxPeersPerMessage]
+	}
 	return out
 }
--- a/lib/peering/peering_test.go
+++ b/lib/peering/peering_test.go
@@ -145,3 +145,26 @@
 	}
 	require.Equal(t, map[string]bool{"new": true}, found)
 }
+
+// Guards against simulations that cannot be repeated because messages name peers in
+// the random order of a map, and against peers that are never named when there are
+// more than a message holds.
+func TestNamedPeersAreRepeatable(t *testing.T) {
+	const peers = 4 * maxPeersPerMessage
+	a, b := NewTable("a", "north", nil), NewTable("a", "north", nil)
+	for i := range peers {
+		from := &Message{From: fmt.Sprint("peer-", i)}
+		a.Record(start, from)
+		b.Record(start, from)
+	}
+	named := map[string]bool{}
+	for range 40 {
+		list := a.KnownPeers()
+		require.Equal(t, list, b.KnownPeers())
+		require.Len(t, list, maxPeersPerMessage)
+		for _, p := range list {
+			named[p] = true
+		}
+	}
+	require.Len(t, named, peers)
+}
