--- a/emulator/harm_test.go
+++ b/emulator/harm_test.go
@@ -140,3 +140,20 @@
 		require.ErrorContains(t, s.check("file"), "scenario file: "+c.where)
 	}
 }
+
+// Pattern: a few of many engines crash at once, without any harmful request, at many
+// gateways. Guards against gateways that take the requests which the search for a
+// cause held back as a sign of missing capacity: each then keeps to the slots that it
+// owns, so that others must wait as well, and all do so for many seconds.
+func TestCrashOfFewEnginesHoldsUpNobody(t *testing.T) {
+	s, err := ReadScenario("scenarios/wide-harmful-part.ini")
+	require.NoError(t, err)
+	s.Harmful = Harmful{}
+	s.Traffic.Length = 8 * time.Second
+	s.Crash = Crash{At: 4 * time.Second, For: 3300 * time.Millisecond, Share: 0.015, KeepsWeights: true}
+	r := Run(s, 2)
+	require.Zero(t, r.Blocked)
+	for second := 1; second < 8; second++ {
+		require.GreaterOrEqual(t, r.Seconds[second].InTimeShare(), minInTimePerSecond, "second %d", second)
+	}
+}
