emulator: test that a run with harmful requests can be repeated

Cause: evidence, queues of suspected requests and lists of peers are kept in maps.

Change: TestSameSeedSameHarm plays 40 gateways twice and compares all counts.

--- a/emulator/harm_test.go
+++ b/emulator/harm_test.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// Guards against an outcome that depends on the order of a map: of the evidence, of
+// the queues of suspected requests, or of the peers that a message names.
+func TestSameSeedSameHarm(t *testing.T) {
+	s := smallHarmful(t)
+	s.Fleet.Gateways = 40
+	s.Traffic.Length = 10 * time.Second
+	require.Equal(t, Run(s, 7), Run(s, 7))
+}
+
 // Pattern: all engines of a failure domain crash at once and come back with their
 // weights. Guards against gateways that take the requests lost there for the cause
 // and block them, or all that have a part in common with them.
