dispatch: a request whose suspicion ends is tried before it waits

Cause: when a trait was cleared, its waiting requests moved to the queue of new requests. One that waits there counts as a sign of missing capacity: every gateway then kept to the slots that it owns, and really refused. Change: such a request is sent if it can be, and queued only otherwise.

--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -177,13 +177,26 @@
 		}
 	}
 	for _, it := range moved {
-		if reason := s.push(now, it); reason != admission.Queued {
-			actions = append(actions, c.giveUp(now, it.Value, string(reason))...)
-		}
+		actions = append(actions, c.requeue(now, s, it)...)
 	}
 	return actions
 }
 
+// requeue sends a request whose suspicion changed, or puts it in its new queue. It is
+// tried first: a new request that waits counts as a sign of missing capacity.
+func (c *Core) requeue(now time.Time, s *service, it admission.Item[*request]) []Action {
+	r := it.Value
+	if s.noneAhead(r) {
+		if send, ok := c.trySend(now, s, r, c.decide(now, r)); ok {
+			return []Action{send}
+		}
+	}
+	if reason := s.push(now, it); reason != admission.Queued {
+		return c.giveUp(now, r, string(reason))
+	}
+	return nil
+}
+
 // misplaced reports whether a waiting request must not run any more or belongs to
 // another queue.
 func (c *Core) misplaced(now time.Time, r *request) bool {
