poison: failed probes of a trait come less often

Change: the wait for a probe doubles with each crash that renews the conviction, up to eight minutes; evidence is kept for 30 minutes, so that such a conviction does not lapse in between.

--- a/lib/poison/detector.go
+++ b/lib/poison/detector.go
@@ -142,7 +142,7 @@
 	clear(d.findings)
 	for _, f := range judge(&d.evidence) {
 		if f.convicted {
-			f.probeAt = f.last.Add(probeInterval + probeDelay(d.self, f.trait))
+			f.probeAt = f.last.Add(f.probeWait() + probeDelay(d.self, f.trait))
 		}
 		f.records = nil
 		d.findings[f.trait] = f
--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -213,6 +213,20 @@
 	require.Equal(t, 4, d.Check(now, []Trait{request}).Episodes)
 }
 
+// Guards against a part that stays harmful and costs an upstream every minute.
+func TestFailedProbesComeLessOften(t *testing.T) {
+	d := New("gateway")
+	now := crashes(start, d, 3, request)
+	for _, wait := range []time.Duration{1, 2, 4, 8, 8} {
+		d.Check(now, []Trait{request})
+		last := d.findings[request].last
+		now = last.Add(wait*time.Minute + probeDelay("gateway", request))
+		require.Equal(t, Blocked, d.Check(now.Add(-time.Millisecond), []Trait{request}).Verdict, wait)
+		require.Equal(t, Probe, d.Check(now, []Trait{request}).Verdict, wait)
+		now = crashes(now, d, 1, request)
+	}
+}
+
 // Guards against gateways that all probe at the same time.
 func TestProbeDelaysDiffer(t *testing.T) {
 	a, b := probeDelay("a", request), probeDelay("b", request)
--- a/lib/poison/types.go
+++ b/lib/poison/types.go
@@ -111,8 +111,9 @@
 	// refutationTime is the time after a crash within which an answer refutes it. A
 	// crashed upstream does not return that soon.
 	refutationTime = time.Second
-	// evidenceTTL is how long evidence is kept after its last change.
-	evidenceTTL = 10 * time.Minute
+	// evidenceTTL is how long evidence is kept after its last change. It exceeds three of
+	// the longest waits for a probe, so that a conviction that was renewed stays.
+	evidenceTTL = 30 * time.Minute
 	// probeInterval is the time without a crash after which a convicted trait is
 	// probed. Each gateway adds a delay of its own of up to the same time.
 	probeInterval = time.Minute
--- a/lib/poison/verdict.go
+++ b/lib/poison/verdict.go
@@ -13,6 +13,8 @@
 	// progress, a whole service may be lost within two episodes.
 	blockAfterCrashes = 5
 	blockAfterFast    = 2
+	// maxProbeDoublings bounds the doublings of probeInterval.
+	maxProbeDoublings = 3
 	// suspectAfter and suspectKnownAfter are the numbers of episodes of crashes after
 	// which an unknown and a known trait are suspected.
 	suspectAfter      = 1
@@ -30,6 +32,9 @@
 	last     time.Time
 	// crashes is the number of crashes that count against the trait.
 	crashes int
+	// renewals is the number of crashes that renewed the conviction: those at least
+	// probeInterval after the one before.
+	renewals int
 	// convicted is set if the trait is convicted, else it is suspected.
 	convicted bool
 	// probeAt is the time from which a convicted trait may be probed.
@@ -128,7 +133,7 @@
 
 // count counts the episodes of the crashes that are not explained.
 func (f *finding) count() {
-	f.episodes, f.crashes = 0, 0
+	f.episodes, f.crashes, f.renewals = 0, 0, 0
 	var start time.Time
 	for _, r := range f.records {
 		if r.explained {
@@ -138,6 +143,9 @@
 			f.episodes++
 			start = r.at
 		}
+		if f.crashes > 0 && r.at.Sub(f.last) >= probeInterval {
+			f.renewals++
+		}
 		f.crashes++
 		f.last = r.at
 	}
@@ -150,6 +158,13 @@
 	return suspectAfter
 }
 
+// probeWait returns the time without a crash after which a convicted trait is probed.
+// It doubles with each renewal of the conviction, so that a trait which stays harmful
+// costs few upstreams.
+func (f *finding) probeWait() time.Duration {
+	return probeInterval << min(f.renewals, maxProbeDoublings)
+}
+
 // probeDelay returns the delay with which a process probes a trait. It differs
 // between processes, so that the first one to probe spares the others a crash.
 func probeDelay(self string, t Trait) time.Duration {
