peering: a process that has just started owns nothing of shared budgets

Cause: a process that has heard of no peer took the whole owners' part of the budget for a cold upstream. Change: the part by demand is empty for 1.5 s after the start, and while a process with seeds has heard of no peer.

--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -25,6 +25,10 @@
 	// of the processes that share the budgets.
 	loadTTL   = 500 * time.Millisecond
 	memberTTL = 20 * time.Second
+	// settleTime is how long after its start a process owns nothing of the budgets that
+	// are divided by demand: until then it does not know all of its peers, and those
+	// that start at the same moment would each take a part that is too large.
+	settleTime = 1500 * time.Millisecond
 	// liveTTL is how long a peer that sends nothing is still reported as alive.
 	liveTTL = 1500 * time.Millisecond
 	// Fanout is the maximum number of peers that one message is sent to, apart
@@ -144,6 +148,8 @@
 	// random picks the peers that messages name. Its sequence depends on the address
 	// alone, so that a simulation can be repeated.
 	random *rand.Rand
+	// startedAt is when shares were first asked for.
+	startedAt time.Time
 }
 
 // NewTable returns a table for the process at address self in a region. It finds
@@ -250,7 +256,8 @@
 	Low, High float64
 	// KnownLow and KnownHigh are the same, but the range is divided among all
 	// processes that sent a message within memberTTL, with their last demands. A
-	// process that is cut off from the others keeps to its part.
+	// process that is cut off from the others keeps to its part. Both are 0 for a
+	// process that has just started, or that has seeds and heard of no peer.
 	KnownLow, KnownHigh float64
 	// Contended is true if requests wait or are refused at other processes.
 	Contended bool
@@ -259,6 +266,7 @@
 // Shares returns this process's share of each service, given its own demand.
 func (t *Table) Shares(now time.Time, own map[fleet.Service]Demand) map[fleet.Service]Share {
 	out := map[fleet.Service]Share{}
+	settled := t.settled(now)
 	// Sums of fractions depend on their order.
 	addresses := slices.Sorted(maps.Keys(t.members))
 	for name, mine := range own {
@@ -280,13 +288,25 @@
 		}
 		if live.all+mine.PerSecond > 0 {
 			s.Low, s.High = live.interval(mine.PerSecond)
-			s.KnownLow, s.KnownHigh = known.interval(mine.PerSecond)
+			if settled {
+				s.KnownLow, s.KnownHigh = known.interval(mine.PerSecond)
+			}
 			out[name] = s
 		}
 	}
 	return out
 }
 
+// settled reports whether this process has had the time to hear of its peers, and did
+// if there are any.
+func (t *Table) settled(now time.Time) bool {
+	if t.startedAt.IsZero() {
+		t.startedAt = now
+	}
+	hasSeeds := slices.ContainsFunc(t.seeds, func(s string) bool { return s != t.self })
+	return !hasSeeds || t.Processes() > 1 && now.Sub(t.startedAt) >= settleTime
+}
+
 // division sums up the demands of peers: of all of them, and of those that stand
 // before this process in the order.
 type division struct{ all, before float64 }
--- a/lib/peering/peering_test.go
+++ b/lib/peering/peering_test.go
@@ -13,6 +13,27 @@
 
 var start = time.Unix(1000, 0)
 
+// Guards against processes that start at the same moment, as after a loss of power, and
+// each take the whole of a budget because they have not heard of the others yet.
+func TestNewProcessOwnsNothingUntilItKnowsItsPeers(t *testing.T) {
+	table := NewTable("a", "north", []string{"b"})
+	own := map[fleet.Service]Demand{"s": {PerSecond: 1}}
+	known := func(now time.Time) float64 {
+		s := table.Shares(now, own)["s"]
+		return s.KnownHigh - s.KnownLow
+	}
+	now := start
+	require.Zero(t, known(now))
+	now = now.Add(settleTime)
+	require.Zero(t, known(now), "it has heard of no peer")
+	table.Record(now, &Message{From: "b", Region: "north", Demands: map[fleet.Service]Demand{"s": {PerSecond: 3}}})
+	require.InDelta(t, 0.25, known(now), 1e-9)
+	require.InDelta(t, 1, table.Shares(now.Add(memberTTL), own)["s"].High, 1e-9)
+	late := NewTable("a", "north", []string{"b"})
+	late.Record(now, &Message{From: "b", Region: "north", Demands: map[fleet.Service]Demand{"s": {PerSecond: 3}}})
+	require.Zero(t, late.Shares(now, own)["s"].KnownHigh, "it has just started")
+}
+
 // Guards against a peer that is never discovered because it is not a seed.
 func TestPeersAreDiscoveredThroughPeers(t *testing.T) {
 	a := NewTable("a", "north", []string{"b", "a"})
