loader: a version first observed earlier elsewhere moves the update slot

Cause: updateTarget returned early when the desired version was the target already, so an earlier FirstSeen that a gateway reported never reached the staging core. A loader that was paused while a version was published computed its update slot from its own later observation. Change: the target is set each time; only a changed version is logged and drops old copies. Result: TestEarlierFirstSeenMovesTheUpdateSlot failed before (the slot was 9 s too late, 1051.72 s instead of 1042.72 s; the window is 8 s).

--- a/loader/coordinator.go
+++ b/loader/coordinator.go
@@ -186,7 +186,8 @@
 func (c *coordinator) isSeeder() bool { return c.loader.engine == nil }
 
 // updateTarget sets the target of the staging core to the desired version, or to
-// firstVersion while none is published.
+// firstVersion while none is published. The same version is set again as well, since
+// a peer may report that it was first observed earlier.
 func (c *coordinator) updateTarget() {
 	if c.core == nil {
 		return
@@ -195,11 +196,12 @@
 	if d.Version == 0 {
 		d = published.DesiredVersion{Model: c.model, Version: firstVersion}
 	}
-	if d.Version == c.core.Target() {
+	changed := d.Version != c.core.Target()
+	c.core.SetTarget(d)
+	if !changed {
 		return
 	}
 	_ = c.loader.logger.Log("event", "version-named", "model", c.model, "version", d.Version, "loaded", c.core.Loaded())
-	c.core.SetTarget(d)
 	c.dropOldVersions(d.Version)
 }
 
