exchange: nothing is written once the time to begin has passed

Cause: BeginBy bounded only the wait for the response. A process that was paused after its decision, or whose dial took long, still wrote the request, and an engine could begin it on weights that had ended. Change: BeginBy is the write deadline until the response begins; an exchange that it ends is retry.NotBegun, as before. The deadline is removed before the connection carries another request. Result: TestNothingIsWrittenAfterTheTimeToBegin failed before (the upstream received the request; the end was retry.Lost instead of retry.NotBegun).

--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -72,7 +72,9 @@
 	FirstByteTimeout time.Duration
 	ProgressTimeout  time.Duration
 	// BeginBy is the time by which the first event of an event stream must have
-	// arrived; zero sets no limit. An exchange that it ends is retry.NotBegun.
+	// arrived; zero sets no limit. An exchange that it ends is retry.NotBegun. Nothing
+	// is written after it until the response has begun: the process may have been paused,
+	// or the dial slow, since it was set.
 	BeginBy time.Time
 	// EventStream is whether to pass on only complete events if the body
 	// consists of server-sent events.
@@ -152,6 +154,7 @@
 }
 
 func (x *exchange) run() {
+	x.setWriteDeadline(x.options.BeginBy)
 	if err := x.write(); err != nil {
 		x.fail(err)
 		return
@@ -231,6 +234,18 @@
 	return !begin.IsZero() && x.outcome.FirstByte == 0 && !time.Now().Before(begin)
 }
 
+// setWriteDeadline sets the time after which nothing is written if the exchange has a
+// BeginBy; zero removes it.
+func (x *exchange) setWriteDeadline(at time.Time) {
+	if x.options.BeginBy.IsZero() {
+		return
+	}
+	_ = x.conn.net.SetWriteDeadline(at)
+	if x.ctx.Err() != nil {
+		_ = x.conn.net.SetDeadline(time.Unix(1, 0))
+	}
+}
+
 func (x *exchange) setReadTimeout(d time.Duration) {
 	if d > 0 && x.ctx.Err() == nil {
 		_ = x.conn.net.SetReadDeadline(time.Now().Add(d))
@@ -248,7 +263,7 @@
 }
 
 // fail sets the outcome of an exchange that ended without a complete response.
-// Bytes of the request were written to the connection, so it may have run.
+// Bytes of the request may have been written, so it may have run.
 func (x *exchange) fail(err error) {
 	x.outcome.Detail = err.Error()
 	var timeout interface{ Timeout() bool }
@@ -316,6 +331,7 @@
 func (x *exchange) recordFirstByte() {
 	if x.outcome.FirstByte == 0 {
 		x.outcome.FirstByte = time.Since(x.sentAt)
+		x.setWriteDeadline(time.Time{})
 	}
 }
 
@@ -445,6 +461,7 @@
 // finish sets whether the connection may carry another request.
 func (x *exchange) finish(resp *http.Response, h *Head, err error) {
 	x.clearReadTimeout()
+	x.setWriteDeadline(time.Time{})
 	written := true
 	if x.bodyWritten != nil {
 		select {
--- a/lib/exchange/timeout_test.go
+++ b/lib/exchange/timeout_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,6 +56,54 @@
 	require.Equal(t, retry.NotBegun, out.End)
 }
 
+// Guards against a request that is written although the time for its first event is
+// over, as by a process that was paused between its decision and the write.
+func TestNothingIsWrittenAfterTheTimeToBegin(t *testing.T) {
+	for _, size := range []int{0, 4 * maxSyncBodyBytes} {
+		received := make(chan error, 1)
+		c := serve(t, func(_ net.Conn, r *bufio.Reader) {
+			_, err := r.ReadByte()
+			received <- err
+		}).dial()
+		out, _ := do(c, request(strings.Repeat("x", size)), Options{EventStream: true, BeginBy: time.Now().Add(-time.Second)})
+		require.Equal(t, retry.NotBegun, out.End)
+		require.False(t, out.Reusable)
+		c.Close()
+		require.ErrorIs(t, <-received, io.EOF)
+	}
+}
+
+// deadlineRecorder is a connection that records its write deadline.
+type deadlineRecorder struct {
+	net.Conn
+	deadline time.Time
+	set      int
+}
+
+func (d *deadlineRecorder) SetWriteDeadline(t time.Time) error {
+	d.deadline = t
+	d.set++
+	return d.Conn.SetWriteDeadline(t)
+}
+
+// Guards against a reused connection whose next request fails because the write
+// deadline of the one before it has passed.
+func TestReusedConnectionHasNoWriteDeadline(t *testing.T) {
+	for response, end := range map[string]retry.End{
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok":             retry.Answered,
+		"HTTP/1.1 503 No\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n": retry.Busy,
+	} {
+		c := serve(t, socktest.Respond(response, socktest.Open)).dial()
+		recorded := &deadlineRecorder{Conn: c.net}
+		c.net = recorded
+		out, _ := do(c, request(""), Options{EventStream: true, BeginBy: time.Now().Add(time.Hour)})
+		require.Equal(t, end, out.End, out.Detail)
+		require.True(t, out.Reusable)
+		require.Positive(t, recorded.set)
+		require.True(t, recorded.deadline.IsZero())
+	}
+}
+
 // Guards against a stalled stream that never ends because its upstream sends single
 // bytes, comments or blank lines now and then.
 func TestOnlyEventsRenewTheProgressTimeout(t *testing.T) {
