published: a version that becomes desired again has a window of its own

Cause: ages were matched by version alone. After versions 1, 2, 1, 2 a peer's age of the first time, or the process's own, was taken for the second time, and the window was over at once. Change: a desired version, a previous one and an age carry the store's revision; ages match on both. A report of an older revision belongs to the previous versions. A version written again while it is desired keeps its first-seen time and takes the newer revision. Ages without a revision, from an earlier build, are ignored. Result: TestVersionThatIsDesiredAgainHasItsOwnWindow failed before: Due returned 2 instead of 1, 100 ms after the second time, and own ages changed FirstSeen.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -333,8 +333,8 @@
 		status, _ := g.call(http.MethodPost, "/stream/x", "")
 		return status == http.StatusOK
 	}, testTimeout, time.Millisecond)
-	source.put("op/version/m", `{"model":"m","version":2}`)
-	g.learnAge("m", published.VersionAge{Version: 2, AgeMS: time.Minute.Milliseconds()})
+	revision := source.put("op/version/m", `{"model":"m","version":2}`)
+	g.learnAge("m", published.VersionAge{Version: 2, Revision: revision, AgeMS: time.Minute.Milliseconds()})
 	require.Eventually(t, func() bool {
 		status, _ := g.call(http.MethodPost, "/stream/x", "")
 		return status == http.StatusServiceUnavailable
@@ -355,8 +355,8 @@
 		<-r.Context().Done()
 	})
 	g := start(t, source)
-	source.put("op/version/m", `{"model":"m","version":2}`)
-	g.learnAge("m", published.VersionAge{Version: 2, AgeMS: 5000})
+	revision := source.put("op/version/m", `{"model":"m","version":2}`)
+	g.learnAge("m", published.VersionAge{Version: 2, Revision: revision, AgeMS: 5000})
 	result := make(chan string, 1)
 	go func() {
 		_, body := g.call(http.MethodPost, "/stream/x", "")
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -44,7 +44,8 @@
 	return &fakeSource{items: map[string]published.Change{}, changed: make(chan struct{})}
 }
 
-func (s *fakeSource) put(key, text string) {
+// put publishes an item, or removes it if the text is empty. It returns the revision.
+func (s *fakeSource) put(key, text string) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -55,6 +56,7 @@
 	s.items[key] = c
 	close(s.changed)
 	s.changed = make(chan struct{})
+	return s.revision
 }
 
 func (s *fakeSource) batch(after uint64) (published.Batch, error) {
--- a/lib/published/ages.go
+++ b/lib/published/ages.go
@@ -35,14 +35,14 @@
 // known and at most maxReportedAge old, the newest first.
 func (d DesiredVersion) ages(now time.Time) []VersionAge {
 	var out []VersionAge
-	add := func(version int64, firstSeen time.Time) {
+	add := func(version int64, revision uint64, firstSeen time.Time) {
 		if age := now.Sub(firstSeen); !firstSeen.IsZero() && age >= 0 && age <= maxReportedAge {
-			out = append(out, VersionAge{Version: version, AgeMS: age.Milliseconds()})
+			out = append(out, VersionAge{Version: version, Revision: revision, AgeMS: age.Milliseconds()})
 		}
 	}
-	add(d.Version, d.FirstSeen)
+	add(d.Version, d.Revision, d.FirstSeen)
 	for _, p := range d.Previous {
-		add(p.Version, p.FirstSeen)
+		add(p.Version, p.Revision, p.FirstSeen)
 	}
 	return out
 }
@@ -60,8 +60,8 @@
 }
 
 // ApplyAges takes over what a peer reports about desired versions, by model. The
-// update window begins with the publication, so the earliest sight of any process
-// counts: a process may have stood still, or been cut off, when a version was
+// update window begins with the publication, so the earliest observation of any process
+// counts: a process may have been paused, or been cut off, when a version was
 // published. It reports whether the view changed.
 func (s *State) ApplyAges(now time.Time, ages map[string][]VersionAge) bool {
 	changed := false
@@ -79,19 +79,22 @@
 }
 
 // withAges returns the desired version with the ages that a peer reports, and
-// whether they differ from what was known. An earlier sight of a version replaces a
-// later one, and versions that this process missed are added to the previous ones.
-// Versions that are newer than the desired one are ignored: their item follows.
+// whether they differ from what was known. Revisions distinguish a version that became
+// desired again from the earlier time. An earlier observation replaces a later one, and
+// versions that this process missed are added to the previous ones. Reports of newer
+// revisions are ignored, since their item follows, and so are those without a revision.
 func (d DesiredVersion) withAges(now time.Time, ages []VersionAge) (DesiredVersion, bool) {
 	changed := false
 	d.Previous = slices.Clone(d.Previous)
 	for _, a := range ages {
 		firstSeen := now.Add(-time.Duration(a.AgeMS) * time.Millisecond)
 		switch {
-		case a.Version == d.Version:
+		case a.Revision == 0:
+		case a.Revision == d.Revision && a.Version == d.Version:
 			changed = setEarlier(&d.FirstSeen, firstSeen) || changed
-		case a.Version < d.Version:
-			changed = d.setPrevious(a.Version, firstSeen) || changed
+		case a.Revision < d.Revision:
+			previous := PreviousVersion{Version: a.Version, Revision: a.Revision, FirstSeen: firstSeen}
+			changed = d.setPrevious(previous) || changed
 		}
 	}
 	return d, changed
@@ -99,17 +102,17 @@
 
 // setPrevious sets when a previous version was first seen. It reports whether that
 // changed.
-func (d *DesiredVersion) setPrevious(version int64, firstSeen time.Time) bool {
+func (d *DesiredVersion) setPrevious(reported PreviousVersion) bool {
 	for i := range d.Previous {
-		if d.Previous[i].Version == version {
-			return setEarlier(&d.Previous[i].FirstSeen, firstSeen)
+		if p := &d.Previous[i]; p.Revision == reported.Revision {
+			return p.Version == reported.Version && setEarlier(&p.FirstSeen, reported.FirstSeen)
 		}
 	}
-	if full := len(d.Previous) >= maxPreviousVersions; full && version < d.Previous[len(d.Previous)-1].Version {
+	if full := len(d.Previous) >= maxPreviousVersions; full && reported.Revision < d.Previous[len(d.Previous)-1].Revision {
 		return false
 	}
-	d.Previous = append(d.Previous, PreviousVersion{Version: version, FirstSeen: firstSeen})
-	slices.SortFunc(d.Previous, func(a, b PreviousVersion) int { return cmp.Compare(b.Version, a.Version) })
+	d.Previous = append(d.Previous, reported)
+	slices.SortFunc(d.Previous, func(a, b PreviousVersion) int { return cmp.Compare(b.Revision, a.Revision) })
 	d.Previous = d.Previous[:min(len(d.Previous), maxPreviousVersions)]
 	return true
 }
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -217,6 +217,10 @@
 type DesiredVersion struct {
 	Model   string
 	Version int64
+	// Revision is the store's revision with which the version became desired, or was
+	// last written again. It distinguishes it from earlier times at which the same
+	// version was desired.
+	Revision uint64
 	// FirstSeen is when the first of this process and its peers saw the version;
 	// zero if unknown, as for a version in the first snapshot.
 	FirstSeen time.Time
@@ -225,9 +229,10 @@
 	Previous []PreviousVersion
 }
 
-// PreviousVersion is a formerly desired version with its FirstSeen.
+// PreviousVersion is a formerly desired version with its Revision and FirstSeen.
 type PreviousVersion struct {
 	Version   int64
+	Revision  uint64
 	FirstSeen time.Time
 }
 
@@ -249,7 +254,10 @@
 // in milliseconds. The JSON names are short because it is sent often.
 type VersionAge struct {
 	Version int64 `json:"v"`
-	AgeMS   int64 `json:"a"`
+	// Revision is DesiredVersion.Revision; 0 in a message of a process that does not
+	// report it.
+	Revision uint64 `json:"r"`
+	AgeMS    int64  `json:"a"`
 }
 
 // View is the published state as one process knows it. A view is immutable.
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -184,6 +184,7 @@
 		case OutOfService:
 			v.OutOfService[item.Domain] = true
 		case DesiredVersion:
+			item.Revision = e.revision
 			v.Desired[item.Model] = s.withFirstSeen(now, key, item)
 		}
 	}
@@ -191,10 +192,13 @@
 	s.view = v
 }
 
-// withFirstSeen returns a desired version with FirstSeen and Previous set.
+// withFirstSeen returns a desired version with FirstSeen and Previous set. A version
+// that is written again while it is desired keeps both.
 func (s *State) withFirstSeen(now time.Time, key string, d DesiredVersion) DesiredVersion {
 	previous, ok := s.desired[key]
 	if ok && previous.Version == d.Version {
+		previous.Revision = d.Revision
+		s.desired[key] = previous
 		return previous
 	}
 	// A version in the first snapshot may have been published long before.
@@ -202,7 +206,8 @@
 		d.FirstSeen = now
 	}
 	if ok {
-		previousVersions := append([]PreviousVersion{{Version: previous.Version, FirstSeen: previous.FirstSeen}}, previous.Previous...)
+		last := PreviousVersion{Version: previous.Version, Revision: previous.Revision, FirstSeen: previous.FirstSeen}
+		previousVersions := append([]PreviousVersion{last}, previous.Previous...)
 		d.Previous = previousVersions[:min(len(previousVersions), maxPreviousVersions)]
 	}
 	s.desired[key] = d
--- a/lib/published/state_test.go
+++ b/lib/published/state_test.go
@@ -151,8 +151,8 @@
 	require.Equal(t, int64(2), w.Due(start.Add(9*time.Second), 8*time.Second))
 }
 
-// Guards against a process that stood still while a version was published and counts
-// the update window from its own late sight: requests began on old weights after it.
+// Guards against a process that was paused while a version was published and counts the
+// update window from its own later observation: requests began on old weights after it.
 func TestLateProcessTakesTheAgeOfItsPeers(t *testing.T) {
 	peer := NewState()
 	peer.Replace(start, []Change{desired(1, 1)}, 1)
@@ -169,7 +169,7 @@
 }
 
 // Guards against a process that missed a version altogether, because the next one was
-// published before it woke, and keeps using what was desired before the missed one.
+// published before it resumed, and keeps using what was desired before the missed one.
 func TestMissedVersionIsLearntFromPeers(t *testing.T) {
 	peer := NewState()
 	peer.Replace(start, []Change{desired(1, 1)}, 1)
@@ -184,9 +184,9 @@
 	require.Equal(t, []int64{1, 2, 2, 3}, []int64{at(8), at(9), at(10), at(11)})
 }
 
-// Guards against a later report that moves the first sight of a version, and against
+// Guards against a later report that moves the first-seen time of a version, and against
 // reports that echo between processes without end.
-func TestOnlyEarlierSightsOfAVersionCount(t *testing.T) {
+func TestOnlyEarlierReportsOfAVersionCount(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := NewState()
 		s.Replace(start, []Change{desired(1, 1)}, 1)
@@ -194,7 +194,7 @@
 		s.Apply(now, []Change{desired(2, 2)}, 2)
 		earliest := int64(0)
 		for _, age := range rapid.SliceOf(rapid.Int64Range(0, 30_000)).Draw(t, "ages in ms") {
-			report := map[string][]VersionAge{"m": {{Version: 2, AgeMS: age}}}
+			report := map[string][]VersionAge{"m": {{Version: 2, Revision: 2, AgeMS: age}}}
 			s.ApplyAges(now, report)
 			require.False(t, s.ApplyAges(now, report))
 			earliest = max(earliest, age)
@@ -204,6 +204,53 @@
 	})
 }
 
+// Guards against a version that is desired again and whose update window counts from the
+// first time: engines with the other version got no requests, and all loaded at once.
+func TestVersionThatIsDesiredAgainHasItsOwnWindow(t *testing.T) {
+	const window = 8 * time.Second
+	a, b := NewState(), NewState()
+	for _, s := range []*State{a, b} {
+		s.Replace(start, []Change{desired(1, 1)}, 1)
+		s.Apply(start.Add(time.Minute), []Change{desired(2, 2)}, 2)
+		s.Apply(start.Add(2*time.Minute), []Change{desired(1, 3)}, 3)
+		s.Apply(start.Add(3*time.Minute), []Change{desired(2, 4)}, 4)
+	}
+	now := start.Add(3*time.Minute + 100*time.Millisecond)
+	require.Equal(t, int64(1), a.View().Desired["m"].Due(now, window))
+	require.False(t, a.ApplyAges(now, b.View().Ages(now)), "both observed the same")
+	require.Equal(t, int64(1), a.View().Desired["m"].Due(now, window))
+	require.False(t, a.ApplyAges(now, a.View().Ages(now)), "own ages tell nothing new")
+}
+
+// Guards against a version that is written again and whose update window starts anew, and
+// against a peer that has not read the newer revision yet and loses its earlier observation.
+func TestVersionThatIsWrittenAgainKeepsItsFirstSeenTime(t *testing.T) {
+	s, behind := NewState(), NewState()
+	for _, state := range []*State{s, behind} {
+		state.Replace(start, []Change{desired(1, 1)}, 1)
+	}
+	s.Apply(start.Add(3*time.Second), []Change{desired(2, 2)}, 2)
+	s.Apply(start.Add(5*time.Second), []Change{desired(2, 3)}, 3)
+	w := s.View().Desired["m"]
+	require.Equal(t, uint64(3), w.Revision)
+	require.Equal(t, start.Add(3*time.Second), w.FirstSeen)
+	behind.Apply(start.Add(time.Second), []Change{desired(2, 2)}, 2)
+	s.ApplyAges(start.Add(6*time.Second), behind.View().Ages(start.Add(6*time.Second)))
+	w = s.View().Desired["m"]
+	require.Equal(t, int64(1), w.Due(start.Add(9*time.Second-1), 8*time.Second))
+	require.Equal(t, int64(2), w.Due(start.Add(9*time.Second), 8*time.Second))
+}
+
+// Guards against an age that cannot be told from one of an earlier time at which the same
+// version was desired: processes of an earlier build report no revision.
+func TestAgeWithoutARevisionIsIgnored(t *testing.T) {
+	s := NewState()
+	s.Replace(start, []Change{desired(1, 1)}, 1)
+	s.Apply(start.Add(time.Second), []Change{desired(2, 2)}, 2)
+	reports := map[string][]VersionAge{"m": {{Version: 2, AgeMS: 60_000}, {Version: 1, AgeMS: 90_000}}}
+	require.False(t, s.ApplyAges(start.Add(2*time.Second), reports))
+}
+
 // Guards against unbounded memory use by removed keys in a long-lived process.
 func TestRemovedKeysAreBounded(t *testing.T) {
 	s := NewState()
