staging: the earliest end of a newer version ends the use of the loaded one

Cause: UsableUntil and SlotStart used the time at which the oldest newer version was first observed. A process that was paused may observe that one last; the end was then later than the one by which the engine gets no more requests. Change: the earliest of all newer versions' times counts. If the time of the oldest is unknown, the end is still unknown.

--- a/lib/staging/staging_test.go
+++ b/lib/staging/staging_test.go
@@ -196,6 +196,21 @@
 	require.LessOrEqual(t, most, engines/3, "engines that leave service within one second")
 }
 
+// Guards against an end of use that is later than the one by which the engine gets no
+// more requests: a paused process may first observe the oldest newer version last.
+func TestEarliestNewerVersionEndsTheUse(t *testing.T) {
+	w := target(3)
+	w.Previous = []published.PreviousVersion{{Version: 2, FirstSeen: start.Add(5 * time.Second)}, {Version: 1}}
+	require.Equal(t, start.Add(updateWindow), UsableUntil(w, 1, updateWindow))
+	require.False(t, SlotStart(w, 1, updateWindow, 9, 10).After(start.Add(updateWindow-lastSlotMargin)))
+	// Engines with version 2 still come after those with version 1, which is due first.
+	require.False(t, SlotStart(w, 2, updateWindow, 0, 10).Before(SlotStart(w, 1, updateWindow, 9, 10)))
+	w.FirstSeen = time.Time{}
+	require.Equal(t, start.Add(5*time.Second+updateWindow), UsableUntil(w, 1, updateWindow), "the time of version 3 is unknown")
+	w.FirstSeen, w.Previous[0].FirstSeen = start, time.Time{}
+	require.Equal(t, time.Time{}.Add(updateWindow), UsableUntil(w, 1, updateWindow), "version 2 may be over already")
+}
+
 // Guards against an engine without weights that waits for an update slot.
 func TestEmptyEngineUpdatesAtOnce(t *testing.T) {
 	c := New("m", 16, updateWindow)
--- a/lib/staging/updateslot.go
+++ b/lib/staging/updateslot.go
@@ -42,19 +42,21 @@
 }
 
 // UsableUntil returns the time after which no new request may start on the
-// loaded version: the end of the update window of the oldest newer target.
+// loaded version: the earliest end of the update window of a newer target.
 func UsableUntil(target published.DesiredVersion, loaded int64, updateWindow time.Duration) time.Time {
 	next, _ := firstSeenAround(target, loaded)
 	return next.Add(updateWindow)
 }
 
-// firstSeenAround returns when the oldest version that is newer than the loaded one
-// became the target, and when the loaded one did; zero if that is not known.
+// firstSeenAround returns the earliest time at which a version that is newer than the
+// loaded one became the target, and when the loaded one did; zero if that is not known.
+// The oldest newer version need not have the earliest time, since the process may have
+// first observed it later.
 func firstSeenAround(target published.DesiredVersion, loaded int64) (next, own time.Time) {
 	next = target.FirstSeen
 	for _, e := range target.Previous {
 		switch {
-		case e.Version > loaded:
+		case e.Version > loaded && (next.IsZero() || e.FirstSeen.Before(next)):
 			next = e.FirstSeen
 		case e.Version == loaded:
 			own = e.FirstSeen
