staging: a version that becomes desired again ends no other one at once

Cause: firstSeenAround counted newer versions that were the target before the loaded one became it. After versions 1, 2, 1, 2 the window of an engine with version 1 was counted from the first time of version 2, and all engines loaded it at once. Change: what precedes the last time of the loaded version does not count. Result: TestVersionThatIsDesiredAgainLeavesTheOtherUsable failed before (the end of version 1 was 3 min too early).

--- a/lib/staging/staging_test.go
+++ b/lib/staging/staging_test.go
@@ -211,6 +211,17 @@
 	require.Equal(t, time.Time{}.Add(updateWindow), UsableUntil(w, 1, updateWindow), "version 2 may be over already")
 }
 
+// Guards against a version that was withdrawn and is desired again, and whose first time
+// ends the use of the other version at once, so that all engines load together.
+func TestVersionThatIsDesiredAgainLeavesTheOtherUsable(t *testing.T) {
+	again := start.Add(3 * time.Minute)
+	w := published.DesiredVersion{Model: "m", Version: 2, Revision: 4, FirstSeen: again, Previous: []published.PreviousVersion{
+		{Version: 1, Revision: 3, FirstSeen: start.Add(2 * time.Minute)}, {Version: 2, Revision: 2, FirstSeen: start}, {Version: 1, Revision: 1},
+	}}
+	require.Equal(t, again.Add(updateWindow), UsableUntil(w, 1, updateWindow))
+	require.False(t, SlotStart(w, 1, updateWindow, 0, 10).Before(again))
+}
+
 // Guards against an engine without weights that waits for an update slot.
 func TestEmptyEngineUpdatesAtOnce(t *testing.T) {
 	c := New("m", 16, updateWindow)
--- a/lib/staging/updateslot.go
+++ b/lib/staging/updateslot.go
@@ -49,20 +49,21 @@
 }
 
 // firstSeenAround returns the earliest time at which a version that is newer than the
-// loaded one became the target, and when the loaded one did; zero if that is not known.
-// The oldest newer version need not have the earliest time, since the process may have
-// first observed it later.
+// loaded one became the target, and when the loaded one last did; zero if that is not
+// known. The oldest newer version need not have the earliest time, since the process may
+// have first observed it later. What was the target before the loaded one does not count:
+// a newer version may have been withdrawn and become the target again.
 func firstSeenAround(target published.DesiredVersion, loaded int64) (next, own time.Time) {
 	next = target.FirstSeen
 	for _, e := range target.Previous {
 		switch {
+		case e.Version == loaded:
+			return next, e.FirstSeen
 		case e.Version > loaded && (next.IsZero() || e.FirstSeen.Before(next)):
 			next = e.FirstSeen
-		case e.Version == loaded:
-			own = e.FirstSeen
 		}
 	}
-	return next, own
+	return next, time.Time{}
 }
 
 // Ranks returns the positions, from 0, of the engines with the given addresses among
