exchange: test that a stream which has begun is not ended as not begun

Cause: tooLate without its check of the first event passed all tests, because the test's BeginBy was a minute away. Change: the BeginBy of the subtest passes while the stream goes on. Result: with the check left out, TestStreamBeginsInTimeOrEnds fails.

--- a/lib/exchange/timeout_test.go
+++ b/lib/exchange/timeout_test.go
@@ -50,8 +50,11 @@
 	out, _ := do(serveText(streamHead+"\r\ndata:"), request(""), in(time.Millisecond))
 	require.Equal(t, retry.NotBegun, out.End)
 	require.False(t, out.Reusable)
-	out, _ = do(serveText(streamHead+"\r\nid: 1\ndata: a\n\n"), request(""), in(time.Minute))
+	o := in(time.Second)
+	o.ProgressTimeout = time.Second
+	out, _ = do(serveText(streamHead+"\r\nid: 1\ndata: a\n\n"), request(""), o)
 	require.Equal(t, retry.Stalled, out.End, "it stopped after it had begun")
+	require.False(t, time.Now().Before(o.BeginBy))
 	out, _ = do(serveText(""), request(""), in(-time.Hour))
 	require.Equal(t, retry.NotBegun, out.End)
 }
