gateway, peering, viewsync: tests that impossible ages are ignored

Cause: nothing checked that receivers use published.ValidAges. Change: a message of a peer and an answer of viewsync with impossible ages. Result: without the check in peering, TestMessageWithImpossibleAges and TestImpossibleAgesOfAPeerAreIgnored fail; the latter also if the gateway takes messages that are not valid; without the one in viewsync, its TestImpossibleAgesAreIgnored fails.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -369,3 +370,26 @@
 	})
 	require.Equal(t, "id: 1\ndata: 1\n\n", <-result)
 }
+
+// Guards against a peer whose impossible message ends the update window of a version.
+func TestImpossibleAgesOfAPeerAreIgnored(t *testing.T) {
+	source := newSource()
+	source.put("op/config", configJSON)
+	source.put("op/version/m", `{"model":"m","version":1}`)
+	g := start(t, source)
+	revision := source.put("op/version/m", `{"model":"m","version":2}`)
+	age := func(ms int64) published.VersionAge {
+		return published.VersionAge{Version: 2, Revision: revision, AgeMS: ms}
+	}
+	require.Eventually(t, func() bool {
+		batch, err := g.gateway.watcher.Since(context.Background(), 0)
+		require.NoError(t, err)
+		return batch.Revision == revision
+	}, testTimeout, time.Millisecond)
+	const impossible = 300_000
+	g.reportAges(newHost(), "m", slices.Repeat([]published.VersionAge{age(impossible)}, 10)...)
+	g.learnAge("m", age(1000))
+	batch, err := g.gateway.watcher.Since(context.Background(), 0)
+	require.NoError(t, err)
+	require.Less(t, batch.Ages["m"][0].AgeMS, int64(impossible))
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -204,17 +204,23 @@
 	return r
 }
 
-// learnAge sends the gateway a peer's message with the age of a version until the
-// gateway has taken it over.
-func (r *testGateway) learnAge(model string, age published.VersionAge) {
-	message, err := json.Marshal(&peering.Message{From: newHost() + ":7004", Versions: map[string][]published.VersionAge{model: {age}}})
+// reportAges sends the gateway a message of the peer on a host with ages of versions.
+func (r *testGateway) reportAges(host, model string, ages ...published.VersionAge) {
+	message, err := json.Marshal(&peering.Message{From: host + ":7004", Versions: map[string][]published.VersionAge{model: ages}})
 	require.NoError(r.t, err)
 	peer, err := net.Dial("udp4", r.gateway.settings.Peers)
 	require.NoError(r.t, err)
 	defer func() { _ = peer.Close() }()
+	_, err = peer.Write(message)
+	require.NoError(r.t, err)
+}
+
+// learnAge sends the gateway a peer's message with the age of a version until the
+// gateway has taken it over.
+func (r *testGateway) learnAge(model string, age published.VersionAge) {
+	host := newHost()
 	require.Eventually(r.t, func() bool {
-		_, err := peer.Write(message)
-		require.NoError(r.t, err)
+		r.reportAges(host, model, age)
 		batch, err := r.gateway.watcher.Since(context.Background(), 0)
 		require.NoError(r.t, err)
 		known := batch.Ages[model]
--- a/lib/peering/peering_test.go
+++ b/lib/peering/peering_test.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/published"
 )
 
 var start = time.Unix(1000, 0)
@@ -189,3 +191,18 @@
 	}
 	require.Len(t, named, peers)
 }
+
+// Guards against a message whose impossible ages end the update windows of its receivers.
+func TestMessageWithImpossibleAges(t *testing.T) {
+	possible := published.VersionAge{Version: 2, Revision: 5, AgeMS: 1000}
+	for name, ages := range map[string][]published.VersionAge{
+		"negative": {{Version: 2, Revision: 5, AgeMS: -1}},
+		"too old":  {possible, {Version: 1, Revision: 4, AgeMS: time.Hour.Milliseconds()}},
+		"too many": slices.Repeat([]published.VersionAge{possible}, 10),
+	} {
+		m := Message{Versions: map[string][]published.VersionAge{"m": ages}}
+		require.False(t, m.Valid(), name)
+	}
+	m := Message{Versions: map[string][]published.VersionAge{"m": {possible}}}
+	require.True(t, m.Valid())
+}
--- a/lib/viewsync/viewsync_test.go
+++ b/lib/viewsync/viewsync_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -53,6 +54,19 @@
 	}, b.Changes)
 }
 
+// Guards against a faulty process whose impossible ages end the update windows of its
+// readers. Its items still count.
+func TestImpossibleAgesAreIgnored(t *testing.T) {
+	for _, ms := range []int64{-1, time.Hour.Milliseconds()} {
+		ages := map[string][]published.VersionAge{"m": {{Version: 2, Revision: 5, AgeMS: ms}}}
+		address := serve(t, published.Batch{Revision: 5, Ages: ages, Changes: []published.Change{{Key: "a", Revision: 5}}})
+		b, err := NewClient(decode).Changes(context.Background(), address, 0, "")
+		require.NoError(t, err)
+		require.Empty(t, b.Ages)
+		require.Len(t, b.Changes, 1)
+	}
+}
+
 // Guards against a fallback that gives up at the first unavailable process.
 func TestFallbackTriesTheNextProcess(t *testing.T) {
 	available := serve(t, published.Batch{Revision: 1, Changes: []published.Change{{Key: "a", Revision: 1}}})
