gateway, dispatch: plain words for paused processes and ended attempts

Cause: comments said that a process stood still and wakes, and that a request is taken away. Change: it was paused and resumes; its attempt was ended. Comments only. Result: gofmt is clean; no such word is left in comments of these parts.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -321,9 +321,9 @@
 	}, testTimeout, time.Millisecond)
 }
 
-// Guards against a gateway that stood still while a version was published and sends
+// Guards against a gateway that was paused while a version was published and sends
 // requests to engines with older weights after the update window, since it counts
-// from its own late sight.
+// from its own later observation.
 func TestAgeOfAPeerEndsOldWeights(t *testing.T) {
 	source := newSource()
 	source.put("op/config", configJSON)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -160,7 +160,7 @@
 }
 
 func (c *callHandler) exchange(ctx context.Context, a *dispatch.Send, conn *exchange.Conn) attemptOutcome {
-	// A process that stood still reads requests whose callers have left meanwhile.
+	// A process that was paused reads requests whose callers have left meanwhile.
 	if c.r.Context().Err() != nil {
 		out := exchange.Outcome{AttemptResult: dispatch.AttemptResult{End: retry.Canceled}, Detail: "caller left before the send"}
 		return attemptOutcome{Outcome: out, conn: conn}
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -16,7 +16,7 @@
 )
 
 // Guards against requests that are sent on although their callers have left: a gateway
-// that stood still reads all of them when it wakes.
+// that was paused reads all of them when it resumes.
 func TestRequestOfACallerThatLeftIsNotSent(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/lib/dispatch/weights_test.go
+++ b/lib/dispatch/weights_test.go
@@ -76,7 +76,7 @@
 }
 
 // Guards against requests that wait inside an engine until its weights are out of date,
-// and against an engine that is avoided because such a request was taken away from it.
+// and against an engine that is avoided because the attempt of such a request was ended.
 func TestStreamHasToBeginBeforeItsWeightsEnd(t *testing.T) {
 	v := view(replica("old", 1))
 	h := newHarness(t, v)
