--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -320,9 +321,9 @@
 	}, testTimeout, time.Millisecond)
 }
 
-// Guards against a gateway that stood still while a version was published and sends
+// Guards against a gateway that was paused while a version was published and sends
 // requests to engines with older weights after the update window, since it counts
-// from its own late sight.
+// from its own later observation.
 func TestAgeOfAPeerEndsOldWeights(t *testing.T) {
 	source := newSource()
 	source.put("op/config", configJSON)
@@ -333,8 +334,8 @@
 		status, _ := g.call(http.MethodPost, "/stream/x", "")
 		return status == http.StatusOK
 	}, testTimeout, time.Millisecond)
-	source.put("op/version/m", `{"model":"m","version":2}`)
-	g.learnAge("m", published.VersionAge{Version: 2, AgeMS: time.Minute.Milliseconds()})
+	revision := source.put("op/version/m", `{"model":"m","version":2}`)
+	g.learnAge("m", published.VersionAge{Version: 2, Revision: revision, AgeMS: time.Minute.Milliseconds()})
 	require.Eventually(t, func() bool {
 		status, _ := g.call(http.MethodPost, "/stream/x", "")
 		return status == http.StatusServiceUnavailable
@@ -355,8 +356,8 @@
 		<-r.Context().Done()
 	})
 	g := start(t, source)
-	source.put("op/version/m", `{"model":"m","version":2}`)
-	g.learnAge("m", published.VersionAge{Version: 2, AgeMS: 5000})
+	revision := source.put("op/version/m", `{"model":"m","version":2}`)
+	g.learnAge("m", published.VersionAge{Version: 2, Revision: revision, AgeMS: 5000})
 	result := make(chan string, 1)
 	go func() {
 		_, body := g.call(http.MethodPost, "/stream/x", "")
@@ -369,3 +370,26 @@
 	})
 	require.Equal(t, "id: 1\ndata: 1\n\n", <-result)
 }
+
+// Guards against a peer whose impossible message ends the update window of a version.
+func TestImpossibleAgesOfAPeerAreIgnored(t *testing.T) {
+	source := newSource()
+	source.put("op/config", configJSON)
+	source.put("op/version/m", `{"model":"m","version":1}`)
+	g := start(t, source)
+	revision := source.put("op/version/m", `{"model":"m","version":2}`)
+	age := func(ms int64) published.VersionAge {
+		return published.VersionAge{Version: 2, Revision: revision, AgeMS: ms}
+	}
+	require.Eventually(t, func() bool {
+		batch, err := g.gateway.watcher.Since(context.Background(), 0)
+		require.NoError(t, err)
+		return batch.Revision == revision
+	}, testTimeout, time.Millisecond)
+	const impossible = 300_000
+	g.reportAges(newHost(), "m", slices.Repeat([]published.VersionAge{age(impossible)}, 10)...)
+	g.learnAge("m", age(1000))
+	batch, err := g.gateway.watcher.Since(context.Background(), 0)
+	require.NoError(t, err)
+	require.Less(t, batch.Ages["m"][0].AgeMS, int64(impossible))
+}
