dispatch: an answer with a client error clears no part

Cause: any status below 500 counted as the beginning of an answer. A request that an upstream rejects as malformed and that names a harmful part cleared that part at all gateways, so that it was never blocked.

Change: AttemptResult has ClientError, set for 4xx, which counts as evidence like ServerError: the upstream answered, the answer did not begin. The gateway reports the start of a streamed response only for 2xx.

Result: TestRejectedRequestClearsNoPart failed before with status 400 instead of 503, TestErrorIsNoBeginning with one event for status 400 instead of none; both pass.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -223,9 +223,9 @@
 // Head implements exchange.Receiver. If a response is resumed at another
 // upstream, the head that was already written stays.
 func (c *callHandler) Head(resp *http.Response) error {
-	// A server error is not the beginning of an answer; the end of the attempt
-	// reports it.
-	if c.streaming && resp.StatusCode < http.StatusInternalServerError {
+	// Only a success is the beginning of an answer; the end of the attempt reports
+	// any other status.
+	if c.streaming && resp.StatusCode/100 == http.StatusOK/100 {
 		_ = c.gateway.inbox.Put(context.Background(), responseStarted{ticket: c.ticket})
 	}
 	if c.started {
--- a/gateway/suspicion_test.go
+++ b/gateway/suspicion_test.go
@@ -20,6 +20,44 @@
 	"rattanspur.example/platform"
 )
 
+// learnCrashes sends the gateway the evidence of a peer: crashes of starts of an
+// upstream, the older the earlier, with a harmful part and a known first one.
+func (r *testGateway) learnCrashes(from, to int) {
+	message := peering.Message{From: newHost() + ":7004"}
+	for i := from; i < to; i++ {
+		message.Crashes = append(message.Crashes, poison.Report{
+			Crash: poison.NewCrashID("i-2", int64(i)), AgeMS: int64(1000 * (i + 1)),
+			Suspects: []poison.Suspect{{Trait: poison.PartTrait("first"), Known: true}, {Trait: poison.PartTrait("harmful"), Depth: 1}},
+		})
+	}
+	data, err := json.Marshal(&message)
+	require.NoError(r.t, err)
+	conn, err := net.Dial("udp4", r.gateway.settings.Peers)
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = conn.Close() })
+	_, err = conn.Write(data)
+	require.NoError(r.t, err)
+}
+
+// Guards against a request that an upstream rejects as malformed and that clears the
+// harmful part which it names.
+func TestRejectedRequestClearsNoPart(t *testing.T) {
+	for _, path := range []string{"/once/1", "/stream/1"} {
+		source := newSource()
+		source.put("op/config", configJSON)
+		for _, service := range []string{"desk", "engine"} {
+			source.upstream(t, "i-"+service, service, func(w http.ResponseWriter, r *http.Request) { respond(w, r, http.StatusBadRequest, "malformed") })
+		}
+		g := start(t, source)
+		g.learnCrashes(0, poison.BlockAfter-1)
+		require.Eventually(t, func() bool { return g.gateway.metrics.crashRecords.Load() == poison.BlockAfter-1 }, testTimeout, time.Millisecond)
+		require.Equal(t, http.StatusBadRequest, g.callWithParts(path, "harmful:20,own:30"))
+		g.learnCrashes(poison.BlockAfter-1, poison.BlockAfter)
+		require.Eventually(t, func() bool { return g.gateway.metrics.convictedTraits.Load() == 1 }, testTimeout, time.Millisecond)
+		require.Equal(t, http.StatusServiceUnavailable, g.callWithParts(path, "harmful:20,own:30"), path)
+	}
+}
+
 // Guards against a gateway that forwards requests with a part of which other
 // gateways know that it crashes upstreams, against one that rejects sound requests of
 // the same customer with the same first part, and against a rejection whose cause the
@@ -29,20 +67,7 @@
 	source.put("op/config", configJSON)
 	source.upstream(t, "i-1", "desk", func(w http.ResponseWriter, r *http.Request) { respond(w, r, http.StatusOK, "ok") })
 	g := start(t, source)
-	message := peering.Message{From: newHost() + ":7004"}
-	for i := range poison.BlockAfter {
-		message.Crashes = append(message.Crashes, poison.Report{
-			Crash: poison.NewCrashID("i-2", int64(i)), AgeMS: int64(1000 * (i + 1)),
-			Suspects: []poison.Suspect{{Trait: poison.PartTrait("first"), Known: true}, {Trait: poison.PartTrait("harmful"), Depth: 1}},
-		})
-	}
-	data, err := json.Marshal(&message)
-	require.NoError(t, err)
-	conn, err := net.Dial("udp4", g.gateway.settings.Peers)
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = conn.Close() })
-	_, err = conn.Write(data)
-	require.NoError(t, err)
+	g.learnCrashes(0, poison.BlockAfter)
 	require.Eventually(t, func() bool { return g.gateway.metrics.convictedTraits.Load() == 1 }, testTimeout, time.Millisecond)
 	require.Equal(t, http.StatusServiceUnavailable, g.callWithParts("/once/1", "first:10,harmful:20,own:30"))
 	require.Equal(t, http.StatusOK, g.callWithParts("/once/1", "first:10,own:30"))
@@ -106,12 +131,12 @@
 	require.NotEmpty(t, got.Crashes)
 }
 
-// Guards against a server error that counts as the beginning of an answer: it would
-// clear a part that makes engines fail.
-func TestServerErrorIsNoBeginning(t *testing.T) {
+// Guards against an error that counts as the beginning of an answer: it would clear a
+// part that makes engines fail, or that they never read.
+func TestErrorIsNoBeginning(t *testing.T) {
 	logger := log.NewNopLogger()
 	g := New(Settings{}, platform.Codec{}, watcher.New(newSource(), "", time.Second, logger), logger)
-	for status, events := range map[int]int{http.StatusInternalServerError: 0, http.StatusOK: 1} {
+	for status, events := range map[int]int{http.StatusInternalServerError: 0, http.StatusBadRequest: 0, http.StatusOK: 1, http.StatusAccepted: 1} {
 		c := &callHandler{gateway: g, w: httptest.NewRecorder(), streaming: true}
 		require.NoError(t, c.Head(&http.Response{StatusCode: status}))
 		require.Equal(t, events, g.inbox.Depth(), status)
--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -101,16 +101,18 @@
 
 // recordEvidence records what the end of an attempt says about the traits of its
 // request. A request whose answer began, here or at an earlier upstream, did not
-// cause the loss of its upstream.
+// cause the loss of its upstream. An error is no answer: an upstream may reject a
+// request before it runs the part that crashes it.
 func (c *Core) recordEvidence(now time.Time, r *request, e AttemptResult) {
+	failed := e.ServerError || e.ClientError
 	switch {
-	case e.End == retry.Answered && e.ServerError:
+	case e.End == retry.Answered && failed:
 		c.detector.Answered(now, r.sentTo, r.sentAt)
 		return
 	case e.End == retry.Answered:
 		c.recordBegan(now, r)
 	}
-	r.begun = r.begun || e.Started || (e.FirstByte > 0 && !e.ServerError)
+	r.begun = r.begun || e.Started || (e.FirstByte > 0 && !failed)
 	if e.End.Crash() && !r.begun && e.FirstByte == 0 {
 		c.detector.Lost(now, r.sentTo, r.Traits)
 	}
--- a/lib/dispatch/suspicion_test.go
+++ b/lib/dispatch/suspicion_test.go
@@ -260,9 +260,9 @@
 }
 
 // Guards against suspicion after a loss that was no crash: the upstream goes on to
-// answer, be it with a server error.
+// answer, be it with an error.
 func TestAnswerRefutesCrash(t *testing.T) {
-	for _, serverError := range []bool{false, true} {
+	for _, end := range []AttemptResult{{}, {ServerError: true}, {ClientError: true}} {
 		h := newHarness(t, view(deskUpstream("a", "north-a")))
 		lost, actions := h.arriveWith("/once/1", harmful)
 		h.sent(actions)
@@ -270,7 +270,8 @@
 		h.now = h.now.Add(minAvoidance)
 		ticket, actions := h.arriveWith("/once/1", first)
 		h.sent(actions)
-		h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Answered, ServerError: serverError})
+		end.End = retry.Answered
+		h.core.AttemptEnded(h.now, ticket, end)
 		require.Equal(t, poison.Clear, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict)
 	}
 }
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -63,6 +63,8 @@
 	Misdirected bool
 	// ServerError is set if the upstream responded with a server error.
 	ServerError bool
+	// ClientError is set if the upstream rejected the request with a client error.
+	ClientError bool
 	// Held is set if the response was read completely and not passed on yet.
 	Held bool
 	// Started is set if the caller has received bytes of a response.
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -292,6 +292,7 @@
 	x.outcome.Version = h.Version
 	failed := resp.StatusCode >= http.StatusInternalServerError
 	x.outcome.ServerError = failed
+	x.outcome.ClientError = !failed && resp.StatusCode >= http.StatusBadRequest
 	events := x.options.EventStream && relay.IsEventStream(resp.Header)
 	var err error
 	switch {
