poison: the traits of parts belong to a model

Cause: the trait of a part did not name the model. A part that crashes the engines of one model blocked requests to all others, and an answer of another model's engine cleared it.

Change: PartTrait takes the model too.

Result: requests to another model share no trait of a part (TestTraitsOfPartsBelongToAModel; PartTrait took no model before).

--- a/emulator/prompt.go
+++ b/emulator/prompt.go
@@ -47,7 +47,7 @@
 func (p *prompt) traits(path string) []poison.Trait {
 	out := make([]poison.Trait, 0, len(p.shared)+1)
 	for _, part := range p.shared {
-		out = append(out, poison.PartTrait(part))
+		out = append(out, poison.PartTrait(modelName, part))
 	}
 	return append(out, poison.RequestTrait(p.key, path, p.body()))
 }
--- a/gateway/suspicion.go
+++ b/gateway/suspicion.go
@@ -13,7 +13,7 @@
 func traits(call *dispatch.Call, target string, body []byte) []poison.Trait {
 	out := make([]poison.Trait, 0, len(call.PromptParts)+1)
 	for _, part := range call.PromptParts {
-		out = append(out, poison.PartTrait(part))
+		out = append(out, poison.PartTrait(call.Model, part))
 	}
 	return append(out, poison.RequestTrait(call.Key, target, body))
 }
--- a/gateway/suspicion_test.go
+++ b/gateway/suspicion_test.go
@@ -27,7 +27,7 @@
 	for i := from; i < to; i++ {
 		message.Crashes = append(message.Crashes, poison.Report{
 			Crash: poison.NewCrashID("i-2", int64(i)), AgeMS: int64(1000 * (i + 1)),
-			Suspects: []poison.Suspect{{Trait: poison.PartTrait("first"), Known: true}, {Trait: poison.PartTrait("harmful"), Depth: 1}},
+			Suspects: []poison.Suspect{{Trait: poison.PartTrait("m", "first"), Known: true}, {Trait: poison.PartTrait("m", "harmful"), Depth: 1}},
 		})
 	}
 	data, err := json.Marshal(&message)
@@ -73,11 +73,22 @@
 	require.Equal(t, http.StatusOK, g.callWithParts("/once/1", "first:10,own:30"))
 	require.Equal(t, http.StatusOK, g.callWithParts("/once/1", "harmful:20"), "the last part is no shared one")
 	require.Equal(t, uint64(1), g.gateway.metrics.blocked.Get())
-	trait := "trait=" + dispatch.FormatTrait(poison.PartTrait("harmful"))
+	trait := "trait=" + dispatch.FormatTrait(poison.PartTrait("m", "harmful"))
 	require.Contains(t, g.logs.line("trait-blocked"), trait+" episodes=3")
 	require.Contains(t, g.logs.line("refused"), trait)
 }
 
+// Guards against a part that is harmful with one model and blocks requests to another
+// one, or that an answer of another model clears.
+func TestTraitsOfPartsBelongToAModel(t *testing.T) {
+	one := traits(&dispatch.Call{Key: "key", Model: "m", PromptParts: []string{"a", "b"}}, "/", []byte("body"))
+	other := traits(&dispatch.Call{Key: "key", Model: "n", PromptParts: []string{"a", "b"}}, "/", []byte("body"))
+	require.Len(t, one, 3)
+	require.Len(t, other, 3)
+	require.NotContains(t, other, one[0])
+	require.NotContains(t, other, one[1])
+}
+
 // Guards against a crash that only the gateway learns of which lost the request, and
 // against a log that does not show what was lost.
 func TestCrashIsReportedToPeers(t *testing.T) {
@@ -90,7 +101,7 @@
 	g := start(t, source, peer.LocalAddr().String())
 	require.Equal(t, http.StatusBadGateway, g.callWithParts("/once/1", "first:10,own:30"))
 	require.Contains(t, g.logs.line("attempt"), "end=lost")
-	require.Contains(t, g.logs.line("attempt"), "begun=false traits="+dispatch.FormatTrait(poison.PartTrait("first"))+",")
+	require.Contains(t, g.logs.line("attempt"), "begun=false traits="+dispatch.FormatTrait(poison.PartTrait("m", "first"))+",")
 	require.NoError(t, peer.SetReadDeadline(time.Now().Add(testTimeout)))
 	buffer := make([]byte, maxDatagramBytes)
 	for {
@@ -103,7 +114,7 @@
 		}
 		require.Equal(t, poison.NewCrashID("i-1", 1), m.Crashes[0].Crash)
 		require.Len(t, m.Crashes[0].Suspects, 2)
-		require.Contains(t, m.Crashes[0].Suspects, poison.Suspect{Trait: poison.PartTrait("first")})
+		require.Contains(t, m.Crashes[0].Suspects, poison.Suspect{Trait: poison.PartTrait("m", "first")})
 		return
 	}
 }
--- a/lib/dispatch/suspicion_test.go
+++ b/lib/dispatch/suspicion_test.go
@@ -15,7 +15,7 @@
 	"rattanspur.example/lib/retry"
 )
 
-var first, harmful = poison.PartTrait("first"), poison.PartTrait("harmful")
+var first, harmful = poison.PartTrait(model, "first"), poison.PartTrait(model, "harmful")
 
 // arriveWith lets a request arrive whose prompt has shared parts. No two of these
 // requests are alike.
--- a/lib/poison/fleet_test.go
+++ b/lib/poison/fleet_test.go
@@ -75,7 +75,7 @@
 	for i := range rapid.IntRange(2, 12).Draw(t, "upstreams") {
 		f.upstreams = append(f.upstreams, simUpstream{id: fleet.InstanceID(strconv.Itoa(i))})
 	}
-	f.harmful = PartTrait("harmful")
+	f.harmful = PartTrait("m", "harmful")
 	return f
 }
 
@@ -85,13 +85,13 @@
 	r := simRequest{gateway: f.random.IntN(len(f.gateways)), at: f.now}
 	r.harmful = f.random.IntN(100) < percent
 	if !r.harmful || !harmfulFirst {
-		r.traits = append(r.traits, PartTrait("first "+strconv.Itoa(f.random.IntN(parts))))
+		r.traits = append(r.traits, PartTrait("m", "first "+strconv.Itoa(f.random.IntN(parts))))
 	}
 	if r.harmful {
 		r.traits = append(r.traits, f.harmful)
 	}
 	if f.random.IntN(3) == 0 {
-		r.traits = append(r.traits, PartTrait("later "+strconv.Itoa(f.random.IntN(parts))))
+		r.traits = append(r.traits, PartTrait("m", "later "+strconv.Itoa(f.random.IntN(parts))))
 	}
 	r.traits = append(r.traits, Trait(f.random.Uint64()))
 	return r
--- a/lib/poison/types.go
+++ b/lib/poison/types.go
@@ -20,8 +20,11 @@
 // requestTrait is set in the traits of whole requests.
 const requestTrait Trait = 1 << 63
 
-// PartTrait returns the trait of the requests whose prompt contains a part.
-func PartTrait(part string) Trait { return Trait(hash("part", part, nil)) &^ requestTrait }
+// PartTrait returns the trait of the requests to a model whose prompt contains a part.
+// A part that crashes the engines of one model may be harmless for another one.
+func PartTrait(model, part string) Trait {
+	return Trait(hash("part", model, []byte(part))) &^ requestTrait
+}
 
 // RequestTrait returns the trait of one request and its repetitions.
 func RequestTrait(key, target string, body []byte) Trait {
