poison: each crash keeps another sample of its suspects

Cause: of more than 32 equally known suspects, a crash kept those with the smallest traits, so that all crashes left out the same ones. A harmful trait with a large hash was never found while many requests were lost with it.

Change: equally known suspects are ordered by a hash of crash and trait.

Result: TestEachCrashKeepsAnotherSampleOfItsSuspects (64 suspects a crash, 50 crashes) found no suspicion before; now the trait is blocked.

--- a/lib/poison/bounds_test.go
+++ b/lib/poison/bounds_test.go
@@ -89,6 +89,21 @@
 	}
 }
 
+// Guards against a harmful trait that the bound on suspects leaves out of every crash.
+func TestEachCrashKeepsAnotherSampleOfItsSuspects(t *testing.T) {
+	const harmful = ^Trait(0)
+	d := New("gateway")
+	now := start
+	for i := range 50 {
+		now = now.Add(time.Second)
+		d.Lost(now, CrashID(i+1), []Trait{harmful, RequestTrait("key", "/p", []byte{byte(i)})})
+		for j := range 63 {
+			d.Lost(now, CrashID(i+1), []Trait{RequestTrait("other", "/p", []byte{byte(i), byte(j)})})
+		}
+	}
+	require.Equal(t, Blocked, d.Check(now, []Trait{harmful}).Verdict)
+}
+
 // Guards against evidence that is displaced by crashes that explain nothing.
 func TestCrashesThatExplainNothingAreDroppedFirst(t *testing.T) {
 	d := New("gateway")
--- a/lib/poison/evidence.go
+++ b/lib/poison/evidence.go
@@ -92,10 +92,10 @@
 func (e *evidence) join(now time.Time, c crash) *record {
 	r := e.records[c.id]
 	if r == nil {
-		c.suspects = joinSuspects(e.joined[:0], c.suspects)
+		c.suspects = joinSuspects(c.id, e.joined[:0], c.suspects)
 		return e.insert(now, c)
 	}
-	e.joined = joinSuspects(append(e.joined[:0], r.suspects...), c.suspects)
+	e.joined = joinSuspects(c.id, append(e.joined[:0], r.suspects...), c.suspects)
 	c.suspects = e.joined
 	c.refuted = c.refuted || r.refuted
 	grown := c.refuted != r.refuted || !slices.Equal(c.suspects, r.suspects)
@@ -112,9 +112,9 @@
 	return r
 }
 
-// joinSuspects joins two lists of suspects into the space of the first one. The
-// result is sorted by trait and within the bound.
-func joinSuspects(space, added []Suspect) []Suspect {
+// joinSuspects joins two lists of suspects of a crash into the space of the first one.
+// The result is sorted by trait and within the bound.
+func joinSuspects(id CrashID, space, added []Suspect) []Suspect {
 	space = append(space, added...)
 	slices.SortFunc(space, compareTraits)
 	joined := space[:0]
@@ -132,7 +132,9 @@
 		return joined
 	}
 	// Known suspects are left out first, since they are less likely to be the cause.
-	slices.SortStableFunc(joined, compareKnown)
+	slices.SortFunc(joined, func(a, b Suspect) int {
+		return cmp.Or(compareKnown(a, b), cmp.Compare(sampleRank(id, a.Trait), sampleRank(id, b.Trait)))
+	})
 	joined = joined[:maxSuspects]
 	slices.SortFunc(joined, compareTraits)
 	return joined
@@ -140,6 +142,16 @@
 
 func compareTraits(a, b Suspect) int { return cmp.Compare(a.Trait, b.Trait) }
 
+// sampleRank orders the suspects of a crash that are equally known. The order differs
+// from crash to crash, so that no trait is left out of all of them.
+func sampleRank(id CrashID, t Trait) uint64 {
+	// The finalizer of SplitMix64.
+	x := uint64(id) ^ uint64(t)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // compareKnown orders unknown suspects before known ones.
 func compareKnown(a, b Suspect) int {
 	switch {
