poison: the loss of a failure domain drops no convictions

When a failure domain of hundreds of upstreams was lost, its crashes displaced the evidence for convictions, and harmful requests ran again.

Change: records that count against no trait are dropped first, then those that no convicted trait explains, then the others, each time the oldest. An added crash that counts against a convicted trait is kept as an explained one.

--- a/lib/poison/bounds_test.go
+++ b/lib/poison/bounds_test.go
@@ -117,6 +117,23 @@
 	require.Equal(t, []Trait{7}, d.Convicted(now))
 }
 
+// Guards against the loss of a failure domain that displaces the evidence for a
+// conviction, and against a conviction that is not renewed while there are as many
+// crashes that nothing explains.
+func TestConvictionOutlivesLossOfAFailureDomain(t *testing.T) {
+	d := New("gateway")
+	now := crashes(start, d, 3, 7)
+	require.Equal(t, []Trait{7}, d.Convicted(now))
+	now = now.Add(10 * time.Second)
+	for i := range CrashID(2 * maxRecords) {
+		d.Lost(now, 1000+i, []Trait{Trait(1000 + i)})
+	}
+	require.Equal(t, maxRecords, d.Crashes())
+	require.Equal(t, []Trait{7}, d.Convicted(now))
+	d.Lost(now.Add(-time.Second), 9999, []Trait{7})
+	require.Equal(t, 4, d.Check(now, []Trait{7}).Episodes)
+}
+
 // Guards against evidence that stays for ever, and convictions with it.
 func TestEvidenceExpires(t *testing.T) {
 	d := New("gateway")
--- a/lib/poison/evidence.go
+++ b/lib/poison/evidence.go
@@ -48,6 +48,9 @@
 	// open lists the records that count against a trait: those that are not
 	// refuted and in which the trait is a suspect that was not cleared.
 	open map[Trait][]*record
+	// convicted holds the traits that were convicted when the evidence was last
+	// judged.
+	convicted map[Trait]struct{}
 	// changed is set if the records changed since it was last unset.
 	changed bool
 	// nextExpiry is the earliest time at which a record may expire.
@@ -57,7 +60,11 @@
 }
 
 func newEvidence() evidence {
-	return evidence{records: map[CrashID]*record{}, open: map[Trait][]*record{}}
+	return evidence{
+		records:   map[CrashID]*record{},
+		open:      map[Trait][]*record{},
+		convicted: map[Trait]struct{}{},
+	}
 }
 
 // counts reports whether a crash counts against a suspect of it.
@@ -200,7 +207,7 @@
 func (e *evidence) insert(now time.Time, c crash) *record {
 	if len(e.records) >= maxRecords {
 		worst := e.worst()
-		if compareWorth(&c, &worst.crash) < 0 {
+		if compareWorth(&record{crash: c, explained: e.convicts(&c)}, worst) < 0 {
 			return nil
 		}
 		e.remove(worst)
@@ -218,23 +225,37 @@
 func (e *evidence) worst() *record {
 	var worst *record
 	for _, r := range e.records {
-		if worst == nil || compareWorth(&r.crash, &worst.crash) < 0 {
+		if worst == nil || compareWorth(r, worst) < 0 {
 			worst = r
 		}
 	}
 	return worst
 }
 
-// compareWorth orders crashes that explain nothing before others, then older ones
-// before newer ones.
-func compareWorth(a, b *crash) int {
-	if a.explains() != b.explains() {
-		if b.explains() {
-			return -1
-		}
+// compareWorth orders crashes that count against no trait first, then those that no
+// convicted trait explains, then the others, and older ones before newer ones. The
+// loss of a failure domain adds hundreds of crashes that nothing explains.
+func compareWorth(a, b *record) int {
+	return cmp.Or(cmp.Compare(a.worth(), b.worth()), a.at.Compare(b.at), cmp.Compare(a.id, b.id))
+}
+
+func (r *record) worth() int {
+	switch {
+	case !r.explains():
+		return 0
+	case !r.explained:
 		return 1
+	default:
+		return 2
 	}
-	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id))
+}
+
+// convicts reports whether the crash counts against a convicted trait.
+func (e *evidence) convicts(c *crash) bool {
+	return slices.ContainsFunc(c.suspects, func(s Suspect) bool {
+		_, convicted := e.convicted[s.Trait]
+		return convicted && c.counts(s)
+	})
 }
 
 func (e *evidence) remove(r *record) {
--- a/lib/poison/verdict.go
+++ b/lib/poison/verdict.go
@@ -62,6 +62,7 @@
 	for _, r := range e.records {
 		r.explained = false
 	}
+	clear(e.convicted)
 	var candidates, found []finding
 	for t, records := range e.open {
 		candidates = append(candidates, newFinding(t, records))
@@ -72,7 +73,9 @@
 		if len(rest) == 0 {
 			break
 		}
-		found = append(found, convict(rest))
+		f := convict(rest)
+		e.convicted[f.trait] = struct{}{}
+		found = append(found, f)
 	}
 	for i := range candidates {
 		c := &candidates[i]
