--- a/lib/poison/bounds_test.go
+++ b/lib/poison/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -15,7 +16,7 @@
 	require.LessOrEqual(t, d.Crashes(), maxRecords)
 	require.LessOrEqual(t, len(d.begun.entries), maxRecentTraits+1)
 	require.Equal(t, len(d.begun.positions), len(d.begun.entries)-1)
-	open := 0
+	open, repeated := 0, 0
 	for _, r := range d.evidence.records {
 		require.LessOrEqual(t, len(r.suspects), maxSuspects)
 		require.True(t, slices.IsSortedFunc(r.suspects, compareTraits))
@@ -26,9 +27,16 @@
 			}
 		}
 	}
-	for _, records := range d.evidence.open {
+	for trait, records := range d.evidence.open {
 		open -= len(records)
+		require.True(t, slices.IsSortedFunc(records, compareTimes))
+		if len(records) > 1 {
+			repeated++
+			_, found := d.evidence.repeated[trait]
+			require.True(t, found)
+		}
 	}
+	require.Len(t, d.evidence.repeated, repeated)
 	require.Zero(t, open, "the index lists records that do not count")
 	reports := d.Reports(now)
 	require.LessOrEqual(t, len(reports), maxReports)
@@ -184,22 +192,24 @@
 	})
 }
 
-func fullDetector() (*Detector, time.Time) {
+// fullDetector returns a detector with all records and suspects that it may keep, in
+// which each trait has the given number of crashes.
+func fullDetector(crashes int) (*Detector, time.Time) {
 	d := New("gateway")
 	now := start
-	for i := range CrashID(maxRecords) {
+	for i := range maxRecords {
 		now = now.Add(time.Second)
 		var traits []Trait
-		for j := range Trait(maxSuspects) {
-			traits = append(traits, j%8*Trait(i%16)+j)
+		for j := range maxSuspects {
+			traits = append(traits, Trait(hash("trait", "", []byte{byte(i / crashes), byte(j)})))
 		}
-		d.Lost(now, i, traits)
+		d.Lost(now, CrashID(i), traits)
 	}
 	return d, now
 }
 
 func BenchmarkBegan(b *testing.B) {
-	d, now := fullDetector()
+	d, now := fullDetector(3)
 	next := Trait(1 << 32)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -209,7 +219,7 @@
 }
 
 func BenchmarkCheck(b *testing.B) {
-	d, now := fullDetector()
+	d, now := fullDetector(3)
 	b.ReportAllocs()
 	for b.Loop() {
 		d.Check(now, []Trait{1, 2, 1 << 31})
@@ -218,10 +228,14 @@
 
 // BenchmarkCheckAfterChange includes the derivation of the verdicts.
 func BenchmarkCheckAfterChange(b *testing.B) {
-	d, now := fullDetector()
-	b.ReportAllocs()
-	for b.Loop() {
-		d.evidence.changed = true
-		d.Check(now, []Trait{1, 2, 1 << 31})
+	for _, crashes := range []int{1, 2, 3} {
+		b.Run(fmt.Sprintf("crashes=%d", crashes), func(b *testing.B) {
+			d, now := fullDetector(crashes)
+			b.ReportAllocs()
+			for b.Loop() {
+				d.evidence.changed = true
+				d.Check(now, []Trait{1, 2, 1 << 31})
+			}
+		})
 	}
 }
--- a/lib/poison/detector.go
+++ b/lib/poison/detector.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -15,9 +16,11 @@
 	self     string
 	evidence evidence
 	begun    recentTraits
-	// findings are the traits under suspicion and the convicted ones. They are
-	// derived from the evidence when it has changed since.
-	findings map[Trait]finding
+	// findings are the traits of several crashes that are suspected or convicted.
+	// They are derived from the evidence when it has changed since. judged holds
+	// them.
+	findings map[Trait]*finding
+	judged   []finding
 	// probes holds the times of the last probes of convicted traits.
 	probes map[Trait]time.Time
 	// messages is the number of calls of Reports.
@@ -31,7 +34,7 @@
 		self:     self,
 		evidence: newEvidence(),
 		begun:    newRecentTraits(),
-		findings: map[Trait]finding{},
+		findings: map[Trait]*finding{},
 		probes:   map[Trait]time.Time{},
 	}
 }
@@ -77,25 +80,39 @@
 // traits with the same verdict it is the one that would be convicted first.
 func (d *Detector) Check(now time.Time, traits []Trait) Decision {
 	d.refresh(now)
-	if len(d.findings) == 0 {
+	if len(d.evidence.open) == 0 {
 		return Decision{}
 	}
 	var verdict Verdict
 	var cause finding
 	for _, t := range traits {
-		f, found := d.findings[t]
+		f, found := d.finding(t)
 		if !found {
 			continue
 		}
-		v := d.verdict(now, f)
-		if v > verdict || v == verdict && f.precedes(cause) {
+		v := d.verdict(now, &f)
+		if v > verdict || v == verdict && f.precedes(&cause) {
 			verdict, cause = v, f
 		}
 	}
 	return Decision{Verdict: verdict, Trait: cause.trait, Episodes: cause.episodes}
 }
 
-func (d *Detector) verdict(now time.Time, f finding) Verdict {
+// finding returns what is known about a trait that is suspected or convicted.
+func (d *Detector) finding(t Trait) (finding, bool) {
+	if f := d.findings[t]; f != nil {
+		return *f, true
+	}
+	return d.evidence.single(t)
+}
+
+// convicted reports whether a trait is convicted.
+func (d *Detector) convicted(t Trait) bool {
+	_, convicted := d.evidence.convicted[t]
+	return convicted
+}
+
+func (d *Detector) verdict(now time.Time, f *finding) Verdict {
 	if !f.convicted {
 		return Suspected
 	}
@@ -111,7 +128,7 @@
 // ProbeSent records that a request with a convicted trait was sent.
 func (d *Detector) ProbeSent(now time.Time, t Trait) {
 	d.refresh(now)
-	if d.findings[t].convicted {
+	if d.convicted(t) {
 		d.probes[t] = now
 	}
 }
@@ -122,14 +139,7 @@
 // Convicted returns the convicted traits.
 func (d *Detector) Convicted(now time.Time) []Trait {
 	d.refresh(now)
-	var convicted []Trait
-	for t, f := range d.findings {
-		if f.convicted {
-			convicted = append(convicted, t)
-		}
-	}
-	slices.Sort(convicted)
-	return convicted
+	return slices.Sorted(maps.Keys(d.evidence.convicted))
 }
 
 // refresh derives the findings anew if the evidence has changed.
@@ -140,7 +150,9 @@
 	}
 	d.evidence.changed = false
 	clear(d.findings)
-	for _, f := range judge(&d.evidence) {
+	d.judged = judge(&d.evidence, d.judged[:0])
+	for i := range d.judged {
+		f := &d.judged[i]
 		if f.convicted {
 			f.probeAt = f.last.Add(f.probeWait() + probeDelay(d.self, f.trait))
 		}
@@ -148,7 +160,7 @@
 		d.findings[f.trait] = f
 	}
 	for t := range d.probes {
-		if !d.findings[t].convicted {
+		if !d.convicted(t) {
 			delete(d.probes, t)
 		}
 	}
--- a/lib/poison/evidence.go
+++ b/lib/poison/evidence.go
@@ -46,8 +46,11 @@
 type evidence struct {
 	records map[CrashID]*record
 	// open lists the records that count against a trait: those that are not
-	// refuted and in which the trait is a suspect that was not cleared.
+	// refuted and in which the trait is a suspect that was not cleared. They are in
+	// the order of their times.
 	open map[Trait][]*record
+	// repeated holds the traits that several records count against.
+	repeated map[Trait]struct{}
 	// convicted holds the traits that were convicted when the evidence was last
 	// judged.
 	convicted map[Trait]struct{}
@@ -63,6 +66,7 @@
 	return evidence{
 		records:   map[CrashID]*record{},
 		open:      map[Trait][]*record{},
+		repeated:  map[Trait]struct{}{},
 		convicted: map[Trait]struct{}{},
 	}
 }
@@ -111,7 +115,7 @@
 	}
 	if c.at.Before(r.at) {
 		r.at = c.at
-		e.changed = true
+		e.reorder(r)
 	}
 	if grown || r.announcedAt.Sub(r.at) > timeTolerance {
 		r.announce(now)
@@ -189,14 +193,39 @@
 	}
 	for _, s := range r.suspects {
 		if r.counts(s) && !old.countsAgainst(s.Trait) {
-			e.open[s.Trait] = append(e.open[s.Trait], r)
+			e.index(r, s.Trait)
 		}
 	}
 }
 
+func (e *evidence) index(r *record, t Trait) {
+	list := e.open[t]
+	at, _ := slices.BinarySearchFunc(list, r, compareTimes)
+	list = slices.Insert(list, at, r)
+	e.open[t] = list
+	if len(list) > 1 {
+		e.repeated[t] = struct{}{}
+	}
+}
+
+// reorder updates the index after a change of the time of a record.
+func (e *evidence) reorder(r *record) {
+	e.changed = true
+	for _, s := range r.suspects {
+		if r.counts(s) {
+			slices.SortFunc(e.open[s.Trait], compareTimes)
+		}
+	}
+}
+
+func compareTimes(a, b *record) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id)) }
+
 func (e *evidence) unindex(r *record, t Trait) {
 	rest := slices.DeleteFunc(e.open[t], func(other *record) bool { return other == r })
 	e.open[t] = rest
+	if len(rest) < 2 {
+		delete(e.repeated, t)
+	}
 	if len(rest) == 0 {
 		delete(e.open, t)
 	}
--- a/lib/poison/verdict.go
+++ b/lib/poison/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -44,7 +45,7 @@
 }
 
 // precedes reports whether the trait is convicted before another one.
-func (f *finding) precedes(other finding) bool {
+func (f *finding) precedes(other *finding) bool {
 	if f.known != other.known {
 		return !f.known
 	}
@@ -56,82 +57,112 @@
 	) < 0
 }
 
-// judge returns the traits that are suspected or convicted, and marks the records
-// that convicted traits explain.
-func judge(e *evidence) []finding {
+// judge appends the traits of several crashes that are suspected or convicted to
+// space, and marks the records that convicted traits explain.
+func judge(e *evidence, space []finding) []finding {
 	for _, r := range e.records {
 		r.explained = false
 	}
 	clear(e.convicted)
-	var candidates, found []finding
-	for t, records := range e.open {
-		candidates = append(candidates, newFinding(t, records))
+	for t := range e.repeated {
+		space = append(space, newFinding(t, e.open[t]))
 	}
-	rest := candidates
-	for {
-		rest = convictable(rest)
-		if len(rest) == 0 {
-			break
+	e.convict(space)
+	for i := range space {
+		if !space[i].convicted {
+			space[i].count()
 		}
-		f := convict(rest)
-		e.convicted[f.trait] = struct{}{}
-		found = append(found, f)
 	}
-	for i := range candidates {
-		c := &candidates[i]
-		c.count()
-		if c.episodes >= c.suspectAfter() {
-			found = append(found, *c)
-		}
-	}
-	return found
+	return slices.DeleteFunc(space, func(f finding) bool { return f.episodes < f.suspectAfter() })
 }
 
 // newFinding describes a trait by the records that count against it.
 func newFinding(t Trait, open []*record) finding {
 	f := finding{trait: t, records: open}
-	if len(open) > 1 {
-		f.records = slices.Clone(open)
-		slices.SortFunc(f.records, func(a, b *record) int { return a.at.Compare(b.at) })
-	}
 	for _, r := range open {
 		s, _ := r.suspect(t)
 		f.known = f.known || s.Known
 		f.depth = max(f.depth, s.Depth)
 	}
+	f.count()
 	return f
 }
 
-// convictable returns the findings whose crashes that are not explained convict them.
-func convictable(findings []finding) []finding {
-	var rest []finding
-	for _, f := range findings {
-		if len(f.records) < BlockAfter {
-			continue
+// single returns what the evidence says about a trait that one crash counts against,
+// if it is suspected. The evidence must have been judged.
+func (e *evidence) single(t Trait) (finding, bool) {
+	open := e.open[t]
+	if len(open) != 1 || open[0].explained {
+		return finding{}, false
+	}
+	f := newFinding(t, open)
+	return f, f.episodes >= f.suspectAfter()
+}
+
+// convict convicts traits, in their order, until no other one is left that has enough
+// crashes which are not explained.
+func (e *evidence) convict(findings []finding) {
+	var queue convictionQueue
+	for i := range findings {
+		if findings[i].convictable() {
+			queue = append(queue, &findings[i])
 		}
+	}
+	heap.Init(&queue)
+	for len(queue) > 0 {
+		// Crashes that were explained meanwhile only move a trait back, so that the
+		// first one precedes the others if its count is still right.
+		f := queue[0]
+		crashes := f.crashes
 		f.count()
-		fast := !f.known && f.episodes >= blockAfterFast && f.crashes >= blockAfterCrashes
-		if f.episodes >= BlockAfter || fast {
-			rest = append(rest, f)
+		switch {
+		case !f.convictable():
+			heap.Pop(&queue)
+		case f.crashes < crashes:
+			heap.Fix(&queue, 0)
+		default:
+			heap.Pop(&queue)
+			f.convicted = true
+			e.explain(f)
 		}
 	}
-	return rest
 }
 
-// convict returns the finding that precedes the others, as a conviction that
-// explains its records.
-func convict(findings []finding) finding {
-	first := findings[0]
-	for _, f := range findings[1:] {
-		if f.precedes(first) {
-			first = f
-		}
-	}
-	first.convicted = true
-	for _, r := range first.records {
+// explain marks the crashes of a convicted trait.
+func (e *evidence) explain(f *finding) {
+	e.convicted[f.trait] = struct{}{}
+	for _, r := range f.records {
 		r.explained = true
 	}
-	return first
+}
+
+// convictable reports whether the crashes that are not explained convict the trait.
+func (f *finding) convictable() bool {
+	fast := !f.known && f.episodes >= blockAfterFast && f.crashes >= blockAfterCrashes
+	return f.episodes >= BlockAfter || fast
+}
+
+// convictionQueue is a heap of findings that may be convicted.
+type convictionQueue []*finding
+
+// Len implements heap.Interface.
+func (q convictionQueue) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q convictionQueue) Less(i, j int) bool { return q[i].precedes(q[j]) }
+
+// Swap implements heap.Interface.
+func (q convictionQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *convictionQueue) Push(f any) { *q = append(*q, f.(*finding)) }
+
+// Pop implements heap.Interface.
+func (q *convictionQueue) Pop() any {
+	last := len(*q) - 1
+	f := (*q)[last]
+	*q = (*q)[:last]
+	return f
 }
 
 // count counts the episodes of the crashes that are not explained.
--- a/lib/poison/verdict_test.go
+++ b/lib/poison/verdict_test.go
@@ -125,8 +125,10 @@
 			d.refresh(start)
 			want := naiveVerdicts(slices.Collect(maps.Values(state(d))))
 			got := map[Trait]outcome{}
-			for trait, f := range d.findings {
-				got[trait] = outcome{convicted: f.convicted, episodes: f.episodes, last: f.last}
+			for trait := Trait(1); trait <= 8; trait++ {
+				if f, found := d.finding(trait); found {
+					got[trait] = outcome{convicted: f.convicted, episodes: f.episodes, last: f.last}
+				}
 			}
 			require.Equal(t, want, got)
 			convictions += len(d.Convicted(start))
