poison: evidence takes fewer bytes

Cause: each change was sent in 20 messages of up to 16 records with 32 suspects, to 12 gateways each, and those of convicted traits every second. A message that became too large lost half of its reports after they were counted as sent.

Change: a change is sent in 6 messages, a message has at most 64 suspects in total, and convicted traits' records are sent every 20 messages (2 s). Reports that do not fit stay pending. The gateway no longer halves the reports: the largest ones and 600 loads fit into a datagram.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -98,7 +98,7 @@
 		if err != nil {
 			return nil
 		}
-		data, err := encodeMessage(o.message)
+		data, err := json.Marshal(&o.message)
 		if err != nil || len(data) > maxDatagramBytes {
 			g.metrics.badMessages.Inc()
 			continue
@@ -113,19 +113,6 @@
 	}
 }
 
-// encodeMessage encodes a message. It leaves out the last reports of crashes if the
-// message would be too large: loads are needed in every message, reports are sent
-// in several.
-func encodeMessage(m peering.Message) ([]byte, error) {
-	for {
-		data, err := json.Marshal(&m)
-		if err != nil || len(data) <= maxDatagramBytes || len(m.Crashes) == 0 {
-			return data, err
-		}
-		m.Crashes = m.Crashes[:len(m.Crashes)/2]
-	}
-}
-
 // runPuller reads changes from peers that have a newer view. This keeps a gateway
 // that cannot read the store up to date.
 func (g *Gateway) runPuller(ctx context.Context) error {
--- a/gateway/suspicion_test.go
+++ b/gateway/suspicion_test.go
@@ -119,27 +119,33 @@
 	}
 }
 
-// Guards against evidence so large that the loads are not sent any more.
-func TestLargeReportsLeaveRoomForLoads(t *testing.T) {
-	const loads, crashes, suspects = 300, 16, 32
-	m := peering.Message{Loads: map[fleet.InstanceID]peering.Load{}}
-	for i := range loads {
-		m.Loads[fleet.InstanceID(fmt.Sprintf("i-%010x", i))] = peering.Load{Requests: 10, PromptTokens: 10000}
+// Guards against evidence so large that the loads are not sent any more: no part of a
+// message can be left out once it is encoded.
+func TestLargestReportsLeaveRoomForLoads(t *testing.T) {
+	const loads, crashes = 600, 16
+	d := poison.New("gateway")
+	now := time.Unix(1_700_000_000, 0)
+	var full []poison.Trait
+	for i := range 300 {
+		full = append(full, ^poison.Trait(i))
 	}
-	for range crashes {
-		r := poison.Report{Crash: 1 << 63, AgeMS: 600000}
-		for range suspects {
-			r.Suspects = append(r.Suspects, poison.Suspect{Trait: 1 << 63, Depth: 8, Known: true, Cleared: true})
+	d.Began(now, full)
+	for suspects := range 32 {
+		for i := range crashes {
+			d.Lost(now, ^poison.CrashID(100*suspects+i), full[len(full)-1-suspects:])
 		}
-		m.Crashes = append(m.Crashes, r)
+		m := peering.Message{From: "255.255.255.255:65535", Control: "255.255.255.255:65535", Loads: map[fleet.InstanceID]peering.Load{}, Crashes: d.Reports(now)}
+		for i := range loads {
+			m.Loads[fleet.InstanceID(fmt.Sprintf("i-%010x", i))] = peering.Load{Requests: 10, PromptTokens: 10000}
+		}
+		for i := range 24 {
+			m.Peers = append(m.Peers, fmt.Sprintf("255.255.255.255:%d", 60000+i))
+		}
+		require.NotEmpty(t, m.Crashes)
+		data, err := json.Marshal(&m)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), maxDatagramBytes)
 	}
-	data, err := encodeMessage(m)
-	require.NoError(t, err)
-	require.LessOrEqual(t, len(data), maxDatagramBytes)
-	var got peering.Message
-	require.NoError(t, json.Unmarshal(data, &got))
-	require.Len(t, got.Loads, loads)
-	require.NotEmpty(t, got.Crashes)
 }
 
 // Guards against an error that counts as the beginning of an answer: it would clear a
--- a/lib/poison/bounds_test.go
+++ b/lib/poison/bounds_test.go
@@ -40,9 +40,12 @@
 	require.Zero(t, open, "the index lists records that do not count")
 	reports := d.Reports(now)
 	require.LessOrEqual(t, len(reports), maxReports)
+	suspects := 0
 	for i := range reports {
 		require.True(t, reports[i].Valid())
+		suspects += len(reports[i].Suspects)
 	}
+	require.LessOrEqual(t, suspects, maxReportedSuspects)
 	require.LessOrEqual(t, len(d.probes), maxRecords/BlockAfter)
 }
 
--- a/lib/poison/reports.go
+++ b/lib/poison/reports.go
@@ -8,13 +8,16 @@
 
 const (
 	// messagesPerChange is the number of messages that contain a record after it
-	// changed; messages may be lost.
-	messagesPerChange = 20
-	// maxReports is the number of records in a message.
-	maxReports = 16
+	// changed. A message goes to several gateways, and each of them passes the change
+	// on, so that few are enough although messages may be lost.
+	messagesPerChange = 6
+	// maxReports and maxReportedSuspects are the numbers of records and of their
+	// suspects in a message.
+	maxReports          = 16
+	maxReportedSuspects = 64
 	// messagesPerRepeat is the number of messages of which one repeats the records
 	// that count against convicted traits, for gateways that have just started.
-	messagesPerRepeat = 10
+	messagesPerRepeat = 20
 )
 
 // Valid reports whether the numbers of a report are possible.
@@ -68,7 +71,12 @@
 	}
 	slices.SortFunc(due, func(a, b *record) int { return compareUrgency(a, b, repeat) })
 	var reports []Report
+	suspects := 0
 	for _, r := range due[:min(len(due), maxReports)] {
+		suspects += len(r.suspects)
+		if suspects > maxReportedSuspects {
+			break
+		}
 		r.pending = max(r.pending-1, 0)
 		r.sentIn = d.messages
 		reports = append(reports, r.report(now))
--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -270,3 +270,20 @@
 	}
 	require.Len(t, contained, 40, "the repeated records are those of the convicted trait, in rotation")
 }
+
+// Guards against records that are not sent because others fill the messages, and
+// against one that counts as sent although its message had no space for it.
+func TestEveryChangeIsSent(t *testing.T) {
+	d, now := fullDetector(1)
+	contained := map[CrashID]int{}
+	for range maxRecords * maxSuspects * messagesPerChange / maxReportedSuspects {
+		for _, r := range d.Reports(now) {
+			contained[r.Crash]++
+		}
+	}
+	require.Len(t, contained, maxRecords)
+	for id, messages := range contained {
+		require.Equal(t, messagesPerChange, messages, id)
+	}
+	require.Empty(t, d.Reports(now))
+}
