poison: known parts are probed after 10 s

Cause: when a service is lost in stages, a sound part that its requests share has enough episodes to be convicted, and no request with it ran for one or two minutes.

Change: a convicted part whose answers began shortly before is probed after 10 s, doubling with each failed probe, and after a delay of the process of up to 10 s. Unknown parts and whole requests are probed as before.

Result: TestKnownTraitIsProbedSooner, with the former interval blocked at the time of the first probe, passes.

--- a/lib/poison/detector.go
+++ b/lib/poison/detector.go
@@ -154,7 +154,7 @@
 	for i := range d.judged {
 		f := &d.judged[i]
 		if f.convicted {
-			f.probeAt = f.last.Add(f.probeWait() + probeDelay(d.self, f.trait))
+			f.probeAt = f.last.Add(f.probeWait() + probeDelay(d.self, f.trait, f.probeInterval()))
 		}
 		f.records = nil
 		d.findings[f.trait] = f
--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -190,7 +190,7 @@
 	b.Merge(now, a.Reports(now))
 	require.Equal(t, []Trait{request}, b.Convicted(now), "a new detector learns convictions")
 	check := func(d *Detector, now time.Time) Verdict { return d.Check(now, []Trait{request}).Verdict }
-	probeAt := now.Add(probeInterval + probeDelay("a", request))
+	probeAt := now.Add(probeInterval + probeDelay("a", request, probeInterval))
 	require.Equal(t, Blocked, check(a, probeAt.Add(-time.Millisecond)))
 	require.Equal(t, Probe, check(a, probeAt))
 	a.ProbeSent(probeAt, request)
@@ -220,16 +220,33 @@
 	for _, wait := range []time.Duration{1, 2, 4, 8, 8} {
 		d.Check(now, []Trait{request})
 		last := d.findings[request].last
-		now = last.Add(wait*time.Minute + probeDelay("gateway", request))
+		now = last.Add(wait*time.Minute + probeDelay("gateway", request, probeInterval))
 		require.Equal(t, Blocked, d.Check(now.Add(-time.Millisecond), []Trait{request}).Verdict, wait)
 		require.Equal(t, Probe, d.Check(now, []Trait{request}).Verdict, wait)
 		now = crashes(now, d, 1, request)
 	}
 }
 
+// Guards against a sound trait that stays blocked for minutes because a whole service
+// was lost in stages, and against probes of whole requests that come as soon.
+func TestKnownTraitIsProbedSooner(t *testing.T) {
+	repeated := RequestTrait("key", "/", nil)
+	for trait, interval := range map[Trait]time.Duration{firstPart: 10 * time.Second, repeated: time.Minute} {
+		d := New("gateway")
+		d.Began(start, []Trait{trait})
+		now := crashes(start, d, 3, trait)
+		for _, wait := range []time.Duration{1, 2, 4, 8, 8} {
+			now = now.Add(wait*interval + probeDelay("gateway", trait, interval))
+			require.Equal(t, Blocked, d.Check(now.Add(-time.Millisecond), []Trait{trait}).Verdict, wait)
+			require.Equal(t, Probe, d.Check(now, []Trait{trait}).Verdict, wait)
+			now = crashes(now, d, 1, trait)
+		}
+	}
+}
+
 // Guards against gateways that all probe at the same time.
 func TestProbeDelaysDiffer(t *testing.T) {
-	a, b := probeDelay("a", request), probeDelay("b", request)
+	a, b := probeDelay("a", request, probeInterval), probeDelay("b", request, probeInterval)
 	require.NotEqual(t, a, b)
 	require.Less(t, max(a, b), probeInterval)
 }
--- a/lib/poison/types.go
+++ b/lib/poison/types.go
@@ -120,4 +120,7 @@
 	// probeInterval is the time without a crash after which a convicted trait is
 	// probed. Each gateway adds a delay of its own of up to the same time.
 	probeInterval = time.Minute
+	// knownProbeInterval is the same for a known trait. It may be sound: a service
+	// that is lost in stages convicts what its requests share.
+	knownProbeInterval = 10 * time.Second
 )
--- a/lib/poison/verdict.go
+++ b/lib/poison/verdict.go
@@ -34,7 +34,7 @@
 	// crashes is the number of crashes that count against the trait.
 	crashes int
 	// renewals is the number of crashes that renewed the conviction: those at least
-	// probeInterval after the one before.
+	// the time of the first probe after the one before.
 	renewals int
 	// convicted is set if the trait is convicted, else it is suspected.
 	convicted bool
@@ -177,7 +177,7 @@
 			f.episodes++
 			start = r.at
 		}
-		if f.crashes > 0 && r.at.Sub(f.last) >= probeInterval {
+		if f.crashes > 0 && r.at.Sub(f.last) >= f.probeInterval() {
 			f.renewals++
 		}
 		f.crashes++
@@ -192,16 +192,25 @@
 	return suspectAfter
 }
 
+// probeInterval returns the time without a crash until the first probe. That the trait
+// of a whole request counts as known says nothing about it.
+func (f *finding) probeInterval() time.Duration {
+	if f.known && f.trait&requestTrait == 0 {
+		return knownProbeInterval
+	}
+	return probeInterval
+}
+
 // probeWait returns the time without a crash after which a convicted trait is probed.
 // It doubles with each renewal of the conviction, so that a trait which stays harmful
 // costs few upstreams.
 func (f *finding) probeWait() time.Duration {
-	return probeInterval << min(f.renewals, maxProbeDoublings)
+	return f.probeInterval() << min(f.renewals, maxProbeDoublings)
 }
 
-// probeDelay returns the delay with which a process probes a trait. It differs
-// between processes, so that the first one to probe spares the others a crash.
-func probeDelay(self string, t Trait) time.Duration {
+// probeDelay returns the delay with which a process probes a trait, below a bound. It
+// differs between processes, so that the first one to probe spares the others a crash.
+func probeDelay(self string, t Trait, bound time.Duration) time.Duration {
 	h := hash("probe", self, binary.BigEndian.AppendUint64(nil, uint64(t)))
-	return time.Duration(h % uint64(probeInterval))
+	return time.Duration(h % uint64(bound))
 }
