poison: delays of probes grow with the number of processes

Cause: the delays of all processes lay within a minute. With hundreds of them, many probed before they knew of the crash of the first one.

Change: the bound of the delay is 500 ms times the number of processes if that is longer, at most 6 minutes so that the crashes of a renewed conviction outlast it. The core passes on its number of processes.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -186,6 +186,7 @@
 // minProcesses.
 func (c *Core) SetProcesses(position, n int) {
 	c.position, c.processes = position, max(n, minProcesses)
+	c.detector.SetProcesses(c.processes)
 }
 
 // SetPeerLoads sets the load that the other entries have at each upstream, and
--- a/lib/dispatch/suspicion_test.go
+++ b/lib/dispatch/suspicion_test.go
@@ -259,6 +259,20 @@
 	require.Zero(t, h.sent(actions).Probe)
 }
 
+// Guards against a process that does not spread its probes among those of many others.
+func TestProbesAreSpreadAmongProcesses(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	h.core.ApplyReports(h.now, reports(harmful, poison.BlockAfter))
+	h.now = h.now.Add(2 * time.Minute)
+	require.Equal(t, poison.Probe, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict)
+	delayed := false
+	for n := 200; n <= 700 && !delayed; n += 100 {
+		h.core.SetProcesses(0, n)
+		delayed = h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict == poison.Blocked
+	}
+	require.True(t, delayed)
+}
+
 // Guards against suspicion after a loss that was no crash: the upstream goes on to
 // answer, be it with an error.
 func TestAnswerRefutesCrash(t *testing.T) {
--- a/lib/poison/detector.go
+++ b/lib/poison/detector.go
@@ -23,6 +23,8 @@
 	judged   []finding
 	// probes holds the times of the last probes of convicted traits.
 	probes map[Trait]time.Time
+	// processes is the number of processes that may probe a trait.
+	processes int
 	// messages is the number of calls of Reports.
 	messages int64
 }
@@ -39,6 +41,20 @@
 	}
 }
 
+// SetProcesses sets the number of processes that may probe a trait. The delays of their
+// probes are spread accordingly.
+func (d *Detector) SetProcesses(n int) {
+	if n != d.processes {
+		d.processes = n
+		d.evidence.changed = true
+	}
+}
+
+// maxDelay returns the bound of the delays with which the processes probe a trait.
+func (d *Detector) maxDelay(f *finding) time.Duration {
+	return max(f.probeInterval(), min(time.Duration(d.processes)*probeSpacing, maxProbeDelay))
+}
+
 // Lost records that an upstream was lost with a request whose answer had not begun.
 func (d *Detector) Lost(now time.Time, id CrashID, traits []Trait) {
 	d.evidence.expire(now)
@@ -154,7 +170,7 @@
 	for i := range d.judged {
 		f := &d.judged[i]
 		if f.convicted {
-			f.probeAt = f.last.Add(f.probeWait() + probeDelay(d.self, f.trait, f.probeInterval()))
+			f.probeAt = f.last.Add(f.probeWait() + probeDelay(d.self, f.trait, d.maxDelay(f)))
 		}
 		f.records = nil
 		d.findings[f.trait] = f
--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -251,6 +253,29 @@
 	require.Less(t, max(a, b), probeInterval)
 }
 
+// Guards against probes of many processes before the crash of the first one is known,
+// and against evidence that expires between two of their probes.
+func TestProbesOfManyProcessesAreSpread(t *testing.T) {
+	for _, processes := range []int{4, 21, 200, 760, 5000} {
+		var probes []time.Duration
+		for i := range processes {
+			d := New("gateway " + strconv.Itoa(i))
+			now := crashes(start, d, 3, firstPart)
+			d.Check(now, []Trait{firstPart})
+			d.SetProcesses(processes)
+			d.Check(now, []Trait{firstPart})
+			probes = append(probes, d.findings[firstPart].probeAt.Sub(now))
+		}
+		slices.Sort(probes)
+		bound := max(time.Minute, time.Duration(min(processes, 720))*500*time.Millisecond)
+		require.GreaterOrEqual(t, probes[0], time.Minute)
+		require.Less(t, probes[processes-1], time.Minute+bound)
+		require.Greater(t, probes[processes-1], time.Minute+bound/2)
+	}
+	longest := probeInterval<<maxProbeDoublings + maxProbeDelay
+	require.Greater(t, evidenceTTL, (BlockAfter-1)*longest)
+}
+
 // Guards against a process that stood still and sends crashes with ages that are too
 // small, and without what it missed.
 func TestMessageOfAProcessThatStoodStillChangesNoVerdict(t *testing.T) {
--- a/lib/poison/types.go
+++ b/lib/poison/types.go
@@ -114,11 +114,13 @@
 	// refutationTime is the time after a crash within which an answer refutes it. A
 	// crashed upstream does not return that soon.
 	refutationTime = time.Second
-	// evidenceTTL is how long evidence is kept after its last change. It exceeds three of
-	// the longest waits for a probe, so that a conviction that was renewed stays.
+	// evidenceTTL is how long evidence is kept after its last change. It exceeds two of
+	// the longest waits for a probe with its delay, so that the last BlockAfter crashes
+	// of a conviction that was renewed stay.
 	evidenceTTL = 30 * time.Minute
 	// probeInterval is the time without a crash after which a convicted trait is
-	// probed. Each gateway adds a delay of its own of up to the same time.
+	// probed. Each process adds a delay of its own of up to the same time, or more if
+	// there are many processes.
 	probeInterval = time.Minute
 	// knownProbeInterval is the same for a known trait. It may be sound: a service
 	// that is lost in stages convicts what its requests share.
--- a/lib/poison/verdict.go
+++ b/lib/poison/verdict.go
@@ -16,6 +16,11 @@
 	blockAfterFast    = 2
 	// maxProbeDoublings bounds the doublings of probeInterval.
 	maxProbeDoublings = 3
+	// probeSpacing is the mean time between the probes of two processes. It exceeds
+	// the time until all of them know of the crash of the first one. maxProbeDelay
+	// bounds the delay of a process.
+	probeSpacing  = 500 * time.Millisecond
+	maxProbeDelay = 6 * time.Minute
 	// suspectAfter and suspectKnownAfter are the numbers of episodes of crashes after
 	// which an unknown and a known trait are suspected.
 	suspectAfter      = 1
