--- a/lib/dispatch/suspicion_test.go
+++ b/lib/dispatch/suspicion_test.go
@@ -15,7 +15,7 @@
 	"rattanspur.example/lib/retry"
 )
 
-var first, harmful = poison.PartTrait("first"), poison.PartTrait("harmful")
+var first, harmful = poison.PartTrait(model, "first"), poison.PartTrait(model, "harmful")
 
 // arriveWith lets a request arrive whose prompt has shared parts. No two of these
 // requests are alike.
@@ -259,10 +259,24 @@
 	require.Zero(t, h.sent(actions).Probe)
 }
 
+// Guards against a process that does not spread its probes among those of many others.
+func TestProbesAreSpreadAmongProcesses(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	h.core.ApplyReports(h.now, reports(harmful, poison.BlockAfter))
+	h.now = h.now.Add(2 * time.Minute)
+	require.Equal(t, poison.Probe, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict)
+	delayed := false
+	for n := 200; n <= 700 && !delayed; n += 100 {
+		h.core.SetProcesses(0, n)
+		delayed = h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict == poison.Blocked
+	}
+	require.True(t, delayed)
+}
+
 // Guards against suspicion after a loss that was no crash: the upstream goes on to
-// answer, be it with a server error.
+// answer, be it with an error.
 func TestAnswerRefutesCrash(t *testing.T) {
-	for _, serverError := range []bool{false, true} {
+	for _, end := range []AttemptResult{{}, {ServerError: true}, {ClientError: true}} {
 		h := newHarness(t, view(deskUpstream("a", "north-a")))
 		lost, actions := h.arriveWith("/once/1", harmful)
 		h.sent(actions)
@@ -270,7 +284,8 @@
 		h.now = h.now.Add(minAvoidance)
 		ticket, actions := h.arriveWith("/once/1", first)
 		h.sent(actions)
-		h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Answered, ServerError: serverError})
+		end.End = retry.Answered
+		h.core.AttemptEnded(h.now, ticket, end)
 		require.Equal(t, poison.Clear, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict)
 	}
 }
--- a/lib/poison/evidence.go
+++ b/lib/poison/evidence.go
@@ -46,8 +46,14 @@
 type evidence struct {
 	records map[CrashID]*record
 	// open lists the records that count against a trait: those that are not
-	// refuted and in which the trait is a suspect that was not cleared.
+	// refuted and in which the trait is a suspect that was not cleared. They are in
+	// the order of their times.
 	open map[Trait][]*record
+	// repeated holds the traits that several records count against.
+	repeated map[Trait]struct{}
+	// convicted holds the traits that were convicted when the evidence was last
+	// judged.
+	convicted map[Trait]struct{}
 	// changed is set if the records changed since it was last unset.
 	changed bool
 	// nextExpiry is the earliest time at which a record may expire.
@@ -57,7 +63,12 @@
 }
 
 func newEvidence() evidence {
-	return evidence{records: map[CrashID]*record{}, open: map[Trait][]*record{}}
+	return evidence{
+		records:   map[CrashID]*record{},
+		open:      map[Trait][]*record{},
+		repeated:  map[Trait]struct{}{},
+		convicted: map[Trait]struct{}{},
+	}
 }
 
 // counts reports whether a crash counts against a suspect of it.
@@ -92,10 +103,10 @@
 func (e *evidence) join(now time.Time, c crash) *record {
 	r := e.records[c.id]
 	if r == nil {
-		c.suspects = joinSuspects(e.joined[:0], c.suspects)
+		c.suspects = joinSuspects(c.id, e.joined[:0], c.suspects)
 		return e.insert(now, c)
 	}
-	e.joined = joinSuspects(append(e.joined[:0], r.suspects...), c.suspects)
+	e.joined = joinSuspects(c.id, append(e.joined[:0], r.suspects...), c.suspects)
 	c.suspects = e.joined
 	c.refuted = c.refuted || r.refuted
 	grown := c.refuted != r.refuted || !slices.Equal(c.suspects, r.suspects)
@@ -104,7 +115,7 @@
 	}
 	if c.at.Before(r.at) {
 		r.at = c.at
-		e.changed = true
+		e.reorder(r)
 	}
 	if grown || r.announcedAt.Sub(r.at) > timeTolerance {
 		r.announce(now)
@@ -112,9 +123,9 @@
 	return r
 }
 
-// joinSuspects joins two lists of suspects into the space of the first one. The
-// result is sorted by trait and within the bound.
-func joinSuspects(space, added []Suspect) []Suspect {
+// joinSuspects joins two lists of suspects of a crash into the space of the first one.
+// The result is sorted by trait and within the bound.
+func joinSuspects(id CrashID, space, added []Suspect) []Suspect {
 	space = append(space, added...)
 	slices.SortFunc(space, compareTraits)
 	joined := space[:0]
@@ -132,7 +143,9 @@
 		return joined
 	}
 	// Known suspects are left out first, since they are less likely to be the cause.
-	slices.SortStableFunc(joined, compareKnown)
+	slices.SortFunc(joined, func(a, b Suspect) int {
+		return cmp.Or(compareKnown(a, b), cmp.Compare(sampleRank(id, a.Trait), sampleRank(id, b.Trait)))
+	})
 	joined = joined[:maxSuspects]
 	slices.SortFunc(joined, compareTraits)
 	return joined
@@ -140,6 +153,16 @@
 
 func compareTraits(a, b Suspect) int { return cmp.Compare(a.Trait, b.Trait) }
 
+// sampleRank orders the suspects of a crash that are equally known. The order differs
+// from crash to crash, so that no trait is left out of all of them.
+func sampleRank(id CrashID, t Trait) uint64 {
+	// The finalizer of SplitMix64.
+	x := uint64(id) ^ uint64(t)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // compareKnown orders unknown suspects before known ones.
 func compareKnown(a, b Suspect) int {
 	switch {
@@ -170,14 +193,39 @@
 	}
 	for _, s := range r.suspects {
 		if r.counts(s) && !old.countsAgainst(s.Trait) {
-			e.open[s.Trait] = append(e.open[s.Trait], r)
+			e.index(r, s.Trait)
+		}
+	}
+}
+
+func (e *evidence) index(r *record, t Trait) {
+	list := e.open[t]
+	at, _ := slices.BinarySearchFunc(list, r, compareTimes)
+	list = slices.Insert(list, at, r)
+	e.open[t] = list
+	if len(list) > 1 {
+		e.repeated[t] = struct{}{}
+	}
+}
+
+// reorder updates the index after a change of the time of a record.
+func (e *evidence) reorder(r *record) {
+	e.changed = true
+	for _, s := range r.suspects {
+		if r.counts(s) {
+			slices.SortFunc(e.open[s.Trait], compareTimes)
 		}
 	}
 }
 
+func compareTimes(a, b *record) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id)) }
+
 func (e *evidence) unindex(r *record, t Trait) {
 	rest := slices.DeleteFunc(e.open[t], func(other *record) bool { return other == r })
 	e.open[t] = rest
+	if len(rest) < 2 {
+		delete(e.repeated, t)
+	}
 	if len(rest) == 0 {
 		delete(e.open, t)
 	}
@@ -188,7 +236,7 @@
 func (e *evidence) insert(now time.Time, c crash) *record {
 	if len(e.records) >= maxRecords {
 		worst := e.worst()
-		if compareWorth(&c, &worst.crash) < 0 {
+		if compareWorth(&record{crash: c, explained: e.convicts(&c)}, worst) < 0 {
 			return nil
 		}
 		e.remove(worst)
@@ -206,23 +254,37 @@
 func (e *evidence) worst() *record {
 	var worst *record
 	for _, r := range e.records {
-		if worst == nil || compareWorth(&r.crash, &worst.crash) < 0 {
+		if worst == nil || compareWorth(r, worst) < 0 {
 			worst = r
 		}
 	}
 	return worst
 }
 
-// compareWorth orders crashes that explain nothing before others, then older ones
-// before newer ones.
-func compareWorth(a, b *crash) int {
-	if a.explains() != b.explains() {
-		if b.explains() {
-			return -1
-		}
+// compareWorth orders crashes that count against no trait first, then those that no
+// convicted trait explains, then the others, and older ones before newer ones. The
+// loss of a failure domain adds hundreds of crashes that nothing explains.
+func compareWorth(a, b *record) int {
+	return cmp.Or(cmp.Compare(a.worth(), b.worth()), a.at.Compare(b.at), cmp.Compare(a.id, b.id))
+}
+
+func (r *record) worth() int {
+	switch {
+	case !r.explains():
+		return 0
+	case !r.explained:
 		return 1
+	default:
+		return 2
 	}
-	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id))
+}
+
+// convicts reports whether the crash counts against a convicted trait.
+func (e *evidence) convicts(c *crash) bool {
+	return slices.ContainsFunc(c.suspects, func(s Suspect) bool {
+		_, convicted := e.convicted[s.Trait]
+		return convicted && c.counts(s)
+	})
 }
 
 func (e *evidence) remove(r *record) {
--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -190,7 +192,7 @@
 	b.Merge(now, a.Reports(now))
 	require.Equal(t, []Trait{request}, b.Convicted(now), "a new detector learns convictions")
 	check := func(d *Detector, now time.Time) Verdict { return d.Check(now, []Trait{request}).Verdict }
-	probeAt := now.Add(probeInterval + probeDelay("a", request))
+	probeAt := now.Add(probeInterval + probeDelay("a", request, probeInterval))
 	require.Equal(t, Blocked, check(a, probeAt.Add(-time.Millisecond)))
 	require.Equal(t, Probe, check(a, probeAt))
 	a.ProbeSent(probeAt, request)
@@ -220,20 +222,60 @@
 	for _, wait := range []time.Duration{1, 2, 4, 8, 8} {
 		d.Check(now, []Trait{request})
 		last := d.findings[request].last
-		now = last.Add(wait*time.Minute + probeDelay("gateway", request))
+		now = last.Add(wait*time.Minute + probeDelay("gateway", request, probeInterval))
 		require.Equal(t, Blocked, d.Check(now.Add(-time.Millisecond), []Trait{request}).Verdict, wait)
 		require.Equal(t, Probe, d.Check(now, []Trait{request}).Verdict, wait)
 		now = crashes(now, d, 1, request)
 	}
 }
 
+// Guards against a sound trait that stays blocked for minutes because a whole service
+// was lost in stages, and against probes of whole requests that come as soon.
+func TestKnownTraitIsProbedSooner(t *testing.T) {
+	repeated := RequestTrait("key", "/", nil)
+	for trait, interval := range map[Trait]time.Duration{firstPart: 10 * time.Second, repeated: time.Minute} {
+		d := New("gateway")
+		d.Began(start, []Trait{trait})
+		now := crashes(start, d, 3, trait)
+		for _, wait := range []time.Duration{1, 2, 4, 8, 8} {
+			now = now.Add(wait*interval + probeDelay("gateway", trait, interval))
+			require.Equal(t, Blocked, d.Check(now.Add(-time.Millisecond), []Trait{trait}).Verdict, wait)
+			require.Equal(t, Probe, d.Check(now, []Trait{trait}).Verdict, wait)
+			now = crashes(now, d, 1, trait)
+		}
+	}
+}
+
 // Guards against gateways that all probe at the same time.
 func TestProbeDelaysDiffer(t *testing.T) {
-	a, b := probeDelay("a", request), probeDelay("b", request)
+	a, b := probeDelay("a", request, probeInterval), probeDelay("b", request, probeInterval)
 	require.NotEqual(t, a, b)
 	require.Less(t, max(a, b), probeInterval)
 }
 
+// Guards against probes of many processes before the crash of the first one is known,
+// and against evidence that expires between two of their probes.
+func TestProbesOfManyProcessesAreSpread(t *testing.T) {
+	for _, processes := range []int{4, 21, 200, 760, 5000} {
+		var probes []time.Duration
+		for i := range processes {
+			d := New("gateway " + strconv.Itoa(i))
+			now := crashes(start, d, 3, firstPart)
+			d.Check(now, []Trait{firstPart})
+			d.SetProcesses(processes)
+			d.Check(now, []Trait{firstPart})
+			probes = append(probes, d.findings[firstPart].probeAt.Sub(now))
+		}
+		slices.Sort(probes)
+		bound := max(time.Minute, time.Duration(min(processes, 720))*500*time.Millisecond)
+		require.GreaterOrEqual(t, probes[0], time.Minute)
+		require.Less(t, probes[processes-1], time.Minute+bound)
+		require.Greater(t, probes[processes-1], time.Minute+bound/2)
+	}
+	longest := probeInterval<<maxProbeDoublings + maxProbeDelay
+	require.Greater(t, evidenceTTL, (BlockAfter-1)*longest)
+}
+
 // Guards against a process that stood still and sends crashes with ages that are too
 // small, and without what it missed.
 func TestMessageOfAProcessThatStoodStillChangesNoVerdict(t *testing.T) {
@@ -270,3 +312,20 @@
 	}
 	require.Len(t, contained, 40, "the repeated records are those of the convicted trait, in rotation")
 }
+
+// Guards against records that are not sent because others fill the messages, and
+// against one that counts as sent although its message had no space for it.
+func TestEveryChangeIsSent(t *testing.T) {
+	d, now := fullDetector(1)
+	contained := map[CrashID]int{}
+	for range maxRecords * maxSuspects * messagesPerChange / maxReportedSuspects {
+		for _, r := range d.Reports(now) {
+			contained[r.Crash]++
+		}
+	}
+	require.Len(t, contained, maxRecords)
+	for id, messages := range contained {
+		require.Equal(t, messagesPerChange, messages, id)
+	}
+	require.Empty(t, d.Reports(now))
+}
--- a/lib/poison/types.go
+++ b/lib/poison/types.go
@@ -20,8 +20,11 @@
 // requestTrait is set in the traits of whole requests.
 const requestTrait Trait = 1 << 63
 
-// PartTrait returns the trait of the requests whose prompt contains a part.
-func PartTrait(part string) Trait { return Trait(hash("part", part, nil)) &^ requestTrait }
+// PartTrait returns the trait of the requests to a model whose prompt contains a part.
+// A part that crashes the engines of one model may be harmless for another one.
+func PartTrait(model, part string) Trait {
+	return Trait(hash("part", model, []byte(part))) &^ requestTrait
+}
 
 // RequestTrait returns the trait of one request and its repetitions.
 func RequestTrait(key, target string, body []byte) Trait {
@@ -111,10 +114,15 @@
 	// refutationTime is the time after a crash within which an answer refutes it. A
 	// crashed upstream does not return that soon.
 	refutationTime = time.Second
-	// evidenceTTL is how long evidence is kept after its last change. It exceeds three of
-	// the longest waits for a probe, so that a conviction that was renewed stays.
+	// evidenceTTL is how long evidence is kept after its last change. It exceeds two of
+	// the longest waits for a probe with its delay, so that the last BlockAfter crashes
+	// of a conviction that was renewed stay.
 	evidenceTTL = 30 * time.Minute
 	// probeInterval is the time without a crash after which a convicted trait is
-	// probed. Each gateway adds a delay of its own of up to the same time.
+	// probed. Each process adds a delay of its own of up to the same time, or more if
+	// there are many processes.
 	probeInterval = time.Minute
+	// knownProbeInterval is the same for a known trait. It may be sound: a service
+	// that is lost in stages convicts what its requests share.
+	knownProbeInterval = 10 * time.Second
 )
