--- a/gateway/suspicion_test.go
+++ b/gateway/suspicion_test.go
@@ -21,12 +21,13 @@
 )
 
 // learnCrashes sends the gateway the evidence of a peer: crashes of starts of an
-// upstream, the older the earlier, with a harmful part and a known first one.
-func (r *testGateway) learnCrashes(from, to int) {
+// upstream, a second apart, with a harmful part and a known first one. The age is that
+// of the last one.
+func (r *testGateway) learnCrashes(age time.Duration, from, to int) {
 	message := peering.Message{From: newHost() + ":7004"}
 	for i := from; i < to; i++ {
 		message.Crashes = append(message.Crashes, poison.Report{
-			Crash: poison.NewCrashID("i-2", int64(i)), AgeMS: int64(1000 * (i + 1)),
+			Crash: poison.NewCrashID("i-2", int64(i)), AgeMS: age.Milliseconds() + int64(1000*(i+1)),
 			Suspects: []poison.Suspect{{Trait: poison.PartTrait("m", "first"), Known: true}, {Trait: poison.PartTrait("m", "harmful"), Depth: 1}},
 		})
 	}
@@ -49,10 +50,10 @@
 			source.upstream(t, "i-"+service, service, func(w http.ResponseWriter, r *http.Request) { respond(w, r, http.StatusBadRequest, "malformed") })
 		}
 		g := start(t, source)
-		g.learnCrashes(0, poison.BlockAfter-1)
+		g.learnCrashes(0, 0, poison.BlockAfter-1)
 		require.Eventually(t, func() bool { return g.gateway.metrics.crashRecords.Load() == poison.BlockAfter-1 }, testTimeout, time.Millisecond)
 		require.Equal(t, http.StatusBadRequest, g.callWithParts(path, "harmful:20,own:30"))
-		g.learnCrashes(poison.BlockAfter-1, poison.BlockAfter)
+		g.learnCrashes(0, poison.BlockAfter-1, poison.BlockAfter)
 		require.Eventually(t, func() bool { return g.gateway.metrics.convictedTraits.Load() == 1 }, testTimeout, time.Millisecond)
 		require.Equal(t, http.StatusServiceUnavailable, g.callWithParts(path, "harmful:20,own:30"), path)
 	}
@@ -67,7 +68,7 @@
 	source.put("op/config", configJSON)
 	source.upstream(t, "i-1", "desk", func(w http.ResponseWriter, r *http.Request) { respond(w, r, http.StatusOK, "ok") })
 	g := start(t, source)
-	g.learnCrashes(0, poison.BlockAfter)
+	g.learnCrashes(0, 0, poison.BlockAfter)
 	require.Eventually(t, func() bool { return g.gateway.metrics.convictedTraits.Load() == 1 }, testTimeout, time.Millisecond)
 	require.Equal(t, http.StatusServiceUnavailable, g.callWithParts("/once/1", "first:10,harmful:20,own:30"))
 	require.Equal(t, http.StatusOK, g.callWithParts("/once/1", "first:10,own:30"))
@@ -78,6 +79,22 @@
 	require.Contains(t, g.logs.line("refused"), trait)
 }
 
+// Guards against a log that shows neither that a convicted part was tried again nor that
+// it is free.
+func TestProbeAndItsResultAreLogged(t *testing.T) {
+	source := newSource()
+	source.put("op/config", configJSON)
+	source.upstream(t, "i-1", "desk", func(w http.ResponseWriter, r *http.Request) { respond(w, r, http.StatusOK, "ok") })
+	g := start(t, source)
+	g.learnCrashes(5*time.Minute, 0, poison.BlockAfter)
+	require.Eventually(t, func() bool { return g.gateway.metrics.convictedTraits.Load() == 1 }, testTimeout, time.Millisecond)
+	require.Equal(t, http.StatusOK, g.callWithParts("/once/1", "first:10,harmful:20,own:30"))
+	require.Eventually(t, func() bool { return g.gateway.metrics.convictedTraits.Load() == 0 }, testTimeout, time.Millisecond)
+	trait := "trait=" + dispatch.FormatTrait(poison.PartTrait("m", "harmful"))
+	require.Contains(t, g.logs.line("trait-probed"), trait+" upstream=i-1")
+	require.Contains(t, g.logs.line("trait-cleared"), trait)
+}
+
 // Guards against a part that is harmful with one model and blocks requests to another
 // one, or that an answer of another model clears.
 func TestTraitsOfPartsBelongToAModel(t *testing.T) {
--- a/lib/peering/peering_test.go
+++ b/lib/peering/peering_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
 )
 
 var start = time.Unix(1000, 0)
@@ -135,6 +136,14 @@
 	})
 }
 
+// Guards against impossible evidence that is applied together with a valid load.
+func TestMessageWithImpossibleEvidenceIsInvalid(t *testing.T) {
+	for age, valid := range map[int64]bool{0: true, -1: false} {
+		m := Message{From: "b", Crashes: []poison.Report{{Crash: 1}, {Crash: 2, AgeMS: age}}}
+		require.Equal(t, valid, m.Valid(), age)
+	}
+}
+
 // Guards against a number of messages that grows with the fleet, and against
 // peers that never receive a message.
 func TestMessagesAreBounded(t *testing.T) {
--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -329,3 +329,39 @@
 	}
 	require.Empty(t, d.Reports(now))
 }
+
+// Guards against a crash that the answer to a request sent before it refutes: such an
+// answer may only have been delayed.
+func TestAnswerToAnEarlierRequestRefutesNothing(t *testing.T) {
+	for sentMS, want := range map[int]Verdict{500: Suspected, 1000: Suspected, 1001: Clear} {
+		d := New("gateway")
+		d.Lost(start.Add(time.Second), 1, []Trait{laterPart})
+		now := start.Add(1100 * time.Millisecond)
+		d.Answered(now, 1, start.Add(time.Duration(sentMS)*time.Millisecond))
+		require.Equal(t, want, d.Check(now, []Trait{laterPart}).Verdict, sentMS)
+	}
+}
+
+// Guards against a trait that counts as known long after its last answer.
+func TestKnownTraitIsForgotten(t *testing.T) {
+	for age, want := range map[time.Duration]Verdict{knownFor: Clear, knownFor + 1: Suspected} {
+		d := New("gateway")
+		d.Began(start, []Trait{laterPart})
+		d.Lost(start.Add(age), 1, []Trait{laterPart})
+		require.Equal(t, want, d.Check(start.Add(age), []Trait{laterPart}).Verdict, age)
+	}
+}
+
+// Guards against gateways that differ about the time of a crash, and so about its
+// episode, after one of them learns that it was earlier.
+func TestEarlierTimeOfACrashIsSent(t *testing.T) {
+	for earlierMS, want := range map[int64]int{50: 0, 51: 1} {
+		d := New("gateway")
+		d.Lost(start, 1, []Trait{laterPart})
+		for range messagesPerChange {
+			require.Len(t, d.Reports(start), 1)
+		}
+		d.Merge(start, []Report{{Crash: 1, AgeMS: earlierMS, Suspects: []Suspect{{Trait: laterPart}}}})
+		require.Len(t, d.Reports(start), want, earlierMS)
+	}
+}
