--- a/agent/calls.go
+++ b/agent/calls.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"time"
 
 	"rattanspur.example/lib/engine"
 	"rattanspur.example/lib/gate"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/timeline"
@@ -25,6 +27,8 @@
 	meta   *wire.Call
 	ticket gate.Ticket
 	load   wire.Load
+	// crash identifies the crash that the upstream would have during the call.
+	crash  poison.CrashID
 	method string
 	path   string
 	header http.Header
@@ -98,7 +102,7 @@
 // if the caller disconnects, because an admitted call has to be released.
 func (a *Agent) requestAdmission(ctx context.Context, meta *wire.Call) verdict {
 	deadline, _ := ctx.Deadline()
-	call := gate.Call{Root: meta.Root, Deadline: deadline, Fingerprint: meta.Fingerprint}
+	call := gate.Call{Root: meta.Root, Deadline: deadline, Traits: meta.Traits}
 	reply := ring.New[verdict](1, ring.Refuse)
 	return a.queryGate(ctx, reply, admit{call: call, entry: meta.Entry, stamp: meta.Config, reply: reply})
 }
@@ -173,7 +177,7 @@
 		a.refuseCall(call, v.reason)
 		return
 	}
-	call.load = v.load
+	call.load, call.crash = v.load, v.crash
 	if time.Since(v.at) > gateOptions.PauseAfter {
 		// The process was paused after the recheck, so its verdict may be
 		// outdated.
@@ -190,8 +194,12 @@
 	answerProblem(call, refusal(call.meta.Request, http.StatusServiceUnavailable, string(reason)))
 }
 
-func answerProblem(call admittedCall, p *wire.Problem) {
+func answerProblem(call admittedCall, p *wire.Problem) { answerProblemWith(call, p, http.Header{}) }
+
+// answerProblemWith answers a problem with further headers.
+func answerProblemWith(call admittedCall, p *wire.Problem, further http.Header) {
 	h, body := p.Encode()
+	maps.Copy(h, further)
 	wire.SetLoad(h, call.load)
 	_ = call.stream.Put(call.ctx, relay.Part{Head: &relay.Head{Status: p.Status, Header: h}, Data: body, End: true})
 }
--- a/agent/gatecontroller.go
+++ b/agent/gatecontroller.go
@@ -8,6 +8,7 @@
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/gate"
 	"rattanspur.example/lib/node"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/rollout"
 	"rattanspur.example/lib/timeline"
@@ -55,6 +56,8 @@
 	ticket gate.Ticket
 	load   wire.Load
 	stamp  config.Stamp
+	// crash identifies the crash of the present start of the upstream.
+	crash poison.CrashID
 	// at is the time of the decision.
 	at time.Time
 }
@@ -85,6 +88,7 @@
 type gateStateQuery struct{ reply *ring.Ring[gate.State] }
 
 func (admit) gateEvent()          {}
+func (began) gateEvent()          {}
 func (recheck) gateEvent()        {}
 func (done) gateEvent()           {}
 func (release) gateEvent()        {}
@@ -99,6 +103,8 @@
 	agent *Agent
 	gate  *gate.Gate
 	view  node.View
+	// evidence is about requests that crash upstreams.
+	evidence *node.Evidence
 	// reserved is the suspected call that waits until it can run alone, at most
 	// until reservedUntil.
 	reserved      *admit
@@ -110,7 +116,7 @@
 // runGateController decides on the admission of calls.
 func (a *Agent) runGateController(ctx context.Context) error {
 	defer a.gateEvents.Close()
-	g := &gateController{agent: a, gate: gate.New(gateOptions)}
+	g := &gateController{agent: a, gate: gate.New(gateOptions), evidence: node.NewEvidence(a.node)}
 	ticker := time.NewTicker(gateTickInterval)
 	defer ticker.Stop()
 	for {
@@ -125,6 +131,7 @@
 			return nil
 		}
 		g.answerWaiting(ctx)
+		g.evidence.Share(time.Now())
 		a.metrics.setGateState(g.gate.State())
 	}
 }
@@ -134,11 +141,7 @@
 	self := g.agent.self()
 	g.gate.Tick(time.Now())
 	g.gate.Configure(v.Config.Service(self.Service), v.Config.DomainIn(self.FailureDomain))
-	suspects := make([]string, 0, len(v.Suspects))
-	for _, s := range v.Suspects {
-		suspects = append(suspects, s.Fingerprint)
-	}
-	g.gate.SetSuspects(suspects)
+	g.evidence.Apply(time.Now(), v)
 }
 
 func (g *gateController) step(ctx context.Context, ev gateEvent) {
@@ -148,6 +151,8 @@
 		g.admit(ctx, now, ev)
 	case recheck:
 		_ = ev.reply.Put(ctx, g.newVerdict(now, ev.ticket, g.gate.Recheck(now, ev.ticket)))
+	case began:
+		g.began(now, ev)
 	case done:
 		g.done(ctx, now, ev)
 	case release:
@@ -172,7 +177,7 @@
 }
 
 func (g *gateController) newVerdict(now time.Time, t gate.Ticket, r gate.Reason) verdict {
-	v := verdict{reason: r, ticket: t, at: now}
+	v := verdict{reason: r, ticket: t, crash: g.crashID(g.gate.Start()), at: now}
 	v.load = wire.Load{Limit: g.gate.Limit(), InFlight: g.gate.InFlight(), Warm: g.gate.Warm()}
 	if g.view.Config != nil {
 		v.stamp = g.view.Config.Stamp
@@ -182,6 +187,7 @@
 
 func (g *gateController) admit(ctx context.Context, now time.Time, ev admit) {
 	g.observeStamp(ev)
+	ev.call.Suspect = g.suspicion(now, ev.call.Traits)
 	ticket, reason := g.gate.Admit(now, ev.call)
 	if reason == gate.Exclusive && g.reserved == nil {
 		if until, ok := g.gate.Reserve(now, ev.call); ok {
@@ -208,12 +214,7 @@
 
 func (g *gateController) done(ctx context.Context, now time.Time, ev done) {
 	g.gate.Done(now, ev.ticket, ev.outcome)
-	switch ev.outcome {
-	case gate.Completed:
-		if ev.ticket.Suspect() {
-			g.agent.node.ReportSuccess(ev.ticket.Fingerprint)
-		}
-	case gate.ConnectionLost, gate.Unreachable:
+	if ev.outcome == gate.ConnectionLost || ev.outcome == gate.Unreachable {
 		_ = g.agent.healthCheckRequests.Put(ctx, struct{}{})
 	}
 }
@@ -224,9 +225,7 @@
 		g.agent.metrics.cold.Inc()
 		g.agent.node.Record(timeline.Event{Kind: timeline.EngineCold, Detail: check.BootID})
 	}
-	if len(change.Crashed) > 0 {
-		g.agent.node.ReportCrash(change.Crashed)
-	}
+	g.recordCrash(now, check, change)
 }
 
 // answerWaiting replies to the requests that wait for calls to end, if their
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -112,6 +112,7 @@
 		return gate.Failed
 	}
 	p.stop()
+	a.recordBegan(call, resp.StatusCode)
 	err = a.relayResponse(ctx, call, resp, p)
 	if err != nil {
 		a.metrics.countCall(wire.Unknown)
@@ -195,9 +196,10 @@
 	}
 	a.metrics.countCall(wire.Unknown)
 	a.recordCall(timeline.RequestUnknown, call.meta, err.Error())
-	answerProblem(call, &wire.Problem{
+	outcome := interruptedOutcome(ctx)
+	answerProblemWith(call, &wire.Problem{
 		Type: wire.ProblemUnknown, Title: "outcome of the request is unknown",
 		Status: http.StatusBadGateway, Detail: err.Error(), Request: call.meta.Request, Outcome: wire.Unknown,
-	})
-	return interruptedOutcome(ctx)
+	}, crashHeader(call, outcome))
+	return outcome
 }
--- a/bench/e2e/engine_switch_test.go
+++ b/bench/e2e/engine_switch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"rattanspur.example/bench/lab"
 	"rattanspur.example/lib/config"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/wire"
 	"rattanspur.example/standin"
 )
@@ -95,49 +97,71 @@
 }
 
 // Guards against a crash that is not reported to the other processes, against
-// innocent requests that remain suspects after they completed, and against a
-// suspect that runs alongside other calls.
+// innocent requests that remain suspects after they completed, against a request in
+// mid-answer that becomes a suspect, and against a repeated crash with other
+// requests that is not ascribed to the part that they share.
 func TestCrashMakesSuspects(t *testing.T) {
 	o := smallOptions()
 	o.Engine = standin.EngineOptions{
 		ChecksFence: true, KeepsVersions: true, TokenTime: time.Millisecond,
-		CrashOn: "poison", StallOn: "silent",
+		CrashOn: "poison", StallOn: "silent", HoldOn: "held",
 	}
 	ctx, l, w := engineLab(t, o)
 	p := l.Agents[0]
-	call := func(fingerprint, text string) (lab.Answer, error) {
+	call := func(text string, traits ...poison.Trait) (lab.Answer, error) {
 		c := wire.Call{
-			Request: fingerprint, Service: lab.Service, Root: w.Root,
-			Timeout: 20 * time.Second, Fingerprint: fingerprint,
+			Request: text, Service: lab.Service, Root: w.Root,
+			Timeout: 20 * time.Second, Traits: traits,
 		}
 		return l.CallAgent(ctx, p, c, lab.ChatPath, lab.ChatBody(text))
 	}
+	const answering, innocent, harmful, guilty poison.Trait = 1, 2, 3, 4
 	var group sync.WaitGroup
-	// The engine never completes this call, so that it runs during the crash.
-	group.Go(func() { _, _ = call("innocent", "silent") })
-	awaitCounts(ctx, t, p.Engine, "call not started", func(c standin.EngineCounts) bool { return c.Running == 1 })
-	_, _ = call("guilty", "poison")
+	// The engine never completes these calls, so that they run during the crash. It
+	// has sent the head of the answer to one of them.
+	group.Go(func() { _, _ = call("silent", answering) })
+	group.Go(func() { _, _ = call("held", innocent) })
+	awaitCounts(ctx, t, p.Engine, "calls not started", func(c standin.EngineCounts) bool { return c.Running == 2 })
+	_, _ = call("poison", harmful, guilty)
 	group.Wait()
-	awaitSuspects(ctx, t, l, 2)
+	awaitSuspects(ctx, t, l, innocent, harmful, guilty)
 	require.NoError(t, l.AwaitReady(ctx, w.Root, p))
+	require.NoError(t, lab.Await(ctx, func() error { return checkRan(call("text-1", innocent)) }))
+	awaitSuspects(ctx, t, l, harmful, guilty)
 	require.NoError(t, lab.Await(ctx, func() error {
-		a, err := call("innocent", "text-1")
-		if err == nil && (a.Status != http.StatusOK || a.Outcome != wire.Ran) {
-			err = fmt.Errorf("status %d: %s", a.Status, a.Body)
+		a, err := call("poison", harmful, guilty+1)
+		if err == nil && a.Outcome != wire.Unknown {
+			err = fmt.Errorf("the engine did not get the call: status %d: %s", a.Status, a.Body)
 		}
 		return err
 	}))
-	awaitSuspects(ctx, t, l, 1)
+	awaitSuspects(ctx, t, l, harmful, guilty, guilty+1)
 }
 
-// awaitSuspects waits until all agents have the given number of suspects.
-func awaitSuspects(ctx context.Context, t *testing.T, l *lab.Lab, count int) {
+// checkRan returns an error unless a call was answered.
+func checkRan(a lab.Answer, err error) error {
+	if err == nil && (a.Status != http.StatusOK || a.Outcome != wire.Ran) {
+		err = fmt.Errorf("status %d: %s", a.Status, a.Body)
+	}
+	return err
+}
+
+// awaitSuspects waits until all agents have the given suspects.
+func awaitSuspects(ctx context.Context, t *testing.T, l *lab.Lab, traits ...poison.Trait) {
 	t.Helper()
+	var want []string
+	for _, trait := range traits {
+		want = append(want, trait.String())
+	}
 	for _, p := range l.Agents {
 		require.NoError(t, lab.Await(ctx, func() error {
 			s, err := l.Status(ctx, p)
-			if err == nil && s.Gate.Suspects != count {
-				err = fmt.Errorf("%s has %d suspects, expected %d", p.ID, s.Gate.Suspects, count)
+			var got []string
+			for _, suspect := range s.Suspects {
+				got = append(got, suspect.Trait)
+			}
+			if err == nil && !slices.Equal(got, want) {
+				err = fmt.Errorf("%s has the suspects %v, expected %v", p.ID, got, want)
 			}
 			return err
 		}))
--- a/bench/e2e/entry_faults_test.go
+++ b/bench/e2e/entry_faults_test.go
@@ -116,20 +116,13 @@
 			return err
 		}))
 	}
-	before := 0
-	for _, p := range l.Agents {
-		before += p.Engine.Counts(ctx).Started
-	}
+	before := startedCalls(ctx, l)
 	for entry := range l.Entries {
 		a, err := l.Chat(ctx, entry, "poison")
 		require.NoError(t, err)
 		require.Equal(t, http.StatusUnprocessableEntity, a.Status)
 	}
-	after := 0
-	for _, p := range l.Agents {
-		after += p.Engine.Counts(ctx).Started
-	}
-	require.Equal(t, before, after, "a blocked request reached an engine")
+	require.Equal(t, before, startedCalls(ctx, l), "a blocked request reached an engine")
 	require.NoError(t, lab.Await(ctx, func() error {
 		if failed := callConcurrently(ctx, l, 8); len(failed) > 0 {
 			return failed[0]
@@ -138,6 +131,68 @@
 	}))
 }
 
+// chatBody returns a request with several messages; the first one is from the
+// system.
+func chatBody(t *testing.T, texts ...string) []byte {
+	list := []map[string]string{}
+	for i, text := range texts {
+		role := "user"
+		if i == 0 {
+			role = "system"
+		}
+		list = append(list, map[string]string{"role": role, "content": text})
+	}
+	body, err := json.Marshal(map[string]any{"model": lab.Service, "stream": true, "messages": list})
+	require.NoError(t, err)
+	return body
+}
+
+// Guards against a message that crashes one engine after another because no two
+// requests with it are alike, also through another entry, and against sound requests
+// of the same customer that are blocked because they begin with the same message.
+func TestHarmfulMessageIsStoppedEverywhere(t *testing.T) {
+	ctx, l := servingLab(t, func(o *lab.Options) {
+		o.Agents = 4
+		o.Engine = standin.EngineOptions{TokenTime: time.Millisecond, CrashOn: "poison", KeepsVersions: true}
+		o.Limits = config.Limits{Cold: 8, Warm: 8, RampStep: 1}
+	})
+	next := 0
+	post := func(entry int, texts ...string) (lab.Answer, error) {
+		next++
+		return l.Post(ctx, entry, lab.ChatPath, chatBody(t, append(texts, fmt.Sprint("question ", next))...))
+	}
+	sound := func(entry int) error { return checkComplete(post(entry, "system")) }
+	for entry := range l.Entries {
+		require.NoError(t, lab.Await(ctx, func() error { return sound(entry) }))
+		require.NoError(t, lab.Await(ctx, func() error {
+			a, err := post(entry, "system", "poison")
+			if err == nil && !strings.Contains(a.Body, string(wire.ProblemBlocked)) {
+				err = fmt.Errorf("entry %d answers %d: %s", entry, a.Status, a.Body)
+			}
+			return err
+		}))
+	}
+	before := startedCalls(ctx, l)
+	for entry := range l.Entries {
+		a, err := post(entry, "system", "poison")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusUnprocessableEntity, a.Status)
+	}
+	require.Equal(t, before, startedCalls(ctx, l), "a blocked request reached an engine")
+	for entry := range l.Entries {
+		require.NoError(t, lab.Await(ctx, func() error { return sound(entry) }))
+	}
+}
+
+// startedCalls returns the number of calls that all engines began.
+func startedCalls(ctx context.Context, l *lab.Lab) int {
+	n := 0
+	for _, p := range l.Agents {
+		n += p.Engine.Counts(ctx).Started
+	}
+	return n
+}
+
 // Guards against new work in a failure domain that is out of service (G3) when
 // an entry has a stale view, and against calls that fail because of it. The entry
 // is paused while the domain is taken out, and resumes with calls to route.
--- a/bench/lab/upstream.go
+++ b/bench/lab/upstream.go
@@ -12,6 +12,7 @@
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/gate"
+	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/rollout"
 	"rattanspur.example/lib/wire"
 	"rattanspur.example/standin"
@@ -26,8 +27,9 @@
 
 // AgentStatus is the part of an agent's /status response that tests use.
 type AgentStatus struct {
-	Gate    gate.State    `json:"gate"`
-	Rollout rollout.State `json:"rollout"`
+	Gate     gate.State     `json:"gate"`
+	Rollout  rollout.State  `json:"rollout"`
+	Suspects []node.Suspect `json:"suspects"`
 }
 
 // Status requests the status of an agent.
--- a/bench/scenario/controlfullsize.go
+++ b/bench/scenario/controlfullsize.go
@@ -107,7 +107,7 @@
 func (m *simulatedMembers) sendTable(ctx context.Context, l *lab.Lab) error {
 	for first := realProcesses; first < len(m.list); first += recordsPerMessage {
 		h := m.core.TableMessage(time.Now())
-		h.Members, h.Suspects = nil, nil
+		h.Members, h.Crashes = nil, nil
 		for _, i := range m.list[first:min(first+recordsPerMessage, len(m.list))] {
 			h.Members = append(h.Members, gossip.Member{
 				Instance: i, Listed: gossip.Listing{State: gossip.ListedLive, Revision: 1},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,8 @@
 	attempts *ring.Ring[attempt]
 	metrics  *entryMetrics
 	stopping atomic.Bool
+	// now is the clock for the evidence about requests that crash upstreams.
+	now func() time.Time
 	// snapshots provides the state that the operator page shows.
 	snapshots *snapshotSource
 	once      *oncePipeline
@@ -56,6 +58,7 @@
 	e := &Entry{
 		settings:  s,
 		node:      n,
+		now:       time.Now,
 		views:     n.Subscribe(),
 		inbox:     ring.New[event](2*s.MaxCalls, ring.Wait),
 		attempts:  ring.New[attempt](s.MaxCalls, ring.Refuse),
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -35,6 +35,7 @@
 	complete bool
 	// serverError is true if the upstream responded with a server error.
 	serverError bool
+	evidence    evidence
 	detail      string
 	load        *routing.Load
 }
@@ -175,6 +176,7 @@
 		res.load = nil
 		return res
 	}
+	res.evidence = evidenceOf(resp)
 	switch wire.Outcome(resp.Header.Get(wire.HeaderOutcome)) {
 	case wire.Ran:
 		res.end = retry.Answered
@@ -223,6 +225,7 @@
 		// At the end of a long response, this report would be out of date.
 		res.load = nil
 	}
+	x.reportBegan(ctx, res)
 	x.passStream(resp, head, res)
 }
 
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -5,15 +5,13 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/relay"
-	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/routing"
 	"rattanspur.example/lib/wire"
 )
@@ -35,9 +33,13 @@
 	model string
 	// prefix is the hash of the prompt's prefix; 0 means none. See
 	// routing.PrefixOf.
-	prefix      uint64
+	prefix uint64
+	// traits are what the request may have in common with others that crash
+	// upstreams, from the broadest to the most specific one.
+	traits    []poison.Trait
+	keySHA256 string
+	// fingerprint identifies the content of a call with a key or token.
 	fingerprint string
-	keySHA256   string
 	// token permits a single run of a request that must not be repeated; empty if
 	// the call has none.
 	token     string
@@ -68,27 +70,27 @@
 }
 
 func newCall(ctx context.Context, id string, r *http.Request, body []byte) *call {
-	model, prompt := inspectBody(r.URL.Path, body)
-	key := wire.Bearer(r.Header)
+	prompt := inspectBody(r.URL.Path, body)
+	keySHA256 := keyDigest(wire.Bearer(r.Header))
 	// The token is the only internal header that callers may set, so it is read
 	// before the internal headers are removed.
 	token := r.Header.Get(wire.HeaderToken)
 	relay.RemoveHopHeaders(r.Header)
 	removeInternalHeaders(r.Header)
 	return &call{
-		ctx:         ctx,
-		id:          id,
-		method:      r.Method,
-		path:        r.URL.RequestURI(),
-		header:      r.Header,
-		body:        body,
-		model:       model,
-		prefix:      routing.PrefixOf(prompt),
-		fingerprint: retry.Fingerprint(r.URL.RequestURI(), body),
-		keySHA256:   keyDigest(key),
-		token:       token,
-		arrivedAt:   time.Now(),
-		stream:      relay.NewStream(),
+		ctx:       ctx,
+		id:        id,
+		method:    r.Method,
+		path:      r.URL.RequestURI(),
+		header:    r.Header,
+		body:      body,
+		model:     prompt.model,
+		prefix:    routing.PrefixOf(prompt.text),
+		traits:    prompt.traits(keySHA256, r.URL.RequestURI(), body),
+		keySHA256: keySHA256,
+		token:     token,
+		arrivedAt: time.Now(),
+		stream:    relay.NewStream(),
 	}
 }
 
@@ -123,26 +125,6 @@
 	return errors.Is(err, relay.ErrTruncated) || errors.Is(err, context.DeadlineExceeded)
 }
 
-// inspectBody returns the model and the prompt of a call to a model service. Both
-// are empty for other calls and if the body is not valid JSON.
-func inspectBody(path string, body []byte) (model string, prompt []byte) {
-	if !strings.HasPrefix(path, "/v1/") {
-		return "", nil
-	}
-	var request struct {
-		Model    string          `json:"model"`
-		Messages json.RawMessage `json:"messages"`
-		Prompt   json.RawMessage `json:"prompt"`
-	}
-	if json.Unmarshal(body, &request) != nil {
-		return "", nil
-	}
-	if len(request.Messages) > 0 {
-		return request.Model, request.Messages
-	}
-	return request.Model, request.Prompt
-}
-
 func keyDigest(key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,6 +84,12 @@
 // "advisory" and the plain service "bookings". change modifies the settings
 // unless it is nil.
 func startEntry(t *testing.T, change func(*settings.Entry), agents ...string) *testEntry {
+	return startEntryWithClock(t, time.Now, change, agents...)
+}
+
+// startEntryWithClock starts an entry with a clock for its evidence about requests
+// that crash upstreams.
+func startEntryWithClock(t *testing.T, now func() time.Time, change func(*settings.Entry), agents ...string) *testEntry {
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	service := standin.NewConfigService()
@@ -96,7 +103,9 @@
 	}
 	done := make(chan error, 1)
 	entryCtx, stop := context.WithCancel(context.Background())
-	go func() { done <- New(s, log.NewNopLogger()).Run(entryCtx) }()
+	entry := New(s, log.NewNopLogger())
+	entry.now = now
+	go func() { done <- entry.Run(entryCtx) }()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	t.Cleanup(func() {
 		client.CloseIdleConnections()
@@ -226,6 +235,12 @@
 	return response{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
 }
 
+// clock is a clock that only moves when it is told to.
+type clock struct{ elapsed atomic.Int64 }
+
+func (c *clock) now() time.Time          { return time.Unix(1_700_000_000, c.elapsed.Load()) }
+func (c *clock) advance(d time.Duration) { c.elapsed.Add(int64(d)) }
+
 // chat returns the body of a request to the model service.
 func chat(text string) string {
 	return fmt.Sprintf(`{"model":"advisory","messages":[{"role":"user","content":%q}]}`, text)
--- a/entry/once.go
+++ b/entry/once.go
@@ -6,15 +6,14 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
-	"time"
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/once"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/relay"
-	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/routing"
 	"rattanspur.example/lib/settings"
@@ -77,15 +76,15 @@
 	entry  *Entry
 	view   node.View
 	agents map[fleet.InstanceID]fleet.Instance
-	// guard holds the suspects that other processes report: requests that may
-	// crash engines.
-	guard *retry.Guard
+	// evidence is about requests that crash upstreams, as other duties report it.
+	evidence *node.Evidence
 }
 
 // enqueue sends a call to the duty that routes it. It returns an error if ctx
 // ends first.
 func (e *Entry) enqueue(ctx context.Context, c *call) error {
 	if c.header.Get(wire.HeaderKey) != "" || c.token != "" || isTokenCall(c) {
+		c.fingerprint = once.Fingerprint(c.path, c.body)
 		return e.once.calls.Put(ctx, c)
 	}
 	return e.inbox.Put(ctx, arrival{call: c})
@@ -98,7 +97,7 @@
 
 // runOnceRouter routes calls with a key or token.
 func (e *Entry) runOnceRouter(ctx context.Context) error {
-	r := &onceRouter{entry: e, guard: retry.NewGuard()}
+	r := &onceRouter{entry: e, evidence: node.NewEvidence(e.node)}
 	for {
 		select {
 		case v := <-e.once.views.Out():
@@ -119,16 +118,7 @@
 			r.agents[m.ID] = m
 		}
 	}
-	now := time.Now()
-	for _, suspect := range v.Suspects {
-		r.guard.ApplyReport(now, suspect.Fingerprint, suspect.Crashes, suspect.Last)
-	}
-}
-
-// isBlocked reports whether calls with the same content have crashed engines too
-// often.
-func (r *onceRouter) isBlocked(c *call) bool {
-	return r.guard.Check(time.Now(), c.fingerprint) == retry.Blocked
+	r.evidence.Apply(r.entry.now(), v)
 }
 
 func (r *onceRouter) handleCall(ctx context.Context, c *call) {
@@ -141,16 +131,7 @@
 		respondProblem(ctx, c, unauthorized(c))
 		return
 	}
-	var task onceTask
-	var p *wire.Problem
-	switch {
-	case isTokenCall(c):
-		task, p = r.tokenTask(c, customer)
-	case r.isBlocked(c):
-		p = blocked(c)
-	default:
-		task, p = r.callTask(c, customer)
-	}
+	task, p := r.newTask(c, customer)
 	if p == nil && r.entry.once.tasks.Put(ctx, task) != nil {
 		p = boundNotRun(c, http.StatusServiceUnavailable, "entry carries as many calls as it may")
 	}
@@ -159,6 +140,18 @@
 	}
 }
 
+// newTask returns the task for a call or a token request, or a problem.
+func (r *onceRouter) newTask(c *call, customer *config.Customer) (onceTask, *wire.Problem) {
+	if isTokenCall(c) {
+		return r.tokenTask(c, customer)
+	}
+	if d := r.decide(c); d.Verdict == poison.Blocked {
+		r.entry.recordBlocked(c, customer.Name, d.Trait)
+		return onceTask{}, blocked(c)
+	}
+	return r.callTask(c, customer)
+}
+
 // callTask returns the task for a call, with the only agent that may run it, or a
 // problem if there is none.
 func (r *onceRouter) callTask(c *call, customer *config.Customer) (onceTask, *wire.Problem) {
@@ -177,6 +170,7 @@
 		Key:     c.header.Get(wire.HeaderKey), Token: c.token,
 		Once:        true,
 		Fingerprint: c.fingerprint,
+		Traits:      c.traits,
 	}
 	if profile != nil {
 		task.meta.Profile, task.meta.Root = profile.Name, profile.Weights.Root
--- a/entry/problems.go
+++ b/entry/problems.go
@@ -45,11 +45,14 @@
 	}
 }
 
+// blockedDetail is the detail for a request with a convicted trait.
+const blockedDetail = "earlier requests with the same content, or with a part of it, crashed their upstreams"
+
 func blocked(c *call) *wire.Problem {
 	return &wire.Problem{
 		Type: wire.ProblemBlocked, Title: "request is blocked",
 		Status: http.StatusUnprocessableEntity, Request: c.id, Outcome: wire.NotRun,
-		Detail: "earlier requests with the same content ended in crashes of their upstreams",
+		Detail: blockedDetail,
 	}
 }
 
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -7,7 +7,6 @@
 
 	"rattanspur.example/lib/admission"
 	"rattanspur.example/lib/fleet"
-	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/settings"
 )
 
@@ -64,12 +63,12 @@
 	return n
 }
 
-func (r *router) queueKeyOf(now time.Time, a *attempt) queueKey {
+func (r *router) queueKeyOf(a *attempt) queueKey {
 	key := queueKey{service: a.target.Service.Name}
 	if a.target.ProfileRequested {
 		key.profile = a.target.Profile.Name
 	}
-	key.exclusive = r.guard.Check(now, a.call.fingerprint) == retry.Suspected
+	key.exclusive = r.isSuspected(a.call)
 	return key
 }
 
@@ -93,7 +92,7 @@
 // be queued.
 func (r *router) admit(ctx context.Context, a attempt) {
 	now := time.Now()
-	q := r.queues.get(r.queueKeyOf(now, &a))
+	q := r.queues.get(r.queueKeyOf(&a))
 	if q.Len() == 0 && r.trySend(ctx, a) {
 		return
 	}
@@ -118,7 +117,7 @@
 func (r *router) requeue(ctx context.Context, a attempt) {
 	now := time.Now()
 	a.tried = nil
-	q := r.queues.get(r.queueKeyOf(now, &a))
+	q := r.queues.get(r.queueKeyOf(&a))
 	item := queueItem(a)
 	if a.call.ctx.Err() != nil || !now.Before(item.Deadline) {
 		r.giveUp(ctx, a, "no upstream had room in time", q.RetryAfter())
@@ -131,7 +130,7 @@
 func (r *router) drain(ctx context.Context) {
 	now := time.Now()
 	for key, q := range r.queues.byKey {
-		for item := q.Peek(); item != nil && r.sendQueued(ctx, item.Value); item = q.Peek() {
+		for item := q.Peek(); item != nil && r.sendQueued(ctx, key, item.Value); item = q.Peek() {
 			q.Take(now)
 		}
 		if q.Len() > 0 {
@@ -144,14 +143,15 @@
 	}
 }
 
-// sendQueued sends a waiting call, or drops it if its context has ended. It
-// returns false if the call must continue to wait.
-func (r *router) sendQueued(ctx context.Context, a attempt) bool {
+// sendQueued sends a waiting call, drops it if its context has ended or if it must
+// not run any more, or moves it to another queue. It returns false if the call must
+// continue to wait.
+func (r *router) sendQueued(ctx context.Context, key queueKey, a attempt) bool {
 	if a.call.ctx.Err() != nil {
 		r.giveUp(ctx, a, "the call ended while it waited", retryAfter)
 		return true
 	}
-	return r.trySend(ctx, a)
+	return r.blockIfConvicted(ctx, a) || r.moveQueued(key, a) || r.trySend(ctx, a)
 }
 
 // expire responds to waiting calls whose deadline has passed or whose caller has
--- a/entry/router.go
+++ b/entry/router.go
@@ -10,6 +10,7 @@
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/node"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/routing"
@@ -50,7 +51,9 @@
 	upstream fleet.Instance
 	pool     *connPool
 	meta     wire.Call
-	tried    []fleet.InstanceID
+	// sentAt is when the current attempt was sent, by the clock of the evidence.
+	sentAt time.Time
+	tried  []fleet.InstanceID
 	// failures counts the attempts that may have been run and failed, placements
 	// all attempts that were not refused for lack of capacity.
 	failures   int
@@ -63,27 +66,28 @@
 }
 
 // router is the state of the router duty, the goroutine that owns the routing
-// table, the waiting calls, the retry budgets and the suspects of an entry.
+// table, the waiting calls, the retry budgets and the evidence of an entry.
 type router struct {
 	entry   *Entry
 	table   *routing.Table
 	view    node.View
 	queues  callQueues
 	budgets *retry.Budgets
-	guard   *retry.Guard
 	pools   *connPools
+	// evidence is about requests that crash upstreams.
+	evidence *node.Evidence
 	// inFlight is the number of attempts that the forwarders are handling.
 	inFlight int
 }
 
 func newRouter(e *Entry) *router {
 	return &router{
-		entry:   e,
-		table:   routing.New(e.settings.Self),
-		queues:  newCallQueues(e.settings),
-		budgets: retry.NewBudgets(),
-		guard:   retry.NewGuard(),
-		pools:   newConnPools(e.settings.ConnectionAge),
+		entry:    e,
+		table:    routing.New(e.settings.Self),
+		queues:   newCallQueues(e.settings),
+		budgets:  retry.NewBudgets(),
+		pools:    newConnPools(e.settings.ConnectionAge),
+		evidence: node.NewEvidence(e.node),
 	}
 }
 
@@ -105,6 +109,7 @@
 		case <-ctx.Done():
 			return nil
 		}
+		r.evidence.Share(e.now())
 		if !armed && r.queues.length() > 0 {
 			timer.Reset(queueInterval)
 			armed = true
@@ -119,6 +124,8 @@
 	case attemptEnded:
 		r.handleAttemptEnd(ctx, ev)
 		r.drain(ctx)
+	case answerBegan:
+		r.recordBegan(ev.attempt)
 	case loadReported:
 		r.table.Report(time.Now(), ev.id, ev.load)
 	case statusQuery:
@@ -128,12 +135,9 @@
 
 // applyView applies a new view of the fleet.
 func (r *router) applyView(ctx context.Context, v node.View) {
-	now := time.Now()
 	r.view = v
 	r.table.Update(v.Config, v.Members)
-	for _, s := range v.Suspects {
-		r.guard.ApplyReport(now, s.Fingerprint, s.Crashes, s.Last)
-	}
+	r.evidence.Apply(r.entry.now(), v)
 	live := make(map[fleet.InstanceID]bool, len(v.Members))
 	for _, m := range v.Members {
 		live[m.ID] = true
@@ -166,11 +170,10 @@
 		r.refuse(ctx, c, invalid(http.StatusNotFound, "no profile, service or path matches"))
 		return
 	}
-	if r.guard.Check(c.arrivedAt, c.fingerprint) == retry.Blocked {
-		r.block(ctx, c, customer)
-		return
+	a := r.newAttempt(c, customer, target)
+	if !r.blockIfConvicted(ctx, a) {
+		r.admit(ctx, a)
 	}
-	r.admit(ctx, r.newAttempt(c, customer, target))
 }
 
 func (r *router) newAttempt(c *call, customer *config.Customer, target routing.Target) attempt {
@@ -180,13 +183,13 @@
 		target:        target,
 		queueDeadline: c.arrivedAt.Add(r.entry.settings.QueueWait),
 		meta: wire.Call{
-			Request:     c.id,
-			Customer:    customer.Name,
-			Priority:    customer.Priority,
-			Service:     target.Service.Name,
-			Entry:       r.entry.settings.Self.ID,
-			Once:        isOnce(target.Service, c),
-			Fingerprint: c.fingerprint,
+			Request:  c.id,
+			Customer: customer.Name,
+			Priority: customer.Priority,
+			Service:  target.Service.Name,
+			Entry:    r.entry.settings.Self.ID,
+			Once:     isOnce(target.Service, c),
+			Traits:   c.traits,
 		},
 	}
 }
@@ -203,7 +206,7 @@
 }
 
 // trySend sends a call to an upstream with capacity. It returns false if no
-// upstream has capacity or no forwarder is free.
+// upstream has capacity, if no forwarder is free or if the call must not run.
 func (r *router) trySend(ctx context.Context, a attempt) bool {
 	if r.inFlight >= r.entry.settings.MaxCalls {
 		return false
@@ -214,16 +217,23 @@
 	if t := routing.Resolve(r.view.Config, a.call.path, a.call.model); t.Service != nil {
 		a.target = t
 	}
+	d := r.decide(a.call)
+	if d.Verdict == poison.Blocked {
+		return false
+	}
 	choice, ok := r.table.Pick(now, routing.Request{
 		Service:   a.target.Service.Name,
 		Roots:     a.target.Roots(r.view.Config),
 		Prefix:    a.call.prefix,
 		Tried:     a.tried,
-		Exclusive: r.guard.Check(now, a.call.fingerprint) == retry.Suspected,
+		Exclusive: d.RunsAlone(a.call.traits),
 	}, rand.IntN)
 	if !ok {
 		return false
 	}
+	if d.Verdict == poison.Probe {
+		r.evidence.ProbeSent(r.entry.now(), d.Trait)
+	}
 	if p := a.target.ProfileOf(r.view.Config, choice.Root); p != nil {
 		a.meta.Profile = p.Name
 		a.meta.Root = choice.Root
@@ -238,6 +248,7 @@
 	a.meta.Attempt++
 	a.meta.Config = r.view.Config.Stamp
 	a.upstream = upstream
+	a.sentAt = r.entry.now()
 	a.pool = r.pools.get(now, upstream)
 	if err := r.entry.attempts.Put(ctx, a); err != nil {
 		r.table.Done(upstream.ID)
@@ -271,7 +282,7 @@
 		End:        res.end,
 		Failures:   a.failures,
 		Placements: a.placements,
-		Once:       a.meta.Once,
+		Once:       a.meta.Once || r.isSuspected(a.call),
 		Started:    res.started,
 	}, func() bool { return r.budgets.Spend(a.meta.Customer, a.upstream.ID) })
 	r.recordEnd(a, res)
@@ -289,8 +300,7 @@
 	}
 	r.entry.metrics.retries.Inc()
 	switch {
-	case r.guard.Check(time.Now(), a.call.fingerprint) == retry.Blocked:
-		r.block(ctx, a.call, a.customer)
+	case r.blockIfConvicted(ctx, a):
 	case action == retry.Resend && r.trySend(ctx, a):
 	default:
 		r.requeue(ctx, a)
@@ -298,7 +308,7 @@
 }
 
 // recordResult updates the state of the upstream, the retry budgets and the
-// suspects after an attempt.
+// evidence after an attempt.
 func (r *router) recordResult(now time.Time, a attempt, res result) {
 	id := a.upstream.ID
 	if res.load != nil {
@@ -312,9 +322,6 @@
 		r.table.Succeeded(id)
 		if !res.serverError {
 			r.budgets.Succeeded(a.meta.Customer, id)
-			if r.guard.Succeeded(now, a.call.fingerprint) {
-				r.entry.node.ReportSuccess(a.call.fingerprint)
-			}
 		}
 	case res.end == retry.Busy:
 		r.table.Busy(now, id)
@@ -323,9 +330,7 @@
 	case res.end.Failure():
 		r.table.Failed(now, id)
 	}
-	if res.end.Crash() {
-		r.guard.Crashed(now, a.call.fingerprint)
-	}
+	r.recordEvidence(a, res)
 	if res.end == retry.Stalled || res.end == retry.Mismatched {
 		r.pools.discard(id, a.pool)
 	}
@@ -349,13 +354,6 @@
 	})
 }
 
-func (r *router) block(ctx context.Context, c *call, customer *config.Customer) {
-	r.entry.node.Record(timeline.Event{
-		Kind: timeline.RequestBlocked, Request: c.id, Detail: string(customer.Name) + " " + c.fingerprint,
-	})
-	r.refuse(ctx, c, blocked(c))
-}
-
 // giveUp refuses a call for which no response from an upstream will come. The
 // problem states that the request was not run only if no attempt may have been
 // run.
--- a/entry/status.go
+++ b/entry/status.go
@@ -44,7 +44,7 @@
 		Members:  len(r.view.Members),
 		InFlight: r.inFlight,
 		Waiting:  map[fleet.Service]int{},
-		Suspects: r.guard.Len(),
+		Suspects: len(r.evidence.Suspicions(r.entry.now())),
 		Stopping: r.entry.stopping.Load(),
 	}}
 	if r.view.Config != nil {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -269,7 +269,7 @@
 		"verdict", a.Verdict, "reason", a.Reason, "after", a.RetryAfter.Seconds(), "waited", time.Since(c.arrivedAt).Seconds(),
 	}
 	if a.Trait != 0 {
-		fields = append(fields, "trait", dispatch.FormatTrait(a.Trait))
+		fields = append(fields, "trait", a.Trait.String())
 	}
 	c.log("refused", fields...)
 	if c.started {
--- a/gateway/suspicion.go
+++ b/gateway/suspicion.go
@@ -22,7 +22,7 @@
 func formatTraits(list []poison.Trait) string {
 	names := make([]string, 0, len(list))
 	for _, t := range list {
-		names = append(names, dispatch.FormatTrait(t))
+		names = append(names, t.String())
 	}
 	return strings.Join(names, ",")
 }
@@ -35,12 +35,12 @@
 	for _, t := range detector.Convicted(now) {
 		convicted[t] = detector.Check(now, []poison.Trait{t}).Episodes
 		if _, known := r.convicted[t]; !known {
-			_ = r.gateway.logger.Log("event", "trait-blocked", "trait", dispatch.FormatTrait(t), "episodes", convicted[t])
+			_ = r.gateway.logger.Log("event", "trait-blocked", "trait", t.String(), "episodes", convicted[t])
 		}
 	}
 	for t, episodes := range r.convicted {
 		if _, still := convicted[t]; !still {
-			_ = r.gateway.logger.Log("event", "trait-cleared", "trait", dispatch.FormatTrait(t), "episodes", episodes)
+			_ = r.gateway.logger.Log("event", "trait-cleared", "trait", t.String(), "episodes", episodes)
 		}
 	}
 	r.convicted = convicted
@@ -52,6 +52,6 @@
 // still harmful.
 func (r *router) recordProbe(req *activeRequest, a *dispatch.Send) {
 	if a.Probe != 0 {
-		_ = r.gateway.logger.Log("event", "trait-probed", "request", req.call.ID, "trait", dispatch.FormatTrait(a.Probe), "upstream", a.Upstream)
+		_ = r.gateway.logger.Log("event", "trait-probed", "request", req.call.ID, "trait", a.Probe.String(), "upstream", a.Upstream)
 	}
 }
--- a/gateway/suspicion_test.go
+++ b/gateway/suspicion_test.go
@@ -12,7 +12,6 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
-	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/poison"
@@ -48,7 +47,7 @@
 	require.Equal(t, http.StatusOK, g.callWithParts("/once/1", "first:10,own:30"))
 	require.Equal(t, http.StatusOK, g.callWithParts("/once/1", "harmful:20"), "the last part is no shared one")
 	require.Equal(t, uint64(1), g.gateway.metrics.blocked.Get())
-	trait := "trait=" + dispatch.FormatTrait(poison.PartTrait("harmful"))
+	trait := "trait=" + poison.PartTrait("harmful").String()
 	require.Contains(t, g.logs.line("trait-blocked"), trait+" episodes=3")
 	require.Contains(t, g.logs.line("refused"), trait)
 }
@@ -65,7 +64,7 @@
 	g := start(t, source, peer.LocalAddr().String())
 	require.Equal(t, http.StatusBadGateway, g.callWithParts("/once/1", "first:10,own:30"))
 	require.Contains(t, g.logs.line("attempt"), "end=lost")
-	require.Contains(t, g.logs.line("attempt"), "begun=false traits="+dispatch.FormatTrait(poison.PartTrait("first"))+",")
+	require.Contains(t, g.logs.line("attempt"), "begun=false traits="+poison.PartTrait("first").String()+",")
 	require.NoError(t, peer.SetReadDeadline(time.Now().Add(testTimeout)))
 	buffer := make([]byte, maxDatagramBytes)
 	for {
--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -15,9 +14,6 @@
 // blockedReason is the reason given to callers whose request is blocked.
 const blockedReason = "request crashed several upstreams"
 
-// FormatTrait returns a trait as logs show it.
-func FormatTrait(t poison.Trait) string { return fmt.Sprintf("%016x", uint64(t)) }
-
 // Detector returns the evidence about requests that crash upstreams.
 func (c *Core) Detector() *poison.Detector { return c.detector }
 
@@ -57,7 +53,7 @@
 	if s.published == nil {
 		return nil
 	}
-	key := FormatTrait(t)
+	key := t.String()
 	var first *upstream
 	greatest := uint64(0)
 	for _, u := range s.upstreams {
@@ -128,7 +124,7 @@
 func (r *request) queueKey() string {
 	key := r.regionKey()
 	if r.suspect != 0 {
-		key += ";!" + FormatTrait(r.suspect)
+		key += ";!" + r.suspect.String()
 	}
 	if r.returningStream() {
 		key += ";returning"
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -108,6 +108,9 @@
 	// Switching is true while an agent's engine changes versions and accepts no
 	// calls.
 	Switching bool `json:"switching,omitempty"`
+	// Incarnation is the start of the instance's process, as far as other processes
+	// know it; zero if the instance is known only from the list.
+	Incarnation Incarnation `json:"-"`
 }
 
 // RendezvousWeight returns the rendezvous hashing weight of member for key. The
--- a/lib/gate/gate.go
+++ b/lib/gate/gate.go
@@ -9,6 +9,7 @@
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
 )
 
 // Reason is the reason for refusing a call; it is empty for an admitted call.
@@ -52,41 +53,43 @@
 	// Root identifies the version of the weights that the call asks for.
 	Root     fleet.Digest
 	Deadline time.Time
-	// Fingerprint identifies the content of the request.
-	Fingerprint string
+	// Traits are those of the request.
+	Traits []poison.Trait
+	// Suspect is the trait for which the call must run alone, because it may crash
+	// the upstream; zero if there is none.
+	Suspect poison.Trait
 }
 
 // Ticket represents an admitted call, which counts as in flight. Each ticket is
 // released exactly once, by Done, by Release or by a Recheck that refuses.
 type Ticket struct {
 	Call
-	epoch   uint64
-	suspect bool
+	epoch  uint64
+	number uint64
 }
 
-// Suspect reports whether the call's content is suspected of crashing the
-// upstream, because it was in flight during a crash.
-func (t Ticket) Suspect() bool { return t.suspect }
-
 // Gate is the admission state of one upstream. It is not safe for concurrent
 // use.
 type Gate struct {
-	options          Options
-	domainIn         bool
-	configured       bool
-	leaving          bool
-	plainService     bool
-	lastCheck        HealthCheck
+	options      Options
+	domainIn     bool
+	configured   bool
+	leaving      bool
+	plainService bool
+	lastCheck    HealthCheck
+	// healthySince is the first health check that succeeded after one that failed.
+	healthySince     time.Time
 	connectionLostAt time.Time
 	limits           config.Limits
 	limit            int
 	// completed counts completed calls since the limit last changed.
 	completed int
 	// epoch counts how often the limit was reset to its cold value.
-	epoch       uint64
-	inFlight    int
-	byRoot      map[fleet.Digest]int
-	suspects    map[string]bool
+	epoch    uint64
+	inFlight int
+	byRoot   map[fleet.Digest]int
+	// tickets counts the admitted calls.
+	tickets     uint64
 	exclusive   bool
 	reservation reservation
 	crashes     crashLog
@@ -118,25 +121,17 @@
 	g.limit = min(max(g.limit, s.Limits.Cold), s.Limits.Warm)
 }
 
-// SetSuspects replaces the set of fingerprints whose calls must run alone.
-func (g *Gate) SetSuspects(fingerprints []string) {
-	g.suspects = make(map[string]bool, len(fingerprints))
-	for _, f := range fingerprints {
-		g.suspects[f] = true
-	}
-}
-
 // Leave refuses all further calls.
 func (g *Gate) Leave() { g.leaving = true }
 
 // reservation excludes other calls so that a suspected call can run alone.
 type reservation struct {
-	fingerprint        string
+	suspect            poison.Trait
 	until, nextAllowed time.Time
 }
 
 func (r *reservation) excludes(now time.Time, c Call) bool {
-	return now.Before(r.until) && c.Fingerprint != r.fingerprint
+	return now.Before(r.until) && c.Suspect != r.suspect
 }
 
 // Reserve excludes other calls for ReservationTime, so that a suspected call
@@ -144,11 +139,11 @@
 // reservation; ok is false if the call is not suspected or if the last
 // reservation started less than ReservationInterval ago.
 func (g *Gate) Reserve(now time.Time, c Call) (until time.Time, ok bool) {
-	if !g.suspects[c.Fingerprint] || now.Before(g.reservation.nextAllowed) {
+	if c.Suspect == 0 || now.Before(g.reservation.nextAllowed) {
 		return now, false
 	}
 	g.reservation = reservation{
-		fingerprint: c.Fingerprint,
+		suspect:     c.Suspect,
 		until:       now.Add(g.options.ReservationTime),
 		nextAllowed: now.Add(g.options.ReservationInterval),
 	}
@@ -171,21 +166,22 @@
 	if r := g.Check(now, c); r != Admitted {
 		return Ticket{}, r
 	}
-	t := Ticket{Call: c, epoch: g.epoch, suspect: g.suspects[c.Fingerprint]}
+	suspect := c.Suspect != 0
 	switch {
-	case g.exclusive, t.suspect && g.inFlight > 0, g.reservation.excludes(now, c):
+	case g.exclusive, suspect && g.inFlight > 0, g.reservation.excludes(now, c):
 		return Ticket{}, Exclusive
 	case g.inFlight >= g.limit:
 		return Ticket{}, AtLimit
 	}
-	if t.suspect {
+	if suspect {
 		g.exclusive = true
 		g.reservation.until = now
 	}
 	g.inFlight++
 	g.byRoot[c.Root]++
-	g.crashes.recordStart(c.Fingerprint)
-	return t, Admitted
+	g.tickets++
+	g.crashes.recordStart(g.tickets, c.Traits)
+	return Ticket{Call: c, epoch: g.epoch, number: g.tickets}, Admitted
 }
 
 // Recheck repeats, immediately before the call is sent to the upstream, the
@@ -226,6 +222,10 @@
 	}
 }
 
+// Began records that the upstream began to answer a call, which therefore does not
+// crash it.
+func (g *Gate) Began(t Ticket) { g.crashes.recordEnd(t.number) }
+
 // Outcome is how a call ended at the upstream.
 type Outcome uint8
 
@@ -248,15 +248,15 @@
 // raise the limit while the upstream warms up.
 func (g *Gate) Done(now time.Time, t Ticket, o Outcome) {
 	g.Tick(now)
+	if o == ConnectionLost {
+		g.crashes.recordLost(now, t.number)
+	}
 	g.remove(t)
 	if o == ConnectionLost || o == Unreachable {
 		// The upstream may have restarted, and a restarted one is cold. Refuse
 		// calls until the next health check shows whether it did.
 		g.connectionLostAt = now
 	}
-	if o == ConnectionLost {
-		g.crashes.recordLost(t.Fingerprint)
-	}
 	if t.epoch != g.epoch {
 		return
 	}
@@ -277,10 +277,10 @@
 	if g.byRoot[t.Root]--; g.byRoot[t.Root] == 0 {
 		delete(g.byRoot, t.Root)
 	}
-	if t.suspect {
+	if t.Suspect != 0 {
 		g.exclusive = false
 	}
-	g.crashes.recordEnd(t.Fingerprint)
+	g.crashes.recordEnd(t.number)
 }
 
 func (g *Gate) raiseLimit() {
--- a/lib/gate/gate_test.go
+++ b/lib/gate/gate_test.go
@@ -12,6 +12,7 @@
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/gate"
+	"rattanspur.example/lib/poison"
 )
 
 // seed is the fixed seed of the property tests, so that runs are reproducible.
@@ -159,48 +160,80 @@
 }
 
 // Guards against blaming the wrong calls or the same call twice: a crash reports
-// each call that was in flight once, and a broken connection of an upstream that
-// did not crash reports none.
+// each call that was in flight and had no answer yet once, for the start of the
+// upstream that crashed, and a broken connection of an upstream that did not crash
+// reports none.
 func TestCrashNamesCallsInFlight(t *testing.T) {
 	g := newOpenGate(t)
-	admit := func(f string) gate.Ticket {
+	admit := func(trait poison.Trait) gate.Ticket {
 		c := call(start)
-		c.Fingerprint = f
+		c.Traits = []poison.Trait{trait}
 		ticket, r := g.Admit(start, c)
 		require.Equal(t, gate.Admitted, r)
 		return ticket
 	}
+	const broken, finished, begun, lost, held, repeated poison.Trait = 1, 2, 3, 4, 5, 6
 	up := gate.HealthCheck{StartedAt: start, Healthy: true, Warm: true, BootID: "one", Root: rootA}
-	g.Done(start, admit("broken"), gate.ConnectionLost)
-	require.Empty(t, g.Observe(start, up).Crashed)
-	g.Done(start, admit("finished"), gate.Completed)
-	lost, held := admit("lost"), admit("held")
-	g.Done(start, lost, gate.ConnectionLost)
-	require.Equal(t, []string{"lost"}, g.Observe(start, gate.HealthCheck{StartedAt: start}).Crashed)
+	first := gate.Start{BootID: "one"}
+	g.Done(start, admit(broken), gate.ConnectionLost)
+	require.Equal(t, gate.Change{Start: first, BrokenAt: start}, g.Observe(start, up))
+	require.Equal(t, gate.Change{Start: first}, g.Observe(start, up), "reported once")
+	g.Done(start, admit(finished), gate.Completed)
+	answered := admit(begun)
+	g.Began(answered)
+	g.Done(start, answered, gate.ConnectionLost)
+	require.Empty(t, g.Observe(start, gate.HealthCheck{StartedAt: start}).Crashed, "lost in mid-answer")
+	g.Observe(start, up)
+	lostCall, heldCall := admit(lost), admit(held)
+	g.Done(start, lostCall, gate.ConnectionLost)
+	down := g.Observe(start, gate.HealthCheck{StartedAt: start})
+	require.Equal(t, [][]poison.Trait{{lost}}, down.Crashed)
+	require.Equal(t, first, down.Start)
 	up.BootID = "two"
-	require.Equal(t, []string{"held"}, g.Observe(start, up).Crashed)
-	g.Done(start, held, gate.ConnectionLost)
+	restarted := g.Observe(start, up)
+	require.Equal(t, [][]poison.Trait{{held}}, restarted.Crashed)
+	require.Equal(t, first, restarted.Start)
+	g.Done(start, heldCall, gate.ConnectionLost)
 	require.Empty(t, g.Observe(start, up).Crashed)
+	require.Empty(t, g.Observe(start, gate.HealthCheck{StartedAt: start}).Crashed, "a call of an earlier start")
+	g.Observe(start, up)
+	g.Done(start, admit(repeated), gate.ConnectionLost)
+	again := g.Observe(start, gate.HealthCheck{StartedAt: start})
+	require.Equal(t, [][]poison.Trait{{repeated}}, again.Crashed)
+	require.Equal(t, gate.Start{BootID: "two"}, again.Start)
+}
+
+// Guards against two crashes of an upstream without boot IDs that count as one.
+func TestStartOfUpstreamWithoutBootID(t *testing.T) {
+	g := gate.New(options)
+	observe := func(after time.Duration, healthy bool) gate.Start {
+		g.Observe(start, gate.HealthCheck{StartedAt: start.Add(after), Healthy: healthy, Warm: true})
+		return g.Start()
+	}
+	first := observe(0, true)
+	require.Equal(t, first, observe(time.Second, true))
+	require.Equal(t, first, observe(2*time.Second, false))
+	require.Equal(t, gate.Start{HealthySince: start.Add(3 * time.Second)}, observe(3*time.Second, true))
 }
 
 // Guards against a suspected call that runs together with others, and against
 // one that never runs because the upstream is always busy.
 func TestSuspectRunsAlone(t *testing.T) {
 	g := newOpenGate(t)
-	g.SetSuspects([]string{"bad"})
 	other, _ := g.Admit(start, call(start))
 	bad := call(start)
-	bad.Fingerprint = "bad"
+	bad.Suspect = 1
 	_, r := g.Admit(start, bad)
 	require.Equal(t, gate.Exclusive, r)
-	_, ok := g.Reserve(start, bad)
+	_, ok := g.Reserve(start, call(start))
+	require.False(t, ok, "only a suspect gets a reservation")
+	_, ok = g.Reserve(start, bad)
 	require.True(t, ok)
 	_, r = g.Admit(start, call(start))
 	require.Equal(t, gate.Exclusive, r, "excluded by the reservation")
 	g.Done(start, other, gate.Completed)
 	ticket, r := g.Admit(start, bad)
 	require.Equal(t, gate.Admitted, r)
-	require.True(t, ticket.Suspect())
 	_, r = g.Admit(start, call(start))
 	require.Equal(t, gate.Exclusive, r)
 	g.Done(start, ticket, gate.Completed)
--- a/lib/gate/healthcheck.go
+++ b/lib/gate/healthcheck.go
@@ -1,10 +1,10 @@
 package gate
 
 import (
-	"sort"
 	"time"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
 )
 
 // HealthCheck is the result of one health check of the upstream.
@@ -27,9 +27,21 @@
 type Change struct {
 	// BecameCold is whether the upstream returned to cold start.
 	BecameCold bool
-	// Crashed holds the fingerprints of calls that were in flight when the
-	// upstream crashed.
-	Crashed []string
+	// Start is the start of the upstream that Crashed and BrokenAt apply to.
+	Start Start
+	// Crashed holds the traits of each call that was lost in a crash of the
+	// upstream before its answer began.
+	Crashed [][]poison.Trait
+	// BrokenAt is when the first connection broke of an upstream that did not
+	// crash; zero if none broke.
+	BrokenAt time.Time
+}
+
+// Start identifies a start of the upstream: by its boot ID, or, if it reports none,
+// by the time since which it has been healthy.
+type Start struct {
+	BootID       string
+	HealthySince time.Time
 }
 
 // Observe applies the result of a health check. The limit returns to its cold
@@ -37,6 +49,7 @@
 func (g *Gate) Observe(now time.Time, check HealthCheck) Change {
 	g.Tick(now)
 	old := g.lastCheck
+	c := Change{Start: g.Start()}
 	if check.StartedAt.Before(g.connectionLostAt) {
 		// The check was started before a connection broke, so the upstream may
 		// have restarted since.
@@ -51,14 +64,16 @@
 	}
 	restarted := old.BootID != "" && check.BootID != old.BootID
 	g.lastCheck = check
-	var c Change
 	switch {
 	case restarted:
 		c.Crashed = g.crashes.recordRestart()
 	case !check.Healthy:
 		c.Crashed = g.crashes.recordUnreachable()
 	default:
-		g.crashes.recordAlive()
+		c.BrokenAt = g.crashes.recordAlive()
+	}
+	if check.Healthy && (restarted || !old.Healthy) {
+		g.healthySince = check.StartedAt
 	}
 	if check.Overloaded {
 		g.completed = 0
@@ -84,6 +99,14 @@
 	return false
 }
 
+// Start returns the start of the upstream that the last health check found.
+func (g *Gate) Start() Start {
+	if g.lastCheck.BootID != "" {
+		return Start{BootID: g.lastCheck.BootID}
+	}
+	return Start{HealthySince: g.healthySince}
+}
+
 // resetToCold returns the limit to its cold value and starts a new epoch. Calls
 // that were admitted earlier and not yet sent are refused by Recheck.
 func (g *Gate) resetToCold() {
@@ -98,69 +121,3 @@
 	check := g.lastCheck
 	return check.Healthy && !check.StartedAt.Before(g.connectionLostAt) && now.Sub(check.StartedAt) <= g.options.StaleAfter
 }
-
-// crashLog finds the calls that were in flight when the upstream crashed.
-type crashLog struct {
-	// inFlight counts the calls in flight by fingerprint.
-	inFlight map[string]int
-	// connectionLost holds the fingerprints of calls whose connection broke,
-	// until a health check shows whether the upstream crashed.
-	connectionLost map[string]bool
-	// reported holds the fingerprints already reported for the current crash.
-	reported map[string]bool
-}
-
-func newCrashLog() crashLog {
-	return crashLog{inFlight: map[string]int{}, connectionLost: map[string]bool{}, reported: map[string]bool{}}
-}
-
-func (c *crashLog) recordStart(fingerprint string) {
-	if fingerprint != "" {
-		c.inFlight[fingerprint]++
-	}
-}
-
-func (c *crashLog) recordEnd(fingerprint string) {
-	if c.inFlight[fingerprint]--; c.inFlight[fingerprint] <= 0 {
-		delete(c.inFlight, fingerprint)
-	}
-}
-
-func (c *crashLog) recordLost(fingerprint string) {
-	if fingerprint != "" {
-		c.connectionLost[fingerprint] = true
-	}
-}
-
-// recordAlive records that the upstream answered and has not restarted.
-func (c *crashLog) recordAlive() {
-	clear(c.connectionLost)
-	clear(c.reported)
-}
-
-// recordUnreachable records that the upstream does not answer and returns the
-// fingerprints of calls to report. Calls that are still in flight may yet be
-// answered, so only those whose connection broke are returned.
-func (c *crashLog) recordUnreachable() []string {
-	var list []string
-	for f := range c.connectionLost {
-		if !c.reported[f] {
-			c.reported[f] = true
-			list = append(list, f)
-		}
-	}
-	clear(c.connectionLost)
-	sort.Strings(list)
-	return list
-}
-
-// recordRestart records a restart of the upstream and returns the fingerprints
-// of calls to report. A restart ends every call in flight.
-func (c *crashLog) recordRestart() []string {
-	for f := range c.inFlight {
-		c.connectionLost[f] = true
-	}
-	list := c.recordUnreachable()
-	clear(c.reported)
-	return list
-}
--- a/lib/gate/state.go
+++ b/lib/gate/state.go
@@ -14,7 +14,6 @@
 	Limit        int          `json:"limit"`
 	InFlight     int          `json:"in_flight"`
 	Warm         bool         `json:"warm"`
-	Suspects     int          `json:"suspects"`
 }
 
 // State returns the state of the gate as of its last input.
@@ -27,7 +26,6 @@
 		Limit:        g.limit,
 		InFlight:     g.inFlight,
 		Warm:         g.Warm(),
-		Suspects:     len(g.suspects),
 	}
 	s.Ready = s.ClosedReason == Admitted
 	return s
--- a/lib/gossip/core.go
+++ b/lib/gossip/core.go
@@ -6,6 +6,7 @@
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
 )
 
 const (
@@ -24,8 +25,6 @@
 	// in the process's region. They keep updates spreading within a region
 	// while the regions cannot reach each other.
 	regionHeartbeatTicks = 2
-	// maxSuspectUpdates limits the suspects per message.
-	maxSuspectUpdates = 8
 	// suspicionTTL is how long a member stays suspected after a failed
 	// exchange.
 	suspicionTTL = 30 * time.Second
@@ -54,9 +53,10 @@
 // Core makes the gossip decisions of one process. It is not safe for concurrent
 // use: one duty owns it.
 type Core struct {
-	rand     *rand.Rand
-	table    *Table
-	suspects suspects
+	rand  *rand.Rand
+	table *Table
+	// detector holds the evidence about requests that crash upstreams.
+	detector *poison.Detector
 
 	// stamp is that of the greatest accepted configuration, greatestObserved
 	// the greatest one received from other processes.
@@ -74,7 +74,7 @@
 	lastTick        time.Time
 	lastUrgentPush  time.Time
 
-	// changes counts the changes of suspicions and suspects.
+	// changes counts the changes of suspicions of members.
 	changes uint64
 	start   startState
 }
@@ -94,7 +94,7 @@
 	return &Core{
 		rand:           o.Rand,
 		table:          NewTable(o.Self, o.Incarnation),
-		suspects:       newSuspects(),
+		detector:       poison.New(string(o.Self.ID)),
 		rejected:       map[config.Stamp]bool{},
 		suspectedUntil: map[fleet.InstanceID]time.Time{},
 		lastTick:       o.Now,
@@ -105,9 +105,7 @@
 // Tick runs the periodic work. It must be called every HeartbeatInterval.
 func (c *Core) Tick(now time.Time) []Action {
 	c.table.Purge(now)
-	if c.suspects.purge(now) {
-		c.changes++
-	}
+	c.detector.Expire(now)
 	c.expireSuspicions(now)
 	c.table.Members()
 	c.ticks++
@@ -136,7 +134,6 @@
 	if len(actions) > 0 {
 		first := actions[0].(Send)
 		first.Message.Buckets = c.table.Hashes()
-		first.Message.SuspectsHash = c.suspects.hash()
 		actions[0] = first
 	}
 	return actions
@@ -195,9 +192,6 @@
 	actions := c.merge(now, h)
 	answer := c.newHeartbeat(now)
 	answer.Members = append(answer.Members, c.table.Differing(h.Buckets, maxBucketRecords, c.rand.Int())...)
-	if h.Buckets != nil && h.SuspectsHash != c.suspects.hash() {
-		answer.Suspects = append(answer.Suspects, c.suspects.window(maxSuspectUpdates, c.rand.Int())...)
-	}
 	return answer, actions
 }
 
@@ -220,7 +214,7 @@
 func (c *Core) TableMessage(now time.Time) Heartbeat {
 	h := c.newHeartbeat(now)
 	h.Members = c.table.All()
-	h.Suspects = c.suspects.all()
+	h.Crashes = c.detector.All(now)
 	return h
 }
 
@@ -269,34 +263,3 @@
 	c.table.Members()
 	return append(c.push(now, pushFanout), c.updateWatching()...)
 }
-
-// ReportCrash adds one crash to each fingerprint.
-func (c *Core) ReportCrash(now time.Time, fingerprints []string) []Action {
-	self := c.table.Self()
-	reporter := Report{Instance: self.ID, Incarnation: self.Version.Incarnation}
-	for _, f := range fingerprints {
-		next := Suspect{Fingerprint: f, Epoch: c.suspects.records[f].Epoch, Last: now}
-		own := reporter
-		own.Count = 1
-		for _, r := range c.suspects.records[f].Reports {
-			if r.Instance == own.Instance && r.Incarnation == own.Incarnation {
-				own.Count = r.Count + 1
-			}
-		}
-		next.Reports = []Report{own}
-		c.mergeSuspect(next, now)
-	}
-	return c.push(now, pushFanout)
-}
-
-// ReportSuccess clears the crash reports of a fingerprint whose request
-// completed.
-func (c *Core) ReportSuccess(now time.Time, fingerprint string) []Action {
-	old, known := c.suspects.records[fingerprint]
-	if !known || len(old.Reports) == 0 {
-		return nil
-	}
-	next := Suspect{Fingerprint: fingerprint, Epoch: old.Epoch + 1, Last: now}
-	c.mergeSuspect(next, now)
-	return c.push(now, pushFanout)
-}
--- a/lib/gossip/core_test.go
+++ b/lib/gossip/core_test.go
@@ -10,12 +10,16 @@
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
 )
 
 // convergenceSeconds is the time after the end of faults within which all
 // members must agree.
 const convergenceSeconds = 30
 
+// evidenceTTL is how long evidence about a crash is kept after its last change.
+const evidenceTTL = 10 * time.Minute
+
 // Guards against adoption that depends on the order of delivery: under loss,
 // delay, partition, pause and restart no process may return to an older
 // configuration, and afterwards all must hold the greatest stamp.
@@ -177,37 +181,49 @@
 	}
 }
 
-// Guards against crash counts that grow with repeated delivery or get lost, and
-// against records that do not expire.
-func TestSuspectsCountOnceClearAndExpire(t *testing.T) {
+// Guards against crash counts that grow with repeated delivery or get lost, against
+// evidence that an answer does not clear everywhere, and against evidence that does
+// not expire.
+func TestCrashesCountOnceClearAndExpire(t *testing.T) {
+	const f, g poison.Trait = 1, 2
 	w := newNetwork(8, 40, 2)
 	for range 5 {
 		w.step()
 	}
-	for i := range 3 {
+	crash := func(id int, s poison.Suspect) poison.Report {
+		return poison.Report{Crash: poison.CrashID(id), Suspects: []poison.Suspect{s}}
+	}
+	for i := range poison.BlockAfter {
 		p := w.peers[w.ids[i]]
-		w.execute(p, p.ReportCrash(w.now, []string{"f", "g"}))
+		w.execute(p, p.AddCrashes(w.now, []poison.Report{crash(i, poison.Suspect{Trait: f}), crash(10+i, poison.Suspect{Trait: g})}))
 		w.step()
 	}
 	for range convergenceSeconds {
 		w.step()
 	}
+	blocked := func(t poison.Trait) poison.Decision {
+		return poison.Decision{Verdict: poison.Blocked, Trait: t, Episodes: poison.BlockAfter}
+	}
 	for _, p := range w.peers {
-		s := p.SuspectRequests()
-		require.Len(t, s, 2)
-		require.Equal(t, 3, s[0].Crashes())
+		require.Equal(t, []poison.Decision{blocked(f), blocked(g)}, p.Suspicions(w.now))
+	}
+	for i := range poison.BlockAfter {
+		p := w.peers["p0009"]
+		w.execute(p, p.AddCrashes(w.now, []poison.Report{crash(i, poison.Suspect{Trait: f, Cleared: true})}))
 	}
-	w.execute(w.peers["p0009"], w.peers["p0009"].ReportSuccess(w.now, "f"))
 	for range convergenceSeconds {
 		w.step()
 	}
-	require.Len(t, w.peers["p0001"].SuspectRequests(), 1)
-	w.now = w.now.Add(SuspectTTL)
+	for _, p := range w.peers {
+		require.Equal(t, []poison.Decision{blocked(g)}, p.Suspicions(w.now))
+	}
+	w.now = w.now.Add(evidenceTTL)
 	for range 2 {
 		w.step()
 	}
 	for _, p := range w.peers {
-		require.Empty(t, p.SuspectRequests())
+		require.Empty(t, p.Suspicions(w.now))
+		require.Empty(t, p.Crashes(w.now))
 	}
 }
 
--- a/lib/gossip/exchange.go
+++ b/lib/gossip/exchange.go
@@ -38,27 +38,33 @@
 		_, u := c.table.Merge(m, now)
 		urgent = urgent || u
 	}
-	for _, s := range h.Suspects {
-		urgent = c.mergeSuspect(s, now) || urgent
-	}
+	urgent = c.mergeCrashes(now, h.Crashes) || urgent
 	if h.ServiceReadAge >= 0 {
 		if at := now.Add(-h.ServiceReadAge); at.After(c.lastServiceRead) {
 			c.lastServiceRead = at
 		}
 	}
 	actions := c.ObserveStamp(now, h.From.Address, h.Stamp)
-	if urgent && now.Sub(c.lastUrgentPush) >= urgentPushInterval {
-		c.lastUrgentPush = now
-		actions = append(actions, c.push(now, pushFanout)...)
+	if urgent {
+		actions = append(actions, c.pushUrgent(now)...)
 	}
 	return actions
 }
 
+// pushUrgent pushes news to several members, unless that was done recently.
+func (c *Core) pushUrgent(now time.Time) []Action {
+	if now.Sub(c.lastUrgentPush) < urgentPushInterval {
+		return nil
+	}
+	c.lastUrgentPush = now
+	return c.push(now, pushFanout)
+}
+
 // newHeartbeat returns a heartbeat with the queued changes.
 func (c *Core) newHeartbeat(now time.Time) Heartbeat {
 	h := Heartbeat{
 		From: c.table.Self(), Stamp: c.stamp, Starting: !c.Started(now), ServiceReadAge: -1,
-		Members: c.table.Updates(maxMemberUpdates), Suspects: c.suspects.updates(maxSuspectUpdates),
+		Members: c.table.Updates(maxMemberUpdates), Crashes: c.detector.Reports(now),
 	}
 	if !c.lastServiceRead.IsZero() {
 		h.ServiceReadAge = max(0, now.Sub(c.lastServiceRead))
@@ -183,17 +189,11 @@
 	}
 }
 
-func (c *Core) mergeSuspect(s Suspect, now time.Time) bool {
-	changed := c.suspects.merge(s, now, c.table.transmissions())
-	if changed {
-		c.changes++
-	}
-	return changed
-}
-
 // Changes returns a counter that grows with each change to a view other than a
 // change of its configuration.
-func (c *Core) Changes() uint64 { return c.changes + c.table.changes }
+func (c *Core) Changes() uint64 {
+	return c.changes + c.table.changes + c.detector.Revision()
+}
 
 // Started reports whether the process may apply its greatest configuration.
 // That is so when a running peer has answered and no greater configuration is
@@ -226,14 +226,3 @@
 	}
 	return out
 }
-
-// SuspectRequests returns the requests suspected of crashing engines.
-func (c *Core) SuspectRequests() []Suspect {
-	var out []Suspect
-	for _, s := range c.suspects.all() {
-		if len(s.Reports) > 0 {
-			out = append(out, s)
-		}
-	}
-	return out
-}
--- a/lib/gossip/message.go
+++ b/lib/gossip/message.go
@@ -1,6 +1,7 @@
 // Package gossip decides what processes exchange: which configuration they
 // hold, which instances are members, which members watch the configuration
-// service and which requests are suspected of crashing engines. It does no I/O:
+// service and which evidence there is about requests that crash upstreams. It does
+// no I/O:
 // its inputs are events and the time, its outputs are actions.
 package gossip
 
@@ -9,6 +10,7 @@
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
 )
 
 // Version orders an instance's own records across all its starts.
@@ -79,36 +81,17 @@
 	return m.Listed.State == Delisted && m.Version.Incarnation <= m.Listed.Incarnation
 }
 
-// Effective returns the instance with the state that follows from its own state
-// and its listing.
+// Effective returns the instance with its incarnation and the state that follows
+// from its own state and its listing.
 func (m Member) Effective() fleet.Instance {
 	i := m.Instance
+	i.Incarnation = m.Version.Incarnation
 	if m.Listed.State == ListedLeaving && m.Version.Incarnation <= m.Listed.Incarnation {
 		i.State = fleet.StateLeaving
 	}
 	return i
 }
 
-// Suspect identifies the content of a request that was in flight when engines
-// crashed. Counts are kept per reporter and merged by maximum, so that a report
-// that arrives by several paths counts once.
-type Suspect struct {
-	Fingerprint string
-	// Epoch increases with each success of the request; reports of earlier
-	// epochs no longer count.
-	Epoch   uint32
-	Reports []Report
-	// Last is the time of the latest report or success.
-	Last time.Time
-}
-
-// Report is the number of crashes that one start of an agent has observed.
-type Report struct {
-	Instance    fleet.InstanceID
-	Incarnation fleet.Incarnation
-	Count       uint32
-}
-
 // Heartbeat is the message of every exchange, as a request and as an answer.
 type Heartbeat struct {
 	// From is the sender's own record.
@@ -124,16 +107,14 @@
 	// none.
 	ServiceReadAge time.Duration
 	// Members are recent changes and records of buckets that differed.
-	Members  []Member
-	Suspects []Suspect
+	Members []Member
+	// Crashes is evidence about crashes of upstreams.
+	Crashes []poison.Report
 	// Buckets are the hashes of the sender's member table, for the receiver to
 	// compare; nil if no comparison is requested. Changes are sent a limited
 	// number of times, and without the comparison a process that missed all of
 	// them would never receive them.
 	Buckets []uint32
-	// SuspectsHash is the hash of the sender's suspects; valid if Buckets is
-	// set.
-	SuspectsHash uint32
 }
 
 // Action is an operation that the core requests from its process.
--- a/lib/node/gossip.go
+++ b/lib/node/gossip.go
@@ -11,13 +11,13 @@
 	"rattanspur.example/lib/confservice"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/gossip"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/timeline"
-	"rattanspur.example/lib/wire"
 )
 
 // viewInterval is the minimum time between two views published for changes of
-// members or suspects.
+// members or the evidence about crashes.
 const viewInterval = 200 * time.Millisecond
 
 // gossipEvent is an input of the gossip duty.
@@ -51,10 +51,9 @@
 		root      fleet.Digest
 		switching bool
 	}
-	leaving         struct{ announced *ring.Ring[struct{}] }
-	crashReported   struct{ fingerprints []string }
-	successReported struct{ fingerprint string }
-	stampObserved   struct {
+	leaving       struct{ announced *ring.Ring[struct{}] }
+	crashesShared struct{ reports []poison.Report }
+	stampObserved struct {
 		address string
 		stamp   config.Stamp
 	}
@@ -73,8 +72,7 @@
 func (statusQuery) gossipEvent()       {}
 func (servingChanged) gossipEvent()    {}
 func (leaving) gossipEvent()           {}
-func (crashReported) gossipEvent()     {}
-func (successReported) gossipEvent()   {}
+func (crashesShared) gossipEvent()     {}
 func (stampObserved) gossipEvent()     {}
 
 // gossiper owns the gossip core and publishes views.
@@ -189,10 +187,8 @@
 		if len(g.core.Members()) <= 1 {
 			g.confirmLeave(ctx)
 		}
-	case crashReported:
-		g.execute(ctx, g.core.ReportCrash(now, e.fingerprints))
-	case successReported:
-		g.execute(ctx, g.core.ReportSuccess(now, e.fingerprint))
+	case crashesShared:
+		g.execute(ctx, g.core.AddCrashes(now, e.reports))
 	}
 }
 
@@ -239,7 +235,8 @@
 	g.publish(ctx)
 }
 
-// publishMembers publishes a view if members or suspects have changed.
+// publishMembers publishes a view if members or the evidence about crashes have
+// changed.
 func (g *gossiper) publishMembers(ctx context.Context) {
 	if !g.inForce.IsZero() && g.core.Changes() != g.publishedChanges {
 		g.publish(ctx)
@@ -251,18 +248,10 @@
 	v := View{
 		Config:    g.accepted.config,
 		Members:   g.core.Members(),
-		Suspects:  suspects(g.core.SuspectRequests()),
+		Crashes:   g.core.Crashes(time.Now()),
 		Suspected: g.core.SuspectedMembers(),
 	}
 	for _, r := range g.node.views {
 		_ = r.Put(ctx, v)
 	}
 }
-
-func suspects(list []gossip.Suspect) []wire.Suspect {
-	var out []wire.Suspect
-	for _, s := range list {
-		out = append(out, wire.Suspect{Fingerprint: s.Fingerprint, Crashes: s.Crashes(), Last: s.Last})
-	}
-	return out
-}
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -13,6 +13,7 @@
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/settings"
 	"rattanspur.example/lib/sock"
@@ -56,9 +57,8 @@
 type View struct {
 	Config  *config.Accepted
 	Members []fleet.Instance
-	// Suspects are the contents of requests that were in flight when an engine
-	// crashed.
-	Suspects []wire.Suspect
+	// Crashes is the evidence about crashes of upstreams.
+	Crashes []poison.Report
 	// Suspected are the members whose last heartbeat exchange with this process
 	// failed. It only lowers their preference: a failed exchange does not prove
 	// that a member is down.
@@ -137,18 +137,6 @@
 	_, _ = announced.Take(ctx)
 }
 
-// ReportCrash announces the fingerprints of the requests that were in flight
-// when this agent's engine crashed.
-func (n *Node) ReportCrash(fingerprints []string) {
-	if len(fingerprints) > 0 {
-		n.notify(crashReported{fingerprints: fingerprints})
-	}
-}
-
-// ReportSuccess clears the crash reports of a fingerprint whose request
-// completed.
-func (n *Node) ReportSuccess(fingerprint string) { n.notify(successReported{fingerprint: fingerprint}) }
-
 // ObserveStamp handles the configuration stamp that the process at an address
 // uses. If it is greater than the accepted one, the document is fetched from
 // there.
--- a/lib/node/status.go
+++ b/lib/node/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/wire"
 )
@@ -29,11 +30,21 @@
 	Watching  bool `json:"watching"`
 	// Fresh is true if some process has read the configuration service
 	// recently; FreshSeconds is the age of that read, or -1 if there was none.
-	Fresh        bool           `json:"fresh"`
-	FreshSeconds float64        `json:"fresh_seconds"`
-	Suspects     []wire.Suspect `json:"suspects,omitempty"`
-	Traffic      Traffic        `json:"traffic"`
-	Rings        []RingStatus   `json:"rings"`
+	Fresh        bool    `json:"fresh"`
+	FreshSeconds float64 `json:"fresh_seconds"`
+	// Suspects are the traits of requests that are under suspicion of crashing
+	// upstreams.
+	Suspects []Suspect    `json:"suspects,omitempty"`
+	Traffic  Traffic      `json:"traffic"`
+	Rings    []RingStatus `json:"rings"`
+}
+
+// Suspect is a trait of requests that may crash upstreams. Blocked is set if
+// requests with it are refused.
+type Suspect struct {
+	Trait    string `json:"trait"`
+	Episodes int    `json:"episodes"`
+	Blocked  bool   `json:"blocked,omitempty"`
 }
 
 // Traffic counts the bytes of the control exchanges that this process
@@ -101,7 +112,7 @@
 		Suspected:  len(g.core.SuspectedMembers()),
 		Watching:   g.core.Watching(),
 		Fresh:      g.core.Fresh(now),
-		Suspects:   suspects(g.core.SuspectRequests()),
+		Suspects:   suspects(g.core.Suspicions(now)),
 		Traffic: Traffic{
 			PeersSent: n.traffic.peers.sent.Load(), PeersReceived: n.traffic.peers.received.Load(),
 			PlatformSent: n.traffic.platform.sent.Load(), PlatformReceived: n.traffic.platform.received.Load(),
@@ -127,6 +138,14 @@
 	return s
 }
 
+func suspects(list []poison.Decision) []Suspect {
+	var out []Suspect
+	for _, d := range list {
+		out = append(out, Suspect{Trait: d.Trait.String(), Episodes: d.Episodes, Blocked: d.Verdict == poison.Blocked})
+	}
+	return out
+}
+
 func (g *gossiper) freshSeconds(now time.Time) float64 {
 	age, known := g.core.ServiceReadAge(now)
 	if !known {
@@ -159,7 +178,7 @@
 	set("rattanspur_config_generation", float64(g.inForce.Generation))
 	set("rattanspur_members", float64(len(g.core.Members())))
 	set("rattanspur_members_suspected", float64(len(g.core.SuspectedMembers())))
-	set("rattanspur_request_suspects", float64(len(g.core.SuspectRequests())))
+	set("rattanspur_request_suspects", float64(len(g.core.Suspicions(time.Now()))))
 	set("rattanspur_config_watching", flag[g.core.Watching()])
 	set("rattanspur_config_read_age_seconds", g.freshSeconds(time.Now()))
 	t := &g.node.traffic
--- a/lib/poison/bounds_test.go
+++ b/lib/poison/bounds_test.go
@@ -12,7 +12,7 @@
 
 // requireBounds checks the limits and that the index agrees with the records.
 func requireBounds(t require.TestingT, d *Detector, now time.Time) {
-	require.LessOrEqual(t, d.Crashes(), maxRecords)
+	require.LessOrEqual(t, d.Crashes(), MaxRecords)
 	require.LessOrEqual(t, len(d.begun.entries), maxRecentTraits+1)
 	require.Equal(t, len(d.begun.positions), len(d.begun.entries)-1)
 	open := 0
@@ -31,11 +31,11 @@
 	}
 	require.Zero(t, open, "the index lists records that do not count")
 	reports := d.Reports(now)
-	require.LessOrEqual(t, len(reports), maxReports)
+	require.LessOrEqual(t, len(reports), MaxReports)
 	for i := range reports {
 		require.True(t, reports[i].Valid())
 	}
-	require.LessOrEqual(t, len(d.probes), maxRecords/BlockAfter)
+	require.LessOrEqual(t, len(d.probes), MaxRecords/BlockAfter)
 }
 
 // Guards against state or messages that grow with the input.
@@ -93,12 +93,12 @@
 func TestCrashesThatExplainNothingAreDroppedFirst(t *testing.T) {
 	d := New("gateway")
 	now := crashes(start, d, 3, 7)
-	for i := range CrashID(2 * maxRecords) {
+	for i := range CrashID(2 * MaxRecords) {
 		now = now.Add(time.Second)
 		d.Lost(now, 1000+i, []Trait{8})
 		d.Began(now, []Trait{8})
 	}
-	require.Equal(t, maxRecords, d.Crashes())
+	require.Equal(t, MaxRecords, d.Crashes())
 	require.Equal(t, []Trait{7}, d.Convicted(now))
 }
 
@@ -146,7 +146,7 @@
 		before := state(d)
 		requireBounds(t, d, start)
 		d.Merge(start, reports)
-		if len(before) < maxRecords {
+		if len(before) < MaxRecords {
 			require.Equal(t, before, state(d))
 		}
 	})
@@ -155,7 +155,7 @@
 func fullDetector() (*Detector, time.Time) {
 	d := New("gateway")
 	now := start
-	for i := range CrashID(maxRecords) {
+	for i := range CrashID(MaxRecords) {
 		now = now.Add(time.Second)
 		var traits []Trait
 		for j := range Trait(maxSuspects) {
--- a/lib/poison/detector.go
+++ b/lib/poison/detector.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -119,6 +120,28 @@
 // Crashes returns the number of crashes of which evidence is kept.
 func (d *Detector) Crashes() int { return len(d.evidence.records) }
 
+// Expire drops the evidence that did not change for long.
+func (d *Detector) Expire(now time.Time) { d.evidence.expire(now) }
+
+// Revision returns a number that grows with each change of the evidence.
+func (d *Detector) Revision() uint64 { return d.evidence.revision }
+
+// Suspicions returns a decision for each trait that is suspected or convicted, as if
+// no trait could be probed.
+func (d *Detector) Suspicions(now time.Time) []Decision {
+	d.refresh(now)
+	list := make([]Decision, 0, len(d.findings))
+	for _, f := range d.findings {
+		s := Decision{Verdict: Suspected, Trait: f.trait, Episodes: f.episodes}
+		if f.convicted {
+			s.Verdict = Blocked
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b Decision) int { return cmp.Compare(a.Trait, b.Trait) })
+	return list
+}
+
 // Convicted returns the convicted traits.
 func (d *Detector) Convicted(now time.Time) []Trait {
 	d.refresh(now)
--- a/lib/poison/evidence.go
+++ b/lib/poison/evidence.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxRecords is the number of crashes of which evidence is kept.
-	maxRecords = 256
+	// MaxRecords is the number of crashes of which evidence is kept.
+	MaxRecords = 256
 	// maxSuspects is the number of suspects of one crash.
 	maxSuspects = 32
 	// maxDepth is the greatest depth of a suspect; deeper traits count as this deep.
@@ -50,6 +50,8 @@
 	open map[Trait][]*record
 	// changed is set if the records changed since it was last unset.
 	changed bool
+	// revision counts the changes.
+	revision uint64
 	// nextExpiry is the earliest time at which a record may expire.
 	nextExpiry time.Time
 	// joined is space for the suspects of one join.
@@ -104,7 +106,7 @@
 	}
 	if c.at.Before(r.at) {
 		r.at = c.at
-		e.changed = true
+		e.touch()
 	}
 	if grown || r.announcedAt.Sub(r.at) > timeTolerance {
 		r.announce(now)
@@ -158,7 +160,12 @@
 	r.suspects = slices.Clone(c.suspects)
 	r.refuted = c.refuted
 	e.updateIndex(r, &old)
+	e.touch()
+}
+
+func (e *evidence) touch() {
 	e.changed = true
+	e.revision++
 }
 
 // updateIndex updates the index after a change of a record.
@@ -186,7 +193,7 @@
 // insert adds a record. If there are too many, it drops the one that is worth least,
 // which may be the added one.
 func (e *evidence) insert(now time.Time, c crash) *record {
-	if len(e.records) >= maxRecords {
+	if len(e.records) >= MaxRecords {
 		worst := e.worst()
 		if compareWorth(&c, &worst.crash) < 0 {
 			return nil
@@ -230,7 +237,7 @@
 	old := r.crash
 	r.suspects = nil
 	e.updateIndex(r, &old)
-	e.changed = true
+	e.touch()
 }
 
 // clear records that an answer to a request with the trait began, in all crashes
--- a/lib/poison/reports.go
+++ b/lib/poison/reports.go
@@ -10,8 +10,8 @@
 	// messagesPerChange is the number of messages that contain a record after it
 	// changed; messages may be lost.
 	messagesPerChange = 20
-	// maxReports is the number of records in a message.
-	maxReports = 16
+	// MaxReports is the number of records in a message.
+	MaxReports = 16
 	// messagesPerRepeat is the number of messages of which one repeats the records
 	// that count against convicted traits, for gateways that have just started.
 	messagesPerRepeat = 10
@@ -68,7 +68,7 @@
 	}
 	slices.SortFunc(due, func(a, b *record) int { return compareUrgency(a, b, repeat) })
 	var reports []Report
-	for _, r := range due[:min(len(due), maxReports)] {
+	for _, r := range due[:min(len(due), MaxReports)] {
 		r.pending = max(r.pending-1, 0)
 		r.sentIn = d.messages
 		reports = append(reports, r.report(now))
@@ -91,6 +91,22 @@
 	return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.id, b.id))
 }
 
+// All returns the whole evidence, for another detector of the same process or a
+// process that has just started. The caller must not modify the suspects.
+func (d *Detector) All(now time.Time) []Report {
+	d.evidence.expire(now)
+	reports := make([]Report, 0, len(d.evidence.records))
+	for _, r := range d.evidence.records {
+		if now.Sub(r.at) <= evidenceTTL {
+			reports = append(reports, r.report(now))
+		}
+	}
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.Crash, b.Crash))
+	})
+	return reports
+}
+
 func (r *record) report(now time.Time) Report {
 	return Report{
 		Crash:    r.id,
--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -235,9 +235,9 @@
 	now = crashes(now, d, 1, otherPart)
 	contained := map[CrashID]int{}
 	reports := d.Reports(now)
-	require.Len(t, reports, maxReports)
+	require.Len(t, reports, MaxReports)
 	require.Equal(t, CrashID(40), reports[0].Crash, "convicted traits first, then the newest")
-	for range 2 * 41 * messagesPerChange / maxReports {
+	for range 2 * 41 * messagesPerChange / MaxReports {
 		d.Reports(now)
 	}
 	for range 3 * messagesPerRepeat {
@@ -247,3 +247,47 @@
 	}
 	require.Len(t, contained, 40, "the repeated records are those of the convicted trait, in rotation")
 }
+
+// Guards against a request that goes on crashing upstreams, against one that must run
+// alone after a first crash of which it was only one of many victims, against one
+// that stays under suspicion after it ran, and against a crash of before that counts
+// against it again.
+func TestRequestIsIsolatedStoppedAndCleared(t *testing.T) {
+	d := New("gateway")
+	traits := []Trait{laterPart, request}
+	alone := func(now time.Time, traits ...Trait) bool { return d.Check(now, traits).RunsAlone(traits) }
+	require.False(t, alone(start, traits...))
+	now := crashes(start, d, 1, traits...)
+	early := d.All(now)
+	require.False(t, alone(now, traits...), "a single crash may have another cause")
+	require.True(t, alone(now, laterPart, request+1), "other requests with a suspected part")
+	now = crashes(now.Add(time.Second), d, 1, traits...)
+	require.True(t, alone(now, traits...))
+	require.Equal(t, Suspected, d.Check(now, traits).Verdict)
+	d.Began(now, traits)
+	require.False(t, alone(now, traits...))
+	d.Merge(now, early)
+	require.Equal(t, Clear, d.Check(now, traits).Verdict, "the crash was before the answer")
+	now = crashes(now.Add(time.Second), d, BlockAfter, traits...)
+	require.Equal(t, Blocked, d.Check(now, traits).Verdict)
+	require.True(t, alone(now, traits...))
+	require.Equal(t, []Decision{{Verdict: Blocked, Trait: request, Episodes: BlockAfter}}, d.Suspicions(now))
+	require.Equal(t, Clear, d.Check(now.Add(2*evidenceTTL), traits).Verdict)
+	require.Empty(t, d.Suspicions(now.Add(2*evidenceTTL)))
+}
+
+// Guards against a process whose parts do not agree: the whole evidence must lead to
+// the same verdicts, and only news may change the revision.
+func TestAllIsTheWholeEvidence(t *testing.T) {
+	d, now := fullDetector()
+	other := New("gateway")
+	other.Merge(now, d.All(now))
+	require.Len(t, d.All(now), MaxRecords)
+	require.Equal(t, d.Suspicions(now), other.Suspicions(now))
+	before := other.Revision()
+	other.Merge(now, d.All(now))
+	require.Equal(t, before, other.Revision())
+	d.Began(now, []Trait{3})
+	other.Merge(now, d.All(now))
+	require.Greater(t, other.Revision(), before)
+}
--- a/lib/poison/types.go
+++ b/lib/poison/types.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"time"
 
 	"github.com/zeebo/blake3"
@@ -17,6 +18,9 @@
 // specific one.
 type Trait uint64
 
+// String returns a trait as logs and status pages show it.
+func (t Trait) String() string { return fmt.Sprintf("%016x", uint64(t)) }
+
 // PartTrait returns the trait of the requests whose prompt contains a part.
 func PartTrait(part string) Trait { return Trait(hash("part", part, nil)) }
 
@@ -34,6 +38,12 @@
 	return CrashID(hash(string(upstream), "", binary.BigEndian.AppendUint64(nil, uint64(startTime))))
 }
 
+// NewBootCrashID returns the identifier of the crash of the start of an upstream
+// whose starts are distinguished by a text.
+func NewBootCrashID(upstream fleet.InstanceID, boot string) CrashID {
+	return CrashID(hash("boot", string(upstream), []byte(boot)))
+}
+
 func hash(a, b string, data []byte) uint64 {
 	h := blake3.New()
 	for _, s := range [...]string{a, b} {
@@ -71,6 +81,19 @@
 	Episodes int
 }
 
+// RunsAlone reports whether the request with these traits must run without others
+// on its upstream. An upstream that dies for its own reasons leaves a first episode
+// against each request that it ran. If each of these had to run alone when it is
+// repeated, they would wait for each other, so the first episode of the request
+// itself does not count. That of a part does: further requests with it could crash
+// many upstreams at once.
+func (d Decision) RunsAlone(traits []Trait) bool {
+	if d.Verdict != Suspected {
+		return d.Verdict != Clear
+	}
+	return d.Episodes > 1 || d.Trait != traits[len(traits)-1]
+}
+
 // Suspect is a trait of requests that were lost in a crash before their answer
 // began.
 type Suspect struct {
--- a/lib/retry/retry_test.go
+++ b/lib/retry/retry_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -14,8 +13,6 @@
 
 func TestMain(m *testing.M) { proptest.Main(m, "20260101") }
 
-var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-
 // Guards against a second run of a request that must not be repeated, against a
 // retry after bytes have reached the caller, and against endless retries.
 func TestDecisionsOverAllAttempts(t *testing.T) {
@@ -77,52 +74,3 @@
 		}
 	})
 }
-
-// Guards against a request that keeps crashing upstreams.
-func TestGuardBlocksAfterCrashesAndForgets(t *testing.T) {
-	g := NewGuard()
-	g.Crashed(start, "bad")
-	require.Equal(t, Clear, g.Check(start, "bad"), "a single crash may have another cause")
-	g.Crashed(start, "bad")
-	require.Equal(t, Suspected, g.Check(start, "bad"))
-	g.Crashed(start, "bad")
-	require.Equal(t, Blocked, g.Check(start, "bad"))
-	require.Equal(t, Clear, g.Check(start.Add(SuspectTTL+time.Second), "bad"))
-}
-
-// Guards against requests that stay suspected without having caused a crash: a
-// success clears them, and later reports of the same crashes are ignored.
-func TestGuardClearsRequestThatSucceeds(t *testing.T) {
-	g := NewGuard()
-	g.ApplyReport(start, "innocent", 2, start)
-	require.Equal(t, Suspected, g.Check(start, "innocent"))
-	require.True(t, g.Succeeded(start.Add(time.Second), "innocent"))
-	g.ApplyReport(start.Add(2*time.Second), "innocent", 2, start)
-	require.Equal(t, Clear, g.Check(start.Add(2*time.Second), "innocent"))
-	g.ApplyReport(start.Add(3*time.Second), "innocent", 3, start.Add(3*time.Second))
-	require.Equal(t, Blocked, g.Check(start.Add(3*time.Second), "innocent"))
-}
-
-// Guards against a crash that is counted twice because the entry observed it and
-// the agent reported it.
-func TestGuardCountsEachCrashOnce(t *testing.T) {
-	g := NewGuard()
-	g.Crashed(start, "f")
-	g.ApplyReport(start, "f", 1, start)
-	require.Equal(t, Clear, g.Check(start, "f"))
-}
-
-// Guards against memory that grows without bound with the number of suspects.
-func TestGuardIsBounded(t *testing.T) {
-	g := NewGuard()
-	for i := range 2 * maxSuspects {
-		g.Crashed(start.Add(time.Duration(i)*time.Millisecond), fmt.Sprint(i))
-	}
-	require.LessOrEqual(t, g.Len(), maxSuspects)
-}
-
-// Guards against requests with different content that share a fingerprint.
-func TestFingerprintSeparatesPathAndBody(t *testing.T) {
-	require.NotEqual(t, Fingerprint("/a", []byte("b")), Fingerprint("/ab", nil))
-	require.Equal(t, Fingerprint("/a", []byte("b")), Fingerprint("/a", []byte("b")))
-}
--- a/lib/wire/call.go
+++ b/lib/wire/call.go
@@ -12,6 +12,7 @@
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/timeline"
 )
 
@@ -23,6 +24,9 @@
 	// HeaderRequest identifies the attempt that an agent answers, so that an
 	// entry can detect an answer to another request.
 	HeaderRequest = "Rattanspur-Request"
+	// HeaderCrash identifies the crash that an upstream may have had when it lost
+	// the request. It is set only if the answer had not begun.
+	HeaderCrash = "Rattanspur-Crash"
 )
 
 // CallPath is the prefix that an entry adds to the caller's path in a request to
@@ -64,9 +68,12 @@
 	Token string `json:"token,omitempty"`
 	// Once is true if the request must not run more than once.
 	Once bool `json:"once,omitempty"`
-	// Fingerprint identifies the content of the request.
-	Fingerprint string         `json:"fingerprint,omitempty"`
-	Clock       timeline.Stamp `json:"clock"`
+	// Fingerprint identifies the content of a request with a key or token.
+	Fingerprint string `json:"fingerprint,omitempty"`
+	// Traits are what the request may have in common with others that crash
+	// upstreams, from the broadest to the most specific one.
+	Traits []poison.Trait `json:"traits,omitempty"`
+	Clock  timeline.Stamp `json:"clock"`
 }
 
 // AttemptID returns the identifier of one attempt of one request.
--- a/lib/wire/heartbeat.go
+++ b/lib/wire/heartbeat.go
@@ -11,6 +11,7 @@
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/gossip"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/timeline"
 )
 
@@ -22,8 +23,6 @@
 	maxHeartbeatMembers = 128
 	// bucketHashBytes is the length of the hash of one bucket.
 	bucketHashBytes = 4
-	// maxReports is the maximum number of reports on one suspect.
-	maxReports = 16
 )
 
 // Heartbeat is the encoding of a gossip.Heartbeat. The JSON names are short,
@@ -36,12 +35,10 @@
 	// configuration service; negative if none is known.
 	ReadAgeMS int64           `json:"fresh_ms"`
 	Members   []MemberRecord  `json:"members,omitempty"`
-	Suspects  []SuspectRecord `json:"suspects,omitempty"`
+	Crashes   []poison.Report `json:"crashes,omitempty"`
 	// Buckets holds the hashes of all buckets, 4 bytes each, big-endian.
-	Buckets []byte `json:"buckets,omitempty"`
-	// SuspectsHash is sent only together with Buckets.
-	SuspectsHash uint32         `json:"sh,omitempty"`
-	Clock        timeline.Stamp `json:"clock"`
+	Buckets []byte         `json:"buckets,omitempty"`
+	Clock   timeline.Stamp `json:"clock"`
 }
 
 // MemberRecord is the encoding of a gossip.Member.
@@ -64,35 +61,17 @@
 	ListIncarnation fleet.Incarnation `json:"li,omitempty"`
 }
 
-// SuspectRecord is the encoding of a gossip.Suspect.
-type SuspectRecord struct {
-	Fingerprint string         `json:"f"`
-	Epoch       uint32         `json:"e,omitempty"`
-	Reports     []ReportRecord `json:"r,omitempty"`
-	LastMS      int64          `json:"t"`
-}
-
-// ReportRecord is the encoding of a gossip.Report.
-type ReportRecord struct {
-	Instance    fleet.InstanceID  `json:"id"`
-	Incarnation fleet.Incarnation `json:"inc"`
-	Count       uint32            `json:"n"`
-}
-
 // EncodeHeartbeat returns the JSON encoding of a heartbeat with the sender's
 // clock.
 func EncodeHeartbeat(h *gossip.Heartbeat, clock timeline.Stamp) ([]byte, error) {
 	m := Heartbeat{From: encodeMember(h.From), Stamp: h.Stamp, Starting: h.Starting, ReadAgeMS: -1,
-		SuspectsHash: h.SuspectsHash, Clock: clock}
+		Crashes: h.Crashes, Clock: clock}
 	if h.ServiceReadAge >= 0 {
 		m.ReadAgeMS = h.ServiceReadAge.Milliseconds()
 	}
 	for _, r := range h.Members {
 		m.Members = append(m.Members, encodeMember(r))
 	}
-	for _, s := range h.Suspects {
-		m.Suspects = append(m.Suspects, encodeSuspect(s))
-	}
 	for _, b := range h.Buckets {
 		m.Buckets = binary.BigEndian.AppendUint32(m.Buckets, b)
 	}
@@ -106,25 +85,25 @@
 	if len(data) > MaxHeartbeatBytes {
 		return nil, timeline.Stamp{}, eris.Errorf("heartbeat has %d bytes, the limit is %d", len(data), MaxHeartbeatBytes)
 	}
-	return decodeHeartbeat(data, maxHeartbeatMembers)
+	return decodeHeartbeat(data, maxHeartbeatMembers, poison.MaxReports)
 }
 
 // DecodeTable parses the response of PathMembers, a heartbeat with the whole
 // member table. It has at most gossip.MaxMembers members.
 func DecodeTable(data []byte) (*gossip.Heartbeat, timeline.Stamp, error) {
-	return decodeHeartbeat(data, gossip.MaxMembers)
+	return decodeHeartbeat(data, gossip.MaxMembers, poison.MaxRecords)
 }
 
-func decodeHeartbeat(data []byte, maxMembers int) (*gossip.Heartbeat, timeline.Stamp, error) {
+func decodeHeartbeat(data []byte, maxMembers, maxCrashes int) (*gossip.Heartbeat, timeline.Stamp, error) {
 	var m Heartbeat
 	if err := json.Unmarshal(data, &m); err != nil {
 		return nil, m.Clock, eris.Wrap(err, "heartbeat is not valid JSON")
 	}
-	if len(m.Members) > maxMembers || len(m.Suspects) > gossip.MaxSuspects || len(m.Buckets) != 0 && len(m.Buckets) != bucketHashBytes*gossip.BucketCount {
-		return nil, m.Clock, eris.Errorf("heartbeat has %d members, %d suspects and %d bytes of hashes, which is out of bounds",
-			len(m.Members), len(m.Suspects), len(m.Buckets))
+	if len(m.Members) > maxMembers || len(m.Crashes) > maxCrashes || len(m.Buckets) != 0 && len(m.Buckets) != bucketHashBytes*gossip.BucketCount {
+		return nil, m.Clock, eris.Errorf("heartbeat has %d members, %d crashes and %d bytes of hashes, which is out of bounds",
+			len(m.Members), len(m.Crashes), len(m.Buckets))
 	}
-	h := &gossip.Heartbeat{Stamp: m.Stamp, Starting: m.Starting, ServiceReadAge: -1, SuspectsHash: m.SuspectsHash}
+	h := &gossip.Heartbeat{Stamp: m.Stamp, Starting: m.Starting, ServiceReadAge: -1, Crashes: m.Crashes}
 	if m.ReadAgeMS >= 0 && m.ReadAgeMS < int64(maxReadAge/time.Millisecond) {
 		h.ServiceReadAge = time.Duration(m.ReadAgeMS) * time.Millisecond
 	}
@@ -139,12 +118,10 @@
 			h.Members = append(h.Members, next)
 		}
 	}
-	for _, r := range m.Suspects {
-		next, err := decodeSuspect(r)
-		if err != nil {
-			return nil, m.Clock, err
+	for i := range m.Crashes {
+		if !m.Crashes[i].Valid() {
+			return nil, m.Clock, eris.Errorf("crash %d has impossible numbers", m.Crashes[i].Crash)
 		}
-		h.Suspects = append(h.Suspects, next)
 	}
 	for b := range slices.Chunk(m.Buckets, bucketHashBytes) {
 		h.Buckets = append(h.Buckets, binary.BigEndian.Uint32(b))
@@ -196,25 +173,3 @@
 	}
 	return m.Check()
 }
-
-func encodeSuspect(s gossip.Suspect) SuspectRecord {
-	r := SuspectRecord{Fingerprint: s.Fingerprint, Epoch: s.Epoch, LastMS: s.Last.UnixMilli()}
-	for _, report := range s.Reports {
-		r.Reports = append(r.Reports, ReportRecord(report))
-	}
-	return r
-}
-
-func decodeSuspect(r SuspectRecord) (gossip.Suspect, error) {
-	s := gossip.Suspect{Fingerprint: r.Fingerprint, Epoch: r.Epoch, Last: time.UnixMilli(r.LastMS)}
-	if r.Fingerprint == "" || len(r.Fingerprint) > fleet.MaxNameBytes || len(r.Reports) > maxReports {
-		return s, eris.Errorf("suspect has a fingerprint of %d bytes and %d reports", len(r.Fingerprint), len(r.Reports))
-	}
-	for _, report := range r.Reports {
-		if len(report.Instance) > fleet.MaxNameBytes {
-			return s, eris.Errorf("reporter of a suspect has %d bytes, the limit is %d", len(report.Instance), fleet.MaxNameBytes)
-		}
-		s.Reports = append(s.Reports, gossip.Report(report))
-	}
-	return s, nil
-}
--- a/lib/wire/heartbeat_test.go
+++ b/lib/wire/heartbeat_test.go
@@ -9,6 +9,7 @@
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/gossip"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/timeline"
 )
 
@@ -24,11 +25,11 @@
 	return &gossip.Heartbeat{
 		From: m, Stamp: config.Stamp{Generation: 3, Digest: fleet.Digest{1}}, Starting: true, ServiceReadAge: 1500 * time.Millisecond,
 		Members: []gossip.Member{m},
-		Suspects: []gossip.Suspect{{
-			Fingerprint: "f", Epoch: 1, Last: time.UnixMilli(1000),
-			Reports: []gossip.Report{{Instance: "agent-1", Incarnation: 5, Count: 2}},
+		Crashes: []poison.Report{{
+			Crash: 1 << 63, AgeMS: 1000, Refuted: true,
+			Suspects: []poison.Suspect{{Trait: 1<<64 - 1, Depth: 2, Known: true, Cleared: true}},
 		}},
-		Buckets: make([]uint32, gossip.BucketCount), SuspectsHash: 8,
+		Buckets: make([]uint32, gossip.BucketCount),
 	}
 }
 
@@ -48,13 +49,14 @@
 // traffic estimates are based on.
 func TestHeartbeatBounds(t *testing.T) {
 	for name, change := range map[string]func(*gossip.Heartbeat){
-		"members":     func(h *gossip.Heartbeat) { h.Members = make([]gossip.Member, 1+maxHeartbeatMembers) },
-		"buckets":     func(h *gossip.Heartbeat) { h.Buckets = make([]uint32, 1) },
-		"host name":   func(h *gossip.Heartbeat) { h.From.Address = "localhost:1" },
-		"state":       func(h *gossip.Heartbeat) { h.From.State = "gone" },
-		"role":        func(h *gossip.Heartbeat) { h.From.Role = "store" },
-		"identifier":  func(h *gossip.Heartbeat) { h.From.ID = "" },
-		"fingerprint": func(h *gossip.Heartbeat) { h.Suspects[0].Fingerprint = "" },
+		"members":    func(h *gossip.Heartbeat) { h.Members = make([]gossip.Member, 1+maxHeartbeatMembers) },
+		"buckets":    func(h *gossip.Heartbeat) { h.Buckets = make([]uint32, 1) },
+		"host name":  func(h *gossip.Heartbeat) { h.From.Address = "localhost:1" },
+		"state":      func(h *gossip.Heartbeat) { h.From.State = "gone" },
+		"role":       func(h *gossip.Heartbeat) { h.From.Role = "store" },
+		"identifier": func(h *gossip.Heartbeat) { h.From.ID = "" },
+		"crash":      func(h *gossip.Heartbeat) { h.Crashes[0].AgeMS = -1 },
+		"crashes":    func(h *gossip.Heartbeat) { h.Crashes = make([]poison.Report, 1+poison.MaxReports) },
 	} {
 		h := sampleHeartbeat()
 		change(h)
@@ -84,7 +86,7 @@
 	require.NoError(f, err)
 	f.Add(data)
 	f.Add([]byte(`{"from":{"id":"a","r":"agent","a":"127.0.0.1:1","x":"live","v":"AAAA"},"fresh_ms":9223372036854775807}`))
-	f.Add([]byte(`{"buckets":"AAAA","suspects":[{"f":""}]}`))
+	f.Add([]byte(`{"buckets":"AAAA","crashes":[{"i":1,"a":0,"s":[{"t":1,"d":-1}]}]}`))
 	f.Add([]byte(`{"from":null,"members":[{}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		h, clock, err := DecodeHeartbeat(data)
--- a/lib/wire/load.go
+++ b/lib/wire/load.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 )
 
 // HeaderLoad carries a Load in every answer of an agent, including refusals.
@@ -40,11 +39,3 @@
 	err := json.Unmarshal([]byte(text), &l)
 	return l, err == nil
 }
-
-// Suspect is the content of a request that is suspected of crashing an engine,
-// because it was in flight during a crash.
-type Suspect struct {
-	Fingerprint string    `json:"fingerprint"`
-	Crashes     int       `json:"crashes"`
-	Last        time.Time `json:"last"`
-}
--- a/standin/chat.go
+++ b/standin/chat.go
@@ -22,6 +22,16 @@
 	} `json:"messages"`
 }
 
+// contains reports whether any message contains the text.
+func (r *chatRequest) contains(text string) bool {
+	for i := range r.Messages {
+		if strings.Contains(r.Messages[i].Content, text) {
+			return true
+		}
+	}
+	return false
+}
+
 // runningCall is a call that the engine runs.
 type runningCall struct {
 	loaded engine.Loaded
@@ -94,7 +104,7 @@
 		http.Error(w, "model is not loaded", http.StatusNotFound)
 		return
 	}
-	if e.options.CrashOn != "" && strings.Contains(text, e.options.CrashOn) {
+	if e.options.CrashOn != "" && req.contains(e.options.CrashOn) {
 		e.Restart(detached)
 		panic(http.ErrAbortHandler)
 	}
@@ -114,11 +124,10 @@
 	tokens := answerTokens(string(call.loaded.Version), text, e.options.Tokens)
 	if e.options.StallOn != "" && strings.Contains(text, e.options.StallOn) {
 		_ = http.NewResponseController(w).Flush()
-		select {
-		case <-call.ended:
-		case <-r.Context().Done():
-		}
-		return false
+		return awaitEnd(r, call)
+	}
+	if e.options.HoldOn != "" && strings.Contains(text, e.options.HoldOn) {
+		return awaitEnd(r, call)
 	}
 	if !stream {
 		if !sleep(r, call, e.options.TokenTime*time.Duration(len(tokens))) {
@@ -130,6 +139,16 @@
 	return e.streamTokens(w, r, call, tokens)
 }
 
+// awaitEnd waits until the caller disconnects or the engine restarts. It returns
+// false, since the response is not complete.
+func awaitEnd(r *http.Request, call *runningCall) bool {
+	select {
+	case <-call.ended:
+	case <-r.Context().Done():
+	}
+	return false
+}
+
 // sleep waits for d and returns true. It returns false early if the caller
 // disconnects or the engine restarts.
 func sleep(r *http.Request, call *runningCall, d time.Duration) bool {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -41,11 +41,14 @@
 	// can handle while it is cold and while it is warm. Calls beyond the bound are
 	// counted and still run. 0 means no bound.
 	ColdBound, WarmBound int
-	// CrashOn makes the engine restart when a message contains the text.
+	// CrashOn makes the engine restart when any message contains the text.
 	CrashOn string
 	// StallOn makes the engine stop after the head of the response when a message
 	// contains the text. The connection stays open.
 	StallOn string
+	// HoldOn makes the engine send nothing when a message contains the text. The
+	// connection stays open.
+	HoldOn string
 }
 
 // Engine is a stand-in model engine.
