gossip: evidence about crashes stays within the traffic bound

Cause: 16 crashes with 32 suspects each are 26 KB in a heartbeat, while the records of requests under suspicion took up to 4 KB before and the traffic of a process is bounded by 18 KB/s.

Change: a heartbeat holds at most 64 suspects; records without space remain for the next ones (poison.ReportsWithin). Gateways send what they sent before.

Result: go test of lib/poison, gateway and lib/gossip (-race) passes; a property of the new test is that every record arrives although each message is full.

--- a/lib/gossip/core.go
+++ b/lib/gossip/core.go
@@ -21,6 +21,9 @@
 	// propagate the changes.
 	maxMemberUpdates = 8
 	maxBucketRecords = 8
+	// maxSuspects limits the suspects of crashes per message, which take about 50
+	// bytes each. It must be at least the number of suspects of one crash.
+	maxSuspects = 64
 	// regionHeartbeatTicks is the interval, in ticks, of heartbeats that stay
 	// in the process's region. They keep updates spreading within a region
 	// while the regions cannot reach each other.
--- a/lib/gossip/exchange.go
+++ b/lib/gossip/exchange.go
@@ -64,7 +64,7 @@
 func (c *Core) newHeartbeat(now time.Time) Heartbeat {
 	h := Heartbeat{
 		From: c.table.Self(), Stamp: c.stamp, Starting: !c.Started(now), ServiceReadAge: -1,
-		Members: c.table.Updates(maxMemberUpdates), Crashes: c.detector.Reports(now),
+		Members: c.table.Updates(maxMemberUpdates), Crashes: c.detector.ReportsWithin(now, maxSuspects),
 	}
 	if !c.lastServiceRead.IsZero() {
 		h.ServiceReadAge = max(0, now.Sub(c.lastServiceRead))
--- a/lib/poison/reports.go
+++ b/lib/poison/reports.go
@@ -57,6 +57,13 @@
 // Reports returns the evidence for the next message to other gateways. Each call
 // counts as one message. The caller must not modify the suspects.
 func (d *Detector) Reports(now time.Time) []Report {
+	return d.ReportsWithin(now, MaxReports*maxSuspects)
+}
+
+// ReportsWithin is like Reports for messages with at most the given number of
+// suspects, which must be at least that of one crash. Records without space remain
+// for the next messages.
+func (d *Detector) ReportsWithin(now time.Time, suspects int) []Report {
 	d.refresh(now)
 	d.messages++
 	repeat := d.messages%messagesPerRepeat == 0
@@ -69,6 +76,10 @@
 	slices.SortFunc(due, func(a, b *record) int { return compareUrgency(a, b, repeat) })
 	var reports []Report
 	for _, r := range due[:min(len(due), MaxReports)] {
+		suspects -= len(r.suspects)
+		if suspects < 0 {
+			break
+		}
 		r.pending = max(r.pending-1, 0)
 		r.sentIn = d.messages
 		reports = append(reports, r.report(now))
--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -291,3 +291,21 @@
 	other.Merge(now, d.All(now))
 	require.Greater(t, other.Revision(), before)
 }
+
+// Guards against messages that exceed their space, and against records that are
+// never sent because others take it up.
+func TestReportsWithinASpaceAreAllSent(t *testing.T) {
+	const space = 2 * maxSuspects
+	d, now := fullDetector()
+	other := New("gateway")
+	for range 3 * MaxRecords * messagesPerChange {
+		suspects := 0
+		reports := d.ReportsWithin(now, space)
+		for i := range reports {
+			suspects += len(reports[i].Suspects)
+		}
+		require.LessOrEqual(t, suspects, space)
+		other.Merge(now, reports)
+	}
+	require.Equal(t, d.All(now), other.All(now))
+}
