entry, gate: tests that notice each rule of the evidence

Cause: with single rules dropped on a scratch copy, three of seven changes went unnoticed: an unknown outcome that names no crash counted as one, a call of an earlier start counted against the next one, and a condition that another one implies.

Change: TestAgentNamesTheCrash checks the suspects, TestCrashNamesCallsInFlight checks the whole result for a call of an earlier start; the implied condition is gone.

--- a/entry/suspicion.go
+++ b/entry/suspicion.go
@@ -59,9 +59,9 @@
 }
 
 // recordEvidence records what the end of an attempt says about the traits of its
-// call. If the agent responded, it says whether its upstream may have crashed, and
-// which crash that is. Otherwise the agent itself was lost, and its upstream may
-// have been lost with it.
+// call. If the agent responded, it says whether its upstream may have crashed before
+// the answer began, and which crash that is. Otherwise the agent itself was lost, and
+// its upstream may have been lost with it.
 func (r *router) recordEvidence(a attempt, res result) {
 	now := r.entry.now()
 	v := res.evidence
@@ -72,7 +72,7 @@
 		r.evidence.Answered(now, agentCrashID(&a), a.sentAt)
 	}
 	switch {
-	case !res.end.Crash() || v.begun:
+	case !res.end.Crash():
 	case !v.answered:
 		r.evidence.Lost(now, agentCrashID(&a), a.call.traits)
 	case v.known:
--- a/entry/suspicion_test.go
+++ b/entry/suspicion_test.go
@@ -118,11 +118,12 @@
 // its upstream did not crash.
 func TestAgentNamesTheCrash(t *testing.T) {
 	for name, test := range map[string]struct {
-		crash   func(n int64) poison.CrashID
-		blocked bool
+		crash    func(n int64) poison.CrashID
+		blocked  bool
+		suspects int
 	}{
-		"each time another one": {crash: func(n int64) poison.CrashID { return poison.CrashID(n) }, blocked: true},
-		"always the same one":   {crash: func(int64) poison.CrashID { return 1 }},
+		"each time another one": {crash: func(n int64) poison.CrashID { return poison.CrashID(n) }, blocked: true, suspects: 1},
+		"always the same one":   {crash: func(int64) poison.CrashID { return 1 }, suspects: 1},
 		"none":                  {},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -142,6 +143,9 @@
 			}
 			resp := e.post(chatPath, "counter", chat("lost"))
 			require.Equal(t, test.blocked, resp.status == http.StatusUnprocessableEntity, resp.body)
+			var s fullStatus
+			e.get(wire.PathStatus, &s)
+			require.Equal(t, test.suspects, s.Entry.Suspects)
 		})
 	}
 }
--- a/lib/gate/gate_test.go
+++ b/lib/gate/gate_test.go
@@ -193,14 +193,13 @@
 	restarted := g.Observe(start, up)
 	require.Equal(t, [][]poison.Trait{{held}}, restarted.Crashed)
 	require.Equal(t, first, restarted.Start)
+	second := gate.Start{BootID: "two"}
 	g.Done(start, heldCall, gate.ConnectionLost)
-	require.Empty(t, g.Observe(start, up).Crashed)
-	require.Empty(t, g.Observe(start, gate.HealthCheck{StartedAt: start}).Crashed, "a call of an earlier start")
-	g.Observe(start, up)
+	require.Equal(t, gate.Change{Start: second}, g.Observe(start, up), "a call of an earlier start")
 	g.Done(start, admit(repeated), gate.ConnectionLost)
 	again := g.Observe(start, gate.HealthCheck{StartedAt: start})
 	require.Equal(t, [][]poison.Trait{{repeated}}, again.Crashed)
-	require.Equal(t, gate.Start{BootID: "two"}, again.Start)
+	require.Equal(t, second, again.Start)
 }
 
 // Guards against two crashes of an upstream without boot IDs that count as one.
