--- a/agent/suspicion.go
+++ b/agent/suspicion.go
@@ -45,7 +45,7 @@
 // entries would block may have been sent by one that does not know yet.
 func (g *gateController) suspicion(now time.Time, traits []poison.Trait) poison.Trait {
 	d := g.evidence.Check(now, traits)
-	if !d.RunsAlone(traits) {
+	if !g.evidence.RunsAlone(d, traits) {
 		return 0
 	}
 	return d.Trait
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -89,7 +89,7 @@
 func (p *prompt) traits(customer, target string, body []byte) []poison.Trait {
 	out := make([]poison.Trait, 0, len(p.parts)+1)
 	for _, part := range p.parts {
-		out = append(out, poison.PartTrait(part))
+		out = append(out, poison.PartTrait(p.model, part))
 	}
 	return append(out, poison.RequestTrait(customer, target, body))
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -226,7 +226,7 @@
 		Roots:     a.target.Roots(r.view.Config),
 		Prefix:    a.call.prefix,
 		Tried:     a.tried,
-		Exclusive: d.RunsAlone(a.call.traits),
+		Exclusive: r.evidence.RunsAlone(d, a.call.traits),
 	}, rand.IntN)
 	if !ok {
 		return false
--- a/entry/suspicion.go
+++ b/entry/suspicion.go
@@ -85,7 +85,7 @@
 
 // isSuspected reports whether a call may not be sent again after a loss. Otherwise
 // it could crash one upstream after the other.
-func (r *router) isSuspected(c *call) bool { return r.decide(c).RunsAlone(c.traits) }
+func (r *router) isSuspected(c *call) bool { return r.evidence.RunsAlone(r.decide(c), c.traits) }
 
 // blockIfConvicted refuses a call that must not run any more. It returns false if
 // the call may run.
--- a/entry/suspicion_test.go
+++ b/entry/suspicion_test.go
@@ -35,7 +35,7 @@
 
 // partOf returns the trait of a message of a conversation.
 func partOf(text string) poison.Trait {
-	return poison.PartTrait(fmt.Sprintf("user\n%q\n", text))
+	return poison.PartTrait("advisory", fmt.Sprintf("user\n%q\n", text))
 }
 
 // get reads JSON from a path that requires the peer key.
@@ -139,9 +139,9 @@
 			})
 			e := startEntryWithClock(t, c.now, nil, agent, agent)
 			for range 2 * poison.BlockAfter {
-				_ = e.post(chatPath, "counter", chat("lost"))
+				_ = e.post(chatPath, "counter", conversation("shared", "lost"))
 			}
-			resp := e.post(chatPath, "counter", chat("lost"))
+			resp := e.post(chatPath, "counter", conversation("shared", "lost"))
 			require.Equal(t, test.blocked, resp.status == http.StatusUnprocessableEntity, resp.body)
 			var s fullStatus
 			e.get(wire.PathStatus, &s)
@@ -290,7 +290,7 @@
 			require.Len(t, traits, len(test.parts)+1)
 			require.Equal(t, poison.RequestTrait("key", path, []byte(test.body)), traits[len(test.parts)])
 			for i, part := range test.parts {
-				require.Equal(t, poison.PartTrait(part), traits[i])
+				require.Equal(t, poison.PartTrait(test.model, part), traits[i])
 			}
 		})
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -13,6 +13,7 @@
 	"rattanspur.example/lib/exchange"
 	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/sock"
 )
 
 const (
@@ -72,7 +73,7 @@
 	c.lastEventID = c.call.LastEvent
 	g.metrics.recordArrival(c.call.TimeBudget)
 	if g.inbox.Put(r.Context(), arrival{ticket: c.ticket, call: c.call, commands: c.commands}) != nil {
-		return
+		c.abort()
 	}
 	c.run()
 }
@@ -109,7 +110,9 @@
 		if err != nil {
 			_ = c.gateway.inbox.Put(context.Background(), callerDisconnected{ticket: c.ticket})
 			c.log("caller-left", "waited", time.Since(c.arrivedAt).Seconds())
-			return
+			// A caller that has only closed its sending side still reads, and a
+			// handler that returns ends the response as a complete one.
+			c.abort()
 		}
 		switch a := cmd.action.(type) {
 		case dispatch.Send:
@@ -157,7 +160,7 @@
 }
 
 func (c *callHandler) exchange(ctx context.Context, a *dispatch.Send, conn *exchange.Conn) attemptOutcome {
-	// A process that stood still reads requests whose callers have left meanwhile.
+	// A process that was paused reads requests whose callers have left meanwhile.
 	if c.r.Context().Err() != nil {
 		out := exchange.Outcome{AttemptResult: dispatch.AttemptResult{End: retry.Canceled}, Detail: "caller left before the send"}
 		return attemptOutcome{Outcome: out, conn: conn}
@@ -220,9 +223,9 @@
 // Head implements exchange.Receiver. If a response is resumed at another
 // upstream, the head that was already written stays.
 func (c *callHandler) Head(resp *http.Response) error {
-	// A server error is not the beginning of an answer; the end of the attempt
-	// reports it.
-	if c.streaming && resp.StatusCode < http.StatusInternalServerError {
+	// Only a success is the beginning of an answer; the end of the attempt reports
+	// any other status.
+	if c.streaming && resp.StatusCode/100 == http.StatusOK/100 {
 		_ = c.gateway.inbox.Put(context.Background(), responseStarted{ticket: c.ticket})
 	}
 	if c.started {
@@ -297,7 +300,7 @@
 }
 
 // abort closes the caller's connection without marking the end of the response.
-func (c *callHandler) abort() { panic(http.ErrAbortHandler) }
+func (c *callHandler) abort() { sock.Abort(c.w, c.r) }
 
 func (c *callHandler) log(event string, fields ...any) {
 	_ = c.gateway.logger.Log(append([]any{"event", event, "request", c.call.ID}, fields...)...)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -44,7 +44,8 @@
 	return &fakeSource{items: map[string]published.Change{}, changed: make(chan struct{})}
 }
 
-func (s *fakeSource) put(key, text string) {
+// put publishes an item, or removes it if the text is empty. It returns the revision.
+func (s *fakeSource) put(key, text string) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -55,6 +56,7 @@
 	s.items[key] = c
 	close(s.changed)
 	s.changed = make(chan struct{})
+	return s.revision
 }
 
 func (s *fakeSource) batch(after uint64) (published.Batch, error) {
@@ -114,8 +116,13 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
+	s.publish(id, service, server.Listener.Addr().String(), version)
+}
+
+// publish publishes an upstream of a service with a version of the weights.
+func (s *fakeSource) publish(id, service, address string, version int) {
 	s.put("servers/"+id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":4,"state":"ready","born":1,
-	 "models":[{"name":"m","version":%d}],"layers":{"from":0,"to":2,"version":%d}}`, service, server.Listener.Addr(), version, version))
+	 "models":[{"name":"m","version":%d}],"layers":{"from":0,"to":2,"version":%d}}`, service, address, version, version))
 }
 
 // testGateway is a running gateway under test. done receives the result of Run.
@@ -197,17 +204,23 @@
 	return r
 }
 
-// learnAge sends the gateway a peer's message with the age of a version until the
-// gateway has taken it over.
-func (r *testGateway) learnAge(model string, age published.VersionAge) {
-	message, err := json.Marshal(&peering.Message{From: newHost() + ":7004", Versions: map[string][]published.VersionAge{model: {age}}})
+// reportAges sends the gateway a message of the peer on a host with ages of versions.
+func (r *testGateway) reportAges(host, model string, ages ...published.VersionAge) {
+	message, err := json.Marshal(&peering.Message{From: host + ":7004", Versions: map[string][]published.VersionAge{model: ages}})
 	require.NoError(r.t, err)
 	peer, err := net.Dial("udp4", r.gateway.settings.Peers)
 	require.NoError(r.t, err)
 	defer func() { _ = peer.Close() }()
+	_, err = peer.Write(message)
+	require.NoError(r.t, err)
+}
+
+// learnAge sends the gateway a peer's message with the age of a version until the
+// gateway has taken it over.
+func (r *testGateway) learnAge(model string, age published.VersionAge) {
+	host := newHost()
 	require.Eventually(r.t, func() bool {
-		_, err := peer.Write(message)
-		require.NoError(r.t, err)
+		r.reportAges(host, model, age)
 		batch, err := r.gateway.watcher.Since(context.Background(), 0)
 		require.NoError(r.t, err)
 		known := batch.Ages[model]
--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -97,16 +97,18 @@
 
 // recordEvidence records what the end of an attempt says about the traits of its
 // request. A request whose answer began, here or at an earlier upstream, did not
-// cause the loss of its upstream.
+// cause the loss of its upstream. An error is no answer: an upstream may reject a
+// request before it runs the part that crashes it.
 func (c *Core) recordEvidence(now time.Time, r *request, e AttemptResult) {
+	failed := e.ServerError || e.ClientError
 	switch {
-	case e.End == retry.Answered && e.ServerError:
+	case e.End == retry.Answered && failed:
 		c.detector.Answered(now, r.sentTo, r.sentAt)
 		return
 	case e.End == retry.Answered:
 		c.recordBegan(now, r)
 	}
-	r.begun = r.begun || e.Started || (e.FirstByte > 0 && !e.ServerError)
+	r.begun = r.begun || e.Started || (e.FirstByte > 0 && !failed)
 	if e.End.Crash() && !r.begun && e.FirstByte == 0 {
 		c.detector.Lost(now, r.sentTo, r.Traits)
 	}
@@ -173,13 +175,26 @@
 		}
 	}
 	for _, it := range moved {
-		if reason := s.push(now, it); reason != admission.Queued {
-			actions = append(actions, c.giveUp(now, it.Value, string(reason))...)
-		}
+		actions = append(actions, c.requeue(now, s, it)...)
 	}
 	return actions
 }
 
+// requeue sends a request whose suspicion changed, or puts it in its new queue. It is
+// tried first: a new request that waits counts as a sign of missing capacity.
+func (c *Core) requeue(now time.Time, s *service, it admission.Item[*request]) []Action {
+	r := it.Value
+	if s.noneAhead(r) {
+		if send, ok := c.trySend(now, s, r, c.decide(now, r)); ok {
+			return []Action{send}
+		}
+	}
+	if reason := s.push(now, it); reason != admission.Queued {
+		return c.giveUp(now, r, string(reason))
+	}
+	return nil
+}
+
 // misplaced reports whether a waiting request must not run any more or belongs to
 // another queue.
 func (c *Core) misplaced(now time.Time, r *request) bool {
--- a/lib/dispatch/suspicion_test.go
+++ b/lib/dispatch/suspicion_test.go
@@ -15,7 +15,7 @@
 	"rattanspur.example/lib/retry"
 )
 
-var first, harmful = poison.PartTrait("first"), poison.PartTrait("harmful")
+var first, harmful = poison.PartTrait(model, "first"), poison.PartTrait(model, "harmful")
 
 // arriveWith lets a request arrive whose prompt has shared parts. No two of these
 // requests are alike.
@@ -53,24 +53,30 @@
 	return out
 }
 
-// Guards against a request that goes on crashing the upstreams that run it, and
-// against one that is sent again after it was lost.
+// Guards against a request that goes on crashing the upstreams that run it. Its first
+// loss is no sign yet: most upstreams are lost for other reasons.
 func TestCrashingRequestIsStopped(t *testing.T) {
 	h := newHarness(t, view(deskUpstream("a", "north-a"), deskUpstream("b", "north-a"), deskUpstream("c", "north-a"), deskUpstream("d", "north-a")))
 	traits := []poison.Trait{poison.RequestTrait("key", "/read/1", nil)}
-	sends := 0
+	var sends []int
 	for range 5 {
 		h.now = h.now.Add(10 * time.Second)
 		h.next++
-		actions := h.core.Arrive(h.now, h.next, Call{ID: "id", Host: "h", Path: "/read/1", Key: "key", TimeBudget: time.Second, Traits: traits})
-		if _, ok := actions[0].(Send); !ok {
+		actions := h.core.Arrive(h.now, h.next, Call{ID: "id", Host: "h", Path: "/read/1", Key: "key", TimeBudget: 10 * time.Second, Traits: traits})
+		sent := 0
+		for send, ok := actions[0].(Send); ok; send, ok = actions[0].(Send) {
+			sent++
+			h.now = h.now.Add(300 * time.Millisecond)
+			actions = h.crash(h.next, send)
+		}
+		sends = append(sends, sent)
+		if sent == 0 {
 			require.Equal(t, traits[0], h.refused(actions).Trait)
 			continue
 		}
-		sends++
-		require.Equal(t, OutcomeUnknown, h.refused(h.crash(h.next, h.sent(actions))).Verdict, "a lost suspect is not sent again")
+		require.Equal(t, OutcomeUnknown, h.refused(actions).Verdict)
 	}
-	require.Equal(t, poison.BlockAfter, sends)
+	require.Equal(t, []int{2, 1, 0, 0, 0}, sends)
 }
 
 // Guards against a part of a prompt that crashes one upstream after the other
@@ -253,10 +259,24 @@
 	require.Zero(t, h.sent(actions).Probe)
 }
 
+// Guards against a process that does not spread its probes among those of many others.
+func TestProbesAreSpreadAmongProcesses(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	h.core.ApplyReports(h.now, reports(harmful, poison.BlockAfter))
+	h.now = h.now.Add(2 * time.Minute)
+	require.Equal(t, poison.Probe, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict)
+	delayed := false
+	for n := 200; n <= 700 && !delayed; n += 100 {
+		h.core.SetProcesses(0, n)
+		delayed = h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict == poison.Blocked
+	}
+	require.True(t, delayed)
+}
+
 // Guards against suspicion after a loss that was no crash: the upstream goes on to
-// answer, be it with a server error.
+// answer, be it with an error.
 func TestAnswerRefutesCrash(t *testing.T) {
-	for _, serverError := range []bool{false, true} {
+	for _, end := range []AttemptResult{{}, {ServerError: true}, {ClientError: true}} {
 		h := newHarness(t, view(deskUpstream("a", "north-a")))
 		lost, actions := h.arriveWith("/once/1", harmful)
 		h.sent(actions)
@@ -264,7 +284,8 @@
 		h.now = h.now.Add(minAvoidance)
 		ticket, actions := h.arriveWith("/once/1", first)
 		h.sent(actions)
-		h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Answered, ServerError: serverError})
+		end.End = retry.Answered
+		h.core.AttemptEnded(h.now, ticket, end)
 		require.Equal(t, poison.Clear, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict)
 	}
 }
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -71,7 +72,9 @@
 	FirstByteTimeout time.Duration
 	ProgressTimeout  time.Duration
 	// BeginBy is the time by which the first event of an event stream must have
-	// arrived; zero sets no limit. An exchange that it ends is retry.NotBegun.
+	// arrived; zero sets no limit. An exchange that it ends is retry.NotBegun. Nothing
+	// is written after it until the response has begun: the process may have been paused,
+	// or the dial slow, since it was set.
 	BeginBy time.Time
 	// EventStream is whether to pass on only complete events if the body
 	// consists of server-sent events.
@@ -151,6 +154,7 @@
 }
 
 func (x *exchange) run() {
+	x.setWriteDeadline(x.options.BeginBy)
 	if err := x.write(); err != nil {
 		x.fail(err)
 		return
@@ -230,6 +234,18 @@
 	return !begin.IsZero() && x.outcome.FirstByte == 0 && !time.Now().Before(begin)
 }
 
+// setWriteDeadline sets the time after which nothing is written if the exchange has a
+// BeginBy; zero removes it.
+func (x *exchange) setWriteDeadline(at time.Time) {
+	if x.options.BeginBy.IsZero() {
+		return
+	}
+	_ = x.conn.net.SetWriteDeadline(at)
+	if x.ctx.Err() != nil {
+		_ = x.conn.net.SetDeadline(time.Unix(1, 0))
+	}
+}
+
 func (x *exchange) setReadTimeout(d time.Duration) {
 	if d > 0 && x.ctx.Err() == nil {
 		_ = x.conn.net.SetReadDeadline(time.Now().Add(d))
@@ -247,7 +263,7 @@
 }
 
 // fail sets the outcome of an exchange that ended without a complete response.
-// Bytes of the request were written to the connection, so it may have run.
+// Bytes of the request may have been written, so it may have run.
 func (x *exchange) fail(err error) {
 	x.outcome.Detail = err.Error()
 	var timeout interface{ Timeout() bool }
@@ -291,6 +307,7 @@
 	x.outcome.Version = h.Version
 	failed := resp.StatusCode >= http.StatusInternalServerError
 	x.outcome.ServerError = failed
+	x.outcome.ClientError = !failed && resp.StatusCode >= http.StatusBadRequest
 	events := x.options.EventStream && relay.IsEventStream(resp.Header)
 	var err error
 	switch {
@@ -302,7 +319,7 @@
 	case events:
 		err = x.receiveEvents(resp)
 	default:
-		err = x.receiveBody(resp)
+		err = x.receiveBody(resp, nil)
 	}
 	if err != nil {
 		x.fail(err)
@@ -315,6 +332,7 @@
 func (x *exchange) recordFirstByte() {
 	if x.outcome.FirstByte == 0 {
 		x.outcome.FirstByte = time.Since(x.sentAt)
+		x.setWriteDeadline(time.Time{})
 	}
 }
 
@@ -326,6 +344,9 @@
 		return err
 	}
 	x.recordFirstByte()
+	if len(body) <= maxHeldBytes && relay.EndsInsideEvent(resp.Header, body) {
+		return io.ErrUnexpectedEOF
+	}
 	if hold && len(body) <= maxHeldBytes {
 		x.outcome.AttemptResult.Held = true
 		x.outcome.Held = &HeldResponse{Response: resp, Head: *h, Body: body}
@@ -334,10 +355,14 @@
 	if err := x.passOn(resp, body); err != nil || len(body) <= maxHeldBytes {
 		return err
 	}
-	return x.receiveBody(resp)
+	return x.receiveBody(resp, body)
 }
 
-func (x *exchange) receiveBody(resp *http.Response) error {
+// receiveBody passes on a body as it arrives. before is what was passed on
+// already. An event stream that ends inside an event has been broken off, also on
+// a route that expects no stream.
+func (x *exchange) receiveBody(resp *http.Response, before []byte) error {
+	tail := lastBytes(before, nil)
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := resp.Body.Read(buffer)
@@ -346,19 +371,33 @@
 			if passErr := x.passOn(resp, buffer[:n]); passErr != nil {
 				return passErr
 			}
+			tail = lastBytes(tail, buffer[:n])
 		}
-		if err == io.EOF {
+		switch {
+		case err == io.EOF && relay.EndsInsideEvent(resp.Header, tail):
+			return io.ErrUnexpectedEOF
+		case err == io.EOF:
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return err
 		}
 	}
 }
 
-// receiveEvents passes on complete events as soon as they arrive. The head is
-// passed on with the first event: until then, the request can be retried at
-// another upstream without the caller noticing.
+// lastBytes returns the end of a body that consists of two parts, as much of it as
+// relay.EndsInsideEvent needs.
+func lastBytes(before, data []byte) []byte {
+	before = before[max(0, len(before)-relay.TailBytes):]
+	data = data[max(0, len(data)-relay.TailBytes):]
+	tail := slices.Concat(before, data)
+	return tail[max(0, len(tail)-relay.TailBytes):]
+}
+
+// receiveEvents passes on complete events as soon as they arrive. The head, and
+// comments that precede the first event, are passed on with that event: until
+// then, the request can be retried at another upstream without the caller
+// noticing. A stream that ends inside an event has been broken off, also if its
+// length or its last chunk marks the end.
 //
 // Only an event counts as progress, not single bytes of one and not comments: an
 // upstream that stalls may go on sending those, and callers wait for events.
@@ -369,14 +408,9 @@
 		n, err := resp.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		whole := relay.WholeEventsLength(pending)
-		if err == io.EOF && whole < len(pending) && !isDelimited(resp) {
-			return io.ErrUnexpectedEOF
-		}
-		if err == io.EOF {
-			whole = len(pending)
-		}
+		complete := err == io.EOF && whole == len(pending)
 		progress := relay.HasEvent(pending[:whole])
-		if whole > 0 || err == io.EOF {
+		if complete || progress || whole > 0 && x.outcome.Started {
 			x.recordFirstByte()
 			if passErr := x.passOn(resp, pending[:whole]); passErr != nil {
 				return passErr
@@ -387,8 +421,10 @@
 			pending = append(pending[:0], pending[whole:]...)
 		}
 		switch {
-		case err == io.EOF:
+		case complete:
 			return nil
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
 		case err != nil:
 			return err
 		case len(pending) > maxHeldBytes:
@@ -426,6 +462,7 @@
 // finish sets whether the connection may carry another request.
 func (x *exchange) finish(resp *http.Response, h *Head, err error) {
 	x.clearReadTimeout()
+	x.setWriteDeadline(time.Time{})
 	written := true
 	if x.bodyWritten != nil {
 		select {
--- a/lib/gossip/core.go
+++ b/lib/gossip/core.go
@@ -21,9 +21,10 @@
 	// propagate the changes.
 	maxMemberUpdates = 8
 	maxBucketRecords = 8
-	// maxSuspects limits the suspects of crashes per message, which take about 50
-	// bytes each. It must be at least the number of suspects of one crash.
-	maxSuspects = 64
+	// messagesPerCrash is the number of messages that contain evidence about a crash
+	// after it changed. A message goes to one member, most often of the same region,
+	// and no comparison of hashes finds members that lack the evidence.
+	messagesPerCrash = 20
 	// regionHeartbeatTicks is the interval, in ticks, of heartbeats that stay
 	// in the process's region. They keep updates spreading within a region
 	// while the regions cannot reach each other.
@@ -94,10 +95,12 @@
 
 // New returns the core of a process that has just started.
 func New(o Options) *Core {
+	detector := poison.New(string(o.Self.ID))
+	detector.SetMessagesPerChange(messagesPerCrash)
 	return &Core{
 		rand:           o.Rand,
 		table:          NewTable(o.Self, o.Incarnation),
-		detector:       poison.New(string(o.Self.ID)),
+		detector:       detector,
 		rejected:       map[config.Stamp]bool{},
 		suspectedUntil: map[fleet.InstanceID]time.Time{},
 		lastTick:       o.Now,
--- a/lib/gossip/core_test.go
+++ b/lib/gossip/core_test.go
@@ -18,7 +18,7 @@
 const convergenceSeconds = 30
 
 // evidenceTTL is how long evidence about a crash is kept after its last change.
-const evidenceTTL = 10 * time.Minute
+const evidenceTTL = 30 * time.Minute
 
 // Guards against adoption that depends on the order of delivery: under loss,
 // delay, partition, pause and restart no process may return to an older
--- a/lib/peering/peering_test.go
+++ b/lib/peering/peering_test.go
@@ -3,16 +3,39 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/published"
 )
 
 var start = time.Unix(1000, 0)
 
+// Guards against processes that start at the same moment, as after a loss of power, and
+// each take the whole of a budget because they have not heard of the others yet.
+func TestNewProcessOwnsNothingUntilItKnowsItsPeers(t *testing.T) {
+	table := NewTable("a", "north", []string{"b"})
+	own := map[fleet.Service]Demand{"s": {PerSecond: 1}}
+	known := func(now time.Time) float64 {
+		s := table.Shares(now, own)["s"]
+		return s.KnownHigh - s.KnownLow
+	}
+	now := start
+	require.Zero(t, known(now))
+	now = now.Add(settleTime)
+	require.Zero(t, known(now), "it has heard of no peer")
+	table.Record(now, &Message{From: "b", Region: "north", Demands: map[fleet.Service]Demand{"s": {PerSecond: 3}}})
+	require.InDelta(t, 0.25, known(now), 1e-9)
+	require.InDelta(t, 1, table.Shares(now.Add(memberTTL), own)["s"].High, 1e-9)
+	late := NewTable("a", "north", []string{"b"})
+	late.Record(now, &Message{From: "b", Region: "north", Demands: map[fleet.Service]Demand{"s": {PerSecond: 3}}})
+	require.Zero(t, late.Shares(now, own)["s"].KnownHigh, "it has just started")
+}
+
 // Guards against a peer that is never discovered because it is not a seed.
 func TestPeersAreDiscoveredThroughPeers(t *testing.T) {
 	a := NewTable("a", "north", []string{"b", "a"})
@@ -145,3 +168,41 @@
 	}
 	require.Equal(t, map[string]bool{"new": true}, found)
 }
+
+// Guards against simulations that cannot be repeated because messages name peers in
+// the random order of a map, and against peers that are never named when there are
+// more than a message holds.
+func TestNamedPeersAreRepeatable(t *testing.T) {
+	const peers = 4 * maxPeersPerMessage
+	a, b := NewTable("a", "north", nil), NewTable("a", "north", nil)
+	for i := range peers {
+		from := &Message{From: fmt.Sprint("peer-", i)}
+		a.Record(start, from)
+		b.Record(start, from)
+	}
+	named := map[string]bool{}
+	for range 40 {
+		list := a.KnownPeers()
+		require.Equal(t, list, b.KnownPeers())
+		require.Len(t, list, maxPeersPerMessage)
+		for _, p := range list {
+			named[p] = true
+		}
+	}
+	require.Len(t, named, peers)
+}
+
+// Guards against a message whose impossible ages end the update windows of its receivers.
+func TestMessageWithImpossibleAges(t *testing.T) {
+	possible := published.VersionAge{Version: 2, Revision: 5, AgeMS: 1000}
+	for name, ages := range map[string][]published.VersionAge{
+		"negative": {{Version: 2, Revision: 5, AgeMS: -1}},
+		"too old":  {possible, {Version: 1, Revision: 4, AgeMS: time.Hour.Milliseconds()}},
+		"too many": slices.Repeat([]published.VersionAge{possible}, 10),
+	} {
+		m := Message{Versions: map[string][]published.VersionAge{"m": ages}}
+		require.False(t, m.Valid(), name)
+	}
+	m := Message{Versions: map[string][]published.VersionAge{"m": {possible}}}
+	require.True(t, m.Valid())
+}
--- a/lib/poison/bounds_test.go
+++ b/lib/poison/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -15,7 +16,7 @@
 	require.LessOrEqual(t, d.Crashes(), MaxRecords)
 	require.LessOrEqual(t, len(d.begun.entries), maxRecentTraits+1)
 	require.Equal(t, len(d.begun.positions), len(d.begun.entries)-1)
-	open := 0
+	open, repeated := 0, 0
 	for _, r := range d.evidence.records {
 		require.LessOrEqual(t, len(r.suspects), maxSuspects)
 		require.True(t, slices.IsSortedFunc(r.suspects, compareTraits))
@@ -26,15 +27,25 @@
 			}
 		}
 	}
-	for _, records := range d.evidence.open {
+	for trait, records := range d.evidence.open {
 		open -= len(records)
+		require.True(t, slices.IsSortedFunc(records, compareTimes))
+		if len(records) > 1 {
+			repeated++
+			_, found := d.evidence.repeated[trait]
+			require.True(t, found)
+		}
 	}
+	require.Len(t, d.evidence.repeated, repeated)
 	require.Zero(t, open, "the index lists records that do not count")
 	reports := d.Reports(now)
 	require.LessOrEqual(t, len(reports), MaxReports)
+	suspects := 0
 	for i := range reports {
 		require.True(t, reports[i].Valid())
+		suspects += len(reports[i].Suspects)
 	}
+	require.LessOrEqual(t, suspects, maxReportedSuspects)
 	require.LessOrEqual(t, len(d.probes), MaxRecords/BlockAfter)
 }
 
@@ -89,6 +100,21 @@
 	}
 }
 
+// Guards against a harmful trait that the bound on suspects leaves out of every crash.
+func TestEachCrashKeepsAnotherSampleOfItsSuspects(t *testing.T) {
+	const harmful = ^Trait(0)
+	d := New("gateway")
+	now := start
+	for i := range 50 {
+		now = now.Add(time.Second)
+		d.Lost(now, CrashID(i+1), []Trait{harmful, RequestTrait("key", "/p", []byte{byte(i)})})
+		for j := range 63 {
+			d.Lost(now, CrashID(i+1), []Trait{RequestTrait("other", "/p", []byte{byte(i), byte(j)})})
+		}
+	}
+	require.Equal(t, Blocked, d.Check(now, []Trait{harmful}).Verdict)
+}
+
 // Guards against evidence that is displaced by crashes that explain nothing.
 func TestCrashesThatExplainNothingAreDroppedFirst(t *testing.T) {
 	d := New("gateway")
@@ -102,6 +128,23 @@
 	require.Equal(t, []Trait{7}, d.Convicted(now))
 }
 
+// Guards against the loss of a failure domain that displaces the evidence for a
+// conviction, and against a conviction that is not renewed while there are as many
+// crashes that nothing explains.
+func TestConvictionOutlivesLossOfAFailureDomain(t *testing.T) {
+	d := New("gateway")
+	now := crashes(start, d, 3, 7)
+	require.Equal(t, []Trait{7}, d.Convicted(now))
+	now = now.Add(10 * time.Second)
+	for i := range CrashID(2 * MaxRecords) {
+		d.Lost(now, 1000+i, []Trait{Trait(1000 + i)})
+	}
+	require.Equal(t, MaxRecords, d.Crashes())
+	require.Equal(t, []Trait{7}, d.Convicted(now))
+	d.Lost(now.Add(-time.Second), 9999, []Trait{7})
+	require.Equal(t, 4, d.Check(now, []Trait{7}).Episodes)
+}
+
 // Guards against evidence that stays for ever, and convictions with it.
 func TestEvidenceExpires(t *testing.T) {
 	d := New("gateway")
@@ -152,22 +195,24 @@
 	})
 }
 
-func fullDetector() (*Detector, time.Time) {
+// fullDetector returns a detector with all records and suspects that it may keep, in
+// which each trait has the given number of crashes.
+func fullDetector(crashes int) (*Detector, time.Time) {
 	d := New("gateway")
 	now := start
-	for i := range CrashID(MaxRecords) {
+	for i := range MaxRecords {
 		now = now.Add(time.Second)
 		var traits []Trait
-		for j := range Trait(maxSuspects) {
-			traits = append(traits, j%8*Trait(i%16)+j)
+		for j := range maxSuspects {
+			traits = append(traits, Trait(hash("trait", "", []byte{byte(i / crashes), byte(j)})))
 		}
-		d.Lost(now, i, traits)
+		d.Lost(now, CrashID(i), traits)
 	}
 	return d, now
 }
 
 func BenchmarkBegan(b *testing.B) {
-	d, now := fullDetector()
+	d, now := fullDetector(3)
 	next := Trait(1 << 32)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -177,7 +222,7 @@
 }
 
 func BenchmarkCheck(b *testing.B) {
-	d, now := fullDetector()
+	d, now := fullDetector(3)
 	b.ReportAllocs()
 	for b.Loop() {
 		d.Check(now, []Trait{1, 2, 1 << 31})
@@ -186,10 +231,14 @@
 
 // BenchmarkCheckAfterChange includes the derivation of the verdicts.
 func BenchmarkCheckAfterChange(b *testing.B) {
-	d, now := fullDetector()
-	b.ReportAllocs()
-	for b.Loop() {
-		d.evidence.changed = true
-		d.Check(now, []Trait{1, 2, 1 << 31})
+	for _, crashes := range []int{1, 2, 3} {
+		b.Run(fmt.Sprintf("crashes=%d", crashes), func(b *testing.B) {
+			d, now := fullDetector(crashes)
+			b.ReportAllocs()
+			for b.Loop() {
+				d.evidence.changed = true
+				d.Check(now, []Trait{1, 2, 1 << 31})
+			}
+		})
 	}
 }
--- a/lib/poison/detector.go
+++ b/lib/poison/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -16,11 +17,15 @@
 	self     string
 	evidence evidence
 	begun    recentTraits
-	// findings are the traits under suspicion and the convicted ones. They are
-	// derived from the evidence when it has changed since.
-	findings map[Trait]finding
+	// findings are the traits of several crashes that are suspected or convicted.
+	// They are derived from the evidence when it has changed since. judged holds
+	// them.
+	findings map[Trait]*finding
+	judged   []finding
 	// probes holds the times of the last probes of convicted traits.
 	probes map[Trait]time.Time
+	// processes is the number of processes that may probe a trait.
+	processes int
 	// messages is the number of calls of Reports.
 	messages int64
 }
@@ -32,11 +37,25 @@
 		self:     self,
 		evidence: newEvidence(),
 		begun:    newRecentTraits(),
-		findings: map[Trait]finding{},
+		findings: map[Trait]*finding{},
 		probes:   map[Trait]time.Time{},
 	}
 }
 
+// SetProcesses sets the number of processes that may probe a trait. The delays of their
+// probes are spread accordingly.
+func (d *Detector) SetProcesses(n int) {
+	if n != d.processes {
+		d.processes = n
+		d.evidence.changed = true
+	}
+}
+
+// maxDelay returns the bound of the delays with which the processes probe a trait.
+func (d *Detector) maxDelay(f *finding) time.Duration {
+	return max(f.probeInterval(), min(time.Duration(d.processes)*probeSpacing, maxProbeDelay))
+}
+
 // Lost records that an upstream was lost with a request whose answer had not begun.
 func (d *Detector) Lost(now time.Time, id CrashID, traits []Trait) {
 	d.evidence.expire(now)
@@ -46,7 +65,7 @@
 		suspects[i] = Suspect{
 			Trait: t,
 			Depth: min(i, maxDepth),
-			Known: begun && now.Sub(begunAt) <= knownFor,
+			Known: t&requestTrait != 0 || begun && now.Sub(begunAt) <= knownFor,
 		}
 	}
 	d.evidence.join(now, crash{id: id, at: now, suspects: suspects})
@@ -78,25 +97,52 @@
 // traits with the same verdict it is the one that would be convicted first.
 func (d *Detector) Check(now time.Time, traits []Trait) Decision {
 	d.refresh(now)
-	if len(d.findings) == 0 {
+	if len(d.evidence.open) == 0 {
 		return Decision{}
 	}
 	var verdict Verdict
 	var cause finding
 	for _, t := range traits {
-		f, found := d.findings[t]
+		f, found := d.finding(t)
 		if !found {
 			continue
 		}
-		v := d.verdict(now, f)
-		if v > verdict || v == verdict && f.precedes(cause) {
+		v := d.verdict(now, &f)
+		if v > verdict || v == verdict && f.precedes(&cause) {
 			verdict, cause = v, f
 		}
 	}
 	return Decision{Verdict: verdict, Trait: cause.trait, Episodes: cause.episodes}
 }
 
-func (d *Detector) verdict(now time.Time, f finding) Verdict {
+// RunsAlone reports whether the request with these traits, on which the decision was
+// just made, must run without others on its upstream. An upstream that dies for its own
+// reasons leaves a first episode against the parts of each request that it ran. If each
+// of these requests had to run alone when it is repeated, they would wait for each
+// other, so that episode does not count against them. It does against further requests
+// with the part, which could crash many upstreams at once.
+func (d *Detector) RunsAlone(made Decision, traits []Trait) bool {
+	if made.Verdict != Suspected {
+		return made.Verdict != Clear
+	}
+	return made.Episodes > 1 || len(d.evidence.open[traits[len(traits)-1]]) == 0
+}
+
+// finding returns what is known about a trait that is suspected or convicted.
+func (d *Detector) finding(t Trait) (finding, bool) {
+	if f := d.findings[t]; f != nil {
+		return *f, true
+	}
+	return d.evidence.single(t)
+}
+
+// convicted reports whether a trait is convicted.
+func (d *Detector) convicted(t Trait) bool {
+	_, convicted := d.evidence.convicted[t]
+	return convicted
+}
+
+func (d *Detector) verdict(now time.Time, f *finding) Verdict {
 	if !f.convicted {
 		return Suspected
 	}
@@ -112,7 +158,7 @@
 // ProbeSent records that a request with a convicted trait was sent.
 func (d *Detector) ProbeSent(now time.Time, t Trait) {
 	d.refresh(now)
-	if d.findings[t].convicted {
+	if d.convicted(t) {
 		d.probes[t] = now
 	}
 }
@@ -130,8 +176,12 @@
 // no trait could be probed.
 func (d *Detector) Suspicions(now time.Time) []Decision {
 	d.refresh(now)
-	list := make([]Decision, 0, len(d.findings))
-	for _, f := range d.findings {
+	var list []Decision
+	for t := range d.evidence.open {
+		f, found := d.finding(t)
+		if !found {
+			continue
+		}
 		s := Decision{Verdict: Suspected, Trait: f.trait, Episodes: f.episodes}
 		if f.convicted {
 			s.Verdict = Blocked
@@ -145,14 +195,7 @@
 // Convicted returns the convicted traits.
 func (d *Detector) Convicted(now time.Time) []Trait {
 	d.refresh(now)
-	var convicted []Trait
-	for t, f := range d.findings {
-		if f.convicted {
-			convicted = append(convicted, t)
-		}
-	}
-	slices.Sort(convicted)
-	return convicted
+	return slices.Sorted(maps.Keys(d.evidence.convicted))
 }
 
 // refresh derives the findings anew if the evidence has changed.
@@ -163,15 +206,17 @@
 	}
 	d.evidence.changed = false
 	clear(d.findings)
-	for _, f := range judge(&d.evidence) {
+	d.judged = judge(&d.evidence, d.judged[:0])
+	for i := range d.judged {
+		f := &d.judged[i]
 		if f.convicted {
-			f.probeAt = f.last.Add(probeInterval + probeDelay(d.self, f.trait))
+			f.probeAt = f.last.Add(f.probeWait() + probeDelay(d.self, f.trait, d.maxDelay(f)))
 		}
 		f.records = nil
 		d.findings[f.trait] = f
 	}
 	for t := range d.probes {
-		if !d.findings[t].convicted {
+		if !d.convicted(t) {
 			delete(d.probes, t)
 		}
 	}
--- a/lib/poison/reports.go
+++ b/lib/poison/reports.go
@@ -8,13 +8,16 @@
 
 const (
 	// messagesPerChange is the number of messages that contain a record after it
-	// changed; messages may be lost.
-	messagesPerChange = 20
-	// MaxReports is the number of records in a message.
-	MaxReports = 16
+	// changed, unless SetMessagesPerChange sets another one. A message goes to several gateways, and each of them passes the change
+	// on, so that few are enough although messages may be lost.
+	messagesPerChange = 6
+	// MaxReports and maxReportedSuspects are the numbers of records and of their
+	// suspects in a message.
+	MaxReports          = 16
+	maxReportedSuspects = 64
 	// messagesPerRepeat is the number of messages of which one repeats the records
 	// that count against convicted traits, for gateways that have just started.
-	messagesPerRepeat = 10
+	messagesPerRepeat = 20
 )
 
 // Valid reports whether the numbers of a report are possible.
@@ -54,16 +57,13 @@
 	return r.refuted != report.Refuted || !slices.Equal(r.suspects, report.Suspects)
 }
 
+// SetMessagesPerChange sets the number of messages that contain a record after it
+// changed, for messages that go to fewer processes each than those of gateways.
+func (d *Detector) SetMessagesPerChange(n int) { d.evidence.messagesPerChange = n }
+
 // Reports returns the evidence for the next message to other gateways. Each call
 // counts as one message. The caller must not modify the suspects.
 func (d *Detector) Reports(now time.Time) []Report {
-	return d.ReportsWithin(now, MaxReports*maxSuspects)
-}
-
-// ReportsWithin is like Reports for messages with at most the given number of
-// suspects, which must be at least that of one crash. Records without space remain
-// for the next messages.
-func (d *Detector) ReportsWithin(now time.Time, suspects int) []Report {
 	d.refresh(now)
 	d.messages++
 	repeat := d.messages%messagesPerRepeat == 0
@@ -75,9 +75,10 @@
 	}
 	slices.SortFunc(due, func(a, b *record) int { return compareUrgency(a, b, repeat) })
 	var reports []Report
+	suspects := 0
 	for _, r := range due[:min(len(due), MaxReports)] {
-		suspects -= len(r.suspects)
-		if suspects < 0 {
+		suspects += len(r.suspects)
+		if suspects > maxReportedSuspects {
 			break
 		}
 		r.pending = max(r.pending-1, 0)
--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -132,6 +134,15 @@
 			},
 			want: map[Trait]Verdict{laterPart: Blocked, request: Clear, request + 1: Clear},
 		},
+		"a repeated request and others with its part in the same episodes": {
+			events: []event{
+				{0, "lost", 1, []Trait{laterPart, request}},
+				{1000, "lost", 2, []Trait{laterPart, request}},
+				{2000, "lost", 3, []Trait{laterPart, request}},
+				{2100, "lost", 4, []Trait{laterPart, request + 1}},
+			},
+			want: map[Trait]Verdict{laterPart: Blocked, request: Clear, request + 1: Clear},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := New("gateway")
@@ -181,7 +192,7 @@
 	b.Merge(now, a.Reports(now))
 	require.Equal(t, []Trait{request}, b.Convicted(now), "a new detector learns convictions")
 	check := func(d *Detector, now time.Time) Verdict { return d.Check(now, []Trait{request}).Verdict }
-	probeAt := now.Add(probeInterval + probeDelay("a", request))
+	probeAt := now.Add(probeInterval + probeDelay("a", request, probeInterval))
 	require.Equal(t, Blocked, check(a, probeAt.Add(-time.Millisecond)))
 	require.Equal(t, Probe, check(a, probeAt))
 	a.ProbeSent(probeAt, request)
@@ -204,13 +215,67 @@
 	require.Equal(t, 4, d.Check(now, []Trait{request}).Episodes)
 }
 
+// Guards against a part that stays harmful and costs an upstream every minute.
+func TestFailedProbesComeLessOften(t *testing.T) {
+	d := New("gateway")
+	now := crashes(start, d, 3, request)
+	for _, wait := range []time.Duration{1, 2, 4, 8, 8} {
+		d.Check(now, []Trait{request})
+		last := d.findings[request].last
+		now = last.Add(wait*time.Minute + probeDelay("gateway", request, probeInterval))
+		require.Equal(t, Blocked, d.Check(now.Add(-time.Millisecond), []Trait{request}).Verdict, wait)
+		require.Equal(t, Probe, d.Check(now, []Trait{request}).Verdict, wait)
+		now = crashes(now, d, 1, request)
+	}
+}
+
+// Guards against a sound trait that stays blocked for minutes because a whole service
+// was lost in stages, and against probes of whole requests that come as soon.
+func TestKnownTraitIsProbedSooner(t *testing.T) {
+	repeated := RequestTrait("key", "/", nil)
+	for trait, interval := range map[Trait]time.Duration{firstPart: 10 * time.Second, repeated: time.Minute} {
+		d := New("gateway")
+		d.Began(start, []Trait{trait})
+		now := crashes(start, d, 3, trait)
+		for _, wait := range []time.Duration{1, 2, 4, 8, 8} {
+			now = now.Add(wait*interval + probeDelay("gateway", trait, interval))
+			require.Equal(t, Blocked, d.Check(now.Add(-time.Millisecond), []Trait{trait}).Verdict, wait)
+			require.Equal(t, Probe, d.Check(now, []Trait{trait}).Verdict, wait)
+			now = crashes(now, d, 1, trait)
+		}
+	}
+}
+
 // Guards against gateways that all probe at the same time.
 func TestProbeDelaysDiffer(t *testing.T) {
-	a, b := probeDelay("a", request), probeDelay("b", request)
+	a, b := probeDelay("a", request, probeInterval), probeDelay("b", request, probeInterval)
 	require.NotEqual(t, a, b)
 	require.Less(t, max(a, b), probeInterval)
 }
 
+// Guards against probes of many processes before the crash of the first one is known,
+// and against evidence that expires between two of their probes.
+func TestProbesOfManyProcessesAreSpread(t *testing.T) {
+	for _, processes := range []int{4, 21, 200, 760, 5000} {
+		var probes []time.Duration
+		for i := range processes {
+			d := New("gateway " + strconv.Itoa(i))
+			now := crashes(start, d, 3, firstPart)
+			d.Check(now, []Trait{firstPart})
+			d.SetProcesses(processes)
+			d.Check(now, []Trait{firstPart})
+			probes = append(probes, d.findings[firstPart].probeAt.Sub(now))
+		}
+		slices.Sort(probes)
+		bound := max(time.Minute, time.Duration(min(processes, 720))*500*time.Millisecond)
+		require.GreaterOrEqual(t, probes[0], time.Minute)
+		require.Less(t, probes[processes-1], time.Minute+bound)
+		require.Greater(t, probes[processes-1], time.Minute+bound/2)
+	}
+	longest := probeInterval<<maxProbeDoublings + maxProbeDelay
+	require.Greater(t, evidenceTTL, (BlockAfter-1)*longest)
+}
+
 // Guards against a process that stood still and sends crashes with ages that are too
 // small, and without what it missed.
 func TestMessageOfAProcessThatStoodStillChangesNoVerdict(t *testing.T) {
@@ -254,13 +319,14 @@
 // against it again.
 func TestRequestIsIsolatedStoppedAndCleared(t *testing.T) {
 	d := New("gateway")
-	traits := []Trait{laterPart, request}
-	alone := func(now time.Time, traits ...Trait) bool { return d.Check(now, traits).RunsAlone(traits) }
+	const whole = request | requestTrait
+	traits := []Trait{laterPart, whole}
+	alone := func(now time.Time, traits ...Trait) bool { return d.RunsAlone(d.Check(now, traits), traits) }
 	require.False(t, alone(start, traits...))
 	now := crashes(start, d, 1, traits...)
 	early := d.All(now)
 	require.False(t, alone(now, traits...), "a single crash may have another cause")
-	require.True(t, alone(now, laterPart, request+1), "other requests with a suspected part")
+	require.True(t, alone(now, laterPart, whole+1), "other requests with a suspected part")
 	now = crashes(now.Add(time.Second), d, 1, traits...)
 	require.True(t, alone(now, traits...))
 	require.Equal(t, Suspected, d.Check(now, traits).Verdict)
@@ -271,7 +337,7 @@
 	now = crashes(now.Add(time.Second), d, BlockAfter, traits...)
 	require.Equal(t, Blocked, d.Check(now, traits).Verdict)
 	require.True(t, alone(now, traits...))
-	require.Equal(t, []Decision{{Verdict: Blocked, Trait: request, Episodes: BlockAfter}}, d.Suspicions(now))
+	require.Equal(t, []Decision{{Verdict: Blocked, Trait: whole, Episodes: BlockAfter}}, d.Suspicions(now))
 	require.Equal(t, Clear, d.Check(now.Add(2*evidenceTTL), traits).Verdict)
 	require.Empty(t, d.Suspicions(now.Add(2*evidenceTTL)))
 }
@@ -279,33 +345,43 @@
 // Guards against a process whose parts do not agree: the whole evidence must lead to
 // the same verdicts, and only news may change the revision.
 func TestAllIsTheWholeEvidence(t *testing.T) {
-	d, now := fullDetector()
-	other := New("gateway")
-	other.Merge(now, d.All(now))
-	require.Len(t, d.All(now), MaxRecords)
-	require.Equal(t, d.Suspicions(now), other.Suspicions(now))
-	before := other.Revision()
-	other.Merge(now, d.All(now))
-	require.Equal(t, before, other.Revision())
-	d.Began(now, []Trait{3})
-	other.Merge(now, d.All(now))
-	require.Greater(t, other.Revision(), before)
+	for _, crashes := range []int{1, BlockAfter} {
+		d, now := fullDetector(crashes)
+		other := New("gateway")
+		other.Merge(now, d.All(now))
+		require.Len(t, d.All(now), MaxRecords)
+		suspicions := d.Suspicions(now)
+		require.Equal(t, suspicions, other.Suspicions(now))
+		before := other.Revision()
+		other.Merge(now, d.All(now))
+		require.Equal(t, before, other.Revision())
+		d.Began(now, []Trait{suspicions[0].Trait})
+		other.Merge(now, d.All(now))
+		require.Greater(t, other.Revision(), before)
+	}
 }
 
-// Guards against messages that exceed their space, and against records that are
-// never sent because others take it up.
-func TestReportsWithinASpaceAreAllSent(t *testing.T) {
-	const space = 2 * maxSuspects
-	d, now := fullDetector()
+// Guards against messages that exceed their space, against records that are not sent
+// because others fill the messages, and against one that counts as sent although its
+// message had no space for it.
+func TestEveryChangeIsSent(t *testing.T) {
+	d, now := fullDetector(1)
 	other := New("gateway")
-	for range 3 * MaxRecords * messagesPerChange {
+	contained := map[CrashID]int{}
+	for range MaxRecords * maxSuspects * messagesPerChange / maxReportedSuspects {
 		suspects := 0
-		reports := d.ReportsWithin(now, space)
-		for i := range reports {
-			suspects += len(reports[i].Suspects)
+		reports := d.Reports(now)
+		for _, r := range reports {
+			contained[r.Crash]++
+			suspects += len(r.Suspects)
 		}
-		require.LessOrEqual(t, suspects, space)
+		require.LessOrEqual(t, suspects, maxReportedSuspects)
 		other.Merge(now, reports)
 	}
 	require.Equal(t, d.All(now), other.All(now))
+	require.Len(t, contained, MaxRecords)
+	for id, messages := range contained {
+		require.Equal(t, messagesPerChange, messages, id)
+	}
+	require.Empty(t, d.Reports(now))
 }
--- a/lib/poison/types.go
+++ b/lib/poison/types.go
@@ -21,12 +21,18 @@
 // String returns a trait as logs and status pages show it.
 func (t Trait) String() string { return fmt.Sprintf("%016x", uint64(t)) }
 
-// PartTrait returns the trait of the requests whose prompt contains a part.
-func PartTrait(part string) Trait { return Trait(hash("part", part, nil)) }
+// requestTrait is set in the traits of whole requests.
+const requestTrait Trait = 1 << 63
+
+// PartTrait returns the trait of the requests to a model whose prompt contains a part.
+// A part that crashes the engines of one model may be harmless for another one.
+func PartTrait(model, part string) Trait {
+	return Trait(hash("part", model, []byte(part))) &^ requestTrait
+}
 
 // RequestTrait returns the trait of one request and its repetitions.
 func RequestTrait(key, target string, body []byte) Trait {
-	return Trait(hash(key, target, body))
+	return Trait(hash(key, target, body)) | requestTrait
 }
 
 // CrashID identifies the crash of one start of an upstream.
@@ -81,19 +87,6 @@
 	Episodes int
 }
 
-// RunsAlone reports whether the request with these traits must run without others
-// on its upstream. An upstream that dies for its own reasons leaves a first episode
-// against each request that it ran. If each of these had to run alone when it is
-// repeated, they would wait for each other, so the first episode of the request
-// itself does not count. That of a part does: further requests with it could crash
-// many upstreams at once.
-func (d Decision) RunsAlone(traits []Trait) bool {
-	if d.Verdict != Suspected {
-		return d.Verdict != Clear
-	}
-	return d.Episodes > 1 || d.Trait != traits[len(traits)-1]
-}
-
 // Suspect is a trait of requests that were lost in a crash before their answer
 // began.
 type Suspect struct {
@@ -102,7 +95,8 @@
 	// request, from 0 for the broadest one.
 	Depth int `json:"d,omitempty"`
 	// Known is set if answers to requests with the trait began shortly before the
-	// crash, Cleared if one began after it.
+	// crash, Cleared if one began after it. Traits of whole requests count as known:
+	// that no answer to a request began before says nothing about it.
 	Known   bool `json:"k,omitempty"`
 	Cleared bool `json:"c,omitempty"`
 }
@@ -130,9 +124,15 @@
 	// refutationTime is the time after a crash within which an answer refutes it. A
 	// crashed upstream does not return that soon.
 	refutationTime = time.Second
-	// evidenceTTL is how long evidence is kept after its last change.
-	evidenceTTL = 10 * time.Minute
+	// evidenceTTL is how long evidence is kept after its last change. It exceeds two of
+	// the longest waits for a probe with its delay, so that the last BlockAfter crashes
+	// of a conviction that was renewed stay.
+	evidenceTTL = 30 * time.Minute
 	// probeInterval is the time without a crash after which a convicted trait is
-	// probed. Each gateway adds a delay of its own of up to the same time.
+	// probed. Each process adds a delay of its own of up to the same time, or more if
+	// there are many processes.
 	probeInterval = time.Minute
+	// knownProbeInterval is the same for a known trait. It may be sound: a service
+	// that is lost in stages convicts what its requests share.
+	knownProbeInterval = 10 * time.Second
 )
