--- a/lib/poison/bounds_test.go
+++ b/lib/poison/bounds_test.go
@@ -13,7 +13,7 @@
 
 // requireBounds checks the limits and that the index agrees with the records.
 func requireBounds(t require.TestingT, d *Detector, now time.Time) {
-	require.LessOrEqual(t, d.Crashes(), maxRecords)
+	require.LessOrEqual(t, d.Crashes(), MaxRecords)
 	require.LessOrEqual(t, len(d.begun.entries), maxRecentTraits+1)
 	require.Equal(t, len(d.begun.positions), len(d.begun.entries)-1)
 	open, repeated := 0, 0
@@ -39,14 +39,14 @@
 	require.Len(t, d.evidence.repeated, repeated)
 	require.Zero(t, open, "the index lists records that do not count")
 	reports := d.Reports(now)
-	require.LessOrEqual(t, len(reports), maxReports)
+	require.LessOrEqual(t, len(reports), MaxReports)
 	suspects := 0
 	for i := range reports {
 		require.True(t, reports[i].Valid())
 		suspects += len(reports[i].Suspects)
 	}
 	require.LessOrEqual(t, suspects, maxReportedSuspects)
-	require.LessOrEqual(t, len(d.probes), maxRecords/BlockAfter)
+	require.LessOrEqual(t, len(d.probes), MaxRecords/BlockAfter)
 }
 
 // Guards against state or messages that grow with the input.
@@ -119,12 +119,12 @@
 func TestCrashesThatExplainNothingAreDroppedFirst(t *testing.T) {
 	d := New("gateway")
 	now := crashes(start, d, 3, 7)
-	for i := range CrashID(2 * maxRecords) {
+	for i := range CrashID(2 * MaxRecords) {
 		now = now.Add(time.Second)
 		d.Lost(now, 1000+i, []Trait{8})
 		d.Began(now, []Trait{8})
 	}
-	require.Equal(t, maxRecords, d.Crashes())
+	require.Equal(t, MaxRecords, d.Crashes())
 	require.Equal(t, []Trait{7}, d.Convicted(now))
 }
 
@@ -136,10 +136,10 @@
 	now := crashes(start, d, 3, 7)
 	require.Equal(t, []Trait{7}, d.Convicted(now))
 	now = now.Add(10 * time.Second)
-	for i := range CrashID(2 * maxRecords) {
+	for i := range CrashID(2 * MaxRecords) {
 		d.Lost(now, 1000+i, []Trait{Trait(1000 + i)})
 	}
-	require.Equal(t, maxRecords, d.Crashes())
+	require.Equal(t, MaxRecords, d.Crashes())
 	require.Equal(t, []Trait{7}, d.Convicted(now))
 	d.Lost(now.Add(-time.Second), 9999, []Trait{7})
 	require.Equal(t, 4, d.Check(now, []Trait{7}).Episodes)
@@ -189,7 +189,7 @@
 		before := state(d)
 		requireBounds(t, d, start)
 		d.Merge(start, reports)
-		if len(before) < maxRecords {
+		if len(before) < MaxRecords {
 			require.Equal(t, before, state(d))
 		}
 	})
@@ -200,7 +200,7 @@
 func fullDetector(crashes int) (*Detector, time.Time) {
 	d := New("gateway")
 	now := start
-	for i := range maxRecords {
+	for i := range MaxRecords {
 		now = now.Add(time.Second)
 		var traits []Trait
 		for j := range maxSuspects {
--- a/lib/poison/detector.go
+++ b/lib/poison/detector.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -114,6 +115,19 @@
 	return Decision{Verdict: verdict, Trait: cause.trait, Episodes: cause.episodes}
 }
 
+// RunsAlone reports whether the request with these traits, on which the decision was
+// just made, must run without others on its upstream. An upstream that dies for its own
+// reasons leaves a first episode against the parts of each request that it ran. If each
+// of these requests had to run alone when it is repeated, they would wait for each
+// other, so that episode does not count against them. It does against further requests
+// with the part, which could crash many upstreams at once.
+func (d *Detector) RunsAlone(made Decision, traits []Trait) bool {
+	if made.Verdict != Suspected {
+		return made.Verdict != Clear
+	}
+	return made.Episodes > 1 || len(d.evidence.open[traits[len(traits)-1]]) == 0
+}
+
 // finding returns what is known about a trait that is suspected or convicted.
 func (d *Detector) finding(t Trait) (finding, bool) {
 	if f := d.findings[t]; f != nil {
@@ -152,6 +166,32 @@
 // Crashes returns the number of crashes of which evidence is kept.
 func (d *Detector) Crashes() int { return len(d.evidence.records) }
 
+// Expire drops the evidence that did not change for long.
+func (d *Detector) Expire(now time.Time) { d.evidence.expire(now) }
+
+// Revision returns a number that grows with each change of the evidence.
+func (d *Detector) Revision() uint64 { return d.evidence.revision }
+
+// Suspicions returns a decision for each trait that is suspected or convicted, as if
+// no trait could be probed.
+func (d *Detector) Suspicions(now time.Time) []Decision {
+	d.refresh(now)
+	var list []Decision
+	for t := range d.evidence.open {
+		f, found := d.finding(t)
+		if !found {
+			continue
+		}
+		s := Decision{Verdict: Suspected, Trait: f.trait, Episodes: f.episodes}
+		if f.convicted {
+			s.Verdict = Blocked
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b Decision) int { return cmp.Compare(a.Trait, b.Trait) })
+	return list
+}
+
 // Convicted returns the convicted traits.
 func (d *Detector) Convicted(now time.Time) []Trait {
 	d.refresh(now)
--- a/lib/poison/evidence.go
+++ b/lib/poison/evidence.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxRecords is the number of crashes of which evidence is kept.
-	maxRecords = 256
+	// MaxRecords is the number of crashes of which evidence is kept.
+	MaxRecords = 256
 	// maxSuspects is the number of suspects of one crash.
 	maxSuspects = 32
 	// maxDepth is the greatest depth of a suspect; deeper traits count as this deep.
@@ -56,6 +56,11 @@
 	convicted map[Trait]struct{}
 	// changed is set if the records changed since it was last unset.
 	changed bool
+	// revision counts the changes.
+	revision uint64
+	// messagesPerChange is the number of messages that contain a record after it
+	// changed.
+	messagesPerChange int
 	// nextExpiry is the earliest time at which a record may expire.
 	nextExpiry time.Time
 	// joined is space for the suspects of one join.
@@ -68,6 +73,8 @@
 		open:      map[Trait][]*record{},
 		repeated:  map[Trait]struct{}{},
 		convicted: map[Trait]struct{}{},
+
+		messagesPerChange: messagesPerChange,
 	}
 }
 
@@ -118,7 +125,7 @@
 		e.reorder(r)
 	}
 	if grown || r.announcedAt.Sub(r.at) > timeTolerance {
-		r.announce(now)
+		e.announce(now, r)
 	}
 	return r
 }
@@ -181,7 +188,12 @@
 	r.suspects = slices.Clone(c.suspects)
 	r.refuted = c.refuted
 	e.updateIndex(r, &old)
+	e.touch()
+}
+
+func (e *evidence) touch() {
 	e.changed = true
+	e.revision++
 }
 
 // updateIndex updates the index after a change of a record.
@@ -210,7 +222,7 @@
 
 // reorder updates the index after a change of the time of a record.
 func (e *evidence) reorder(r *record) {
-	e.changed = true
+	e.touch()
 	for _, s := range r.suspects {
 		if r.counts(s) {
 			slices.SortFunc(e.open[s.Trait], compareTimes)
@@ -234,7 +246,7 @@
 // insert adds a record. If there are too many, it drops the one that is worth least,
 // which may be the added one.
 func (e *evidence) insert(now time.Time, c crash) *record {
-	if len(e.records) >= maxRecords {
+	if len(e.records) >= MaxRecords {
 		worst := e.worst()
 		if compareWorth(&record{crash: c, explained: e.convicts(&c)}, worst) < 0 {
 			return nil
@@ -242,7 +254,7 @@
 		e.remove(worst)
 	}
 	r := &record{crash: crash{id: c.id, at: c.at}}
-	r.announce(now)
+	e.announce(now, r)
 	if len(e.records) == 0 {
 		e.nextExpiry = now.Add(evidenceTTL)
 	}
@@ -292,7 +304,7 @@
 	old := r.crash
 	r.suspects = nil
 	e.updateIndex(r, &old)
-	e.changed = true
+	e.touch()
 }
 
 // clear records that an answer to a request with the trait began, in all crashes
@@ -322,8 +334,8 @@
 }
 
 // announce makes the record take part in the next messages.
-func (r *record) announce(now time.Time) {
+func (e *evidence) announce(now time.Time, r *record) {
 	r.changedAt = now
 	r.announcedAt = r.at
-	r.pending = messagesPerChange
+	r.pending = e.messagesPerChange
 }
--- a/lib/poison/reports.go
+++ b/lib/poison/reports.go
@@ -8,12 +8,12 @@
 
 const (
 	// messagesPerChange is the number of messages that contain a record after it
-	// changed. A message goes to several gateways, and each of them passes the change
+	// changed, unless SetMessagesPerChange sets another one. A message goes to several gateways, and each of them passes the change
 	// on, so that few are enough although messages may be lost.
 	messagesPerChange = 6
-	// maxReports and maxReportedSuspects are the numbers of records and of their
+	// MaxReports and maxReportedSuspects are the numbers of records and of their
 	// suspects in a message.
-	maxReports          = 16
+	MaxReports          = 16
 	maxReportedSuspects = 64
 	// messagesPerRepeat is the number of messages of which one repeats the records
 	// that count against convicted traits, for gateways that have just started.
@@ -57,6 +57,10 @@
 	return r.refuted != report.Refuted || !slices.Equal(r.suspects, report.Suspects)
 }
 
+// SetMessagesPerChange sets the number of messages that contain a record after it
+// changed, for messages that go to fewer processes each than those of gateways.
+func (d *Detector) SetMessagesPerChange(n int) { d.evidence.messagesPerChange = n }
+
 // Reports returns the evidence for the next message to other gateways. Each call
 // counts as one message. The caller must not modify the suspects.
 func (d *Detector) Reports(now time.Time) []Report {
@@ -72,7 +76,7 @@
 	slices.SortFunc(due, func(a, b *record) int { return compareUrgency(a, b, repeat) })
 	var reports []Report
 	suspects := 0
-	for _, r := range due[:min(len(due), maxReports)] {
+	for _, r := range due[:min(len(due), MaxReports)] {
 		suspects += len(r.suspects)
 		if suspects > maxReportedSuspects {
 			break
@@ -99,6 +103,22 @@
 	return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.id, b.id))
 }
 
+// All returns the whole evidence, for another detector of the same process or a
+// process that has just started. The caller must not modify the suspects.
+func (d *Detector) All(now time.Time) []Report {
+	d.evidence.expire(now)
+	reports := make([]Report, 0, len(d.evidence.records))
+	for _, r := range d.evidence.records {
+		if now.Sub(r.at) <= evidenceTTL {
+			reports = append(reports, r.report(now))
+		}
+	}
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.Crash, b.Crash))
+	})
+	return reports
+}
+
 func (r *record) report(now time.Time) Report {
 	return Report{
 		Crash:    r.id,
--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -300,9 +300,9 @@
 	now = crashes(now, d, 1, otherPart)
 	contained := map[CrashID]int{}
 	reports := d.Reports(now)
-	require.Len(t, reports, maxReports)
+	require.Len(t, reports, MaxReports)
 	require.Equal(t, CrashID(40), reports[0].Crash, "convicted traits first, then the newest")
-	for range 2 * 41 * messagesPerChange / maxReports {
+	for range 2 * 41 * messagesPerChange / MaxReports {
 		d.Reports(now)
 	}
 	for range 3 * messagesPerRepeat {
@@ -313,17 +313,73 @@
 	require.Len(t, contained, 40, "the repeated records are those of the convicted trait, in rotation")
 }
 
-// Guards against records that are not sent because others fill the messages, and
-// against one that counts as sent although its message had no space for it.
+// Guards against a request that goes on crashing upstreams, against one that must run
+// alone after a first crash of which it was only one of many victims, against one
+// that stays under suspicion after it ran, and against a crash of before that counts
+// against it again.
+func TestRequestIsIsolatedStoppedAndCleared(t *testing.T) {
+	d := New("gateway")
+	const whole = request | requestTrait
+	traits := []Trait{laterPart, whole}
+	alone := func(now time.Time, traits ...Trait) bool { return d.RunsAlone(d.Check(now, traits), traits) }
+	require.False(t, alone(start, traits...))
+	now := crashes(start, d, 1, traits...)
+	early := d.All(now)
+	require.False(t, alone(now, traits...), "a single crash may have another cause")
+	require.True(t, alone(now, laterPart, whole+1), "other requests with a suspected part")
+	now = crashes(now.Add(time.Second), d, 1, traits...)
+	require.True(t, alone(now, traits...))
+	require.Equal(t, Suspected, d.Check(now, traits).Verdict)
+	d.Began(now, traits)
+	require.False(t, alone(now, traits...))
+	d.Merge(now, early)
+	require.Equal(t, Clear, d.Check(now, traits).Verdict, "the crash was before the answer")
+	now = crashes(now.Add(time.Second), d, BlockAfter, traits...)
+	require.Equal(t, Blocked, d.Check(now, traits).Verdict)
+	require.True(t, alone(now, traits...))
+	require.Equal(t, []Decision{{Verdict: Blocked, Trait: whole, Episodes: BlockAfter}}, d.Suspicions(now))
+	require.Equal(t, Clear, d.Check(now.Add(2*evidenceTTL), traits).Verdict)
+	require.Empty(t, d.Suspicions(now.Add(2*evidenceTTL)))
+}
+
+// Guards against a process whose parts do not agree: the whole evidence must lead to
+// the same verdicts, and only news may change the revision.
+func TestAllIsTheWholeEvidence(t *testing.T) {
+	for _, crashes := range []int{1, BlockAfter} {
+		d, now := fullDetector(crashes)
+		other := New("gateway")
+		other.Merge(now, d.All(now))
+		require.Len(t, d.All(now), MaxRecords)
+		suspicions := d.Suspicions(now)
+		require.Equal(t, suspicions, other.Suspicions(now))
+		before := other.Revision()
+		other.Merge(now, d.All(now))
+		require.Equal(t, before, other.Revision())
+		d.Began(now, []Trait{suspicions[0].Trait})
+		other.Merge(now, d.All(now))
+		require.Greater(t, other.Revision(), before)
+	}
+}
+
+// Guards against messages that exceed their space, against records that are not sent
+// because others fill the messages, and against one that counts as sent although its
+// message had no space for it.
 func TestEveryChangeIsSent(t *testing.T) {
 	d, now := fullDetector(1)
+	other := New("gateway")
 	contained := map[CrashID]int{}
-	for range maxRecords * maxSuspects * messagesPerChange / maxReportedSuspects {
-		for _, r := range d.Reports(now) {
+	for range MaxRecords * maxSuspects * messagesPerChange / maxReportedSuspects {
+		suspects := 0
+		reports := d.Reports(now)
+		for _, r := range reports {
 			contained[r.Crash]++
+			suspects += len(r.Suspects)
 		}
+		require.LessOrEqual(t, suspects, maxReportedSuspects)
+		other.Merge(now, reports)
 	}
-	require.Len(t, contained, maxRecords)
+	require.Equal(t, d.All(now), other.All(now))
+	require.Len(t, contained, MaxRecords)
 	for id, messages := range contained {
 		require.Equal(t, messagesPerChange, messages, id)
 	}
--- a/lib/poison/types.go
+++ b/lib/poison/types.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"time"
 
 	"github.com/zeebo/blake3"
@@ -17,6 +18,9 @@
 // specific one.
 type Trait uint64
 
+// String returns a trait as logs and status pages show it.
+func (t Trait) String() string { return fmt.Sprintf("%016x", uint64(t)) }
+
 // requestTrait is set in the traits of whole requests.
 const requestTrait Trait = 1 << 63
 
@@ -40,6 +44,12 @@
 	return CrashID(hash(string(upstream), "", binary.BigEndian.AppendUint64(nil, uint64(startTime))))
 }
 
+// NewBootCrashID returns the identifier of the crash of the start of an upstream
+// whose starts are distinguished by a text.
+func NewBootCrashID(upstream fleet.InstanceID, boot string) CrashID {
+	return CrashID(hash("boot", string(upstream), []byte(boot)))
+}
+
 func hash(a, b string, data []byte) uint64 {
 	h := blake3.New()
 	for _, s := range [...]string{a, b} {
