--- a/gateway/suspicion_test.go
+++ b/gateway/suspicion_test.go
@@ -90,7 +90,7 @@
 	require.Eventually(t, func() bool { return g.gateway.metrics.convictedTraits.Load() == 1 }, testTimeout, time.Millisecond)
 	require.Equal(t, http.StatusOK, g.callWithParts("/once/1", "first:10,harmful:20,own:30"))
 	require.Eventually(t, func() bool { return g.gateway.metrics.convictedTraits.Load() == 0 }, testTimeout, time.Millisecond)
-	trait := "trait=" + dispatch.FormatTrait(poison.PartTrait("m", "harmful"))
+	trait := "trait=" + poison.PartTrait("m", "harmful").String()
 	require.Contains(t, g.logs.line("trait-probed"), trait+" upstream=i-1")
 	require.Contains(t, g.logs.line("trait-cleared"), trait)
 }
--- a/lib/poison/reports.go
+++ b/lib/poison/reports.go
@@ -8,8 +8,9 @@
 
 const (
 	// messagesPerChange is the number of messages that contain a record after it
-	// changed, unless SetMessagesPerChange sets another one. A message goes to several gateways, and each of them passes the change
-	// on, so that few are enough although messages may be lost.
+	// changed, unless SetMessagesPerChange sets another one. A message goes to several
+	// gateways, and each of them passes the change on, so that few are enough although
+	// messages may be lost.
 	messagesPerChange = 6
 	// MaxReports and maxReportedSuspects are the numbers of records and of their
 	// suspects in a message.
