--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -276,9 +276,9 @@
 	require.Greater(t, evidenceTTL, (BlockAfter-1)*longest)
 }
 
-// Guards against a process that stood still and sends crashes with ages that are too
+// Guards against a process that was paused and sends crashes with ages that are too
 // small, and without what it missed.
-func TestMessageOfAProcessThatStoodStillChangesNoVerdict(t *testing.T) {
+func TestMessageOfAPausedProcessChangesNoVerdict(t *testing.T) {
 	a, b := New("a"), New("b")
 	now := crashes(start, a, 3, request)
 	late := a.Reports(now)
