platform, gateway: log and count the limits that upstreams state

Cause: nothing read Server-Limit, so that no log told whether an upstream named a limit, and the hypotheses of the incident could not be told apart. No decision uses it yet.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -11,6 +11,7 @@
 
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/exchange"
+	"rattanspur.example/lib/ratelimit"
 	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/sock"
@@ -51,6 +52,8 @@
 	held        *exchange.HeldResponse
 	// load is the load in the upstream's last response; nil if it reported none.
 	load *dispatch.Load
+	// limit is what that response stated about the upstream's limit.
+	limit ratelimit.Statement
 }
 
 // serveCall reads a request, sends it to the router and executes the router's
@@ -143,7 +146,7 @@
 		"number", a.Attempt, "upstream", a.Upstream, "expect", a.ExpectVersion,
 		"desired", a.DesiredVersion, "desired-for", a.DesiredFor.Seconds(),
 		"left", time.Until(a.Deadline).Seconds(), "end", out.End, "first", out.FirstByte.Seconds(),
-		"version", out.Version, "load", c.load, "waited", a.Waited.Seconds(), "patience", c.call.TimeBudget.Seconds(), "detail", out.Detail,
+		"version", out.Version, "load", c.load, "limit", c.limit, "waited", a.Waited.Seconds(), "patience", c.call.TimeBudget.Seconds(), "detail", out.Detail,
 	}
 	if out.End.Crash() {
 		fields = append(fields, "begun", out.Started || out.FirstByte > 0, "traits", formatTraits(c.call.Traits))
@@ -211,12 +214,13 @@
 	return c.lastEventID
 }
 
-// Observe implements exchange.Receiver. It reports the upstream's load and
-// version to the router.
+// Observe implements exchange.Receiver. It reports the upstream's load, version and
+// limit to the router.
 func (c *callHandler) Observe(h *exchange.Head) {
-	c.load = h.Load
+	c.load, c.limit = h.Load, h.Limit
+	c.gateway.metrics.recordLimit(h.Limit)
 	_ = c.gateway.inbox.Put(context.Background(), headReceived{ticket: c.ticket, observation: dispatch.Observation{
-		Load: h.Load, Version: h.Version, ColdRemaining: h.ColdRemaining,
+		Load: h.Load, Version: h.Version, ColdRemaining: h.ColdRemaining, Limit: h.Limit,
 	}})
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"rattanspur.example/lib/dispatch"
+	"rattanspur.example/lib/ratelimit"
 	"rattanspur.example/lib/retry"
 )
 
@@ -26,6 +27,10 @@
 	panics *metrics.Counter
 	// blocked counts the requests that were rejected because of a convicted trait.
 	blocked *metrics.Counter
+	// limitsStated counts the answers that state a limit, limitsUnreadable those whose
+	// limit cannot be parsed.
+	limitsStated     *metrics.Counter
+	limitsUnreadable *metrics.Counter
 	// crashRecords and convictedTraits are set by the router, which owns the
 	// evidence.
 	crashRecords    atomic.Int64
@@ -45,6 +50,9 @@
 		badMessages: set.NewCounter("gateway_bad_messages_total"),
 		panics:      set.NewCounter("gateway_panics_total"),
 		blocked:     set.NewCounter("gateway_blocked_total"),
+
+		limitsStated:     set.NewCounter("gateway_limits_stated_total"),
+		limitsUnreadable: set.NewCounter("gateway_limits_unreadable_total"),
 	}
 	set.NewGauge("gateway_crash_records", func() float64 { return float64(m.crashRecords.Load()) })
 	set.NewGauge("gateway_convicted_traits", func() float64 { return float64(m.convictedTraits.Load()) })
@@ -61,6 +69,16 @@
 	m.set.GetOrCreateCounter(`gateway_attempts_total{end="` + end.String() + `"}`).Inc()
 }
 
+// recordLimit counts answers that state a limit.
+func (m *gatewayMetrics) recordLimit(s ratelimit.Statement) {
+	switch s.Kind {
+	case ratelimit.Stated:
+		m.limitsStated.Inc()
+	case ratelimit.Unreadable:
+		m.limitsUnreadable.Inc()
+	}
+}
+
 func (m *gatewayMetrics) recordRefusal(a *dispatch.Refuse) {
 	m.set.GetOrCreateCounter(`gateway_refused_total{verdict="` + a.Verdict.String() + `"}`).Inc()
 	if a.Trait != 0 {
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -10,6 +10,7 @@
 
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/poison"
+	"rattanspur.example/lib/ratelimit"
 	"rattanspur.example/lib/retry"
 )
 
@@ -82,6 +83,9 @@
 	Load          *Load
 	Version       int64
 	ColdRemaining time.Duration
+	// Limit is what the response states about the rate of requests that the upstream
+	// takes from all entries together.
+	Limit ratelimit.Statement
 }
 
 // Notice is a loader's report of the weights that its engine serves.
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"rattanspur.example/lib/dispatch"
+	"rattanspur.example/lib/ratelimit"
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/retry"
 )
@@ -33,6 +34,8 @@
 	Version int64
 	// ColdRemaining is how much longer the upstream stays cold.
 	ColdRemaining time.Duration
+	// Limit is what the upstream states about the rate of requests that it takes.
+	Limit ratelimit.Statement
 	// IdleTimeout is how long the upstream keeps an idle connection open; 0 if
 	// not stated.
 	IdleTimeout time.Duration
