emulator: engines that state limits; tests that show the excess

Change: scenarios have [limits] (engines state how many requests per second they take) and [restart] (gateways end and start without what they knew); a run reports the excess in 4 s, how much of the limits is used, and the wave after their end.

--- a/emulator/attempt.go
+++ b/emulator/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rattanspur.example/lib/dispatch"
+	"rattanspur.example/lib/ratelimit"
 	"rattanspur.example/lib/retry"
 )
 
@@ -23,6 +24,7 @@
 // arrive passes the request to the engine.
 func (a *attempt) arrive(j *job) {
 	e := a.engine
+	a.gateway.sim.result.Limits.arrived(a.gateway.sim.clock.now, e.id, a.gateway.address)
 	if j.harmful && !e.down {
 		a.gateway.sim.result.Harm.reached(a.gateway.sim.clock.now)
 	}
@@ -59,10 +61,17 @@
 
 // started reports the head of the response.
 func (a *attempt) started(o dispatch.Observation) {
+	limits := a.gateway.sim.result.Limits
+	if o.Limit.Kind == ratelimit.Stated {
+		limits.stated(a.gateway.sim.clock.now, a.engine.id)
+	}
 	a.reply(func() {
 		g := a.gateway
 		now := g.sim.clock.now
 		a.result.FirstByte = now.Sub(a.sentAt)
+		if o.Limit.Kind == ratelimit.Stated {
+			limits.toldGateway(now, a.engine.id, g.address)
+		}
 		g.core.Observe(now, a.send.Ticket, o)
 		g.execute(g.core.ResponseStarted(now, a.send.Ticket))
 	})
--- a/emulator/attempt_test.go
+++ b/emulator/attempt_test.go
@@ -17,7 +17,7 @@
 		beginBy time.Duration
 		end     retry.End
 	}{{50 * time.Millisecond, retry.NotBegun}, {200 * time.Millisecond, retry.Answered}} {
-		s := &simulation{scenario: manyGateways(t)}
+		s := &simulation{scenario: manyGateways(t), result: newResult(0)}
 		s.clock.now = time.Unix(0, 0)
 		a := &attempt{
 			gateway: newGateway(s, "gateway", 0, nil), call: &call{}, engine: testEngine(&s.clock),
--- a/emulator/call.go
+++ b/emulator/call.go
@@ -65,7 +65,7 @@
 		return
 	}
 	c.retriesLeft--
-	c.sim.clock.after(after+2*c.sim.scenario.Network.Caller, func() { c.sim.pickGateway().arrive(c) })
+	c.sim.clock.after(after+2*c.sim.scenario.Network.Caller, func() { c.sim.arrive(c) })
 }
 
 // failed records that the request ended without an answer.
--- a/emulator/cmd/emulate/main.go
+++ b/emulator/cmd/emulate/main.go
@@ -50,6 +50,10 @@
 	if r.Harm != nil {
 		printHarm(r.Harm)
 	}
+	if l := r.Limits; l != nil {
+		fmt.Printf("  limits: at most %d requests beyond what an engine may get, %.2f of what the limits allow used, %d requests in the second after the end\n",
+			l.Excess, l.UsedShare, l.Wave)
+	}
 	if !timeline {
 		return
 	}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -6,6 +6,7 @@
 
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/ratelimit"
 	"rattanspur.example/lib/retry"
 )
 
@@ -49,6 +50,8 @@
 	// refuses is set if a down engine refuses connections, as when its process ended
 	// and its machine did not.
 	refuses bool
+	// limit is what its answers state about the requests per second that it takes.
+	limit ratelimit.Statement
 	// onHarm is called when a harmful request makes the engine crash.
 	onHarm func()
 	// starts counts the starts of the engine. Work of an earlier start is lost.
@@ -161,7 +164,7 @@
 		}
 		if !j.started {
 			j.started = true
-			j.onStart(dispatch.Observation{Load: e.load(), Version: e.version})
+			j.onStart(dispatch.Observation{Load: e.load(), Version: e.version, Limit: e.limit})
 		}
 		j.onEvent()
 	}
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -29,26 +29,67 @@
 	table   *peering.Table
 	calls   map[dispatch.Ticket]*call
 	next    dispatch.Ticket
+	// seeds are the addresses through which it finds its peers, number is its place
+	// among the gateways, and down is set while it does not run.
+	seeds  []string
+	number int
+	down   bool
 }
 
 func newGateway(s *simulation, address string, region int, seeds []string) *gateway {
 	g := &gateway{
-		sim: s, address: address, region: region, calls: map[dispatch.Ticket]*call{}, table: peering.NewTable(address, regionName(region), seeds),
+		sim: s, address: address, region: region, seeds: seeds, number: len(s.gateways),
 	}
-	random := rand.New(rand.NewPCG(s.seed, uint64(len(s.gateways))))
+	g.reset()
+	return g
+}
+
+// reset replaces all that the gateway knows by the state of a process that has just
+// started.
+func (g *gateway) reset() {
+	s := g.sim
+	g.calls = map[dispatch.Ticket]*call{}
+	g.table = peering.NewTable(g.address, regionName(g.region), g.seeds)
+	random := rand.New(rand.NewPCG(s.seed, uint64(g.number)))
 	g.core = dispatch.New(dispatch.Settings{
-		Self: address, Region: regionName(region), Regions: s.regions(), OldVersionGrace: s.scenario.Weights.Window, Random: random.IntN,
+		Self: g.address, Region: regionName(g.region), Regions: s.regions(), OldVersionGrace: s.scenario.Weights.Window, Random: random.IntN,
 		ColdOverrun: s.scenario.Engine.ColdOverrun, ColdSlack: s.scenario.Engine.ColdSlack,
 		Retries: retry.WindowLimits{Ratio: 0.2, Reserve: 270, Window: 10 * time.Second},
 	})
-	return g
 }
 
 // start begins the periodic work of the gateway.
 func (g *gateway) start(offset time.Duration) {
 	g.core.Update(g.sim.clock.now, g.sim.view)
-	g.sim.every(offset, coreTick, func() { g.execute(g.core.Tick(g.sim.clock.now)) })
-	g.sim.every(offset, peering.SendInterval, g.gossip)
+	g.sim.every(offset, coreTick, func() {
+		if !g.down {
+			g.execute(g.core.Tick(g.sim.clock.now))
+		}
+	})
+	g.sim.every(offset, peering.SendInterval, func() {
+		if !g.down {
+			g.gossip()
+		}
+	})
+}
+
+// stop ends the gateway: its requests fail and the engines drop them.
+func (g *gateway) stop() {
+	g.down = true
+	for _, c := range g.calls {
+		if c.job != nil {
+			c.job.canceled = true
+		}
+		c.failed()
+	}
+	g.reset()
+	g.sim.result.Limits.forget(g.address)
+}
+
+// restart lets a gateway that was stopped run again.
+func (g *gateway) restart() {
+	g.down = false
+	g.core.Update(g.sim.clock.now, g.sim.view)
 }
 
 // gossip exchanges state with the peers, as the router duty does.
@@ -73,6 +114,9 @@
 
 // receive applies a message of a peer.
 func (g *gateway) receive(m *peering.Message) {
+	if g.down {
+		return
+	}
 	now := g.sim.clock.now
 	g.table.Record(now, m)
 	g.execute(g.core.ApplyReports(now, m.Crashes))
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -65,6 +65,8 @@
 	Blocked int
 	// Harm is nil if the scenario has no harmful requests. They count nowhere else.
 	Harm *Harm
+	// Limits is nil if no engine states a limit.
+	Limits *Limits
 	// OutFor holds the times for which engines accepted no requests because of a
 	// change of weights.
 	OutFor []time.Duration
--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -15,14 +15,16 @@
 // Scenario describes one emulated deployment and what happens to it. All times
 // count from the start of the traffic.
 type Scenario struct {
-	Fleet   Fleet        `ini:"fleet"`
-	Engine  EngineModel  `ini:"engine"`
-	Network Network      `ini:"network"`
-	Traffic Traffic      `ini:"traffic"`
-	Weights WeightChange `ini:"weights"`
-	Crash   Crash        `ini:"crash"`
-	Prompts Prompts      `ini:"prompts"`
-	Harmful Harmful      `ini:"harmful"`
+	Fleet   Fleet          `ini:"fleet"`
+	Engine  EngineModel    `ini:"engine"`
+	Network Network        `ini:"network"`
+	Traffic Traffic        `ini:"traffic"`
+	Weights WeightChange   `ini:"weights"`
+	Crash   Crash          `ini:"crash"`
+	Prompts Prompts        `ini:"prompts"`
+	Harmful Harmful        `ini:"harmful"`
+	Limits  StatedLimits   `ini:"limits"`
+	Restart GatewayRestart `ini:"restart"`
 	// Classes are the kinds of request, one for each section whose name starts
 	// with classPrefix.
 	Classes []Class `ini:"-"`
@@ -296,6 +298,8 @@
 		{h.Class == "" || h.Until > h.From && h.Down > 0, "[harmful] needs until after from, and down"},
 		{h.Class == "" || s.Prompts.FirstParts > 0, "[harmful] needs first_parts in [prompts]"},
 		{h.Class != "" || h == Harmful{}, "[harmful] needs class"},
+		{s.Limits.At == 0 || s.Limits.Until > s.Limits.At && s.Limits.Share > 0 && s.Limits.Share <= 1, "[limits] needs until after at, and a share above 0 and up to 1"},
+		{s.Restart.At == 0 || s.Restart.Count > 0 && s.Restart.Count <= s.Fleet.Gateways, "[restart] needs a count of up to the number of gateways"},
 	} {
 		if !c.valid {
 			return eris.Errorf("scenario %s: %s", path, c.what)
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -61,6 +61,10 @@
 	for i := range sc.Fleet.Engines {
 		s.addEngine(i)
 	}
+	if sc.Limits.At > 0 {
+		s.result.Limits = newLimits(s)
+		s.result.Limits.schedule(s)
+	}
 	s.publish()
 	s.startGateways()
 	s.scheduleEvents()
@@ -68,6 +72,9 @@
 	if s.result.Harm != nil {
 		s.result.Harm.divide()
 	}
+	if s.result.Limits != nil {
+		s.result.Limits.summarize()
+	}
 	return s.result
 }
 
@@ -104,6 +111,9 @@
 	if sc.Crash.At > 0 {
 		s.clock.at(s.startedAt.Add(sc.Crash.At), s.crashEngines)
 	}
+	if sc.Restart.At > 0 {
+		s.clock.at(s.startedAt.Add(sc.Restart.At), s.restartGateways)
+	}
 }
 
 func (s *simulation) addEngine(i int) {
@@ -158,20 +168,45 @@
 	return s.gateways[i]
 }
 
-// pickGateway picks the gateway of a request at random by weight. A request that
-// returns reaches any gateway.
+// pickGateway picks the gateway of a request at random by weight, among those that
+// are up. A request that returns reaches any gateway. It returns nil if all are down.
 func (s *simulation) pickGateway() *gateway {
 	total := 0.0
-	for _, w := range s.weights {
-		total += w
+	for i, w := range s.weights {
+		if !s.gateways[i].down {
+			total += w
+		}
 	}
 	n := s.random.Float64() * total
+	var last *gateway
 	for i, w := range s.weights {
+		if s.gateways[i].down {
+			continue
+		}
+		last = s.gateways[i]
 		if n -= w; n < 0 {
-			return s.gateways[i]
+			return last
 		}
 	}
-	return s.gateways[len(s.gateways)-1]
+	return last
+}
+
+// arrive lets a request arrive at a gateway. It fails if all of them are down.
+func (s *simulation) arrive(c *call) {
+	g := s.pickGateway()
+	if g == nil {
+		c.failed()
+		return
+	}
+	g.arrive(c)
+}
+
+// restartGateways ends the first gateways and starts them again after a while.
+func (s *simulation) restartGateways() {
+	for _, g := range s.gateways[:s.scenario.Restart.Count] {
+		g.stop()
+		s.clock.after(s.scenario.Restart.For, g.restart)
+	}
 }
 
 // nextArrival lets a caller send a request and schedules the next one.
@@ -213,7 +248,7 @@
 		s.result.Harm.sent(&c.prompt)
 	}
 	s.clock.at(c.deadline, c.expire)
-	s.clock.after(s.scenario.Network.Caller, func() { s.pickGateway().arrive(c) })
+	s.clock.after(s.scenario.Network.Caller, func() { s.arrive(c) })
 }
 
 func (s *simulation) pickClass() *Class {
