quota: one library for budgets that all processes share

Cause: the budget of a cold upstream kept its own lists of times and its own division among processes; a limit that upstreams state needs the same. Change: lib/quota has the sliding window, the equal division of a whole number and a division by demand (weighted rendezvous hashing). The budget of cold upstreams uses the first two; its behaviour stays as it is.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -10,6 +10,7 @@
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/quota"
 	"rattanspur.example/lib/retry"
 )
 
@@ -161,9 +162,8 @@
 	timeBudgets map[string]time.Duration
 	// notices holds the latest loader notice by engine address.
 	notices map[string]receivedNotice
-	// processes is the number of entries that divide the shared budgets, position
-	// the place of this one in their order.
-	processes, position int
+	// place is the place of this entry among those that divide the shared budgets.
+	place quota.Place
 }
 
 // New returns a core without a view. It rejects requests until Update gives it
@@ -177,7 +177,7 @@
 		detector:    poison.New(s.Self),
 		timeBudgets: map[string]time.Duration{},
 		notices:     map[string]receivedNotice{},
-		processes:   minProcesses,
+		place:       quota.Place{Processes: minProcesses},
 	}
 }
 
@@ -185,8 +185,8 @@
 // position of this one in their order, from 0. Numbers below minProcesses count as
 // minProcesses.
 func (c *Core) SetProcesses(position, n int) {
-	c.position, c.processes = position, max(n, minProcesses)
-	c.detector.SetProcesses(c.processes)
+	c.place = quota.Place{Position: position, Processes: max(n, minProcesses)}
+	c.detector.SetProcesses(c.place.Processes)
 }
 
 // SetPeerLoads sets the load that the other entries have at each upstream, and
--- a/lib/dispatch/ownership.go
+++ b/lib/dispatch/ownership.go
@@ -108,17 +108,7 @@
 // coldWindow, out of a budget for all entries; 0 means none.
 func (c *Core) coldLimit(budget float64, u *upstream) int {
 	owners := budget * ownerColdFraction
-	return int(owners*u.knownFraction) + c.equalPart(int(budget-owners), u)
-}
-
-// equalPart divides a whole number among all entries. The entries that get the
-// remainder differ between upstreams.
-func (c *Core) equalPart(total int, u *upstream) int {
-	part := total / c.processes
-	if (c.position+u.offset)%c.processes < total%c.processes {
-		part++
-	}
-	return part
+	return int(owners*u.knownFraction) + c.place.EqualPart(int(budget-owners), u.offset)
 }
 
 // foreignCost returns the cost of sending to an upstream that this entry does not
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -293,5 +293,5 @@
 	}
 	// An unreachable upstream has not received the request, so that a retry adds
 	// no load and does not count against the budget.
-	return e.End == retry.Unreachable || s.retryBudget.Spend(now, c.processes)
+	return e.End == retry.Unreachable || s.retryBudget.Spend(now, c.place.Processes)
 }
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -7,6 +7,7 @@
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/quota"
 )
 
 const (
@@ -72,11 +73,11 @@
 	avoidUntil        time.Time
 	// coldUntil is when the upstream can take its full load.
 	coldUntil time.Time
-	// coldSends holds the times of the sends in the last coldWindow. It is empty
-	// for services without a limit for cold upstreams.
-	coldSends []time.Time
-	// recentSends holds the times of sends that other entries may not know yet.
-	recentSends []time.Time
+	// coldSends counts the sends in the last coldWindow. It is empty for services
+	// without a limit for cold upstreams.
+	coldSends quota.Window
+	// recentSends counts the sends that other entries may not know yet.
+	recentSends quota.Window
 	// meanFirstByte is a moving average of the time to the first byte.
 	meanFirstByte time.Duration
 	// notice is the latest loader notice for its address.
@@ -118,14 +119,12 @@
 // entry and send at the same rate in proportion to their shares, apart from what
 // this entry owns.
 func (u *upstream) unreportedSends(now time.Time, s *service) float64 {
-	for len(u.recentSends) > 0 && now.Sub(u.recentSends[0]) >= peerLoadDelay {
-		u.recentSends = u.recentSends[1:]
-	}
+	recent := u.recentSends.Count(now, peerLoadDelay)
 	slotShare := s.share.High - s.share.Low
 	if slotShare <= 0 || now.Sub(s.shareAt) > peerLoadTTL {
 		return 0
 	}
-	return float64(len(u.recentSends)) * min(1/slotShare-1, maxUnreportedFactor) * (1 - u.ownFraction)
+	return float64(recent) * min(1/slotShare-1, maxUnreportedFactor) * (1 - u.ownFraction)
 }
 
 // pendingPromptTokens estimates the prompt tokens that the upstream has yet to
@@ -222,18 +221,15 @@
 // withinColdLimit reports whether one more request keeps within this entry's limit
 // for a cold upstream. The limit applies at all times, not only until coldUntil.
 func (u *upstream) withinColdLimit(now time.Time) bool {
-	for len(u.coldSends) > 0 && now.Sub(u.coldSends[0]) >= coldWindow {
-		u.coldSends = u.coldSends[1:]
-	}
-	return len(u.coldSends) < u.coldLimit
+	return u.coldSends.Count(now, coldWindow) < u.coldLimit
 }
 
 // recordSend counts a request as in flight. Its time is kept for the limit on
 // cold upstreams if limited is set.
 func (u *upstream) recordSend(now time.Time, limited bool) {
 	u.inFlight++
-	u.recentSends = append(u.recentSends, now)
+	u.recentSends.Add(now)
 	if limited {
-		u.coldSends = append(u.coldSends, now)
+		u.coldSends.Add(now)
 	}
 }
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -122,12 +122,12 @@
 	_, _ = h.WriteString(key)
 	_, _ = h.Write([]byte{0})
 	_, _ = h.WriteString(member)
-	return mix(h.Sum64())
+	return Mix(h.Sum64())
 }
 
-// mix spreads the low bits over the whole value, because the weights of short
+// Mix spreads the low bits over the whole value, because the weights of short
 // keys are compared as whole numbers.
-func mix(x uint64) uint64 {
+func Mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
