platform, watcher: log the era of the store and dropped changes

Cause: no log told to which era of the store a read belongs, nor that its changes were dropped as older, so that two hypotheses of the incident looked the same. No decision uses the era yet.

--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -35,6 +35,8 @@
 type Batch struct {
 	Changes  []Change
 	Revision uint64
+	// Era counts how often the store was restored from a copy; 0 if it is not known.
+	Era uint64
 	Findings []error
 	// Ages holds what a peer reports about the desired versions, by model.
 	Ages map[string][]VersionAge
@@ -70,6 +72,9 @@
 	// completeUpTo is the revision up to which items has every existing key. A
 	// change of an unknown key up to this revision was superseded by a removal.
 	completeUpTo uint64
+	// older counts the changes that were dropped because a newer one of their key is
+	// known.
+	older int
 }
 
 // NewState returns a state without items.
@@ -147,6 +152,9 @@
 func (s *State) applyChange(c *Change) bool {
 	old, known := s.items[c.Key]
 	if known && c.Revision <= old.revision || !known && c.Revision <= s.completeUpTo {
+		if c.Revision < max(old.revision, s.completeUpTo) {
+			s.older++
+		}
 		return false
 	}
 	return s.store(c)
@@ -158,6 +166,9 @@
 func (s *State) store(c *Change) bool {
 	old, known := s.items[c.Key]
 	if known && old.expiresAt.IsZero() && c.Revision <= old.revision {
+		if c.Revision < old.revision {
+			s.older++
+		}
 		return false
 	}
 	next := entry{revision: max(c.Revision, old.revision)}
@@ -217,6 +228,14 @@
 // maxPreviousVersions is the number of previous versions kept for a model.
 const maxPreviousVersions = 8
 
+// TakeOlder returns how many changes were dropped since the last call because a newer
+// one of their key is known.
+func (s *State) TakeOlder() int {
+	n := s.older
+	s.older = 0
+	return n
+}
+
 // Since returns the changes after a revision, including removals.
 func (s *State) Since(now time.Time, revision uint64) Batch {
 	b := Batch{Revision: s.revision, Ages: s.view.Ages(now)}
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -41,8 +41,10 @@
 // Update is a batch of changes from the source or from a peer.
 type Update struct {
 	published.Batch
-	// Snapshot is true if the batch is a snapshot of the source.
+	// Snapshot is true if the batch is a snapshot of the source, FromPeer if it comes
+	// from a peer.
 	Snapshot bool
+	FromPeer bool
 }
 
 // Watcher maintains the published state of one process. One duty reads the
@@ -64,6 +66,8 @@
 	// unavailable are owned by the duty readSource.
 	lastRevision uint64
 	unavailable  bool
+	// era is the era of the last read. It is owned by the duty readSource.
+	era uint64
 }
 
 // query is a peer's request for the changes after a revision.
@@ -113,7 +117,7 @@
 // EnqueuePeerChanges queues a batch of changes that was read from a peer. It
 // returns an error if ctx ends first.
 func (w *Watcher) EnqueuePeerChanges(ctx context.Context, b published.Batch) error {
-	return w.updates.Put(ctx, Update{Batch: b})
+	return w.updates.Put(ctx, Update{Batch: b, FromPeer: true})
 }
 
 // EnqueueAges queues what a peer reports about the ages of desired versions. It
@@ -173,6 +177,7 @@
 		w.logRegained()
 		delay = retryMin
 		needSnapshot = false
+		w.logEra(&u.Batch)
 		w.lastRevision = u.Revision
 		hasChanges := len(u.Changes) > 0
 		for _, f := range u.Findings {
@@ -194,7 +199,7 @@
 		return
 	}
 	if b, err := w.fallback.Snapshot(ctx, w.prefix); err == nil {
-		_ = w.updates.Put(ctx, Update{Batch: b})
+		_ = w.updates.Put(ctx, Update{Batch: b, FromPeer: true})
 	}
 }
 
@@ -215,6 +220,23 @@
 	}
 }
 
+// logEra logs that the source was restored from a copy.
+func (w *Watcher) logEra(b *published.Batch) {
+	if b.Era == w.era {
+		return
+	}
+	_ = w.logger.Log("event", "store-restored", "era", b.Era, "was", w.era, "revision", b.Revision, "known", w.lastRevision)
+	w.era = b.Era
+}
+
+// logOlder logs how many changes of the source were dropped as older than what is known.
+func (w *Watcher) logOlder(u *Update, older int) {
+	if older == 0 || u.FromPeer {
+		return
+	}
+	_ = w.logger.Log("event", "changes-dropped", "dropped", older, "of", len(u.Changes), "snapshot", u.Snapshot, "era", u.Era, "revision", u.Revision)
+}
+
 // maintainState owns the state, applies updates to it and publishes views to the
 // subscribers.
 func (w *Watcher) maintainState(ctx context.Context) error {
@@ -230,6 +252,7 @@
 			} else {
 				changed = state.Apply(time.Now(), u.Changes, u.Revision)
 			}
+			w.logOlder(&u, state.TakeOlder())
 			changed = state.ApplyAges(time.Now(), u.Ages) || changed
 			state.Trim()
 		case q := <-w.queries.Out():
