--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,7 +38,7 @@
 	// Head decodes the metadata in the head of an upstream's response.
 	Head(resp *http.Response) exchange.Head
 	// Published decodes a published item that was read from a peer.
-	Published(key string, revision uint64, removed bool, raw []byte) (published.Change, error)
+	Published(key string, revision published.Revision, removed bool, raw []byte) (published.Change, error)
 	// ResponseHeader returns the header to send to callers for an upstream's
 	// response header.
 	ResponseHeader(h http.Header) http.Header
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -35,7 +35,7 @@
 type fakeSource struct {
 	mu       sync.Mutex
 	down     bool
-	revision uint64
+	revision published.Revision
 	items    map[string]published.Change
 	changed  chan struct{}
 }
@@ -45,7 +45,7 @@
 }
 
 // put publishes an item, or removes it if the text is empty. It returns the revision.
-func (s *fakeSource) put(key, text string) uint64 {
+func (s *fakeSource) put(key, text string) published.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -59,7 +59,7 @@
 	return s.revision
 }
 
-func (s *fakeSource) batch(after uint64) (published.Batch, error) {
+func (s *fakeSource) batch(after published.Revision) (published.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -80,7 +80,7 @@
 }
 
 // Watch implements watcher.Source.
-func (s *fakeSource) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (published.Batch, error) {
+func (s *fakeSource) Watch(ctx context.Context, _ string, after published.Revision, wait time.Duration) (published.Batch, error) {
 	s.mu.Lock()
 	changed, newer := s.changed, s.revision > after
 	s.mu.Unlock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -131,7 +131,7 @@
 // viewPull is a request to read from a peer the changes after a revision.
 type viewPull struct {
 	peer  string
-	after uint64
+	after published.Revision
 }
 
 func (g *Gateway) pullView(ctx context.Context, p viewPull) error {
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -91,7 +91,7 @@
 	peers     *peering.Table
 	view      *published.View
 	// revision is the revision of the newest item in the view.
-	revision uint64
+	revision published.Revision
 }
 
 func (g *Gateway) runRouter(ctx context.Context) error {
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -71,7 +71,7 @@
 	Control string       `json:"control"`
 	Region  fleet.Region `json:"region"`
 	// Revision is the revision of the newest item in the sender's view.
-	Revision uint64 `json:"rev"`
+	Revision published.Revision `json:"rev"`
 	// Loads is the sender's load at each upstream.
 	Loads map[fleet.InstanceID]Load `json:"loads,omitempty"`
 	// Demands is the demand for each service at the sender.
@@ -149,7 +149,7 @@
 	control  string
 	region   fleet.Region
 	lastSeen time.Time
-	revision uint64
+	revision published.Revision
 	leaving  bool
 	loads    map[fleet.InstanceID]Load
 	demands  map[fleet.Service]Demand
@@ -393,7 +393,7 @@
 
 // PeerWithNewerView returns the control address of the peer with the newest view
 // if that view is newer than a revision.
-func (t *Table) PeerWithNewerView(now time.Time, revision uint64) (string, bool) {
+func (t *Table) PeerWithNewerView(now time.Time, revision published.Revision) (string, bool) {
 	var best *member
 	for _, p := range t.members {
 		if now.Sub(p.lastSeen) > loadTTL || p.revision <= revision || p.control == "" {
--- a/lib/published/ages.go
+++ b/lib/published/ages.go
@@ -35,7 +35,7 @@
 // known and at most maxReportedAge old, the newest first.
 func (d DesiredVersion) ages(now time.Time) []VersionAge {
 	var out []VersionAge
-	add := func(version int64, revision uint64, firstSeen time.Time) {
+	add := func(version int64, revision Revision, firstSeen time.Time) {
 		if age := now.Sub(firstSeen); !firstSeen.IsZero() && age >= 0 && age <= maxReportedAge {
 			out = append(out, VersionAge{Version: version, Revision: revision, AgeMS: age.Milliseconds()})
 		}
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -199,7 +199,7 @@
 	// distinguishes starts under the same ID.
 	StartTime int64
 	// Revision is the store's revision of the registration.
-	Revision uint64
+	Revision Revision
 }
 
 // CompleteVersion returns the version of a model of which copies hold at least
@@ -220,7 +220,7 @@
 	// Revision is the store's revision with which the version became desired, or was
 	// last written again. It distinguishes it from earlier times at which the same
 	// version was desired.
-	Revision uint64
+	Revision Revision
 	// FirstSeen is when the first of this process and its peers saw the version;
 	// zero if unknown, as for a version in the first snapshot.
 	FirstSeen time.Time
@@ -232,7 +232,7 @@
 // PreviousVersion is a formerly desired version with its Revision and FirstSeen.
 type PreviousVersion struct {
 	Version   int64
-	Revision  uint64
+	Revision  Revision
 	FirstSeen time.Time
 }
 
@@ -256,14 +256,14 @@
 	Version int64 `json:"v"`
 	// Revision is DesiredVersion.Revision; 0 in a message of a process that does not
 	// report it.
-	Revision uint64 `json:"r"`
-	AgeMS    int64  `json:"a"`
+	Revision Revision `json:"r"`
+	AgeMS    int64    `json:"a"`
 }
 
 // View is the published state as one process knows it. A view is immutable.
 type View struct {
 	// Revision is the revision of the newest item.
-	Revision uint64
+	Revision Revision
 	Config   *Config
 	// Upstreams are sorted by ID.
 	Upstreams []*Upstream
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -20,7 +20,7 @@
 	// Key identifies the item. A change with a greater revision replaces an
 	// earlier one of the same key.
 	Key      string
-	Revision uint64
+	Revision Revision
 	// Removed is true if the item no longer exists or its content is unusable.
 	Removed bool
 	// Item is a *Config, *Upstream, DesiredVersion or OutOfService; nil if
@@ -34,9 +34,9 @@
 // item that could not be decoded.
 type Batch struct {
 	Changes  []Change
-	Revision uint64
+	Revision Revision
 	// Era counts how often the store was restored from a copy; 0 if it is not known.
-	Era uint64
+	Era      uint64
 	Findings []error
 	// Ages holds what a peer reports about the desired versions, by model.
 	Ages map[string][]VersionAge
@@ -51,7 +51,7 @@
 
 // entry is the newest change of one key. Its item is nil if the key was removed.
 type entry struct {
-	revision uint64
+	revision Revision
 	item     any
 	raw      []byte
 	// expiresAt is when an item that was missing from a snapshot is removed;
@@ -63,7 +63,7 @@
 // keeps the change with the greatest revision, so the result does not depend on
 // the order in which changes arrive or on the process that sends them.
 type State struct {
-	revision uint64
+	revision Revision
 	items    map[string]entry
 	desired  map[string]DesiredVersion
 	view     *View
@@ -71,7 +71,7 @@
 	hasSnapshot bool
 	// completeUpTo is the revision up to which items has every existing key. A
 	// change of an unknown key up to this revision was superseded by a removal.
-	completeUpTo uint64
+	completeUpTo Revision
 	// older counts the changes that were dropped because a newer one of their key is
 	// known.
 	older int
@@ -86,7 +86,7 @@
 func (s *State) View() *View { return s.view }
 
 // Apply applies changes up to a revision. It reports whether the view changed.
-func (s *State) Apply(now time.Time, changes []Change, revision uint64) bool {
+func (s *State) Apply(now time.Time, changes []Change, revision Revision) bool {
 	changed := false
 	for i := range changes {
 		changed = s.applyChange(&changes[i]) || changed
@@ -102,7 +102,7 @@
 // upstreams after LapseGrace, because registrations expire while the store is
 // unavailable, and all other items immediately. It reports whether the view
 // changed.
-func (s *State) Replace(now time.Time, snapshot []Change, revision uint64) bool {
+func (s *State) Replace(now time.Time, snapshot []Change, revision Revision) bool {
 	present := make(map[string]bool, len(snapshot))
 	changed := false
 	for i := range snapshot {
@@ -237,7 +237,7 @@
 }
 
 // Since returns the changes after a revision, including removals.
-func (s *State) Since(now time.Time, revision uint64) Batch {
+func (s *State) Since(now time.Time, revision Revision) Batch {
 	b := Batch{Revision: s.revision, Ages: s.view.Ages(now)}
 	for key, e := range s.items {
 		if e.revision <= revision {
--- a/lib/published/state_test.go
+++ b/lib/published/state_test.go
@@ -12,11 +12,11 @@
 
 var start = time.Unix(1000, 0)
 
-func upstream(id string, revision uint64) Change {
+func upstream(id string, revision Revision) Change {
 	return Change{Key: "u/" + id, Revision: revision, Item: &Upstream{ID: fleet.InstanceID(id), Revision: revision}}
 }
 
-func desired(version int64, revision uint64) Change {
+func desired(version int64, revision Revision) Change {
 	return Change{Key: "w/m", Revision: revision, Item: DesiredVersion{Model: "m", Version: version}}
 }
 
@@ -27,14 +27,14 @@
 		var changes []Change
 		n := rapid.IntRange(1, 20).Draw(t, "changes")
 		for i := range n {
-			c := upstream(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"), uint64(i+1))
+			c := upstream(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"), Revision(i+1))
 			if rapid.Bool().Draw(t, "removed") {
 				c.Removed, c.Item = true, nil
 			}
 			changes = append(changes, c)
 		}
 		ordered, shuffled := NewState(), NewState()
-		ordered.Apply(start, changes, uint64(n))
+		ordered.Apply(start, changes, Revision(n))
 		for _, c := range rapid.Permutation(changes).Draw(t, "order") {
 			shuffled.Apply(start, []Change{c}, 0)
 		}
@@ -94,7 +94,7 @@
 func TestForgottenRemovalStaysRemoved(t *testing.T) {
 	s := NewState()
 	s.Replace(start, []Change{upstream("a", 1)}, 1)
-	for i := range uint64(2 * maxRemovedKeys) {
+	for i := range Revision(2 * maxRemovedKeys) {
 		s.Apply(start, []Change{{Key: "u/" + time.Duration(i).String(), Revision: i + 2, Removed: true}}, i+2)
 	}
 	s.Trim()
@@ -232,7 +232,7 @@
 	s.Apply(start.Add(3*time.Second), []Change{desired(2, 2)}, 2)
 	s.Apply(start.Add(5*time.Second), []Change{desired(2, 3)}, 3)
 	w := s.View().Desired["m"]
-	require.Equal(t, uint64(3), w.Revision)
+	require.Equal(t, Revision(3), w.Revision)
 	require.Equal(t, start.Add(3*time.Second), w.FirstSeen)
 	behind.Apply(start.Add(time.Second), []Change{desired(2, 2)}, 2)
 	s.ApplyAges(start.Add(6*time.Second), behind.View().Ages(start.Add(6*time.Second)))
@@ -254,7 +254,7 @@
 // Guards against unbounded memory use by removed keys in a long-lived process.
 func TestRemovedKeysAreBounded(t *testing.T) {
 	s := NewState()
-	for i := range uint64(2 * maxRemovedKeys) {
+	for i := range Revision(2 * maxRemovedKeys) {
 		s.Apply(start, []Change{{Key: "u/" + time.Duration(i).String(), Revision: i + 1, Removed: true}}, i+1)
 	}
 	s.Trim()
--- a/lib/viewsync/viewsync.go
+++ b/lib/viewsync/viewsync.go
@@ -26,27 +26,27 @@
 const readTimeout = time.Second
 
 // Decode decodes a published item.
-type Decode func(key string, revision uint64, removed bool, raw []byte) (published.Change, error)
+type Decode func(key string, revision published.Revision, removed bool, raw []byte) (published.Change, error)
 
 // item is the JSON form of a published item.
 type item struct {
-	Key      string `json:"key"`
-	Revision uint64 `json:"revision"`
-	Removed  bool   `json:"removed,omitempty"`
-	Raw      []byte `json:"raw,omitempty"`
+	Key      string             `json:"key"`
+	Revision published.Revision `json:"revision"`
+	Removed  bool               `json:"removed,omitempty"`
+	Raw      []byte             `json:"raw,omitempty"`
 }
 
 // changes is the JSON response with the items of one process.
 type changes struct {
-	Revision uint64 `json:"revision"`
-	Items    []item `json:"items"`
+	Revision published.Revision `json:"revision"`
+	Items    []item             `json:"items"`
 	// Ages says how long the sender has known the desired versions, by model.
 	Ages map[string][]published.VersionAge `json:"ages,omitempty"`
 }
 
 // Source provides the items that a Handler serves.
 type Source interface {
-	Since(ctx context.Context, after uint64) (published.Batch, error)
+	Since(ctx context.Context, after published.Revision) (published.Batch, error)
 }
 
 // Handler serves the items of a source that are newer than the revision in the
@@ -58,7 +58,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		b, err := source.Since(r.Context(), after)
+		b, err := source.Since(r.Context(), published.Revision(after))
 		if err != nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -88,10 +88,10 @@
 // Changes reads the items of the process at an address that are newer than a
 // revision and whose keys begin with a prefix. Findings has one error for each
 // item that could not be decoded.
-func (c *Client) Changes(ctx context.Context, address string, after uint64, prefix string) (published.Batch, error) {
+func (c *Client) Changes(ctx context.Context, address string, after published.Revision, prefix string) (published.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	q := url.Values{"after": {strconv.FormatUint(after, 10)}, "prefix": {prefix}}
+	q := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "prefix": {prefix}}
 	var response changes
 	if err := c.client.GetJSON(ctx, address, Path+"?"+q.Encode(), &response); err != nil {
 		return published.Batch{}, eris.Wrapf(err, "read view of %s", address)
--- a/lib/viewsync/viewsync_test.go
+++ b/lib/viewsync/viewsync_test.go
@@ -15,9 +15,11 @@
 
 type fixedSource struct{ batch published.Batch }
 
-func (f fixedSource) Since(context.Context, uint64) (published.Batch, error) { return f.batch, nil }
+func (f fixedSource) Since(context.Context, published.Revision) (published.Batch, error) {
+	return f.batch, nil
+}
 
-func decode(key string, revision uint64, removed bool, raw []byte) (published.Change, error) {
+func decode(key string, revision published.Revision, removed bool, raw []byte) (published.Change, error) {
 	c := published.Change{Key: key, Revision: revision, Removed: removed, Raw: raw}
 	if string(raw) == "unreadable" {
 		c.Removed = true
@@ -44,7 +46,7 @@
 	}})
 	b, err := NewClient(decode).Changes(context.Background(), address, 0, "a/")
 	require.NoError(t, err)
-	require.Equal(t, uint64(9), b.Revision)
+	require.Equal(t, published.Revision(9), b.Revision)
 	require.Equal(t, ages, b.Ages)
 	require.Len(t, b.Findings, 1)
 	require.Equal(t, []published.Change{
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -23,7 +23,7 @@
 	Snapshot(ctx context.Context, prefix string, stale bool) (published.Batch, error)
 	// Watch waits for changes after a revision, for at most wait. It returns
 	// published.ErrCompacted if the source no longer has the history.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (published.Batch, error)
+	Watch(ctx context.Context, prefix string, after published.Revision, wait time.Duration) (published.Batch, error)
 }
 
 const (
@@ -64,7 +64,7 @@
 	queries      *ring.Ring[query]
 	// lastRevision is the revision after which the next watch starts. It and
 	// unavailable are owned by the duty readSource.
-	lastRevision uint64
+	lastRevision published.Revision
 	unavailable  bool
 	// era is the era of the last read. It is owned by the duty readSource.
 	era uint64
@@ -72,7 +72,7 @@
 
 // query is a peer's request for the changes after a revision.
 type query struct {
-	after uint64
+	after published.Revision
 	reply *ring.Ring[published.Batch]
 }
 
@@ -128,7 +128,7 @@
 
 // Since returns the changes after a revision, for a peer. It returns an error if
 // too many queries wait or ctx ends first.
-func (w *Watcher) Since(ctx context.Context, after uint64) (published.Batch, error) {
+func (w *Watcher) Since(ctx context.Context, after published.Revision) (published.Batch, error) {
 	reply := ring.New[published.Batch](1, ring.Wait)
 	if err := w.queries.Put(ctx, query{after: after, reply: reply}); err != nil {
 		return published.Batch{}, err
--- a/lib/watcher/watcher_test.go
+++ b/lib/watcher/watcher_test.go
@@ -39,10 +39,10 @@
 func (s *scriptedSource) Snapshot(context.Context, string, bool) (published.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return published.Batch{Changes: s.snapshot, Revision: uint64(len(s.snapshot))}, nil
+	return published.Batch{Changes: s.snapshot, Revision: published.Revision(len(s.snapshot))}, nil
 }
 
-func (s *scriptedSource) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) (published.Batch, error) {
+func (s *scriptedSource) Watch(ctx context.Context, _ string, _ published.Revision, wait time.Duration) (published.Batch, error) {
 	s.mu.Lock()
 	next := s.steps[min(s.watches, len(s.steps)-1)]
 	s.watches++
@@ -54,7 +54,7 @@
 	return next.batch, next.err
 }
 
-func upstream(id string, revision uint64) published.Change {
+func upstream(id string, revision published.Revision) published.Change {
 	return published.Change{Key: id, Revision: revision, Item: &published.Upstream{Address: id}}
 }
 
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -172,7 +172,7 @@
 func (s *fakeStore) batch(prefix string) published.Batch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := published.Batch{Revision: uint64(s.desired) + 1}
+	b := published.Batch{Revision: published.Revision(s.desired) + 1}
 	if prefix == "desired" {
 		if s.desired > 0 {
 			b.Changes = []published.Change{{Key: "w", Revision: b.Revision, Item: published.DesiredVersion{Model: testModel, Version: s.desired}}}
@@ -185,7 +185,7 @@
 	}}
 	b.Changes = []published.Change{{Key: "c", Revision: 1, Item: c}}
 	for i, e := range s.engines {
-		b.Changes = append(b.Changes, published.Change{Key: e, Revision: uint64(i) + 1, Item: &published.Upstream{
+		b.Changes = append(b.Changes, published.Change{Key: e, Revision: published.Revision(i) + 1, Item: &published.Upstream{
 			ID: fleet.InstanceID(e), Service: "engine", Address: e, Domain: "a",
 		}})
 	}
@@ -196,7 +196,7 @@
 	return s.batch(prefix), nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, prefix string, after uint64, _ time.Duration) (published.Batch, error) {
+func (s *fakeStore) Watch(ctx context.Context, prefix string, after published.Revision, _ time.Duration) (published.Batch, error) {
 	s.mu.Lock()
 	changed := s.changed
 	s.mu.Unlock()
