published, watcher: changes are ordered by the era of the store and its number

Cause: a change was taken only if its revision was above the known one. The store gives revisions out again after it was restored from a copy, so that what was written then was dropped. The class is an order that is taken for total although its counter can go back. Change: revisions have the era of Store-Era. What was known before a restore holds against the copy for 10 s by rules for each kind of item, and what nobody writes again by then is given up.

A version that is written again keeps its age.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,7 @@
 	views      *ring.Ring[*published.View]
 	inbox      *ring.Ring[event]
 	outbound   *ring.Ring[outboundMessage]
-	pulls      *ring.Ring[viewPull]
+	pulls      *ring.Ring[peering.ViewSource]
 	viewClient *viewsync.Client
 	logger     log.Logger
 	metrics    *gatewayMetrics
@@ -113,7 +113,7 @@
 		views:      w.Subscribe(),
 		inbox:      ring.New[event](inboxCapacity, ring.Wait),
 		outbound:   ring.New[outboundMessage](1, ring.DropOldest),
-		pulls:      ring.New[viewPull](1, ring.Refuse),
+		pulls:      ring.New[peering.ViewSource](1, ring.Refuse),
 		viewClient: viewsync.NewClient(codec.Published),
 		logger:     logger,
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -122,27 +122,21 @@
 			return nil
 		}
 		if err := g.pullView(ctx, p); err != nil {
-			_ = g.logger.Log("event", "peer-unreadable", "peer", p.peer, "err", err)
+			_ = g.logger.Log("event", "peer-unreadable", "peer", p.Control, "err", err)
 		}
 		_ = duty.Sleep(ctx, pullInterval)
 	}
 }
 
-// viewPull is a request to read from a peer the changes after a revision.
-type viewPull struct {
-	peer  string
-	after published.Revision
-}
-
-func (g *Gateway) pullView(ctx context.Context, p viewPull) error {
-	b, err := g.viewClient.Changes(ctx, p.peer, p.after, "")
+func (g *Gateway) pullView(ctx context.Context, p peering.ViewSource) error {
+	b, err := g.viewClient.Changes(ctx, p.Control, p.After, "")
 	if err != nil {
 		return err
 	}
 	for _, f := range b.Findings {
-		_ = g.logger.Log("event", "item-unreadable", "peer", p.peer, "err", f)
+		_ = g.logger.Log("event", "item-unreadable", "peer", p.Control, "err", f)
 	}
-	_ = g.logger.Log("event", "view-pulled", "peer", p.peer, "after", p.after, "items", len(b.Changes))
+	_ = g.logger.Log("event", "view-pulled", "peer", p.Control, "after", p.After, "items", len(b.Changes))
 	return g.watcher.EnqueuePeerChanges(ctx, b)
 }
 
@@ -222,15 +216,15 @@
 	}
 	_ = g.outbound.Put(ctx, outboundMessage{
 		message: peering.Message{
-			From: g.settings.Peers, Control: g.settings.Control, Revision: r.revision,
+			From: g.settings.Peers, Control: g.settings.Control, Revision: r.revision, Config: r.view.ConfigVersion(),
 			Region: g.settings.Dispatch.Region, Leaving: leaving,
 			Loads: r.core.Loads(), Demands: demands, Crashes: r.core.Detector().Reports(now), Peers: r.peers.KnownPeers(),
 			Versions: versions, Limits: r.core.LimitReports(),
 		},
 		targets: r.peers.Targets(now),
 	})
-	if peer, ok := r.peers.PeerWithNewerView(now, r.revision); ok {
-		_ = g.pulls.Put(ctx, viewPull{peer: peer, after: r.revision})
+	if source, ok := r.peers.PeerWithNewerView(now, r.revision, r.view.ConfigVersion()); ok {
+		_ = g.pulls.Put(ctx, source)
 	}
 }
 
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -72,6 +72,8 @@
 	Region  fleet.Region `json:"region"`
 	// Revision is the revision of the newest item in the sender's view.
 	Revision published.Revision `json:"rev"`
+	// Config is the version of the configuration in the sender's view.
+	Config int64 `json:"cfg,omitempty"`
 	// Loads is the sender's load at each upstream.
 	Loads map[fleet.InstanceID]Load `json:"loads,omitempty"`
 	// Demands is the demand for each service at the sender.
@@ -150,6 +152,7 @@
 	region   fleet.Region
 	lastSeen time.Time
 	revision published.Revision
+	config   int64
 	leaving  bool
 	loads    map[fleet.InstanceID]Load
 	demands  map[fleet.Service]Demand
@@ -191,7 +194,7 @@
 	if p == nil {
 		return
 	}
-	p.control, p.region, p.lastSeen, p.revision = m.Control, m.Region, now, m.Revision
+	p.control, p.region, p.lastSeen, p.revision, p.config = m.Control, m.Region, now, m.Revision, m.Config
 	p.loads, p.demands, p.leaving = m.Loads, m.Demands, m.Leaving
 	for _, a := range m.Peers {
 		if a != t.self {
@@ -391,22 +394,37 @@
 	return out
 }
 
-// PeerWithNewerView returns the control address of the peer with the newest view
-// if that view is newer than a revision.
-func (t *Table) PeerWithNewerView(now time.Time, revision published.Revision) (string, bool) {
-	var best *member
+// ViewSource is a peer whose view is worth reading.
+type ViewSource struct {
+	// Control is the address at which the view can be read.
+	Control string
+	// After is the revision after which changes are missing.
+	After published.Revision
+}
+
+// PeerWithNewerView returns the peer with the newest view, if that view is newer than a
+// revision, or else one with a later version of the configuration: after a restore of the
+// store, a process that has just started may have an older one under the same revision.
+func (t *Table) PeerWithNewerView(now time.Time, revision published.Revision, config int64) (ViewSource, bool) {
+	var newest, ahead *member
 	for _, p := range t.members {
-		if now.Sub(p.lastSeen) > loadTTL || p.revision <= revision || p.control == "" {
+		if now.Sub(p.lastSeen) > loadTTL || p.control == "" {
 			continue
 		}
-		if best == nil || p.revision > best.revision {
-			best = p
+		if p.revision > revision && (newest == nil || p.revision > newest.revision) {
+			newest = p
+		}
+		if p.config > config && (ahead == nil || p.config > ahead.config) {
+			ahead = p
 		}
 	}
-	if best == nil {
-		return "", false
+	switch {
+	case newest != nil:
+		return ViewSource{Control: newest.control, After: revision}, true
+	case ahead != nil:
+		return ViewSource{Control: ahead.control}, true
 	}
-	return best.control, true
+	return ViewSource{}, false
 }
 
 // Targets returns the peers that the next message is sent to: up to Fanout peers
--- a/lib/published/ages.go
+++ b/lib/published/ages.go
@@ -80,7 +80,8 @@
 
 // withAges returns the desired version with the ages that a peer reports, and
 // whether they differ from what was known. Revisions distinguish a version that became
-// desired again from the earlier time. An earlier observation replaces a later one, and
+// desired again from the earlier time; across a restore of the store, the same version is
+// one that was written again. An earlier observation replaces a later one, and
 // versions that this process missed are added to the previous ones. Reports of newer
 // revisions are ignored, since their item follows, and so are those without a revision.
 func (d DesiredVersion) withAges(now time.Time, ages []VersionAge) (DesiredVersion, bool) {
@@ -90,7 +91,7 @@
 		firstSeen := now.Add(-time.Duration(a.AgeMS) * time.Millisecond)
 		switch {
 		case a.Revision == 0:
-		case a.Revision == d.Revision && a.Version == d.Version:
+		case a.Version == d.Version && (a.Revision == d.Revision || a.Revision.Era() != d.Revision.Era()):
 			changed = setEarlier(&d.FirstSeen, firstSeen) || changed
 		case a.Revision < d.Revision:
 			previous := PreviousVersion{Version: a.Version, Revision: a.Revision, FirstSeen: firstSeen}
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -272,3 +272,12 @@
 	OutOfService map[fleet.FailureDomain]bool
 	Desired      map[string]DesiredVersion
 }
+
+// ConfigVersion returns the version of the configuration, or 0 if none is known. It may
+// be called on a nil view.
+func (v *View) ConfigVersion() int64 {
+	if v == nil || v.Config == nil {
+		return 0
+	}
+	return v.Config.Version
+}
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -35,8 +35,6 @@
 type Batch struct {
 	Changes  []Change
 	Revision Revision
-	// Era counts how often the store was restored from a copy; 0 if it is not known.
-	Era      uint64
 	Findings []error
 	// Ages holds what a peer reports about the desired versions, by model.
 	Ages map[string][]VersionAge
@@ -49,19 +47,11 @@
 // OutOfService marks a failure domain that operators took out of service.
 type OutOfService struct{ Domain fleet.FailureDomain }
 
-// entry is the newest change of one key. Its item is nil if the key was removed.
-type entry struct {
-	revision Revision
-	item     any
-	raw      []byte
-	// expiresAt is when an item that was missing from a snapshot is removed;
-	// zero if it was present.
-	expiresAt time.Time
-}
-
 // State builds a view from changes. It is owned by one duty. For each key it
 // keeps the change with the greatest revision, so the result does not depend on
-// the order in which changes arrive or on the process that sends them.
+// the order in which changes arrive or on the process that sends them. What was known
+// before the store was restored from a copy holds against the copy for a while; see
+// restore.go.
 type State struct {
 	revision Revision
 	items    map[string]entry
@@ -72,11 +62,32 @@
 	// completeUpTo is the revision up to which items has every existing key. A
 	// change of an unknown key up to this revision was superseded by a removal.
 	completeUpTo Revision
+	// eraSince is when the first snapshot of the current era was applied.
+	eraSince time.Time
 	// older counts the changes that were dropped because a newer one of their key is
 	// known.
 	older int
 }
 
+// entry is the newest change of one key. Its item is nil if the key was removed.
+type entry struct {
+	revision Revision
+	item     any
+	raw      []byte
+	// expiresAt is when successor replaces the entry, or removes it if that is nil;
+	// zero if nothing does.
+	expiresAt time.Time
+	successor *entry
+}
+
+// entryOf returns the entry that a change makes.
+func entryOf(c *Change) entry {
+	if c.Removed {
+		return entry{revision: c.Revision}
+	}
+	return entry{revision: c.Revision, item: c.Item, raw: c.Raw}
+}
+
 // NewState returns a state without items.
 func NewState() *State {
 	return &State{items: map[string]entry{}, desired: map[string]DesiredVersion{}, view: &View{}}
@@ -85,11 +96,22 @@
 // View returns the current view.
 func (s *State) View() *View { return s.view }
 
-// Apply applies changes up to a revision. It reports whether the view changed.
+// Apply applies changes of the store, in their order, up to a revision. It reports
+// whether the view changed.
 func (s *State) Apply(now time.Time, changes []Change, revision Revision) bool {
+	return s.apply(now, changes, revision, false)
+}
+
+// ApplyPeer applies what a peer knows. Peers may be behind, so their changes cannot
+// restore an item that was missing from a snapshot. It reports whether the view changed.
+func (s *State) ApplyPeer(now time.Time, changes []Change, revision Revision) bool {
+	return s.apply(now, changes, revision, true)
+}
+
+func (s *State) apply(now time.Time, changes []Change, revision Revision, fromPeer bool) bool {
 	changed := false
 	for i := range changes {
-		changed = s.applyChange(&changes[i]) || changed
+		changed = s.applyChange(now, &changes[i], fromPeer) || changed
 	}
 	s.revision = max(s.revision, revision)
 	if changed {
@@ -100,26 +122,27 @@
 
 // Replace applies a snapshot. Items that are missing from it are removed:
 // upstreams after LapseGrace, because registrations expire while the store is
-// unavailable, and all other items immediately. It reports whether the view
-// changed.
+// unavailable, and all other items immediately unless the store was restored from a
+// copy. A snapshot of an earlier era than a previous one is ignored. It reports whether
+// the view changed.
 func (s *State) Replace(now time.Time, snapshot []Change, revision Revision) bool {
+	if revision.Era() < s.completeUpTo.Era() {
+		return false
+	}
+	if !s.hasSnapshot || revision.Era() > s.completeUpTo.Era() {
+		s.eraSince = now
+	}
 	present := make(map[string]bool, len(snapshot))
 	changed := false
 	for i := range snapshot {
 		present[snapshot[i].Key] = true
-		changed = s.store(&snapshot[i]) || changed
+		changed = s.store(now, &snapshot[i], true) || changed
 	}
 	for key, e := range s.items {
 		if present[key] || e.item == nil || e.revision > revision {
 			continue
 		}
-		if _, ok := e.item.(*Upstream); !ok {
-			s.items[key] = entry{revision: e.revision}
-			changed = true
-		} else if e.expiresAt.IsZero() {
-			e.expiresAt = now.Add(LapseGrace)
-			s.items[key] = e
-		}
+		changed = s.remove(now, key, revision) || changed
 	}
 	s.revision = max(s.revision, revision)
 	s.completeUpTo = max(s.completeUpTo, revision)
@@ -130,15 +153,42 @@
 	return changed
 }
 
-// Expire removes upstreams whose LapseGrace has passed. It reports whether the
-// view changed.
+// remove removes an item that is missing from a snapshot with a revision. It reports
+// whether it did so at once.
+func (s *State) remove(now time.Time, key string, revision Revision) bool {
+	e := s.items[key]
+	_, isUpstream := e.item.(*Upstream)
+	restored := e.revision.Era() < revision.Era()
+	if !isUpstream && !restored {
+		s.items[key] = entry{revision: e.revision}
+		return true
+	}
+	if e.expiresAt.IsZero() {
+		e.expiresAt = now.Add(LapseGrace)
+		if !isUpstream {
+			e.expiresAt = s.restoreDeadline()
+		}
+	}
+	if restored {
+		e.successor = &entry{revision: revision}
+	}
+	s.items[key] = e
+	return false
+}
+
+// Expire replaces items whose time has passed: it removes upstreams after LapseGrace.
+// It reports whether the view changed.
 func (s *State) Expire(now time.Time) bool {
 	changed := false
 	for key, e := range s.items {
 		if e.expiresAt.IsZero() || now.Before(e.expiresAt) {
 			continue
 		}
-		s.items[key] = entry{revision: e.revision}
+		next := entry{revision: e.revision}
+		if e.successor != nil {
+			next = *e.successor
+		}
+		s.items[key] = next
 		changed = true
 	}
 	if changed {
@@ -147,23 +197,27 @@
 	return changed
 }
 
-// applyChange stores a change that may come from a peer. Peers may be behind, so
-// their changes cannot restore an item that was missing from a snapshot.
-func (s *State) applyChange(c *Change) bool {
+// applyChange applies a change of the store or of a peer.
+func (s *State) applyChange(now time.Time, c *Change, fromPeer bool) bool {
 	old, known := s.items[c.Key]
+	if known && s.wasLost(now, &old, c) {
+		s.items[c.Key] = entry{revision: c.Revision, item: c.Item, raw: c.Raw, expiresAt: s.restoreDeadline(), successor: &old}
+		return true
+	}
 	if known && c.Revision <= old.revision || !known && c.Revision <= s.completeUpTo {
 		if c.Revision < max(old.revision, s.completeUpTo) {
 			s.older++
 		}
 		return false
 	}
-	return s.store(c)
+	return s.store(now, c, fromPeer)
 }
 
 // store stores a change if its key is unknown, if the stored change of the key
-// is older, or if that item is set to expire. It reports whether the view has to
-// be rebuilt.
-func (s *State) store(c *Change) bool {
+// is older, or if that item is set to expire. copied is set if the change may come from
+// the copy from which the store was restored. It reports whether the view has to be
+// rebuilt.
+func (s *State) store(now time.Time, c *Change, copied bool) bool {
 	old, known := s.items[c.Key]
 	if known && old.expiresAt.IsZero() && c.Revision <= old.revision {
 		if c.Revision < old.revision {
@@ -171,10 +225,14 @@
 		}
 		return false
 	}
-	next := entry{revision: max(c.Revision, old.revision)}
-	if !c.Removed {
-		next.item, next.raw = c.Item, c.Raw
+	if known && s.holdsAgainst(now, &old, c, copied) {
+		next := entryOf(c)
+		old.expiresAt, old.successor = s.restoreDeadline(), &next
+		s.items[c.Key] = old
+		return false
 	}
+	next := entryOf(c)
+	next.revision = max(c.Revision, old.revision)
 	s.items[c.Key] = next
 	return c.Revision != old.revision || !known
 }
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -22,7 +22,8 @@
 	// out of date.
 	Snapshot(ctx context.Context, prefix string, stale bool) (published.Batch, error)
 	// Watch waits for changes after a revision, for at most wait. It returns
-	// published.ErrCompacted if the source no longer has the history.
+	// published.ErrCompacted if the source does not have the history. A batch of another
+	// era may lack changes.
 	Watch(ctx context.Context, prefix string, after published.Revision, wait time.Duration) (published.Batch, error)
 }
 
@@ -66,8 +67,6 @@
 	// unavailable are owned by the duty readSource.
 	lastRevision published.Revision
 	unavailable  bool
-	// era is the era of the last read. It is owned by the duty readSource.
-	era uint64
 }
 
 // query is a peer's request for the changes after a revision.
@@ -163,6 +162,9 @@
 		} else {
 			u.Batch, err = w.source.Watch(ctx, w.prefix, w.lastRevision, w.wait)
 		}
+		if err == nil {
+			err = w.checkEra(&u)
+		}
 		if err != nil {
 			// Registrations may have expired meanwhile, and only a snapshot shows
 			// which items are missing.
@@ -177,7 +179,9 @@
 		w.logRegained()
 		delay = retryMin
 		needSnapshot = false
-		w.logEra(&u.Batch)
+		if u.Revision.Era() > w.lastRevision.Era() {
+			_ = w.logger.Log("event", "store-restored", "revision", u.Revision, "known", w.lastRevision)
+		}
 		w.lastRevision = u.Revision
 		hasChanges := len(u.Changes) > 0
 		for _, f := range u.Findings {
@@ -203,9 +207,9 @@
 	}
 }
 
-// logLost logs the first failed read of an outage, except for compaction.
+// logLost logs the first failed read of an outage, except for compaction and restores.
 func (w *Watcher) logLost(ctx context.Context, err error) {
-	if w.unavailable || ctx.Err() != nil || errors.Is(err, published.ErrCompacted) {
+	if w.unavailable || ctx.Err() != nil || errors.Is(err, published.ErrCompacted) || errors.Is(err, errOtherEra) {
 		return
 	}
 	w.unavailable = true
@@ -220,13 +224,17 @@
 	}
 }
 
-// logEra logs that the source was restored from a copy.
-func (w *Watcher) logEra(b *published.Batch) {
-	if b.Era == w.era {
-		return
+// errOtherEra ends a read of the source that belongs to another era than the last one.
+var errOtherEra = errors.New("read of another era of the store")
+
+// checkEra returns an error if changes may be missing from a read because the source was
+// restored meanwhile, or if the read is of an earlier era than a previous one.
+func (w *Watcher) checkEra(u *Update) error {
+	era, known := u.Revision.Era(), w.lastRevision.Era()
+	if era < known || era > known && !u.Snapshot {
+		return errOtherEra
 	}
-	_ = w.logger.Log("event", "store-restored", "era", b.Era, "was", w.era, "revision", b.Revision, "known", w.lastRevision)
-	w.era = b.Era
+	return nil
 }
 
 // logOlder logs how many changes of the source were dropped as older than what is known.
@@ -234,7 +242,7 @@
 	if older == 0 || u.FromPeer {
 		return
 	}
-	_ = w.logger.Log("event", "changes-dropped", "dropped", older, "of", len(u.Changes), "snapshot", u.Snapshot, "era", u.Era, "revision", u.Revision)
+	_ = w.logger.Log("event", "changes-dropped", "dropped", older, "of", len(u.Changes), "snapshot", u.Snapshot, "revision", u.Revision)
 }
 
 // maintainState owns the state, applies updates to it and publishes views to the
@@ -247,11 +255,7 @@
 		changed := false
 		select {
 		case u := <-w.updates.Out():
-			if u.Snapshot {
-				changed = state.Replace(time.Now(), u.Changes, u.Revision)
-			} else {
-				changed = state.Apply(time.Now(), u.Changes, u.Revision)
-			}
+			changed = apply(state, &u)
 			w.logOlder(&u, state.TakeOlder())
 			changed = state.ApplyAges(time.Now(), u.Ages) || changed
 			state.Trim()
@@ -268,13 +272,21 @@
 	}
 }
 
+// apply applies an update to the state. It reports whether the view changed.
+func apply(state *published.State, u *Update) bool {
+	now := time.Now()
+	switch {
+	case u.Snapshot:
+		return state.Replace(now, u.Changes, u.Revision)
+	case u.FromPeer:
+		return state.ApplyPeer(now, u.Changes, u.Revision)
+	}
+	return state.Apply(now, u.Changes, u.Revision)
+}
+
 // publish logs a new view and sends it to the subscribers.
 func (w *Watcher) publish(ctx context.Context, v *published.View) {
-	version := int64(0)
-	if v.Config != nil {
-		version = v.Config.Version
-	}
-	_ = w.logger.Log("event", "view", "revision", v.Revision, "config", version,
+	_ = w.logger.Log("event", "view", "revision", v.Revision, "config", v.ConfigVersion(),
 		"upstreams", len(v.Upstreams), "out", len(v.OutOfService))
 	for _, r := range w.views {
 		_ = r.Put(ctx, v)
--- a/loader/duties.go
+++ b/loader/duties.go
@@ -110,7 +110,8 @@
 	var batch published.Batch
 	for _, prefix := range l.settings.ListPrefixes {
 		part, err := l.store.Snapshot(ctx, prefix, true)
-		if err != nil {
+		restored := len(batch.Changes) > 0 && part.Revision.Era() != batch.Revision.Era()
+		if err != nil || restored {
 			return peering.Roster{}, false
 		}
 		batch.Changes = append(batch.Changes, part.Changes...)
