node: an index that is given out again hides no document

What operators saw: nothing yet; found by the look for the cause of the restored store at the other front end. A document that is published after the configuration service was restored from a copy, under the index of the last read, reaches no process until the next one is published. Cause: the same class: the index was taken for the identity of a value although the service's counter may go back. The order of documents is not affected, it is that of their own generations. Change: a value counts as new if its index or its digest differs. The stand-in can go back to an earlier value and index.

--- a/lib/node/watch.go
+++ b/lib/node/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/zeebo/blake3"
 
 	"rattanspur.example/lib/confservice"
 	"rattanspur.example/lib/duty"
@@ -68,6 +69,9 @@
 	node    *Node
 	service *confservice.ConfigService
 	index   uint64
+	// digest is that of the last value. After a restore, the service may give out an
+	// index again for another value.
+	digest [32]byte
 	// size is the length of the last value, in bytes.
 	size   int
 	outage outage
@@ -134,8 +138,9 @@
 	w.outage.recordSuccess()
 	w.size = len(value.Bytes)
 	_ = w.node.inbox.Put(ctx, serviceRead{})
-	if value.Index != index {
-		w.index = value.Index
+	digest := blake3.Sum256(value.Bytes)
+	if value.Index != index || digest != w.digest {
+		w.index, w.digest = value.Index, digest
 		_ = w.node.documents.Put(ctx, document{bytes: value.Bytes})
 	}
 	return nil
--- a/standin/services.go
+++ b/standin/services.go
@@ -72,6 +72,23 @@
 	s.changed = make(chan struct{})
 }
 
+// Restore brings back an earlier value of a key with an earlier index, as after a
+// restore from a copy. Waiting watches end as if the connection broke.
+func (s *ConfigService) Restore(key string, value []byte, index uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.values[key], s.index = value, index
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Index returns the index of the newest value.
+func (s *ConfigService) Index() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.index
+}
+
 // Handler serves reads, watches and writes of values.
 func (s *ConfigService) Handler() http.Handler {
 	mux := http.NewServeMux()
