gossip: an instance list is followed after its revisions went back

After a restore of the instance list's service, its lists are ignored until their revisions have passed the old ones: new instances stay unlisted, removed ones listed. Change: a list that is older than the last one is followed once only such lists were read for 10 s, which a lagging copy of the service does not return. Its revisions are then raised above all known ones, since other processes hold listings with greater ones.

--- a/lib/gossip/list.go
+++ b/lib/gossip/list.go
@@ -6,10 +6,19 @@
 	"rattanspur.example/lib/fleet"
 )
 
+// listRestoreDelay is how long only lists with lower revisions must have been read until
+// they are followed: the service was restored from a copy. A copy of the service that
+// lags behind returns such lists as well, but not for so long.
+const listRestoreDelay = 10 * time.Second
+
 // SetList applies a version of the instance list. A revision older than the
 // last one and an empty list are ignored.
 func (t *Table) SetList(list []fleet.Instance, revision uint64, now time.Time) {
-	if revision < t.revision || len(list) == 0 {
+	if len(list) == 0 {
+		return
+	}
+	revision, ok := t.orderRevision(revision, now)
+	if !ok {
 		return
 	}
 	t.revision = revision
@@ -23,6 +32,31 @@
 	t.listed = seen
 }
 
+// orderRevision returns the revision by which a list is ordered among those of other
+// times and processes. ok is false if the list is older than the last one. After a restore
+// of the service, its revisions are raised above all known ones, because listings with
+// lower ones would lose against those that other processes hold.
+func (t *Table) orderRevision(revision uint64, now time.Time) (ordered uint64, ok bool) {
+	ordered = revision + t.revisionOffset
+	if ordered >= t.revision {
+		t.behindSince = time.Time{}
+		return ordered, true
+	}
+	if t.behindSince.IsZero() {
+		t.behindSince = now
+	}
+	if now.Sub(t.behindSince) < listRestoreDelay {
+		return 0, false
+	}
+	greatest := t.revision
+	for _, m := range t.records {
+		greatest = max(greatest, m.Listed.Revision)
+	}
+	t.revisionOffset = greatest + 1 - revision
+	t.behindSince = time.Time{}
+	return greatest + 1, true
+}
+
 func (t *Table) mergeListed(i fleet.Instance, revision uint64, now time.Time) {
 	state := ListedLive
 	if i.State == fleet.StateLeaving {
--- a/lib/gossip/table.go
+++ b/lib/gossip/table.go
@@ -47,6 +47,11 @@
 	listed       map[fleet.InstanceID]bool
 	missingSince map[fleet.InstanceID]time.Time
 	revision     uint64
+	// revisionOffset is added to the revisions of the list, which go back if its service
+	// is restored from a copy. behindSince is since when all lists that were read are
+	// older than the last one that was applied; zero if that is not so.
+	revisionOffset uint64
+	behindSince    time.Time
 
 	// changes counts the changes of records that are visible outside the table.
 	changes uint64
