--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -218,9 +218,13 @@
 // limit to the router.
 func (c *callHandler) Observe(h *exchange.Head) {
 	c.load, c.limit = h.Load, h.Limit
+	if h.Leaving || h.RetryAfter > 0 {
+		c.log("upstream-declines", "leaving", h.Leaving, "after", h.RetryAfter.Seconds())
+	}
 	c.gateway.metrics.recordLimit(h.Limit)
 	_ = c.gateway.inbox.Put(context.Background(), headReceived{ticket: c.ticket, observation: dispatch.Observation{
 		Load: h.Load, Version: h.Version, ColdRemaining: h.ColdRemaining, Limit: h.Limit,
+		Leaving: h.Leaving, RetryAfter: h.RetryAfter,
 	}})
 }
 
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -165,6 +165,8 @@
 	// notices holds the latest loader notice by engine address.
 	notices map[string]receivedNotice
 	limits  *limiter
+	// declined holds the upstreams that want no requests from this entry.
+	declined declinedStarts
 	// place is the place of this entry among those that divide the shared budgets.
 	place quota.Place
 }
@@ -181,6 +183,7 @@
 		timeBudgets: map[string]time.Duration{},
 		notices:     map[string]receivedNotice{},
 		limits:      newLimiter(),
+		declined:    declinedStarts{},
 		place:       quota.Place{Processes: minProcesses},
 	}
 }
@@ -281,6 +284,7 @@
 	}
 	c.expireNotices(now)
 	c.retainLimits(now)
+	c.declined.expire(now)
 	c.setUpdateSlots(now)
 	c.divideSlots(now)
 	return c.drain(now)
@@ -468,7 +472,8 @@
 		return
 	}
 	r.upstream.observe(now, o)
-	if c.limits.table.Observe(now, r.sentAt, r.upstream.limitKey(), o.Limit) {
+	c.declined.observe(now, r.upstream.startKey(), o)
+	if c.limits.table.Observe(now, r.sentAt, r.upstream.startKey(), o.Limit) {
 		c.applyLimits(now)
 	}
 }
--- a/lib/dispatch/limits.go
+++ b/lib/dispatch/limits.go
@@ -80,11 +80,6 @@
 	return quota.Place{Position: unit, Processes: len(p.ownedSince)}.EqualPart(p.total, 0)
 }
 
-// limitKey identifies the start of the upstream in stated limits.
-func (u *upstream) limitKey() ratelimit.Key {
-	return ratelimit.Key{ID: u.ID, StartTime: u.StartTime}
-}
-
 // LimitReports returns what to report to peers about stated limits.
 func (c *Core) LimitReports() []ratelimit.Report { return c.limits.table.Reports() }
 
@@ -148,7 +143,7 @@
 		sharers := map[fleet.Region][]quota.Sharer{}
 		for _, u := range s.upstreams {
 			u.limit = nil
-			limit, ok := l.table.Limit(now, u.limitKey())
+			limit, ok := l.table.Limit(now, u.startKey())
 			if !ok {
 				continue
 			}
@@ -156,7 +151,7 @@
 				sharers[u.region] = c.sharers(now, s, u.region)
 			}
 			u.limit = l.part(now, u, limit, due, sharers[u.region])
-			parts[u.limitKey()] = u.limit
+			parts[u.startKey()] = u.limit
 		}
 	}
 	l.parts = parts
@@ -164,7 +159,7 @@
 
 // part returns this entry's part of the limit of an upstream.
 func (l *limiter) part(now time.Time, u *upstream, limit ratelimit.Limit, due bool, sharers []quota.Sharer) *limitPart {
-	p := l.parts[u.limitKey()]
+	p := l.parts[u.startKey()]
 	total := max(int(math.Ceil(limit.PerSecond*limitWindow.Seconds())), 1)
 	since := now
 	if p == nil {
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -178,7 +178,7 @@
 // acceptable reports whether an upstream may serve a request, regardless of its
 // load.
 func (c *Core) acceptable(now time.Time, s *service, r *request, u *upstream) bool {
-	if u.Draining || c.view.OutOfService[u.Domain] || !c.regionAllowed(r, u) {
+	if u.Draining || c.view.OutOfService[u.Domain] || !c.regionAllowed(r, u) || c.declined.contains(now, u.startKey()) {
 		return false
 	}
 	e := s.published.Engine
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -86,6 +86,11 @@
 	// Limit is what the response states about the rate of requests that the upstream
 	// takes from all entries together.
 	Limit ratelimit.Statement
+	// Leaving is set if the upstream is about to leave and wants no more requests.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no request from this entry; 0 if it did
+	// not say.
+	RetryAfter time.Duration
 }
 
 // Notice is a loader's report of the weights that its engine serves.
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -36,6 +36,10 @@
 	ColdRemaining time.Duration
 	// Limit is what the upstream states about the rate of requests that it takes.
 	Limit ratelimit.Statement
+	// Leaving is whether the upstream is about to leave, and RetryAfter how long it wants
+	// no more requests from this process.
+	Leaving    bool
+	RetryAfter time.Duration
 	// IdleTimeout is how long the upstream keeps an idle connection open; 0 if
 	// not stated.
 	IdleTimeout time.Duration
