--- a/soak/check.go
+++ b/soak/check.go
@@ -14,8 +14,8 @@
 const clockSlack = 200 * time.Millisecond
 
 // verification checks the records of a soak and collects the violations of
-// guarantees. The methods runs, answer, refusedKey and timeLimits each check one
-// group of rules.
+// guarantees. The methods runs, answer, refusedKey, timeLimits and limits each check
+// one group of rules.
 type verification struct {
 	*records
 	violations []string
@@ -45,6 +45,9 @@
 			v.refusedKey(attempt, a)
 		}
 	}
+	if timed {
+		v.limits()
+	}
 	slices.Sort(v.violations)
 	return v.violations
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -121,3 +121,32 @@
 		require.Empty(t, check(r, false))
 	}
 }
+
+// Guards against a check that misses requests beyond a limit that a replica named, and
+// against one that counts those before it was known or of a disturbed gateway.
+func TestRequestsBeyondALimitAreFound(t *testing.T) {
+	spaced := func(spacing time.Duration) *records {
+		r := oneRequest(lookup)
+		first := r.runs["a"][0]
+		for i := range 40 {
+			run := first
+			run.startedAt = first.startedAt.Add(time.Duration(i) * spacing)
+			r.runs["a"] = append(r.runs["a"], run)
+		}
+		r.changes = []change{{category: "limit", value: "r 2", from: first.startedAt.Add(-undisturbedTime - clockSlack)}}
+		return r
+	}
+	violations := func(r *records) []string {
+		v := &verification{records: r}
+		v.limits()
+		return v.violations
+	}
+	require.Len(t, violations(spaced(100*time.Millisecond)), 1)
+	require.Empty(t, violations(spaced(300*time.Millisecond)))
+	early := spaced(100 * time.Millisecond)
+	early.changes[0].from = early.changes[0].from.Add(4 * time.Second)
+	require.Empty(t, violations(early))
+	disturbed := spaced(100 * time.Millisecond)
+	disturbed.disturbances = []disturbance{{target: "g", from: baseTime}}
+	require.Empty(t, violations(disturbed))
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -71,6 +71,8 @@
 		kinds[f.random.IntN(len(kinds))](at, to)
 	}
 	f.planChanges(length)
+	f.planRestores(length)
+	f.planLimits(length)
 	slices.SortStableFunc(f.plan, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 }
 
@@ -287,3 +289,46 @@
 		f.env.store.remove(keyEvacuation + zone)
 	})
 }
+
+const (
+	// maxRestoreAge bounds the age of the copy from which the store is restored.
+	maxRestoreAge = 5 * time.Second
+	// limitTime is how long replicas name a limit.
+	limitTime = 9 * time.Second
+	// maxNamedLimit bounds the limits, in requests per second.
+	maxNamedLimit = 6
+)
+
+// planRestores plans one or two restores of the store. The plans of restores and limits
+// have a source of their own, so that a seed plans the other faults as it did before.
+func (f *faultInjector) planRestores(length time.Duration) {
+	random := rand.New(rand.NewPCG(f.env.options.Seed, 1))
+	for range 1 + random.IntN(2) {
+		at := length/4 + time.Duration(random.Int64N(int64(length/2)))
+		age := time.Duration(random.Int64N(int64(maxRestoreAge)))
+		f.add(at, fmt.Sprintf("the store is restored from a copy that is %s old", age.Round(time.Millisecond)), func() {
+			f.env.restoreStore(age, random)
+		})
+	}
+}
+
+// planLimits plans that some replicas name limits for a while.
+func (f *faultInjector) planLimits(length time.Duration) {
+	random := rand.New(rand.NewPCG(f.env.options.Seed, 2))
+	at := time.Duration(random.Int64N(int64(length / 2)))
+	for _, r := range f.env.replicas() {
+		if random.IntN(2) == 0 {
+			continue
+		}
+		perSecond := 1 + float64(random.IntN(10*(maxNamedLimit-1)))/10
+		var markEnd func()
+		f.add(at, fmt.Sprintf("%s names a limit of %v", r.name, perSecond), func() {
+			id := r.setLimit(perSecond)
+			markEnd = f.env.ledger.addChange("limit", fmt.Sprint(id, " ", perSecond), time.Now())
+		})
+		f.add(at+limitTime, "end: "+r.name+" names a limit", func() {
+			markEnd()
+			r.setLimit(0)
+		})
+	}
+}
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -86,8 +86,9 @@
 // change is a published change that must be obeyed within a time limit after it
 // was acknowledged.
 type change struct {
-	// category is "key", "revoked", "version", "leaving" or "evacuated". value is
-	// the key, the number of the version, the id of the replica or the zone.
+	// category is "key", "revoked", "version", "leaving", "evacuated" or "limit". value
+	// is the key, the number of the version, the id of the replica or the zone; for a
+	// limit, the id of the replica and the requests per second.
 	category string
 	value    string
 	// from is the time of the acknowledgement, to the time when the change stopped
--- a/soak/names.go
+++ b/soak/names.go
@@ -13,6 +13,8 @@
 	headerLoad           = "Rattanspur-Replica-Load"
 	headerNotRun         = "Rattanspur-Not-Executed"
 	headerCustomer       = "Rattanspur-Tenant"
+	headerLimit          = "Server-Limit"
+	headerEra            = "Store-Era"
 	headerWeightVersions = "Rattanspur-Weight-Versions"
 )
 
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -48,6 +48,9 @@
 	withdrawn bool
 	// running is the number of requests that run.
 	running int
+	// limit is the number of requests per second that the replica names in its answers;
+	// 0 if it names none.
+	limit float64
 	// weights is nil at a plain replica.
 	weights *engineWeights
 }
@@ -106,7 +109,7 @@
 		s.ctx, s.cancel = context.WithCancel(r.env.group.Context())
 		s.id = "i-" + strconv.FormatUint(rand.Uint64(), 16)
 		s.startedAtMillis = time.Now().UnixMilli()
-		s.up, s.draining, s.withdrawn, s.running = true, false, false, 0
+		s.up, s.draining, s.withdrawn, s.running, s.limit = true, false, false, 0, 0
 	})
 	r.link.setMode(forwarding)
 }
@@ -198,6 +201,15 @@
 	return d.id, r.env.store.put(keyUpstream+d.id, d.entry)
 }
 
+// setLimit makes the replica name a limit in its answers, or none if it is 0. It returns
+// the id of the replica.
+func (r *replica) setLimit(perSecond float64) (id string) {
+	return call(r.state, func(s *replicaState) string {
+		s.limit = perSecond
+		return s.id
+	})
+}
+
 // admission is a replica's decision on a request and its state at that time.
 type admission struct {
 	// status is 200 if the request may run, another status if it is refused, and 0
@@ -209,12 +221,13 @@
 	ctx context.Context
 	// running is the number of requests that were running already.
 	running int
+	limit   float64
 }
 
 // admit decides on a request by its headers and takes a slot for it if it may run.
 func (r *replica) admit(h http.Header) admission {
 	return call(r.state, func(s *replicaState) admission {
-		a := admission{id: s.id, ctx: s.ctx, running: s.running}
+		a := admission{id: s.id, ctx: s.ctx, running: s.running, limit: s.limit}
 		if s.weights != nil {
 			a.version = s.weights.loaded
 		}
@@ -258,6 +271,9 @@
 	a := r.admit(req.Header)
 	w.Header().Set(headerAttempt, attempt)
 	w.Header().Set(headerLoad, fmt.Sprintf("%d,0,%d", a.running, replicaSlots))
+	if a.limit > 0 {
+		w.Header().Set(headerLimit, strconv.FormatFloat(a.limit, 'f', -1, 64))
+	}
 	switch a.status {
 	case 0:
 		abortResponse(w)
--- a/soak/store.go
+++ b/soak/store.go
@@ -41,13 +41,20 @@
 	compacted uint64
 	// changed is closed on the next change.
 	changed chan struct{}
+	// era counts the restores, from 1. copies holds copies of the store, oldest first,
+	// and lost the last writes that a restore lost and nobody has repeated yet.
+	era    uint64
+	copies []storeCopy
+	lost   map[string]entry
 }
 
 // store simulates the platform's store.
 type store struct{ state *owned[storeState] }
 
 func newStore(g *duty.Group) *store {
-	return &store{state: newOwned(g, "store", &storeState{items: map[string]entry{}, changed: make(chan struct{})})}
+	return &store{state: newOwned(g, "store", &storeState{
+		items: map[string]entry{}, changed: make(chan struct{}), era: 1, lost: map[string]entry{},
+	})}
 }
 
 // put sets the value of a key and returns the time of the acknowledgement.
@@ -66,23 +73,35 @@
 // the time of the acknowledgement.
 func (s *store) commit(e entry) time.Time {
 	return call(s.state, func(st *storeState) time.Time {
-		st.revision++
-		e.Revision = st.revision
-		if e.Deleted {
-			delete(st.items, e.Key)
-		} else {
-			st.items[e.Key] = e
-		}
-		st.history = append(st.history, e)
-		if len(st.history) > maxHistory {
-			st.history = st.history[1:]
-		}
-		close(st.changed)
-		st.changed = make(chan struct{})
+		st.copyIfDue(time.Now())
+		st.commit(e)
 		return time.Now()
 	})
 }
 
+// commit applies a change under a new revision and wakes all watches.
+func (st *storeState) commit(e entry) {
+	st.revision++
+	e.Revision = st.revision
+	delete(st.lost, e.Key)
+	if e.Deleted {
+		delete(st.items, e.Key)
+	} else {
+		st.items[e.Key] = e
+	}
+	st.history = append(st.history, e)
+	if len(st.history) > maxHistory {
+		st.history = st.history[1:]
+	}
+	st.wake()
+}
+
+// wake wakes all watches.
+func (st *storeState) wake() {
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
 // compact discards the history. Watches from an older revision then get 410.
 func (s *store) compact() {
 	apply(s.state, func(st *storeState) { st.history, st.compacted = nil, st.revision })
@@ -104,9 +123,11 @@
 		Items    []entry `json:"items"`
 		More     bool    `json:"has_more"`
 		Revision uint64  `json:"current_rev"`
+
+		era uint64
 	}
-	wire.WriteJSON(w, call(s.state, func(st *storeState) page {
-		p := page{Revision: st.revision}
+	p := call(s.state, func(st *storeState) page {
+		p := page{Revision: st.revision, era: st.era}
 		for key, e := range st.items {
 			if strings.HasPrefix(key, prefix) && key > after {
 				p.Items = append(p.Items, e)
@@ -117,7 +138,14 @@
 			p.Items, p.More = p.Items[:itemsPerPage], true
 		}
 		return p
-	}))
+	})
+	writeInEra(w, p.era, p)
+}
+
+// writeInEra writes an answer of the store.
+func writeInEra(w http.ResponseWriter, era uint64, answer any) {
+	w.Header().Set(headerEra, strconv.FormatUint(era, 10))
+	wire.WriteJSON(w, answer)
 }
 
 // watchResult is the answer to a watch.
@@ -125,8 +153,10 @@
 	Events   []entry `json:"events"`
 	Revision uint64  `json:"current_rev"`
 
-	// compacted says that events after the requested revision were discarded.
+	// compacted says that events after the requested revision were discarded, or that
+	// the store does not have the revision.
 	compacted bool
+	era       uint64
 	// changed is closed on the next change.
 	changed chan struct{}
 }
@@ -147,16 +177,17 @@
 		found := call(s.state, func(st *storeState) watchResult { return st.eventsSince(q.Get("prefix"), after) })
 		switch {
 		case found.compacted:
+			w.Header().Set(headerEra, strconv.FormatUint(found.era, 10))
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(found.Events) > 0:
-			wire.WriteJSON(w, found)
+			writeInEra(w, found.era, found)
 			return
 		}
 		select {
 		case <-found.changed:
 		case <-timer.C:
-			wire.WriteJSON(w, found)
+			writeInEra(w, found.era, found)
 			return
 		case <-r.Context().Done():
 			return
@@ -166,7 +197,7 @@
 
 // eventsSince returns the events after a revision whose keys have the prefix.
 func (st *storeState) eventsSince(prefix string, after uint64) watchResult {
-	f := watchResult{Revision: st.revision, compacted: after < st.compacted, changed: st.changed}
+	f := watchResult{Revision: st.revision, compacted: after < st.compacted || after > st.revision, changed: st.changed, era: st.era}
 	for _, e := range st.history {
 		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
 			f.Events = append(f.Events, e)
