exchange, gateway: a request is not sent again on a connection that refused it

What callers saw (other operators): 'not run, try again' for requests that a replica ran or was running, or a second run at another replica. Cause: an answer is matched to its request by the request's id. A request that a replica refused may be sent to it again, over the same kept connection; a faulty replica that writes the refusal once more is then taken at its word, while the request runs. Change: a connection remembers which requests it refused (16 at most, then it is closed) and does not carry them again; the next attempt uses another connection. Entries were not affected: their attempts are numbered.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rattanspur.example/lib/dispatch"
@@ -238,16 +239,17 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection to an
-// upstream, or nil if there is none. Reusing the most recent one lets the other
-// connections expire.
-func (r *router) takeIdle(id fleet.InstanceID) *exchange.Conn {
+// upstream on which a request was not refused before, or nil if there is none. Reusing
+// the most recent one lets the other connections expire.
+func (r *router) takeIdle(id fleet.InstanceID, request string) *exchange.Conn {
 	list := r.idleConns[id]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.HasRefused(request) {
+			r.idleConns[id] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	r.idleConns[id] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (r *router) closeExpired(now time.Time) {
@@ -271,7 +273,7 @@
 		case dispatch.Send:
 			req := r.active[a.Ticket]
 			req.upstream, req.inAttempt = a.Upstream, true
-			req.conn = r.takeIdle(a.Upstream)
+			req.conn = r.takeIdle(a.Upstream, req.call.ID)
 			r.recordProbe(req, &a)
 			r.sendCommand(ctx, a.Ticket, command{action: a, conn: req.conn}, false)
 		case dispatch.Deliver:
--- a/lib/exchange/conn.go
+++ b/lib/exchange/conn.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"rattanspur.example/lib/sock"
@@ -33,8 +34,14 @@
 	reader *bufio.Reader
 	// idleUntil is when the connection must be closed if it is idle.
 	idleUntil time.Time
+	// refused holds the IDs of the requests that were refused on the connection.
+	refused []string
 }
 
+// maxRefusals is the number of refusals after which a connection is not reused, so that
+// all of them can be kept.
+const maxRefusals = 16
+
 // Dial opens a connection to the upstream at an address (host:port).
 func Dial(ctx context.Context, address string) (*Conn, error) {
 	c, err := sock.Dial(ctx, "tcp", address)
@@ -88,6 +95,11 @@
 	return now.Before(c.idleUntil) && c.reader.Buffered() == 0 && sock.Reusable(c.net)
 }
 
+// HasRefused reports whether a request was refused on the connection. It must not be sent
+// there again: a faulty upstream may write the refusal once more, and it could not be told
+// from the answer to the new attempt, which may run.
+func (c *Conn) HasRefused(id string) bool { return slices.Contains(c.refused, id) }
+
 // Expired reports whether the idle time of a connection is over.
 func (c *Conn) Expired(now time.Time) bool { return !now.Before(c.idleUntil) }
 
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -301,6 +301,7 @@
 		x.outcome.End = retry.Refused
 	}
 	x.outcome.Detail = resp.Status
+	x.conn.refused = append(x.conn.refused, x.request.ID)
 	x.setReadTimeout(refusalReadTimeout)
 	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHeldBytes))
 	x.finish(resp, h, err)
@@ -479,7 +480,7 @@
 			written = false
 		}
 	}
-	x.outcome.Reusable = err == nil && written && isDelimited(resp) && !h.Close && x.conn.reader.Buffered() == 0
+	x.outcome.Reusable = err == nil && written && isDelimited(resp) && !h.Close && x.conn.reader.Buffered() == 0 && len(x.conn.refused) < maxRefusals
 	if x.outcome.Reusable {
 		x.conn.setIdleTime(time.Now(), h.IdleTimeout)
 		x.outcome.Reusable = !x.conn.Expired(time.Now())
