--- a/agent/ending_test.go
+++ b/agent/ending_test.go
@@ -80,3 +80,17 @@
 		}
 	}
 }
+
+// Guards against a success with an empty or short body that is framed as whole: the
+// upstream stops somewhere in the head of its answer and closes.
+func TestHeadOfAnUpstreamThatBreaksOff(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Other: value\r\n\r\n"
+	for n := range len(whole) {
+		a := scriptedAgent(t, socktest.Respond(whole[:n], socktest.FIN))
+		call := testCall(context.Background(), fleet.Digest{}, "")
+		require.Equal(t, gate.ConnectionLost, a.sendUpstream(call), "after %q", whole[:n])
+		passed, err := drain(t, call.stream)
+		require.NoError(t, err)
+		require.Contains(t, passed, `"outcome":"unknown"`)
+	}
+}
