--- a/soak/faults.go
+++ b/soak/faults.go
@@ -295,8 +295,10 @@
 	maxRestoreAge = 5 * time.Second
 	// limitTime is how long replicas name a limit.
 	limitTime = 9 * time.Second
-	// maxNamedLimit bounds the limits, in requests per second.
-	maxNamedLimit = 6
+	// minNamedLimit and maxNamedLimit bound the limits, in tenths of requests per second.
+	// They are far below what a replica gets.
+	minNamedLimit = 5
+	maxNamedLimit = 20
 )
 
 // planRestores plans one or two restores of the store. The plans of restores and limits
@@ -320,7 +322,7 @@
 		if random.IntN(2) == 0 {
 			continue
 		}
-		perSecond := 1 + float64(random.IntN(10*(maxNamedLimit-1)))/10
+		perSecond := float64(minNamedLimit+random.IntN(maxNamedLimit-minNamedLimit)) / 10
 		var markEnd func()
 		f.add(at, fmt.Sprintf("%s names a limit of %v", r.name, perSecond), func() {
 			id := r.setLimit(perSecond)
