soak: the configuration is published several times before a restore

Change: 40 versions of the configuration are published in the time that the restore loses; only the last one is written again.

--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -21,6 +21,8 @@
 	// currentKey.
 	version               int64
 	addedKey, previousKey string
+	// keys are the keys in the newest published configuration.
+	keys []string
 	// currentKey is the newest key that every gateway should know; callers use it.
 	currentKey atomic.Pointer[string]
 	// revokedKey is the key that was revoked last; nil if none was.
@@ -55,10 +57,18 @@
 	c.revokedKey.Store(&old)
 }
 
+// republish publishes the same keys again, under further versions.
+func (c *configuration) republish(times int) {
+	for range times {
+		c.publish(c.keys...)
+	}
+}
+
 // publish publishes a configuration with the given keys and returns the time of
 // the acknowledgement.
 func (c *configuration) publish(keys ...string) time.Time {
 	c.version++
+	c.keys = keys
 	route := func(name, kind, service string, timeout, goal int, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": hostName, "prefix": "/" + name + "/", "route_kind": kind, "service": service,
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -293,6 +293,10 @@
 const (
 	// maxRestoreAge bounds the age of the copy from which the store is restored.
 	maxRestoreAge = 5 * time.Second
+	// lostVersions is the number of versions of the configuration that are published
+	// shortly before a restore. Only the last one is written again, so that the store's
+	// revisions stay below those that are known for a while.
+	lostVersions = 40
 	// limitTime is how long replicas name a limit.
 	limitTime = 9 * time.Second
 	// minNamedLimit and maxNamedLimit bound the limits, in tenths of requests per second.
@@ -308,6 +312,7 @@
 	for range 1 + random.IntN(2) {
 		at := length/4 + time.Duration(random.Int64N(int64(length/2)))
 		age := time.Duration(random.Int64N(int64(maxRestoreAge)))
+		f.add(max(at-age/2, 0), "the configuration is published several times", func() { f.env.config.republish(lostVersions) })
 		f.add(at, fmt.Sprintf("the store is restored from a copy that is %s old", age.Round(time.Millisecond)), func() {
 			f.env.restoreStore(age, random)
 		})
