emulator: time until a request is refused

Cause: runs did not show how long callers wait for a refusal. Change: runs report how many refusals there were and after what time on average.

--- a/emulator/call.go
+++ b/emulator/call.go
@@ -25,9 +25,11 @@
 	// events counts the events received, of which the last arrived at lastEventAt.
 	events      int
 	lastEventAt time.Time
-	late        bool
-	done        bool
-	job         *job
+	// arrivedAt is when the call last arrived at a gateway.
+	arrivedAt time.Time
+	late      bool
+	done      bool
+	job       *job
 }
 
 // remainingTokens returns the number of tokens that an engine has yet to
@@ -59,6 +61,7 @@
 // has a retry left and the delay leaves it enough time.
 func (c *call) refused(after time.Duration) {
 	c.rejections++
+	c.sim.result.RefusedAfter = append(c.sim.result.RefusedAfter, c.sim.clock.now.Sub(c.arrivedAt))
 	left := c.deadline.Sub(c.sim.clock.now)
 	if c.retriesLeft == 0 || after > left/3 {
 		c.finish(outcomeRefused)
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -133,7 +133,7 @@
 // arrive handles a request of a caller.
 func (g *gateway) arrive(c *call) {
 	g.next++
-	c.ticket, c.gateway = g.next, g
+	c.ticket, c.gateway, c.arrivedAt = g.next, g, g.sim.clock.now
 	g.calls[c.ticket] = c
 	path := "/" + c.class.Name + "/"
 	g.execute(g.core.Arrive(g.sim.clock.now, c.ticket, dispatch.Call{
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -57,6 +57,9 @@
 	Total   Tally
 	Classes map[string]*Tally
 	Seconds []Tally
+	// RefusedAfter holds the times from the arrival of requests at a gateway until it
+	// refused them.
+	RefusedAfter []time.Duration
 	// LoadedAfter holds the times from the publication of the weights until each
 	// engine served them, in that order.
 	LoadedAfter []time.Duration
@@ -73,15 +76,20 @@
 }
 
 // MeanOutFor returns the mean of OutFor, or 0 if there was no change of weights.
-func (r *Result) MeanOutFor() time.Duration {
-	if len(r.OutFor) == 0 {
+func (r *Result) MeanOutFor() time.Duration { return mean(r.OutFor) }
+
+// MeanRefusedAfter returns the mean of RefusedAfter, or 0 if nothing was refused.
+func (r *Result) MeanRefusedAfter() time.Duration { return mean(r.RefusedAfter) }
+
+func mean(list []time.Duration) time.Duration {
+	if len(list) == 0 {
 		return 0
 	}
 	var sum time.Duration
-	for _, d := range r.OutFor {
+	for _, d := range list {
 		sum += d
 	}
-	return sum / time.Duration(len(r.OutFor))
+	return sum / time.Duration(len(list))
 }
 
 func newResult(length time.Duration) *Result {
