dispatch: requests that would wait in vain are rejected at once

What callers saw: during overload, as while upstreams state limits, most refusals came after a wait of 120 to 400 ms that could be foreseen to be in vain. Cause: a request waited for its whole time in the queue unless nothing was sent at all. Change: the wait is forecast from the requests ahead in the fair queue and the rate of sends in the last second; a request whose forecast is twice the time that it may wait is rejected on arrival.

--- a/lib/admission/queue.go
+++ b/lib/admission/queue.go
@@ -104,6 +104,27 @@
 	return Queued
 }
 
+// Ahead estimates how many waiting calls are taken before a call of a customer with a
+// priority: those of that customer which go before it, and as many of each other one.
+func (q *Queue[T]) Ahead(c fleet.Customer, priority int) int {
+	own := 0
+	if f := q.flows[c]; f != nil {
+		for i := range f.waiting {
+			if f.waiting[i].Priority < priority {
+				break
+			}
+			own++
+		}
+	}
+	ahead := own
+	for _, f := range q.active {
+		if f.customer != c {
+			ahead += min(len(f.waiting), own+1)
+		}
+	}
+	return ahead
+}
+
 // PutBack puts back a call that was taken but could not be sent. The call keeps
 // its position, its cost is credited to its customer again, and limits do not
 // apply.
--- a/lib/admission/queue_test.go
+++ b/lib/admission/queue_test.go
@@ -175,3 +175,22 @@
 		q.Push(start, it)
 	}
 }
+
+// Guards against an estimate of the calls ahead that ignores priorities within a customer,
+// or the round robin between customers.
+func TestCallsAhead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := New[int](Limits{PerCustomer: 10, Total: 100})
+	push := func(c fleet.Customer, priority int) {
+		require.Equal(t, Queued, q.Push(now, Item[int]{Customer: c, Priority: priority, Deadline: now.Add(time.Second)}))
+	}
+	for _, priority := range []int{1, 1, 2, 3} {
+		push("many", priority)
+	}
+	push("one", 1)
+	require.Equal(t, 5, q.Ahead("many", 1))
+	require.Equal(t, 3, q.Ahead("many", 2))
+	require.Equal(t, 1, q.Ahead("many", 4))
+	require.Equal(t, 2, q.Ahead("none", 1))
+	require.Equal(t, 3, q.Ahead("one", 1))
+}
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -141,6 +141,8 @@
 	// idleSince is when the waiting requests last made progress: one was sent, or the
 	// first one began to wait.
 	idleSince time.Time
+	// newProgress and returningProgress measure how fast the waiting requests are sent.
+	newProgress, returningProgress progress
 	// meanFirstByte is the mean of the upstreams' mean times to the first byte.
 	meanFirstByte time.Duration
 	// coldBudget is how many requests all entries together may send to a cold
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -56,6 +56,7 @@
 	if u == nil {
 		return Send{}, false
 	}
+	s.progressOf(r).sends.Add(now)
 	send := c.send(now, s, r, u)
 	send.Probe = c.recordSent(now, r, u, d)
 	return send, true
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -41,14 +41,18 @@
 	if s.stalled(now) {
 		return c.giveUp(now, r, "waiting requests make no progress")
 	}
-	reason := s.push(now, admission.Item[*request]{
+	it := admission.Item[*request]{
 		Customer: r.customerName(),
 		Priority: c.priority(r, until),
 		Cost:     1 + r.PromptTokens/promptTokensPerUnit + r.MaxAnswerTokens/answerTokensPerUnit,
 		Deadline: until,
 		Value:    r,
-	})
-	if reason != admission.Queued {
+	}
+	if s.hopeless(now, &it) {
+		s.recordRejection(now, r)
+		return c.giveUp(now, r, "too many requests wait")
+	}
+	if reason := s.push(now, it); reason != admission.Queued {
 		return c.giveUp(now, r, string(reason))
 	}
 	return c.drain(now)
@@ -144,6 +148,7 @@
 		for _, queues := range groups {
 			actions = c.drainQueues(now, s, queues, actions)
 		}
+		s.updateProgress(now)
 	}
 	return actions
 }
--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -205,8 +205,13 @@
 // expire rejects a request whose wait is over. A suspected request waited for one
 // upstream, which says nothing about the capacity of the service.
 func (c *Core) expire(now time.Time, s *service, r *request) []Action {
+	s.recordRejection(now, r)
+	return c.giveUp(now, r, "no upstream had room in time")
+}
+
+// recordRejection records that a request is rejected for lack of capacity.
+func (s *service) recordRejection(now time.Time, r *request) {
 	if !r.returning && r.suspect == 0 {
 		s.rejectedAt = now
 	}
-	return c.giveUp(now, r, "no upstream had room in time")
 }
