dispatch, quota, ratelimit: limits are divided among few gateways of a large fleet

Cause: at the expected size (760 gateways, 3,010 of 4,300 upstreams in need) one division of all limits each second would take most of a core, gateways hear from each other only in 6.4 s, and repeated reports would fill the budget of messages. Change: each limit is divided among at most 16 gateways, again only if one of their weights changed; the weight of idle gateways changes in steps; a unit rests for as long as all need to hear from each other besides; one message in five repeats reports.

--- a/lib/dispatch/bench_test.go
+++ b/lib/dispatch/bench_test.go
@@ -8,6 +8,7 @@
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/ratelimit"
 	"rattanspur.example/lib/retry"
 )
 
@@ -71,3 +72,34 @@
 		})
 	}
 }
+
+// BenchmarkDivideLimits measures one division of the limits that seven tenths of the
+// engines state, among the gateways of a large site and those of the expected size.
+func BenchmarkDivideLimits(b *testing.B) {
+	for i, n := range benchmarkSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, _ := benchmarkCore(n)
+			sharing := peering.Sharing{Self: "gateway", Settled: true}
+			for peer := range []int{21, 760}[i] - 1 {
+				sharing.Peers = append(sharing.Peers, peering.Sharer{
+					Name: fmt.Sprint("gateway-", peer), Demands: map[fleet.Service]peering.Demand{engine: {Steady: 40}},
+				})
+			}
+			for j := range n * 7 / 10 {
+				u := c.upstreams[fleet.InstanceID(fmt.Sprintf("engine-%04d", j))]
+				c.limits.table.Observe(start, start, u.startKey(), ratelimit.Statement{Kind: ratelimit.Stated, PerSecond: 4})
+			}
+			now := start
+			c.SetSharing(now, sharing)
+			for b.Loop() {
+				// One in twenty gateways changes its demand between two divisions.
+				for j := range len(sharing.Peers) / 20 {
+					p := &sharing.Peers[(int(now.Unix())+j*20)%len(sharing.Peers)]
+					p.Demands = map[fleet.Service]peering.Demand{engine: {Steady: 30 + float64(now.Unix()%20)}}
+				}
+				now = now.Add(divisionInterval)
+				c.SetSharing(now, sharing)
+			}
+		})
+	}
+}
--- a/lib/dispatch/limits.go
+++ b/lib/dispatch/limits.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -18,12 +19,17 @@
 	limitWindow = 4 * time.Second
 	// divisionInterval is the time between two divisions of a limit that did not change.
 	divisionInterval = time.Second
-	// ownershipDelay is how long an entry owns a unit before it uses it. The previous
-	// owner may have used it until it learned of the change.
-	ownershipDelay = limitWindow + divisionInterval
+	// minOwnershipDelay is how long an entry owns a unit before it uses it, in addition to
+	// the time in which all entries hear from each other: the previous owner may have used
+	// it until it learned of the change.
+	minOwnershipDelay = limitWindow + divisionInterval
 	// maxUnits is the maximum number of units of one limit. Units of great limits stand
 	// for several requests.
 	maxUnits = 32
+	// maxCandidates is the maximum number of entries among which one limit is divided.
+	maxCandidates = 16
+	// candidatesUnit is the number of no unit; its key selects the candidates.
+	candidatesUnit = -1
 	// localWeight multiplies the weight of entries in the region of the upstream, so
 	// that requests which only that region may serve find units there.
 	localWeight = 3.0
@@ -46,10 +52,14 @@
 	settledAt time.Time
 	// dividedAt is when the limits were last divided.
 	dividedAt time.Time
+	// candidates holds the positions of the entries among which each limit is divided, as
+	// long as members, which identifies the entries in their order, stays the same.
+	candidates map[ratelimit.Key][]int
+	members    uint64
 }
 
 func newLimiter() *limiter {
-	return &limiter{table: ratelimit.NewTable(), parts: map[ratelimit.Key]*limitPart{}}
+	return &limiter{table: ratelimit.NewTable(), parts: map[ratelimit.Key]*limitPart{}, candidates: map[ratelimit.Key][]int{}}
 }
 
 // limitPart is this entry's part of the limit of one upstream.
@@ -58,6 +68,8 @@
 	total int
 	// ownedSince holds since when this entry owns each unit; zero if it does not.
 	ownedSince []time.Time
+	// weights identifies the entries and the weights by which the units were divided.
+	weights uint64
 	// allowance is the number of requests that this entry may send in limitWindow.
 	allowance int
 	sends     quota.Window
@@ -118,9 +130,21 @@
 	case l.settledAt.IsZero():
 		l.settledAt = now
 	}
+	members := l.self
+	for i := range sharing.Peers {
+		members = fleet.Mix(members) ^ quota.NewSharer(sharing.Peers[i].Name, 0).Process
+	}
+	if members != l.members {
+		l.members, l.candidates = members, map[ratelimit.Key][]int{}
+	}
 	c.applyLimits(now)
 }
 
+// ownershipDelay returns how long this entry owns a unit before it uses it.
+func (l *limiter) ownershipDelay() time.Duration {
+	return minOwnershipDelay + peering.RoundTime(len(l.sharing.Peers))
+}
+
 // retainLimits drops the limits of upstreams that are gone.
 func (c *Core) retainLimits(now time.Time) {
 	c.limits.table.Retain(now, func(k ratelimit.Key) bool {
@@ -134,6 +158,9 @@
 // the limit changed, and otherwise once in divisionInterval.
 func (c *Core) applyLimits(now time.Time) {
 	l := c.limits
+	if l.table.Empty() && len(l.parts) == 0 {
+		return
+	}
 	due := now.Sub(l.dividedAt) >= divisionInterval
 	if due {
 		l.dividedAt = now
@@ -155,6 +182,7 @@
 		}
 	}
 	l.parts = parts
+	maps.DeleteFunc(l.candidates, func(k ratelimit.Key, _ []int) bool { return parts[k] == nil })
 }
 
 // part returns this entry's part of the limit of an upstream.
@@ -168,13 +196,43 @@
 		p, since = &limitPart{}, l.settledAt
 	}
 	if p.total != total || due {
-		p.total = total
-		l.divide(p, u.ID, since, sharers)
+		candidates := l.candidatesFor(u, sharers)
+		weights := fingerprint(candidates)
+		if p.total != total || p.weights != weights {
+			p.total, p.weights = total, weights
+			l.divide(p, u.ID, since, candidates)
+		}
 	}
 	p.allowance = limit.Factor * l.usable(now, p)
 	return p
 }
 
+// fingerprint identifies entries and their weights.
+func fingerprint(sharers []quota.Sharer) uint64 {
+	h := uint64(0)
+	for _, s := range sharers {
+		h = fleet.Mix(h ^ s.Process ^ math.Float64bits(s.Weight))
+	}
+	return h
+}
+
+// candidatesFor returns the entries among which the limit of an upstream is divided.
+func (l *limiter) candidatesFor(u *upstream, sharers []quota.Sharer) []quota.Sharer {
+	if len(sharers) <= maxCandidates {
+		return sharers
+	}
+	positions := l.candidates[u.startKey()]
+	if positions == nil {
+		positions = quota.Candidates(quota.UnitKey(u.ID, candidatesUnit), sharers, maxCandidates)
+		l.candidates[u.startKey()] = positions
+	}
+	out := make([]quota.Sharer, len(positions))
+	for i, position := range positions {
+		out[i] = sharers[position]
+	}
+	return out
+}
+
 // divide determines the units that this entry owns. since is the time from which it
 // owns those that it did not own before.
 func (l *limiter) divide(p *limitPart, id fleet.InstanceID, since time.Time, sharers []quota.Sharer) {
@@ -199,7 +257,7 @@
 	}
 	n := 0
 	for i, since := range p.ownedSince {
-		if !since.IsZero() && now.Sub(since) >= ownershipDelay {
+		if !since.IsZero() && now.Sub(since) >= l.ownershipDelay() {
 			n += p.requestsOf(i)
 		}
 	}
@@ -215,9 +273,10 @@
 	for i := range peers {
 		sum += peers[i].Demands[s.name].Steady
 	}
-	idle := idleWeight * sum / float64(len(peers)+1)
-	if sum == 0 {
-		idle = 1
+	idle := 1.0
+	if sum > 0 {
+		// It changes in steps, since every change of a weight moves units.
+		idle = math.Exp2(math.Round(math.Log2(idleWeight * sum / float64(len(peers)+1))))
 	}
 	weight := func(demand float64, at fleet.Region) float64 {
 		if at == region {
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -455,6 +455,12 @@
 	return out
 }
 
+// RoundTime returns the time in which a process has sent a message to each of a number of
+// peers.
+func RoundTime(peers int) time.Duration {
+	return SendInterval * time.Duration((peers+Fanout-1)/Fanout)
+}
+
 // roundsPerProbe is the number of messages for each probe of a seed or of a peer
 // that sent no message within memberTTL.
 const roundsPerProbe = 2
--- a/lib/quota/division.go
+++ b/lib/quota/division.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"rattanspur.example/lib/fleet"
 )
@@ -53,6 +55,23 @@
 	return owner
 }
 
+// Candidates returns the positions of the sharers among which the units of one budget are
+// divided: at most n of them, by rendezvous hashing without weights, so that a budget has
+// few owners in a large fleet and a change of the fleet moves few budgets.
+func Candidates(key uint64, sharers []Sharer, n int) []int {
+	positions := make([]int, len(sharers))
+	for i := range positions {
+		positions[i] = i
+	}
+	if len(sharers) <= n {
+		return positions
+	}
+	slices.SortFunc(positions, func(a, b int) int {
+		return cmp.Compare(fleet.Mix(key^sharers[b].Process), fleet.Mix(key^sharers[a].Process))
+	})
+	return slices.Clone(positions[:n])
+}
+
 // score returns the process's weighted score for a unit. The greatest one wins.
 func (s Sharer) score(unit uint64) float64 {
 	// A number from 0 to 1, both excluded.
--- a/lib/quota/quota_test.go
+++ b/lib/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,3 +81,24 @@
 		require.True(t, was == is || is == changed, "a unit moved between others")
 	}
 }
+
+// Guards against a budget in a large fleet that many processes own a little of, and
+// against one that moves to other owners when a process joins.
+func TestCandidatesAreFewAndStable(t *testing.T) {
+	weights := make([]float64, 200)
+	for i := range weights {
+		weights[i] = 1
+	}
+	all := sharers(weights...)
+	key := UnitKey("upstream", 0)
+	before, after := Candidates(key, all[:199], 16), Candidates(key, all, 16)
+	require.Len(t, before, 16)
+	kept := 0
+	for _, position := range after {
+		if slices.Contains(before, position) {
+			kept++
+		}
+	}
+	require.GreaterOrEqual(t, kept, 15)
+	require.Equal(t, []int{0, 1, 2, 3, 4}, Candidates(key, all[:5], 16))
+}
--- a/lib/ratelimit/reports.go
+++ b/lib/ratelimit/reports.go
@@ -11,9 +11,11 @@
 	// goes to some peers, which pass it on.
 	messagesPerChange = 6
 	// maxChanges and maxRepeats bound the changed records and the other ones in one
-	// message. Repeated records reach processes that have just started.
-	maxChanges = 32
-	maxRepeats = 4
+	// message. One message in messagesPerRepeat repeats some, for processes that have just
+	// started.
+	maxChanges        = 32
+	maxRepeats        = 8
+	messagesPerRepeat = 5
 	// MaxReports is the maximum number of reports in one message.
 	MaxReports = maxChanges + maxRepeats
 	// maxChange bounds the numbers of changes, so that one in a malformed message leaves
@@ -66,6 +68,10 @@
 		}
 	}
 	t.changed = left
+	t.messages++
+	if t.messages%messagesPerRepeat != 0 {
+		return out
+	}
 	for range min(len(t.order), maxRepeats) {
 		t.next = (t.next + 1) % len(t.order)
 		if r := t.order[t.next]; r.pending == 0 {
--- a/lib/ratelimit/table.go
+++ b/lib/ratelimit/table.go
@@ -54,6 +54,8 @@
 	order   []*record
 	changed []*record
 	next    int
+	// messages counts the calls of Reports.
+	messages int
 	// unseen holds the last changes that were not taken by Changes, up to maxUnseen.
 	unseen []Report
 }
@@ -148,6 +150,9 @@
 	return Limit{PerSecond: r.perSecond, Factor: 2 << (since / rampStep)}, true
 }
 
+// Empty reports whether nothing is known of any limit.
+func (t *Table) Empty() bool { return len(t.order) == 0 }
+
 // Active returns the number of upstreams that state a limit.
 func (t *Table) Active() int {
 	n := 0
--- a/lib/ratelimit/table_test.go
+++ b/lib/ratelimit/table_test.go
@@ -134,6 +134,11 @@
 		b.Merge(start, reports)
 	}
 	require.Equal(t, upstreams, b.Active())
+	started := NewTable()
+	for range messagesPerRepeat * upstreams / maxRepeats {
+		started.Merge(start, a.Reports())
+	}
+	require.Equal(t, upstreams, started.Active(), "a process that starts later learns all")
 	require.LessOrEqual(t, len(a.Reports()), maxRepeats)
 	a.Retain(start.Add(absenceTTL), func(Key) bool { return false })
 	require.Zero(t, a.Active())
