poison: a library keeps the traits that were answered last

Change: golang-lru's simplelru in its place; the test of what is forgotten goes through the detector and checks the same.

--- a/lib/poison/bounds_test.go
+++ b/lib/poison/bounds_test.go
@@ -14,8 +14,7 @@
 // requireBounds checks the limits and that the index agrees with the records.
 func requireBounds(t require.TestingT, d *Detector, now time.Time) {
 	require.LessOrEqual(t, d.Crashes(), MaxRecords)
-	require.LessOrEqual(t, len(d.begun.entries), maxRecentTraits+1)
-	require.Equal(t, len(d.begun.positions), len(d.begun.entries)-1)
+	require.LessOrEqual(t, d.begun.Len(), maxRecentTraits)
 	open, repeated := 0, 0
 	for _, r := range d.evidence.records {
 		require.LessOrEqual(t, len(r.suspects), maxSuspects)
@@ -157,18 +156,15 @@
 
 // Guards against a table of answers that grows or forgets traits in use.
 func TestRecentTraitsForgetTheOldest(t *testing.T) {
-	r := newRecentTraits()
+	d := New("gateway")
 	for i := range Trait(3 * maxRecentTraits) {
-		r.touch(i, start)
-		r.touch(0, start)
+		d.Began(start, []Trait{i})
+		d.Began(start, []Trait{0})
 	}
-	_, found := r.last(0)
-	require.True(t, found)
-	_, found = r.last(2 * maxRecentTraits)
-	require.False(t, found)
-	_, found = r.last(3*maxRecentTraits - 1)
-	require.True(t, found)
-	require.Len(t, r.positions, maxRecentTraits)
+	require.True(t, d.begun.Contains(0))
+	require.False(t, d.begun.Contains(2*maxRecentTraits))
+	require.True(t, d.begun.Contains(3*maxRecentTraits-1))
+	require.Equal(t, maxRecentTraits, d.begun.Len())
 }
 
 // FuzzReports guards against messages that break a gateway.
--- a/lib/poison/detector.go
+++ b/lib/poison/detector.go
@@ -5,18 +5,25 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // probeRepeat is the time between two probes of the same trait by one gateway. The
 // outcome of a probe is known within it unless the answer is late.
 const probeRepeat = 10 * time.Second
 
+// maxRecentTraits is the number of traits whose last answers are remembered.
+const maxRecentTraits = 4096
+
 // Detector holds the evidence of one gateway. It is not safe for concurrent use:
 // the goroutine of one duty owns it.
 type Detector struct {
 	self     string
 	evidence evidence
-	begun    recentTraits
+	// begun holds when answers to requests with a trait last began, for the traits that
+	// were answered last.
+	begun *simplelru.LRU[Trait, time.Time]
 	// findings are the traits of several crashes that are suspected or convicted.
 	// They are derived from the evidence when it has changed since. judged holds
 	// them.
@@ -33,10 +40,14 @@
 // New returns a detector without evidence. The name of the process distinguishes it
 // from others.
 func New(self string) *Detector {
+	begun, err := simplelru.NewLRU[Trait, time.Time](maxRecentTraits, nil)
+	if err != nil {
+		panic(err) // The size is a constant above 0.
+	}
 	return &Detector{
 		self:     self,
 		evidence: newEvidence(),
-		begun:    newRecentTraits(),
+		begun:    begun,
 		findings: map[Trait]*finding{},
 		probes:   map[Trait]time.Time{},
 	}
@@ -61,7 +72,7 @@
 	d.evidence.expire(now)
 	suspects := make([]Suspect, len(traits))
 	for i, t := range traits {
-		begunAt, begun := d.begun.last(t)
+		begunAt, begun := d.begun.Peek(t)
 		suspects[i] = Suspect{
 			Trait: t,
 			Depth: min(i, maxDepth),
@@ -86,7 +97,7 @@
 func (d *Detector) Began(now time.Time, traits []Trait) {
 	d.evidence.expire(now)
 	for _, t := range traits {
-		d.begun.touch(t, now)
+		d.begun.Add(t, now)
 		if len(d.evidence.open[t]) > 0 {
 			d.evidence.clear(now, t)
 		}
