peering, viewsync: numbers and eras of revisions are separate fields

Cause: revisions were sent as one number with the era in its upper bits. Change: messages and views carry the number under its old name and the era beside it; a reader that names no era gets the same numbers. Result: TestRevisionsAreSentWithTheirEra and the tests of published, viewsync, peering, gateway, loader and platform pass. Old and new builds were not run beside each other.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -335,7 +335,7 @@
 		return status == http.StatusOK
 	}, testTimeout, time.Millisecond)
 	revision := source.put("op/version/m", `{"model":"m","version":2}`)
-	g.learnAge("m", published.VersionAge{Version: 2, Revision: revision, AgeMS: time.Minute.Milliseconds()})
+	g.learnAge("m", published.VersionAge{Version: 2, Number: revision.Number(), AgeMS: time.Minute.Milliseconds()})
 	require.Eventually(t, func() bool {
 		status, _ := g.call(http.MethodPost, "/stream/x", "")
 		return status == http.StatusServiceUnavailable
@@ -357,7 +357,7 @@
 	})
 	g := start(t, source)
 	revision := source.put("op/version/m", `{"model":"m","version":2}`)
-	g.learnAge("m", published.VersionAge{Version: 2, Revision: revision, AgeMS: 5000})
+	g.learnAge("m", published.VersionAge{Version: 2, Number: revision.Number(), AgeMS: 5000})
 	result := make(chan string, 1)
 	go func() {
 		_, body := g.call(http.MethodPost, "/stream/x", "")
@@ -379,7 +379,7 @@
 	g := start(t, source)
 	revision := source.put("op/version/m", `{"model":"m","version":2}`)
 	age := func(ms int64) published.VersionAge {
-		return published.VersionAge{Version: 2, Revision: revision, AgeMS: ms}
+		return published.VersionAge{Version: 2, Number: revision.Number(), AgeMS: ms}
 	}
 	require.Eventually(t, func() bool {
 		batch, err := g.gateway.watcher.Since(context.Background(), 0)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -216,7 +216,7 @@
 	}
 	_ = g.outbound.Put(ctx, outboundMessage{
 		message: peering.Message{
-			From: g.settings.Peers, Control: g.settings.Control, Revision: r.revision, Config: r.view.ConfigVersion(),
+			From: g.settings.Peers, Control: g.settings.Control, Number: r.revision.Number(), Era: r.revision.Era(), Config: r.view.ConfigVersion(),
 			Region: g.settings.Dispatch.Region, Leaving: leaving,
 			Loads: r.core.Loads(), Demands: demands, Crashes: r.core.Detector().Reports(now), Peers: r.peers.KnownPeers(),
 			Versions: versions, Limits: r.core.LimitReports(),
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -70,8 +70,10 @@
 	From    string       `json:"from"`
 	Control string       `json:"control"`
 	Region  fleet.Region `json:"region"`
-	// Revision is the revision of the newest item in the sender's view.
-	Revision published.Revision `json:"rev"`
+	// Number and Era are the revision of the newest item in the sender's view. Builds that
+	// know no eras send and read the number alone.
+	Number uint64 `json:"rev"`
+	Era    uint64 `json:"era,omitempty"`
 	// Config is the version of the configuration in the sender's view.
 	Config int64 `json:"cfg,omitempty"`
 	// Loads is the sender's load at each upstream.
@@ -102,6 +104,9 @@
 	maxCount     = 1 << 30
 )
 
+// Revision returns the revision of the newest item in the sender's view.
+func (m *Message) Revision() published.Revision { return published.NewRevision(m.Era, m.Number) }
+
 // Valid reports whether all numbers in the message are possible.
 func (m *Message) Valid() bool {
 	for _, l := range m.Loads {
@@ -194,7 +199,7 @@
 	if p == nil {
 		return
 	}
-	p.control, p.region, p.lastSeen, p.revision, p.config = m.Control, m.Region, now, m.Revision, m.Config
+	p.control, p.region, p.lastSeen, p.revision, p.config = m.Control, m.Region, now, m.Revision(), m.Config
 	p.loads, p.demands, p.leaving = m.Loads, m.Demands, m.Leaving
 	for _, a := range m.Peers {
 		if a != t.self {
--- a/lib/peering/peering_test.go
+++ b/lib/peering/peering_test.go
@@ -72,14 +72,14 @@
 // Guards against reading a peer's view that is not newer than the process's own.
 func TestNewerView(t *testing.T) {
 	table := NewTable("a", "north", nil)
-	table.Record(start, &Message{From: "b", Control: "cb", Revision: 5})
-	table.Record(start, &Message{From: "c", Control: "cc", Revision: 7})
+	table.Record(start, &Message{From: "b", Control: "cb", Number: 5})
+	table.Record(start, &Message{From: "c", Control: "cc", Number: 7})
 	peer, ok := table.PeerWithNewerView(start, 5, 0)
 	require.True(t, ok)
 	require.Equal(t, ViewSource{Control: "cc", After: 5}, peer)
 	_, ok = table.PeerWithNewerView(start, 7, 0)
 	require.False(t, ok)
-	table.Record(start, &Message{From: "b", Control: "cb", Revision: 5, Config: 3})
+	table.Record(start, &Message{From: "b", Control: "cb", Number: 5, Config: 3})
 	peer, ok = table.PeerWithNewerView(start, 7, 2)
 	require.True(t, ok, "its configuration was lost by the store")
 	require.Equal(t, ViewSource{Control: "cb"}, peer)
@@ -209,10 +209,10 @@
 
 // Guards against a message whose impossible ages end the update windows of its receivers.
 func TestMessageWithImpossibleAges(t *testing.T) {
-	possible := published.VersionAge{Version: 2, Revision: 5, AgeMS: 1000}
+	possible := published.VersionAge{Version: 2, Number: 5, AgeMS: 1000}
 	for name, ages := range map[string][]published.VersionAge{
-		"negative": {{Version: 2, Revision: 5, AgeMS: -1}},
-		"too old":  {possible, {Version: 1, Revision: 4, AgeMS: time.Hour.Milliseconds()}},
+		"negative": {{Version: 2, Number: 5, AgeMS: -1}},
+		"too old":  {possible, {Version: 1, Number: 4, AgeMS: time.Hour.Milliseconds()}},
 		"too many": slices.Repeat([]published.VersionAge{possible}, 10),
 	} {
 		m := Message{Versions: map[string][]published.VersionAge{"m": ages}}
--- a/lib/published/ages.go
+++ b/lib/published/ages.go
@@ -37,7 +37,7 @@
 	var out []VersionAge
 	add := func(version int64, revision Revision, firstSeen time.Time) {
 		if age := now.Sub(firstSeen); !firstSeen.IsZero() && age >= 0 && age <= maxReportedAge {
-			out = append(out, VersionAge{Version: version, Revision: revision, AgeMS: age.Milliseconds()})
+			out = append(out, VersionAge{Version: version, Number: revision.Number(), Era: revision.Era(), AgeMS: age.Milliseconds()})
 		}
 	}
 	add(d.Version, d.Revision, d.FirstSeen)
@@ -89,12 +89,13 @@
 	d.Previous = slices.Clone(d.Previous)
 	for _, a := range ages {
 		firstSeen := now.Add(-time.Duration(a.AgeMS) * time.Millisecond)
+		revision := a.Revision()
 		switch {
-		case a.Revision == 0:
-		case a.Version == d.Version && (a.Revision == d.Revision || a.Revision.Era() != d.Revision.Era()):
+		case revision == 0:
+		case a.Version == d.Version && (revision == d.Revision || revision.Era() != d.Revision.Era()):
 			changed = setEarlier(&d.FirstSeen, firstSeen) || changed
-		case a.Revision < d.Revision:
-			previous := PreviousVersion{Version: a.Version, Revision: a.Revision, FirstSeen: firstSeen}
+		case revision < d.Revision:
+			previous := PreviousVersion{Version: a.Version, Revision: revision, FirstSeen: firstSeen}
 			changed = d.setPrevious(previous) || changed
 		}
 	}
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -254,12 +254,16 @@
 // in milliseconds. The JSON names are short because it is sent often.
 type VersionAge struct {
 	Version int64 `json:"v"`
-	// Revision is DesiredVersion.Revision; 0 in a message of a process that does not
-	// report it.
-	Revision Revision `json:"r"`
-	AgeMS    int64    `json:"a"`
+	// Number and Era are DesiredVersion.Revision; 0 in a message of a process that does
+	// not report them.
+	Number uint64 `json:"r"`
+	Era    uint64 `json:"e,omitempty"`
+	AgeMS  int64  `json:"a"`
 }
 
+// Revision returns the revision with which the version became desired.
+func (a VersionAge) Revision() Revision { return NewRevision(a.Era, a.Number) }
+
 // View is the published state as one process knows it. A view is immutable.
 type View struct {
 	// Revision is the revision of the newest item.
--- a/lib/published/restore_test.go
+++ b/lib/published/restore_test.go
@@ -162,7 +162,7 @@
 	late := NewState()
 	late.Replace(start.Add(3*time.Second), []Change{desired(1, at(2, 1))}, at(2, 1))
 	late.Apply(start.Add(4*time.Second), []Change{desired(2, at(2, 2))}, at(2, 2))
-	late.ApplyAges(start.Add(4*time.Second), map[string][]VersionAge{"m": {{Version: 2, Revision: at(1, 2), AgeMS: 3000}}})
+	late.ApplyAges(start.Add(4*time.Second), map[string][]VersionAge{"m": {{Version: 2, Number: 2, Era: 1, AgeMS: 3000}}})
 	require.Equal(t, start.Add(time.Second), late.View().Desired["m"].FirstSeen)
 }
 
--- a/lib/published/state_test.go
+++ b/lib/published/state_test.go
@@ -194,7 +194,7 @@
 		s.Apply(now, []Change{desired(2, 2)}, 2)
 		earliest := int64(0)
 		for _, age := range rapid.SliceOf(rapid.Int64Range(0, 30_000)).Draw(t, "ages in ms") {
-			report := map[string][]VersionAge{"m": {{Version: 2, Revision: 2, AgeMS: age}}}
+			report := map[string][]VersionAge{"m": {{Version: 2, Number: 2, AgeMS: age}}}
 			s.ApplyAges(now, report)
 			require.False(t, s.ApplyAges(now, report))
 			earliest = max(earliest, age)
--- a/lib/viewsync/viewsync.go
+++ b/lib/viewsync/viewsync.go
@@ -28,18 +28,31 @@
 // Decode decodes a published item.
 type Decode func(key string, revision published.Revision, removed bool, raw []byte) (published.Change, error)
 
+// revision is the JSON form of a revision. Builds that know no eras send and read the
+// number alone.
+type revision struct {
+	Number uint64 `json:"revision"`
+	Era    uint64 `json:"era,omitempty"`
+}
+
+func encodeRevision(r published.Revision) revision {
+	return revision{Number: r.Number(), Era: r.Era()}
+}
+
+func (r revision) decode() published.Revision { return published.NewRevision(r.Era, r.Number) }
+
 // item is the JSON form of a published item.
 type item struct {
-	Key      string             `json:"key"`
-	Revision published.Revision `json:"revision"`
-	Removed  bool               `json:"removed,omitempty"`
-	Raw      []byte             `json:"raw,omitempty"`
+	Key string `json:"key"`
+	revision
+	Removed bool   `json:"removed,omitempty"`
+	Raw     []byte `json:"raw,omitempty"`
 }
 
 // changes is the JSON response with the items of one process.
 type changes struct {
-	Revision published.Revision `json:"revision"`
-	Items    []item             `json:"items"`
+	revision
+	Items []item `json:"items"`
 	// Ages says how long the sender has known the desired versions, by model.
 	Ages map[string][]published.VersionAge `json:"ages,omitempty"`
 }
@@ -50,30 +63,44 @@
 }
 
 // Handler serves the items of a source that are newer than the revision in the
-// query parameter after and whose keys begin with the parameter prefix.
+// query parameters after and era and whose keys begin with the parameter prefix.
 func Handler(source Source) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		after, err := queryRevision(r.URL.Query())
 		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		b, err := source.Since(r.Context(), published.Revision(after))
+		b, err := source.Since(r.Context(), after)
 		if err != nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		prefix := r.URL.Query().Get("prefix")
-		out := changes{Revision: b.Revision, Ages: b.Ages}
+		out := changes{revision: encodeRevision(b.Revision), Ages: b.Ages}
 		for _, c := range b.Changes {
 			if strings.HasPrefix(c.Key, prefix) {
-				out.Items = append(out.Items, item{Key: c.Key, Revision: c.Revision, Removed: c.Removed, Raw: c.Raw})
+				out.Items = append(out.Items, item{Key: c.Key, revision: encodeRevision(c.Revision), Removed: c.Removed, Raw: c.Raw})
 			}
 		}
 		wire.WriteJSON(w, &out)
 	})
 }
 
+// queryRevision returns the revision after which a reader wants changes. One that knows no
+// eras names none.
+func queryRevision(q url.Values) (published.Revision, error) {
+	number, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	era := uint64(0)
+	if text := q.Get("era"); text != "" {
+		era, err = strconv.ParseUint(text, 10, 64)
+	}
+	return published.NewRevision(era, number), err
+}
+
 // Client reads published items from other processes.
 type Client struct {
 	client wire.Client
@@ -91,17 +118,21 @@
 func (c *Client) Changes(ctx context.Context, address string, after published.Revision, prefix string) (published.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	q := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "prefix": {prefix}}
+	q := url.Values{
+		"after":  {strconv.FormatUint(after.Number(), 10)},
+		"era":    {strconv.FormatUint(after.Era(), 10)},
+		"prefix": {prefix},
+	}
 	var response changes
 	if err := c.client.GetJSON(ctx, address, Path+"?"+q.Encode(), &response); err != nil {
 		return published.Batch{}, eris.Wrapf(err, "read view of %s", address)
 	}
-	b := published.Batch{Revision: response.Revision}
+	b := published.Batch{Revision: response.decode()}
 	if published.ValidAges(response.Ages) {
 		b.Ages = response.Ages
 	}
 	for _, it := range response.Items {
-		change, err := c.decode(it.Key, it.Revision, it.Removed, it.Raw)
+		change, err := c.decode(it.Key, it.revision.decode(), it.Removed, it.Raw)
 		if err != nil {
 			b.Findings = append(b.Findings, err)
 		}
--- a/lib/viewsync/viewsync_test.go
+++ b/lib/viewsync/viewsync_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -13,9 +15,16 @@
 	"rattanspur.example/lib/published"
 )
 
-type fixedSource struct{ batch published.Batch }
+// fixedSource is a source that always returns one batch and notes what was asked for.
+type fixedSource struct {
+	batch published.Batch
+	after *published.Revision
+}
 
-func (f fixedSource) Since(context.Context, published.Revision) (published.Batch, error) {
+func (f fixedSource) Since(_ context.Context, after published.Revision) (published.Batch, error) {
+	if f.after != nil {
+		*f.after = after
+	}
 	return f.batch, nil
 }
 
@@ -29,7 +38,7 @@
 }
 
 func serve(t *testing.T, b published.Batch) string {
-	s := httptest.NewServer(Handler(fixedSource{b}))
+	s := httptest.NewServer(Handler(fixedSource{batch: b}))
 	t.Cleanup(s.Close)
 	return strings.TrimPrefix(s.URL, "http://")
 }
@@ -60,7 +69,7 @@
 // readers. Its items still count.
 func TestImpossibleAgesAreIgnored(t *testing.T) {
 	for _, ms := range []int64{-1, time.Hour.Milliseconds()} {
-		ages := map[string][]published.VersionAge{"m": {{Version: 2, Revision: 5, AgeMS: ms}}}
+		ages := map[string][]published.VersionAge{"m": {{Version: 2, Number: 5, AgeMS: ms}}}
 		address := serve(t, published.Batch{Revision: 5, Ages: ages, Changes: []published.Change{{Key: "a", Revision: 5}}})
 		b, err := NewClient(decode).Changes(context.Background(), address, 0, "")
 		require.NoError(t, err)
@@ -80,3 +89,26 @@
 	_, err = f.Snapshot(context.Background(), "")
 	require.Error(t, err)
 }
+
+// Guards against eras of the store that are lost between processes, and against numbers
+// that builds which know no eras cannot read.
+func TestRevisionsAreSentWithTheirEra(t *testing.T) {
+	var after published.Revision
+	r := published.NewRevision(3, 9)
+	source := fixedSource{after: &after, batch: published.Batch{Revision: r, Changes: []published.Change{{Key: "a", Revision: r}}}}
+	s := httptest.NewServer(Handler(source))
+	t.Cleanup(s.Close)
+	address := strings.TrimPrefix(s.URL, "http://")
+	b, err := NewClient(decode).Changes(context.Background(), address, published.NewRevision(2, 40), "")
+	require.NoError(t, err)
+	require.Equal(t, published.NewRevision(2, 40), after)
+	require.Equal(t, r, b.Revision)
+	require.Equal(t, r, b.Changes[0].Revision)
+	resp, err := http.Get(s.URL + Path + "?after=40")
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(text), `"revision":9,`)
+	require.Equal(t, published.Revision(40), after)
+}
