--- a/lib/published/revision.go
+++ b/lib/published/revision.go
@@ -8,12 +8,14 @@
 // era comes after all changes of earlier ones.
 type Revision uint64
 
+// MaxEra is the greatest era that a Revision holds.
+const MaxEra = 1<<16 - 1
+
 const (
 	// eraShift is the position of the era in a Revision; the number is below it.
 	eraShift = 48
-	// maxNumber and MaxEra are the greatest number and era that a Revision holds.
+	// maxNumber is the greatest number that a Revision holds.
 	maxNumber = 1<<eraShift - 1
-	MaxEra    = 1<<16 - 1
 )
 
 // NewRevision returns the revision of a change by the era of the store, 0 if that is not
--- a/lib/viewsync/viewsync.go
+++ b/lib/viewsync/viewsync.go
@@ -132,7 +132,7 @@
 		b.Ages = response.Ages
 	}
 	for _, it := range response.Items {
-		change, err := c.decode(it.Key, it.revision.decode(), it.Removed, it.Raw)
+		change, err := c.decode(it.Key, it.decode(), it.Removed, it.Raw)
 		if err != nil {
 			b.Findings = append(b.Findings, err)
 		}
