--- /dev/null
+++ b/lib/dispatch/request.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"strings"
+	"time"
+
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
+	"rattanspur.example/lib/published"
+)
+
+// request is the state of a call from its arrival to its end.
+type request struct {
+	Call
+	ticket   Ticket
+	route    *published.Route
+	service  fleet.Service
+	customer *published.Customer
+	arrived  time.Time
+	// deadline is when the caller's time budget or the route's timeout ends,
+	// whichever is earlier.
+	deadline time.Time
+	// returning is set if the caller appears to retry a rejected request.
+	returning bool
+	// attempts counts all sends, possibleRuns those that the upstream may have
+	// run.
+	attempts     int
+	possibleRuns int
+	// failedUpstreams holds the upstreams that failed this request. It is not sent
+	// to them again.
+	failedUpstreams []fleet.InstanceID
+	// version is the version of the weights that began the response; 0 if the
+	// caller has received nothing yet.
+	version int64
+	// upstream runs the current attempt; nil while the request is queued.
+	upstream *upstream
+	// promptPending is set until the upstream begins to respond.
+	promptPending bool
+	// sentTo and sentAt are the start of the upstream that runs the current attempt
+	// and the time of its send. answering is set once its answer began.
+	sentTo    poison.CrashID
+	sentAt    time.Time
+	answering bool
+	// begun is set once the answer began, at any upstream.
+	begun bool
+	// suspect is the suspected trait whose upstream the request may go to; 0 if it
+	// may go to any. It is constant while the request is in one queue.
+	suspect poison.Trait
+}
+
+func (c *Core) newRequest(now time.Time, t Ticket, call Call, route *published.Route, customer *published.Customer) *request {
+	timeBudget := call.TimeBudget
+	if timeBudget <= 0 {
+		timeBudget = defaultTimeBudget
+	}
+	r := &request{
+		Call: call, ticket: t, route: route, customer: customer, arrived: now,
+		service: c.selectService(route),
+	}
+	timeout := timeBudget
+	if route.Timeout > 0 {
+		timeout = min(timeout, route.Timeout)
+	}
+	r.deadline = now.Add(timeout)
+	longest := max(c.timeBudgets[route.Name], timeBudget)
+	c.timeBudgets[route.Name] = longest
+	r.returning = timeBudget < time.Duration(returningThreshold*float64(longest))
+	return r
+}
+
+// returningThreshold is the fraction of a route's longest time budget below
+// which a request is taken for the retry of a rejected one.
+const returningThreshold = 0.8
+
+// regionKey identifies the set of regions that may serve the request.
+func (r *request) regionKey() string {
+	var b strings.Builder
+	for _, region := range r.route.Regions {
+		b.WriteString(string(region) + ",")
+	}
+	if r.customer != nil && len(r.customer.Regions) > 0 {
+		b.WriteByte(';')
+		for _, region := range r.customer.Regions {
+			b.WriteString(string(region) + ",")
+		}
+	}
+	return b.String()
+}
+
+// selectService picks one of the route's services at random by weight. It
+// returns "" if their weights sum to 0.
+func (c *Core) selectService(route *published.Route) fleet.Service {
+	total := 0
+	for _, t := range route.Targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	n := c.settings.Random(total)
+	for _, t := range route.Targets {
+		if n -= t.Weight; n < 0 {
+			return t.Service
+		}
+	}
+	return ""
+}
+
+func (r *request) customerName() fleet.Customer {
+	if r.customer == nil {
+		return ""
+	}
+	return r.customer.Name
+}
+
+// rank returns the customer's rank if it has one, otherwise the route's.
+func (r *request) rank() int {
+	if r.customer != nil && r.customer.HasRank {
+		return r.customer.Rank
+	}
+	return r.route.Rank
+}
