--- a/lib/dispatch/forecast.go
+++ b/lib/dispatch/forecast.go
@@ -47,9 +47,9 @@
 	return time.Duration(float64(ahead+1) / float64(sent) * float64(forecastSpan))
 }
 
-// hopeless reports whether a request is likely to wait for longer than it may. Its caller
+// wouldExpire reports whether a request is likely to wait for longer than it may. Its caller
 // is better off if it learns so at once.
-func (s *service) hopeless(now time.Time, it *admission.Item[*request]) bool {
+func (s *service) wouldExpire(now time.Time, it *admission.Item[*request]) bool {
 	r := it.Value
 	if r.suspect != 0 {
 		return false
--- a/lib/dispatch/forecast_test.go
+++ b/lib/dispatch/forecast_test.go
@@ -45,7 +45,7 @@
 // Pattern: more requests than a service can serve, for a while. Guards against callers
 // that wait in vain until the end of the time that they may wait, although it is known
 // how fast the others are sent.
-func TestHopelessRequestIsRejectedAtOnce(t *testing.T) {
+func TestRequestThatWouldExpireIsRejectedAtOnce(t *testing.T) {
 	h := overloaded(t)
 	h.arriveAs("key")
 	h.arriveAs("key")
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -48,7 +48,7 @@
 		Deadline: until,
 		Value:    r,
 	}
-	if s.hopeless(now, &it) {
+	if s.wouldExpire(now, &it) {
 		s.recordRejection(now, r)
 		return c.giveUp(now, r, "too many requests wait")
 	}
