published: a new era that is seen at a peer begins the time of a restore

What callers would see: a gateway that is cut off from the store goes back to an older configuration, or uses a draining replica again, because it reads a peer that has just started and knows the copy only. Found by reading the change. Change: the time begins when the era is first seen, wherever. Result: TestPeerBringsNoOlderConfigurationOfANewEra failed before (5 instead of 12) and passes; tests of published, watcher, platform, gateway and loader pass.

--- a/lib/published/restore.go
+++ b/lib/published/restore.go
@@ -12,6 +12,14 @@
 // is not written again by then was given up by its writer, and the store's state counts.
 const RestoreGrace = 10 * time.Second
 
+// noteEra notes the era of a read of the store or of a peer. A process that has just
+// started does not know when the store was restored, so that any era is new to it.
+func (s *State) noteEra(now time.Time, revision Revision) {
+	if era := revision.Era(); era > s.era || s.eraSince.IsZero() {
+		s.era, s.eraSince = max(era, s.era), now
+	}
+}
+
 // restoreDeadline returns when the state of the store counts, whatever was known before.
 func (s *State) restoreDeadline() time.Time { return s.eraSince.Add(RestoreGrace) }
 
--- a/lib/published/restore_test.go
+++ b/lib/published/restore_test.go
@@ -150,6 +150,21 @@
 	require.Equal(t, len(peer.View().Upstreams), len(cutOff.View().Upstreams))
 }
 
+// Guards against a process that is cut off from the store, long after its last snapshot,
+// and takes the copy's configuration from a peer that has just started.
+func TestPeerBringsNoOlderConfigurationOfANewEra(t *testing.T) {
+	cutOff, started := NewState(), NewState()
+	cutOff.Replace(start, []Change{configChange(12, at(1, 17)), drainingUpstream("a", at(1, 16))}, at(1, 17))
+	later := start.Add(time.Hour)
+	started.Replace(later, []Change{configChange(5, at(2, 15)), upstream("a", at(2, 1))}, at(2, 15))
+	b := started.Since(later, cutOff.View().Revision)
+	cutOff.ApplyPeer(later, b.Changes, b.Revision)
+	require.Equal(t, int64(12), cutOff.View().ConfigVersion())
+	require.True(t, cutOff.View().Upstreams[0].Draining)
+	cutOff.Expire(later.Add(RestoreGrace))
+	require.Equal(t, int64(5), cutOff.View().ConfigVersion())
+}
+
 // Guards against weights whose window begins again because the store was restored and
 // their version is written again under another revision.
 func TestVersionWrittenAgainKeepsItsAge(t *testing.T) {
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -62,7 +62,9 @@
 	// completeUpTo is the revision up to which items has every existing key. A
 	// change of an unknown key up to this revision was superseded by a removal.
 	completeUpTo Revision
-	// eraSince is when the first snapshot of the current era was applied.
+	// era is the greatest era that was seen, of the store or of a peer, and eraSince is
+	// since when.
+	era      uint64
 	eraSince time.Time
 	// older counts the changes that were dropped because a newer one of their key is
 	// known.
@@ -109,6 +111,7 @@
 }
 
 func (s *State) apply(now time.Time, changes []Change, revision Revision, fromPeer bool) bool {
+	s.noteEra(now, revision)
 	changed := false
 	for i := range changes {
 		changed = s.applyChange(now, &changes[i], fromPeer) || changed
@@ -129,9 +132,7 @@
 	if revision.Era() < s.completeUpTo.Era() {
 		return false
 	}
-	if !s.hasSnapshot || revision.Era() > s.completeUpTo.Era() {
-		s.eraSince = now
-	}
+	s.noteEra(now, revision)
 	present := make(map[string]bool, len(snapshot))
 	changed := false
 	for i := range snapshot {
