dispatch: limits are divided by the demands that were reported

What an upstream would see: up to four times its limit when traffic returns to an idle service, until gateways have divided it anew. Cause: a gateway divided a limit by its own steady demand, which stays at a last small step, while its peers no longer hear of it: each took itself for the only one with demand. Change: a gateway uses its own demand as it reported it last. Result: TestLimitOfAnIdleUpstreamIsDividedOnce failed before (76 requests in 4 s, 20 allowed) and passes, as do the tests of dispatch.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -93,6 +93,9 @@
 	// mean over a longer time.
 	demand       rate
 	steadyDemand steadyRate
+	// reportedDemand is the steady demand as it was last reported to peers. Limits are
+	// divided by it, since all entries must use the same demands.
+	reportedDemand float64
 	// share is this entry's part of the service's slots, as of shareAt.
 	share   peering.Share
 	shareAt time.Time
@@ -176,9 +179,11 @@
 func (c *Core) Demands(now time.Time) map[fleet.Service]peering.Demand {
 	out := map[fleet.Service]peering.Demand{}
 	for name, s := range c.services {
+		s.reportedDemand = 0
 		if perSecond := s.demand.perSecond(now); perSecond > 0 {
+			s.reportedDemand = s.steadyDemand.perSecond(now)
 			out[name] = peering.Demand{
-				PerSecond: perSecond, Steady: s.steadyDemand.perSecond(now),
+				PerSecond: perSecond, Steady: s.reportedDemand,
 				Waiting: s.newRequests.length(), Refused: s.rejectedRecently(now),
 			}
 		}
--- a/lib/dispatch/limits.go
+++ b/lib/dispatch/limits.go
@@ -175,7 +175,7 @@
 				continue
 			}
 			if sharers[u.region] == nil {
-				sharers[u.region] = c.sharers(now, s, u.region)
+				sharers[u.region] = c.sharers(s, u.region)
 			}
 			u.limit = l.part(now, u, limit, due, sharers[u.region])
 			parts[u.startKey()] = u.limit
@@ -266,9 +266,9 @@
 
 // sharers returns the entries that share the limits of a service's upstreams in a
 // region, with their weights.
-func (c *Core) sharers(now time.Time, s *service, region fleet.Region) []quota.Sharer {
+func (c *Core) sharers(s *service, region fleet.Region) []quota.Sharer {
 	peers := c.limits.sharing.Peers
-	own := s.steadyDemand.perSecond(now)
+	own := s.reportedDemand
 	sum := own
 	for i := range peers {
 		sum += peers[i].Demands[s.name].Steady
--- a/lib/dispatch/limits_test.go
+++ b/lib/dispatch/limits_test.go
@@ -222,3 +222,29 @@
 		require.False(t, sent, "the other upstream has no part left")
 	}
 }
+
+// idleFleet returns a fleet whose upstream states a limit and gets no requests any more.
+func idleFleet() *limitFleet {
+	f := newLimitFleet(nil, 4)
+	f.limit = ratelimit.Statement{Kind: ratelimit.Stated, PerSecond: 5}
+	for range 200 {
+		f.step()
+	}
+	for _, e := range f.entries {
+		e.demand = 0
+	}
+	for range 600 {
+		f.step()
+	}
+	return f
+}
+
+// Guards against entries that each count a little demand of their own which the others do
+// not hear of: each would own nearly all of the limit of an idle upstream.
+func TestLimitOfAnIdleUpstreamIsDividedOnce(t *testing.T) {
+	sum := 0
+	for _, e := range idleFleet().entries {
+		sum += e.core.upstreams["a"].limit.allowance
+	}
+	require.LessOrEqual(t, sum, 20)
+}
