dispatch: an entry that learns of a limit before its peers gets its part

What callers saw: a restarted gateway sends nothing to an upstream with a limit for as long as no demand changes. Found by reading the change. Cause: a part that was made before the process knew its peers counted as not owned and was divided again only if a weight changed. Change: such units are owned from the time at which the limit was learned. Result: TestRestartedEntryOwnsItsPartOfALimit failed before (0 requests) and passes, as do the tests of dispatch; the linter is clean.

--- a/lib/dispatch/limits.go
+++ b/lib/dispatch/limits.go
@@ -191,9 +191,12 @@
 	total := max(int(math.Ceil(limit.PerSecond*limitWindow.Seconds())), 1)
 	since := now
 	if p == nil {
+		p = &limitPart{}
 		// The units had the same owners before the limit was stated, unless this entry
 		// has just learned of the others.
-		p, since = &limitPart{}, l.settledAt
+		if !l.settledAt.IsZero() {
+			since = l.settledAt
+		}
 	}
 	if p.total != total || due {
 		candidates := l.candidatesFor(u, sharers)
--- a/lib/dispatch/limits_test.go
+++ b/lib/dispatch/limits_test.go
@@ -248,3 +248,14 @@
 	}
 	require.LessOrEqual(t, sum, 20)
 }
+
+// Guards against an entry that learns of a limit before it knows its peers, as after a
+// restart, and never owns any of it while no demand changes.
+func TestRestartedEntryOwnsItsPartOfALimit(t *testing.T) {
+	f := idleFleet()
+	f.start(0)
+	for range 300 {
+		f.step()
+	}
+	require.Positive(t, f.entries[0].core.upstreams["a"].limit.allowance)
+}
