gateway: one place closes callers' connections, with a reason

Cause: the log of a gateway did not say what became of a caller's connection. Change: abort takes a reason, logs connection-closed and counts it. A caller that accepts no more bytes has its response aborted; its handler returned before, as if the response were complete. caller-left lines become connection-closed lines with that reason; explain-request knows both.

--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -168,3 +170,27 @@
 		require.Error(t, err, version)
 	}
 }
+
+// Guards against callers' connections that are closed without a trace: every response
+// that is not completed leaves a line with its reason and is counted.
+func TestAbortedResponseIsLoggedAndCounted(t *testing.T) {
+	source := newSource()
+	source.put("op/config", configJSON)
+	source.upstream(t, "i-1", "engine", func(w http.ResponseWriter, r *http.Request) {
+		startStream(w, r)
+		writeEvent(w, 1)
+		panic(http.ErrAbortHandler)
+	})
+	g := start(t, source)
+	resp, err := g.request(context.Background(), http.MethodPost, "/stream/1", "")
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.ReadAll(resp.Body)
+	require.Error(t, err)
+	line := g.logs.line("connection-closed")
+	require.Contains(t, line, "reason=broken-off")
+	require.Contains(t, line, "begun=true")
+	recorder := httptest.NewRecorder()
+	g.gateway.metrics.serve(recorder, nil)
+	require.Contains(t, recorder.Body.String(), `gateway_connections_closed_total{reason="broken-off"} 1`)
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -14,7 +14,6 @@
 	"rattanspur.example/lib/ratelimit"
 	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/ring"
-	"rattanspur.example/lib/sock"
 )
 
 const (
@@ -50,6 +49,8 @@
 	// one in its request, later the last one that was passed on.
 	lastEventID string
 	held        *exchange.HeldResponse
+	// lastEnd is how the last attempt ended.
+	lastEnd retry.End
 	// load is the load in the upstream's last response; nil if it reported none.
 	load *dispatch.Load
 	// limit is what that response stated about the upstream's limit.
@@ -76,7 +77,7 @@
 	c.lastEventID = c.call.LastEvent
 	g.metrics.recordArrival(c.call.TimeBudget)
 	if g.inbox.Put(r.Context(), arrival{ticket: c.ticket, call: c.call, commands: c.commands}) != nil {
-		c.abort()
+		c.abort(callerLeft)
 	}
 	c.run()
 }
@@ -112,10 +113,9 @@
 		cmd, err := c.commands.Take(c.r.Context())
 		if err != nil {
 			_ = c.gateway.inbox.Put(context.Background(), callerDisconnected{ticket: c.ticket})
-			c.log("caller-left", "waited", time.Since(c.arrivedAt).Seconds())
 			// A caller that has only closed its sending side still reads, and a
 			// handler that returns ends the response as a complete one.
-			c.abort()
+			c.abort(callerLeft)
 		}
 		switch a := cmd.action.(type) {
 		case dispatch.Send:
@@ -128,19 +128,29 @@
 			return
 		case dispatch.Finish:
 			c.gateway.metrics.latency.UpdateDuration(c.arrivedAt)
-			if c.r.Context().Err() != nil {
-				c.abort()
-			}
+			c.finish()
 			return
 		}
 	}
 }
 
+// finish ends a request that needs no further action. A handler that returns marks the
+// end of the response, so that an incomplete one is aborted instead.
+func (c *callHandler) finish() {
+	switch {
+	case c.r.Context().Err() != nil:
+		c.abort(callerLeft)
+	case c.lastEnd == retry.Canceled:
+		c.abort(callerBlocked)
+	}
+}
+
 // attempt sends the request once and reports the result to the router.
 func (c *callHandler) attempt(a *dispatch.Send, conn *exchange.Conn) {
 	ctx, cancel := context.WithDeadline(c.r.Context(), a.Deadline)
 	defer cancel()
 	out := c.exchange(ctx, a, conn)
+	c.lastEnd = out.End
 	c.gateway.metrics.recordAttempt(out.End)
 	fields := []any{
 		"number", a.Attempt, "upstream", a.Upstream, "expect", a.ExpectVersion,
@@ -266,7 +276,7 @@
 // deliver passes on the held response.
 func (c *callHandler) deliver() {
 	if c.started || c.held == nil {
-		c.abort()
+		c.abort(answerNotHeld)
 	}
 	_ = c.Head(c.held.Response)
 	_ = c.Part(c.held.Body)
@@ -284,7 +294,7 @@
 	}
 	c.log("refused", fields...)
 	if c.started {
-		c.abort()
+		c.abort(answerBrokenOff)
 	}
 	if a.RetryAfter > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
@@ -307,9 +317,6 @@
 	_, _ = c.w.Write([]byte(`{"status":` + strconv.Itoa(status) + `,"detail":` + strconv.Quote(detail) + `}`))
 }
 
-// abort closes the caller's connection without marking the end of the response.
-func (c *callHandler) abort() { sock.Abort(c.w, c.r) }
-
 func (c *callHandler) log(event string, fields ...any) {
 	_ = c.gateway.logger.Log(append([]any{"event", event, "request", c.call.ID}, fields...)...)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -72,6 +72,10 @@
 	m.set.GetOrCreateCounter(`gateway_attempts_total{end="` + end.String() + `"}`).Inc()
 }
 
+func (m *gatewayMetrics) recordAbort(reason abortReason) {
+	m.set.GetOrCreateCounter(`gateway_connections_closed_total{reason="` + string(reason) + `"}`).Inc()
+}
+
 // recordLimit counts answers that state a limit.
 func (m *gatewayMetrics) recordLimit(s ratelimit.Statement) {
 	switch s.Kind {
--- a/lib/requestlog/requestlog.go
+++ b/lib/requestlog/requestlog.go
@@ -141,7 +141,7 @@
 			if strings.Contains(l.Fields, `end="answered"`) {
 				ends++
 			}
-		case "refused", "caller-left":
+		case "refused", "caller-left", "connection-closed":
 			ends++
 		}
 	}
