loader: an accepted order whose answer is lost is not sent again

An order that ended without an answer counted as refused, although the engine may have accepted it: after 200 ms the loader verified all pieces again and sent another order, which an engine that had not begun yet accepted as well, and gateways were not told that the engine loads.

Such an order is remembered with the engine's start and the number of orders that it had accepted. Once a report of the same start shows a greater number, the order counts as accepted: gateways get their notice, and the next order waits as after any accepted one. The client tells a missing answer from a refusal (staging.ErrUnanswered).

Before the change TestAcceptedOrderWithoutAnswerIsNotSentAgain printed "expected: 0x0, actual: 0x3": the next action was another order.

--- a/lib/staging/staging.go
+++ b/lib/staging/staging.go
@@ -4,6 +4,7 @@
 package staging
 
 import (
+	"errors"
 	"time"
 
 	"rattanspur.example/lib/published"
@@ -48,6 +49,10 @@
 	retryDelay = 200 * time.Millisecond
 )
 
+// ErrUnanswered means that an order got no answer, so that the engine may have accepted
+// it.
+var ErrUnanswered = errors.New("the engine has not answered the order")
+
 // Core is the state of one loader. It is owned by one duty and not safe for
 // concurrent use.
 type Core struct {
@@ -76,7 +81,9 @@
 	ordered          int64
 	orderedAt        time.Time
 	orderedStartTime int64
-	retryAt          time.Time
+	// unanswered is the last order that got no answer.
+	unanswered unansweredOrder
+	retryAt    time.Time
 }
 
 // New returns a core for one model of the engine. updateWindow is the time after
@@ -140,6 +147,29 @@
 // MarkOrdered records that the engine accepted the order to load a version.
 func (c *Core) MarkOrdered(now time.Time, version int64) {
 	c.ordered, c.orderedAt, c.orderedStartTime = version, now, c.report.StartTime
+	c.unanswered = unansweredOrder{}
+}
+
+// unansweredOrder is an order to load a version that an engine process with a start time
+// got after a number of accepted orders, and may have accepted. The version is 0 if there
+// is none.
+type unansweredOrder struct{ version, startTime, sequence int64 }
+
+// MarkUnanswered records an order to load a version that got no answer. It was sent to the
+// engine process with a start time after that had accepted a number of orders.
+func (c *Core) MarkUnanswered(version, startTime, sequence int64) {
+	c.unanswered = unansweredOrder{version: version, startTime: startTime, sequence: sequence}
+}
+
+// TakeAccepted returns the version of an order that got no answer and that the engine has
+// accepted according to its latest report, once. Nothing but its loader sends it orders.
+func (c *Core) TakeAccepted(now time.Time) (version int64, ok bool) {
+	u := c.unanswered
+	if u.version == 0 || c.report.StartTime != u.startTime || c.report.Sequence <= u.sequence {
+		return 0, false
+	}
+	c.MarkOrdered(now, u.version)
+	return u.version, true
 }
 
 // MarkFailed records a failed attempt and delays the next one.
--- a/loader/coordinator.go
+++ b/loader/coordinator.go
@@ -145,6 +145,10 @@
 		return
 	}
 	c.core.SetReport(ev.report)
+	if v, ok := c.core.TakeAccepted(time.Now()); ok {
+		_ = c.loader.logger.Log("event", "order-accepted", "version", v, "sequence", ev.report.Sequence)
+		c.notifyGateways(ctx, 0, c.served)
+	}
 	if restarted && c.core.Loaded() == 0 {
 		c.notifyGateways(ctx, 0, 0)
 	}
@@ -269,9 +273,9 @@
 	}
 	switch action, version := c.core.Next(now); action {
 	case staging.Place:
-		c.startTask(ctx, engineTask{kind: taskPlace, source: c.copies[version], sequence: c.report.Sequence})
+		c.startTask(ctx, engineTask{kind: taskPlace, source: c.copies[version]})
 	case staging.Order:
-		c.startTask(ctx, engineTask{kind: taskOrder, source: c.copies[version], sequence: c.report.Sequence})
+		c.startTask(ctx, engineTask{kind: taskOrder, source: c.copies[version]})
 	case staging.Idle, staging.Fetch:
 	}
 	for _, vc := range c.copies {
--- a/loader/enginetask.go
+++ b/loader/enginetask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -22,13 +23,15 @@
 )
 
 // engineTask is a task at the engine. The worker uses manifest and data, which
-// do not change; source belongs to the coordinator.
+// do not change; source belongs to the coordinator. startTime and sequence are those
+// of the engine's report before the task.
 type engineTask struct {
-	kind     taskKind
-	source   *versionCopy
-	sequence int64
-	manifest *staging.Manifest
-	data     [][]byte
+	kind      taskKind
+	source    *versionCopy
+	startTime int64
+	sequence  int64
+	manifest  *staging.Manifest
+	data      [][]byte
 }
 
 // errCorruptPiece means that a piece stored at the engine failed verification.
@@ -40,6 +43,7 @@
 	if c.taskRunning {
 		return false
 	}
+	t.startTime, t.sequence = c.report.StartTime, c.report.Sequence
 	t.manifest = t.source.manifest
 	t.data = append([][]byte(nil), t.source.data...)
 	c.taskRunning = c.loader.tasks.Put(ctx, t) == nil
@@ -147,8 +151,11 @@
 	}
 	_ = c.loader.logger.Log("event", [...]string{"", "pieces-placed", "engine-ordered"}[ev.task.kind], "version", vc.version,
 		"took", ev.took.Seconds(), "sequence", ev.task.sequence, "err", ev.err)
-	if eris.Is(ev.err, errCorruptPiece) {
+	switch {
+	case errors.Is(ev.err, errCorruptPiece):
 		c.core.MarkCorrupt()
+	case errors.Is(ev.err, staging.ErrUnanswered):
+		c.core.MarkUnanswered(vc.version, ev.task.startTime, ev.task.sequence)
 	}
 	if ev.err != nil {
 		c.core.MarkFailed(now)
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -26,7 +26,8 @@
 type Engine interface {
 	Report(ctx context.Context) (staging.Report, error)
 	// OrderLoad orders the engine to load the pieces stored at it. It fails if
-	// the engine has accepted another order since the given sequence was read.
+	// the engine has accepted another order since the given sequence was read, and
+	// with staging.ErrUnanswered if the engine did not answer.
 	OrderLoad(ctx context.Context, model string, version, sequence int64) error
 	// Put stores a piece at the engine, and Get reads one back.
 	Put(ctx context.Context, model string, number int, data []byte) error
@@ -109,7 +110,7 @@
 	MaxInFlightPerPeer: 1,
 	MaxInFlight:        fetchers,
 	TakeoverDelay:      400 * time.Millisecond,
-	StallTimeout:       time.Second,
+	StallTimeout:       sock.MaxSilence,
 	HaveInterval:       50 * time.Millisecond,
 	HaveBusyInterval:   500 * time.Millisecond,
 	MaxHaveWait:        200 * time.Millisecond,
