loader: a piece of a peer that pauses is not thrown away

A piece had 3 s in all. One that takes hundreds of ms on a shared link and whose source pauses for a second or two exceeded it: what had come was thrown away, and the source was avoided for 0.5 s and longer each time, its list of pieces ignored after the third.

Before the change TestPieceOutlastsPausesOfAPeer printed "context deadline exceeded" for three pauses of 1.3, 1.7 and 2 s each.

--- a/loader/duties.go
+++ b/loader/duties.go
@@ -16,16 +16,19 @@
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/staging"
 	"rattanspur.example/lib/transfer"
 	"rattanspur.example/lib/wire"
 )
 
 const (
-	// peerTimeout bounds a metadata request to a peer, pieceTimeout the request
-	// for one piece: a piece takes hundreds of ms on a shared, narrow link.
-	peerTimeout  = 500 * time.Millisecond
-	pieceTimeout = 3 * time.Second
+	// peerTimeout bounds a metadata request to a peer: others have the same.
+	peerTimeout = 500 * time.Millisecond
+	// pieceTimeout bounds the request for one piece, which takes hundreds of ms on a
+	// shared, narrow link. A source that sends nothing for sock.MaxSilence is given up
+	// before.
+	pieceTimeout = 8 * time.Second
 	// snapshotTimeout bounds one read of all published lists from the store.
 	snapshotTimeout = 3 * time.Second
 	// pathWeights is the prefix of the paths that loaders serve to each other.
@@ -182,6 +185,8 @@
 }
 
 func (l *Loader) getFromPeer(ctx context.Context, peer fleet.InstanceID, path string, limit int64) ([]byte, error) {
+	ctx, silence := sock.WatchSilence(ctx)
+	defer silence.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(peer)+path, http.NoBody)
 	if err != nil {
 		return nil, err
@@ -193,7 +198,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return io.ReadAll(io.LimitReader(resp.Body, limit))
+		return io.ReadAll(io.LimitReader(silence.Reader(resp.Body), limit))
 	case http.StatusServiceUnavailable:
 		return nil, errBusy
 	case http.StatusNotFound:
