transfer: the last pieces of a silent peer are requested elsewhere as well

A piece was requested from one source at a time.

Once no other piece is left to request, one that was requested from a peer for longer than 1 s (4 times the mean time of a piece, if that is longer) is requested from another peer of the region as well, and what arrives first counts. A pause costs at most one piece a second time for each request in flight; the origin is not asked again.

Before the change TestChunkOfASilentPeerIsRequestedElsewhere printed `"[]" should have 1 item(s), but has 0` for the request after 1 s. The property test of faults draws whether overdue requests are repeated.

--- a/lib/transfer/core.go
+++ b/lib/transfer/core.go
@@ -29,8 +29,10 @@
 	have      Set
 	inFlight  Set
 	requests  map[int]pendingRequest
-	missing   int
-	complete  bool
+	// overdue holds requests in flight whose chunks may be requested again.
+	overdue  map[overdueRequest]pendingRequest
+	missing  int
+	complete bool
 
 	peers    map[fleet.InstanceID]*peerState
 	followed []*peerState
@@ -63,6 +65,7 @@
 		have:         o.Have.clip(o.Chunks),
 		inFlight:     NewSet(o.Chunks),
 		requests:     map[int]pendingRequest{},
+		overdue:      map[overdueRequest]pendingRequest{},
 		peers:        map[fleet.InstanceID]*peerState{},
 		sources:      map[Source]*sourceState{},
 		holders:      make([]uint16, o.Chunks),
@@ -106,6 +109,7 @@
 		c.complete = true
 		return []Action{Complete{}}
 	}
+	c.markOverdue(now)
 	actions := c.requestMissing(now, nil)
 	actions = c.requestFromPeers(now, actions)
 	actions = c.requestRetained(now, actions)
@@ -115,12 +119,10 @@
 // chunkEnded handles the end of a request. It ignores ends that do not belong to
 // a request in flight.
 func (c *Core) chunkEnded(now time.Time, e ChunkEnded) {
-	pending, ok := c.requests[e.Index]
-	if !ok || pending.source != e.Source {
+	pending, ok := c.takeRequest(e)
+	if !ok {
 		return
 	}
-	delete(c.requests, e.Index)
-	c.inFlight.Remove(e.Index)
 	s := c.source(e.Source)
 	s.inFlight--
 	if e.Outcome == Verified {
@@ -169,7 +171,7 @@
 // requestFromPeers fills the free request slots with chunks that peers of the
 // region hold. It prefers the least busy peer, and among its chunks the rarest.
 func (c *Core) requestFromPeers(now time.Time, actions []Action) []Action {
-	for len(c.requests) < c.limits.MaxInFlight {
+	for c.inFlightCount() < c.limits.MaxInFlight {
 		p, index := c.pickPeerChunk(now)
 		if p == nil {
 			break
--- a/lib/transfer/peers.go
+++ b/lib/transfer/peers.go
@@ -188,7 +188,7 @@
 // not change more often.
 func (c *Core) haveInterval() time.Duration {
 	switch {
-	case len(c.requests) >= c.limits.MaxInFlight:
+	case c.inFlightCount() >= c.limits.MaxInFlight:
 		return c.limits.HaveBusyInterval
 	case c.neededChunkKnown():
 		return min(max(c.chunkTime, c.limits.HaveInterval), c.limits.HaveBusyInterval)
--- a/lib/transfer/property_test.go
+++ b/lib/transfer/property_test.go
@@ -25,6 +25,9 @@
 		s.rng = rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		s.hasStore = rapid.Bool().Draw(t, "store")
 		s.storeBusy = rapid.Bool().Draw(t, "store busy")
+		if rapid.Bool().Draw(t, "repeats overdue requests") {
+			s.limits.OverdueDelay = 500 * time.Millisecond
+		}
 		for _, i := range rapid.SliceOfN(rapid.IntRange(0, agents-1), 0, agents/2).Draw(t, "faulty") {
 			switch rapid.IntRange(0, 3).Draw(t, "fault") {
 			case 0:
--- a/lib/transfer/regionfetch.go
+++ b/lib/transfer/regionfetch.go
@@ -249,11 +249,11 @@
 // requestRetained requests chunks from the agents that retain them. The rank
 // identifies these agents, so they need not be followed.
 func (c *Core) requestRetained(now time.Time, actions []Action) []Action {
-	if len(c.requests) >= c.limits.MaxInFlight || !c.regionHasRetaining() {
+	if c.inFlightCount() >= c.limits.MaxInFlight || !c.regionHasRetaining() {
 		return actions
 	}
 	tried := 0
-	for i := 0; i < c.options.Chunks && len(c.requests) < c.limits.MaxInFlight; i++ {
+	for i := 0; i < c.options.Chunks && c.inFlightCount() < c.limits.MaxInFlight; i++ {
 		if !c.missingInRegion(i) || !c.mayBeRetained(i) {
 			continue
 		}
--- a/lib/transfer/transfer.go
+++ b/lib/transfer/transfer.go
@@ -33,6 +33,10 @@
 	// TakeoverDelay is the time without progress of a fetcher after which the
 	// next one in rank fetches its chunks. It is extended on slow links.
 	TakeoverDelay time.Duration
+	// OverdueDelay is the time after which a chunk that was requested from a peer is
+	// requested from another one as well, if no other chunk is left to request. It is
+	// extended on slow links; with 0 a request is never repeated before it ends.
+	OverdueDelay time.Duration
 	// StallTimeout is the time without progress after which a request ends.
 	StallTimeout time.Duration
 	// HaveInterval is the time between two have-set queries to a peer while
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -110,6 +110,7 @@
 	MaxInFlightPerPeer: 1,
 	MaxInFlight:        fetchers,
 	TakeoverDelay:      400 * time.Millisecond,
+	OverdueDelay:       time.Second,
 	StallTimeout:       sock.MaxSilence,
 	HaveInterval:       50 * time.Millisecond,
 	HaveBusyInterval:   500 * time.Millisecond,
