peering: a pause of a gateway or of its peer is not the end of the peer

Two pauses counted as silence for good:

- After 1.5 s without a message a gateway left the roster that loaders read, and with it the seeder on its machine, a sound process.
Loaders and seeders divided the pieces anew, and once more when the gateway went on.
It stays for 3 s now; what a dead seeder holds is taken over by progress, as before.
- A gateway that paused for more than 0.5 s itself took the time for a silence of its peers.
Its next round, 100 ms or less after it went on, found no load of others and gave it all slots of each contended service, before the messages in its socket buffer were read.
A round that comes late by more than 0.3 s now takes the delay out of the age of the messages, up to 5 s: until then the peers have kept its part of the budgets for it, after 20 s they have not.

--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -27,8 +27,15 @@
 	// are divided by demand: until then it does not know all of its peers, and those
 	// that start at the same moment would each take a part that is too large.
 	settleTime = 1500 * time.Millisecond
-	// liveTTL is how long a peer that sends nothing is still reported as alive.
-	liveTTL = 1500 * time.Millisecond
+	// liveTTL is how long a peer that sends nothing is still reported as alive. A peer
+	// may pause for 2 s, and the seeder beside it is another process.
+	liveTTL = 3 * time.Second
+	// maxRoundDelay is the longest time between two rounds that counts as the time of
+	// the process itself, and maxOwnPause the longest pause of its own after which what
+	// peers reported before is used on: they have not divided its part of the budgets
+	// yet.
+	maxRoundDelay = 3 * SendInterval
+	maxOwnPause   = 5 * time.Second
 	// Fanout is the maximum number of peers that one message is sent to, apart
 	// from a probe. If there are more, messages go to them in rotation.
 	// maxMembers is the maximum number of known peers.
@@ -63,6 +70,8 @@
 	random *rand.Rand
 	// startedAt is when shares were first asked for.
 	startedAt time.Time
+	// roundAt is when Expire was last called.
+	roundAt time.Time
 }
 
 // NewTable returns a table for the process at address self in a region. It finds
@@ -107,8 +116,11 @@
 	return p
 }
 
-// Expire removes peers whose last message is older than memberTTL.
+// Expire begins a round: it removes peers whose last message is older than memberTTL. A
+// pause of this process does not count as silence of its peers, whose messages wait to be
+// read.
 func (t *Table) Expire(now time.Time) {
+	t.skipOwnPause(now)
 	for a, p := range t.members {
 		if !p.lastSeen.IsZero() && now.Sub(p.lastSeen) > memberTTL {
 			delete(t.members, a)
@@ -116,6 +128,22 @@
 	}
 }
 
+// skipOwnPause takes a pause of this process since the last round out of the time since
+// the last message of each peer.
+func (t *Table) skipOwnPause(now time.Time) {
+	last := t.roundAt
+	t.roundAt = now
+	pause := now.Sub(last) - SendInterval
+	if last.IsZero() || now.Sub(last) <= maxRoundDelay || pause > maxOwnPause {
+		return
+	}
+	for _, p := range t.members {
+		if !p.lastSeen.IsZero() && !p.lastSeen.After(last) {
+			p.lastSeen = p.lastSeen.Add(pause)
+		}
+	}
+}
+
 // Processes returns the number of processes that share the budgets, including
 // this one.
 func (t *Table) Processes() int {
