transfer: a seeder that answers again is available again at once

Queries for a peer's pieces that fail double the time until the next one, and a seeder with a failed query counts as not available, so that loaders use the narrow links of other engines. After a pause of 1.7 s with two failed queries and all requests in use, the next one came at 3 s. A piece, or any other answer, that comes from the peer now ends this.

Before the change TestSeederIsUsedAgainAfterAPause printed "Should be empty, but was [{3 {0 b}}]": another piece was requested from an engine after the seeder had gone on.

--- a/lib/transfer/core.go
+++ b/lib/transfer/core.go
@@ -138,7 +138,15 @@
 	if e.Outcome != Absent || advertised {
 		s.requestEnded(now, e)
 	}
-	if p := c.peers[e.Source.Peer]; p != nil && s.distrusted() {
+	p := c.peers[e.Source.Peer]
+	if p == nil {
+		return
+	}
+	if e.Outcome != Failed {
+		// The peer answers, so queries that failed before were a pause.
+		p.queryFailures = 0
+	}
+	if s.distrusted() {
 		c.dropHaves(p)
 	}
 }
