loader: a request of a peer that pauses within its head is served

The head of a request had 0.5 s, after which the connection was closed, and the piece counted as failed at the peer that asked for it. It has 3.5 s now; an open connection costs nothing else.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -192,7 +192,7 @@
 		"peers":   {l.settings.Listen, l.peerHandler()},
 		"metrics": {l.settings.Metrics, http.HandlerFunc(l.metrics.serve)},
 	} {
-		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: peerTimeout, IdleTimeout: time.Minute}
+		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: sock.MaxSilence, IdleTimeout: time.Minute}
 		if err := wire.StartServer(group, name, h.address, server); err != nil {
 			return err
 		}
