loader: a pause of the gateways does not drop the seeders

A read of the roster that no gateway answered within 0.5 s, because the only reachable one paused or the loader's own link carried nothing for a moment, went to the store. That read is large, and its roster names no gateways: all seeders were dropped, the pieces divided anew among the engines' loaders, and their narrow links used until the next read.

A known roster is kept for 3 s from the first read that no gateway answered; then the store is read, as before. A loader without a roster reads the store at once.

Before the change TestRosterOutlastsAPauseOfTheGateways printed "Should NOT be empty, but was []" (the gateways of the roster) for pauses of 1.3, 1.7 and 2 s.

--- a/loader/duties.go
+++ b/loader/duties.go
@@ -59,27 +59,55 @@
 	}
 }
 
-// runRosterReader reads the roster of the service on request, from a gateway or
-// else from the store.
+// rosterGrace is how long the gateways may not answer before the roster is read from the
+// store, if an earlier one is known. The store's has no gateways, and thus no seeders.
+const rosterGrace = 3 * time.Second
+
+// rosterReader is the state of the roster reader.
+type rosterReader struct {
+	loader *Loader
+	// published holds what was last read from the store.
+	published *published.State
+	// known is set once a roster was read. failingSince is the start of the first of
+	// the latest reads that no gateway answered; zero if one did.
+	known        bool
+	failingSince time.Time
+}
+
+// runRosterReader reads the roster of the service on request.
 func (l *Loader) runRosterReader(ctx context.Context) error {
-	state := published.NewState()
+	reader := rosterReader{loader: l, published: published.NewState()}
 	for {
 		if _, err := l.rosterRequests.Take(ctx); err != nil {
 			return nil
 		}
-		r, ok := l.queryGateways(ctx)
-		if !ok {
-			r, ok = l.rosterFromStore(ctx, state)
-		}
+		r, ok, pause := reader.read(ctx)
 		if ok && l.events.Put(ctx, rosterRead{roster: r}) != nil {
 			return nil
 		}
-		interval := rosterInterval
-		if !ok {
-			interval = rosterRetryInterval
-		}
-		_ = duty.Sleep(ctx, interval)
+		_ = duty.Sleep(ctx, pause)
+	}
+}
+
+// read reads the roster from a gateway or, if none answers and the known roster is too
+// old, from the store. It returns the time until the next read.
+func (r *rosterReader) read(ctx context.Context) (roster peering.Roster, ok bool, pause time.Duration) {
+	startedAt := time.Now()
+	if roster, ok = r.loader.queryGateways(ctx); ok {
+		r.known, r.failingSince = true, time.Time{}
+		return roster, true, rosterInterval
+	}
+	if r.failingSince.IsZero() {
+		r.failingSince = startedAt
+	}
+	if r.known && time.Since(r.failingSince) < rosterGrace {
+		return roster, false, rosterInterval
+	}
+	if roster, ok = r.loader.rosterFromStore(ctx, r.published); !ok {
+		return roster, false, rosterRetryInterval
 	}
+	r.known = true
+	return roster, true, rosterInterval
 }
 
 // queryGateways queries the seed gateways one after the other for the roster. It
