--- a/lib/sock/silence.go
+++ b/lib/sock/silence.go
@@ -8,8 +8,8 @@
 )
 
 // MaxSilence is how long a peer may send nothing before a request that can be sent again
-// is given up. Processes and links may be silent for 2 s and go on; over a link, the first
-// retransmission that arrives may follow 1.3 s later.
+// is given up. Processes and links may be silent for 2 s and go on; over a short link, the
+// retransmission that ends the silence comes 3.1 s after its begin.
 const MaxSilence = 3500 * time.Millisecond
 
 // ErrSilent is the cause of the end of a request whose peer sent nothing for too long.
