sock, platform, watcher: dead connections are noticed as soon as before

A connection to the store that is silent for good would be noticed after 4.5 to 5.5 s, too late for a configuration that is to be in force in 2 s, and a registration that is removed in those seconds would be used for longer than its upstream serves. Pauses of processes do not need any of it: their kernels acknowledge. Result: tests of sock, watcher, platform, loader, transfer, peering and published pass.

--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -110,36 +110,6 @@
 	return s.apply(now, changes, revision, true)
 }
 
-// ApplyLapses is Apply for changes of a store that has just been silent: registrations of
-// upstreams that it removes may have expired meanwhile, and those that are not renewed are
-// removed after LapseGrace.
-func (s *State) ApplyLapses(now time.Time, changes []Change, revision Revision) bool {
-	var rest []Change
-	for i := range changes {
-		if !s.lapse(now, &changes[i]) {
-			rest = append(rest, changes[i])
-		}
-	}
-	return s.apply(now, rest, revision, false)
-}
-
-// lapse applies the removal of an upstream after LapseGrace. It returns false for other
-// changes, and for the removal of an upstream that was draining.
-func (s *State) lapse(now time.Time, c *Change) bool {
-	old := s.items[c.Key]
-	u, isUpstream := old.item.(*Upstream)
-	if !c.Removed || !isUpstream || u.Draining || c.Revision <= old.revision {
-		return false
-	}
-	if old.expiresAt.IsZero() {
-		old.expiresAt = now.Add(LapseGrace)
-	}
-	removed := entryOf(c)
-	old.successor = &removed
-	s.items[c.Key] = old
-	return true
-}
-
 func (s *State) apply(now time.Time, changes []Change, revision Revision, fromPeer bool) bool {
 	s.noteEra(now, revision)
 	changed := false
--- a/lib/sock/silence.go
+++ b/lib/sock/silence.go
@@ -8,8 +8,7 @@
 )
 
 // MaxSilence is how long a peer may send nothing before a request that can be sent again
-// is given up. Processes and links may be silent for 2 s and go on; over a short link, the
-// retransmission that ends the silence comes 3.1 s after its begin.
+// is given up. A sound process may be silent for 2 s and go on.
 const MaxSilence = 3500 * time.Millisecond
 
 // ErrSilent is the cause of the end of a request whose peer sent nothing for too long.
--- a/lib/sock/sock.go
+++ b/lib/sock/sock.go
@@ -14,15 +14,11 @@
 const (
 	// DialTimeout limits the time to open a connection.
 	DialTimeout = time.Second
-	// UserTimeout is how long sent bytes may stay unacknowledged, or unsent because
-	// the peer's receive buffer is full, before the connection fails. Links and
-	// processes may be silent for 2 s and go on. Retransmissions follow after 1, 3, 7
-	// and 15 times the first interval of 200 ms or more, so the first one after such a
-	// silence is sent within 4.3 s.
-	UserTimeout = 4500 * time.Millisecond
+	// UserTimeout is how long sent bytes may stay unacknowledged before the
+	// connection fails.
+	UserTimeout = 1500 * time.Millisecond
 	// keepAliveIdle and keepAliveInterval are the times before and between
-	// keep-alive probes. Linux ends the connection at the first unanswered probe
-	// after UserTimeout, whatever keepAliveCount is.
+	// keep-alive probes; keepAliveCount unanswered probes end the connection.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -35,8 +35,6 @@
 	// next one. Further changes accumulate meanwhile, which saves calls to the
 	// store.
 	batchDelay = 250 * time.Millisecond
-	// lateWatch is how much later than its wait a watch of a source that pauses returns.
-	lateWatch = 500 * time.Millisecond
 	// expireInterval is the time between two checks for expired upstreams.
 	expireInterval = 250 * time.Millisecond
 )
@@ -48,9 +46,6 @@
 	// from a peer.
 	Snapshot bool
 	FromPeer bool
-	// Lapses is true if the source has just been silent, so that registrations may have
-	// expired.
-	Lapses bool
 }
 
 // Watcher maintains the published state of one process. One duty reads the
@@ -72,9 +67,6 @@
 	// unavailable are owned by the duty readSource.
 	lastRevision published.Revision
 	unavailable  bool
-	// lapsesUntil is when registrations that expired while the source paused have been
-	// renewed. It is owned by the duty readSource.
-	lapsesUntil time.Time
 }
 
 // query is a peer's request for the changes after a revision.
@@ -168,7 +160,7 @@
 			u.Snapshot = true
 			u.Batch, err = w.source.Snapshot(ctx, w.prefix, false)
 		} else {
-			u, err = w.watch(ctx)
+			u.Batch, err = w.source.Watch(ctx, w.prefix, w.lastRevision, w.wait)
 		}
 		if err == nil {
 			err = w.checkEra(&u)
@@ -205,18 +197,6 @@
 	return nil
 }
 
-// watch waits for changes of the source once.
-func (w *Watcher) watch(ctx context.Context) (u Update, err error) {
-	startedAt := time.Now()
-	u.Batch, err = w.source.Watch(ctx, w.prefix, w.lastRevision, w.wait)
-	now := time.Now()
-	if now.Sub(startedAt) > w.wait+lateWatch {
-		w.lapsesUntil = now.Add(published.LapseGrace)
-	}
-	u.Lapses = now.Before(w.lapsesUntil)
-	return u, err
-}
-
 // readFallback reads the fallback once, if there is one.
 func (w *Watcher) readFallback(ctx context.Context) {
 	if w.fallback == nil || ctx.Err() != nil {
@@ -300,8 +280,6 @@
 		return state.Replace(now, u.Changes, u.Revision)
 	case u.FromPeer:
 		return state.ApplyPeer(now, u.Changes, u.Revision)
-	case u.Lapses:
-		return state.ApplyLapses(now, u.Changes, u.Revision)
 	}
 	return state.Apply(now, u.Changes, u.Revision)
 }
