--- a/lib/published/restore_test.go
+++ b/lib/published/restore_test.go
@@ -30,11 +30,11 @@
 // Guards against an order of changes by their numbers alone, which are given out again
 // after a restore.
 func TestRevisionsOfLaterErasAreGreater(t *testing.T) {
-	require.Greater(t, at(2, 1), at(1, maxNumber))
+	require.Greater(t, at(2, 1), at(1, MaxNumber))
 	require.Greater(t, at(1, 2), at(1, 1))
 	require.Equal(t, "2/7", at(2, 7).String())
 	require.Equal(t, "7", at(0, 7).String())
-	require.Equal(t, at(MaxEra, maxNumber), at(1<<60, 1<<60))
+	require.Equal(t, at(MaxEra, MaxNumber), at(1<<60, 1<<60))
 }
 
 // Guards against a confirmed configuration that comes back older because the store was
