watcher: watches that cannot be read, or return at once, are delayed

The delay is reset by a watch only, and a watch that returns at once and without changes is followed by batchDelay.

--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -31,9 +31,9 @@
 	// retryMin and retryMax bound the delay after a failed read, before jitter.
 	retryMin = 100 * time.Millisecond
 	retryMax = 800 * time.Millisecond
-	// batchDelay is the delay between a read that returned changes and the
-	// next one. Further changes accumulate meanwhile, which saves calls to the
-	// store.
+	// batchDelay is the delay between a read that returned changes, or a watch that
+	// returned at once, and the next one. Further changes accumulate meanwhile, which
+	// saves calls to the store.
 	batchDelay = 250 * time.Millisecond
 	// expireInterval is the time between two checks for expired upstreams.
 	expireInterval = 250 * time.Millisecond
@@ -156,6 +156,7 @@
 	for ctx.Err() == nil {
 		var u Update
 		var err error
+		startedAt := time.Now()
 		if needSnapshot {
 			u.Snapshot = true
 			u.Batch, err = w.source.Snapshot(ctx, w.prefix, false)
@@ -177,20 +178,24 @@
 			continue
 		}
 		w.logRegained()
-		delay = retryMin
+		if !u.Snapshot {
+			// A store may answer snapshots while none of its watches can be read.
+			delay = retryMin
+		}
 		needSnapshot = false
 		if u.Revision.Era() > w.lastRevision.Era() {
 			_ = w.logger.Log("event", "store-restored", "revision", u.Revision, "known", w.lastRevision)
 		}
 		w.lastRevision = u.Revision
-		hasChanges := len(u.Changes) > 0
+		// A watch without changes waits at the store, unless that is at fault.
+		pause := len(u.Changes) > 0 || !u.Snapshot && time.Since(startedAt) < batchDelay
 		for _, f := range u.Findings {
 			_ = w.logger.Log("event", "item-unreadable", "err", f)
 		}
 		if w.updates.Put(ctx, u) != nil {
 			return nil
 		}
-		if hasChanges {
+		if pause {
 			_ = duty.Sleep(ctx, batchDelay)
 		}
 	}
--- a/lib/watcher/watcher_test.go
+++ b/lib/watcher/watcher_test.go
@@ -27,6 +27,9 @@
 	snapshot []published.Change
 	watches  int
 	waits    []time.Duration
+	// stopAfter is the number of watches after which one waits until its context ends; 0
+	// for none.
+	stopAfter int
 }
 
 type step struct {
@@ -47,7 +50,11 @@
 	next := s.steps[min(s.watches, len(s.steps)-1)]
 	s.watches++
 	s.waits = append(s.waits, wait)
+	stopped := s.stopAfter > 0 && s.watches > s.stopAfter
 	s.mu.Unlock()
+	if stopped {
+		<-ctx.Done()
+	}
 	if next.idle {
 		_ = duty.Sleep(ctx, wait)
 	}
