platform: numbers that others write are bounded

A registration with slots of 2^62 or -1, port 0, a start or a version at the greatest number, or layers to the greatest number was used as it was. A caller that names an impossible number of tokens makes the reported load of its gateway, and so its messages, invalid for all peers.

For amd64 the code was vetted, and nothing was run.

--- a/lib/fleet/check.go
+++ b/lib/fleet/check.go
@@ -26,7 +26,7 @@
 	if i.Role != RoleEntry && i.Role != RoleAgent {
 		return eris.Errorf("role of instance %q is %q", i.ID, i.Role)
 	}
-	if _, err := netip.ParseAddrPort(i.Address); err != nil {
+	if err := CheckAddress(i.Address); err != nil {
 		return eris.Wrapf(err, "address of instance %q", i.ID)
 	}
 	if i.State != StateLive && i.State != StateLeaving {
@@ -34,3 +34,20 @@
 	}
 	return nil
 }
+
+// CheckAddress returns an error if an address from outside is not an IP address with a
+// port, or one that no process listens at.
+func CheckAddress(address string) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return eris.Errorf("address %q is not an IP address with a port", address)
+	}
+	ip := a.Addr().Unmap()
+	if a.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() || ip == broadcast {
+		return eris.Errorf("address %q is not the address of one process", address)
+	}
+	return nil
+}
+
+// broadcast is the IPv4 address of all hosts.
+var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -172,6 +172,10 @@
 	return nil
 }
 
+// MaxVersion is the greatest version of a configuration or of weights that counts. The
+// next ones, and sums of two, do not overflow.
+const MaxVersion = 1 << 62
+
 // Copy describes one version of a model's weights that an upstream holds.
 type Copy struct {
 	Model   string
