--- a/lib/confservice/confservice.go
+++ b/lib/confservice/confservice.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,7 +14,6 @@
 	"github.com/rotisserie/eris"
 
 	"rattanspur.example/lib/config"
-	"rattanspur.example/lib/fleet"
 )
 
 // indexHeader is the response header with the index of a value. The name is
@@ -61,33 +59,6 @@
 	return Value{Bytes: body, Index: i}, nil
 }
 
-// InstanceList is the platform's view of the fleet, which may lag behind.
-type InstanceList struct {
-	Revision  uint64           `json:"revision"`
-	Instances []fleet.Instance `json:"instances"`
-	// Invalid has one error for each record that was omitted from Instances.
-	Invalid []error `json:"-"`
-}
-
-// ParseInstances parses an instance list. Records that cannot be members are
-// omitted, because members would otherwise forward them to each other.
-func ParseInstances(data []byte) (InstanceList, error) {
-	var list InstanceList
-	if err := json.Unmarshal(data, &list); err != nil {
-		return InstanceList{}, eris.Wrap(err, "instance list is not valid JSON")
-	}
-	valid := make([]fleet.Instance, 0, len(list.Instances))
-	for _, i := range list.Instances {
-		if err := i.Check(); err != nil {
-			list.Invalid = append(list.Invalid, err)
-			continue
-		}
-		valid = append(valid, i)
-	}
-	list.Instances = valid
-	return list, nil
-}
-
 // InstanceService reads the instance list.
 type InstanceService struct {
 	url  string
