wire: numbers of member records are bounded

A process overrides a record of itself by the number after it. After the incarnation there is none, so that the process would count as gone, and nothing would ever follow the greatest list revision. Records whose incarnation, sequence or list revision is not from 0 to 2^62 are skipped as other invalid ones are.

The test failed before: all five odd records were decoded.

--- a/lib/wire/heartbeat.go
+++ b/lib/wire/heartbeat.go
@@ -167,7 +167,19 @@
 	return m, checkMember(&m)
 }
 
+// maxNumber is the greatest number in a member record. A process overrides a record of
+// itself with the number after it, which must not overflow.
+const maxNumber = 1 << 62
+
 func checkMember(m *gossip.Member) error {
+	for _, i := range []fleet.Incarnation{m.Version.Incarnation, m.Listed.Incarnation} {
+		if i < 0 || i > maxNumber {
+			return eris.Errorf("incarnation of member %q is %d", m.ID, i)
+		}
+	}
+	if m.Version.Sequence > maxNumber || m.Listed.Revision > maxNumber {
+		return eris.Errorf("sequence or list revision of member %q is out of range", m.ID)
+	}
 	if m.Listed.State > gossip.Delisted {
 		return eris.Errorf("list state of member %q is %d", m.ID, m.Listed.State)
 	}
--- a/lib/wire/heartbeat_test.go
+++ b/lib/wire/heartbeat_test.go
@@ -1,9 +1,11 @@
 package wire
 
 import (
+	"math"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/config"
@@ -33,6 +35,28 @@
 	}
 }
 
+// Guards against a record of a process that it cannot override, since no number follows
+// those of the record: it would count as gone for its whole life.
+func TestNumbersOfMembersAreBounded(t *testing.T) {
+	for name, change := range map[string]func(*gossip.Member){
+		"incarnation":          func(m *gossip.Member) { m.Version.Incarnation = math.MaxInt64 },
+		"negative incarnation": func(m *gossip.Member) { m.Version.Incarnation = -1 },
+		"sequence":             func(m *gossip.Member) { m.Version.Sequence = math.MaxUint64 },
+		"listed incarnation":   func(m *gossip.Member) { m.Listed.Incarnation = math.MaxInt64 },
+		"list revision":        func(m *gossip.Member) { m.Listed.Revision = math.MaxUint64 },
+	} {
+		h := sampleHeartbeat()
+		odd := h.Members[0]
+		change(&odd)
+		h.Members = append([]gossip.Member{odd}, h.Members...)
+		data, err := EncodeHeartbeat(h, timeline.Stamp{})
+		require.NoError(t, err)
+		got, _, err := DecodeHeartbeat(data)
+		require.NoError(t, err)
+		assert.Equal(t, h.Members[1:], got.Members, name)
+	}
+}
+
 // Guards against an encoding that loses fields.
 func TestHeartbeatKeepsAllFields(t *testing.T) {
 	h := sampleHeartbeat()
