dispatch: an upstream that states far too many slots does not get all requests

The cost of an upstream is its load as a share of its slots, and the slots of a service are divided among gateways as one row. One registration with slots far beyond those of the others got all requests, and while the service was contended, most gateways owned nothing but slots of that one.

At most eight times the median slots of the service count for one upstream.

The tests failed before: 34 of 34 requests went to an upstream with 65536 slots beside nine with 4, and 1 of 4 gateways owned a slot of a sound one.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -248,6 +248,7 @@
 	}
 	for _, s := range c.services {
 		s.sortByRegion()
+		s.boundSlots()
 	}
 	c.expireNotices(now)
 	c.retainLimits(now)
--- a/lib/dispatch/ownership.go
+++ b/lib/dispatch/ownership.go
@@ -32,6 +32,33 @@
 	})
 }
 
+// maxSlotRatio is the greatest number of slots of an upstream that counts, as a multiple of
+// the median of its service. One with eight accelerators beside those with one stays below.
+const maxSlotRatio = 8
+
+// boundSlots bounds the slots that count for each upstream of the service. One that states
+// far too many would otherwise get nearly all requests, and entries would own nothing else.
+func (s *service) boundSlots() {
+	var slots []int
+	for _, u := range s.upstreams {
+		if u.Slots > 0 {
+			slots = append(slots, u.Slots)
+		}
+	}
+	if len(slots) == 0 {
+		return
+	}
+	slices.Sort(slots)
+	most := slots[(len(slots)-1)/2] * maxSlotRatio
+	for _, u := range s.upstreams {
+		if u.Slots > most {
+			bounded := *u.Upstream
+			bounded.Slots = most
+			u.Upstream = &bounded
+		}
+	}
+}
+
 // divideSlots determines which part of each upstream this entry owns, and how many
 // requests it may send to an upstream that is cold.
 func (c *Core) divideSlots(now time.Time) {
