peering: versions and start times in messages are bounded

A message with the configuration version made its receivers read the sender's view every 300 ms without end, and a notice with such a start time made a gateway ignore all later notices of the engine. Versions from 0 to 2^62 and start times up to the year 9999 are valid, as in registrations.

The test failed before: all six odd messages were valid.

--- a/lib/peering/message.go
+++ b/lib/peering/message.go
@@ -95,13 +95,15 @@
 			return false
 		}
 	}
-	return published.ValidAges(m.Versions)
+	return validVersion(m.Config) && (m.Engine == nil || m.Engine.valid()) && published.ValidAges(m.Versions)
 }
 
 func validRate(perSecond float64) bool { return perSecond >= 0 && perSecond <= maxPerSecond }
 
 func validCount(n int) bool { return n >= 0 && n <= maxCount }
 
+func validVersion(v int64) bool { return v >= 0 && v <= published.MaxVersion }
+
 // EngineNotice is a loader's notice to gateways about its engine. It arrives
 // before the engine's own registration changes.
 type EngineNotice struct {
@@ -115,3 +117,9 @@
 	// PreviousVersion is the version that the engine served before.
 	PreviousVersion int64 `json:"was"`
 }
+
+// valid reports whether all numbers in the notice are possible. Nothing would follow the
+// greatest ones.
+func (n *EngineNotice) valid() bool {
+	return n.StartTime >= 0 && n.StartTime <= published.MaxStartTime && validVersion(n.Version) && validVersion(n.PreviousVersion)
+}
--- a/lib/peering/peering_test.go
+++ b/lib/peering/peering_test.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/fleet"
@@ -126,6 +128,8 @@
 	f.Add([]byte(`{"from":"b","demands":{"s":{"r":-3}}}`))
 	f.Add([]byte(`{"from":"b","demands":{"s":{"r":1e308}},"loads":{"x":{"n":-1}}}`))
 	f.Add([]byte(`{"from":"b","peers":["","a"],"crashes":[{"i":1,"a":-1,"s":[{"t":2,"d":-1}]}]}`))
+	f.Add([]byte(`{"from":"b","rev":18446744073709551615,"era":65536,"cfg":9223372036854775807}`))
+	f.Add([]byte(`{"engine":{"address":"1.2.3.4:5","born":9223372036854775807,"version":9223372036854775807}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var m Message
 		if json.Unmarshal(data, &m) != nil || !m.Valid() {
@@ -221,3 +225,20 @@
 	m := Message{Versions: map[string][]published.VersionAge{"m": {possible}}}
 	require.True(t, m.Valid())
 }
+
+// Guards against versions and start times that nothing follows: a gateway would read the
+// views of its peers without end, or ignore the later notices of an engine.
+func TestOddNumbersOfAMessageAreRejected(t *testing.T) {
+	for name, m := range map[string]Message{
+		"configuration":          {Config: math.MaxInt64},
+		"negative configuration": {Config: -1},
+		"start":                  {Engine: &EngineNotice{StartTime: math.MaxInt64}},
+		"negative start":         {Engine: &EngineNotice{StartTime: -1}},
+		"version":                {Engine: &EngineNotice{Version: math.MaxInt64}},
+		"previous version":       {Engine: &EngineNotice{PreviousVersion: math.MinInt64}},
+	} {
+		assert.False(t, m.Valid(), name)
+	}
+	sound := Message{Config: 7, Engine: &EngineNotice{StartTime: 1772575768625, Version: 3, PreviousVersion: 2}}
+	require.True(t, sound.Valid())
+}
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -176,6 +176,10 @@
 // next ones, and sums of two, do not overflow.
 const MaxVersion = 1 << 62
 
+// MaxStartTime is the greatest start time of an upstream that counts, the end of the year
+// 9999 as Unix time in milliseconds.
+const MaxStartTime = 253402300799999
+
 // Copy describes one version of a model's weights that an upstream holds.
 type Copy struct {
 	Model   string
