viewsync: an odd item of a peer hides no other item

The view of a peer was decoded at once. One item with a field of another type made the whole view unreadable, and a gateway without a store followed nobody. Each item, and the ages of versions, are decoded for themselves; an item without a readable key and revision is left out, with a finding.

--- a/lib/viewsync/viewsync.go
+++ b/lib/viewsync/viewsync.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -123,24 +124,43 @@
 		"era":    {strconv.FormatUint(after.Era(), 10)},
 		"prefix": {prefix},
 	}
-	var response changes
+	var response struct {
+		revision
+		Items []json.RawMessage `json:"items"`
+		Ages  json.RawMessage   `json:"ages"`
+	}
 	if err := c.client.GetJSON(ctx, address, Path+"?"+q.Encode(), &response); err != nil {
 		return published.Batch{}, eris.Wrapf(err, "read view of %s", address)
 	}
 	b := published.Batch{Revision: response.decode()}
-	if published.ValidAges(response.Ages) {
-		b.Ages = response.Ages
+	var ages map[string][]published.VersionAge
+	if response.Ages != nil && json.Unmarshal(response.Ages, &ages) == nil && published.ValidAges(ages) {
+		b.Ages = ages
 	}
-	for _, it := range response.Items {
-		change, err := c.decode(it.Key, it.decode(), it.Removed, it.Raw)
-		if err != nil {
-			b.Findings = append(b.Findings, err)
-		}
-		b.Changes = append(b.Changes, change)
+	for _, data := range response.Items {
+		c.addItem(&b, data)
 	}
 	return b, nil
 }
 
+// addItem decodes an item for itself and adds its change and finding to a batch. An item
+// whose key and revision cannot be read is left out.
+func (c *Client) addItem(b *published.Batch, data []byte) {
+	var it item
+	if err := json.Unmarshal(data, &it); err != nil || it.Key == "" || it.Number == 0 || it.Number > published.MaxNumber {
+		b.Findings = append(b.Findings, eris.Errorf("item of a peer is unreadable: %.*s", maxItemText, data))
+		return
+	}
+	change, err := c.decode(it.Key, it.decode(), it.Removed, it.Raw)
+	if err != nil {
+		b.Findings = append(b.Findings, err)
+	}
+	b.Changes = append(b.Changes, change)
+}
+
+// maxItemText is the number of bytes of an unreadable item that a finding shows.
+const maxItemText = 200
+
 // Fallback reads the view of the first process that answers. Each read starts
 // with a randomly chosen process, so that a process that is behind does not
 // delay a reader for long.
--- a/lib/viewsync/viewsync_test.go
+++ b/lib/viewsync/viewsync_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/published"
@@ -112,3 +113,30 @@
 	require.Contains(t, string(text), `"revision":9,`)
 	require.Equal(t, published.Revision(40), after)
 }
+
+// Guards against one item of a peer that cannot be decoded and makes the whole view of the
+// peer unreadable: a gateway without a store would not follow the peers any more.
+func TestOddItemOfAPeerHidesNoOther(t *testing.T) {
+	const sound = `{"key":"a","revision":5,"raw":"AAE="}`
+	for name, odd := range map[string]string{
+		"negative revision": `{"key":"b","revision":-1,"raw":"AAE="}`,
+		"great revision":    `{"key":"b","revision":1e400}`,
+		"no revision":       `{"key":"b"}`,
+		"era as text":       `{"key":"b","revision":4,"era":"1"}`,
+		"not base64":        `{"key":"b","revision":4,"raw":"*"}`,
+		"removed as text":   `{"key":"b","revision":4,"removed":"no"}`,
+		"key of lists":      `{"key":[],"revision":4}`,
+		"nested":            strings.Repeat("[", 9000) + strings.Repeat("]", 9000),
+		"null":              `null`,
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"revision":9,"ages":{"m":[{"v":-1e400}]},"items":[`+odd+`,`+sound+`]}`)
+		}))
+		b, err := NewClient(decode).Changes(context.Background(), strings.TrimPrefix(s.URL, "http://"), 0, "")
+		s.Close()
+		if assert.NoError(t, err, name) {
+			assert.Len(t, b.Findings, 1, name)
+			assert.Equal(t, []published.Change{{Key: "a", Revision: 5, Raw: []byte{0, 1}}}, b.Changes, name)
+		}
+	}
+}
