loader: the size of pieces in a peer's manifest is bounded

It bounds how many bytes are read from a peer into memory, and was taken over as it was. It has to be from 1 byte to 16 MiB, as in a manifest of the origin.

--- a/loader/serve.go
+++ b/loader/serve.go
@@ -16,7 +16,8 @@
 )
 
 // decodeManifest decodes a manifest received from a peer. It returns an error if
-// the manifest is for another model or version or has no digests.
+// the manifest is for another model or version, or has no digests or an impossible size
+// of pieces.
 func decodeManifest(data []byte, model string, version int64) (*staging.Manifest, error) {
 	var m staging.Manifest
 	if err := wire.ReadJSON(bytes.NewReader(data), &m); err != nil {
@@ -25,9 +26,15 @@
 	if m.Model != model || m.Version != version || len(m.Digests) == 0 {
 		return nil, eris.Errorf("manifest from peer is for model %q version %d", m.Model, m.Version)
 	}
+	if m.PieceBytes <= 0 || m.PieceBytes > maxPieceBytes {
+		return nil, eris.Errorf("manifest from peer has pieces of %d bytes, the limit is %d", m.PieceBytes, maxPieceBytes)
+	}
 	return &m, nil
 }
 
+// maxPieceBytes bounds the size of a piece, which is read into memory.
+const maxPieceBytes = 16 << 20
+
 // peerHandler serves manifests, sets of available pieces and pieces to other
 // loaders.
 func (l *Loader) peerHandler() http.Handler {
