published: of two keys that name one model the last written counts

The view took one of them at random with each change, so that one odd entry made the desired version of a model change back and forth.

The test failed before: the version was 1 where 9 was written last.

--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -255,7 +255,11 @@
 			v.OutOfService[item.Domain] = true
 		case DesiredVersion:
 			item.Revision = e.revision
-			v.Desired[item.Model] = s.withFirstSeen(now, key, item)
+			d := s.withFirstSeen(now, key, item)
+			// Two keys may name one model. The one that was written last counts.
+			if known, ok := v.Desired[d.Model]; !ok || known.Revision <= d.Revision {
+				v.Desired[d.Model] = d
+			}
 		}
 	}
 	slices.SortFunc(v.Upstreams, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
--- a/lib/published/state_test.go
+++ b/lib/published/state_test.go
@@ -274,3 +274,18 @@
 	require.Nil(t, c.Route("h.example", "/b/"))
 	require.Nil(t, c.Route("other.example", "/a/"))
 }
+
+// Guards against two keys that name one model, so that the desired version changes at random
+// with each change of the view. The one that was written last counts.
+func TestOneOfTwoKeysOfAModelCounts(t *testing.T) {
+	s := NewState()
+	s.Replace(start, []Change{desired(1, 1)}, 1)
+	odd := Change{Key: "w/odd", Revision: 2, Item: DesiredVersion{Model: "m", Version: 9}}
+	s.Apply(start, []Change{odd}, 2)
+	for i := range Revision(50) {
+		s.Apply(start, []Change{upstream("a", i+3)}, i+3)
+		require.Equal(t, int64(9), s.View().Desired["m"].Version)
+	}
+	s.Apply(start, []Change{{Key: "w/odd", Revision: 60, Removed: true}}, 60)
+	require.Equal(t, int64(1), s.View().Desired["m"].Version)
+}
