wire: numbers in the load of an agent are bounded

An agent with the limit was taken to have nearly no load at any number of calls, so that entries would send it all of them. Numbers that are not from 0 to 2^20 make the header invalid, as one that is no JSON.

The test failed before: the limits and -1 and the calls in flight and -1 were taken over.

--- a/lib/wire/load.go
+++ b/lib/wire/load.go
@@ -11,6 +11,9 @@
 // maxLoadBytes is the maximum size of the header that carries a Load.
 const maxLoadBytes = 1 << 10
 
+// maxCalls is the greatest number of calls in a Load.
+const maxCalls = 1 << 20
+
 // Load describes the calls that an agent admits at the time of an answer.
 type Load struct {
 	// Limit is the maximum number of calls that may be in flight.
@@ -36,6 +39,11 @@
 	if text == "" || len(text) > maxLoadBytes {
 		return l, false
 	}
-	err := json.Unmarshal([]byte(text), &l)
-	return l, err == nil
+	if json.Unmarshal([]byte(text), &l) != nil || !validCalls(l.Limit) || !validCalls(l.InFlight) {
+		return Load{}, false
+	}
+	return l, true
 }
+
+// validCalls reports whether an agent can admit a number of calls.
+func validCalls(n int) bool { return n >= 0 && n <= maxCalls }
