logline: long lines are cut

A finding quotes what others wrote: an address, or a number with a million digits. 2048 lines may wait for the writer, so that few odd entries of the greatest size could take more memory than a process has. Lines are cut after 8 KiB.

The test failed before: the line had 2097238 bytes, less than 9216 wanted.

--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-kit/log"
 
@@ -23,6 +24,9 @@
 	// maxLinesPerFlush limits the lines that one write adds to the first one
 	// and, with flushInterval, the rate of log lines.
 	maxLinesPerFlush = 60
+	// maxLineBytes is the length after which a line is cut. Lines may quote what others
+	// wrote, and ringCapacity of them are kept in memory.
+	maxLineBytes = 8 << 10
 )
 
 // Log is a bounded log. Its Logger is safe for concurrent use.
@@ -39,7 +43,19 @@
 
 // Write queues one line. It implements io.Writer and never blocks.
 func (l *Log) Write(line []byte) (int, error) {
-	return len(line), l.lines.Put(context.Background(), bytes.Clone(line))
+	return len(line), l.lines.Put(context.Background(), cut(line))
+}
+
+// cut returns a copy of a line without what follows after maxLineBytes.
+func cut(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return bytes.Clone(line)
+	}
+	end := maxLineBytes
+	for end > 0 && !utf8.RuneStart(line[end]) {
+		end--
+	}
+	return append(bytes.Clone(line[:end]), " (cut)\n"...)
 }
 
 // Logger returns a logger whose lines carry the instance and the seconds since
--- a/lib/logline/logline_test.go
+++ b/lib/logline/logline_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/stretchr/testify/require"
 )
@@ -59,3 +60,21 @@
 	require.NoError(t, l.Run(ctx))
 	require.Contains(t, out.String(), "instance=g event=last")
 }
+
+// Guards against lines as long as an odd entry of the store, whose text a finding shows: the
+// lines that wait for the writer would take more memory than the machine has.
+func TestLongLinesAreCut(t *testing.T) {
+	out := &buffer{}
+	l := New(out)
+	require.NoError(t, l.Logger("g").Log("event", "item-unreadable", "err", strings.Repeat("é", 1<<20)))
+	require.NoError(t, l.Logger("g").Log("event", "next"))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.NoError(t, l.Run(ctx))
+	lines := strings.SplitAfter(out.String(), "\n")
+	require.Len(t, lines, 3)
+	require.Contains(t, lines[0], "event=item-unreadable")
+	require.Less(t, len(lines[0]), 9<<10)
+	require.True(t, utf8.ValidString(lines[0]))
+	require.Contains(t, lines[1], "event=next")
+}
