dispatch: an entry is no upstream of its own

A registration with the address of a gateway was used by that gateway. Each request came back to it as a new one, until all slots of that upstream were taken. Update leaves out upstreams with the address of the entry itself.

The test failed before: the request went to the odd upstream.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -15,7 +15,7 @@
 
 // Settings configure a Core.
 type Settings struct {
-	// Self distinguishes this entry from others.
+	// Self is the address of this entry. It distinguishes the entry from others.
 	Self   string
 	Region fleet.Region
 	// Regions maps each failure domain to its region.
@@ -227,6 +227,10 @@
 		maps.DeleteFunc(c.timeBudgets, func(name string, _ time.Duration) bool { return !v.Config.HasRoute(name) })
 	}
 	for _, p := range v.Upstreams {
+		if p.Address == c.settings.Self {
+			// Requests would come back as new ones until all slots of it are taken.
+			continue
+		}
 		u := c.mergeUpstream(now, old[p.ID], p)
 		c.upstreams[p.ID] = u
 		s := c.service(now, p.Service)
--- a/lib/dispatch/odd_test.go
+++ b/lib/dispatch/odd_test.go
@@ -72,3 +72,19 @@
 	h = newHarness(t, view(empty))
 	require.Zero(t, h.core.upstreams["empty"].Slots)
 }
+
+// Guards against a registration with the address of the entry itself: each request would
+// come back as a new one until all slots of that upstream are taken.
+func TestEntryIsNoUpstreamOfItsOwn(t *testing.T) {
+	const self = "10.0.0.1:80"
+	c := New(Settings{Self: self, Random: func(int) int { return 0 }})
+	odd := deskUpstream("odd", "north-a")
+	odd.Address = self
+	odd.Slots = 16
+	c.Update(start, view(odd, deskUpstream("sound", "north-a")))
+	h := &harness{t: t, core: c, now: start}
+	for range 4 {
+		_, actions := h.arrive("/read/1")
+		require.Equal(t, fleet.InstanceID("sound"), h.sent(actions).Upstream)
+	}
+}
