loader: answers for an earlier copy of a version are ignored

A copy that was dropped and created anew, as when a version becomes the target again, took over pieces that were requested by the manifest of the earlier copy. With another manifest, as from a faulty peer, the number of a piece was outside the new copy, and the panic of the coordinator ended the loader; or the piece belonged to other content. A second manifest reset the data of a copy whose transfer had begun.

Pieces count only for the manifest by which they were requested, and the first manifest of a copy stays.

--- a/loader/copytransfer.go
+++ b/loader/copytransfer.go
@@ -87,7 +87,8 @@
 
 func (c *coordinator) handleManifest(now time.Time, ev manifestRead) {
 	vc := c.copies[ev.version]
-	if vc == nil {
+	if vc == nil || vc.manifest != nil {
+		// The copy was dropped meanwhile, or was created anew and knows its manifest.
 		return
 	}
 	vc.manifestRequested = false
@@ -118,7 +119,7 @@
 
 func (c *coordinator) handlePiece(ctx context.Context, now time.Time, ev pieceRead) {
 	vc := c.copies[ev.version]
-	if vc == nil || vc.core == nil {
+	if vc == nil || vc.core == nil || vc.manifest != ev.manifest {
 		return
 	}
 	c.loader.metrics.countPiece(ev.ended, len(ev.data))
--- a/loader/duties.go
+++ b/loader/duties.go
@@ -150,7 +150,7 @@
 }
 
 func (l *Loader) fetchPiece(ctx context.Context, f fetch) (ev pieceRead) {
-	ev = pieceRead{version: f.manifest.Version, ended: transfer.ChunkEnded{Index: f.number, Source: f.source}}
+	ev = pieceRead{version: f.manifest.Version, manifest: f.manifest, ended: transfer.ChunkEnded{Index: f.number, Source: f.source}}
 	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
 	defer cancel()
 	startedAt := time.Now()
--- a/loader/event.go
+++ b/loader/event.go
@@ -33,10 +33,12 @@
 // verification if the outcome is Verified.
 type pieceRead struct {
 	version int64
-	data    []byte
-	ended   transfer.ChunkEnded
-	took    time.Duration
-	err     error
+	// manifest is the one that the request was made by.
+	manifest *staging.Manifest
+	data     []byte
+	ended    transfer.ChunkEnded
+	took     time.Duration
+	err      error
 }
 
 // haveRead carries a peer's set of pieces of a version, or the failure to read it.
