dispatch: what a silent attempt received itself is no sign of a sound upstream

Cause: an upstream that responded after a silence began counts as sound, so that its connection is at fault. The head of the silent attempt's own response, its first event, and the event that ended an earlier silence counted as such a response: the first because a head is no progress, the others because the router notes them a moment after the handler. The upstream was not avoided, and the request was interrupted to be sent to the same upstream, also when that was the only one. Change: the silence of an attempt begins no earlier than what it received last. A plain response of which bytes have arrived is no silence of its upstream, as it makes no progress before its end. Result: TestOwnResponseIsNoSignOfASoundUpstream failed before ("Should be empty, but was [{1}]; head: interrupted, to be sent to the same upstream"; with separate tests likewise for the first event and for a resumed attempt), TestLongPlainResponseIsNoSilenceOfItsUpstream ("Should be false"). Both pass, with the other tests of the folder.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -378,7 +378,7 @@
 		return
 	}
 	r.upstream.observe(now, o)
-	r.upstream.recordAlive(now)
+	r.recordAlive(now)
 	c.declined.observe(now, r.upstream.startKey(), o)
 	if c.limits.table.Observe(now, r.sentAt, r.upstream.startKey(), o.Limit) {
 		c.applyLimits(now)
@@ -392,7 +392,7 @@
 		return nil
 	}
 	r.releasePrompt()
-	r.upstream.recordAlive(now)
+	r.recordAlive(now)
 	c.recordBegan(now, r)
 	return c.drain(now)
 }
--- a/lib/dispatch/request.go
+++ b/lib/dispatch/request.go
@@ -36,6 +36,8 @@
 	upstream *upstream
 	// promptPending is set until the upstream begins to respond.
 	promptPending bool
+	// heardAt is when an upstream last responded to this request.
+	heardAt time.Time
 	// silence describes the silence of the current attempt; nil while there is none.
 	silence *Silence
 	// reserved is the upstream that keeps a place for the request until its interrupted
--- a/lib/dispatch/silence.go
+++ b/lib/dispatch/silence.go
@@ -68,12 +68,19 @@
 	if r == nil || r.upstream == nil {
 		return nil
 	}
+	// What the attempt itself received before it fell silent is no response to others.
+	if s.Since.Before(r.heardAt) {
+		s.Since = r.heardAt
+	}
 	r.silence = &s
 	c.silent[ticket] = r
 	if s.Started && r.version == 0 {
 		r.version = s.Version
 	}
-	r.upstream.recordSilence(now, s.Since)
+	// A plain response makes no progress before its end, although bytes may arrive.
+	if r.route.Kind == published.Streaming || !s.Started {
+		r.upstream.recordSilence(now, s.Since)
+	}
 	return c.move(now, r, nil)
 }
 
@@ -83,7 +90,7 @@
 	if r == nil || r.upstream == nil || r.silence == nil {
 		return nil
 	}
-	r.upstream.recordAlive(now)
+	r.recordAlive(now)
 	// An interrupted attempt ends all the same: its place elsewhere is kept until then.
 	if r.reserved == nil {
 		c.endSilence(r)
@@ -216,6 +223,12 @@
 	u.recordFailure(now)
 }
 
+// recordAlive records that the upstream has responded to the current attempt.
+func (r *request) recordAlive(now time.Time) {
+	r.heardAt = now
+	r.upstream.recordAlive(now)
+}
+
 // recordAlive records that the upstream has responded to a request. It is no longer
 // avoided if silence was the reason.
 func (u *upstream) recordAlive(now time.Time) {
--- a/lib/dispatch/silence_test.go
+++ b/lib/dispatch/silence_test.go
@@ -199,3 +199,42 @@
 	_, actions := h.arrive("/stream/1")
 	require.Equal(t, NoRoute, h.refused(actions).Verdict)
 }
+
+// Guards against a silent upstream that counts as sound because of what the silent attempt
+// received itself: the head of its response, its first event, or the event that ended an
+// earlier silence. Its request would be sent there again, and new ones would go there.
+func TestOwnResponseIsNoSignOfASoundUpstream(t *testing.T) {
+	for name, receive := range map[string]func(h *harness, ticket Ticket){
+		"head":        func(h *harness, ticket Ticket) { h.core.Observe(h.now, ticket, Observation{Version: 1}) },
+		"first event": func(h *harness, ticket Ticket) { h.core.ResponseStarted(h.now, ticket) },
+		"resumed": func(h *harness, ticket Ticket) {
+			h.core.AttemptSilent(h.now, ticket, Silence{Since: h.now.Add(-time.Millisecond)})
+			h.core.AttemptResumed(h.now, ticket)
+		},
+	} {
+		h := newHarness(t, view(replica("a", 1)))
+		ticket, actions := h.arrive("/stream/1")
+		h.sent(actions)
+		since := h.now
+		// The router handles events a moment after the time that the handler noted.
+		h.now = h.now.Add(time.Millisecond)
+		receive(h, ticket)
+		h.now = h.now.Add(silentFor)
+		s := Silence{Since: since, Started: name != "head", LastEventID: "7", Version: 1}
+		require.Empty(t, h.core.AttemptSilent(h.now, ticket, s), "%s: interrupted, to be sent to the same upstream", name)
+		require.True(t, h.core.upstreams["a"].avoided(h.now), name)
+	}
+}
+
+// Guards against an upstream that is avoided because a long plain response, which it still
+// sends, has not ended.
+func TestLongPlainResponseIsNoSilenceOfItsUpstream(t *testing.T) {
+	h := newHarness(t, view(deskUpstream("a", "north-a")))
+	ticket, actions := h.arrive("/read/1")
+	h.sent(actions)
+	since := h.now
+	h.core.Observe(h.now, ticket, Observation{})
+	h.now = h.now.Add(900 * time.Millisecond)
+	require.Empty(t, h.core.AttemptSilent(h.now, ticket, Silence{Since: since, Started: true}))
+	require.False(t, h.core.upstreams["a"].avoided(h.now))
+}
