dispatch: a silent attempt is not interrupted for a place that its request may not take

Cause: upstreams are merged into new objects after a restart, and after their registration was away for a moment. The search for a place compared objects, the end of the attempt compared instance IDs. A silent attempt whose upstream had restarted was interrupted with a place kept at the new start, which then counted as the upstream that failed the request: the request was refused, and a stream cut. One whose upstream had only been away was interrupted to go to the same process. Change: both compare the start of the instance. The request may go to a later start of its upstream. Result: TestSilentAttemptGoesOnAtTheNextStart failed before ("dispatch.Refuse {Ticket:1 Verdict:unknown Reason:upstream a gave no answer: silent ...}"), TestSilentAttemptDoesNotReturnToItsUpstream too ("Should be empty, but was [{1}]"). Both pass, with the other tests of the folder.

--- a/lib/dispatch/silence.go
+++ b/lib/dispatch/silence.go
@@ -153,9 +153,16 @@
 
 // recordSilentEnd records the end of a silent attempt. The silence counted against its
 // upstream when it was reported. If the upstream has responded to other requests since, the
-// connection is at fault, and the request may go there again.
+// connection is at fault, and the request may go there again. It may also go to a later
+// start of the upstream, for which its attempt may have been interrupted.
 func (c *Core) recordSilentEnd(now time.Time, r *request, u *upstream, s *Silence, e AttemptResult) {
 	c.recordEvidence(now, r, e)
+	if current := c.upstreams[u.ID]; current != nil {
+		if current.startKey() != u.startKey() {
+			return
+		}
+		u = current
+	}
 	if !u.aliveAt.After(s.Since) {
 		r.failedUpstreams = append(r.failedUpstreams, u.ID)
 	}
@@ -200,7 +207,10 @@
 	if slices.Contains(r.failedUpstreams, u.ID) {
 		return true
 	}
-	return u == r.upstream && (r.silence == nil || !u.aliveAt.After(r.silence.Since))
+	if r.upstream == nil || u.startKey() != r.upstream.startKey() {
+		return false
+	}
+	return r.silence == nil || !u.aliveAt.After(r.silence.Since)
 }
 
 // silent reports whether the upstream was found silent and has not responded since.
--- a/lib/dispatch/silence_test.go
+++ b/lib/dispatch/silence_test.go
@@ -238,3 +238,29 @@
 	require.Empty(t, h.core.AttemptSilent(h.now, ticket, Silence{Since: since, Started: true}))
 	require.False(t, h.core.upstreams["a"].avoided(h.now))
 }
+
+// Guards against an attempt that is ended in vain after a restart of its upstream: a place
+// was kept at the new start, which then counted as the upstream that failed the request.
+func TestSilentAttemptGoesOnAtTheNextStart(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	ticket, _ := h.startStream()
+	restarted := replica("a", 1)
+	restarted.StartTime++
+	h.core.Update(h.now, view(restarted))
+	h.now = h.now.Add(silentFor)
+	require.Equal(t, ticket, h.interrupted(h.core.AttemptSilent(h.now, ticket, h.afterEvent())))
+	send := h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled, Started: true, LastEventID: "7", Version: 1}))
+	require.Equal(t, fleet.InstanceID("a"), send.Upstream)
+	require.Equal(t, 1, h.core.upstreams["a"].inFlight)
+}
+
+// Guards against an attempt that is ended to go on at the same silent process, whose
+// registration was away for a moment.
+func TestSilentAttemptDoesNotReturnToItsUpstream(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	ticket, _ := h.startStream()
+	h.core.Update(h.now, view())
+	h.core.Update(h.now, view(replica("a", 1)))
+	h.now = h.now.Add(silentFor)
+	require.Empty(t, h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
+}
