dispatch: a broken stream does not wait behind one that may not go where it may

Cause: requests that wait for another upstream shared a queue whatever upstream had failed them, and the first one that finds no room holds up the queue. A stream that upstream b failed waited behind one that a failed, although a had room for it, until the first one's wait was over: with two upstreams that fail within a few seconds, both streams were cut. Change: the key of the queue names the upstreams that failed the request. Result: TestBrokenStreamsOfDifferentUpstreams failed before ("[]" should have 1 item(s), but has 0). It passes, with the other tests of the folder.

--- a/lib/dispatch/silence_test.go
+++ b/lib/dispatch/silence_test.go
@@ -264,3 +264,23 @@
 	h.now = h.now.Add(silentFor)
 	require.Empty(t, h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
 }
+
+// Guards against a broken stream that waits although an upstream has room for it, behind
+// one that this upstream failed.
+func TestBrokenStreamsOfDifferentUpstreams(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	first, _ := h.startStream()
+	h.core.Update(h.now, view(replica("b", 1)))
+	second, _ := h.startStream()
+	fullA, fullB := replica("a", 1), replica("b", 1)
+	fullA.Slots, fullB.Slots = 0, 0
+	h.core.Update(h.now, view(fullA, fullB))
+	lost := AttemptResult{End: retry.Lost, Started: true, LastEventID: "7", Version: 1}
+	require.Empty(t, h.core.AttemptEnded(h.now, first, lost))
+	h.now = h.now.Add(time.Millisecond)
+	require.Empty(t, h.core.AttemptEnded(h.now, second, lost))
+	h.now = h.now.Add(minAvoidance)
+	send := h.sent(h.core.Update(h.now, view(replica("a", 1), fullB)))
+	require.Equal(t, second, send.Ticket)
+	require.Equal(t, fleet.InstanceID("a"), send.Upstream)
+}
--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -121,8 +121,8 @@
 }
 
 // queueKey identifies the queue of a request: the regions that may serve it, the
-// suspicion that it is under and the weights that it goes on with, so that requests which
-// may go to few upstreams only do not block others.
+// suspicion that it is under, the weights that it goes on with and the upstreams that
+// failed it, so that requests which may go to few upstreams only do not block others.
 func (r *request) queueKey() string {
 	key := r.regionKey()
 	if r.suspect != 0 {
@@ -133,6 +133,9 @@
 	}
 	if r.possibleRuns > 0 {
 		key += ";failover" + strconv.FormatInt(r.version, 10)
+		for _, id := range r.failedUpstreams {
+			key += "," + string(id)
+		}
 	}
 	return key
 }
