exchange: a pause of this process is no silence of its upstream

Cause: after a pause of the process the timeouts of all reads are over, and a read whose deadline has passed fails without looking at the bytes that arrived meanwhile. A gateway that was paused for longer than the time of silence reported all its attempts as silent, so that sound upstreams were avoided and their streams interrupted and paid for from the retry budget; after a longer pause it ended attempts whose events lay in the buffer of the socket. Change: a read that timed out is repeated once with a short deadline before the silence is reported or the exchange ended. The time by which a stream must have begun is kept as before. Result: TestPauseOfThisProcessIsNoSilence failed before ("Should be empty, but was 0x..., report"; "Not equal, actual 0x5, end: i/o timeout").

--- a/lib/exchange/silence.go
+++ b/lib/exchange/silence.go
@@ -11,6 +11,8 @@
 	begun bool
 	// reported is set while the receiver knows of the silence.
 	reported bool
+	// rechecked is set once the last timeout was followed by another read.
+	rechecked bool
 }
 
 // minTimeout replaces timeouts that are over already, so that bytes which have arrived
@@ -84,10 +86,20 @@
 }
 
 // outlast reports whether the exchange goes on after a read timed out, and tells the
-// receiver of the silence.
+// receiver of the silence. It has read once more before: if this process was paused, the
+// timeout is over although bytes have arrived meanwhile.
 func (x *exchange) outlast() bool {
+	if x.ctx.Err() != nil {
+		return false
+	}
+	x.silence.rechecked = !x.silence.rechecked
+	if x.silence.rechecked && !x.tooLate() {
+		x.readDeadline(time.Now().Add(minTimeout))
+		return true
+	}
+	x.silence.rechecked = false
 	now := time.Now()
-	if end := x.endsAt(); x.ctx.Err() != nil || !end.IsZero() && !now.Before(end) {
+	if end := x.endsAt(); !end.IsZero() && !now.Before(end) {
 		return false
 	}
 	if report, _ := x.timeouts(); report > 0 && !x.silence.reported && !now.Before(x.after(report)) {
--- a/lib/exchange/silence_test.go
+++ b/lib/exchange/silence_test.go
@@ -20,6 +20,15 @@
 	silent    chan string
 	resumed   int
 	interrupt context.CancelCauseFunc
+	// paused, if set, delays the exchange once its head has arrived.
+	paused func()
+}
+
+// Observe implements Receiver.
+func (r *silenceRecorder) Observe(*Head) {
+	if r.paused != nil {
+		r.paused()
+	}
 }
 
 // Silent implements Receiver.
@@ -77,3 +86,32 @@
 	require.False(t, out.Reusable)
 	require.Positive(t, out.Idle)
 }
+
+// Guards against an exchange that is reported as silent, or ended, because this process was
+// paused: the events arrived meanwhile, but the timeouts are over.
+func TestPauseOfThisProcessIsNoSilence(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	for name, o := range map[string]Options{
+		"report": {EventStream: true, FirstByteSilence: timeout, FirstByteTimeout: time.Minute},
+		"end":    {EventStream: true, FirstByteTimeout: timeout},
+	} {
+		headRead, written := make(chan struct{}), make(chan struct{})
+		u := serve(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = socktest.ReadRequest(r)
+			_, _ = io.WriteString(c, streamHead+"Transfer-Encoding: chunked\r\n\r\n")
+			<-headRead
+			_, _ = io.WriteString(c, "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n")
+			close(written)
+		})
+		rec := &silenceRecorder{silent: make(chan string, 10)}
+		rec.paused = func() {
+			close(headRead)
+			<-written
+			time.Sleep(2 * timeout)
+		}
+		out := Do(context.Background(), u.dial(), request(""), head, rec, o)
+		require.Equal(t, retry.Answered, out.End, "%s: %s", name, out.Detail)
+		require.Equal(t, "id: 1\ndata: a\n\n", rec.body.String(), name)
+		require.Empty(t, rec.silent, name)
+	}
+}
