dispatch: decide requests during a planned stop

Cause: the core did not know of a planned stop. It sent requests late in the grace period as at any other time, let them wait beyond its end, and they were cut with the process.

Change: Core.Stop states the end of the stop. Until then, requests whose deadline is earlier are handled as usual. Others are sent if they are expected to end in time: repeatable ones by the engine's speed, by the mean time of the route's answers or by its goal, unrepeatable ones only by an upper bound of at least 8 measured answers. What cannot end in time is rejected as not run at once, also while it waits. At the end, waiting requests are rejected and running ones interrupted (action Interrupt).

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -134,6 +134,10 @@
 	declined declinedStarts
 	// place is the place of this entry among those that divide the shared budgets.
 	place quota.Place
+	// stopEnd is when a planned stop is over; zero if none has begun.
+	stopEnd time.Time
+	// answerTimes holds the times of the answers of each route.
+	answerTimes map[string]*answerTime
 }
 
 // New returns a core without a view. It rejects requests until Update gives it
@@ -150,6 +154,7 @@
 		limits:      newLimiter(),
 		declined:    declinedStarts{},
 		place:       quota.Place{Processes: minProcesses},
+		answerTimes: map[string]*answerTime{},
 	}
 }
 
@@ -225,6 +230,7 @@
 	}
 	if v.Config != nil {
 		maps.DeleteFunc(c.timeBudgets, func(name string, _ time.Duration) bool { return !v.Config.HasRoute(name) })
+		maps.DeleteFunc(c.answerTimes, func(name string, _ *answerTime) bool { return !v.Config.HasRoute(name) })
 	}
 	for _, p := range v.Upstreams {
 		u := c.mergeUpstream(now, old[p.ID], p)
@@ -325,6 +331,9 @@
 	r.suspect = suspectedTrait(d)
 	c.requests[ticket] = r
 	s := c.service(now, r.service)
+	if !c.endsInTime(now, s, r) {
+		return c.giveUp(now, r, stopReason)
+	}
 	s.retryBudget.RecordFirst(now)
 	if !r.returning {
 		s.demand.add(now)
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -77,7 +77,7 @@
 		Upstream:   u.ID,
 		Address:    u.Address,
 		Customer:   r.customerName(),
-		Deadline:   r.deadline,
+		Deadline:   c.attemptDeadline(r),
 		Streaming:  r.route.Kind == published.Streaming,
 		HoldErrors: r.route.Idempotent(),
 		Waited:     now.Sub(r.arrived),
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -34,7 +34,7 @@
 // enqueue queues a request until an upstream has capacity. It rejects the
 // request at once if no upstream can serve it or the queue does not accept it.
 func (c *Core) enqueue(now time.Time, s *service, r *request) []Action {
-	until := c.queueDeadline(now, r)
+	until := c.waitUntil(now, s, r)
 	if !c.servable(now, s, r) {
 		return c.giveUp(now, r, "no upstream can serve the request")
 	}
@@ -139,7 +139,7 @@
 // drain sends waiting requests while upstreams have capacity and rejects those
 // whose wait is over. New requests go before returning ones.
 func (c *Core) drain(now time.Time) []Action {
-	var actions []Action
+	actions := c.endForStop(now)
 	for _, s := range c.services {
 		groups := [...]regionQueues{s.newRequests, s.suspectedRequests, s.returningRequests}
 		for _, queues := range groups {
@@ -203,7 +203,7 @@
 		out.Verdict = OutcomeUnknown
 	default:
 		out.Verdict = NotRun
-		out.RetryAfter = max(time.Duration(retryAfterShare*float64(remaining)), minRetryAfter)
+		out.RetryAfter = c.retryAfter(now, r)
 	}
 	return []Action{out}
 }
@@ -220,6 +220,7 @@
 	r.upstream = nil
 	u.inFlight--
 	c.recordResult(now, u, r, e)
+	c.recordAnswerTime(now, r, e)
 	if !e.End.NotRun() {
 		r.possibleRuns++
 	}
@@ -277,14 +278,14 @@
 		delete(c.requests, r.ticket)
 		return []Action{Deliver{Ticket: r.ticket}}
 	}
-	return c.giveUp(now, r, "upstream "+string(u.ID)+" gave no answer: "+e.End.String())
+	return c.giveUp(now, r, r.noAnswerReason(u, e))
 }
 
 // mayRetry reports whether the request may be sent once more. It takes a retry
 // from the budget unless the upstream was unreachable. A suspected request is not
 // sent again after a crash, so that it crashes no second upstream.
 func (c *Core) mayRetry(now time.Time, s *service, r *request, d poison.Decision, e AttemptResult) bool {
-	if !now.Before(r.deadline) {
+	if !now.Before(r.deadline) || !c.endsInTime(now, s, r) {
 		return false
 	}
 	if !e.End.NotRun() && (!r.route.Idempotent() || r.possibleRuns >= r.route.MaxAttempts) {
--- a/lib/dispatch/request.go
+++ b/lib/dispatch/request.go
@@ -46,6 +46,8 @@
 	// suspect is the suspected trait whose upstream the request may go to; 0 if it
 	// may go to any. It is constant while the request is in one queue.
 	suspect poison.Trait
+	// interrupted is set once the attempt was interrupted at the end of a planned stop.
+	interrupted bool
 }
 
 func (c *Core) newRequest(now time.Time, t Ticket, call Call, route *published.Route, customer *published.Customer) *request {
--- /dev/null
+++ b/lib/dispatch/stop.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"time"
+
+	"rattanspur.example/lib/retry"
+)
+
+// stopRetryAfter is the retry delay for requests that a planned stop leaves no time for.
+// Another entry can serve them at once.
+const stopRetryAfter = 200 * time.Millisecond
+
+const (
+	// stopReason is the reason given to callers whose request could not end before the
+	// process does.
+	stopReason = "the process stops before the request could end"
+	// interruptedReason is that reason if the request was running at the end.
+	interruptedReason = "the process stops and the request still ran"
+)
+
+// Interrupt requests that the attempt in progress ends now. AttemptEnded decides what
+// follows.
+type Interrupt struct{ Ticket Ticket }
+
+func (Interrupt) action() {}
+
+// Stop begins a planned stop that ends at a given time. Until then, requests are handled
+// as usual if they are expected to end in time, and rejected as early as possible
+// otherwise. At the end, what waits is rejected and what runs is interrupted. A later
+// call can only bring the end forward.
+func (c *Core) Stop(now, end time.Time) []Action {
+	if c.stopEnd.IsZero() || end.Before(c.stopEnd) {
+		c.stopEnd = end
+	}
+	return c.drain(now)
+}
+
+// stopping reports whether a planned stop has begun.
+func (c *Core) stopping() bool { return !c.stopEnd.IsZero() }
+
+// endForStop rejects the waiting requests that cannot end before the process does any
+// more. Once the stop is over it interrupts those that run.
+func (c *Core) endForStop(now time.Time) []Action {
+	if !c.stopping() {
+		return nil
+	}
+	over := !now.Before(c.stopEnd)
+	var actions []Action
+	for ticket, r := range c.requests {
+		switch {
+		case r.upstream == nil && !c.endsInTime(now, c.service(now, r.service), r):
+			actions = append(actions, c.giveUp(now, r, stopReason)...)
+		case r.upstream != nil && over && !r.interrupted:
+			r.interrupted = true
+			actions = append(actions, Interrupt{Ticket: ticket})
+		}
+	}
+	return actions
+}
+
+// endsInTime reports whether a request that is sent now is expected to end before the
+// process does.
+func (c *Core) endsInTime(now time.Time, s *service, r *request) bool {
+	if !c.stopping() {
+		return true
+	}
+	return now.Before(c.stopEnd) && !now.After(c.latestSend(s, r))
+}
+
+// latestSend returns when a request must be sent to end before a stopping process does.
+func (c *Core) latestSend(s *service, r *request) time.Time {
+	if !r.deadline.After(c.stopEnd) {
+		return r.deadline
+	}
+	return c.stopEnd.Add(-c.expectedTime(s, r))
+}
+
+// waitUntil returns when a queued request is rejected, with regard to a planned stop.
+func (c *Core) waitUntil(now time.Time, s *service, r *request) time.Time {
+	until := c.queueDeadline(now, r)
+	if !c.stopping() {
+		return until
+	}
+	if latest := c.latestSend(s, r); latest.Before(until) {
+		return latest
+	}
+	return until
+}
+
+// attemptDeadline returns when an attempt ends at the latest.
+func (c *Core) attemptDeadline(r *request) time.Time {
+	if c.stopping() && c.stopEnd.Before(r.deadline) {
+		return c.stopEnd
+	}
+	return r.deadline
+}
+
+// expectedTime estimates how long an attempt takes. A request that may run only once gets
+// no answer if the estimate is too low, so its estimate is an upper bound: by the answers
+// of its route, or else the time until its deadline.
+func (c *Core) expectedTime(s *service, r *request) time.Duration {
+	measured := c.answerTimes[r.route.Name]
+	if !r.route.Idempotent() {
+		if measured == nil || measured.count < minAnswers {
+			return r.deadline.Sub(r.arrived)
+		}
+		return measured.upperBound()
+	}
+	if s.published != nil && s.published.Engine != nil {
+		e := s.published.Engine
+		first := max(s.meanFirstByte, promptTime(e, r.PromptTokens))
+		if r.begun {
+			// How much of the answer is left is not known. The caller loses nothing if
+			// the stream goes on until the stop is over.
+			return first
+		}
+		if e.TimePerToken > 0 && r.answerTokens() > 0 {
+			return max(first, r.duration(e))
+		}
+	}
+	if measured == nil {
+		return r.route.LatencyGoal
+	}
+	return measured.mean + measured.deviation
+}
+
+// retryAfter returns the delay after which the caller of a request that has not run
+// should retry.
+func (c *Core) retryAfter(now time.Time, r *request) time.Duration {
+	if !c.endsInTime(now, c.service(now, r.service), r) {
+		return stopRetryAfter
+	}
+	return max(time.Duration(retryAfterShare*float64(r.deadline.Sub(now))), minRetryAfter)
+}
+
+// noAnswerReason describes why a request ends without an answer after an attempt.
+func (r *request) noAnswerReason(u *upstream, e AttemptResult) string {
+	reason := "upstream " + string(u.ID) + " gave no answer: " + e.End.String()
+	if r.interrupted {
+		return interruptedReason + "; " + reason
+	}
+	return reason
+}
+
+const (
+	// minAnswers is the number of answers from which an upper bound is estimated.
+	minAnswers = 8
+	// deviationFactor and minBoundFactor set the upper bound of the time of an answer:
+	// the mean plus so many mean deviations, and at least so many means.
+	deviationFactor = 4
+	minBoundFactor  = 1.5
+	// deviationDivisor is the reciprocal of the weight of a new value in the mean
+	// deviation.
+	deviationDivisor = 4
+)
+
+// answerTime is a moving average of the times from sending a request to the end of its
+// answer, and of their deviation from it.
+type answerTime struct {
+	count           int
+	mean, deviation time.Duration
+}
+
+func (a *answerTime) add(d time.Duration) {
+	a.count++
+	if a.count == 1 {
+		a.mean, a.deviation = d, d/2
+		return
+	}
+	a.deviation += ((d - a.mean).Abs() - a.deviation) / deviationDivisor
+	a.mean += (d - a.mean) / averageDivisor
+}
+
+// upperBound returns a time within which nearly all answers end.
+func (a *answerTime) upperBound() time.Duration {
+	return max(a.mean+deviationFactor*a.deviation, time.Duration(minBoundFactor*float64(a.mean)))
+}
+
+// recordAnswerTime records how long an attempt took that ended with an answer. Errors
+// say nothing about the time of an answer.
+func (c *Core) recordAnswerTime(now time.Time, r *request, e AttemptResult) {
+	if e.End != retry.Answered || e.ServerError || e.ClientError {
+		return
+	}
+	a := c.answerTimes[r.route.Name]
+	if a == nil {
+		a = &answerTime{}
+		c.answerTimes[r.route.Name] = a
+	}
+	a.add(now.Sub(r.sentAt))
+}
