cmd: further signals do not end a process that writes its log out

Cause: the handler for SIGTERM was removed when the role had returned. A second signal then ended the process before the rest of its log was written. While the role stopped, further signals were ignored already.

Change: the processes on the users' machines ignore further signals until their log is written.

--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -194,7 +194,13 @@
 
 // runWithLog runs a role together with two duties: one writes the log, the other
 // reloads the settings at SIGHUP.
+//
+// Further signals to stop have no effect, also while the log is written out: the process
+// is stopping already.
 func runWithLog(out *logline.Log, r role, reload func(*platform.Settings)) error {
+	further := make(chan os.Signal, 1)
+	signal.Notify(further, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(further)
 	g := duty.NewGroup(context.Background())
 	g.Go("log writer", out.Run)
 	g.Go("settings reload", func(ctx context.Context) error { return watchSettings(ctx, out, reload) })
