gateway: a planned stop answers every request

Cause: at the end of the grace period the server was closed and every request in progress was cut: requests that came late and were passed on, waiting ones, and incomplete uploads. http.Server.Shutdown closed a kept connection after the answer that was in progress. A failed duty ended the router and the server for callers at once.

Change: the gateway tells the core when the stop is over and carries out what it decides; 0.5 s before the end of the grace period running attempts are interrupted and uploads rejected as not run, so that their answers are written. The listener is closed by itself and connections stay open until nothing is in progress. The router and the server for callers are in groups of their own. A core that replaces another one during a stop is told of it.

--- a/gateway/abort.go
+++ b/gateway/abort.go
@@ -22,6 +22,9 @@
 	// answerNotHeld means that a held answer was to be delivered and there is none, which
 	// is an error of the gateway.
 	answerNotHeld abortReason = "not-held"
+	// processStops means that the answer had begun and still ran at the end of a planned
+	// stop.
+	processStops abortReason = "process-stops"
 )
 
 // abort closes the caller's connection without marking the end of the response. It is
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,12 +76,6 @@
 	idleTimeout = 90 * time.Second
 	// maxHeaderBytes is the maximum size of a caller's request header.
 	maxHeaderBytes = 64 << 10
-	// shutdownDelay is how long a stopping gateway still accepts new
-	// connections, so that the platform has time to notice that it is not ready.
-	shutdownDelay = 2500 * time.Millisecond
-	// stopMargin is how long before the end of the grace period a graceful stop
-	// is abandoned.
-	stopMargin = 500 * time.Millisecond
 )
 
 // Gateway is one gateway process.
@@ -100,6 +94,15 @@
 	// configured is true once a configuration is known.
 	configured atomic.Bool
 	stopping   atomic.Bool
+	// support holds the duties that requests in progress do not depend on, and routing
+	// the router, so that requests end as in a planned stop when one of the others fails.
+	support, routing *duty.Group
+	// uploads ends when a planned stop is over, and with it what callers still send.
+	uploads    context.Context
+	endUploads context.CancelFunc
+	// inProgress counts the requests whose head was read and that have not ended.
+	// stopRefused and stopInterrupted count what a planned stop ended.
+	inProgress, stopRefused, stopInterrupted atomic.Int64
 	// maxBodyBytes is the published maximum size of a request's body.
 	maxBodyBytes atomic.Int64
 }
@@ -116,7 +119,10 @@
 		pulls:      ring.New[peering.ViewSource](1, ring.Refuse),
 		viewClient: viewsync.NewClient(codec.Published),
 		logger:     logger,
+		support:    duty.NewGroup(context.Background()),
+		routing:    duty.NewGroup(context.Background()),
 	}
+	g.uploads, g.endUploads = context.WithCancel(context.Background())
 	g.maxBodyBytes.Store(defaultMaxBodyBytes)
 	g.metrics = newMetrics(g)
 	return g
@@ -127,63 +133,67 @@
 // returns an error if it cannot listen, if a duty failed, or if requests are
 // still in progress when the grace period is almost over.
 func (g *Gateway) Run(ctx context.Context) error {
-	group := duty.NewGroup(context.WithoutCancel(ctx))
-	g.watcher.Start(group)
-	group.Go("router", g.runRouter)
-	front := &http.Server{
-		Handler:           http.HandlerFunc(g.serveCall),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+	f, err := listenFront(ctx, g.settings.Listen, http.HandlerFunc(g.serveCall))
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
 	}
-	if err := wire.StartServer(group, "front", g.settings.Listen, front); err != nil {
+	g.watcher.Start(g.support)
+	g.routing.Go("router", g.runRouter)
+	if err := g.startSupport(); err != nil {
+		_ = g.end(f, 0)
 		return err
 	}
-	internalMux := http.NewServeMux()
-	internalMux.HandleFunc("GET "+g.settings.ReadyPath, g.serveReady)
-	internalMux.HandleFunc("GET /metrics", g.metrics.serve)
-	internalMux.Handle("GET "+viewsync.Path, viewsync.Handler(g.watcher))
-	internalMux.HandleFunc("GET "+peering.PathRoster, g.serveRoster)
-	if err := g.startPeers(group); err != nil {
+	f.serve()
+	_ = g.logger.Log("event", "start", "role", "gateway", "listen", g.settings.Listen)
+	select {
+	case <-ctx.Done():
+	case <-g.support.Context().Done():
+	case <-f.group.Context().Done():
+	}
+	return g.stop(f)
+}
+
+// startSupport starts the duties that requests in progress do not depend on, except the
+// watcher's.
+func (g *Gateway) startSupport() error {
+	if err := g.startPeers(g.support); err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+g.settings.ReadyPath, g.serveReady)
+	mux.HandleFunc("GET /metrics", g.metrics.serve)
+	mux.Handle("GET "+viewsync.Path, viewsync.Handler(g.watcher))
+	mux.HandleFunc("GET "+peering.PathRoster, g.serveRoster)
 	for name, address := range map[string]string{
 		"readiness": g.settings.Ready, "metrics": g.settings.Metrics, "control": g.settings.Control,
 	} {
 		if address == "" {
 			continue
 		}
-		if err := wire.StartServer(group, name, address, &http.Server{Handler: internalMux}); err != nil {
+		if err := wire.StartServer(g.support, name, address, &http.Server{Handler: mux}); err != nil {
 			return err
 		}
 	}
-	_ = g.logger.Log("event", "start", "role", "gateway", "listen", g.settings.Listen)
-	select {
-	case <-ctx.Done():
-	case <-group.Context().Done():
-	}
-	return g.stop(front, group)
+	return nil
 }
 
-// stop makes the readiness check fail, waits until the platform no longer sends
-// connections, and lets requests in progress complete.
-func (g *Gateway) stop(front *http.Server, group *duty.Group) error {
-	startedAt := time.Now()
-	g.stopping.Store(true)
-	_ = g.logger.Log("event", "stop-begun")
-	if group.Context().Err() == nil {
-		_ = duty.Sleep(group.Context(), min(shutdownDelay, g.settings.GracePeriod/2))
+// end closes all connections and ends the duties. It returns an error if a duty failed or
+// requests are open.
+func (g *Gateway) end(f *front, open int64) error {
+	frontErr := f.close()
+	g.routing.Stop()
+	_ = g.routing.Wait()
+	g.support.Stop()
+	if err := g.support.Wait(); err != nil {
+		return err
+	}
+	if frontErr != nil {
+		return frontErr
 	}
-	remaining := g.settings.GracePeriod - stopMargin - time.Since(startedAt)
-	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
-	defer cancel()
-	err := front.Shutdown(ctx)
-	_ = g.logger.Log("event", "stop", "seconds", time.Since(startedAt).Seconds(), "err", err)
-	group.Stop()
-	if werr := group.Wait(); werr != nil {
-		return werr
+	if open > 0 {
+		return eris.Errorf("graceful stop: %d requests are still in progress", open)
 	}
-	return eris.Wrap(err, "graceful stop")
+	return nil
 }
 
 // serveReady responds with 200 if this process accepts new connections, and with
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -60,9 +60,8 @@
 // serveCall reads a request, sends it to the router and executes the router's
 // commands.
 func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request) {
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	g.inProgress.Add(1)
+	defer g.inProgress.Add(-1)
 	c := &callHandler{
 		gateway: g, w: w, r: r, controller: http.NewResponseController(w),
 		call: g.codec.Call(r), arrivedAt: time.Now(),
@@ -94,7 +93,12 @@
 		return false
 	}
 	_ = c.controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	ended := c.limitUpload()
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	if ended() {
+		c.refuseUpload()
+		return false
+	}
 	_ = c.controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -119,7 +123,7 @@
 		}
 		switch a := cmd.action.(type) {
 		case dispatch.Send:
-			c.attempt(&a, cmd.conn)
+			c.attempt(cmd.interrupted, &a, cmd.conn)
 		case dispatch.Deliver:
 			c.deliver()
 			return
@@ -145,11 +149,16 @@
 	}
 }
 
-// attempt sends the request once and reports the result to the router.
-func (c *callHandler) attempt(a *dispatch.Send, conn *exchange.Conn) {
+// attempt sends the request once and reports the result to the router. The context
+// ends if the core interrupts the attempt.
+func (c *callHandler) attempt(interrupted context.Context, a *dispatch.Send, conn *exchange.Conn) {
 	ctx, cancel := context.WithDeadline(c.r.Context(), a.Deadline)
 	defer cancel()
+	defer context.AfterFunc(interrupted, cancel)()
 	out := c.exchange(ctx, a, conn)
+	if out.End == retry.Canceled && interrupted.Err() != nil && c.r.Context().Err() == nil {
+		out.End = retry.Stalled
+	}
 	c.lastEnd = out.End
 	c.gateway.metrics.recordAttempt(out.End)
 	fields := []any{
@@ -255,6 +264,7 @@
 	if !c.streaming && resp.ContentLength >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
+	c.announceClose()
 	c.w.WriteHeader(resp.StatusCode)
 	return nil
 }
@@ -294,7 +304,7 @@
 	}
 	c.log("refused", fields...)
 	if c.started {
-		c.abort(answerBrokenOff)
+		c.abort(c.brokenOffReason())
 	}
 	if a.RetryAfter > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
@@ -312,6 +322,7 @@
 }
 
 func (c *callHandler) writeProblem(status int, detail string) {
+	c.announceClose()
 	c.w.Header().Set("Content-Type", "application/problem+json")
 	c.w.WriteHeader(status)
 	_, _ = c.w.Write([]byte(`{"status":` + strconv.Itoa(status) + `,"detail":` + strconv.Quote(detail) + `}`))
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -174,8 +174,23 @@
 	return startWithRandom(t, source, func(int) int { return 0 }, seeds...)
 }
 
-// startWithRandom starts a gateway whose core takes random numbers from a function.
+// startWithRandom starts a gateway whose core takes random numbers from a function, and
+// waits until it is ready.
 func startWithRandom(t *testing.T, source watcher.Source, random func(int) int, seeds ...string) *testGateway {
+	r := launch(t, source, random, seeds...)
+	require.Eventually(t, func() bool {
+		select {
+		case err := <-r.done:
+			t.Fatalf("gateway ended: %v", err)
+		default:
+		}
+		return r.ready()
+	}, testTimeout, time.Millisecond)
+	return r
+}
+
+// launch starts a gateway and does not wait until it is ready.
+func launch(t *testing.T, source watcher.Source, random func(int) int, seeds ...string) *testGateway {
 	logs := &logBuffer{}
 	logger := log.NewLogfmtLogger(logs)
 	w := watcher.New(source, "", time.Second, logger)
@@ -193,14 +208,6 @@
 	r := &testGateway{t: t, gateway: g, stop: cancel, done: make(chan error, 1), logs: logs}
 	go func() { r.done <- g.Run(ctx) }()
 	t.Cleanup(cancel)
-	require.Eventually(t, func() bool {
-		select {
-		case err := <-r.done:
-			t.Fatalf("gateway ended: %v", err)
-		default:
-		}
-		return r.ready()
-	}, testTimeout, time.Millisecond)
 	return r
 }
 
--- a/gateway/recovery.go
+++ b/gateway/recovery.go
@@ -41,6 +41,7 @@
 			}}, true)
 		}
 	}
+	defer r.resumeStop(ctx)
 	r.core = dispatch.New(r.gateway.settings.Dispatch)
 	if r.view == nil {
 		return
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -56,6 +56,8 @@
 	action dispatch.Action
 	// conn is an idle connection for a dispatch.Send. It is nil if there is none.
 	conn *exchange.Conn
+	// interrupted ends when a dispatch.Send is to be ended.
+	interrupted context.Context
 }
 
 // activeRequest is a request that has a handler. upstream and conn belong to its
@@ -68,6 +70,9 @@
 	conn      *exchange.Conn
 	inAttempt bool
 	orphaned  bool
+	// interrupt ends the attempt; interrupted is set once it was called.
+	interrupt   context.CancelFunc
+	interrupted bool
 }
 
 const (
@@ -93,6 +98,8 @@
 	view      *published.View
 	// revision is the revision of the newest item in the view.
 	revision published.Revision
+	// stopEnd is when a planned stop is over; zero if none has begun.
+	stopEnd time.Time
 }
 
 func (g *Gateway) runRouter(ctx context.Context) error {
@@ -131,6 +138,7 @@
 func (r *router) tick(ctx context.Context) {
 	now := time.Now()
 	r.execute(ctx, r.core.Tick(now))
+	r.endStop(ctx, now)
 	r.closeExpired(now)
 }
 
@@ -182,6 +190,10 @@
 		r.execute(ctx, r.core.Arrive(now, ev.ticket, ev.call))
 	case peerMessage:
 		r.handlePeerMessage(ctx, now, ev.message)
+	case stopStarted:
+		r.startStop(ctx, now, ev.end)
+	case stopOver:
+		r.tick(ctx)
 	case seedUpdate:
 		r.peers.SetSeeds(ev.seeds)
 	case rosterQuery:
@@ -210,6 +222,7 @@
 		return
 	}
 	req.conn = nil
+	req.interrupt()
 	if ev.conn != nil {
 		r.putIdle(req.upstream, ev.conn)
 	}
@@ -269,13 +282,20 @@
 // execute sends the core's actions to the handlers as commands.
 func (r *router) execute(ctx context.Context, actions []dispatch.Action) {
 	for _, a := range actions {
+		r.gateway.countStop(a)
 		switch a := a.(type) {
 		case dispatch.Send:
 			req := r.active[a.Ticket]
 			req.upstream, req.inAttempt = a.Upstream, true
 			req.conn = r.takeIdle(a.Upstream, req.call.ID)
 			r.recordProbe(req, &a)
-			r.sendCommand(ctx, a.Ticket, command{action: a, conn: req.conn}, false)
+			var interrupted context.Context
+			interrupted, req.interrupt = context.WithCancel(context.Background())
+			r.sendCommand(ctx, a.Ticket, command{action: a, conn: req.conn, interrupted: interrupted}, false)
+		case dispatch.Interrupt:
+			req := r.active[a.Ticket]
+			req.interrupted = true
+			req.interrupt()
 		case dispatch.Deliver:
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
 		case dispatch.Refuse:
--- /dev/null
+++ b/gateway/stop.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"rattanspur.example/lib/dispatch"
+	"rattanspur.example/lib/duty"
+)
+
+const (
+	// shutdownDelay is how long a stopping gateway still accepts new
+	// connections, so that the platform has time to notice that it is not ready.
+	shutdownDelay = 2500 * time.Millisecond
+	// stopMargin is how long before the end of the grace period requests in progress
+	// are ended, so that their answers are written before the process is killed.
+	stopMargin = 500 * time.Millisecond
+	// exitMargin is how long before the end of the grace period the process ends
+	// although requests are in progress.
+	exitMargin = 100 * time.Millisecond
+	// marginDivisor bounds stopMargin by a fraction of a short grace period.
+	marginDivisor = 4
+	// quietTime is how long no connection may be busy until a stopping gateway closes
+	// idle ones: a caller that has just got an answer may send its next request.
+	quietTime = 200 * time.Millisecond
+	// stopPollInterval is the time between two looks at the busy connections.
+	stopPollInterval = 20 * time.Millisecond
+	// uploadRetryAfter is the retry delay for requests whose body was not complete at the
+	// end of a stop. Another gateway can serve them at once.
+	uploadRetryAfter = 200 * time.Millisecond
+	// lingerTime is how long a stopping gateway reads on after it rejected an upload:
+	// closing a connection with unread bytes resets it, and the caller might not read the
+	// answer.
+	lingerTime = 100 * time.Millisecond
+)
+
+// stopStarted tells the router that a planned stop has begun, and when it is over.
+type stopStarted struct{ end time.Time }
+
+// stopOver tells the router that the stop is over.
+type stopOver struct{}
+
+func (stopStarted) event() {}
+func (stopOver) event()    {}
+
+// stop makes the readiness check fail, accepts connections until the platform sends no
+// more, and lets requests in progress complete. Shortly before the grace period ends it
+// ends those that remain, so that each gets an answer. It closes no connection before:
+// a kept one may be about to carry a request.
+func (g *Gateway) stop(f *front) error {
+	startedAt := time.Now()
+	grace := g.settings.GracePeriod
+	margin := min(stopMargin, grace/marginDivisor)
+	end := startedAt.Add(grace - margin)
+	g.stopping.Store(true)
+	_ = g.logger.Log("event", "stop-begun", "grace", grace.Seconds(), "requests", g.inProgress.Load())
+	_ = g.inbox.Put(context.Background(), stopStarted{end: end})
+	_ = duty.Sleep(context.Background(), min(shutdownDelay, grace/2))
+	f.closeListener()
+	if !f.drain(end) {
+		g.endUploads()
+		_ = g.inbox.Put(context.Background(), stopOver{})
+		f.drain(startedAt.Add(grace - min(exitMargin, margin/2)))
+	}
+	open := g.inProgress.Load()
+	_ = g.logger.Log("event", "stop", "seconds", time.Since(startedAt).Seconds(),
+		"refused", g.stopRefused.Load(), "interrupted", g.stopInterrupted.Load(), "open", open)
+	return g.end(f, open)
+}
+
+// countStop counts what a stopping gateway refuses and interrupts.
+func (g *Gateway) countStop(a dispatch.Action) {
+	if !g.stopping.Load() {
+		return
+	}
+	switch a.(type) {
+	case dispatch.Refuse:
+		g.stopRefused.Add(1)
+	case dispatch.Interrupt:
+		g.stopInterrupted.Add(1)
+	}
+}
+
+// startStop tells the core that a stop has begun. The router keeps its end for a core
+// that replaces this one.
+func (r *router) startStop(ctx context.Context, now, end time.Time) {
+	r.stopEnd = end
+	r.execute(ctx, r.core.Stop(now, end))
+}
+
+// endStop interrupts what still runs at the end of a stop, also the requests that the
+// core does not know because it was replaced.
+func (r *router) endStop(ctx context.Context, now time.Time) {
+	if r.stopEnd.IsZero() || now.Before(r.stopEnd) {
+		return
+	}
+	for ticket, req := range r.active {
+		if req.orphaned && !req.interrupted {
+			r.execute(ctx, []dispatch.Action{dispatch.Interrupt{Ticket: ticket}})
+		}
+	}
+}
+
+// limitUpload makes reads of the request's body fail once a stop is over. The function
+// that it returns ends this and reports whether it has happened.
+func (c *callHandler) limitUpload() (ended func() bool) {
+	done := make(chan struct{})
+	stop := context.AfterFunc(c.gateway.uploads, func() {
+		defer close(done)
+		_ = c.controller.SetReadDeadline(time.Unix(1, 0))
+	})
+	return func() bool {
+		if stop() {
+			return false
+		}
+		<-done
+		return true
+	}
+}
+
+// refuseUpload rejects a request whose body was not complete when the stop was over.
+func (c *callHandler) refuseUpload() {
+	a := dispatch.Refuse{Verdict: dispatch.NotRun, Reason: "the process stops and the body is not complete", RetryAfter: uploadRetryAfter}
+	c.gateway.countStop(a)
+	c.gateway.metrics.recordRefusal(&a)
+	c.refuse(&a)
+	c.linger()
+}
+
+// linger writes the answer out and reads what the caller still sends.
+func (c *callHandler) linger() {
+	_ = c.controller.Flush()
+	_ = c.controller.SetReadDeadline(time.Now().Add(lingerTime))
+	buffer := make([]byte, 4<<10)
+	for {
+		if _, err := c.r.Body.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
+// announceClose tells the caller that its connection closes after the response if the
+// process stops.
+func (c *callHandler) announceClose() {
+	if c.gateway.stopping.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
+// brokenOffReason returns why a response that has begun is not completed.
+func (c *callHandler) brokenOffReason() abortReason {
+	if c.gateway.uploads.Err() != nil {
+		return processStops
+	}
+	return answerBrokenOff
+}
+
+// resumeStop tells a core that replaced another one of the stop, if one has begun.
+func (r *router) resumeStop(ctx context.Context) {
+	if r.stopEnd.IsZero() {
+		return
+	}
+	now := time.Now()
+	r.execute(ctx, r.core.Stop(now, r.stopEnd))
+	r.endStop(ctx, now)
+}
--- a/lib/dispatch/stop.go
+++ b/lib/dispatch/stop.go
@@ -95,16 +95,17 @@
 	return r.deadline
 }
 
-// expectedTime estimates how long an attempt takes. A request that may run only once gets
-// no answer if the estimate is too low, so its estimate is an upper bound: by the answers
-// of its route, or else the time until its deadline.
+// expectedTime estimates how long an attempt takes; 0 if nothing is known. The outcome of a
+// request that may run only once stays unknown if the estimate is too low, so its estimate
+// is an upper bound: by the answers of its route, or else the time until its deadline.
 func (c *Core) expectedTime(s *service, r *request) time.Duration {
 	measured := c.answerTimes[r.route.Name]
-	if !r.route.Idempotent() {
-		if measured == nil || measured.count < minAnswers {
-			return r.deadline.Sub(r.arrived)
-		}
+	known := measured != nil && measured.count >= minAnswers
+	switch {
+	case !r.route.Idempotent() && known:
 		return measured.upperBound()
+	case !r.route.Idempotent():
+		return r.deadline.Sub(r.arrived)
 	}
 	if s.published != nil && s.published.Engine != nil {
 		e := s.published.Engine
@@ -118,10 +119,10 @@
 			return max(first, r.duration(e))
 		}
 	}
-	if measured == nil {
-		return r.route.LatencyGoal
+	if known {
+		return measured.mean + measured.deviation
 	}
-	return measured.mean + measured.deviation
+	return 0
 }
 
 // retryAfter returns the delay after which the caller of a request that has not run
@@ -143,7 +144,7 @@
 }
 
 const (
-	// minAnswers is the number of answers from which an upper bound is estimated.
+	// minAnswers is the number of answers from which the time of an answer is estimated.
 	minAnswers = 8
 	// deviationFactor and minBoundFactor set the upper bound of the time of an answer:
 	// the mean plus so many mean deviations, and at least so many means.
