--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -11,6 +11,7 @@
 
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/exchange"
+	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/ratelimit"
 	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/ring"
@@ -49,6 +50,10 @@
 	// one in its request, later the last one that was passed on.
 	lastEventID string
 	held        *exchange.HeldResponse
+	// upstream runs the current attempt, and version is the version of the weights that
+	// its response states.
+	upstream fleet.InstanceID
+	version  int64
 	// lastEnd is how the last attempt ended.
 	lastEnd retry.End
 	// load is the load in the upstream's last response; nil if it reported none.
@@ -75,7 +80,7 @@
 	c.header = g.codec.RequestHeader(r.Header)
 	c.lastEventID = c.call.LastEvent
 	g.metrics.recordArrival(c.call.TimeBudget)
-	if g.inbox.Put(r.Context(), arrival{ticket: c.ticket, call: c.call, commands: c.commands}) != nil {
+	if g.inbox.Put(r.Context(), arrival{ctx: r.Context(), ticket: c.ticket, call: c.call, commands: c.commands}) != nil {
 		c.abort(callerLeft)
 	}
 	c.run()
@@ -123,7 +128,7 @@
 		}
 		switch a := cmd.action.(type) {
 		case dispatch.Send:
-			c.attempt(cmd.interrupted, &a, cmd.conn)
+			c.attempt(cmd.ctx, &a, cmd.conn)
 		case dispatch.Deliver:
 			c.deliver()
 			return
@@ -149,16 +154,12 @@
 	}
 }
 
-// attempt sends the request once and reports the result to the router. The context
-// ends if the core interrupts the attempt.
-func (c *callHandler) attempt(interrupted context.Context, a *dispatch.Send, conn *exchange.Conn) {
-	ctx, cancel := context.WithDeadline(c.r.Context(), a.Deadline)
+// attempt sends the request once and reports the result to the router.
+func (c *callHandler) attempt(ctx context.Context, a *dispatch.Send, conn *exchange.Conn) {
+	c.upstream, c.version = a.Upstream, 0
+	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
-	defer context.AfterFunc(interrupted, cancel)()
 	out := c.exchange(ctx, a, conn)
-	if out.End == retry.Canceled && interrupted.Err() != nil && c.r.Context().Err() == nil {
-		out.End = retry.Stalled
-	}
 	c.lastEnd = out.End
 	c.gateway.metrics.recordAttempt(out.End)
 	fields := []any{
@@ -210,6 +211,7 @@
 	c.streaming = a.Streaming
 	out := exchange.Do(ctx, conn, request, c.gateway.codec.Head, c, exchange.Options{
 		FirstByteTimeout: a.FirstByteTimeout, BeginBy: a.BeginBy, ProgressTimeout: a.GapTimeout, EventStream: a.Streaming,
+		FirstByteSilence: a.FirstByteSilence, ProgressSilence: a.GapSilence,
 		HoldServerErrors: a.HoldErrors, Resumed: c.started,
 	})
 	c.held = out.Held
@@ -236,7 +238,7 @@
 // Observe implements exchange.Receiver. It reports the upstream's load, version and
 // limit to the router.
 func (c *callHandler) Observe(h *exchange.Head) {
-	c.load, c.limit = h.Load, h.Limit
+	c.load, c.limit, c.version = h.Load, h.Limit, h.Version
 	if h.Leaving || h.RetryAfter > 0 {
 		c.log("upstream-declines", "leaving", h.Leaving, "after", h.RetryAfter.Seconds())
 	}
@@ -283,6 +285,26 @@
 	return c.controller.Flush()
 }
 
+// Silent implements exchange.Receiver. The router decides whether the attempt is
+// interrupted.
+func (c *callHandler) Silent(since time.Time, lastEventID string) {
+	if lastEventID != "" {
+		c.lastEventID = lastEventID
+	}
+	c.gateway.metrics.silences.Inc()
+	c.log("upstream-silent", "upstream", c.upstream, "for", time.Since(since).Seconds(), "begun", c.started)
+	_ = c.gateway.inbox.Put(context.Background(), attemptSilent{ticket: c.ticket, silence: dispatch.Silence{
+		Since: since, Started: c.started, LastEventID: c.resumeID(), Version: c.version,
+	}})
+}
+
+// Resumed implements exchange.Receiver.
+func (c *callHandler) Resumed() {
+	c.gateway.metrics.resumptions.Inc()
+	c.log("upstream-resumed", "upstream", c.upstream)
+	_ = c.gateway.inbox.Put(context.Background(), attemptResumed{ticket: c.ticket})
+}
+
 // deliver passes on the held response.
 func (c *callHandler) deliver() {
 	if c.started || c.held == nil {
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -17,8 +17,10 @@
 // event is an input of the router, sent through the gateway's inbox.
 type event interface{ event() }
 
-// arrival is a new request. Commands for its handler go to the commands ring.
+// arrival is a new request. Commands for its handler go to the commands ring. ctx ends when
+// the caller disconnects.
 type arrival struct {
+	ctx      context.Context
 	ticket   dispatch.Ticket
 	call     dispatch.Call
 	commands *ring.Ring[command]
@@ -41,6 +43,16 @@
 	conn   *exchange.Conn
 }
 
+// attemptSilent reports that nothing has come from the upstream of an attempt for a while,
+// attemptResumed that it goes on.
+type (
+	attemptSilent struct {
+		ticket  dispatch.Ticket
+		silence dispatch.Silence
+	}
+	attemptResumed struct{ ticket dispatch.Ticket }
+)
+
 // callerDisconnected reports that a caller disconnected while its handler waited
 // for a command.
 type callerDisconnected struct{ ticket dispatch.Ticket }
@@ -49,6 +61,8 @@
 func (headReceived) event()       {}
 func (responseStarted) event()    {}
 func (attemptEnded) event()       {}
+func (attemptSilent) event()      {}
+func (attemptResumed) event()     {}
 func (callerDisconnected) event() {}
 
 // command tells a handler what to do next.
@@ -56,22 +70,23 @@
 	action dispatch.Action
 	// conn is an idle connection for a dispatch.Send. It is nil if there is none.
 	conn *exchange.Conn
-	// interrupted ends when a dispatch.Send is to be ended.
-	interrupted context.Context
+	// ctx is the context of the attempt of a dispatch.Send.
+	ctx context.Context
 }
 
 // activeRequest is a request that has a handler. upstream and conn belong to its
-// latest attempt; inAttempt is set while that is in progress. orphaned is set if the
-// core that sent it was replaced.
+// latest attempt; inAttempt is set while that is in progress, and interrupt ends it.
+// orphaned is set if the core that sent it was replaced.
 type activeRequest struct {
+	ctx       context.Context
+	interrupt context.CancelCauseFunc
 	commands  *ring.Ring[command]
 	call      dispatch.Call
 	upstream  fleet.InstanceID
 	conn      *exchange.Conn
 	inAttempt bool
 	orphaned  bool
-	// interrupt ends the attempt; interrupted is set once it was called.
-	interrupt   context.CancelFunc
+	// interrupted is set once an orphaned request was interrupted at the end of a stop.
 	interrupted bool
 }
 
@@ -186,7 +201,7 @@
 	now := time.Now()
 	switch ev := ev.(type) {
 	case arrival:
-		r.active[ev.ticket] = &activeRequest{commands: ev.commands, call: ev.call}
+		r.active[ev.ticket] = &activeRequest{ctx: ev.ctx, commands: ev.commands, call: ev.call}
 		r.execute(ctx, r.core.Arrive(now, ev.ticket, ev.call))
 	case peerMessage:
 		r.handlePeerMessage(ctx, now, ev.message)
@@ -202,6 +217,10 @@
 		r.core.Observe(now, ev.ticket, ev.observation)
 	case responseStarted:
 		r.execute(ctx, r.core.ResponseStarted(now, ev.ticket))
+	case attemptSilent:
+		r.execute(ctx, r.core.AttemptSilent(now, ev.ticket, ev.silence))
+	case attemptResumed:
+		r.execute(ctx, r.core.AttemptResumed(now, ev.ticket))
 	case attemptEnded:
 		r.handleAttemptEnd(ctx, now, ev)
 	case callerDisconnected:
@@ -222,7 +241,7 @@
 		return
 	}
 	req.conn = nil
-	req.interrupt()
+	req.interrupt(nil)
 	if ev.conn != nil {
 		r.putIdle(req.upstream, ev.conn)
 	}
@@ -289,13 +308,14 @@
 			req.upstream, req.inAttempt = a.Upstream, true
 			req.conn = r.takeIdle(a.Upstream, req.call.ID)
 			r.recordProbe(req, &a)
-			var interrupted context.Context
-			interrupted, req.interrupt = context.WithCancel(context.Background())
-			r.sendCommand(ctx, a.Ticket, command{action: a, conn: req.conn, interrupted: interrupted}, false)
+			attemptCtx, interrupt := context.WithCancelCause(req.ctx)
+			req.interrupt = interrupt
+			r.sendCommand(ctx, a.Ticket, command{action: a, conn: req.conn, ctx: attemptCtx}, false)
 		case dispatch.Interrupt:
-			req := r.active[a.Ticket]
-			req.interrupted = true
-			req.interrupt()
+			if req := r.active[a.Ticket]; req != nil {
+				r.gateway.metrics.interrupts.Inc()
+				req.interrupt(exchange.ErrInterrupted)
+			}
 		case dispatch.Deliver:
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
 		case dispatch.Refuse:
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -96,6 +96,7 @@
 	}
 	for ticket, req := range r.active {
 		if req.orphaned && !req.interrupted {
+			req.interrupted = true
 			r.execute(ctx, []dispatch.Action{dispatch.Interrupt{Ticket: ticket}})
 		}
 	}
--- a/lib/dispatch/stop.go
+++ b/lib/dispatch/stop.go
@@ -18,12 +18,6 @@
 	interruptedReason = "the process stops and the request still ran"
 )
 
-// Interrupt requests that the attempt in progress ends now. AttemptEnded decides what
-// follows.
-type Interrupt struct{ Ticket Ticket }
-
-func (Interrupt) action() {}
-
 // Stop begins a planned stop that ends at a given time. Until then, requests are handled
 // as usual if they are expected to end in time, and rejected as early as possible
 // otherwise. At the end, what waits is rejected and what runs is interrupted. A later
--- a/lib/dispatch/stop_test.go
+++ b/lib/dispatch/stop_test.go
@@ -286,7 +286,7 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			h.advance(time.Duration(rapid.IntRange(0, 300).Draw(rt, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 5).Draw(rt, "event") {
+			switch rapid.IntRange(0, 7).Draw(rt, "event") {
 			case 0, 1:
 				open[h.next+1] = true
 				_, actions := h.arrive(rapid.SampledFrom(paths).Draw(rt, "path"))
@@ -304,6 +304,15 @@
 					end = h.now.Add(time.Second)
 					apply(h.core.Stop(h.now, end))
 				}
+			case 6:
+				if tickets := slices.Sorted(maps.Keys(running)); len(tickets) > 0 {
+					silence := Silence{Since: h.now.Add(-time.Second), Started: true, LastEventID: "1", Version: 1}
+					apply(h.core.AttemptSilent(h.now, rapid.SampledFrom(tickets).Draw(rt, "ticket"), silence))
+				}
+			case 7:
+				if tickets := slices.Sorted(maps.Keys(running)); len(tickets) > 0 {
+					apply(h.core.AttemptResumed(h.now, rapid.SampledFrom(tickets).Draw(rt, "ticket")))
+				}
 			}
 		}
 		if end.IsZero() {
