--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -25,11 +25,14 @@
 	err    error
 }
 
-// begin sends a request and returns where its answer arrives.
+// begin sends a request and returns where its answer arrives. A request without an answer
+// ends with an error after testTimeout.
 func (r *testGateway) begin(method, path string) <-chan answer {
 	out := make(chan answer, 1)
 	go func() {
-		resp, err := r.request(context.Background(), method, path, "")
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		resp, err := r.request(ctx, method, path, "")
 		if err != nil {
 			out <- answer{err: err}
 			return
