--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -68,14 +68,16 @@
 	return g.end(f, open)
 }
 
-// countStop counts what a stopping gateway refuses and interrupts.
+// countStop counts what a stopping gateway rejects as not run and what it interrupts.
 func (g *Gateway) countStop(a dispatch.Action) {
 	if !g.stopping.Load() {
 		return
 	}
-	switch a.(type) {
+	switch a := a.(type) {
 	case dispatch.Refuse:
-		g.stopRefused.Add(1)
+		if a.Verdict == dispatch.NotRun {
+			g.stopRefused.Add(1)
+		}
 	case dispatch.Interrupt:
 		g.stopInterrupted.Add(1)
 	}
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -119,7 +119,8 @@
 	require.NoError(t, <-g.done)
 	require.Equal(t, "/read/1", <-arrived)
 	require.Empty(t, arrived, "the late request ran")
-	require.Contains(t, g.logs.line("stop"), "interrupted=3")
+	line := g.logs.line("stop")
+	require.Contains(t, line, "refused=1 interrupted=3 open=0")
 }
 
 // Guards against a stop that rejects what can be served: requests in the first seconds,
