gateway, dispatch: attempts that a stop ends by their deadline name the stop

Cause: an attempt that began during a stop has the end of the stop as its deadline, so that either the deadline or the interruption ends it. The reason named the stop only after an interruption, and the line of the stop counted interruptions; a test of that count failed once under the race detector.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,8 +101,9 @@
 	uploads    context.Context
 	endUploads context.CancelFunc
 	// inProgress counts the requests whose head was read and that have not ended.
-	// stopRefused and stopInterrupted count what a planned stop ended.
-	inProgress, stopRefused, stopInterrupted atomic.Int64
+	// stopRefused and stopUnknown count what was rejected during a planned stop as
+	// not run and with an unknown outcome.
+	inProgress, stopRefused, stopUnknown atomic.Int64
 	// maxBodyBytes is the published maximum size of a request's body.
 	maxBodyBytes atomic.Int64
 }
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -301,7 +301,6 @@
 // execute sends the core's actions to the handlers as commands.
 func (r *router) execute(ctx context.Context, actions []dispatch.Action) {
 	for _, a := range actions {
-		r.gateway.countStop(a)
 		switch a := a.(type) {
 		case dispatch.Send:
 			req := r.active[a.Ticket]
@@ -320,6 +319,7 @@
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
 		case dispatch.Refuse:
 			r.gateway.metrics.recordRefusal(&a)
+			r.gateway.countStop(&a)
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
 		case dispatch.Finish:
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -64,22 +64,18 @@
 	}
 	open := g.inProgress.Load()
 	_ = g.logger.Log("event", "stop", "seconds", time.Since(startedAt).Seconds(),
-		"refused", g.stopRefused.Load(), "interrupted", g.stopInterrupted.Load(), "open", open)
+		"refused", g.stopRefused.Load(), "unknown", g.stopUnknown.Load(), "open", open)
 	return g.end(f, open)
 }
 
-// countStop counts what a stopping gateway rejects as not run and what it interrupts.
-func (g *Gateway) countStop(a dispatch.Action) {
-	if !g.stopping.Load() {
-		return
-	}
-	switch a := a.(type) {
-	case dispatch.Refuse:
-		if a.Verdict == dispatch.NotRun {
-			g.stopRefused.Add(1)
-		}
-	case dispatch.Interrupt:
-		g.stopInterrupted.Add(1)
+// countStop counts what a stopping gateway rejects, by what is known about the request.
+func (g *Gateway) countStop(a *dispatch.Refuse) {
+	switch {
+	case !g.stopping.Load():
+	case a.Verdict == dispatch.NotRun:
+		g.stopRefused.Add(1)
+	case a.Verdict == dispatch.OutcomeUnknown, a.Verdict == dispatch.Overdue:
+		g.stopUnknown.Add(1)
 	}
 }
 
@@ -124,7 +120,7 @@
 // refuseUpload rejects a request whose body was not complete when the stop was over.
 func (c *callHandler) refuseUpload() {
 	a := dispatch.Refuse{Verdict: dispatch.NotRun, Reason: "the process stops and the body is not complete", RetryAfter: uploadRetryAfter}
-	c.gateway.countStop(a)
+	c.gateway.countStop(&a)
 	c.gateway.metrics.recordRefusal(&a)
 	c.refuse(&a)
 	c.linger()
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -293,7 +293,7 @@
 		delete(c.requests, r.ticket)
 		return []Action{Deliver{Ticket: r.ticket}}
 	}
-	return c.giveUp(now, r, r.noAnswerReason(u, e))
+	return c.giveUp(now, r, c.noAnswerReason(now, u, e))
 }
 
 // mayRetry reports whether the request may be sent once more. It takes a retry
--- a/lib/dispatch/stop.go
+++ b/lib/dispatch/stop.go
@@ -129,9 +129,9 @@
 }
 
 // noAnswerReason describes why a request ends without an answer after an attempt.
-func (r *request) noAnswerReason(u *upstream, e AttemptResult) string {
+func (c *Core) noAnswerReason(now time.Time, u *upstream, e AttemptResult) string {
 	reason := "upstream " + string(u.ID) + " gave no answer: " + e.End.String()
-	if r.interrupted {
+	if c.stopping() && !now.Before(c.stopEnd) {
 		return interruptedReason + "; " + reason
 	}
 	return reason
