gateway: a gateway that cannot listen ends its duties

Cause: Run returned with the router, the watcher and the server for callers still running when a port was taken.

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -12,8 +12,12 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/watcher"
+	"rattanspur.example/platform"
 )
 
 // answer is what a caller got: a response or an error.
@@ -418,3 +422,22 @@
 	require.Equal(t, "ok", a.body)
 	require.ErrorContains(t, <-g.done, "fault of the test")
 }
+
+// Guards against a gateway that cannot listen on one of its ports and keeps the others, or
+// leaves its duties running.
+func TestRunEndsIfItCannotListen(t *testing.T) {
+	t.Parallel()
+	source := newSource()
+	source.put("op/config", configJSON)
+	first := start(t, source)
+	w := watcher.New(source, "", time.Second, log.NewNopLogger())
+	settings := first.gateway.settings
+	settings.Listen, settings.Peers, settings.Control = newHost()+":7001", newHost()+":7004", ""
+	second := New(settings, platform.Codec{}, w, log.NewNopLogger())
+	require.ErrorContains(t, second.Run(context.Background()), "readiness")
+	l, err := net.Listen("tcp", settings.Listen)
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	require.Error(t, second.routing.Context().Err())
+	require.Error(t, second.support.Context().Err())
+}
