--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -65,9 +65,8 @@
 // serveCall reads a request, sends it to the router and executes the router's
 // commands.
 func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request) {
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	g.inProgress.Add(1)
+	defer g.inProgress.Add(-1)
 	c := &callHandler{
 		gateway: g, w: w, r: r, controller: http.NewResponseController(w),
 		call: g.codec.Call(r), arrivedAt: time.Now(),
@@ -99,7 +98,12 @@
 		return false
 	}
 	_ = c.controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	ended := c.limitUpload()
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	if ended() {
+		c.refuseUpload()
+		return false
+	}
 	_ = c.controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -262,6 +266,7 @@
 	if !c.streaming && resp.ContentLength >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
+	c.announceClose()
 	c.w.WriteHeader(resp.StatusCode)
 	return nil
 }
@@ -321,7 +326,7 @@
 	}
 	c.log("refused", fields...)
 	if c.started {
-		c.abort(answerBrokenOff)
+		c.abort(c.brokenOffReason())
 	}
 	if a.RetryAfter > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
@@ -339,6 +344,7 @@
 }
 
 func (c *callHandler) writeProblem(status int, detail string) {
+	c.announceClose()
 	c.w.Header().Set("Content-Type", "application/problem+json")
 	c.w.WriteHeader(status)
 	_, _ = c.w.Write([]byte(`{"status":` + strconv.Itoa(status) + `,"detail":` + strconv.Quote(detail) + `}`))
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -86,6 +86,8 @@
 	conn      *exchange.Conn
 	inAttempt bool
 	orphaned  bool
+	// interrupted is set once an orphaned request was interrupted at the end of a stop.
+	interrupted bool
 }
 
 const (
@@ -111,6 +113,8 @@
 	view      *published.View
 	// revision is the revision of the newest item in the view.
 	revision published.Revision
+	// stopEnd is when a planned stop is over; zero if none has begun.
+	stopEnd time.Time
 }
 
 func (g *Gateway) runRouter(ctx context.Context) error {
@@ -149,6 +153,7 @@
 func (r *router) tick(ctx context.Context) {
 	now := time.Now()
 	r.execute(ctx, r.core.Tick(now))
+	r.endStop(ctx, now)
 	r.closeExpired(now)
 }
 
@@ -200,6 +205,10 @@
 		r.execute(ctx, r.core.Arrive(now, ev.ticket, ev.call))
 	case peerMessage:
 		r.handlePeerMessage(ctx, now, ev.message)
+	case stopStarted:
+		r.startStop(ctx, now, ev.end)
+	case stopOver:
+		r.tick(ctx)
 	case seedUpdate:
 		r.peers.SetSeeds(ev.seeds)
 	case rosterQuery:
@@ -310,6 +319,7 @@
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
 		case dispatch.Refuse:
 			r.gateway.metrics.recordRefusal(&a)
+			r.gateway.countStop(&a)
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
 		case dispatch.Finish:
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -34,7 +34,7 @@
 // enqueue queues a request until an upstream has capacity. It rejects the
 // request at once if no upstream can serve it or the queue does not accept it.
 func (c *Core) enqueue(now time.Time, s *service, r *request) []Action {
-	until := c.queueDeadline(now, r)
+	until := c.waitUntil(now, s, r)
 	if !c.servable(now, s, r) {
 		return c.giveUp(now, r, "no upstream can serve the request")
 	}
@@ -147,7 +147,7 @@
 // whose wait is over. Requests that an upstream failed go before new ones, and new ones
 // before returning ones.
 func (c *Core) drain(now time.Time) []Action {
-	var actions []Action
+	actions := c.endForStop(now)
 	for _, s := range c.services {
 		groups := [...]regionQueues{s.failoverRequests, s.newRequests, s.suspectedRequests, s.returningRequests}
 		for _, queues := range groups {
@@ -211,7 +211,7 @@
 		out.Verdict = OutcomeUnknown
 	default:
 		out.Verdict = NotRun
-		out.RetryAfter = max(time.Duration(retryAfterShare*float64(remaining)), minRetryAfter)
+		out.RetryAfter = c.retryAfter(now, r)
 	}
 	return []Action{out}
 }
@@ -231,6 +231,7 @@
 	} else {
 		c.recordResult(now, u, r, e)
 	}
+	c.recordAnswerTime(now, r, e)
 	if !e.End.NotRun() {
 		r.possibleRuns++
 	}
@@ -292,7 +293,7 @@
 		delete(c.requests, r.ticket)
 		return []Action{Deliver{Ticket: r.ticket}}
 	}
-	return c.giveUp(now, r, "upstream "+string(u.ID)+" gave no answer: "+e.End.String())
+	return c.giveUp(now, r, c.noAnswerReason(now, u, e))
 }
 
 // mayRetry reports whether the request may be sent once more. It takes a retry
@@ -313,7 +314,7 @@
 // possible runs, regardless of the budget. A suspected request is not sent again after a
 // crash, so that it crashes no second upstream.
 func (c *Core) repeatable(now time.Time, r *request, d poison.Decision, e AttemptResult, possibleRuns int) bool {
-	if !now.Before(r.deadline) {
+	if !now.Before(r.deadline) || !c.endsInTime(now, c.service(now, r.service), r) {
 		return false
 	}
 	if !e.End.NotRun() && (!r.route.Idempotent() || possibleRuns >= r.route.MaxAttempts) {
