--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -194,8 +194,8 @@
 type Finish struct{ Ticket Ticket }
 
 // Interrupt ends the attempt of a request that is silent, because another upstream has
-// capacity for it, or of one that still runs at the end of a planned stop. AttemptEnded follows with retry.Stalled, or with the answer if that was
-// complete by then.
+// capacity for it, or of one that still runs at the end of a planned stop. AttemptEnded
+// follows with retry.Stalled, or with the answer if that was complete by then.
 type Interrupt struct{ Ticket Ticket }
 
 func (Send) action()      {}
