--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -52,14 +52,16 @@
 	grace := g.settings.GracePeriod
 	margin := min(stopMargin, grace/marginDivisor)
 	end := startedAt.Add(grace - margin)
+	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(grace))
+	defer cancel()
 	g.stopping.Store(true)
 	_ = g.logger.Log("event", "stop-begun", "grace", grace.Seconds(), "requests", g.inProgress.Load())
-	_ = g.inbox.Put(context.Background(), stopStarted{end: end})
-	_ = duty.Sleep(context.Background(), min(shutdownDelay, grace/2))
+	_ = g.inbox.Put(ctx, stopStarted{end: end})
+	_ = duty.Sleep(ctx, min(shutdownDelay, grace/2))
 	f.closeListener()
 	if !f.drain(end) {
 		g.endUploads()
-		_ = g.inbox.Put(context.Background(), stopOver{})
+		_ = g.inbox.Put(ctx, stopOver{})
 		f.drain(startedAt.Add(grace - min(exitMargin, margin/2)))
 	}
 	open := g.inProgress.Load()
