--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -15,7 +15,7 @@
 
 // Settings configure a Core.
 type Settings struct {
-	// Self distinguishes this entry from others.
+	// Self is the address of this entry. It distinguishes the entry from others.
 	Self   string
 	Region fleet.Region
 	// Regions maps each failure domain to its region.
@@ -244,6 +244,10 @@
 		maps.DeleteFunc(c.answerTimes, func(name string, _ *answerTime) bool { return !v.Config.HasRoute(name) })
 	}
 	for _, p := range v.Upstreams {
+		if p.Address == c.settings.Self {
+			// Requests would come back as new ones until all slots of it are taken.
+			continue
+		}
 		u := c.mergeUpstream(now, old[p.ID], p)
 		c.upstreams[p.ID] = u
 		s := c.service(now, p.Service)
@@ -265,6 +269,7 @@
 	}
 	for _, s := range c.services {
 		s.sortByRegion()
+		s.boundSlots()
 	}
 	c.expireNotices(now)
 	c.retainLimits(now)
@@ -387,7 +392,7 @@
 		return
 	}
 	r.upstream.observe(now, o)
-	r.upstream.recordAlive(now)
+	r.recordAlive(now)
 	c.declined.observe(now, r.upstream.startKey(), o)
 	if c.limits.table.Observe(now, r.sentAt, r.upstream.startKey(), o.Limit) {
 		c.applyLimits(now)
@@ -401,7 +406,7 @@
 		return nil
 	}
 	r.releasePrompt()
-	r.upstream.recordAlive(now)
+	r.recordAlive(now)
 	c.recordBegan(now, r)
 	return c.drain(now)
 }
--- a/lib/dispatch/silence.go
+++ b/lib/dispatch/silence.go
@@ -68,12 +68,19 @@
 	if r == nil || r.upstream == nil {
 		return nil
 	}
+	// What the attempt itself received before it fell silent is no response to others.
+	if s.Since.Before(r.heardAt) {
+		s.Since = r.heardAt
+	}
 	r.silence = &s
 	c.silent[ticket] = r
 	if s.Started && r.version == 0 {
 		r.version = s.Version
 	}
-	r.upstream.recordSilence(now, s.Since)
+	// A plain response makes no progress before its end, although bytes may arrive.
+	if r.route.Kind == published.Streaming || !s.Started {
+		r.upstream.recordSilence(now, s.Since)
+	}
 	return c.move(now, r, nil)
 }
 
@@ -83,7 +90,7 @@
 	if r == nil || r.upstream == nil || r.silence == nil {
 		return nil
 	}
-	r.upstream.recordAlive(now)
+	r.recordAlive(now)
 	// An interrupted attempt ends all the same: its place elsewhere is kept until then.
 	if r.reserved == nil {
 		c.endSilence(r)
@@ -146,9 +153,16 @@
 
 // recordSilentEnd records the end of a silent attempt. The silence counted against its
 // upstream when it was reported. If the upstream has responded to other requests since, the
-// connection is at fault, and the request may go there again.
+// connection is at fault, and the request may go there again. It may also go to a later
+// start of the upstream, for which its attempt may have been interrupted.
 func (c *Core) recordSilentEnd(now time.Time, r *request, u *upstream, s *Silence, e AttemptResult) {
 	c.recordEvidence(now, r, e)
+	if current := c.upstreams[u.ID]; current != nil {
+		if current.startKey() != u.startKey() {
+			return
+		}
+		u = current
+	}
 	if !u.aliveAt.After(s.Since) {
 		r.failedUpstreams = append(r.failedUpstreams, u.ID)
 	}
@@ -193,7 +207,10 @@
 	if slices.Contains(r.failedUpstreams, u.ID) {
 		return true
 	}
-	return u == r.upstream && (r.silence == nil || !u.aliveAt.After(r.silence.Since))
+	if r.upstream == nil || u.startKey() != r.upstream.startKey() {
+		return false
+	}
+	return r.silence == nil || !u.aliveAt.After(r.silence.Since)
 }
 
 // silent reports whether the upstream was found silent and has not responded since.
@@ -216,6 +233,12 @@
 	u.recordFailure(now)
 }
 
+// recordAlive records that the upstream has responded to the current attempt.
+func (r *request) recordAlive(now time.Time) {
+	r.heardAt = now
+	r.upstream.recordAlive(now)
+}
+
 // recordAlive records that the upstream has responded to a request. It is no longer
 // avoided if silence was the reason.
 func (u *upstream) recordAlive(now time.Time) {
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -172,6 +172,14 @@
 	return nil
 }
 
+// MaxVersion is the greatest version of a configuration or of weights that counts. The
+// next ones, and sums of two, do not overflow.
+const MaxVersion = 1 << 62
+
+// MaxStartTime is the greatest start time of an upstream that counts, the end of the year
+// 9999 as Unix time in milliseconds.
+const MaxStartTime = 253402300799999
+
 // Copy describes one version of a model's weights that an upstream holds.
 type Copy struct {
 	Model   string
