dispatch: the search for places of silent attempts is bounded

Cause: each round of searches, up to 50 a second, looked at all upstreams of the service for each silent attempt. If many are silent and there is no place, as when most engines pause at once, the router did nothing else, and the commands of all requests came late. Change: one search in vain counts for all requests that may go to the same upstreams, and a round ends after 16 such searches.

--- a/lib/dispatch/bench_test.go
+++ b/lib/dispatch/bench_test.go
@@ -103,3 +103,38 @@
 		})
 	}
 }
+
+// BenchmarkSilentAttempts measures one round of searches for 5000 silent attempts at a
+// twentieth of the engines, none of which finds a place.
+func BenchmarkSilentAttempts(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, _ := benchmarkCore(n)
+			now := start
+			var list []*published.Upstream
+			for i := range n {
+				u := replica(fmt.Sprintf("engine-%04d", i), 1)
+				u.Slots = 5000
+				list = append(list, u)
+			}
+			c.Update(now, view(list[:n/20]...))
+			for ticket := Ticket(1); ticket <= 5000; ticket++ {
+				c.Arrive(now, ticket, Call{Host: "h", Path: "/stream/1", Key: "key", TimeBudget: time.Hour, Model: model})
+				c.ResponseStarted(now, ticket)
+			}
+			for _, u := range list {
+				u.Slots = 0
+			}
+			c.Update(now, view(list...))
+			now = now.Add(silentFor)
+			for ticket := Ticket(1); ticket <= 5000; ticket++ {
+				c.AttemptSilent(now, ticket, Silence{Since: start, Started: true, LastEventID: "7", Version: 1})
+			}
+			for b.Loop() {
+				c.movedAt = time.Time{}
+				c.Tick(now)
+			}
+			b.ReportMetric(float64(len(c.silent)), "silent")
+		})
+	}
+}
--- a/lib/dispatch/silence.go
+++ b/lib/dispatch/silence.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"rattanspur.example/lib/admission"
+	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/retry"
 )
@@ -28,8 +30,11 @@
 	firstBytePatienceFactor = 4
 	gapPatienceFactor       = 8
 	patienceMargin          = 500 * time.Millisecond
-	// moveInterval is the shortest time between two searches for all silent attempts.
+	// moveInterval is the shortest time between two rounds of searches for the silent
+	// attempts, and maxSearches how many of them may be in vain in one round: each looks at
+	// all upstreams of its service.
 	moveInterval = 20 * time.Millisecond
+	maxSearches  = 16
 )
 
 // Silence describes an attempt from which nothing has come for a while.
@@ -81,7 +86,11 @@
 	if r.route.Kind == published.Streaming || !s.Started {
 		r.upstream.recordSilence(now, s.Since)
 	}
-	return c.move(now, r, nil)
+	d := c.decide(now, r)
+	if !c.mayLeave(now, r, d) || !c.reservePlace(now, r, d) {
+		return nil
+	}
+	return []Action{Interrupt{Ticket: ticket}}
 }
 
 // AttemptResumed records that a silent attempt goes on. The upstream counts as sound.
@@ -99,35 +108,68 @@
 }
 
 // moveSilent interrupts the silent attempts whose requests can go on elsewhere. It looks
-// for places at most once in moveInterval, since many attempts may be silent at once.
+// for places at most once in moveInterval, and ends after maxSearches in vain, since many
+// attempts may be silent at once. One search in vain counts for all requests that may go to
+// the same upstreams. The order of a map is random, so that all get their turn.
 func (c *Core) moveSilent(now time.Time, actions []Action) []Action {
 	if now.Sub(c.movedAt) < moveInterval {
 		return actions
 	}
 	c.movedAt = now
+	inVain := map[silentGroup]bool{}
 	for _, r := range c.silent {
-		actions = c.move(now, r, actions)
+		d := c.decide(now, r)
+		group := r.silentGroup(d)
+		if inVain[group] || !c.mayLeave(now, r, d) {
+			continue
+		}
+		if c.reservePlace(now, r, d) {
+			actions = append(actions, Interrupt{Ticket: r.ticket})
+			continue
+		}
+		inVain[group] = true
+		if len(inVain) == maxSearches {
+			break
+		}
 	}
 	return actions
 }
 
-// move interrupts a silent attempt if its request can go on elsewhere.
-func (c *Core) move(now time.Time, r *request, actions []Action) []Action {
-	if r.reserved == nil && c.reservePlace(now, r) {
-		actions = append(actions, Interrupt{Ticket: r.ticket})
+// silentGroup identifies the silent requests that may go to the same upstreams.
+type silentGroup struct {
+	service  fleet.Service
+	upstream *upstream
+	model    string
+	regions  string
+	failed   string
+	version  int64
+	suspect  poison.Trait
+	// stays is set if the request may go to the upstream of its attempt.
+	stays bool
+}
+
+func (r *request) silentGroup(d poison.Decision) silentGroup {
+	g := silentGroup{
+		service: r.service, upstream: r.upstream, model: r.Model, regions: r.regionKey(), version: r.version,
+		suspect: suspectedTrait(d), stays: !r.excludes(r.upstream),
 	}
-	return actions
+	for _, id := range r.failedUpstreams {
+		g.failed += string(id) + ","
+	}
+	return g
+}
+
+// mayLeave reports whether a silent attempt is to be interrupted if there is a place
+// elsewhere.
+func (c *Core) mayLeave(now time.Time, r *request, d poison.Decision) bool {
+	e := AttemptResult{End: retry.Stalled, Started: r.silence.Started, LastEventID: r.silence.LastEventID}
+	return r.reserved == nil && c.repeatable(now, r, d, e, r.possibleRuns+1)
 }
 
 // reservePlace looks for another upstream for a request whose attempt is silent. If one has
 // capacity, and the budget allows the retry, it keeps a place there, which counts as a
 // request in flight: an attempt that may go on is not ended for nothing.
-func (c *Core) reservePlace(now time.Time, r *request) bool {
-	e := AttemptResult{End: retry.Stalled, Started: r.silence.Started, LastEventID: r.silence.LastEventID}
-	d := c.decide(now, r)
-	if !c.repeatable(now, r, d, e, r.possibleRuns+1) {
-		return false
-	}
+func (c *Core) reservePlace(now time.Time, r *request, d poison.Decision) bool {
 	s := c.service(now, r.service)
 	u := c.pick(now, s, r, d)
 	if u == nil || !s.retryBudget.Spend(now, c.place.Processes) {
--- a/lib/dispatch/silence_test.go
+++ b/lib/dispatch/silence_test.go
@@ -284,3 +284,30 @@
 	require.Equal(t, second, send.Ticket)
 	require.Equal(t, fleet.InstanceID("a"), send.Upstream)
 }
+
+// Guards against a silent attempt that is never moved, although there is a place for it,
+// because many others are silent for which there is none.
+func TestSilentAttemptIsFoundAmongMany(t *testing.T) {
+	large := replica("a", 1)
+	large.Slots = 1000
+	h := newHarness(t, view(large))
+	var last Ticket
+	for range 6 * maxSearches {
+		last, _ = h.startStream()
+	}
+	h.now = h.now.Add(silentFor)
+	// All have begun on weights that are nowhere else, except for the last one.
+	for ticket := Ticket(1); ticket <= last; ticket++ {
+		s := h.afterEvent()
+		if ticket == last {
+			s.Version = 2
+		}
+		require.Empty(t, h.core.AttemptSilent(h.now, ticket, s))
+	}
+	actions := h.core.Update(h.now, view(large, replica("b", 2)))
+	for i := 0; i < 200 && len(actions) == 0; i++ {
+		h.now = h.now.Add(moveInterval)
+		actions = h.core.Tick(h.now)
+	}
+	require.Equal(t, last, h.interrupted(actions))
+}
