dispatch: the only upstream is tried again after its silence

Cause: if all upstreams are avoided after failures, the one whose avoidance ends first gets a request if none is in flight there. Upstreams that were silent were left out. Once their attempts had ended, nothing showed that they had gone on, and all requests of the service were rejected until the avoidance was over, up to 6 s. Change: they count as any other failed upstream there. Only one request at a time tries them out, since others wait while it is in flight. Result: TestOnlyUpstreamIsTriedAfterItsSilence failed before ("[]" should have 1 item(s), but has 0). It passes, with the other tests of the folder.

--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		if u.avoided(now) {
-			if u.failures > 0 && u.inFlight == 0 && !u.silent() && (avoided == nil || u.avoidUntil.Before(avoided.avoidUntil)) {
+			if u.failures > 0 && u.inFlight == 0 && (avoided == nil || u.avoidUntil.Before(avoided.avoidUntil)) {
 				avoided = u
 			}
 			continue
--- a/lib/dispatch/silence_test.go
+++ b/lib/dispatch/silence_test.go
@@ -311,3 +311,26 @@
 	}
 	require.Equal(t, last, h.interrupted(actions))
 }
+
+// Guards against requests that are rejected for seconds because the only upstream was
+// silent: with none of them in flight there, nothing shows that it has gone on.
+func TestOnlyUpstreamIsTriedAfterItsSilence(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	u := h.core.upstreams["a"]
+	for range maxDoublings {
+		if u.avoidUntil.After(h.now) {
+			h.now = u.avoidUntil
+		}
+		ticket, actions := h.arrive("/stream/1")
+		h.sent(actions)
+		since := h.now
+		h.now = h.now.Add(silentFor)
+		h.core.AttemptSilent(h.now, ticket, Silence{Since: since})
+		h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled})
+	}
+	require.Greater(t, u.avoidUntil.Sub(h.now), 2*time.Second)
+	_, actions := h.arrive("/stream/1")
+	h.sent(actions)
+	_, actions = h.arrive("/stream/1")
+	require.Empty(t, actions, "one request finds out whether it has gone on")
+}
