dispatch: tests of trials, kept places and paid retries of silent attempts

Cause: mutations of the code showed what no test covered: a trial that is not released, a retry paid for twice or carried over to the next one, a place that is given up when an interrupted attempt resumes, a canceled request that keeps its place. Change: TestTrialEndsWithItsRequest, TestKeptPlaceUntilTheAttemptEnds, TestInterruptedAttemptPaysForOneRetry.

--- a/lib/dispatch/silence_test.go
+++ b/lib/dispatch/silence_test.go
@@ -334,3 +334,62 @@
 	_, actions = h.arrive("/stream/1")
 	require.Empty(t, actions, "one request finds out whether it has gone on")
 }
+
+// Guards against a silent upstream that is never used again because the request which
+// tried it out has ended.
+func TestTrialEndsWithItsRequest(t *testing.T) {
+	for name, end := range map[string]func(h *harness, ticket Ticket){
+		"silent":   func(h *harness, ticket Ticket) { h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled}) },
+		"canceled": func(h *harness, ticket Ticket) { h.core.Cancel(h.now, ticket) },
+		"busy":     func(h *harness, ticket Ticket) { h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Busy}) },
+	} {
+		h := newHarness(t, view(replica("a", 1)))
+		ticket, _ := h.startStream()
+		h.now = h.now.Add(silentFor)
+		h.core.AttemptSilent(h.now, ticket, h.afterEvent())
+		u := h.core.upstreams["a"]
+		h.now = u.avoidUntil
+		trial, actions := h.arrive("/stream/1")
+		h.sent(actions)
+		require.True(t, u.trial, name)
+		end(h, trial)
+		h.core.Cancel(h.now, trial)
+		require.False(t, u.trial, name)
+		h.core.Tick(h.now)
+		h.now = h.now.Add(maxAvoidance)
+		_, actions = h.arrive("/stream/1")
+		h.sent(actions)
+	}
+}
+
+// Guards against a place that stays taken for a request whose caller left, and against one
+// that is given up while the interrupted attempt, which went on too late, has not ended.
+func TestKeptPlaceUntilTheAttemptEnds(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
+	ticket, _ := h.startStream()
+	h.now = h.now.Add(silentFor)
+	h.interrupted(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
+	inFlight := func() int { return h.core.upstreams["a"].inFlight + h.core.upstreams["b"].inFlight }
+	require.Equal(t, 2, inFlight())
+	h.core.AttemptResumed(h.now, ticket)
+	require.Equal(t, 2, inFlight())
+	h.core.Cancel(h.now, ticket)
+	require.Zero(t, inFlight())
+	require.Zero(t, h.core.Waiting())
+}
+
+// Guards against a retry that is paid for twice, or one that is free because an earlier one
+// of the request was paid for.
+func TestInterruptedAttemptPaysForOneRetry(t *testing.T) {
+	v := view(replica("a", 1), replica("b", 1), replica("c", 1))
+	v.Config.Routes[0].MaxAttempts = 3
+	v.Config.Index()
+	h := newHarness(t, v)
+	ticket, _ := h.startStream()
+	h.now = h.now.Add(silentFor)
+	budget := retry.NewWindow(retry.WindowLimits{Reserve: minProcesses, Window: 10 * time.Second}, h.now)
+	h.core.service(h.now, engine).retryBudget = budget
+	h.interrupted(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
+	h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled, Started: true, LastEventID: "7", Version: 1}))
+	h.refused(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Lost, Started: true, LastEventID: "8", Version: 1}))
+}
