--- a/lib/dispatch/silence_test.go
+++ b/lib/dispatch/silence_test.go
@@ -284,3 +284,112 @@
 	require.Equal(t, second, send.Ticket)
 	require.Equal(t, fleet.InstanceID("a"), send.Upstream)
 }
+
+// Guards against a silent attempt that is never moved, although there is a place for it,
+// because many others are silent for which there is none.
+func TestSilentAttemptIsFoundAmongMany(t *testing.T) {
+	large := replica("a", 1)
+	large.Slots = 1000
+	h := newHarness(t, view(large))
+	var last Ticket
+	for range 6 * maxSearches {
+		last, _ = h.startStream()
+	}
+	h.now = h.now.Add(silentFor)
+	// All have begun on weights that are nowhere else, except for the last one.
+	for ticket := Ticket(1); ticket <= last; ticket++ {
+		s := h.afterEvent()
+		if ticket == last {
+			s.Version = 2
+		}
+		require.Empty(t, h.core.AttemptSilent(h.now, ticket, s))
+	}
+	actions := h.core.Update(h.now, view(large, replica("b", 2)))
+	for i := 0; i < 200 && len(actions) == 0; i++ {
+		h.now = h.now.Add(moveInterval)
+		actions = h.core.Tick(h.now)
+	}
+	require.Equal(t, last, h.interrupted(actions))
+}
+
+// Guards against requests that are rejected for seconds because the only upstream was
+// silent: with none of them in flight there, nothing shows that it has gone on.
+func TestOnlyUpstreamIsTriedAfterItsSilence(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	u := h.core.upstreams["a"]
+	for range maxDoublings {
+		if u.avoidUntil.After(h.now) {
+			h.now = u.avoidUntil
+		}
+		ticket, actions := h.arrive("/stream/1")
+		h.sent(actions)
+		since := h.now
+		h.now = h.now.Add(silentFor)
+		h.core.AttemptSilent(h.now, ticket, Silence{Since: since})
+		h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled})
+	}
+	require.Greater(t, u.avoidUntil.Sub(h.now), 2*time.Second)
+	_, actions := h.arrive("/stream/1")
+	h.sent(actions)
+	_, actions = h.arrive("/stream/1")
+	require.Empty(t, actions, "one request finds out whether it has gone on")
+}
+
+// Guards against a silent upstream that is never used again because the request which
+// tried it out has ended.
+func TestTrialEndsWithItsRequest(t *testing.T) {
+	for name, end := range map[string]func(h *harness, ticket Ticket){
+		"silent":   func(h *harness, ticket Ticket) { h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled}) },
+		"canceled": func(h *harness, ticket Ticket) { h.core.Cancel(h.now, ticket) },
+		"busy":     func(h *harness, ticket Ticket) { h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Busy}) },
+	} {
+		h := newHarness(t, view(replica("a", 1)))
+		ticket, _ := h.startStream()
+		h.now = h.now.Add(silentFor)
+		h.core.AttemptSilent(h.now, ticket, h.afterEvent())
+		u := h.core.upstreams["a"]
+		h.now = u.avoidUntil
+		trial, actions := h.arrive("/stream/1")
+		h.sent(actions)
+		require.True(t, u.trial, name)
+		end(h, trial)
+		h.core.Cancel(h.now, trial)
+		require.False(t, u.trial, name)
+		h.core.Tick(h.now)
+		h.now = h.now.Add(maxAvoidance)
+		_, actions = h.arrive("/stream/1")
+		h.sent(actions)
+	}
+}
+
+// Guards against a place that stays taken for a request whose caller left, and against one
+// that is given up while the interrupted attempt, which went on too late, has not ended.
+func TestKeptPlaceUntilTheAttemptEnds(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
+	ticket, _ := h.startStream()
+	h.now = h.now.Add(silentFor)
+	h.interrupted(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
+	inFlight := func() int { return h.core.upstreams["a"].inFlight + h.core.upstreams["b"].inFlight }
+	require.Equal(t, 2, inFlight())
+	h.core.AttemptResumed(h.now, ticket)
+	require.Equal(t, 2, inFlight())
+	h.core.Cancel(h.now, ticket)
+	require.Zero(t, inFlight())
+	require.Zero(t, h.core.Waiting())
+}
+
+// Guards against a retry that is paid for twice, or one that is free because an earlier one
+// of the request was paid for.
+func TestInterruptedAttemptPaysForOneRetry(t *testing.T) {
+	v := view(replica("a", 1), replica("b", 1), replica("c", 1))
+	v.Config.Routes[0].MaxAttempts = 3
+	v.Config.Index()
+	h := newHarness(t, v)
+	ticket, _ := h.startStream()
+	h.now = h.now.Add(silentFor)
+	budget := retry.NewWindow(retry.WindowLimits{Reserve: minProcesses, Window: 10 * time.Second}, h.now)
+	h.core.service(h.now, engine).retryBudget = budget
+	h.interrupted(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
+	h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled, Started: true, LastEventID: "7", Version: 1}))
+	h.refused(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Lost, Started: true, LastEventID: "8", Version: 1}))
+}
