gateway: a planned stop closes connections as they become idle

Cause: the first form of the new stop left all kept connections open until none had been busy for 0.2 s. Under load that moment never comes, so that callers sent requests on them until the end of the grace; the last streams were cut there. Change: each connection is closed once it has been idle for 0.2 s, a new one without a request after 1 s, both counted from the close of the listener. A stream is taken during a stop only if twice its expected duration fits. TestStopClosesIdleConnectionsWhileOthersAreBusy failed before: 502 in place of 200.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -13,9 +13,13 @@
 	"rattanspur.example/lib/wire"
 )
 
-// newConnWait is how long a new connection without a request counts as busy: its first
-// request may be on its way.
-const newConnWait = time.Second
+const (
+	// newConnWait is how long a stopping gateway leaves a new connection open for its first
+	// request, and idleWait how long a kept one for its next: a caller that has just got an
+	// answer may send it.
+	newConnWait = time.Second
+	idleWait    = 200 * time.Millisecond
+)
 
 // front is the server for callers. Unlike http.Server.Shutdown, it can stop accepting
 // connections and leave open ones as they are.
@@ -72,53 +76,46 @@
 	f.conns[c] = connState{state: state, since: time.Now()}
 }
 
-// busy reports whether a connection carries a request, or is new and may carry one soon.
-func (f *front) busy(now time.Time) bool {
+// closeIdle closes the connections that have carried no request for a while, counted from a
+// time, or all without a request if the stop is over. It returns how many carry one, and how
+// many others stay open because a request may be on its way.
+func (f *front) closeIdle(now, from time.Time, over bool) (busy, waiting int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, c := range f.conns {
-		if c.state == http.StateActive || c.state == http.StateNew && now.Sub(c.since) < newConnWait {
-			return true
+	for c, s := range f.conns {
+		since := s.since
+		if since.Before(from) {
+			since = from
 		}
-	}
-	return false
-}
-
-// awaitQuiet waits until no connection has been busy for quietTime, or until a time. It
-// reports whether it is quiet.
-func (f *front) awaitQuiet(until time.Time) bool {
-	quietSince := time.Time{}
-	for {
-		now := time.Now()
-		switch {
-		case f.busy(now):
-			quietSince = time.Time{}
-		case quietSince.IsZero():
-			quietSince = now
-		case now.Sub(quietSince) >= quietTime:
-			return true
+		wait := idleWait
+		if s.state == http.StateNew {
+			wait = newConnWait
 		}
-		if !now.Before(until) {
-			return !quietSince.IsZero()
+		switch {
+		case s.state == http.StateActive:
+			busy++
+		case !over && now.Sub(since) < wait:
+			waiting++
+		default:
+			_ = c.Close()
 		}
-		_ = duty.Sleep(context.Background(), min(stopPollInterval, until.Sub(now)))
 	}
+	return busy, waiting
 }
 
-// drain waits until no request is in progress and closes idle connections, or waits until
-// a time. It reports whether no request is in progress.
+// drain closes each connection once it is idle, and waits until none is open, or until a
+// time. It reports whether no request is in progress.
 func (f *front) drain(until time.Time) bool {
-	for f.awaitQuiet(until) {
-		// Shutdown closes idle connections only, and leaves one whose request is being
-		// read at this moment.
-		ctx, cancel := context.WithTimeout(context.Background(), stopPollInterval)
-		_ = f.server.Shutdown(ctx)
-		cancel()
-		if !f.busy(time.Now()) {
-			return true
+	startedAt := time.Now()
+	for {
+		now := time.Now()
+		over := !now.Before(until)
+		busy, waiting := f.closeIdle(now, startedAt, over)
+		if busy+waiting == 0 || over {
+			return busy == 0
 		}
+		_ = duty.Sleep(context.Background(), min(stopPollInterval, until.Sub(now)))
 	}
-	return false
 }
 
 // closeListener stops accepting connections.
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -20,10 +20,7 @@
 	exitMargin = 100 * time.Millisecond
 	// marginDivisor bounds stopMargin by a fraction of a short grace period.
 	marginDivisor = 4
-	// quietTime is how long no connection may be busy until a stopping gateway closes
-	// idle ones: a caller that has just got an answer may send its next request.
-	quietTime = 200 * time.Millisecond
-	// stopPollInterval is the time between two looks at the busy connections.
+	// stopPollInterval is the time between two looks at the open connections.
 	stopPollInterval = 20 * time.Millisecond
 	// uploadRetryAfter is the retry delay for requests whose body was not complete at the
 	// end of a stop. Another gateway can serve them at once.
@@ -44,9 +41,8 @@
 func (stopOver) event()    {}
 
 // stop makes the readiness check fail, accepts connections until the platform sends no
-// more, and lets requests in progress complete. Shortly before the grace period ends it
-// ends those that remain, so that each gets an answer. It closes no connection before:
-// a kept one may be about to carry a request.
+// more, closes each one once it is idle, and lets requests in progress complete. Shortly
+// before the grace period ends it ends those that remain, so that each gets an answer.
 func (g *Gateway) stop(f *front) error {
 	startedAt := time.Now()
 	grace := g.settings.GracePeriod
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -310,6 +310,37 @@
 	require.NoError(t, <-g.done)
 }
 
+// Guards against idle connections that stay open for as long as others are busy: their
+// callers send further requests until the end of the grace, and the last ones are cut.
+func TestStopClosesIdleConnectionsWhileOthersAreBusy(t *testing.T) {
+	t.Parallel()
+	source := newSource()
+	source.put("op/config", configJSON)
+	started, release := make(chan struct{}), make(chan struct{})
+	source.upstream(t, "i-1", "desk", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/once/busy" {
+			close(started)
+			<-release
+		}
+		respond(w, r, http.StatusOK, "ok")
+	})
+	g := start(t, source)
+	conn := g.dial()
+	reader := bufio.NewReader(conn)
+	g.rawRequest(conn, "/read/1")
+	_, err := io.WriteString(conn, "text")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, readAnswer(reader).status)
+	running := g.begin(http.MethodPost, "/once/busy")
+	<-started
+	g.stopAndWait()
+	_, err = reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	close(release)
+	require.Equal(t, http.StatusOK, (<-running).status)
+	require.NoError(t, <-g.done)
+}
+
 // Guards against a connection that was accepted before the listener closed and whose
 // first request comes afterwards.
 func TestStopServesConnectionsAcceptedBefore(t *testing.T) {
--- a/lib/dispatch/stop.go
+++ b/lib/dispatch/stop.go
@@ -10,6 +10,10 @@
 // Another entry can serve them at once.
 const stopRetryAfter = 200 * time.Millisecond
 
+// loadedSlowdown is the factor by which an answer may take longer at an engine with all of
+// its slots in use. A stream that is cut at the end costs more than one that begins elsewhere.
+const loadedSlowdown = 2
+
 const (
 	// stopReason is the reason given to callers whose request could not end before the
 	// process does.
@@ -110,7 +114,7 @@
 			return first
 		}
 		if e.TimePerToken > 0 && r.answerTokens() > 0 {
-			return max(first, r.duration(e))
+			return max(first, loadedSlowdown*r.duration(e))
 		}
 	}
 	if known {
