entry: the time of an attempt does not count as waiting for capacity

Cause: queue_wait was counted from the arrival of a call. A call whose first attempt lasted longer than that (10 s by default; an attempt may be silent for 20 s) was given up with 502 as soon as it had to be queued again, although it might be repeated and a replica had capacity a moment later.

Change: the router extends the deadline for waiting by the time of each attempt. The deadline of the call still holds.

Test: TestTimeOfAnAttemptIsNoWaitingTime; before: status 502, detail "no upstream had room in time".

--- a/entry/router.go
+++ b/entry/router.go
@@ -51,9 +51,11 @@
 	upstream fleet.Instance
 	pool     *connPool
 	meta     wire.Call
-	// sentAt is when the current attempt was sent, by the clock of the evidence.
-	sentAt time.Time
-	tried  []fleet.InstanceID
+	// sentAt is when the current attempt was sent, by the clock of the evidence, and
+	// startedAt the same by the clock of the queue.
+	sentAt    time.Time
+	startedAt time.Time
+	tried     []fleet.InstanceID
 	// failures counts the attempts that may have been run and failed, placements
 	// all attempts that were not refused for lack of capacity.
 	failures   int
@@ -61,7 +63,8 @@
 	// mayHaveRun is true if an attempt of the call may have been run. The caller
 	// must then not be told that the request was not run.
 	mayHaveRun bool
-	// queueDeadline is the time at which the call stops waiting for capacity.
+	// queueDeadline is the time at which the call stops waiting for capacity. The
+	// time of its attempts does not count.
 	queueDeadline time.Time
 }
 
@@ -248,7 +251,7 @@
 	a.meta.Attempt++
 	a.meta.Config = r.view.Config.Stamp
 	a.upstream = upstream
-	a.sentAt = r.entry.now()
+	a.sentAt, a.startedAt = r.entry.now(), now
 	a.pool = r.pools.get(now, upstream)
 	if err := r.entry.attempts.Put(ctx, a); err != nil {
 		r.table.Done(upstream.ID)
@@ -262,11 +265,13 @@
 // handleAttemptEnd records how an attempt ended and decides what follows.
 func (r *router) handleAttemptEnd(ctx context.Context, ev attemptEnded) {
 	a, res := ev.attempt, ev.result
+	now := time.Now()
+	a.queueDeadline = a.queueDeadline.Add(now.Sub(a.startedAt))
 	r.inFlight--
 	r.entry.metrics.recordAttempt(res.end)
 	// The load that the agent reported includes this call, so it is recorded
 	// before the call is removed from the table.
-	r.recordResult(time.Now(), a, res)
+	r.recordResult(now, a, res)
 	r.table.Done(a.upstream.ID)
 	if res.end != retry.Busy {
 		a.placements++
