entry: a silent agent is asked for a token again

Cause: each of up to three agents got one second to issue a token, and the caller was refused after that. An only agent, or three that fall silent at the same time, for 1.3 s lost the request although they went on.

Change: agents that did not answer in time are asked again, each time for twice as long, up to queue_wait. A refusal of an agent still ends the request at once.

Test: TestSilentAgentStillIssuesToken; before: status 503, "peer request ... context deadline exceeded".

--- a/entry/once_worker.go
+++ b/entry/once_worker.go
@@ -24,7 +24,8 @@
 	// initialResendDelay is the delay before the first resend; it doubles before
 	// each further one.
 	initialResendDelay = 50 * time.Millisecond
-	// tokenTimeout is the maximum time for one agent to issue a token.
+	// tokenTimeout is the time for one agent to issue a token, before the next one is
+	// asked. It doubles with each time that all agents were asked.
 	tokenTimeout = time.Second
 	// responseMargin is the part of a call's time budget that is reserved for
 	// responding to the caller that the outcome is unknown.
@@ -77,29 +78,43 @@
 	return context.WithDeadline(ctx, deadline.Add(-responseMargin))
 }
 
-// requestToken requests a token from the agents of a task in turn until one
-// issues it, and sends it to the caller. Requesting several tokens is harmless,
-// since an unused token expires.
+// requestToken requests a token from the agents of a task until one issues it, and
+// sends it to the caller. Agents that do not answer are asked again, each time for
+// twice as long, while a call may wait for capacity: a silent agent may go on.
 func (e *Entry) requestToken(ctx context.Context, task onceTask) {
-	var lastErr error
+	ctx, cancel := context.WithDeadline(ctx, task.call.arrivedAt.Add(e.settings.QueueWait))
+	defer cancel()
+	timeout := tokenTimeout
+	out, silent, err := e.requestTokenInTurn(ctx, task, timeout)
+	for err != nil && silent && ctx.Err() == nil {
+		timeout *= 2
+		out, silent, err = e.requestTokenInTurn(ctx, task, timeout)
+	}
+	if err != nil {
+		respondProblem(task.call.ctx, task.call, boundNotRun(task.call, http.StatusServiceUnavailable, err.Error()))
+		return
+	}
+	h := http.Header{"Content-Type": {"application/json"}}
+	_ = task.call.stream.Put(task.call.ctx, relay.Part{Head: &relay.Head{Status: http.StatusOK, Header: h}, Data: out, End: true})
+}
+
+// requestTokenInTurn requests a token from each agent of a task until one issues it,
+// and returns its encoding for the caller. Requesting several tokens is harmless,
+// since an unused token expires. With an error, silent is true if an agent did not
+// answer within the timeout.
+func (e *Entry) requestTokenInTurn(ctx context.Context, task onceTask, timeout time.Duration) (token []byte, silent bool, err error) {
 	for _, agent := range task.agents {
-		tokenCtx, cancel := context.WithTimeout(ctx, tokenTimeout)
+		tokenCtx, cancel := context.WithTimeout(ctx, timeout)
 		var out wire.TokenResponse
-		lastErr = e.node.Peers().PostJSON(tokenCtx, agent.Address, wire.PathToken, task.token, &out)
+		err = e.node.Peers().PostJSON(tokenCtx, agent.Address, wire.PathToken, task.token, &out)
+		silent = silent || tokenCtx.Err() != nil
 		cancel()
-		if lastErr != nil {
-			continue
-		}
-		body, err := json.Marshal(out)
-		if err != nil {
-			lastErr = err
-			continue
+		if err == nil {
+			token, err = json.Marshal(out)
+			return token, false, err
 		}
-		h := http.Header{"Content-Type": {"application/json"}}
-		_ = task.call.stream.Put(ctx, relay.Part{Head: &relay.Head{Status: http.StatusOK, Header: h}, Data: body, End: true})
-		return
 	}
-	respondProblem(task.call.ctx, task.call, boundNotRun(task.call, http.StatusServiceUnavailable, lastErr.Error()))
+	return nil, silent, err
 }
 
 // forwardBound sends a call to its only agent. It sends the call again only
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -31,3 +34,26 @@
 	require.NoError(t, resp.err)
 	require.Equal(t, http.StatusOK, resp.status, resp.body)
 }
+
+// Guards against a request for a token that is refused because the only agent falls
+// silent for longer than another agent would be waited for, and then goes on.
+func TestSilentAgentStillIssuesToken(t *testing.T) {
+	const pause = tokenTimeout + 300*time.Millisecond
+	var pauseOnce sync.Once
+	resumed := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != wire.PathToken {
+			http.NotFound(w, r)
+			return
+		}
+		pauseOnce.Do(func() { time.AfterFunc(pause, func() { close(resumed) }) })
+		<-resumed
+		_ = json.NewEncoder(w).Encode(wire.TokenResponse{Token: "token"})
+	}))
+	t.Cleanup(server.Close)
+	e := startEntry(t, nil, server.Listener.Addr().String())
+	resp := e.post(tokensPath, "counter", `{"service":"bookings"}`)
+	require.NoError(t, resp.err)
+	require.Equal(t, http.StatusOK, resp.status, resp.body)
+	require.Contains(t, resp.body, `"token"`)
+}
