entry: every request that was read gets an answer before a planned stop ends

Cause: a stopping entry closed its port at once and waited up to 60 s (a constant) for what it carried. Whatever ran, waited for capacity or was uploaded at that moment was cut without an answer, since a call may take 30 s for its body and 60 s after it. Responses to calls whose context had ended were dropped half of the time (a ring's put with an ended context chooses at random).

Change: the grace period has phases. In its first leave_linger the port stays open, and responses close their connection. Calls that are not running are refused as not run if the longest of the last answers of their service would not fit any more; a service without answers is taken to need half of the period. Shortly before the end (1/40 of it, at most 1 s) calls in progress are ended: running ones get an unknown outcome, streams an error event, queued ones and unfinished uploads a refusal. drain_timeout and leave_linger are settings of the entry now.

Tests: TestRequestsDuringAShortGraceGetAnswers, TestCallsAtTheEndOfTheGraceGetAnswers, TestStreamAndBoundCallAtTheEndOfTheGrace, TestRequestOnABusyConnectionDuringStop. Before, with the constant as a setting: the first three failed, "graceful stop: context deadline exceeded" from Run, and callers that waited for their whole 30 s. The last one passed.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -32,8 +31,6 @@
 	maxHeaderBytes = 32 << 10
 	// connectTimeout is the maximum time for connecting to an agent.
 	connectTimeout = time.Second
-	// drainTimeout is the maximum duration of a graceful stop.
-	drainTimeout = 60 * time.Second
 )
 
 // Entry is one entry process.
@@ -44,7 +41,7 @@
 	inbox    *ring.Ring[event]
 	attempts *ring.Ring[attempt]
 	metrics  *entryMetrics
-	stopping atomic.Bool
+	grace    *gracePeriod
 	// now is the clock for the evidence about requests that crash upstreams.
 	now func() time.Time
 	// snapshots provides the state that the operator page shows.
@@ -64,6 +61,7 @@
 		attempts:  ring.New[attempt](s.MaxCalls, ring.Refuse),
 		snapshots: newSnapshotSource(n),
 		once:      newOncePipeline(n, s),
+		grace:     newGracePeriod(s.DrainTimeout),
 	}
 	e.metrics = newMetrics(e)
 	return e
@@ -72,7 +70,7 @@
 // Run serves until ctx ends, or one of the entry's duties fails, and then stops
 // gracefully: it lets calls in progress complete before it returns. It returns an
 // error if it cannot listen, if a duty failed, or if calls are still in progress
-// after drainTimeout.
+// after the drain timeout.
 func (e *Entry) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", e.settings.Self.Address)
 	if err != nil {
@@ -105,21 +103,6 @@
 	return e.stop(ctx, server, g)
 }
 
-// stop announces that the process is leaving, lets calls in progress complete and
-// stops the duties.
-func (e *Entry) stop(ctx context.Context, server *http.Server, g *duty.Group) error {
-	e.stopping.Store(true)
-	e.node.Leave()
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
-	defer cancel()
-	err := server.Shutdown(stopCtx)
-	g.Stop()
-	if werr := g.Wait(); werr != nil {
-		return werr
-	}
-	return eris.Wrap(err, "graceful stop")
-}
-
 func (e *Entry) handler() (http.Handler, error) {
 	page, err := operator.Handler(e.snapshots, e.settings.OperatorKey)
 	if err != nil {
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -143,7 +143,7 @@
 	switch {
 	case errors.Is(context.Cause(x.ctx), errStalled):
 		return retry.Stalled
-	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(x.ctx.Err(), context.DeadlineExceeded), errors.Is(context.Cause(x.ctx), errStopping):
 		return retry.TimedOut
 	case x.ctx.Err() != nil:
 		return retry.Canceled
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -53,15 +53,18 @@
 func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
 	id := rand.Text()
 	w.Header().Set(headerRequestID, id)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes))
+	if e.grace.begun.isReached() {
+		w.Header().Set("Connection", "close")
+	}
+	body, err := e.readBody(w, r)
 	if err != nil {
 		wire.WriteProblem(w, bodyProblem(id, err))
 		return
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	ctx, cancel := context.WithTimeout(r.Context(), e.settings.CallTimeout)
+	limited, cancel := context.WithTimeout(r.Context(), e.settings.CallTimeout)
 	defer cancel()
+	ctx, end := e.grace.callsEnd.endOn(limited)
+	defer end()
 	c := newCall(ctx, id, r, body)
 	if err := e.enqueue(ctx, c); err != nil {
 		wire.WriteProblem(w, notRun(c, "entry takes no further calls now"))
@@ -70,6 +73,20 @@
 	e.writeResponse(w, r, c)
 }
 
+// readBody reads the body of a request. If it is not complete when calls have to end
+// because the process stops, the error is errStopping.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	interrupt := context.AfterFunc(e.grace.callsEnd.reached, func() { _ = controller.SetReadDeadline(time.Now()) })
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes))
+	if !interrupt() {
+		return nil, errStopping
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+	return body, err
+}
+
 func newCall(ctx context.Context, id string, r *http.Request, body []byte) *call {
 	prompt := inspectBody(r.URL.Path, body)
 	keySHA256 := keyDigest(wire.Bearer(r.Header))
@@ -99,8 +116,13 @@
 // an error event. For any other truncated response, the connection is aborted, so
 // that the caller does not treat the response as complete.
 func (e *Entry) writeResponse(w http.ResponseWriter, r *http.Request, c *call) {
-	ctx, cancel := context.WithTimeout(r.Context(), e.settings.CallTimeout+responseGrace)
+	limited, cancel := context.WithTimeout(r.Context(), e.settings.CallTimeout+responseGrace)
 	defer cancel()
+	ctx, end := e.grace.handlersEnd.endOn(limited)
+	defer end()
+	if e.grace.begun.isReached() {
+		w.Header().Set("Connection", "close")
+	}
 	err := relay.Write(ctx, w, c.stream)
 	// Every response of the router or a forwarder has this header.
 	started := w.Header().Get(wire.HeaderOutcome) != ""
@@ -114,7 +136,7 @@
 		sock.Abort(w, r)
 	case !started:
 		wire.WriteProblem(w, outcomeUnknown(c, "no answer in time", http.StatusGatewayTimeout))
-	case relay.IsEventStream(w.Header()) && isTruncation(err):
+	case relay.IsEventStream(w.Header()) && (isTruncation(err) || ctx.Err() != nil):
 		e.metrics.truncations.Inc()
 		_, data := outcomeUnknown(c, "the upstream ended before the answer was whole", http.StatusBadGateway).Encode()
 		_ = relay.WriteErrorEvent(w, data)
@@ -136,6 +158,9 @@
 }
 
 func bodyProblem(id string, err error) *wire.Problem {
+	if errors.Is(err, errStopping) {
+		return notRun(&call{id: id}, stoppingDetail)
+	}
 	status := http.StatusBadRequest
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -78,6 +78,8 @@
 	ctx     context.Context
 	address string
 	client  *http.Client
+	// stop begins a graceful stop, as SIGTERM does.
+	stop context.CancelFunc
 }
 
 // startEntry starts an entry in front of agents that serve the model service
@@ -116,7 +118,7 @@
 		configServer.Close()
 		listServer.Close()
 	})
-	e := &testEntry{t: t, ctx: ctx, address: s.Self.Address, client: client}
+	e := &testEntry{t: t, ctx: ctx, address: s.Self.Address, client: client, stop: stop}
 	e.await("/readyz")
 	return e
 }
@@ -131,6 +133,7 @@
 		MaxCalls: 64, CallTimeout: testTimeout, MaxBodyBytes: 1 << 20, MaxStreamBytes: 1 << 20, MaxConnections: 256,
 		MaxQueuedCalls: 64, MaxQueuedCustomerCalls: 16, QueueWait: testTimeout,
 		FirstByteTimeout: testTimeout, ProgressTimeout: testTimeout, ConnectionAge: time.Minute,
+		DrainTimeout: testTimeout,
 	}
 }
 
--- a/entry/once.go
+++ b/entry/once.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"time"
 
 	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/duty"
@@ -131,6 +132,10 @@
 		respondProblem(ctx, c, unauthorized(c))
 		return
 	}
+	if !r.entry.grace.fits(time.Now(), 0) {
+		respondProblem(ctx, c, boundNotRun(c, http.StatusServiceUnavailable, stoppingDetail))
+		return
+	}
 	task, p := r.newTask(c, customer)
 	if p == nil && r.entry.once.tasks.Put(ctx, task) != nil {
 		p = boundNotRun(c, http.StatusServiceUnavailable, "entry carries as many calls as it may")
@@ -279,9 +284,9 @@
 	}
 }
 
-// respondProblem sends a problem as the complete response of a call. The stream
-// of the call must be empty.
+// respondProblem sends a problem as the complete response of a call, also if ctx has
+// ended. The stream of the call must be empty, so that the put does not block.
 func respondProblem(ctx context.Context, c *call, p *wire.Problem) {
 	h, body := p.Encode()
-	_ = c.stream.Put(ctx, relay.Part{Head: &relay.Head{Status: p.Status, Header: h}, Data: body, End: true})
+	_ = c.stream.Put(context.WithoutCancel(ctx), relay.Part{Head: &relay.Head{Status: p.Status, Header: h}, Data: body, End: true})
 }
--- a/entry/once_worker.go
+++ b/entry/once_worker.go
@@ -124,6 +124,10 @@
 // before it; otherwise, the outcome is reported as unknown.
 func (e *Entry) forwardBound(ctx context.Context, task onceTask) {
 	agent := task.agents[0]
+	if err := ctx.Err(); err != nil {
+		e.refuseBound(task, agent, boundNotRun(task.call, http.StatusServiceUnavailable, context.Cause(ctx).Error()))
+		return
+	}
 	var lostErr error
 	delay := initialResendDelay
 	for task.meta.Attempt = 1; ; task.meta.Attempt++ {
@@ -246,6 +250,9 @@
 		end.Err = relay.ErrTruncated
 		detail = err.Error()
 	}
-	_ = c.stream.Put(c.ctx, end)
+	// The call may have ended, but the handler still waits for the end part.
+	finish, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), responseGrace)
+	defer cancel()
+	_ = c.stream.Put(finish, end)
 	return detail
 }
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -151,18 +151,22 @@
 		r.giveUp(ctx, a, "the call ended while it waited", retryAfter)
 		return true
 	}
-	return r.blockIfConvicted(ctx, a) || r.moveQueued(key, a) || r.trySend(ctx, a)
+	return r.blockIfConvicted(ctx, a) || r.refuseTooLate(ctx, a) || r.moveQueued(key, a) || r.trySend(ctx, a)
 }
 
-// expire responds to waiting calls whose deadline has passed or whose caller has
-// disconnected, and removes them.
+// expire responds to waiting calls whose deadline has passed, whose caller has
+// disconnected or that cannot end before this process does, and removes them.
 func (r *router) expire(ctx context.Context) {
 	now := time.Now()
 	for _, q := range r.queues.byKey {
 		after := q.RetryAfter()
-		contextEnded := func(a attempt) bool { return a.call.ctx.Err() != nil }
-		for _, item := range q.Expire(now, contextEnded) {
-			r.giveUp(ctx, item.Value, "no upstream had room in time", after)
+		abandoned := func(a attempt) bool { return a.call.ctx.Err() != nil || r.isTooLate(now, &a) }
+		for _, item := range q.Expire(now, abandoned) {
+			detail := "no upstream had room in time"
+			if r.isTooLate(now, &item.Value) {
+				detail = stoppingDetail
+			}
+			r.giveUp(ctx, item.Value, detail, after)
 		}
 	}
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -81,6 +81,8 @@
 	evidence *node.Evidence
 	// inFlight is the number of attempts that the forwarders are handling.
 	inFlight int
+	// answered holds how long answers take.
+	answered serviceTimes
 }
 
 func newRouter(e *Entry) *router {
@@ -91,6 +93,7 @@
 		budgets:  retry.NewBudgets(),
 		pools:    newConnPools(e.settings.ConnectionAge),
 		evidence: node.NewEvidence(e.node),
+		answered: serviceTimes{},
 	}
 }
 
@@ -174,7 +177,7 @@
 		return
 	}
 	a := r.newAttempt(c, customer, target)
-	if !r.blockIfConvicted(ctx, a) {
+	if !r.blockIfConvicted(ctx, a) && !r.refuseTooLate(ctx, a) {
 		r.admit(ctx, a)
 	}
 }
@@ -305,7 +308,7 @@
 	}
 	r.entry.metrics.retries.Inc()
 	switch {
-	case r.blockIfConvicted(ctx, a):
+	case r.blockIfConvicted(ctx, a) || r.refuseTooLate(ctx, a):
 	case action == retry.Resend && r.trySend(ctx, a):
 	default:
 		r.requeue(ctx, a)
@@ -325,6 +328,7 @@
 	switch {
 	case res.end == retry.Answered && res.complete:
 		r.table.Succeeded(id)
+		r.answered.record(a.target.Service.Name, now.Sub(a.startedAt))
 		if !res.serverError {
 			r.budgets.Succeeded(a.meta.Customer, id)
 		}
--- a/entry/status.go
+++ b/entry/status.go
@@ -45,7 +45,7 @@
 		InFlight: r.inFlight,
 		Waiting:  map[fleet.Service]int{},
 		Suspects: len(r.evidence.Suspicions(r.entry.now())),
-		Stopping: r.entry.stopping.Load(),
+		Stopping: r.entry.grace.begun.isReached(),
 	}}
 	if r.view.Config != nil {
 		s.report.Generation = r.view.Config.Generation
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -61,6 +61,11 @@
 	ProgressTimeout  time.Duration
 	// ConnectionAge is the age up to which connections to an agent are reused.
 	ConnectionAge time.Duration
+	// LeaveDelay is how long a stopping entry keeps its port open for callers that
+	// have not been notified yet; at most half of DrainTimeout.
+	LeaveDelay time.Duration
+	// DrainTimeout is the longest duration of a graceful stop.
+	DrainTimeout time.Duration
 }
 
 // Agent holds the settings of an agent.
@@ -142,6 +147,8 @@
 	s.FirstByteTimeout = r.duration("entry", "first_byte_timeout", 20*time.Second)
 	s.ProgressTimeout = r.duration("entry", "progress_timeout", 10*time.Second)
 	s.ConnectionAge = r.duration("entry", "connection_age", time.Minute)
+	s.LeaveDelay = r.duration("entry", "leave_linger", 2*time.Second)
+	s.DrainTimeout = r.duration("entry", "drain_timeout", time.Minute)
 	return s
 }
 
