agent: calls that run at the end of the drain timeout get an unknown outcome

Cause: a stopping agent closed its connections when the drain timeout was over. The entry got no answer, took the agent for crashed, and recorded the request and its messages as suspects of a crash.

Change: shortly before the drain timeout (1/40 of it, at most 1 s) requests to the upstream are ended, and the calls are answered with an unknown outcome, which names no crash.

Test: TestCallAtTheEndOfTheDrainGetsAnswer; before: EOF in place of an answer.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,9 @@
 	engine   *engine.Client
 	// upstream sends calls; it checks each new connection before use.
 	upstream *http.Client
+	// callsEnd ends when calls in progress have to end because the process stops.
+	callsEnd context.Context
+	endCalls context.CancelFunc
 	// plain is set while the upstream is a plain service, without load reports.
 	plain           atomic.Bool
 	weightsListener net.Listener
@@ -101,6 +104,7 @@
 		weightsHTTP:         &http.Client{Transport: weightsTransport()},
 	}
 	a.upstream = a.upstreamClient()
+	a.callsEnd, a.endCalls = context.WithCancel(context.Background())
 	return a
 }
 
@@ -127,6 +131,7 @@
 	}
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.settings.DrainTimeout)
 	defer cancel()
+	defer time.AfterFunc(a.settings.DrainTimeout-answerMargin(a.settings.DrainTimeout), a.endCalls).Stop()
 	err = a.stop(limited, server, weights)
 	g.Stop()
 	if werr := g.Wait(); werr != nil {
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -55,13 +55,15 @@
 type progressTimer struct {
 	timer   *time.Timer
 	timeout time.Duration
+	// end cancels the request for a cause.
+	end context.CancelCauseFunc
 }
 
 // watchProgress returns a context that ends with its parent or when the upstream
 // sends nothing for the timeout.
 func watchProgress(parent context.Context, timeout time.Duration) (context.Context, *progressTimer, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
-	p := &progressTimer{timeout: timeout}
+	p := &progressTimer{timeout: timeout, end: cancel}
 	p.timer = time.AfterFunc(timeout, func() { cancel(errNoProgress) })
 	return ctx, p, func() {
 		p.timer.Stop()
@@ -94,6 +96,7 @@
 func (a *Agent) sendUpstream(call admittedCall) gate.Outcome {
 	ctx, p, cancel := watchProgress(call.ctx, a.settings.ProgressTimeout)
 	defer cancel()
+	defer context.AfterFunc(a.callsEnd, func() { p.end(errStopping) })()
 	req, err := a.upstreamRequest(ctx, call)
 	if err != nil {
 		answerProblem(call, refusal(call.meta.Request, http.StatusBadRequest, err.Error()))
