relay: a silence does not use up the time of the next write

Cause: the write deadline was set for each part with data and stayed in force. The end of a response, which the server writes after the handler has returned, and the error event of a cut stream came under the deadline of the part before: after a silence of 30 s (the agent's progress_timeout; longer ones can be set) the write failed, and a whole answer reached the peer without its end.

Change: each part, the last one too, and the error event get a write deadline of their own.

--- a/lib/relay/events.go
+++ b/lib/relay/events.go
@@ -113,9 +113,11 @@
 // WriteErrorEvent ends a stream of server-sent events with an error event, so
 // that the caller can distinguish a truncated response from a complete one.
 func WriteErrorEvent(w http.ResponseWriter, data []byte) error {
+	controller := http.NewResponseController(w)
+	extendWriteDeadline(controller)
 	event := append([]byte("event: error\ndata: "), data...)
 	if _, err := w.Write(append(event, "\n\n"...)); err != nil {
 		return err
 	}
-	return http.NewResponseController(w).Flush()
+	return controller.Flush()
 }
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -61,13 +61,11 @@
 		if err != nil {
 			return err
 		}
+		extendWriteDeadline(flusher)
 		if part.Head != nil {
 			writeHead(w, part.Head)
 		}
 		if len(part.Data) > 0 {
-			// The error is ignored because some writers, such as recorders in
-			// tests, do not support deadlines.
-			_ = flusher.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, err := w.Write(part.Data); err != nil {
 				return err
 			}
@@ -86,6 +84,14 @@
 	}
 }
 
+// extendWriteDeadline gives the next write its time. It precedes each part, also the
+// last one, after which the server writes the end of the response: the source may
+// have been silent since the part before. The error is ignored because some writers,
+// such as recorders in tests, do not support deadlines.
+func extendWriteDeadline(c *http.ResponseController) {
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 func writeHead(w http.ResponseWriter, h *Head) {
 	for name, values := range h.Header {
 		w.Header()[name] = values
