agent: writes of a run with a key or token have a deadline

Cause: the writer that keeps a copy of the answer did not pass write deadlines on. If the connection of the entry accepted no bytes, the write of a large answer never returned: the key stayed in progress, its repetitions waited for their whole time, and a planned stop waited for the handler.

Change: the recorder passes the deadline on.

Test: TestRecorderPassesWriteDeadlineOn; before: "feature not supported".

--- a/agent/recorder.go
+++ b/agent/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"rattanspur.example/lib/once"
 )
@@ -51,6 +52,12 @@
 	return len(p), nil
 }
 
+// SetWriteDeadline sets the deadline of writes for http.ResponseController. Without
+// it, a client that accepts no bytes would stop the run.
+func (r *recorder) SetWriteDeadline(t time.Time) error {
+	return http.NewResponseController(r.ResponseWriter).SetWriteDeadline(t)
+}
+
 // FlushError flushes the response for http.ResponseController. It never returns
 // an error.
 func (r *recorder) FlushError() error {
