entry: one place closes a caller's connection without a whole answer

Cause: the entry closed connections at several places and left no trace of most of them. rattanspur_entry_responses_cut_total counts responses that broke off without the reason, and neither callers that left or accepted no bytes, nor panics, nor what was open at the end of the process.

Each close writes a log line with the request and the reason and counts in rattanspur_entry_connections_closed_total{reason}. An error event that cannot be written closes the connection too; before, its handler returned as after a whole answer.

--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -264,8 +264,8 @@
 	end := relay.Part{End: true}
 	res.complete = err == nil
 	if err != nil {
-		end.Err = relay.ErrTruncated
 		res.end, res.detail = x.truncatedEnd(err), err.Error()
+		end.Err = truncated(x.ctx, res.end, err)
 	}
 	// The deadline may have passed, but the handler still waits for the end part.
 	finish, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), responseGrace)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -13,7 +13,6 @@
 	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/routing"
-	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/wire"
 )
 
@@ -53,6 +52,9 @@
 func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
 	id := rand.Text()
 	w.Header().Set(headerRequestID, id)
+	e.metrics.calls.Add(1)
+	defer e.metrics.calls.Add(-1)
+	defer e.recordPanic(id)
 	if e.grace.begun.isReached() {
 		w.Header().Set("Connection", "close")
 	}
@@ -133,16 +135,18 @@
 	case r.Context().Err() != nil:
 		// A caller that has only closed its sending side still reads, and a handler
 		// that returns ends the response as a complete one.
-		sock.Abort(w, r)
+		e.closeConnection(w, r, c, closeCallerLeft, err)
 	case !started:
 		wire.WriteProblem(w, outcomeUnknown(c, "no answer in time", http.StatusGatewayTimeout))
 	case relay.IsEventStream(w.Header()) && (isTruncation(err) || ctx.Err() != nil):
 		e.metrics.truncations.Inc()
 		_, data := outcomeUnknown(c, "the upstream ended before the answer was whole", http.StatusBadGateway).Encode()
-		_ = relay.WriteErrorEvent(w, data)
+		if err := relay.WriteErrorEvent(w, data); err != nil {
+			e.closeConnection(w, r, c, closeWriteFailed, err)
+		}
 	default:
 		e.metrics.truncations.Inc()
-		sock.Abort(w, r)
+		e.closeConnection(w, r, c, closeReasonOf(ctx, err), err)
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -31,6 +32,8 @@
 	latency     *metrics.Histogram
 	truncations *metrics.Counter
 	retries     *metrics.Counter
+	// calls is the number of calls whose handlers run.
+	calls atomic.Int64
 }
 
 func newMetrics(e *Entry) *entryMetrics {
@@ -50,6 +53,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("rattanspur_entry_attempts_total{end=%q}", endNames[end])).Inc()
 }
 
+func (m *entryMetrics) countClosed(reason closeReason, calls int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("rattanspur_entry_connections_closed_total{reason=%q}", string(reason))).Add(calls)
+}
+
 func (m *entryMetrics) recordProblem(t wire.ProblemType) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("rattanspur_entry_problems_total{type=%q}", string(t))).Inc()
 }
--- a/entry/once_worker.go
+++ b/entry/once_worker.go
@@ -13,6 +13,7 @@
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/relay"
+	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/wire"
@@ -235,6 +236,18 @@
 	return p, nil
 }
 
+// boundEnd returns the end of an attempt whose response broke off.
+func boundEnd(ctx context.Context) retry.End {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return retry.TimedOut
+	case ctx.Err() != nil:
+		return retry.Canceled
+	default:
+		return retry.Lost
+	}
+}
+
 // relayBound puts a response on the caller's stream. It returns the text of the
 // error if the response was not passed on completely, and "" otherwise.
 func relayBound(c *call, resp *http.Response) string {
@@ -247,7 +260,7 @@
 	end := relay.Part{End: true}
 	detail := ""
 	if err := relay.ReadBody(c.ctx, resp.Body, c.stream); err != nil {
-		end.Err = relay.ErrTruncated
+		end.Err = truncated(c.ctx, boundEnd(c.ctx), err)
 		detail = err.Error()
 	}
 	// The call may have ended, but the handler still waits for the end part.
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
 
 	"rattanspur.example/lib/duty"
@@ -178,8 +177,7 @@
 		err = server.Shutdown(stopCtx)
 	}
 	if err != nil {
-		_ = server.Close()
-		_ = level.Warn(e.node.Logger()).Log("msg", "connections closed at the end of the drain timeout", "err", err)
+		e.closeAll(server, err)
 	}
 	g.Stop()
 	if werr := g.Wait(); werr != nil {
