entry: a refusal whose rest is missing still counts as not run

Cause: the head of a refusal says that the call was not run, but the entry read the whole problem before it acted: up to first_byte_timeout (20 s) for a call that could be sent again, and to the deadline for one with a key or token, which then got an unknown outcome.

Change: the rest of a refusal is read for 1 s at most, since it only holds the detail. A bound call is refused as not run without it.

Tests: TestHalfRefusalDoesNotHoldTheCall (before: no answer in 30 s), TestHalfRefusalOfABoundCallIsNotRun (before: "unknown" after 30 s).

--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -182,6 +182,7 @@
 		res.end = retry.Answered
 		res.serverError = resp.StatusCode >= http.StatusInternalServerError
 	case wire.NotRun:
+		x.watchdog.Reset(refusalTimeout)
 		res.end, res.detail = refusal(resp)
 	default:
 		res.end = retry.Lost
@@ -189,6 +190,10 @@
 	return res
 }
 
+// refusalTimeout is the time to read the rest of a refusal, which only says why the
+// call was not run.
+const refusalTimeout = time.Second
+
 // refusal returns how and why an agent refused a call: retry.Busy if the replica
 // lacks capacity, so that it is tried again soon, or retry.Refused for any other
 // reason, after which it is avoided for longer.
--- a/entry/once_worker.go
+++ b/entry/once_worker.go
@@ -221,7 +221,12 @@
 		return nil, nil
 	}
 	p := &wire.Problem{}
+	limit := time.AfterFunc(refusalTimeout, func() { _ = resp.Body.Close() })
+	defer limit.Stop()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProblemBytes))
+	if err != nil && outcome == wire.NotRun {
+		return boundNotRun(c, resp.StatusCode, "the agent refused: "+err.Error()), nil
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -57,3 +57,40 @@
 	require.Equal(t, http.StatusOK, resp.status, resp.body)
 	require.Contains(t, resp.body, `"token"`)
 }
+
+// halfRefusal refuses a call and falls silent in the middle of the problem.
+func halfRefusal(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set(wire.HeaderOutcome, string(wire.NotRun))
+	w.Header().Set("Content-Length", "100")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = io.WriteString(w, `{"type":`)
+	_ = http.NewResponseController(w).Flush()
+	<-r.Context().Done()
+}
+
+// Guards against a call that waits for the rest of a refusal, whose head says that
+// the call was not run, although it can be sent again.
+func TestHalfRefusalDoesNotHoldTheCall(t *testing.T) {
+	var calls atomic.Int32
+	agent := fakeAgent(t, func(w http.ResponseWriter, r *http.Request, meta *wire.Call) {
+		if calls.Add(1) == 1 {
+			halfRefusal(w, r)
+			return
+		}
+		echo(w, r, meta)
+	})
+	e := startEntry(t, nil, agent)
+	resp := e.post(oncePath, "counter", "{}")
+	require.NoError(t, resp.err)
+	require.Equal(t, http.StatusOK, resp.status, resp.body)
+}
+
+// Guards against a call with a token that gets an unknown outcome, because the rest
+// of a refusal is missing whose head says that the call was not run.
+func TestHalfRefusalOfABoundCallIsNotRun(t *testing.T) {
+	agent := fakeAgent(t, func(w http.ResponseWriter, r *http.Request, _ *wire.Call) { halfRefusal(w, r) })
+	e := startEntry(t, nil, agent)
+	p := problemOf(t, e.post(oncePath, "counter", "{}", wire.HeaderToken, tokenOf(t, "bookings-0")))
+	require.Equal(t, wire.NotRun, p.Outcome)
+}
