entry: a silent upstream is left once another one is free

Cause: an attempt without a response ended after first_byte_timeout, whether or not its call could go on. If it might not be sent again, or no other upstream had capacity, the caller got 502 although the upstream went on a moment later.

Change: at the timeout the router looks for another upstream with capacity, at once and after each end of a call, and reserves a slot there before it ends the attempt. Otherwise the attempt goes on for as long again. A response that arrives after the timeout is passed on only if the router has not sent the call elsewhere. Responses that are being passed on still end after progress_timeout.

Tests: TestSilentUpstreamAnswersWhatCanGoNowhereElse, 2.3 s of silence at a timeout of 2 s; before: status 502, "connection to the agent makes no progress". TestCallLeavesASilentUpstreamIfAnotherIsFree (passed before as well).

--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"rattanspur.example/lib/gate"
@@ -66,16 +67,24 @@
 	// requests.
 	conn          *countingConn
 	writtenBefore int64
+	// state is one of the states of an exchange. announced is closed when the router
+	// was told that the attempt is silent.
+	state     atomic.Int32
+	announced chan struct{}
+	// headReceived is set when the head of the response was received.
+	headReceived atomic.Bool
 }
 
 // forward sends one attempt to its agent and passes the response on.
 func (e *Entry) forward(ctx context.Context, a attempt) result {
-	attemptCtx, cancel := context.WithCancelCause(a.call.ctx)
+	attemptCtx, cancel := context.WithCancelCause(a.ctx)
 	defer cancel(nil)
-	x := &exchange{entry: e, attempt: a}
+	x := &exchange{entry: e, attempt: a, announced: make(chan struct{})}
 	x.ctx = httptrace.WithClientTrace(attemptCtx, &httptrace.ClientTrace{GotConn: x.gotConn})
-	x.watchdog = time.AfterFunc(e.settings.FirstByteTimeout, func() { cancel(errStalled) })
-	defer x.watchdog.Stop()
+	// The timer is started after the field that its function uses is set.
+	x.watchdog = time.AfterFunc(time.Hour, func() { x.watchSilence(ctx, cancel) })
+	x.watchdog.Reset(e.settings.FirstByteTimeout)
+	defer x.endWatch()
 
 	req, err := x.request()
 	if err != nil {
@@ -88,6 +97,7 @@
 		return result{end: x.lostEnd(), detail: err.Error()}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	x.headReceived.Store(true)
 	res := x.classify(resp)
 	if res.end == retry.Answered {
 		x.passOn(ctx, resp, &res)
@@ -141,7 +151,7 @@
 // lostEnd returns the end of an attempt that received no response.
 func (x *exchange) lostEnd() retry.End {
 	switch {
-	case errors.Is(context.Cause(x.ctx), errStalled):
+	case errors.Is(context.Cause(x.ctx), errStalled), errors.Is(context.Cause(x.ctx), errMoved):
 		return retry.Stalled
 	case errors.Is(x.ctx.Err(), context.DeadlineExceeded), errors.Is(context.Cause(x.ctx), errStopping):
 		return retry.TimedOut
@@ -182,7 +192,7 @@
 		res.end = retry.Answered
 		res.serverError = resp.StatusCode >= http.StatusInternalServerError
 	case wire.NotRun:
-		x.watchdog.Reset(refusalTimeout)
+		x.limitRefusal()
 		res.end, res.detail = refusal(resp)
 	default:
 		res.end = retry.Lost
@@ -194,6 +204,13 @@
 // call was not run.
 const refusalTimeout = time.Second
 
+// limitRefusal ends the exchange if the rest of a refusal does not arrive in time. The
+// call can be sent again at once, so the router is not asked.
+func (x *exchange) limitRefusal() {
+	x.state.CompareAndSwap(exchangeOpen, exchangeBegun)
+	x.watchdog.Reset(refusalTimeout)
+}
+
 // refusal returns how and why an agent refused a call: retry.Busy if the replica
 // lacks capacity, so that it is tried again soon, or retry.Refused for any other
 // reason, after which it is avoided for longer.
@@ -222,7 +239,11 @@
 	n := resp.ContentLength
 	hasBody := x.attempt.call.method != http.MethodHead
 	if hasBody && n >= 0 && n <= min(maxBufferedBytes, x.entry.settings.MaxStreamBytes) {
-		x.passBuffered(resp, head, res)
+		x.passBuffered(ctx, resp, head, res)
+		return
+	}
+	if !x.mayPassOn(ctx) {
+		res.end, res.detail = retry.Stalled, errMoved.Error()
 		return
 	}
 	if res.load != nil {
@@ -244,7 +265,7 @@
 }
 
 // passBuffered reads a short response completely and passes it on as one part.
-func (x *exchange) passBuffered(resp *http.Response, head *relay.Head, res *result) {
+func (x *exchange) passBuffered(ctx context.Context, resp *http.Response, head *relay.Head, res *result) {
 	body := make([]byte, resp.ContentLength)
 	_, err := io.ReadFull(x.limitedBody(resp), body)
 	if err == nil && relay.EndsInsideEvent(resp.Header, body) {
@@ -254,6 +275,10 @@
 		res.end, res.detail = x.truncatedEnd(err), err.Error()
 		return
 	}
+	if !x.mayPassOn(ctx) {
+		res.end, res.detail = retry.Stalled, errMoved.Error()
+		return
+	}
 	res.started, res.complete = true, true
 	_ = x.attempt.call.stream.Put(x.ctx, relay.Part{Head: head, Data: body, End: true})
 }
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -126,8 +126,10 @@
 	q.PutBack(item)
 }
 
-// drain sends waiting calls while upstreams have capacity.
+// drain sends waiting calls while upstreams have capacity. Calls whose upstreams are
+// silent come before those that were not sent yet.
 func (r *router) drain(ctx context.Context) {
+	r.moveSilent()
 	now := time.Now()
 	for key, q := range r.queues.byKey {
 		for item := q.Peek(); item != nil && r.sendQueued(ctx, key, item.Value); item = q.Peek() {
--- a/entry/router.go
+++ b/entry/router.go
@@ -47,6 +47,9 @@
 type attempt struct {
 	call     *call
 	customer *config.Customer
+	// ctx is the context of the current attempt; end cancels it for a cause.
+	ctx      context.Context
+	end      context.CancelCauseFunc
 	target   routing.Target
 	upstream fleet.Instance
 	pool     *connPool
@@ -83,6 +86,7 @@
 	inFlight int
 	// answered holds how long answers take.
 	answered serviceTimes
+	silent   silentCalls
 }
 
 func newRouter(e *Entry) *router {
@@ -94,6 +98,7 @@
 		pools:    newConnPools(e.settings.ConnectionAge),
 		evidence: node.NewEvidence(e.node),
 		answered: serviceTimes{},
+		silent:   newSilentCalls(),
 	}
 }
 
@@ -132,6 +137,11 @@
 		r.drain(ctx)
 	case answerBegan:
 		r.recordBegan(ev.attempt)
+	case attemptSilent:
+		r.silent.waiting[ev.attempt.call.id] = ev.attempt
+		r.moveSilent()
+	case attemptResumed:
+		r.handleResumed(ctx, ev)
 	case loadReported:
 		r.table.Report(time.Now(), ev.id, ev.load)
 	case statusQuery:
@@ -218,14 +228,21 @@
 		return false
 	}
 	now := time.Now()
-	// The target is resolved again, since the configuration may have changed
-	// while the call waited.
-	if t := routing.Resolve(r.view.Config, a.call.path, a.call.model); t.Service != nil {
-		a.target = t
+	choice, ok := r.pick(now, &a, rand.IntN)
+	if !ok {
+		return false
 	}
+	r.sendTo(ctx, now, a, choice)
+	return true
+}
+
+// pick chooses an upstream with capacity for a call and counts the call there. It
+// returns false if there is none or if the call must not run.
+func (r *router) pick(now time.Time, a *attempt, random routing.Random) (routing.Choice, bool) {
+	r.resolveAgain(a)
 	d := r.decide(a.call)
 	if d.Verdict == poison.Blocked {
-		return false
+		return routing.Choice{}, false
 	}
 	choice, ok := r.table.Pick(now, routing.Request{
 		Service:   a.target.Service.Name,
@@ -233,19 +250,28 @@
 		Prefix:    a.call.prefix,
 		Tried:     a.tried,
 		Exclusive: r.evidence.RunsAlone(d, a.call.traits),
-	}, rand.IntN)
-	if !ok {
-		return false
-	}
-	if d.Verdict == poison.Probe {
+	}, random)
+	if ok && d.Verdict == poison.Probe {
 		r.evidence.ProbeSent(r.entry.now(), d.Trait)
 	}
+	return choice, ok
+}
+
+// resolveAgain updates the target of a call, since the configuration may have changed
+// while the call waited.
+func (r *router) resolveAgain(a *attempt) {
+	if t := routing.Resolve(r.view.Config, a.call.path, a.call.model); t.Service != nil {
+		a.target = t
+	}
+}
+
+// sendTo sends a call to the upstream that was chosen for it.
+func (r *router) sendTo(ctx context.Context, now time.Time, a attempt, choice routing.Choice) {
 	if p := a.target.ProfileOf(r.view.Config, choice.Root); p != nil {
 		a.meta.Profile = p.Name
 		a.meta.Root = choice.Root
 	}
 	r.send(ctx, now, a, choice.Instance)
-	return true
 }
 
 // send passes an attempt to the forwarders. The caller must have counted the
@@ -256,6 +282,7 @@
 	a.upstream = upstream
 	a.sentAt, a.startedAt = r.entry.now(), now
 	a.pool = r.pools.get(now, upstream)
+	a.ctx, a.end = context.WithCancelCause(a.call.ctx)
 	if err := r.entry.attempts.Put(ctx, a); err != nil {
 		r.table.Done(upstream.ID)
 		r.giveUp(ctx, a, "entry carries as many calls as it may", retryAfter)
@@ -268,6 +295,7 @@
 // handleAttemptEnd records how an attempt ended and decides what follows.
 func (r *router) handleAttemptEnd(ctx context.Context, ev attemptEnded) {
 	a, res := ev.attempt, ev.result
+	a.end(nil)
 	now := time.Now()
 	a.queueDeadline = a.queueDeadline.Add(now.Sub(a.startedAt))
 	r.inFlight--
@@ -286,6 +314,13 @@
 	if res.end.Failure() {
 		a.tried = append(a.tried, a.upstream.ID)
 	}
+	if choice, ok := r.takeMove(a, res); ok {
+		r.recordEnd(a, res)
+		r.entry.metrics.retries.Inc()
+		r.resolveAgain(&a)
+		r.sendTo(ctx, now, a, choice)
+		return
+	}
 	action := retry.Decide(retry.Attempt{
 		End:        res.end,
 		Failures:   a.failures,
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -94,3 +94,54 @@
 	p := problemOf(t, e.post(oncePath, "counter", "{}", wire.HeaderToken, tokenOf(t, "bookings-0")))
 	require.Equal(t, wire.NotRun, p.Outcome)
 }
+
+// Guards against a call that is ended at an upstream which is silent and then goes on,
+// although it can go nowhere else: it may not be sent again, or there is no other
+// upstream.
+func TestSilentUpstreamAnswersWhatCanGoNowhereElse(t *testing.T) {
+	const timeout = 2 * time.Second
+	agent := fakeAgent(t, func(w http.ResponseWriter, r *http.Request, meta *wire.Call) {
+		if meta.Attempt == 1 {
+			body, _ := io.ReadAll(r.Body)
+			time.Sleep(timeout + 300*time.Millisecond)
+			w.Header().Set(wire.HeaderOutcome, string(wire.Ran))
+			_, _ = w.Write(body)
+			return
+		}
+		w.Header().Set(wire.HeaderOutcome, string(wire.Ran))
+		_, _ = io.WriteString(w, "sent again")
+	})
+	e := startEntry(t, func(s *settings.Entry) { s.FirstByteTimeout = timeout }, agent)
+	paths := []string{oncePath, "/bookings/list", chatPath}
+	responses := make([]response, len(paths))
+	var wait sync.WaitGroup
+	for i, path := range paths {
+		wait.Go(func() { responses[i] = e.post(path, "counter", chat("x")) })
+	}
+	wait.Wait()
+	for i, resp := range responses {
+		require.NoError(t, resp.err, paths[i])
+		require.Equal(t, http.StatusOK, resp.status, "%s: %s", paths[i], resp.body)
+		require.Equal(t, chat("x"), resp.body, paths[i])
+	}
+}
+
+// Guards against a call that stays at a silent upstream although another one has
+// capacity, and against a call that is sent elsewhere while its response arrives.
+func TestCallLeavesASilentUpstreamIfAnotherIsFree(t *testing.T) {
+	var first atomic.Bool
+	agent := func(w http.ResponseWriter, r *http.Request, meta *wire.Call) {
+		if !first.Swap(true) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
+		echo(w, r, meta)
+	}
+	e := startEntry(t, func(s *settings.Entry) { s.FirstByteTimeout = 200 * time.Millisecond }, fakeAgent(t, agent), fakeAgent(t, agent))
+	resp := e.post("/bookings/list", "counter", "moved")
+	require.NoError(t, resp.err)
+	require.Equal(t, http.StatusOK, resp.status, resp.body)
+	require.Equal(t, "moved", resp.body)
+	e.awaitMetric(`rattanspur_entry_attempts_total{end="silent"} 1`)
+}
