routing: a silent replica does not get all new calls

Cause: the replica that last got a prompt prefix is preferred up to a load of 0.5, one of the own region up to 0.75. While such a replica was silent, an entry sent it every new call until that many of its slots were taken.

Change: a replica without a sign for 1 s, to which 4 calls were sent meanwhile, gets calls only if no other has capacity. Its next response ends that at once. It stays eligible, so nothing waits because of it.

Test: TestSilentReplicaGetsCallsLast; before: "agent-0" (the silent one) in place of "agent-1".

--- a/lib/routing/candidate.go
+++ b/lib/routing/candidate.go
@@ -25,6 +25,11 @@
 	// agent work.
 	firstBusyPause = 20 * time.Millisecond
 	maxBusyPause   = 500 * time.Millisecond
+	// silentAfter is how long a replica must have given no sign, and silentCalls how
+	// many calls it must have got meanwhile, to count as silent. Single long calls
+	// without a sign are usual.
+	silentAfter = time.Second
+	silentCalls = 4
 )
 
 // Load is the load that an agent reports for its replica.
@@ -52,6 +57,10 @@
 	// the consecutive refusals for lack of capacity.
 	pausedUntil  time.Time
 	busyRefusals int
+	// unanswered counts the calls that the replica got since its last sign, and
+	// unansweredSince is when it got the first of them.
+	unanswered      int
+	unansweredSince time.Time
 	// reserved is set while the replica is kept for one exclusive call.
 	reserved bool
 	// exclusive is set while that call is in flight.
@@ -75,6 +84,7 @@
 	c.limit = max(l.Limit, 1)
 	c.otherInFlight = max(l.InFlight-c.ownInFlight, 0)
 	c.reportedAt = now
+	c.gaveSign()
 }
 
 // inFlight estimates the calls in flight at the replica.
@@ -94,6 +104,24 @@
 	return float64(c.inFlight(now)+1) / float64(c.limit)
 }
 
+// sent counts a call as in flight.
+func (c *candidate) sent(now time.Time) {
+	c.ownInFlight++
+	if c.unanswered == 0 {
+		c.unansweredSince = now
+	}
+	c.unanswered++
+}
+
+// gaveSign records that the replica responded to a call.
+func (c *candidate) gaveSign() { c.unanswered = 0 }
+
+// silent reports whether the replica has given no sign for a while although it got
+// calls. It gets further calls only if no other replica has capacity.
+func (c *candidate) silent(now time.Time) bool {
+	return c.unanswered >= silentCalls && now.Sub(c.unansweredSince) >= silentAfter
+}
+
 // failed records a failure and avoids the replica for a while. Failures while it
 // is avoided do not count: the calls in flight at a replica that restarts fail
 // together, and their number does not indicate how long it will be unavailable.
--- a/lib/routing/routing.go
+++ b/lib/routing/routing.go
@@ -172,7 +172,7 @@
 	if c == nil {
 		return Choice{}, false
 	}
-	c.ownInFlight++
+	c.sent(now)
 	t.prefixes.remember(r.Prefix, c.ID)
 	return Choice{Instance: c.Instance, Root: root}, true
 }
@@ -212,7 +212,8 @@
 }
 
 // pickFrom returns a replica of the group, or nil. It prefers the replica that
-// last got the prompt prefix, then the local region.
+// last got the prompt prefix, then the local region, and in any case replicas that
+// are not silent.
 func (t *Table) pickFrom(g *group, s search) *candidate {
 	if g == nil {
 		return nil
@@ -221,13 +222,18 @@
 		return c
 	}
 	local := s.choose(g.local)
-	if local != nil && local.loadAfterCall(s.now) <= maxLocalLoad {
+	if local != nil && local.loadAfterCall(s.now) <= maxLocalLoad && !local.silent(s.now) {
 		return local
 	}
 	remote := s.choose(g.remote)
 	switch {
 	case local == nil:
 		return remote
+	case remote != nil && remote.silent(s.now) != local.silent(s.now):
+		if local.silent(s.now) {
+			return remote
+		}
+		return local
 	case remote != nil && remote.loadAfterCall(s.now)+remoteMargin < local.loadAfterCall(s.now):
 		return remote
 	default:
@@ -239,7 +245,7 @@
 // not in the group, not eligible, or loaded above maxPrefixLoad.
 func (t *Table) byPrefix(g *group, s search) *candidate {
 	c := t.byID[t.prefixes.find(s.request.Prefix)]
-	if c == nil || c.removed || c.loadAfterCall(s.now) > maxPrefixLoad || !s.eligible(c) {
+	if c == nil || c.removed || c.silent(s.now) || c.loadAfterCall(s.now) > maxPrefixLoad || !s.eligible(c) {
 		return nil
 	}
 	list := g.remote
@@ -262,9 +268,9 @@
 	avoided bool
 }
 
-// choose returns the less loaded of two random replicas that are eligible. If
-// neither is, it returns the first eligible one from a random position on, or
-// nil.
+// choose returns the less loaded of two random replicas that are eligible and not
+// silent. If neither is, it returns the first such one from a random position on, an
+// eligible one that is silent, or nil.
 func (s search) choose(list []*candidate) *candidate {
 	n := len(list)
 	if n == 0 {
@@ -276,7 +282,7 @@
 		second = (first + 1 + s.random(n-1)) % n
 	}
 	a, b := list[first], list[second]
-	eligibleA, eligibleB := s.eligible(a), s.eligible(b)
+	eligibleA, eligibleB := s.eligible(a) && !a.silent(s.now), s.eligible(b) && !b.silent(s.now)
 	switch {
 	case eligibleA && eligibleB && b.loadAfterCall(s.now) < a.loadAfterCall(s.now):
 		return b
@@ -285,12 +291,18 @@
 	case eligibleB:
 		return b
 	}
+	var silent *candidate
 	for i := range n {
-		if c := list[(first+i)%n]; s.eligible(c) {
+		c := list[(first+i)%n]
+		switch {
+		case !s.eligible(c):
+		case !c.silent(s.now):
 			return c
+		case silent == nil:
+			silent = c
 		}
 	}
-	return nil
+	return silent
 }
 
 func (s search) eligible(c *candidate) bool {
@@ -346,6 +358,7 @@
 func (t *Table) Accepted(id fleet.InstanceID) {
 	if c := t.byID[id]; c != nil {
 		c.busyRefusals = 0
+		c.gaveSign()
 	}
 }
 
@@ -361,6 +374,7 @@
 	if c := t.byID[id]; c != nil {
 		c.failures = 0
 		c.avoidUntil = time.Time{}
+		c.gaveSign()
 	}
 }
 
--- a/lib/routing/routing_test.go
+++ b/lib/routing/routing_test.go
@@ -261,6 +261,41 @@
 	require.Contains(t, got, remote.ID)
 }
 
+// Guards against a silent replica that gets all new calls because it is in the own
+// region or last got the prefix, and against a replica that stays unused after it went
+// on.
+func TestSilentReplicaGetsCallsLast(t *testing.T) {
+	table := New(fleet.Instance{ID: "entry-0", Region: "r0"})
+	local, remote := member(0), member(1)
+	table.Update(document(t), []fleet.Instance{local, remote})
+	for _, m := range []fleet.Instance{local, remote} {
+		table.Report(start, m.ID, Load{Limit: 64})
+	}
+	random := rand.New(rand.NewPCG(1, 1)).IntN
+	pickFor := func(after time.Duration, prefix uint64) fleet.InstanceID {
+		c, ok := table.Pick(start.Add(after), Request{Service: service, Roots: []fleet.Digest{rootB}, Prefix: prefix}, random)
+		require.True(t, ok)
+		return c.Instance.ID
+	}
+	pick := func(after time.Duration) fleet.InstanceID { return pickFor(after, 7) }
+	for i := range silentCalls {
+		require.Equal(t, local.ID, pick(time.Duration(i)*time.Millisecond))
+	}
+	require.Equal(t, local.ID, pick(silentAfter-time.Millisecond), "no silence yet")
+	require.Equal(t, remote.ID, pick(silentAfter))
+	require.Equal(t, remote.ID, pick(2*silentAfter))
+	table.Report(start.Add(2*silentAfter), local.ID, Load{Limit: 64, InFlight: silentCalls})
+	require.Equal(t, local.ID, pickFor(2*silentAfter, 0), "the replica went on")
+
+	only := New(fleet.Instance{ID: "entry-0", Region: "r0"})
+	only.Update(document(t), []fleet.Instance{local})
+	only.Report(start, local.ID, Load{Limit: 64})
+	for i := range 2 * silentCalls {
+		_, ok := only.Pick(start.Add(time.Duration(i)*silentAfter), Request{Service: service, Roots: []fleet.Digest{rootB}}, random)
+		require.True(t, ok, "a silent replica is better than none")
+	}
+}
+
 // Guards against a popular prompt prefix that overloads the replica which last
 // got it.
 func TestPrefixReplicaIsPreferredOnlyBelowMaxLoad(t *testing.T) {
