entry: test the pauses of a sound upstream at the default timeouts

Pauses of 1.3 s and 1.7 s in a stream, before the head, in a short body and in a refusal of the upstream, with one upstream, for requests that may not be repeated and while the service leaves the configuration.

--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -80,6 +80,8 @@
 	client  *http.Client
 	// stop begins a graceful stop, as SIGTERM does.
 	stop context.CancelFunc
+	// config is where the configuration is published.
+	config *standin.ConfigService
 }
 
 // startEntry starts an entry in front of agents that serve the model service
@@ -118,7 +120,7 @@
 		configServer.Close()
 		listServer.Close()
 	})
-	e := &testEntry{t: t, ctx: ctx, address: s.Self.Address, client: client, stop: stop}
+	e := &testEntry{t: t, ctx: ctx, address: s.Self.Address, client: client, stop: stop, config: service}
 	e.await("/readyz")
 	return e
 }
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"rattanspur.example/lib/config"
 	"rattanspur.example/lib/settings"
 	"rattanspur.example/lib/wire"
 )
@@ -145,3 +147,84 @@
 	require.Equal(t, "moved", resp.body)
 	e.awaitMetric(`rattanspur_entry_attempts_total{end="silent"} 1`)
 }
+
+// Guards against an answer that is cut or refused because a sound upstream falls
+// silent for a while and goes on: in a stream, before the head, in a plain body, in a
+// refusal of its own, with one upstream, for a request that may not be repeated, and
+// while its service is removed from the configuration.
+func TestPausesOfASoundUpstream(t *testing.T) {
+	var paused sync.WaitGroup
+	agent := fakeAgent(t, func(w http.ResponseWriter, r *http.Request, _ *wire.Call) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		pause, err := time.ParseDuration(r.Header.Get("Pause"))
+		if err != nil {
+			t.Error(err)
+		}
+		sleep := func() {
+			_ = http.NewResponseController(w).Flush()
+			paused.Done()
+			time.Sleep(pause)
+		}
+		w.Header().Set(wire.HeaderOutcome, string(wire.Ran))
+		switch at := r.Header.Get("Pause-At"); at {
+		case "head":
+			paused.Done()
+			time.Sleep(pause)
+			_, _ = io.WriteString(w, "one two")
+			return
+		case "stream":
+			w.Header().Set("Content-Type", "text/event-stream")
+		case "refusal":
+			w.Header().Set("Content-Length", "7")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "short body":
+			w.Header().Set("Content-Length", "7")
+		}
+		_, _ = io.WriteString(w, "one")
+		sleep()
+		_, _ = io.WriteString(w, " two")
+		if r.Header.Get("Pause-At") == "stream" {
+			_, _ = io.WriteString(w, "\n\n")
+		}
+	})
+	e := startEntry(t, func(s *settings.Entry) { s.FirstByteTimeout, s.ProgressTimeout = 20*time.Second, 10*time.Second }, agent)
+	const perPause = 4
+	kinds := []string{"head", "stream", "refusal", "short body"}
+	pauses := []string{"1.3s", "1.7s"}
+	responses := make([]response, len(kinds)*len(pauses))
+	paused.Add(perPause)
+	send := func(wait *sync.WaitGroup, i int, path string) {
+		wait.Go(func() {
+			responses[i] = e.post(path, "counter", "{}", "Pause", pauses[i/perPause], "Pause-At", kinds[i%perPause])
+		})
+	}
+	var wait sync.WaitGroup
+	for i := range perPause {
+		send(&wait, i, oncePath)
+	}
+	paused.Wait()
+	wait.Wait()
+	paused.Add(perPause)
+	for i := range perPause {
+		send(&wait, perPause+i, "/bookings/list")
+	}
+	paused.Wait()
+	e.config.Put("config", withoutServices(t))
+	wait.Wait()
+	for i, resp := range responses {
+		name := pauses[i/perPause] + " in " + kinds[i%perPause]
+		require.NoError(t, resp.err, name)
+		require.Equal(t, "one two", strings.TrimSpace(resp.body), name)
+	}
+}
+
+// withoutServices returns a later configuration without services.
+func withoutServices(t *testing.T) []byte {
+	var d config.Document
+	require.NoError(t, json.Unmarshal(document(t), &d))
+	d.Generation++
+	d.Services = nil
+	data, err := json.Marshal(d)
+	require.NoError(t, err)
+	return data
+}
