--- a/entry/once_worker.go
+++ b/entry/once_worker.go
@@ -13,6 +13,7 @@
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/relay"
+	"rattanspur.example/lib/retry"
 	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/wire"
@@ -24,7 +25,8 @@
 	// initialResendDelay is the delay before the first resend; it doubles before
 	// each further one.
 	initialResendDelay = 50 * time.Millisecond
-	// tokenTimeout is the maximum time for one agent to issue a token.
+	// tokenTimeout is the time for one agent to issue a token, before the next one is
+	// asked. It doubles with each time that all agents were asked.
 	tokenTimeout = time.Second
 	// responseMargin is the part of a call's time budget that is reserved for
 	// responding to the caller that the outcome is unknown.
@@ -77,29 +79,43 @@
 	return context.WithDeadline(ctx, deadline.Add(-responseMargin))
 }
 
-// requestToken requests a token from the agents of a task in turn until one
-// issues it, and sends it to the caller. Requesting several tokens is harmless,
-// since an unused token expires.
+// requestToken requests a token from the agents of a task until one issues it, and
+// sends it to the caller. Agents that do not answer are asked again, each time for
+// twice as long, while a call may wait for capacity: a silent agent may go on.
 func (e *Entry) requestToken(ctx context.Context, task onceTask) {
-	var lastErr error
+	ctx, cancel := context.WithDeadline(ctx, task.call.arrivedAt.Add(e.settings.QueueWait))
+	defer cancel()
+	timeout := tokenTimeout
+	out, silent, err := e.requestTokenInTurn(ctx, task, timeout)
+	for err != nil && silent && ctx.Err() == nil {
+		timeout *= 2
+		out, silent, err = e.requestTokenInTurn(ctx, task, timeout)
+	}
+	if err != nil {
+		respondProblem(task.call.ctx, task.call, boundNotRun(task.call, http.StatusServiceUnavailable, err.Error()))
+		return
+	}
+	h := http.Header{"Content-Type": {"application/json"}}
+	_ = task.call.stream.Put(task.call.ctx, relay.Part{Head: &relay.Head{Status: http.StatusOK, Header: h}, Data: out, End: true})
+}
+
+// requestTokenInTurn requests a token from each agent of a task until one issues it,
+// and returns its encoding for the caller. Requesting several tokens is harmless,
+// since an unused token expires. With an error, silent is true if an agent did not
+// answer within the timeout.
+func (e *Entry) requestTokenInTurn(ctx context.Context, task onceTask, timeout time.Duration) (token []byte, silent bool, err error) {
 	for _, agent := range task.agents {
-		tokenCtx, cancel := context.WithTimeout(ctx, tokenTimeout)
+		tokenCtx, cancel := context.WithTimeout(ctx, timeout)
 		var out wire.TokenResponse
-		lastErr = e.node.Peers().PostJSON(tokenCtx, agent.Address, wire.PathToken, task.token, &out)
+		err = e.node.Peers().PostJSON(tokenCtx, agent.Address, wire.PathToken, task.token, &out)
+		silent = silent || tokenCtx.Err() != nil
 		cancel()
-		if lastErr != nil {
-			continue
-		}
-		body, err := json.Marshal(out)
-		if err != nil {
-			lastErr = err
-			continue
+		if err == nil {
+			token, err = json.Marshal(out)
+			return token, false, err
 		}
-		h := http.Header{"Content-Type": {"application/json"}}
-		_ = task.call.stream.Put(ctx, relay.Part{Head: &relay.Head{Status: http.StatusOK, Header: h}, Data: body, End: true})
-		return
 	}
-	respondProblem(task.call.ctx, task.call, boundNotRun(task.call, http.StatusServiceUnavailable, lastErr.Error()))
+	return nil, silent, err
 }
 
 // forwardBound sends a call to its only agent. It sends the call again only
@@ -109,6 +125,10 @@
 // before it; otherwise, the outcome is reported as unknown.
 func (e *Entry) forwardBound(ctx context.Context, task onceTask) {
 	agent := task.agents[0]
+	if err := ctx.Err(); err != nil {
+		e.refuseBound(task, agent, boundNotRun(task.call, http.StatusServiceUnavailable, context.Cause(ctx).Error()))
+		return
+	}
 	var lostErr error
 	delay := initialResendDelay
 	for task.meta.Attempt = 1; ; task.meta.Attempt++ {
@@ -201,7 +221,12 @@
 		return nil, nil
 	}
 	p := &wire.Problem{}
+	limit := time.AfterFunc(refusalTimeout, func() { _ = resp.Body.Close() })
+	defer limit.Stop()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProblemBytes))
+	if err != nil && outcome == wire.NotRun {
+		return boundNotRun(c, resp.StatusCode, "the agent refused: "+err.Error()), nil
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -216,6 +241,18 @@
 	return p, nil
 }
 
+// boundEnd returns the end of an attempt whose response broke off.
+func boundEnd(ctx context.Context) retry.End {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return retry.TimedOut
+	case ctx.Err() != nil:
+		return retry.Canceled
+	default:
+		return retry.Lost
+	}
+}
+
 // relayBound puts a response on the caller's stream. It returns the text of the
 // error if the response was not passed on completely, and "" otherwise.
 func relayBound(c *call, resp *http.Response) string {
@@ -228,9 +265,12 @@
 	end := relay.Part{End: true}
 	detail := ""
 	if err := relay.ReadBody(c.ctx, resp.Body, c.stream); err != nil {
-		end.Err = relay.ErrTruncated
+		end.Err = truncated(c.ctx, boundEnd(c.ctx), err)
 		detail = err.Error()
 	}
-	_ = c.stream.Put(c.ctx, end)
+	// The call may have ended, but the handler still waits for the end part.
+	finish, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), responseGrace)
+	defer cancel()
+	_ = c.stream.Put(finish, end)
 	return detail
 }
