gateway: a planned stop closes a connection only while no request was read on it

Cause: the close of idle connections and the read of a request race. Change: a connection marks itself busy in the read that brings the first byte of a request, by compare-and-swap against its close; one on which bytes have arrived is not closed. TestPending is new.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rattanspur.example/lib/duty"
@@ -19,23 +20,19 @@
 	// answer may send it.
 	newConnWait = time.Second
 	idleWait    = 200 * time.Millisecond
+	// drainInterval is the time between two looks at the open connections.
+	drainInterval = 20 * time.Millisecond
 )
 
-// front is the server for callers. Unlike http.Server.Shutdown, it can stop accepting
-// connections and leave open ones as they are.
+// front is the server for callers. It stops without http.Server.Shutdown, after which the
+// server drops each request that it reads, also on connections that were accepted before.
 type front struct {
 	server   *http.Server
 	listener net.Listener
 	group    *duty.Group
 
 	mu    sync.Mutex
-	conns map[net.Conn]connState
-}
-
-// connState is the state of an open connection and since when it has it.
-type connState struct {
-	state http.ConnState
-	since time.Time
+	conns map[*callerConn]bool
 }
 
 // listenFront opens the port for callers. Nothing is accepted before serve is called.
@@ -44,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &front{listener: l, group: duty.NewGroup(context.Background()), conns: map[net.Conn]connState{}}
+	f := &front{listener: callerListener{l}, group: duty.NewGroup(context.Background()), conns: map[*callerConn]bool{}}
 	f.server = &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
@@ -65,39 +62,51 @@
 	})
 }
 
-// observe keeps the state of a connection.
-func (f *front) observe(c net.Conn, state http.ConnState) {
+// observe keeps the open connections and marks those whose request has ended.
+func (f *front) observe(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		c.idleSince.Store(time.Now().UnixNano())
+		c.use.CompareAndSwap(connBusy, connIdle)
+	case http.StateNew:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.conns[c] = true
+	case http.StateClosed, http.StateHijacked:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.conns, c)
+	}
+}
+
+// open returns the open connections.
+func (f *front) open() []*callerConn {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(f.conns, c)
-		return
+	conns := make([]*callerConn, 0, len(f.conns))
+	for c := range f.conns {
+		conns = append(conns, c)
 	}
-	f.conns[c] = connState{state: state, since: time.Now()}
+	return conns
 }
 
 // closeIdle closes the connections that have carried no request for a while, counted from a
 // time, or all without a request if the stop is over. It returns how many carry one, and how
 // many others stay open because a request may be on its way.
 func (f *front) closeIdle(now, from time.Time, over bool) (busy, waiting int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for c, s := range f.conns {
-		since := s.since
-		if since.Before(from) {
-			since = from
-		}
-		wait := idleWait
-		if s.state == http.StateNew {
-			wait = newConnWait
-		}
+	for _, c := range f.open() {
 		switch {
-		case s.state == http.StateActive:
+		case c.use.Load() == connClosed:
+		case c.use.Load() == connBusy:
 			busy++
-		case !over && now.Sub(since) < wait:
+		case !over && c.mayGetRequest(now, from):
 			waiting++
-		default:
-			_ = c.Close()
+		case !c.closeIfIdle():
+			busy++
 		}
 	}
 	return busy, waiting
@@ -114,7 +123,7 @@
 		if busy+waiting == 0 || over {
 			return busy == 0
 		}
-		_ = duty.Sleep(context.Background(), min(stopPollInterval, until.Sub(now)))
+		_ = duty.Sleep(context.Background(), min(drainInterval, until.Sub(now)))
 	}
 }
 
@@ -129,3 +138,70 @@
 	f.group.Stop()
 	return f.group.Wait()
 }
+
+// The uses of a connection.
+const (
+	// connIdle means that nothing of a request has been read. A connection without any
+	// request yet is idle.
+	connIdle int32 = iota
+	// connBusy means that a request is being read or answered.
+	connBusy
+	// connClosed means that the connection was closed while it was idle.
+	connClosed
+)
+
+// callerConn is a connection of a caller that can be closed only while nothing of a request
+// has been read: a request that was read gets an answer.
+type callerConn struct {
+	*net.TCPConn
+	use atomic.Int32
+	// idleSince is when the last request ended, in ns since 1970; 0 before the first one.
+	idleSince atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.use.CompareAndSwap(connIdle, connBusy) && c.use.Load() == connClosed {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// mayGetRequest reports whether a request may be on its way, counted from a time.
+func (c *callerConn) mayGetRequest(now, from time.Time) bool {
+	idleSince := c.idleSince.Load()
+	if idleSince == 0 {
+		return now.Sub(from) < newConnWait
+	}
+	if at := time.Unix(0, idleSince); at.After(from) {
+		from = at
+	}
+	return now.Sub(from) < idleWait
+}
+
+// closeIfIdle closes the connection unless bytes of a request have arrived. It returns false
+// if they have.
+func (c *callerConn) closeIfIdle() bool {
+	if sock.Pending(c.TCPConn) || !c.use.CompareAndSwap(connIdle, connClosed) {
+		return c.use.Load() == connClosed
+	}
+	_ = c.Close()
+	return true
+}
+
+// callerListener accepts connections as callerConns.
+type callerListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn, nil
+	}
+	return &callerConn{TCPConn: tcp}, nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,8 @@
 	// configured is true once a configuration is known.
 	configured atomic.Bool
 	stopping   atomic.Bool
+	// stopEnd is when a planned stop is over, in ns since 1970; 0 if none has begun.
+	stopEnd atomic.Int64
 	// support holds the duties that requests in progress do not depend on, and routing
 	// the router, so that requests end as in a planned stop when one of the others fails.
 	support, routing *duty.Group
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -20,8 +20,6 @@
 	exitMargin = 100 * time.Millisecond
 	// marginDivisor bounds stopMargin by a fraction of a short grace period.
 	marginDivisor = 4
-	// stopPollInterval is the time between two looks at the open connections.
-	stopPollInterval = 20 * time.Millisecond
 	// uploadRetryAfter is the retry delay for requests whose body was not complete at the
 	// end of a stop. Another gateway can serve them at once.
 	uploadRetryAfter = 200 * time.Millisecond
@@ -50,6 +48,7 @@
 	end := startedAt.Add(grace - margin)
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(grace))
 	defer cancel()
+	g.stopEnd.Store(end.UnixNano())
 	g.stopping.Store(true)
 	_ = g.logger.Log("event", "stop-begun", "grace", grace.Seconds(), "requests", g.inProgress.Load())
 	_ = g.inbox.Put(ctx, stopStarted{end: end})
@@ -146,7 +145,7 @@
 
 // brokenOffReason returns why a response that has begun is not completed.
 func (c *callHandler) brokenOffReason() abortReason {
-	if c.gateway.uploads.Err() != nil {
+	if end := c.gateway.stopEnd.Load(); end > 0 && time.Now().UnixNano() >= end {
 		return processStops
 	}
 	return answerBrokenOff
--- a/lib/dispatch/silence.go
+++ b/lib/dispatch/silence.go
@@ -172,7 +172,7 @@
 func (c *Core) reservePlace(now time.Time, r *request, d poison.Decision) bool {
 	s := c.service(now, r.service)
 	u := c.pick(now, s, r, d)
-	if u == nil || !s.retryBudget.Spend(now, c.place.Processes) {
+	if u == nil || u.avoided(now) || !s.retryBudget.Spend(now, c.place.Processes) {
 		return false
 	}
 	u.inFlight++
--- a/lib/sock/sock.go
+++ b/lib/sock/sock.go
@@ -96,3 +96,19 @@
 	})
 	return err == nil && reusable
 }
+
+// Pending reports whether bytes have arrived that were not read. Unlike Reusable it may be
+// called while another goroutine reads.
+func Pending(c syscall.Conn) bool {
+	rawConn, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	_ = rawConn.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		pending = err == nil && n > 0
+	})
+	return pending
+}
--- a/lib/sock/sock_test.go
+++ b/lib/sock/sock_test.go
@@ -32,3 +32,31 @@
 	require.NoError(t, s.Close())
 	require.Eventually(t, func() bool { return !Reusable(c) }, 30*time.Second, time.Millisecond)
 }
+
+// Guards against closing a connection with a request that has arrived, and against waiting
+// for the goroutine that reads the connection.
+func TestPending(t *testing.T) {
+	l, err := Listen(context.Background(), "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	c, err := Dial(context.Background(), "tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	s, err := l.Accept()
+	require.NoError(t, err)
+	defer func() { _ = s.Close() }()
+	read := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		read <- err
+	}()
+	require.False(t, Pending(c.(*net.TCPConn)))
+	_, err = s.Write([]byte("xy"))
+	require.NoError(t, err)
+	require.NoError(t, <-read)
+	require.True(t, Pending(c.(*net.TCPConn)))
+	_, err = c.Read(make([]byte, 1))
+	require.NoError(t, err)
+	require.NoError(t, s.Close())
+	require.False(t, Pending(c.(*net.TCPConn)))
+}
