soak: replicas that pause, planned stops, and requests without an answer

The soak could not see it: no replica was ever silent and went on, and an attempt that ended without a status left no record.

Replicas fall silent for 0.8 to 1.8 s and go on, all their work together: at any moment, or when a request reaches a point (before the head, in a stream, in a body, in a refusal). After the time with faults comes one with pauses of one, several or all replicas of a service, connections that stay silent for good, configurations that leave out a service, move routes, shorten timeouts or follow each other closely, planned stops (half of them with a second SIGTERM), SIGHUP and crashes. Callers keep to a gateway until it cannot be reached, pause in their bodies (beyond the grace at a gateway that stops), ask for work of up to 7 s, and leave a stream after a gap that callers do not bear.

New checks: LOST and SILENT (a whole request ends with an answer or a refusal), UNKNOWN (no 502 or 504 before the deadline while the replicas are sound), GONE (replicas do not work on for callers that left). Checks that hold on a slow machine are untimed: LOST and UNKNOWN with a run at a replica, and outside the last sixth of a planned stop. Each has records that break it in check_test.go.

--- a/soak/check.go
+++ b/soak/check.go
@@ -14,8 +14,8 @@
 const clockSlack = 200 * time.Millisecond
 
 // verification checks the records of a soak and collects the violations of
-// guarantees. The methods runs, answer, refusedKey, timeLimits and limits each check
-// one group of rules.
+// guarantees. The methods runs, answer, ending, departure, refusedKey, timeLimits and
+// limits each check one group of rules.
 type verification struct {
 	*records
 	violations []string
@@ -41,6 +41,10 @@
 	}
 	for attempt, a := range r.answers {
 		v.answer(attempt, a)
+		v.ending(attempt, a, timed)
+		if timed {
+			v.departure(attempt, a)
+		}
 		if timed && a.status == http.StatusUnauthorized {
 			v.refusedKey(attempt, a)
 		}
@@ -66,22 +70,29 @@
 	if len(runs) > maxAttempts {
 		v.addViolation("ATTEMPTS", attempt, "ran at %d replicas", len(runs))
 	}
-	service := plainService
-	if sent.kind == stream || sent.kind == review {
-		service = engineService
-	}
 	for _, run := range runs {
 		switch {
 		case run.path != sent.path || run.body != sent.body:
 			v.addViolation("UNASKED", attempt, "ran with another path or body")
 		case run.customer != customerName || run.hasKey:
 			v.addViolation("UNASKED", attempt, "ran for customer %q, with the key passed on: %t", run.customer, run.hasKey)
-		case run.service != service:
+		case !v.routed(&sent, &run):
 			v.addViolation("ROUTE", attempt, "ran at a replica of %s", run.service)
 		}
 	}
 }
 
+// routed reports whether the run was at a replica of the service of its route. Which of
+// two published services it is depends on the time.
+func (v *verification) routed(sent *request, run *replicaRun) bool {
+	if sent.kind.streams() {
+		return run.service == engineService
+	}
+	return run.service == plainService || run.service == annexService && slices.ContainsFunc(v.changes, func(c change) bool {
+		return c.category == "route" && c.value == sent.kind.String()+" "+annexService && c.from.Before(run.startedAt.Add(clockSlack))
+	})
+}
+
 // answer verifies the answer to one attempt. An attempt refused with 401 must not
 // have run; one refused otherwise may have run only if it is repeatable. A success
 // must carry the signature of a run and, if complete, the body of that run.
@@ -108,7 +119,7 @@
 	case i < 0:
 		v.addViolation("MIXED", attempt, "a success with the signature %q of no run", a.signature)
 	case !a.complete:
-	case sent.kind == stream || sent.kind == review:
+	case sent.kind.streams():
 		if want := streamBody(runs[i].version); a.body != want {
 			v.addViolation("ORDER", attempt, "a stream that looks complete is %q", excerpt(a.body, want))
 		}
@@ -180,6 +191,8 @@
 			checkLimit("EVAC", c, evacuateTime, "reached %s in %s, which is evacuated", run.replica, run.zone)
 		case c.category == "revoked" && c.value == sent.key:
 			checkLimit("CONFIG", c, configTime, "ran with the revoked %s", sent.key)
+		case c.category == "route" && c.value == sent.kind.String()+" "+annexService && run.service == plainService:
+			checkLimit("CONFIG", c, configTime, "ran at a replica of %s, which its route had left", run.service)
 		case c.category == "version" && run.service == engineService && run.version < parseNumber(c.value):
 			checkLimit("VERSION", c, versionTime, "began on version %d of the weights instead of %s", run.version, c.value)
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -150,3 +150,126 @@
 	disturbed.disturbances = []disturbance{{target: "g", from: baseTime}}
 	require.Empty(t, violations(disturbed))
 }
+
+// Guards against a check that misses a request which was read whole and ended without an
+// answer, and against one that reports an end that the replica, the caller, the deadline,
+// a fault or a planned stop explains.
+func TestRequestsWithoutAnAnswerAreFound(t *testing.T) {
+	sentAt := baseTime.Add(time.Minute)
+	// ended returns the records of a request that was cut after a second, with a run that
+	// was abandoned under its replica.
+	ended := func(k requestKind, modify func(r *records, sent *request, a *answer, run *replicaRun)) *records {
+		r := oneRequest(k)
+		sent, a, run := r.requests["a"], r.answers["a"], &r.runs["a"][0]
+		sent.deadline = requestTimeout
+		a.complete, a.wholeAt, a.lastPartAt, a.receivedAt = false, sentAt, sentAt.Add(time.Millisecond), sentAt.Add(time.Second)
+		run.end, run.endedAt = abandoned, a.receivedAt
+		r.takenAt = a.receivedAt.Add(time.Minute)
+		modify(r, &sent, &a, run)
+		r.requests["a"], r.answers["a"] = sent, a
+		return r
+	}
+	end := func(after time.Duration) func(r *records, sent *request, a *answer, run *replicaRun) {
+		return func(_ *records, _ *request, a *answer, run *replicaRun) {
+			a.receivedAt = sentAt.Add(after)
+			a.lastPartAt, run.endedAt = a.receivedAt, a.receivedAt
+		}
+	}
+	stopped := func(before, after, whole time.Duration) func(r *records, sent *request, a *answer, run *replicaRun) {
+		return func(r *records, sent *request, a *answer, run *replicaRun) {
+			end(after)(r, sent, a, run)
+			sent.deadline = longRequestTimeout
+			a.wholeAt = sentAt.Add(whole)
+			r.stops = []plannedStop{{"g", sentAt.Add(-before)}}
+		}
+	}
+	interrupted := func(target string) func(r *records, sent *request, a *answer, run *replicaRun) {
+		return func(r *records, _ *request, _ *answer, _ *replicaRun) {
+			r.interruptions = []disturbance{{target: target, from: sentAt.Add(time.Millisecond), to: sentAt.Add(2 * time.Millisecond)}}
+		}
+	}
+	noRun := func(r *records, _ *request, a *answer, _ *replicaRun) {
+		clear(r.runs)
+		a.status, a.lastPartAt = 0, time.Time{}
+	}
+	unknown := func(r *records, sent *request, a *answer, run *replicaRun) {
+		end(time.Second)(r, sent, a, run)
+		a.status, a.complete = http.StatusBadGateway, true
+	}
+	for name, c := range map[string]struct {
+		kind   requestKind
+		modify func(r *records, sent *request, a *answer, run *replicaRun)
+		// timed and untimed are the rules that a timed and an untimed soak report; "" for
+		// none.
+		timed, untimed string
+	}{
+		"cut stream":                {review, end(time.Second), "LOST", "LOST"},
+		"cut body":                  {order, end(time.Second), "LOST", "LOST"},
+		"caller left":               {review, func(_ *records, _ *request, a *answer, _ *replicaRun) { a.left = true }, "", ""},
+		"not written whole":         {review, func(_ *records, _ *request, a *answer, _ *replicaRun) { a.wholeAt = time.Time{} }, "", ""},
+		"replica broke off":         {review, func(_ *records, _ *request, _ *answer, run *replicaRun) { run.end = brokeOff }, "", ""},
+		"gap that nobody bears":     {review, func(_ *records, _ *request, a *answer, _ *replicaRun) { a.receivedAt = sentAt.Add(gapPatience) }, "", ""},
+		"deadline reached":          {review, end(requestTimeout), "", ""},
+		"no end after the deadline": {review, end(requestTimeout + lateAnswerTime), "SILENT", ""},
+		"timeout of the route": {review, func(r *records, sent *request, a *answer, run *replicaRun) {
+			end(shortRouteTimeout)(r, sent, a, run)
+			r.changes = []change{{category: "timeout", value: "2500", from: sentAt.Add(-time.Minute), to: sentAt.Add(-time.Second)}}
+		}, "", ""},
+		"interrupted gateway":       {review, interrupted("g"), "", ""},
+		"interrupted replica":       {review, interrupted("address"), "", ""},
+		"other replica interrupted": {review, interrupted("other"), "LOST", "LOST"},
+		"no answer and no run":      {order, noRun, "LOST", ""},
+		"closed before it was read": {order, func(r *records, sent *request, a *answer, run *replicaRun) {
+			noRun(r, sent, a, run)
+			a.receivedAt = sentAt.Add(closeRaceTime)
+		}, "", ""},
+		"no answer with a run": {order, func(_ *records, _ *request, a *answer, _ *replicaRun) {
+			a.status, a.lastPartAt = 0, time.Time{}
+		}, "LOST", "LOST"},
+		"no answer and no run, interrupted replica": {order, func(r *records, sent *request, a *answer, run *replicaRun) {
+			noRun(r, sent, a, run)
+			interrupted("address")(r, sent, a, run)
+		}, "LOST", ""},
+		"cut early in a stop":      {review, stopped(3*time.Second, time.Second, 0), "LOST", "LOST"},
+		"cut at the end of a stop": {review, stopped(3*time.Second, 1900*time.Millisecond, 0), "", ""},
+		"sent late in a stop":      {review, stopped(2*time.Second, 2900*time.Millisecond, 1500*time.Millisecond), "LOST", ""},
+		"outcome unknown":          {order, unknown, "UNKNOWN", "UNKNOWN"},
+		"outcome unknown, no run": {order, func(r *records, sent *request, a *answer, run *replicaRun) {
+			unknown(r, sent, a, run)
+			clear(r.runs)
+		}, "UNKNOWN", ""},
+		"replica works on": {review, func(_ *records, _ *request, a *answer, run *replicaRun) {
+			a.left, run.end = true, running
+		}, "GONE", ""},
+		"replica works on, interrupted": {review, func(r *records, sent *request, a *answer, run *replicaRun) {
+			interrupted("address")(r, sent, a, run)
+			a.left, run.end = true, running
+		}, "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for timed, rule := range map[bool]string{true: c.timed, false: c.untimed} {
+				violations := check(ended(c.kind, c.modify), timed)
+				if rule == "" {
+					require.Empty(t, violations, "timed: %t", timed)
+					continue
+				}
+				require.Len(t, violations, 1, "timed: %t", timed)
+				require.Contains(t, violations[0], rule)
+			}
+		})
+	}
+}
+
+// Guards against a check that misses runs at the service that a route has left, or
+// reports those at the service to which it moved.
+func TestMovedRoutes(t *testing.T) {
+	moved := change{category: "route", value: lookup.String() + " " + annexService, from: baseTime}
+	r := oneRequest(lookup)
+	r.changes = []change{moved}
+	require.Contains(t, check(r, true)[0], "CONFIG")
+	require.Empty(t, check(r, false))
+	r.runs["a"][0].service = annexService
+	require.Empty(t, check(r, true))
+	r.changes = nil
+	require.Contains(t, check(r, true)[0], "ROUTE")
+}
--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -24,6 +24,7 @@
 	Seed          uint64        `long:"seed" description:"first seed" default:"1"`
 	Seeds         int           `long:"seeds" description:"number of seeds, one after the other" default:"1"`
 	Length        time.Duration `long:"length" description:"time with faults in each soak" default:"20s"`
+	PauseLength   time.Duration `long:"pause-length" description:"time after that with pauses of replicas and planned stops" default:"20s"`
 	Gateways      int           `long:"gateways" description:"number of gateways" default:"3"`
 	Engines       int           `long:"engines" description:"number of model engines" default:"5"`
 	PlainReplicas int           `long:"desks" description:"number of plain replicas" default:"3"`
@@ -82,7 +83,7 @@
 		}
 		r, err := soak.Run(ctx, soak.Options{
 			Seed: seed, Binary: binary, Gateway: gateway, Logs: logs, Gateways: o.Gateways, Engines: o.Engines,
-			PlainReplicas: o.PlainReplicas, Callers: o.Callers, Weights: true, Length: o.Length, Timed: !o.Untimed, Out: out,
+			PlainReplicas: o.PlainReplicas, Callers: o.Callers, Weights: true, Length: o.Length, PauseLength: o.PauseLength, Timed: !o.Untimed, Out: out,
 		})
 		if err != nil {
 			return failed, err
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -12,6 +13,21 @@
 // customerName is the name of the customer that holds every key.
 const customerName = "customer"
 
+// Goals of the routes. Callers of streams bear gaps that are longer than any pause of a
+// replica.
+const (
+	plainGoal     = 500 * time.Millisecond
+	streamGoal    = 400 * time.Millisecond
+	streamGapGoal = 300 * time.Millisecond
+)
+
+// Timeouts of all routes. A configuration names the short one for a while, which is
+// longer than any pause of a replica as well.
+const (
+	routeTimeout      = 10 * time.Second
+	shortRouteTimeout = 2500 * time.Millisecond
+)
+
 // configuration publishes routes and keys to the store. Only one goroutine calls
 // its methods; callers read the two atomic fields.
 type configuration struct {
@@ -23,6 +39,11 @@
 	addedKey, previousKey string
 	// keys are the keys in the newest published configuration.
 	keys []string
+	// absent is a service that is left out; "" if none is. annexed says that the routes of
+	// the plain service lead to the annex. timeout is that of all routes.
+	absent  string
+	annexed bool
+	timeout time.Duration
 	// currentKey is the newest key that every gateway should know; callers use it.
 	currentKey atomic.Pointer[string]
 	// revokedKey is the key that was revoked last; nil if none was.
@@ -31,7 +52,7 @@
 
 // newConfiguration publishes a first configuration with one key.
 func newConfiguration(env *environment) *configuration {
-	c := &configuration{env: env}
+	c := &configuration{env: env, timeout: routeTimeout}
 	first := "key-0"
 	env.ledger.addChange("key", first, c.publish(first))
 	c.currentKey.Store(&first)
@@ -64,34 +85,77 @@
 	}
 }
 
+// leaveOut publishes a configuration without a service, or with all of them for "". Its
+// routes stay.
+func (c *configuration) leaveOut(service string) {
+	c.absent = service
+	c.republish(1)
+}
+
+// moveRoutes publishes a configuration in which the routes of the plain service lead to
+// the annex, and returns a function that publishes one in which they lead back.
+func (c *configuration) moveRoutes() (back func()) {
+	c.annexed = true
+	at := c.publish(c.keys...)
+	ends := []func(){
+		c.env.ledger.addChange("route", lookup.String()+" "+annexService, at),
+		c.env.ledger.addChange("route", order.String()+" "+annexService, at),
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+		c.annexed = false
+		c.republish(1)
+	}
+}
+
+// shortenTimeouts publishes a configuration with short timeouts and returns a function
+// that publishes one with the usual ones.
+func (c *configuration) shortenTimeouts() (back func()) {
+	c.timeout = shortRouteTimeout
+	end := c.env.ledger.addChange("timeout", fmt.Sprint(shortRouteTimeout.Milliseconds()), time.Now())
+	c.republish(1)
+	return func() {
+		c.timeout = routeTimeout
+		c.republish(1)
+		end()
+	}
+}
+
 // publish publishes a configuration with the given keys and returns the time of
 // the acknowledgement.
 func (c *configuration) publish(keys ...string) time.Time {
 	c.version++
 	c.keys = keys
-	route := func(name, kind, service string, timeout, goal int, resumable bool) map[string]any {
+	plain := plainService
+	if c.annexed {
+		plain = annexService
+	}
+	route := func(name, kind, service string, goal, gapGoal time.Duration, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": hostName, "prefix": "/" + name + "/", "route_kind": kind, "service": service,
-			"timeout_ms": timeout, "goal_ms": goal, "gap_goal_ms": goal, "max_attempts": maxAttempts,
+			"timeout_ms": c.timeout.Milliseconds(), "goal_ms": goal.Milliseconds(), "gap_goal_ms": gapGoal.Milliseconds(), "max_attempts": maxAttempts,
 			"resumable": resumable, "priority": 0,
 		}
 	}
 	return c.env.store.put(keyConfig, map[string]any{
 		"version": c.version,
 		"routes": []any{
-			route(lookup.String(), "safe", plainService, 2000, 500, false),
-			route(order.String(), "unsafe", plainService, 2000, 500, false),
-			route(stream.String(), "streaming", engineService, 5000, 1000, true),
-			route(review.String(), "streaming", engineService, 5000, 1000, false),
+			route(lookup.String(), "safe", plain, plainGoal, plainGoal, false),
+			route(order.String(), "unsafe", plain, plainGoal, plainGoal, false),
+			route(stream.String(), "streaming", engineService, streamGoal, streamGapGoal, true),
+			route(review.String(), "streaming", engineService, streamGoal, streamGapGoal, false),
 		},
-		"services": []any{
+		"services": slices.DeleteFunc([]any{
 			map[string]any{"name": plainService},
+			map[string]any{"name": annexService},
 			map[string]any{"name": engineService, "engine": map[string]any{
 				"slots": replicaSlots, "layers": layerCount, "step_ms": eventInterval.Milliseconds(), "per_seq_ms": 0,
 				"read_per_s": 100000, "models": []any{map[string]any{"name": modelName}},
 			}},
 			map[string]any{"name": "origin", "origin": c.env.origin.address, "zone": zones[0]},
-		},
+		}, func(s any) bool { return s.(map[string]any)["name"] == c.absent }),
 		"tenants": []any{map[string]any{"name": customerName, "api_keys": keys}},
 		"limits":  map[string]any{"max_body_bytes": 1 << 20},
 	})
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -25,7 +25,9 @@
 	store         *store
 	engines       []*replica
 	plainReplicas []*replica
-	gateways      []*process
+	// annex is the replica of the annex. No fault but pauses affects it.
+	annex    *replica
+	gateways []*process
 	// weightProcesses are the processes that distribute weights.
 	weightProcesses []*process
 	// origin is the link to the origin of the weights.
@@ -115,6 +117,9 @@
 		}
 		env.plainReplicas = append(env.plainReplicas, r)
 	}
+	if env.annex, err = newReplica(env, "annex", annexService, zones[0]); err != nil {
+		return err
+	}
 	return env.startProcesses()
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -58,7 +58,7 @@
 
 // makePlan generates the plan of a soak. Faults begin within length from the start
 // of the plan; their ends and the last changes may come later.
-func (f *faultInjector) makePlan(length time.Duration) {
+func (f *faultInjector) makePlan(length, pauseLength time.Duration) {
 	kinds := []func(from, to time.Duration) bool{
 		f.freeze, f.killAndRestart, f.stopAndRestart, f.sendHangup, f.storeFault, f.frontFault, f.replicaFault, f.crashReplica,
 		f.drainReplica, f.corruptPiece, f.compactStore,
@@ -73,6 +73,7 @@
 	f.planChanges(length)
 	f.planRestores(length)
 	f.planLimits(length)
+	f.planPauses(length, pauseLength)
 	slices.SortStableFunc(f.plan, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 }
 
@@ -117,17 +118,21 @@
 func pick[T any](f *faultInjector, items []T) T { return items[f.random.IntN(len(items))] }
 
 // addDisturbance plans a fault that begins and ends with the given actions, and
-// records the target as disturbed in between. It returns true, as the functions
-// that plan faults do on success.
-func (f *faultInjector) addDisturbance(target string, from, to time.Duration, name string, begin, end func()) bool {
-	var markEnd func()
+// records the target as disturbed in between, and as interrupted if the fault may end
+// requests there. It returns true, as the functions that plan faults do on success.
+func (f *faultInjector) addDisturbance(target string, interrupts bool, from, to time.Duration, name string, begin, end func()) bool {
+	markEnd, markInterruptionEnd := func() {}, func() {}
 	f.add(from, name, func() {
 		markEnd = f.env.ledger.startDisturbance(target)
+		if interrupts {
+			markInterruptionEnd = f.env.ledger.startInterruption(target)
+		}
 		begin()
 	})
 	f.add(to, "end: "+name, func() {
 		end()
 		markEnd()
+		markInterruptionEnd()
 	})
 	return true
 }
@@ -135,14 +140,14 @@
 // freeze suspends a process with SIGSTOP and resumes it with SIGCONT.
 func (f *faultInjector) freeze(from, to time.Duration) bool {
 	p := pick(f, f.env.processes())
-	return f.claim(p, from, to) && f.addDisturbance(p.machine.name, from, to, "freeze "+p.name(),
+	return f.claim(p, from, to) && f.addDisturbance(p.machine.name, p.isGateway(), from, to, "freeze "+p.name(),
 		func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
 }
 
 // killAndRestart kills a process with SIGKILL and starts it again.
 func (f *faultInjector) killAndRestart(from, to time.Duration) bool {
 	p := pick(f, f.env.processes())
-	return f.claim(p, from, to) && f.addDisturbance(p.machine.name, from, to, "kill "+p.name(), p.kill, f.restart(p))
+	return f.claim(p, from, to) && f.addDisturbance(p.machine.name, p.isGateway(), from, to, "kill "+p.name(), p.kill, f.restart(p))
 }
 
 // restart returns an action that starts a process again. A failure to start is
@@ -158,10 +163,20 @@
 // stopAndRestart stops a process with SIGTERM and starts it again one second after
 // its grace period. A process that has not ended by then is a violation.
 func (f *faultInjector) stopAndRestart(from, _ time.Duration) bool {
-	p := pick(f, f.env.processes())
+	return f.stopProcess(pick(f, f.env.processes()), from)
+}
+
+// stopProcess plans a planned stop of a process. That interrupts no request.
+func (f *faultInjector) stopProcess(p *process, from time.Duration) bool {
 	to := from + graceTime + time.Second
-	return f.claim(p, from, to) && f.addDisturbance(p.machine.name, from, to, "stop "+p.name(),
-		func() { p.signal(syscall.SIGTERM) },
+	return f.claim(p, from, to) && f.addDisturbance(p.machine.name, false, from, to, "stop "+p.name(),
+		func() {
+			if p.isGateway() {
+				f.env.ledger.addStop(p.machine.name)
+				p.stopping.Store(true)
+			}
+			p.signal(syscall.SIGTERM)
+		},
 		func() {
 			select {
 			case <-p.done:
@@ -186,13 +201,13 @@
 var faultModes = []linkMode{slow, refusing, blockToTarget, blockFromTarget, blockBoth}
 
 // linkFault plans a random fault mode for a link. target is what it disturbs, name
-// is the link's name in the plan.
-func (f *faultInjector) linkFault(l *link, target, name string, from, to time.Duration) bool {
+// is the link's name in the plan. interrupts says that requests of callers pass it.
+func (f *faultInjector) linkFault(l *link, interrupts bool, target, name string, from, to time.Duration) bool {
 	if !f.claim(l, from, to) {
 		return false
 	}
 	mode := pick(f, faultModes)
-	return f.addDisturbance(target, from, to, fmt.Sprintf("link fault %d at %s", mode, name),
+	return f.addDisturbance(target, interrupts, from, to, fmt.Sprintf("link fault %d at %s", mode, name),
 		func() {
 			l.setMode(mode)
 			if mode == refusing {
@@ -206,13 +221,13 @@
 func (f *faultInjector) storeFault(from, to time.Duration) bool {
 	if f.random.IntN(3) > 0 {
 		m := pick(f, f.env.processes()).machine
-		return f.linkFault(m.store, m.name, "the store of "+m.name, from, to)
+		return f.linkFault(m.store, false, m.name, "the store of "+m.name, from, to)
 	}
 	seen := map[*machine]bool{}
 	for _, p := range f.env.processes() {
 		if m := p.machine; !seen[m] {
 			seen[m] = true
-			f.linkFault(m.store, m.name, "the store of "+m.name, from, to)
+			f.linkFault(m.store, false, m.name, "the store of "+m.name, from, to)
 		}
 	}
 	return true
@@ -221,18 +236,18 @@
 // frontFault disturbs the link between callers and one gateway.
 func (f *faultInjector) frontFault(from, to time.Duration) bool {
 	m := pick(f, f.env.gateways).machine
-	return f.linkFault(m.front, m.name, "the front of "+m.name, from, to)
+	return f.linkFault(m.front, true, m.name, "the front of "+m.name, from, to)
 }
 
 // replicaFault disturbs the link between gateways and one replica.
 func (f *faultInjector) replicaFault(from, to time.Duration) bool {
 	r := pick(f, f.env.replicas())
-	return f.claim(r, from, to) && f.linkFault(r.link, r.link.address, r.name, from, to)
+	return f.claim(r, from, to) && f.linkFault(r.link, true, r.link.address, r.name, from, to)
 }
 
 // originFault disturbs the link to the origin of the weights.
 func (f *faultInjector) originFault(from, to time.Duration) bool {
-	return f.linkFault(f.env.origin, "origin", "the origin", from, to)
+	return f.linkFault(f.env.origin, false, "origin", "the origin", from, to)
 }
 
 // crashReplica crashes a replica, in half of the cases by a power loss. The replica
@@ -241,7 +256,7 @@
 	r := pick(f, f.env.replicas())
 	powerLoss := f.random.IntN(2) == 0
 	return f.claim(r, from, to) && f.claim(r.link, from, to) &&
-		f.addDisturbance(r.link.address, from, to, "crash "+r.name, func() { r.crash(powerLoss) }, r.boot)
+		f.addDisturbance(r.link.address, true, from, to, "crash "+r.name, func() { r.crash(powerLoss) }, r.boot)
 }
 
 // drainReplica drains a replica, in half of the cases unannounced. Two seconds after
@@ -258,6 +273,7 @@
 		f.env.ledger.addChange("leaving", id, at)
 	})
 	f.add(to, "end: drain "+r.name, func() {
+		defer f.env.ledger.startInterruption(r.link.address)()
 		r.crash(true)
 		r.boot()
 	})
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -24,6 +24,9 @@
 // repeatable reports whether a request of the kind may run more than once.
 func (k requestKind) repeatable() bool { return k == lookup || k == stream }
 
+// streams reports whether the answer is a stream.
+func (k requestKind) streams() bool { return k == stream || k == review }
+
 func (k requestKind) String() string { return [...]string{"lookup", "order", "stream", "review"}[k] }
 
 // request is one attempt as its caller sent it. A retry of the caller is another
@@ -38,21 +41,49 @@
 	// gateway is the name of the gateway's machine.
 	gateway string
 	sentAt  time.Time
+	// deadline is how long the caller says that it waits.
+	deadline time.Duration
 }
 
-// answer is what the caller received for an attempt.
+// answer is how an attempt ended for its caller.
 type answer struct {
 	attempt string
-	status  int
+	// status is 0 if the caller received no head.
+	status int
 	// signature identifies the run that answered; empty if the answer has none.
 	signature string
 	body      string
 	// complete says that the body ended without an error.
-	complete   bool
+	complete bool
+	// wholeAt is when the caller had written the last byte of the request, zero if it
+	// never had. lastPartAt is when the last bytes of the body came, zero if none did.
+	wholeAt    time.Time
+	lastPartAt time.Time
+	// receivedAt is when the attempt ended. left says that the caller ended it.
 	receivedAt time.Time
+	left       bool
 }
 
-// replicaRun is one run of an attempt at a replica, recorded when it began.
+// runEnd is how a run ended.
+type runEnd uint8
+
+const (
+	// running means that the replica still works.
+	running runEnd = iota
+	// sentWhole means that the replica wrote its whole answer.
+	sentWhole
+	// brokeOff means that the replica ended the answer itself, or crashed.
+	brokeOff
+	// abandoned means that the connection was closed under the replica.
+	abandoned
+)
+
+func (e runEnd) String() string {
+	return [...]string{"still ran", "was sent whole", "broke off", "was abandoned"}[e]
+}
+
+// replicaRun is one run of an attempt at a replica, recorded when it began and when it
+// ended.
 type replicaRun struct {
 	attempt string
 	replica string
@@ -71,7 +102,17 @@
 	// lastEvent is the number of the event after which the run resumes; 0 if it
 	// starts from the beginning.
 	lastEvent int
+	// startedAt is when the request reached the replica, which may have been silent then.
 	startedAt time.Time
+	end       runEnd
+	// endedAt is zero while the replica works.
+	endedAt time.Time
+}
+
+// plannedStop is a SIGTERM of a gateway.
+type plannedStop struct {
+	gateway string
+	at      time.Time
 }
 
 // disturbance is a span in which a fault affected a target.
@@ -86,9 +127,10 @@
 // change is a published change that must be obeyed within a time limit after it
 // was acknowledged.
 type change struct {
-	// category is "key", "revoked", "version", "leaving", "evacuated" or "limit". value
-	// is the key, the number of the version, the id of the replica or the zone; for a
-	// limit, the id of the replica and the requests per second.
+	// category is "key", "revoked", "version", "leaving", "evacuated", "limit", "route" or
+	// "timeout". value is the key, the number of the version, the id of the replica, the
+	// zone or the timeout of all routes in milliseconds; for a limit, the id of the replica
+	// and the requests per second; for a route, its name and its service.
 	category string
 	value    string
 	// from is the time of the acknowledgement, to the time when the change stopped
@@ -99,11 +141,19 @@
 
 // records are everything that was observed in a soak. Maps are keyed by attempt.
 type records struct {
-	requests     map[string]request
-	answers      map[string]answer
-	runs         map[string][]replicaRun
-	disturbances []disturbance
-	changes      []change
+	requests map[string]request
+	answers  map[string]answer
+	runs     map[string][]replicaRun
+	// disturbances excuse the target from time limits. interruptions are the spans in
+	// which a fault may end requests at a gateway or at a replica.
+	disturbances  []disturbance
+	interruptions []disturbance
+	stops         []plannedStop
+	// replicaAddresses are the addresses of all replicas.
+	replicaAddresses map[string]bool
+	changes          []change
+	// takenAt is when the last record was made.
+	takenAt time.Time
 	// violations are those noticed while the soak ran.
 	violations []string
 }
@@ -113,7 +163,7 @@
 
 func newLedger(g *duty.Group) *ledger {
 	return &ledger{records: newOwned(g, "ledger", &records{
-		requests: map[string]request{}, answers: map[string]answer{}, runs: map[string][]replicaRun{},
+		requests: map[string]request{}, answers: map[string]answer{}, runs: map[string][]replicaRun{}, replicaAddresses: map[string]bool{},
 	})}
 }
 
@@ -134,6 +184,22 @@
 	})
 }
 
+// endRun records the end of the run of an attempt with the given index.
+func (l *ledger) endRun(attempt string, index int, end runEnd) {
+	apply(l.records, func(r *records) {
+		run := &r.runs[attempt][index]
+		run.end, run.endedAt = end, time.Now()
+	})
+}
+
+func (l *ledger) addReplica(address string) {
+	apply(l.records, func(r *records) { r.replicaAddresses[address] = true })
+}
+
+func (l *ledger) addStop(gateway string) {
+	apply(l.records, func(r *records) { r.stops = append(r.stops, plannedStop{gateway, time.Now()}) })
+}
+
 func (l *ledger) addViolation(text string) {
 	apply(l.records, func(r *records) { r.violations = append(r.violations, text) })
 }
@@ -141,11 +207,21 @@
 // startDisturbance records that a target is disturbed until the returned
 // function is called.
 func (l *ledger) startDisturbance(target string) (end func()) {
+	return l.startSpan(target, func(r *records) *[]disturbance { return &r.disturbances })
+}
+
+// startInterruption records that requests at a target may be ended by a fault until the
+// returned function is called.
+func (l *ledger) startInterruption(target string) (end func()) {
+	return l.startSpan(target, func(r *records) *[]disturbance { return &r.interruptions })
+}
+
+func (l *ledger) startSpan(target string, list func(*records) *[]disturbance) (end func()) {
 	index := call(l.records, func(r *records) int {
-		r.disturbances = append(r.disturbances, disturbance{target: target, from: time.Now()})
-		return len(r.disturbances) - 1
+		*list(r) = append(*list(r), disturbance{target: target, from: time.Now()})
+		return len(*list(r)) - 1
 	})
-	return func() { apply(l.records, func(r *records) { r.disturbances[index].to = time.Now() }) }
+	return func() { apply(l.records, func(r *records) { (*list(r))[index].to = time.Now() }) }
 }
 
 // addChange records a change that applies until the returned function is called.
@@ -173,5 +249,8 @@
 
 // take returns the records; nothing may be recorded afterwards.
 func (l *ledger) take() *records {
-	return call(l.records, func(r *records) *records { return r })
+	return call(l.records, func(r *records) *records {
+		r.takenAt = time.Now()
+		return r
+	})
 }
--- a/soak/link.go
+++ b/soak/link.go
@@ -50,6 +50,8 @@
 	address string
 	target  string
 	state   atomic.Pointer[linkState]
+	// silenced is closed and replaced to silence the connections that are open.
+	silenced atomic.Pointer[chan struct{}]
 	// conns holds the open connections of both sides.
 	conns *owned[map[net.Conn]bool]
 }
@@ -59,6 +61,7 @@
 func newLink(g *duty.Group, address, target string) (*link, error) {
 	l := &link{address: address, target: target}
 	l.state.Store(&linkState{changed: make(chan struct{})})
+	l.silence()
 	l.conns = newOwned(g, "link connections", &map[net.Conn]bool{})
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -83,6 +86,15 @@
 	close(old.changed)
 }
 
+// silence makes the open connections silent for good: what the target sends is dropped,
+// also its close. New connections work. It must be called by one goroutine at a time.
+func (l *link) silence() {
+	next := make(chan struct{})
+	if old := l.silenced.Swap(&next); old != nil {
+		close(*old)
+	}
+}
+
 // reset resets all open connections.
 func (l *link) reset() {
 	apply(l.conns, func(open *map[net.Conn]bool) {
@@ -106,6 +118,7 @@
 		closeWithReset(inbound)
 		return
 	}
+	silenced := *l.silenced.Load()
 	outbound, err := net.Dial("tcp", l.target)
 	if err != nil {
 		closeWithReset(inbound)
@@ -113,8 +126,8 @@
 	}
 	apply(l.conns, func(open *map[net.Conn]bool) { (*open)[inbound], (*open)[outbound] = true, true })
 	ended := make(chan struct{}, 2)
-	go l.copyBytes(ctx, outbound, inbound, blockToTarget, ended)
-	go l.copyBytes(ctx, inbound, outbound, blockFromTarget, ended)
+	go l.copyBytes(ctx, outbound, inbound, blockToTarget, nil, ended)
+	go l.copyBytes(ctx, inbound, outbound, blockFromTarget, silenced, ended)
 	<-ended
 	<-ended
 	apply(l.conns, func(open *map[net.Conn]bool) {
@@ -126,12 +139,19 @@
 }
 
 // copyBytes forwards one direction of a connection and signals ended when it
-// returns. blockMode is the mode that blocks only this direction.
-func (l *link) copyBytes(ctx context.Context, to, from net.Conn, blockMode linkMode, ended chan<- struct{}) {
+// returns. blockMode is the mode that blocks only this direction. It forwards nothing
+// once silenced is closed.
+func (l *link) copyBytes(ctx context.Context, to, from net.Conn, blockMode linkMode, silenced <-chan struct{}, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
+		if isClosed(silenced) {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		if n > 0 && !l.forward(ctx, to, buffer[:n], blockMode) {
 			closeWithReset(from)
 			return
@@ -148,6 +168,16 @@
 	}
 }
 
+// isClosed reports whether a channel is closed; nil never is.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // forward writes one buffer once the direction is not blocked. It reports false
 // if the write failed.
 func (l *link) forward(ctx context.Context, to net.Conn, data []byte, blockMode linkMode) bool {
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -71,3 +71,29 @@
 	require.Error(t, err)
 	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection stayed open")
 }
+
+// Guards against a silenced link that still forwards what the target sends or that takes
+// new connections down with the old ones.
+func TestSilencedConnectionsStaySilent(t *testing.T) {
+	l, c := echo(t)
+	_, err := c.Write([]byte("open"))
+	require.NoError(t, err)
+	buffer := make([]byte, 4)
+	_, err = io.ReadFull(c, buffer)
+	require.NoError(t, err)
+	l.silence()
+	_, err = c.Write([]byte("lost"))
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = c.Read(buffer)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	next, err := net.Dial("tcp", l.address)
+	require.NoError(t, err)
+	defer func() { _ = next.Close() }()
+	_, err = next.Write([]byte("next"))
+	require.NoError(t, err)
+	require.NoError(t, next.SetReadDeadline(time.Now().Add(30*time.Second)))
+	_, err = io.ReadFull(next, buffer)
+	require.NoError(t, err)
+	require.Equal(t, "next", string(buffer))
+}
--- a/soak/process.go
+++ b/soak/process.go
@@ -114,10 +114,15 @@
 	cmd     *exec.Cmd
 	// done is closed when the process has ended.
 	done chan struct{}
+	// stopping says that it got SIGTERM and has not been launched again.
+	stopping atomic.Bool
 	// stopRequested says that the soak sent SIGTERM or SIGKILL.
 	stopRequested *atomic.Bool
 }
 
+// isGateway reports whether callers' requests pass the process.
+func (p *process) isGateway() bool { return p.role == "gateway" }
+
 func (p *process) name() string { return p.role + " of " + p.machine.name }
 
 // launch starts the program. It is a violation if the process ends before the soak
@@ -132,6 +137,7 @@
 	p.cmd.Env = append(os.Environ(), "RATTANSPUR_SETTINGS="+p.machine.settingsPath())
 	p.cmd.Stdout, p.cmd.Stderr = logFile, logFile
 	p.done, p.stopRequested = make(chan struct{}), &atomic.Bool{}
+	p.stopping.Store(false)
 	if err := p.cmd.Start(); err != nil {
 		return eris.Wrapf(err, "start %s", p.name())
 	}
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"rattanspur.example/lib/duty"
@@ -51,6 +52,10 @@
 	// limit is the number of requests per second that the replica names in its answers;
 	// 0 if it names none.
 	limit float64
+	// armed is the pause that begins at a point; resumed is closed at the end of the pause
+	// that lasts, nil if there is none.
+	armed   armedPause
+	resumed chan struct{}
 	// weights is nil at a plain replica.
 	weights *engineWeights
 }
@@ -78,6 +83,7 @@
 	if r.link, err = newLink(env.group, env.newHost()+":8000", listener.Addr().String()); err != nil {
 		return nil, err
 	}
+	env.ledger.addReplica(r.link.address)
 	s := &replicaState{}
 	if service == engineService {
 		s.weights = newEngineWeights()
@@ -267,7 +273,8 @@
 	if err != nil {
 		return
 	}
-	attempt := req.Header.Get(headerAttempt)
+	attempt, arrivedAt := req.Header.Get(headerAttempt), time.Now()
+	r.reach(beforeHead)
 	a := r.admit(req.Header)
 	w.Header().Set(headerAttempt, attempt)
 	w.Header().Set(headerLoad, fmt.Sprintf("%d,0,%d", a.running, replicaSlots))
@@ -282,6 +289,7 @@
 	default:
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(a.status)
+		r.send(w, "refused\n", inRefusal)
 		return
 	}
 	defer r.release(a.id)
@@ -289,7 +297,7 @@
 	run := replicaRun{
 		attempt: attempt, replica: a.id, service: r.service, zone: r.zone, address: r.link.address, path: req.URL.Path,
 		body: string(body), customer: req.Header.Get(headerCustomer), hasKey: req.Header.Get("Authorization") != "",
-		version: a.version, lastEvent: lastEvent, startedAt: time.Now(), signature: sign(a.id, attempt, a.version),
+		version: a.version, lastEvent: lastEvent, startedAt: arrivedAt, signature: sign(a.id, attempt, a.version),
 	}
 	earlierRuns := r.env.ledger.addRun(run)
 	random := answerRandom(r.env.options.Seed, attempt, earlierRuns)
@@ -297,11 +305,28 @@
 	ctx, cancel := context.WithCancel(req.Context())
 	defer cancel()
 	defer context.AfterFunc(a.ctx, cancel)()
+	send := r.sendResult
 	if r.service == engineService {
-		r.sendEvents(ctx, w, &run, random)
-		return
+		send = r.sendEvents
+	}
+	end := send(ctx, w, &run, random)
+	if end == abandoned && a.ctx.Err() != nil {
+		end = brokeOff
+	}
+	r.env.ledger.endRun(attempt, earlierRuns, end)
+}
+
+// workPrefix begins a body that names how many milliseconds the replica works.
+const workPrefix = "work "
+
+// requestedWork returns how long a request's body asks the replica to work, or 0.
+func requestedWork(body string) time.Duration {
+	rest, found := strings.CutPrefix(body, workPrefix)
+	if !found {
+		return 0
 	}
-	r.sendResult(ctx, w, &run, random)
+	number, _, _ := strings.Cut(rest, " ")
+	return time.Duration(parseNumber(number)) * time.Millisecond
 }
 
 // answerRandom returns the source of the faults of one answer. The seed of the soak
@@ -337,12 +362,13 @@
 // plainFault draws the fault of a plain answer. Most values mean that there is none.
 func plainFault(random *rand.Rand) answerFault { return answerFault(random.IntN(faultOneIn)) }
 
-// sendResult answers a plain request after workTime. In rare cases it fails, breaks
-// the connection without an answer or in the middle of one, or sends two answers.
-func (r *replica) sendResult(ctx context.Context, w http.ResponseWriter, run *replicaRun, random *rand.Rand) {
-	if duty.Sleep(ctx, workTime) != nil || ctx.Err() != nil {
+// sendResult answers a plain request after its work, half of the times with a stated
+// length. In rare cases it fails, breaks the connection without an answer or in the
+// middle of one, or sends two answers.
+func (r *replica) sendResult(ctx context.Context, w http.ResponseWriter, run *replicaRun, random *rand.Rand) runEnd {
+	if duty.Sleep(ctx, max(workTime, requestedWork(run.body))) != nil || ctx.Err() != nil {
 		abortResponse(w)
-		return
+		return abandoned
 	}
 	text := resultBody(run.attempt, run.replica)
 	switch plainFault(random) {
@@ -356,14 +382,30 @@
 		_ = http.NewResponseController(w).Flush()
 		abortResponse(w)
 	case twoAnswers:
-		sendTwoAnswers(w, run, text)
+		r.sendTwoAnswers(w, run, text)
 	default:
-		_, _ = io.WriteString(w, text)
+		if random.IntN(2) == 0 {
+			w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		}
+		r.send(w, text, inBody)
+		return endOf(ctx)
+	}
+	return brokeOff
+}
+
+// endOf returns how a run ended whose whole answer was written, unless its connection was
+// closed before.
+func endOf(ctx context.Context) runEnd {
+	if ctx.Err() != nil {
+		return abandoned
 	}
+	return sentWhole
 }
 
-// sendTwoAnswers sends a complete answer and then an unsolicited second one.
-func sendTwoAnswers(w http.ResponseWriter, run *replicaRun, text string) {
+// sendTwoAnswers sends a complete answer and then an unsolicited second one, which may
+// end the next request on the connection.
+func (r *replica) sendTwoAnswers(w http.ResponseWriter, run *replicaRun, text string) {
+	defer r.env.ledger.startInterruption(r.link.address)()
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -390,7 +432,8 @@
 
 // sendEvents sends the events after run.lastEvent. In rare cases it breaks the
 // connection in the middle of one.
-func (r *replica) sendEvents(ctx context.Context, w http.ResponseWriter, run *replicaRun, random *rand.Rand) {
+func (r *replica) sendEvents(ctx context.Context, w http.ResponseWriter, run *replicaRun, random *rand.Rand) runEnd {
+	interval := max(eventInterval, requestedWork(run.body)/eventsPerStream)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(headerWeightVersions, strconv.FormatInt(run.version, 10))
 	breakAt := -1
@@ -399,18 +442,18 @@
 	}
 	control := http.NewResponseController(w)
 	for i := run.lastEvent + 1; i <= eventsPerStream; i++ {
-		if duty.Sleep(ctx, eventInterval) != nil || ctx.Err() != nil {
+		if duty.Sleep(ctx, interval) != nil || ctx.Err() != nil {
 			abortResponse(w)
-			return
+			return abandoned
 		}
 		text := eventText(run.version, i)
 		if i == breakAt {
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			_ = control.Flush()
 			abortResponse(w)
-			return
+			return brokeOff
 		}
-		_, _ = io.WriteString(w, text)
-		_ = control.Flush()
+		r.send(w, text, inStream)
 	}
+	return endOf(ctx)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -35,8 +35,12 @@
 	Callers       int
 	// Weights starts the processes that distribute weights to engines.
 	Weights bool
-	// Length is the time in which new faults begin.
-	Length time.Duration
+	// Length is the time in which new faults begin. PauseLength is the time after that in
+	// which replicas fall silent and go on, amid planned stops and changes of the
+	// configuration but few other faults. If it is 0, replicas neither pause nor work
+	// slowly.
+	Length      time.Duration
+	PauseLength time.Duration
 	// Timed enables the checks of guarantees with a time limit.
 	Timed bool
 	// Out receives one line for each action of the plan when it happens.
@@ -86,7 +90,7 @@
 	callers.Go("balancer", b.run)
 	var expected, served atomic.Int64
 	for i := range o.Callers {
-		c := &caller{name: callerName(i), env: env, balancer: b, expected: &expected, served: &served}
+		c := &caller{name: callerName(i), faithful: i%faithfulOneIn == 0, env: env, balancer: b, expected: &expected, served: &served}
 		callers.Go(c.name, c.run)
 	}
 	waitServing := func(timeout time.Duration) bool { return env.waitServing(ctx, &expected, &served, timeout) }
@@ -97,7 +101,7 @@
 		env: env, random: rand.New(rand.NewPCG(o.Seed, 0)), busyUntil: map[any]time.Duration{}, version: 1,
 		log: func(format string, values ...any) { _, _ = fmt.Fprintf(o.Out, format+"\n", values...) },
 	}
-	injector.makePlan(o.Length)
+	injector.makePlan(o.Length, o.PauseLength)
 	injector.run(ctx)
 	timeout := recoveryTimeout
 	if o.Timed {
@@ -112,7 +116,12 @@
 	}
 	_ = duty.Sleep(ctx, settleTime)
 	r := env.ledger.take()
-	report := &Report{Actions: len(injector.plan), Attempts: len(r.requests), Answers: len(r.answers), Violations: check(r, o.Timed)}
+	report := &Report{Actions: len(injector.plan), Attempts: len(r.requests), Violations: check(r, o.Timed)}
+	for _, a := range r.answers {
+		if a.status != 0 {
+			report.Answers++
+		}
+	}
 	for _, runs := range r.runs {
 		report.Runs += len(runs)
 	}
--- a/soak/weights.go
+++ b/soak/weights.go
@@ -19,9 +19,11 @@
 
 const (
 	// engineService is the service of the model engines, plainService that of the
-	// plain replicas.
+	// plain replicas, and annexService that to which the routes of the plain service may
+	// move.
 	engineService = "engine"
 	plainService  = "desk"
+	annexService  = "annex"
 	modelName     = "m"
 	// layerCount is the number of layers of the model, pieceCount the number of
 	// pieces of its weights, and pieceSize the size of a piece in bytes.
@@ -104,6 +106,7 @@
 func (r *replica) addWeightRoutes(mux *http.ServeMux) {
 	handle := func(pattern string, h http.HandlerFunc) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, req *http.Request) {
+			r.reach(anywhere)
 			if !call(r.state, func(s *replicaState) bool { return s.up }) {
 				abortResponse(w)
 				return
