emulator: engines that pause

A section [pause] makes a share of the engines do nothing for a while, together or in turn; their work, and what arrives meanwhile, goes on afterwards. Callers leave a stream after a gap of two seconds, four times the goal or eight times the goal between events. Tallies count the streams that were cut.

What gateways do about silence is not played yet.

--- a/emulator/attempt.go
+++ b/emulator/attempt.go
@@ -21,10 +21,19 @@
 	ended   bool
 }
 
-// arrive passes the request to the engine.
+// arrive passes the request to the engine. One that is paused reads it afterwards.
 func (a *attempt) arrive(j *job) {
+	a.gateway.sim.result.Limits.arrived(a.gateway.sim.clock.now, a.engine.id, a.gateway.address)
+	a.limitBegin(j)
+	a.engine.whenAwake(func() { a.read(j) })
+}
+
+// read lets the engine accept the request or refuse it.
+func (a *attempt) read(j *job) {
 	e := a.engine
-	a.gateway.sim.result.Limits.arrived(a.gateway.sim.clock.now, e.id, a.gateway.address)
+	if a.ended {
+		return
+	}
 	if j.harmful && !e.down {
 		a.gateway.sim.result.Harm.reached(a.gateway.sim.clock.now)
 	}
@@ -34,7 +43,6 @@
 	case e.down:
 		a.gateway.sim.clock.after(connectTimeout, func() { a.end(retry.Unreachable) })
 	case e.submit(j, a.send.ExpectVersion):
-		a.limitBegin(j)
 	case e.loading == 0 && a.send.ExpectVersion != 0 && a.send.ExpectVersion != e.version:
 		a.result.Misdirected = true
 		a.end(retry.Refused)
@@ -77,8 +85,11 @@
 	})
 }
 
-// end reports the end of the attempt.
+// end reports the end of the attempt. Only the first one counts.
 func (a *attempt) end(how retry.End) {
+	if a.ended {
+		return
+	}
 	a.ended = true
 	a.reply(func() {
 		a.result.End = how
--- a/emulator/call.go
+++ b/emulator/call.go
@@ -46,6 +46,12 @@
 	}
 	c.events++
 	c.lastEventAt = now
+	events := c.events
+	c.sim.clock.after(c.class.gapPatience(), func() {
+		if c.events == events {
+			c.expire()
+		}
+	})
 }
 
 // completed records that all events have arrived.
@@ -74,7 +80,7 @@
 // failed records that the request ended without an answer.
 func (c *call) failed() { c.finish(outcomeFailed) }
 
-// expire ends a call whose deadline has passed.
+// expire ends a call whose deadline has passed, or whose caller bears no longer gap.
 func (c *call) expire() {
 	if c.done {
 		return
--- a/emulator/cmd/emulate/main.go
+++ b/emulator/cmd/emulate/main.go
@@ -47,7 +47,7 @@
 	t := &r.Total
 	fmt.Printf("%s %d %d %.3f %.3f %.3f %d %d %s %s %d\n", path, seed, t.Asked, t.InTimeShare(), t.ServedShare(), t.RefusedShare(),
 		t.Failed, t.Returned, loadTimes(r.LoadedAfter), r.MeanOutFor().Round(time.Millisecond), r.Blocked)
-	fmt.Printf("  %d refusals, on average %s after the request had arrived\n", len(r.RefusedAfter), r.MeanRefusedAfter().Round(time.Millisecond))
+	fmt.Printf("  %d refusals, on average %s after the request had arrived; %d streams cut\n", len(r.RefusedAfter), r.MeanRefusedAfter().Round(time.Millisecond), t.Cut)
 	if r.Harm != nil {
 		printHarm(r.Harm)
 	}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -54,6 +54,9 @@
 	limit ratelimit.Statement
 	// onHarm is called when a harmful request makes the engine crash.
 	onHarm func()
+	// pausedUntil is when a pause ends in which the engine does nothing. Its work and what
+	// arrives meanwhile go on then.
+	pausedUntil time.Time
 	// starts counts the starts of the engine. Work of an earlier start is lost.
 	starts int64
 }
@@ -94,14 +97,31 @@
 		return
 	}
 	e.inPass = true
+	e.afterWork(e.pass(), e.endPass)
+}
+
+// afterWork runs a function once the engine has worked for d, unless it was started anew
+// meanwhile.
+func (e *engine) afterWork(d time.Duration, f func()) {
 	start := e.starts
-	e.clock.after(e.pass(), func() {
-		if e.starts == start {
-			e.endPass()
-		}
+	e.clock.after(d, func() {
+		e.whenAwake(func() {
+			if e.starts == start {
+				f()
+			}
+		})
 	})
 }
 
+// whenAwake runs a function at once, or when the pause ends.
+func (e *engine) whenAwake(f func()) {
+	if !e.clock.now.Before(e.pausedUntil) {
+		f()
+		return
+	}
+	e.clock.at(e.pausedUntil, func() { e.whenAwake(f) })
+}
+
 // pass plans one pass and returns its duration.
 func (e *engine) pass() time.Duration {
 	var writers, context int
@@ -185,11 +205,7 @@
 		return
 	}
 	e.inPass = true
-	start := e.starts
-	e.clock.after(e.model.LoadWeights, func() {
-		if e.starts != start {
-			return
-		}
+	e.afterWork(e.model.LoadWeights, func() {
 		e.inPass = false
 		e.version, e.loading = e.loading, 0
 		e.onLoaded()
@@ -200,6 +216,7 @@
 func (e *engine) crash() {
 	lost := slices.Concat(e.running, e.waiting)
 	e.running, e.waiting, e.inPass = nil, nil, false
+	e.pausedUntil = time.Time{}
 	e.version, e.loading = 0, 0
 	e.down = true
 	e.starts++
--- a/emulator/engine_test.go
+++ b/emulator/engine_test.go
@@ -82,3 +82,24 @@
 	e.restart(0)
 	require.False(t, e.submit(j, 1), "no weights after a restart")
 }
+
+// Guards against an engine that works while it is paused, that loses the work which its
+// pause interrupts, or that reads what arrived meanwhile before the end of the pause.
+func TestPausedEngineGoesOn(t *testing.T) {
+	s := &simulation{scenario: manyGateways(t), result: newResult(0)}
+	s.clock.now = time.Unix(0, 0)
+	e := testEngine(&s.clock)
+	running, events, end := testJob(&s.clock, 100, 10)
+	require.True(t, e.submit(running, 1))
+	s.clock.runUntil(s.clock.now.Add(20 * time.Millisecond))
+	e.pausedUntil = s.clock.now.Add(time.Second)
+	late, lateEvents, lateEnd := testJob(&s.clock, 100, 5)
+	(&attempt{gateway: &gateway{sim: s}, call: &call{}, engine: e, send: dispatch.Send{ExpectVersion: 1}}).arrive(late)
+	s.clock.runUntil(s.clock.now.Add(990 * time.Millisecond))
+	require.Len(t, *events, 1, "the first event was made before the pause")
+	require.Empty(t, *lateEvents)
+	s.clock.runUntil(s.clock.now.Add(time.Second))
+	require.Equal(t, retry.Answered, *end)
+	require.Equal(t, retry.Answered, *lateEnd)
+	require.Greater(t, (*lateEvents)[0], time.Second)
+}
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -19,6 +19,8 @@
 // Tally counts requests by their outcome.
 type Tally struct {
 	Asked, InTime, Late, Refused, Failed int
+	// Cut counts the failed ones of which the caller had received events.
+	Cut int
 	// Begun counts those of which the caller received at least one event.
 	Begun int
 	// Returned counts those that were answered after a rejection.
@@ -121,6 +123,9 @@
 		t.Refused++
 	case outcomeFailed:
 		t.Failed++
+		if e.begun {
+			t.Cut++
+		}
 	}
 	if e.returned && (e.outcome == outcomeInTime || e.outcome == outcomeLate) {
 		t.Returned++
@@ -145,6 +150,7 @@
 	t.Late += o.Late
 	t.Refused += o.Refused
 	t.Failed += o.Failed
+	t.Cut += o.Cut
 	t.Begun += o.Begun
 	t.Returned += o.Returned
 }
--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -24,6 +24,7 @@
 	Prompts Prompts        `ini:"prompts"`
 	Harmful Harmful        `ini:"harmful"`
 	Limits  StatedLimits   `ini:"limits"`
+	Pause   Pause          `ini:"pause"`
 	Restart GatewayRestart `ini:"restart"`
 	// Classes are the kinds of request, one for each section whose name starts
 	// with classPrefix.
@@ -140,6 +141,17 @@
 	KeepsWeights bool `ini:"keeps_weights"`
 }
 
+// Pause makes a share of the engines do nothing for a while and then go on, as when
+// their processes are stalled.
+type Pause struct {
+	// At is when the first engine pauses; 0 means that none does. Each of the others
+	// follows Turn after the one before it; a Turn of 0 makes them pause together.
+	At    time.Duration `ini:"at"`
+	For   time.Duration `ini:"for"`
+	Share float64       `ini:"share"`
+	Turn  time.Duration `ini:"turn"`
+}
+
 // Prompts describes what the prompts of different requests have in common. Each
 // request also has a part of its own.
 type Prompts struct {
@@ -192,6 +204,14 @@
 	GapGoal time.Duration `ini:"gap_goal"`
 }
 
+// gapPatience returns the longest gap between two events that callers bear.
+func (c *Class) gapPatience() time.Duration {
+	return max(minGapPatience, 4*c.Goal, 8*c.GapGoal)
+}
+
+// minGapPatience is the gap that callers of all classes bear.
+const minGapPatience = 2 * time.Second
+
 // classPrefix starts the names of the sections that define classes.
 const classPrefix = "class "
 
@@ -299,6 +319,7 @@
 		{h.Class == "" || s.Prompts.FirstParts > 0, "[harmful] needs first_parts in [prompts]"},
 		{h.Class != "" || h == Harmful{}, "[harmful] needs class"},
 		{s.Limits.At == 0 || s.Limits.Until > s.Limits.At && s.Limits.Share > 0 && s.Limits.Share <= 1, "[limits] needs until after at, and a share above 0 and up to 1"},
+		{s.Pause.At == 0 || s.Pause.For > 0 && s.Pause.Share > 0 && s.Pause.Share <= 1, "[pause] needs for, and a share above 0 and up to 1"},
 		{s.Restart.At == 0 || s.Restart.Count > 0 && s.Restart.Count <= s.Fleet.Gateways, "[restart] needs a count of up to the number of gateways"},
 	} {
 		if !c.valid {
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -111,6 +111,9 @@
 	if sc.Crash.At > 0 {
 		s.clock.at(s.startedAt.Add(sc.Crash.At), s.crashEngines)
 	}
+	if sc.Pause.At > 0 {
+		s.clock.at(s.startedAt.Add(sc.Pause.At), s.pauseEngines)
+	}
 	if sc.Restart.At > 0 {
 		s.clock.at(s.startedAt.Add(sc.Restart.At-sc.Restart.Notice), s.restartGateways)
 	}
@@ -348,12 +351,26 @@
 		}
 		return out
 	}
-	for _, i := range s.random.Perm(len(s.order))[:int(crash.Share*float64(len(s.order)))] {
+	return s.share(crash.Share)
+}
+
+// share returns a random share of the engines.
+func (s *simulation) share(of float64) []*engine {
+	var out []*engine
+	for _, i := range s.random.Perm(len(s.order))[:int(of*float64(len(s.order)))] {
 		out = append(out, s.order[i])
 	}
 	return out
 }
 
+// pauseEngines pauses the engines of the scenario's pause, together or in turn.
+func (s *simulation) pauseEngines() {
+	pause := &s.scenario.Pause
+	for i, e := range s.share(pause.Share) {
+		s.clock.after(time.Duration(i)*pause.Turn, func() { e.pausedUntil = s.clock.now.Add(pause.For) })
+	}
+}
+
 // crashByRequest takes an engine down because of a harmful request. Its machine runs
 // on and refuses connections meanwhile.
 func (s *simulation) crashByRequest(e *engine) {
