emulator: gateways tell their cores of silence

The core decides since whether an attempt that is silent goes on elsewhere, but the emulator reported no silence and passed over Interrupt, so that no scenario could show what pauses of engines do to callers.

Attempts report silence and its end, are interrupted, and end after the timeouts of their Send.

--- a/emulator/attempt.go
+++ b/emulator/attempt.go
@@ -18,7 +18,13 @@
 	sentAt  time.Time
 	delay   time.Duration
 	result  dispatch.AttemptResult
-	ended   bool
+	// ended is set once the engine or the gateway has ended the attempt, over once the
+	// gateway knows.
+	ended, over bool
+	// since is when the last event came, or when the request was sent. silent is set while
+	// the core knows that the attempt is silent.
+	since  time.Time
+	silent bool
 }
 
 // arrive passes the request to the engine. One that is paused reads it afterwards.
@@ -85,21 +91,84 @@
 	})
 }
 
-// end reports the end of the attempt. Only the first one counts.
+// eventReceived passes on an event that arrived at the gateway.
+func (a *attempt) eventReceived() {
+	if a.over {
+		return
+	}
+	a.call.eventReceived()
+	g := a.gateway
+	if a.silent {
+		a.silent = false
+		g.execute(g.core.AttemptResumed(g.sim.clock.now, a.send.Ticket))
+	}
+	a.watch(a.send.GapSilence, a.send.GapTimeout)
+}
+
+// watch begins a new silence: the core is told if it lasts for report, and the attempt ends
+// if it lasts for end; 0 means never.
+func (a *attempt) watch(report, end time.Duration) {
+	clock := &a.gateway.sim.clock
+	a.since = clock.now
+	after := func(d time.Duration, f func()) {
+		if d == 0 {
+			return
+		}
+		since := a.since
+		clock.after(d, func() {
+			if !a.ended && a.since.Equal(since) {
+				f()
+			}
+		})
+	}
+	after(report, a.reportSilence)
+	after(end, func() { a.endHere(retry.Stalled) })
+}
+
+// reportSilence tells the core that nothing has come for a while.
+func (a *attempt) reportSilence() {
+	a.silent = true
+	g := a.gateway
+	s := dispatch.Silence{Since: a.since, Version: a.result.Version}
+	s.Started, s.LastEventID = a.begun()
+	g.execute(g.core.AttemptSilent(g.sim.clock.now, a.send.Ticket, s))
+}
+
+// begun returns whether the caller has events, and the id of the last one.
+func (a *attempt) begun() (started bool, lastEventID string) {
+	if a.call.events == 0 {
+		return false, ""
+	}
+	return true, "event"
+}
+
+// end reports the end of the attempt at the engine. Only the first end counts.
 func (a *attempt) end(how retry.End) {
 	if a.ended {
 		return
 	}
 	a.ended = true
-	a.reply(func() {
-		a.result.End = how
-		if a.call.events > 0 {
-			a.result.Started, a.result.LastEventID = true, "event"
-		}
-		if how == retry.Answered {
-			a.call.completed()
-		}
-		g := a.gateway
-		g.execute(g.core.AttemptEnded(g.sim.clock.now, a.send.Ticket, a.result))
-	})
+	a.reply(func() { a.finish(how) })
+}
+
+// endHere ends the attempt at the gateway. The engine drops the request.
+func (a *attempt) endHere(how retry.End) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.call.job.canceled = true
+	a.finish(how)
+}
+
+// finish passes the end of the attempt to the core.
+func (a *attempt) finish(how retry.End) {
+	a.over = true
+	g := a.gateway
+	a.result.End, a.result.Idle = how, g.sim.clock.now.Sub(a.since)
+	a.result.Started, a.result.LastEventID = a.begun()
+	if how == retry.Answered {
+		a.call.completed()
+	}
+	g.execute(g.core.AttemptEnded(g.sim.clock.now, a.send.Ticket, a.result))
 }
--- a/emulator/call.go
+++ b/emulator/call.go
@@ -30,6 +30,8 @@
 	late      bool
 	done      bool
 	job       *job
+	// attempt is the last attempt of the call.
+	attempt *attempt
 }
 
 // remainingTokens returns the number of tokens that an engine has yet to
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -162,7 +162,11 @@
 			}
 		case dispatch.Finish:
 			delete(g.calls, a.Ticket)
-		case dispatch.Deliver, dispatch.Interrupt:
+		case dispatch.Interrupt:
+			if c := g.calls[a.Ticket]; c != nil {
+				c.attempt.endHere(retry.Stalled)
+			}
+		case dispatch.Deliver:
 		}
 	}
 }
@@ -177,9 +181,12 @@
 	}
 	c.job = &job{
 		promptTokens: c.promptTokens, remaining: c.remainingTokens(g.sim.scenario.Engine.Stride), harmful: c.prompt.harmful,
-		onStart: a.started, onEvent: func() { a.reply(c.eventReceived) }, onEnd: a.end,
+		onStart: a.started, onEvent: func() { a.reply(a.eventReceived) }, onEnd: a.end,
 	}
-	g.sim.clock.after(a.delay, func() { a.arrive(c.job) })
+	c.attempt = a
+	a.watch(send.FirstByteSilence, send.FirstByteTimeout)
+	j := c.job
+	g.sim.clock.after(a.delay, func() { a.arrive(j) })
 }
 
 // applyNotice delivers a loader's notice.
