--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -15,7 +15,7 @@
 
 // Settings configure a Core.
 type Settings struct {
-	// Self distinguishes this entry from others.
+	// Self is the address of this entry. It distinguishes the entry from others.
 	Self   string
 	Region fleet.Region
 	// Regions maps each failure domain to its region.
@@ -141,6 +141,10 @@
 	declined declinedStarts
 	// place is the place of this entry among those that divide the shared budgets.
 	place quota.Place
+	// stopEnd is when a planned stop is over; zero if none has begun.
+	stopEnd time.Time
+	// answerTimes holds the times of the answers of each route.
+	answerTimes map[string]*answerTime
 }
 
 // New returns a core without a view. It rejects requests until Update gives it
@@ -158,6 +162,7 @@
 		limits:      newLimiter(),
 		declined:    declinedStarts{},
 		place:       quota.Place{Processes: minProcesses},
+		answerTimes: map[string]*answerTime{},
 	}
 }
 
@@ -236,8 +241,13 @@
 	}
 	if v.Config != nil {
 		maps.DeleteFunc(c.timeBudgets, func(name string, _ time.Duration) bool { return !v.Config.HasRoute(name) })
+		maps.DeleteFunc(c.answerTimes, func(name string, _ *answerTime) bool { return !v.Config.HasRoute(name) })
 	}
 	for _, p := range v.Upstreams {
+		if p.Address == c.settings.Self {
+			// Requests would come back as new ones until all slots of it are taken.
+			continue
+		}
 		u := c.mergeUpstream(now, old[p.ID], p)
 		c.upstreams[p.ID] = u
 		s := c.service(now, p.Service)
@@ -259,6 +269,7 @@
 	}
 	for _, s := range c.services {
 		s.sortByRegion()
+		s.boundSlots()
 	}
 	c.expireNotices(now)
 	c.retainLimits(now)
@@ -337,6 +348,9 @@
 	r.suspect = suspectedTrait(d)
 	c.requests[ticket] = r
 	s := c.service(now, r.service)
+	if !c.endsInTime(now, s, r) {
+		return c.giveUp(now, r, stopReason)
+	}
 	s.retryBudget.RecordFirst(now)
 	if !r.returning {
 		s.demand.add(now)
@@ -378,7 +392,7 @@
 		return
 	}
 	r.upstream.observe(now, o)
-	r.upstream.recordAlive(now)
+	r.recordAlive(now)
 	c.declined.observe(now, r.upstream.startKey(), o)
 	if c.limits.table.Observe(now, r.sentAt, r.upstream.startKey(), o.Limit) {
 		c.applyLimits(now)
@@ -392,7 +406,7 @@
 		return nil
 	}
 	r.releasePrompt()
-	r.upstream.recordAlive(now)
+	r.recordAlive(now)
 	c.recordBegan(now, r)
 	return c.drain(now)
 }
--- a/lib/dispatch/request.go
+++ b/lib/dispatch/request.go
@@ -36,6 +36,8 @@
 	upstream *upstream
 	// promptPending is set until the upstream begins to respond.
 	promptPending bool
+	// heardAt is when an upstream last responded to this request.
+	heardAt time.Time
 	// silence describes the silence of the current attempt; nil while there is none.
 	silence *Silence
 	// reserved is the upstream that keeps a place for the request until its interrupted
@@ -55,6 +57,8 @@
 	// suspect is the suspected trait whose upstream the request may go to; 0 if it
 	// may go to any. It is constant while the request is in one queue.
 	suspect poison.Trait
+	// interrupted is set once the attempt was interrupted at the end of a planned stop.
+	interrupted bool
 }
 
 func (c *Core) newRequest(now time.Time, t Ticket, call Call, route *published.Route, customer *published.Customer) *request {
