--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -237,7 +237,15 @@
 		"cut early in a stop":      {review, stopped(3*time.Second, time.Second, 0), "LOST", "LOST"},
 		"cut at the end of a stop": {review, stopped(3*time.Second, 1900*time.Millisecond, 0), "", ""},
 		"sent late in a stop":      {review, stopped(2*time.Second, 2900*time.Millisecond, 1500*time.Millisecond), "LOST", ""},
-		"outcome unknown":          {order, unknown, "UNKNOWN", "UNKNOWN"},
+		"refused at the end of a stop": {review, func(r *records, sent *request, a *answer, run *replicaRun) {
+			stopped(2*time.Second, 2900*time.Millisecond, 1500*time.Millisecond)(r, sent, a, run)
+			a.status, a.complete = http.StatusBadGateway, true
+		}, "", ""},
+		"refused early in a stop": {review, func(r *records, sent *request, a *answer, run *replicaRun) {
+			stopped(2*time.Second, 1900*time.Millisecond, 1500*time.Millisecond)(r, sent, a, run)
+			a.status, a.complete = http.StatusBadGateway, true
+		}, "UNKNOWN", "UNKNOWN"},
+		"outcome unknown": {order, unknown, "UNKNOWN", "UNKNOWN"},
 		"outcome unknown, no run": {order, func(r *records, sent *request, a *answer, run *replicaRun) {
 			unknown(r, sent, a, run)
 			clear(r.runs)
--- a/soak/ending.go
+++ b/soak/ending.go
@@ -90,8 +90,9 @@
 	return min(sent.deadline, routeTimeout)
 }
 
-// endOfStop reports whether a planned stop of its gateway may have ended a request. In
-// an untimed soak, a slow process may also read a request late.
+// endOfStop reports whether a planned stop of its gateway may have ended a request. One
+// that was sent late may be refused then, but not be cut. In an untimed soak, a slow
+// process may also read a request late.
 func (v *verification) endOfStop(sent *request, a answer, timed bool) bool {
 	return slices.ContainsFunc(v.stops, func(s plannedStop) bool {
 		ending := s.at.Add(graceTime - endOfGrace)
@@ -101,7 +102,7 @@
 		worked := slices.ContainsFunc(v.records.runs[sent.attempt], func(run replicaRun) bool {
 			return run.end == running || run.endedAt.After(ending)
 		})
-		return !timed || worked && !a.wholeAt.After(s.at.Add(lateRequestTime+clockSlack))
+		return !timed || a.complete || worked && !a.wholeAt.After(s.at.Add(lateRequestTime+clockSlack))
 	})
 }
 
