--- a/emulator/call.go
+++ b/emulator/call.go
@@ -30,6 +30,8 @@
 	late      bool
 	done      bool
 	job       *job
+	// attempt is the last attempt of the call.
+	attempt *attempt
 }
 
 // remainingTokens returns the number of tokens that an engine has yet to
@@ -46,6 +48,12 @@
 	}
 	c.events++
 	c.lastEventAt = now
+	events := c.events
+	c.sim.clock.after(c.class.gapPatience(), func() {
+		if c.events == events {
+			c.expire()
+		}
+	})
 }
 
 // completed records that all events have arrived.
@@ -74,7 +82,7 @@
 // failed records that the request ended without an answer.
 func (c *call) failed() { c.finish(outcomeFailed) }
 
-// expire ends a call whose deadline has passed.
+// expire ends a call whose deadline has passed, or whose caller bears no longer gap.
 func (c *call) expire() {
 	if c.done {
 		return
