dispatch: a stream that begins during a stop leaves time for a pause of its engine

What callers saw: a stream cut at the end of a planned stop (LOST). Cause: a stream was taken if its expected duration fits, and an engine may be silent for a second or two. Change: a stream that has not begun leaves 2 s more, at most half of the stop; otherwise it is rejected as not run at once, with 0.2 s until it should come back, at another gateway.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -143,6 +143,8 @@
 	place quota.Place
 	// stopEnd is when a planned stop is over; zero if none has begun.
 	stopEnd time.Time
+	// stopReserve is the time that a request during the stop leaves beside its expected time.
+	stopReserve time.Duration
 	// answerTimes holds the times of the answers of each route.
 	answerTimes map[string]*answerTime
 }
--- a/lib/dispatch/stop.go
+++ b/lib/dispatch/stop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/retry"
 )
 
@@ -10,6 +11,14 @@
 // Another entry can serve them at once.
 const stopRetryAfter = 200 * time.Millisecond
 
+// A stream that begins during a stop must leave time for its upstream to be silent for a
+// moment, since it is cut if it still runs at the end: maxStopReserve, or the length of the
+// stop by stopReserveDivisor if that is shorter.
+const (
+	maxStopReserve     = 2 * time.Second
+	stopReserveDivisor = 2
+)
+
 // loadedSlowdown is the factor by which an answer may take longer at an engine with all of
 // its slots in use. A stream that is cut at the end costs more than one that begins elsewhere.
 const loadedSlowdown = 2
@@ -29,6 +38,7 @@
 func (c *Core) Stop(now, end time.Time) []Action {
 	if c.stopEnd.IsZero() || end.Before(c.stopEnd) {
 		c.stopEnd = end
+		c.stopReserve = min(maxStopReserve, end.Sub(now)/stopReserveDivisor)
 	}
 	return c.drain(now)
 }
@@ -70,7 +80,11 @@
 	if !r.deadline.After(c.stopEnd) {
 		return r.deadline
 	}
-	return c.stopEnd.Add(-c.expectedTime(s, r))
+	latest := c.stopEnd.Add(-c.expectedTime(s, r))
+	if r.route.Kind == published.Streaming && !r.begun {
+		return latest.Add(-c.stopReserve)
+	}
+	return latest
 }
 
 // waitUntil returns when a queued request is rejected, with regard to a planned stop.
