dispatch: equal runs of the core give equal results again

Cause: the core went through the silent requests, and through the queues of a service, in the order of maps. Change: queues are gone through in the order of their keys, silent requests in their order, beginning after the one with which the last round ended.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"rattanspur.example/lib/admission"
@@ -65,6 +66,10 @@
 // one upstream do not block others.
 type regionQueues map[string]*requestQueue
 
+// keys returns the keys in their order. The order of the map would make equal runs of the
+// core differ.
+func (r regionQueues) keys() []string { return slices.Sorted(maps.Keys(r)) }
+
 // length returns the number of waiting requests in all queues.
 func (r regionQueues) length() int {
 	n := 0
@@ -128,9 +133,11 @@
 	requests  map[Ticket]*request
 	// silent holds the requests whose attempt is silent; see silence.go.
 	silent map[Ticket]*request
-	// movedAt is when places for them were last looked for.
-	movedAt  time.Time
-	detector *poison.Detector
+	// movedAt is when places for them were last looked for, and movedLast is the request
+	// with which that ended.
+	movedAt   time.Time
+	movedLast Ticket
+	detector  *poison.Detector
 	// timeBudgets holds the longest time budget of a caller for each route. The
 	// budget of a caller that retries is shorter.
 	timeBudgets map[string]time.Duration
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -162,7 +162,8 @@
 }
 
 func (c *Core) drainQueues(now time.Time, s *service, queues regionQueues, actions []Action) []Action {
-	for key, q := range queues {
+	for _, key := range queues.keys() {
+		q := queues[key]
 		actions = c.drainQueue(now, s, q, actions)
 		if q.Len() == 0 {
 			delete(queues, key)
--- a/lib/dispatch/silence.go
+++ b/lib/dispatch/silence.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -110,14 +111,16 @@
 // moveSilent interrupts the silent attempts whose requests can go on elsewhere. It looks
 // for places at most once in moveInterval, and ends after maxSearches in vain, since many
 // attempts may be silent at once. One search in vain counts for all requests that may go to
-// the same upstreams. The order of a map is random, so that all get their turn.
+// the same upstreams. A round begins after the request with which the last one ended, so that
+// all get their turn.
 func (c *Core) moveSilent(now time.Time, actions []Action) []Action {
 	if now.Sub(c.movedAt) < moveInterval {
 		return actions
 	}
 	c.movedAt = now
 	inVain := map[silentGroup]bool{}
-	for _, r := range c.silent {
+	for _, ticket := range c.silentInTurn() {
+		r := c.silent[ticket]
 		d := c.decide(now, r)
 		group := r.silentGroup(d)
 		if inVain[group] || !c.mayLeave(now, r, d) {
@@ -129,12 +132,27 @@
 		}
 		inVain[group] = true
 		if len(inVain) == maxSearches {
+			c.movedLast = ticket
 			break
 		}
 	}
 	return actions
 }
 
+// silentInTurn returns the silent requests in their order, beginning after the last one that
+// was looked at. The order of a map would make equal runs of the core differ.
+func (c *Core) silentInTurn() []Ticket {
+	if len(c.silent) == 0 {
+		return nil
+	}
+	tickets := slices.Sorted(maps.Keys(c.silent))
+	first, found := slices.BinarySearch(tickets, c.movedLast)
+	if found {
+		first++
+	}
+	return slices.Concat(tickets[first:], tickets[:first])
+}
+
 // silentGroup identifies the silent requests that may go to the same upstreams.
 type silentGroup struct {
 	service  fleet.Service
--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -164,8 +164,8 @@
 func (c *Core) sweep(now time.Time, s *service, queues regionQueues, actions []Action) []Action {
 	var moved []admission.Item[*request]
 	remove := func(r *request) bool { return c.abandoned(r) || c.misplaced(now, r) }
-	for _, q := range queues {
-		for _, it := range q.Expire(now, remove) {
+	for _, key := range queues.keys() {
+		for _, it := range queues[key].Expire(now, remove) {
 			r := it.Value
 			d := c.decide(now, r)
 			switch {
