--- a/lib/staging/staging.go
+++ b/lib/staging/staging.go
@@ -49,6 +49,9 @@
 	retryDelay = 200 * time.Millisecond
 )
 
+// MaxPieceBytes bounds the size of a piece, which is read into memory.
+const MaxPieceBytes = 16 << 20
+
 // ErrUnanswered means that an order got no answer, so that the engine may have accepted
 // it.
 var ErrUnanswered = errors.New("the engine has not answered the order")
--- a/loader/serve.go
+++ b/loader/serve.go
@@ -26,15 +26,12 @@
 	if m.Model != model || m.Version != version || len(m.Digests) == 0 {
 		return nil, eris.Errorf("manifest from peer is for model %q version %d", m.Model, m.Version)
 	}
-	if m.PieceBytes <= 0 || m.PieceBytes > maxPieceBytes {
-		return nil, eris.Errorf("manifest from peer has pieces of %d bytes, the limit is %d", m.PieceBytes, maxPieceBytes)
+	if m.PieceBytes <= 0 || m.PieceBytes > staging.MaxPieceBytes {
+		return nil, eris.Errorf("manifest from peer has pieces of %d bytes, the limit is %d", m.PieceBytes, staging.MaxPieceBytes)
 	}
 	return &m, nil
 }
 
-// maxPieceBytes bounds the size of a piece, which is read into memory.
-const maxPieceBytes = 16 << 20
-
 // peerHandler serves manifests, sets of available pieces and pieces to other
 // loaders.
 func (l *Loader) peerHandler() http.Handler {
