Review: after silent store connections a removed replica stays in use

Looked for: how long a gateway that is in touch may use a replica that has left, when it learns of that in other ways than by its watch.

Done: a script with two gateways behind proxies to the store. Their open connections to it fall silent for good while new ones work; 0.1 s later the entry of a replica is removed.

--- a/review/standin/desk.go
+++ b/review/standin/desk.go
@@ -25,7 +25,10 @@
 	// bodies maps the requests that ran to the body that was made for each.
 	bodies map[string]string
 	runs   map[string]int
+	ranAt  map[string]time.Time
 	busy   int
+	// withdrawn says that the entry was removed from the store.
+	withdrawn bool
 }
 
 const deskSlots = 6
@@ -33,7 +36,7 @@
 func (w *world) newDesk(id, service, zone string) *desk {
 	d := &desk{
 		world: w, id: id, service: service, zone: zone, bornAt: time.Now().UnixMilli(), work: 15 * time.Millisecond,
-		bodies: map[string]string{}, runs: map[string]int{},
+		bodies: map[string]string{}, runs: map[string]int{}, ranAt: map[string]time.Time{},
 	}
 	d.address = w.serve(w.newHost(), d)
 	d.register("ready")
@@ -41,12 +44,10 @@
 		for {
 			time.Sleep(1200 * time.Millisecond)
 			d.mu.Lock()
-			gone := d.bornAt == 0
-			d.mu.Unlock()
-			if gone {
-				return
+			if !d.withdrawn {
+				d.register("ready")
 			}
-			d.register("ready")
+			d.mu.Unlock()
 		}
 	}()
 	return d
@@ -60,6 +61,15 @@
 	})
 }
 
+// withdraw removes the replica's entry from the store. The replica goes on serving. It returns
+// the time of the acknowledgement.
+func (d *desk) withdraw() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.withdrawn = true
+	return d.world.store.remove("servers/" + d.id)
+}
+
 func (d *desk) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -79,6 +89,7 @@
 	full := busy > deskSlots
 	if !full {
 		d.runs[id]++
+		d.ranAt[id] = time.Now()
 		d.bodies[id] = fmt.Sprintf("result of %s at %s for %d bytes\n", id, d.id, len(body))
 	}
 	text := d.bodies[id]
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -90,6 +91,8 @@
 	zone  string
 	// app is the address of the replica on the machine; empty on an edge machine.
 	app, service string
+	// store is where the machine reaches the store; empty for the store's own address.
+	store string
 }
 
 func (w *world) newMachine(name, zone string) *machine {
@@ -127,7 +130,7 @@
 		},
 		"app": m.app, "service": m.service,
 		"platform": map[string]any{
-			"address": w.storeAddress, "form": "read", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1 << 20,
+			"address": cmp.Or(m.store, w.storeAddress), "form": "read", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1 << 20,
 		},
 	})
 	if err != nil {
