Review: a loader that was frozen orders a spoilt piece to be loaded

Looked for: decisions on what was read earlier, by a process that stood still in between, for rules that hold always.

Done: a script with nine loaders and engines. One loader is stopped for 3.35 s while it verifies the pieces at its engine; one that it has verified turns bad right after the begin.

--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -101,11 +101,24 @@
 	running  int
 	runs     int
 	conns    map[net.Conn]bool
+	host     string
+	// rottenAt is when pieces turned bad, taken what was bad when the last order was accepted,
+	// badLayer the part of that which nothing excuses, and spoilt the runs made with it.
+	rottenAt map[int]time.Time
+	taken    []string
+	badLayer string
+	spoilt   map[string]string
+	// onVerify, if set, is called while the loader reads back a piece of version 2.
+	onVerify func()
+	verified bool
 }
 
 // newEngine starts an engine that holds version 1, which is also stored there.
 func (w *world) newEngine(id, zone, host string) *engine {
-	e := &engine{world: w, id: id, zone: zone, up: true, born: time.Now().UnixMilli(), version: 1, staged: map[int][]byte{}, conns: map[net.Conn]bool{}}
+	e := &engine{
+		world: w, id: id, zone: zone, up: true, born: time.Now().UnixMilli(), version: 1, staged: map[int][]byte{}, conns: map[net.Conn]bool{},
+		host: host, rottenAt: map[int]time.Time{}, spoilt: map[string]string{},
+	}
 	for i := range pieceCount {
 		e.staged[i] = pieceData(1, i)
 	}
@@ -200,6 +213,7 @@
 		number, _ := strconv.Atoi(r.URL.Query().Get("num"))
 		e.mu.Lock()
 		e.staged[number] = body
+		delete(e.rottenAt, number)
 		e.mu.Unlock()
 	case r.URL.Path == "/rattanspur/stage-get/"+modelName:
 		e.serveStaged(w, r)
@@ -220,6 +234,9 @@
 		return
 	}
 	number, _ := strconv.Atoi(r.URL.Query().Get("num"))
+	if e.verifying(number) {
+		e.onVerify()
+	}
 	data, ok := e.staged[number]
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -248,6 +265,7 @@
 	default:
 		e.loading = true
 		e.sequence++
+		e.take(o.Version)
 		born := e.born
 		go func() {
 			time.Sleep(loadTime)
@@ -276,6 +294,9 @@
 	default:
 		e.running++
 		e.runs++
+		if e.badLayer != "" {
+			e.spoilt[id] = e.badLayer
+		}
 	}
 	running, born := e.running, e.born
 	e.mu.Unlock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,6 +11,7 @@
 // cases maps the names of the cases to their functions, which return what broke the rule.
 var cases = map[string]func(w *world) []string{
 	"interim-status":  playInterimStatus,
+	"frozen-loader":   playFrozenLoader,
 	"silent-store":    playSilentStore,
 	"spoilt-manifest": playSpoiltManifest,
 }
