--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -99,9 +99,13 @@
 	sequence int64
 	staged   map[int][]byte
 	running  int
-	runs     int
 	conns    map[net.Conn]bool
 	host     string
+	// parts is the number of events of a stream, and gap the time before each. ran holds the
+	// requests that ran.
+	parts, slots int
+	gap          time.Duration
+	ran          map[string]bool
 	// rottenAt is when pieces turned bad, taken what was bad when the last order was accepted,
 	// badLayer the part of that which nothing excuses, and spoilt the runs made with it.
 	rottenAt map[int]time.Time
@@ -118,6 +122,7 @@
 	e := &engine{
 		world: w, id: id, zone: zone, up: true, born: time.Now().UnixMilli(), version: 1, staged: map[int][]byte{}, conns: map[net.Conn]bool{},
 		host: host, rottenAt: map[int]time.Time{}, spoilt: map[string]string{},
+		parts: streamParts, gap: streamGap, slots: engineSlots, ran: map[string]bool{},
 	}
 	for i := range pieceCount {
 		e.staged[i] = pieceData(1, i)
@@ -166,7 +171,7 @@
 		return
 	}
 	for name, value := range map[string]any{
-		"service": "llm-desk", "address": e.address, "zone": e.zone, "version": "1", "slots": engineSlots, "state": "ready", "cold_left_ms": 0,
+		"service": "llm-desk", "address": e.address, "zone": e.zone, "version": "1", "slots": e.slots, "state": "ready", "cold_left_ms": 0,
 	} {
 		entry[name] = value
 	}
@@ -289,18 +294,18 @@
 	switch {
 	case r.Header.Get("Rattanspur-Expect-Replica") != e.id, expected != "" && expected != fmt.Sprint(version):
 		status = http.StatusMisdirectedRequest
-	case version == 0 || e.loading || e.running >= engineSlots:
+	case version == 0 || e.loading || e.running >= e.slots:
 		status = http.StatusServiceUnavailable
 	default:
 		e.running++
-		e.runs++
+		e.ran[id] = true
 		if e.badLayer != "" {
 			e.spoilt[id] = e.badLayer
 		}
 	}
 	running, born := e.running, e.born
 	e.mu.Unlock()
-	w.Header().Set("Rattanspur-Replica-Load", fmt.Sprintf("%d,0,%d", running, engineSlots))
+	w.Header().Set("Rattanspur-Replica-Load", fmt.Sprintf("%d,0,%d", running, e.slots))
 	if status != http.StatusOK {
 		w.Header().Set("Rattanspur-Not-Executed", "1")
 		w.WriteHeader(status)
@@ -318,18 +323,22 @@
 	w.Header().Set("Rattanspur-Weight-Versions", fmt.Sprint(version))
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for i := last + 1; i <= streamParts; i++ {
-		time.Sleep(streamGap)
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: part %d of %d\n\n", i, i, streamParts); err != nil {
+	for i := last + 1; i <= e.parts; i++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(e.gap):
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: part %d of %d\n\n", i, i, e.parts); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
-// wholeStream reports whether a body holds all events of a stream.
-func wholeStream(body string) bool {
-	for i := 1; i <= streamParts; i++ {
+// whole reports whether a body holds all events of a stream.
+func (e *engine) whole(body string) bool {
+	for i := 1; i <= e.parts; i++ {
 		if !strings.Contains(body, fmt.Sprintf("id: %d\n", i)) {
 			return false
 		}
--- a/review/standin/manifest.go
+++ b/review/standin/manifest.go
@@ -99,8 +99,8 @@
 	r["goal_ms"], r["gap_goal_ms"], r["resumable"] = 400, 300, true
 	c := configuration([]any{r}, []any{
 		map[string]any{"name": "llm-desk", "health_path": "/healthz", "engine": map[string]any{
-			"slots": engineSlots, "layers": layerCount, "layer_mb": 4540, "size_mb": 297000, "step_ms": 7.4, "per_seq_ms": 0.0387,
-			"read_per_s": 31900, "chunks": pieceCount, "chunk_bytes": pieceBytes, "models": []any{map[string]any{"name": modelName}},
+			"slots": w.engineSlots, "layers": layerCount, "layer_mb": 4540, "size_mb": 297000, "step_ms": w.engineStep, "per_seq_ms": 0.0387,
+			"read_per_s": w.engineReads, "chunks": pieceCount, "chunk_bytes": pieceBytes, "models": []any{map[string]any{"name": modelName}},
 		}},
 		map[string]any{"name": "haulage-desk", "origin": originAddress, "zone": "accra-a", "link_mbps": 15, "max_conns": 48},
 	})
@@ -108,6 +108,9 @@
 	w.store.put("op/config", c)
 }
 
+// wholeStream reports whether a body holds all events of a stream of streamParts.
+func wholeStream(body string) bool { return (&engine{parts: streamParts}).whole(body) }
+
 // traffic is a steady rate of streaming requests.
 type traffic struct {
 	world  *world
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -39,6 +39,10 @@
 	record       *record
 	hosts        int
 	basePort     int
+	// engineStep and engineReads are what the configuration says of engines: ms for a token,
+	// and prompt tokens read in a second.
+	engineStep, engineReads float64
+	engineSlots             int
 }
 
 // errCannotRun ends a case that could not be carried out: exit status 2.
@@ -54,7 +58,7 @@
 	}
 	w := &world{
 		trouble: os.Getenv("TROUBLE") != "0", program: program, dir: dir, store: newStore(),
-		record: newRecord(filepath.Join(folder, "record.txt")),
+		record: newRecord(filepath.Join(folder, "record.txt")), engineStep: 7.4, engineReads: 31900, engineSlots: engineSlots,
 	}
 	w.basePort = 18000 + os.Getpid()%200*50
 	w.storeAddress = w.serve(w.newHost(), w.store)
