--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -84,6 +84,12 @@
 	}
 }
 
+// beginning is the begin of a request.
+type beginning struct {
+	version int64
+	at      time.Time
+}
+
 // engine stands in for a model replica.
 type engine struct {
 	world   *world
@@ -106,6 +112,10 @@
 	parts, slots int
 	gap          time.Duration
 	ran          map[string]bool
+	// begun holds when requests began, with their first event, and on which version. loadedAt
+	// is when the engine last finished to load.
+	begun    map[string]beginning
+	loadedAt time.Time
 	// rottenAt is when pieces turned bad, taken what was bad when the last order was accepted,
 	// badLayer the part of that which nothing excuses, and spoilt the runs made with it.
 	rottenAt map[int]time.Time
@@ -122,7 +132,7 @@
 	e := &engine{
 		world: w, id: id, zone: zone, up: true, born: time.Now().UnixMilli(), version: 1, staged: map[int][]byte{}, conns: map[net.Conn]bool{},
 		host: host, rottenAt: map[int]time.Time{}, spoilt: map[string]string{},
-		parts: streamParts, gap: streamGap, slots: engineSlots, ran: map[string]bool{},
+		parts: streamParts, gap: streamGap, slots: engineSlots, ran: map[string]bool{}, begun: map[string]beginning{},
 	}
 	for i := range pieceCount {
 		e.staged[i] = pieceData(1, i)
@@ -277,7 +287,7 @@
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			if e.up && e.born == born {
-				e.version, e.loading = o.Version, false
+				e.version, e.loading, e.loadedAt = o.Version, false, time.Now()
 			}
 		}()
 	}
@@ -329,6 +339,11 @@
 			return
 		case <-time.After(e.gap):
 		}
+		if i == last+1 {
+			e.mu.Lock()
+			e.begun[id] = beginning{version, time.Now()}
+			e.mu.Unlock()
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: part %d of %d\n\n", i, i, e.parts); err != nil {
 			return
 		}
--- a/review/standin/frozen.go
+++ b/review/standin/frozen.go
@@ -45,7 +45,7 @@
 	}
 	w.waitReady(edge)
 	time.Sleep(3 * time.Second)
-	t := w.newTraffic(edge.front())
+	t := w.newTraffic(edge.front(), requestInterval)
 	t.start()
 	time.Sleep(2 * time.Second)
 	e, p := engines[0], loaders[0]
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(w *world) []string{
 	"interim-status":  playInterimStatus,
 	"frozen-loader":   playFrozenLoader,
+	"late-version":    playLateVersion,
 	"planned-stop":    playPlannedStop,
 	"silent-store":    playSilentStore,
 	"spoilt-manifest": playSpoiltManifest,
--- a/review/standin/manifest.go
+++ b/review/standin/manifest.go
@@ -33,7 +33,7 @@
 	}
 	w.waitReady(edge)
 	time.Sleep(3 * time.Second)
-	t := w.newTraffic(edge.front())
+	t := w.newTraffic(edge.front(), requestInterval)
 	t.start()
 	time.Sleep(5 * time.Second)
 	served, sent := t.count(time.Time{}, time.Now().Add(-2*time.Second))
@@ -116,17 +116,19 @@
 	world  *world
 	client *client
 	front  string
-	quit   chan struct{}
-	wg     sync.WaitGroup
-	mu     sync.Mutex
-	all    []reply
+	// interval is the time between two requests.
+	interval time.Duration
+	quit     chan struct{}
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	all      []reply
 }
 
-func (w *world) newTraffic(front string) *traffic {
-	return &traffic{world: w, client: w.newClient(), front: front, quit: make(chan struct{})}
+func (w *world) newTraffic(front string, interval time.Duration) *traffic {
+	return &traffic{world: w, client: w.newClient(), front: front, interval: interval, quit: make(chan struct{})}
 }
 
-// requestInterval is the time between two requests.
+// requestInterval is the time between two requests in most cases.
 const requestInterval = 50 * time.Millisecond
 
 func (t *traffic) start() {
@@ -137,7 +139,7 @@
 			select {
 			case <-t.quit:
 				return
-			case <-time.After(requestInterval):
+			case <-time.After(t.interval):
 			}
 			t.wg.Add(1)
 			go t.one(fmt.Sprintf("%08x%08x", os.Getpid(), i))
