--- a/review/standin/desk.go
+++ b/review/standin/desk.go
@@ -27,6 +27,9 @@
 	runs   map[string]int
 	ranAt  map[string]time.Time
 	busy   int
+	// arrivedAt holds when requests arrived that were meant for this replica.
+	arrivedAt []time.Time
+	coldUntil time.Time
 	// withdrawn says that the entry was removed from the store.
 	withdrawn bool
 }
@@ -57,7 +60,7 @@
 func (d *desk) register(state string) time.Time {
 	return d.world.store.put("servers/"+d.id, map[string]any{
 		"service": d.service, "address": d.address, "zone": d.zone, "version": "1", "slots": deskSlots, "state": state,
-		"cold_left_ms": 0, "sequence": 0, "born": d.bornAt,
+		"cold_left_ms": max(time.Until(d.coldUntil).Milliseconds(), 0), "sequence": 0, "born": d.bornAt,
 	})
 }
 
@@ -84,6 +87,7 @@
 		return
 	}
 	d.mu.Lock()
+	d.arrivedAt = append(d.arrivedAt, time.Now())
 	d.busy++
 	busy := d.busy
 	full := busy > deskSlots
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -122,6 +122,8 @@
 	taken    []string
 	badLayer string
 	spoilt   map[string]string
+	// readTime is the time that it takes to hand out a stored piece.
+	readTime time.Duration
 	// onVerify, if set, is called while the loader reads back a piece of version 2.
 	onVerify func()
 	verified bool
@@ -238,6 +240,7 @@
 }
 
 func (e *engine) serveStaged(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(e.readTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !r.URL.Query().Has("num") {
--- a/review/standin/frozen.go
+++ b/review/standin/frozen.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -17,6 +18,8 @@
 	// verified before.
 	frozenAt    = 24
 	rottenPiece = 3
+	// slowRead is how long a slow engine takes to hand out a piece.
+	slowRead = 150 * time.Millisecond
 	// sideMachines is the number of side machines, as on the sheet: one that freezes is 0.11.
 	sideMachines = 9
 )
@@ -49,7 +52,11 @@
 	t.start()
 	time.Sleep(2 * time.Second)
 	e, p := engines[0], loaders[0]
-	if w.trouble {
+	if w.trouble && os.Getenv("VARIANT") == "slow" {
+		// No machine freezes. The engine takes its time for each piece that it hands out.
+		e.readTime = slowRead
+		e.onVerify = func() { go e.rot(rottenPiece) }
+	} else if w.trouble {
 		e.onVerify = func() {
 			p.signal(syscall.SIGSTOP)
 			w.record.say("%s freezes while its loader verifies piece %d of version 2", p.machine.name, frozenAt)
--- a/review/standin/link.go
+++ b/review/standin/link.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"io"
 	"net"
 	"sync"
 )
@@ -85,9 +84,6 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
-				return
-			}
 			return
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,6 +10,7 @@
 
 // cases maps the names of the cases to their functions, which return what broke the rule.
 var cases = map[string]func(w *world) []string{
+	"herd":            playHerd,
 	"interim-status":  playInterimStatus,
 	"frozen-loader":   playFrozenLoader,
 	"late-version":    playLateVersion,
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -60,11 +60,33 @@
 		trouble: os.Getenv("TROUBLE") != "0", program: program, dir: dir, store: newStore(),
 		record: newRecord(filepath.Join(folder, "record.txt")), engineStep: 7.4, engineReads: 31900, engineSlots: engineSlots,
 	}
-	w.basePort = 18000 + os.Getpid()%200*50
+	w.choosePorts()
 	w.storeAddress = w.serve(w.newHost(), w.store)
 	return w
 }
 
+// choosePorts chooses a range of ports that are free on a host of the case. All machines use
+// the same ports, each on a host of its own.
+func (w *world) choosePorts() {
+	const first, step, ranges, size = 18000, 50, 200, 26
+	host := w.newHost()
+	for i := range ranges {
+		base := first + (os.Getpid()+i)%ranges*step
+		free := true
+		for port := base; port < base+size && free; port++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
+			if free = err == nil; free {
+				_ = l.Close()
+			}
+		}
+		if free {
+			w.basePort = base
+			return
+		}
+	}
+	cannotRun("no range of ports is free")
+}
+
 // newHost returns a loopback address that nothing else of the case uses.
 func (w *world) newHost() string {
 	w.hosts++
@@ -175,6 +197,8 @@
 	cmd := exec.Command(w.program, p.role)
 	cmd.Env = append(os.Environ(), "RATTANSPUR_SETTINGS="+p.machine.settings(p.role))
 	cmd.Stdout, cmd.Stderr = log, log
+	// A process does not outlive the case, also if that is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		cannotRun("start %s: %v", p.role, err)
 	}
