--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/rattanspur ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin planned-stop review/3 target/rattanspur
+exec target/review-standin frozen-loader review/3 target/rattanspur
