exchange, agent: a status that excludes its content is no answer

Cause: the exchange took the first head for the final one, whatever its status, and net/http adds an implicit 200 when a handler returns after 1xx. Below 100 WriteHeader panicked. 204 and 205 beside a stated content and 101 ended as answers without one too; at the agent 000, 101 and 204 did.

The framing is the evidence: a wrong digit in the status line leaves the rest of the head as it was.

--- a/agent/ending_test.go
+++ b/agent/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -94,3 +95,17 @@
 		require.Contains(t, passed, `"outcome":"unknown"`)
 	}
 }
+
+// Guards against an empty answer that counts as complete, and against a panic of the entry:
+// a status line with a wrong digit states a status without content, or one that does not
+// exist.
+func TestAnswerWithAnImpossibleStatusIsNotRelayed(t *testing.T) {
+	for _, status := range []string{"000", "099", "100", "101", "204", "205", "600", "999"} {
+		a := scriptedAgent(t, socktest.Respond("HTTP/1.1 "+status+" OK\r\nContent-Length: 4\r\n\r\nbody", socktest.FIN))
+		call := testCall(context.Background(), fleet.Digest{}, "")
+		require.Equal(t, gate.ConnectionLost, a.sendUpstream(call), status)
+		part, err := call.stream.Take(context.Background())
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, part.Head.Status, status)
+	}
+}
--- a/lib/exchange/conn.go
+++ b/lib/exchange/conn.go
@@ -9,7 +9,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"slices"
 	"time"
@@ -90,14 +89,6 @@
 	}
 }
 
-// readHead reads the head of a response to a request with the given method.
-func (c *Conn) readHead(method string) (*http.Response, error) {
-	c.limit.limited, c.limit.left = true, sock.MaxHeadBytes
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	c.limit.limited = false
-	return resp, err
-}
-
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.net.Close() }
 
