loader: an order follows within 1.5 s of the first read of its verification

Cause: the pieces at the engine were verified one after the other and the order followed the last read, however old the first was. A process that stood still in between, or an engine that takes 150 ms a piece, made it 3 s and more.

Change: the order is given only while its verification is at most 1.5 s old, by a clock that counts suspended time too (lib/boottime); a longer one is repeated. Pieces are read in parallel, by up to 16 piece verifiers, if the first read shows that one by one takes too long. The evidence is that the fault shows with a freeze and with a slow engine alike: it depends on the age alone.

--- a/loader/enginetask.go
+++ b/loader/enginetask.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"rattanspur.example/lib/staging"
 )
 
@@ -34,9 +32,6 @@
 	data      [][]byte
 }
 
-// errCorruptPiece means that a piece stored at the engine failed verification.
-var errCorruptPiece = eris.New("piece stored at the engine does not match its SHA-256 digest")
-
 // startTask passes a task to the engine worker. It returns false if the worker
 // is still busy with the previous one.
 func (c *coordinator) startTask(ctx context.Context, t engineTask) bool {
@@ -110,21 +105,12 @@
 	return nil
 }
 
-// orderLoad reads every piece back and verifies it right before the order,
-// because pieces stored at the engine may have become corrupt.
+// orderLoad verifies the pieces at the engine right before the order, because they may
+// have become corrupt.
 func (l *Loader) orderLoad(ctx context.Context, t engineTask) error {
-	for n := range t.data {
-		data, err := l.engine.Get(ctx, t.manifest.Model, n)
-		if err != nil {
-			return err
-		}
-		if t.manifest.Verify(n, data) {
-			continue
-		}
-		_ = l.logger.Log("event", "piece-spoilt", "version", t.manifest.Version, "piece", n)
-		return errCorruptPiece
-	}
-	return l.engine.OrderLoad(ctx, t.manifest.Model, t.manifest.Version, t.sequence)
+	return l.verifiedOrder(ctx, t.manifest, func(ctx context.Context) error {
+		return l.engine.OrderLoad(ctx, t.manifest.Model, t.manifest.Version, t.sequence)
+	})
 }
 
 // handleTaskDone records the result of a task in the copy and the staging core.
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"rattanspur.example/lib/boottime"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/pacing"
@@ -129,18 +130,23 @@
 	views    *ring.Ring[*published.View]
 	// events go to the coordinator; the rings below carry its requests to the
 	// duties that do the I/O.
-	events         *ring.Ring[event]
-	fetches        *ring.Ring[fetch]
-	queries        *ring.Ring[query]
-	tasks          *ring.Ring[engineTask]
+	events  *ring.Ring[event]
+	fetches *ring.Ring[fetch]
+	queries *ring.Ring[query]
+	tasks   *ring.Ring[engineTask]
+	// checks go to the piece verifiers, and their results to the engine worker.
+	checks         *ring.Ring[pieceCheck]
+	checked        *ring.Ring[checkedPiece]
 	rosterRequests *ring.Ring[struct{}]
 	notices        *ring.Ring[notice]
 	// reportIntervals carries a changed poll interval to the report reader.
 	reportIntervals *ring.Ring[time.Duration]
 	peers           *http.Client
 	uploadLink      *pacing.Link
-	logger          log.Logger
-	metrics         *loaderMetrics
+	// uptime is a clock that also counts while the machine is suspended.
+	uptime  func() time.Duration
+	logger  log.Logger
+	metrics *loaderMetrics
 }
 
 // New returns a loader that Run starts. The engine is nil for a seeder.
@@ -157,11 +163,14 @@
 		fetches:         ring.New[fetch](fetchers, ring.Wait),
 		queries:         ring.New[query](64, ring.Refuse),
 		tasks:           ring.New[engineTask](4, ring.Refuse),
+		checks:          ring.New[pieceCheck](maxParallelReads, ring.Wait),
+		checked:         ring.New[checkedPiece](maxParallelReads, ring.Wait),
 		rosterRequests:  ring.New[struct{}](1, ring.DropOldest),
 		notices:         ring.New[notice](2, ring.DropOldest),
 		reportIntervals: ring.New[time.Duration](1, ring.DropOldest),
 		peers:           &http.Client{Transport: sock.Transport(limits.MaxInFlightPerPeer)},
 		uploadLink:      pacing.NewLink(s.UploadRate),
+		uptime:          boottime.Now,
 		logger:          logger,
 		metrics:         newMetrics(),
 	}
@@ -177,6 +186,9 @@
 	if l.engine != nil {
 		group.Go("report reader", l.runReportReader)
 		group.Go("engine worker", l.runEngineWorker)
+		for range maxParallelReads {
+			group.Go("piece verifier", l.runPieceVerifier)
+		}
 		group.Go("notifier", l.runNotifier)
 	}
 	for range fetchers {
