loader: a wrong manifest is found by its pieces and corrected

Cause: the first manifest was kept for the life of the copy and handed to all peers, and each sound piece that disagreed counted against its sender.

Change: corruption does not come out the same twice, so a piece whose rejected content arrives again puts the manifest in doubt (staging.ManifestCheck). It is read again, past peers that have the same one, and replaced by one that lists that content. Digests that verified pieces prove stay; the transfer begins anew, so that nothing counts against the senders. The evidence is two facts that agree: the bytes that came twice and the digest of the other manifest.

--- a/loader/copytransfer.go
+++ b/loader/copytransfer.go
@@ -43,6 +43,9 @@
 			vc.core = c.newTransfer(now, vc)
 			c.step(ctx, now, vc, transfer.PeersChanged{Peers: c.peers()})
 		}
+		if vc.check.Due(now) {
+			c.requestManifest(ctx, now, vc)
+		}
 		c.step(ctx, now, vc, transfer.Tick{})
 	}
 }
@@ -53,16 +56,16 @@
 	}, limits, now)
 }
 
-// requestManifest queues a query for the manifest, unless one is pending or its
-// retry is not due yet.
+// requestManifest queues a query for the manifest, or for one that corrects it if it is in
+// doubt, unless one is pending or its retry is not due yet.
 func (c *coordinator) requestManifest(ctx context.Context, now time.Time, vc *versionCopy) {
 	if vc.manifestRequested || now.Before(vc.retryAt) || c.roster.Origin == "" {
 		return
 	}
 	placement := transfer.NewPlacement(c.self(), c.peers(), c.roster.OriginRegion, fleet.Digest{byte(vc.version)}, limits.Fetchers)
-	waited := now.Sub(later(vc.startedAt, vc.originQueriedAt))
+	waited := now.Sub(later(later(vc.startedAt, vc.check.Since()), vc.originQueriedAt))
 	sources := placement.ManifestSources(c.self(), false, waited, originManifestDelay)
-	q := query{version: vc.version, model: c.model, origin: c.roster.Origin, sources: sources}
+	q := query{version: vc.version, model: c.model, origin: c.roster.Origin, sources: sources, doubt: vc.check.Doubt(vc.manifest)}
 	vc.manifestRequested = c.loader.queries.Put(ctx, q) == nil
 	if vc.manifestRequested && slices.Contains(sources, transfer.Source{Kind: transfer.FromOrigin}) {
 		vc.originQueriedAt = now
@@ -87,17 +90,23 @@
 
 func (c *coordinator) handleManifest(now time.Time, ev manifestRead) {
 	vc := c.copies[ev.version]
-	if vc == nil || vc.manifest != nil {
+	if vc == nil || vc.manifest != ev.doubted {
 		// The copy was dropped meanwhile, or was created anew and knows its manifest.
 		return
 	}
 	vc.manifestRequested = false
-	if ev.err != nil {
+	switch {
+	case ev.err != nil && ev.doubted != nil:
+		vc.check.NotCorrected(now)
+	case ev.err != nil:
 		vc.retryAt = now.Add(manifestRetryInterval)
-		return
+	case ev.doubted != nil:
+		vc.correct(ev.manifest)
+		_ = c.loader.logger.Log("event", "manifest-corrected", "version", vc.version, "pieces", vc.pieces)
+	default:
+		vc.manifest = ev.manifest
+		vc.data = make([][]byte, len(ev.manifest.Digests))
 	}
-	vc.manifest = ev.manifest
-	vc.data = make([][]byte, len(ev.manifest.Digests))
 }
 
 // step passes an event to the transfer of a copy and carries out its actions.
@@ -126,8 +135,11 @@
 	_ = c.loader.logger.Log("event", "piece", "version", ev.version, "piece", ev.ended.Index, "peer", ev.ended.Source.Peer,
 		"source", sourceNames[ev.ended.Source.Kind], "outcome", outcomeNames[ev.ended.Outcome],
 		"took", ev.took.Seconds(), "err", ev.err)
-	if ev.ended.Outcome == transfer.Verified {
+	switch ev.ended.Outcome {
+	case transfer.Verified:
 		vc.add(ev.ended.Index, ev.data)
+	case transfer.Corrupt:
+		vc.check.Reject(now, ev.ended.Index, ev.rejected)
 	}
 	c.step(ctx, now, vc, ev.ended)
 }
--- a/loader/duties.go
+++ b/loader/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -200,6 +201,7 @@
 	case ev.err != nil:
 		ev.ended.Outcome = transfer.Failed
 	case !f.manifest.Verify(f.number, ev.data):
+		ev.rejected = sha256.Sum256(ev.data)
 		ev.ended.Outcome, ev.data = transfer.Corrupt, nil
 		ev.err = eris.New("piece does not match its SHA-256 digest")
 	default:
@@ -243,8 +245,10 @@
 	model   string
 	origin  string
 	sources []transfer.Source
-	have    *transfer.RequestHave
-	pieces  int
+	// doubt is what a manifest has to correct, or nil if any counts.
+	doubt  *staging.Doubt
+	have   *transfer.RequestHave
+	pieces int
 }
 
 // runQuerier sends queries to peers and the origin, one at a time. Several
@@ -283,18 +287,28 @@
 	}}
 }
 
-// queryManifest queries the sources in order until one returns the manifest.
+// errNotCorrected means that no source has a manifest that corrects the one in doubt.
+var errNotCorrected = errors.New("no source corrects the manifest")
+
+// queryManifest queries the sources in order until one returns the manifest, or one that
+// corrects the manifest in doubt.
 func (l *Loader) queryManifest(ctx context.Context, q query) event {
 	ev := manifestRead{version: q.version, err: errAbsent}
+	if q.doubt != nil {
+		ev.doubted = q.doubt.Manifest()
+	}
 	for _, s := range q.sources {
 		if s.Kind == transfer.FromPeer {
 			ev.manifest, ev.err = l.manifestFromPeer(ctx, s.Peer, q)
 		} else {
 			ev.manifest, ev.err = l.origin.Manifest(ctx, q.origin, q.model, q.version)
 		}
-		if ev.err == nil {
+		if ev.err == nil && (q.doubt == nil || q.doubt.CorrectedBy(ev.manifest)) {
 			return ev
 		}
+		if ev.err == nil {
+			ev.manifest, ev.err = nil, errNotCorrected
+		}
 	}
 	return ev
 }
--- a/loader/event.go
+++ b/loader/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/staging"
@@ -26,7 +27,9 @@
 type manifestRead struct {
 	version  int64
 	manifest *staging.Manifest
-	err      error
+	// doubted is the manifest that is to be corrected, nil if none was known.
+	doubted *staging.Manifest
+	err     error
 }
 
 // pieceRead carries the result of a request for a piece. Its data has passed
@@ -36,6 +39,8 @@
 	// manifest is the one that the request was made by.
 	manifest *staging.Manifest
 	data     []byte
+	// rejected is the SHA-256 digest of what arrived if the outcome is Corrupt.
+	rejected fleet.Digest
 	ended    transfer.ChunkEnded
 	took     time.Duration
 	err      error
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -88,6 +88,9 @@
 	// that of in-flight queries.
 	fetchers = 4
 	queriers = 4
+	// fetchRing is the number of requests for pieces that may wait: those of two versions, and
+	// of transfers that began anew beside the requests of the ones before.
+	fetchRing = 4 * fetchers
 	// activeReportInterval is the interval between two reads of the engine's
 	// report during an update, idleReportInterval the one between updates.
 	activeReportInterval = 100 * time.Millisecond
@@ -160,7 +163,7 @@
 		watcher:         w,
 		views:           w.Subscribe(),
 		events:          ring.New[event](256, ring.Wait),
-		fetches:         ring.New[fetch](fetchers, ring.Wait),
+		fetches:         ring.New[fetch](fetchRing, ring.Wait),
 		queries:         ring.New[query](64, ring.Refuse),
 		tasks:           ring.New[engineTask](4, ring.Refuse),
 		checks:          ring.New[pieceCheck](maxParallelReads, ring.Wait),
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -40,9 +40,10 @@
 
 // fakeOrigin serves every version and counts the requests for pieces. If
 // corruptFirst is set, its first response for each piece is corrupt. If down is
-// set, all requests fail.
+// set, all requests fail. spoil changes the first manifests, one each.
 type fakeOrigin struct {
 	mu              sync.Mutex
+	spoil           []func(m *staging.Manifest)
 	corruptFirst    bool
 	down            bool
 	requestsByPiece map[int]int
@@ -59,6 +60,10 @@
 	for i := range testPieces {
 		m.Digests = append(m.Digests, sha256.Sum256(piece(version, i)))
 	}
+	if len(o.spoil) > 0 {
+		o.spoil[0](m)
+		o.spoil = o.spoil[1:]
+	}
 	return m, nil
 }
 
--- a/loader/versioncopy.go
+++ b/loader/versioncopy.go
@@ -20,6 +20,8 @@
 	// manifestRequested is set while a query for the manifest is pending.
 	manifestRequested bool
 	retryAt           time.Time
+	// check holds what speaks against the manifest.
+	check staging.ManifestCheck
 	// originQueriedAt is when the origin was last queried for the manifest.
 	originQueriedAt time.Time
 	// searching is set while the engine is searched for stored pieces, searched
@@ -41,6 +43,17 @@
 	return s
 }
 
+// correct replaces the manifest by one that another corrected. The pieces that were verified
+// stay, and the transfer begins anew, since it holds against its sources what they sent.
+func (vc *versionCopy) correct(other *staging.Manifest) {
+	sameLength := len(other.Digests) == len(vc.data)
+	vc.manifest = vc.manifest.Corrected(other, func(i int) bool { return sameLength && vc.data[i] != nil })
+	vc.check, vc.core = staging.ManifestCheck{}, nil
+	if !sameLength {
+		vc.data, vc.pieces = make([][]byte, len(other.Digests)), 0
+	}
+}
+
 func (vc *versionCopy) add(number int, data []byte) {
 	if vc.data[number] == nil {
 		vc.data[number] = data
