--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -71,7 +71,7 @@
 	debug.SetMemoryLimit(s.MemoryBytes / 2)
 	out := logline.New(os.Stdout)
 	logger := out.Logger(string(s.Instance))
-	w := watcher.New(platform.NewStore(s.Store), "", s.Bounds.MaxConfigDelay, logger)
+	w := watcher.New(platform.NewStore(s.Store), "", s.Bounds.WatchWait(), logger)
 	g := gateway.New(gatewaySettings(s), platform.Codec{}, w, logger)
 	return runWithLog(out, g, func(s *platform.Settings) {
 		_ = logger.Log("event", "reload", "seeds", len(s.Seeds))
--- /dev/null
+++ b/lib/watcher/reader.go
@@ -0,0 +1,165 @@
+package watcher
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"rattanspur.example/lib/duty"
+	"rattanspur.example/lib/published"
+)
+
+const (
+	// retryMin and retryMax bound the delay after a failed read, before jitter.
+	retryMin = 100 * time.Millisecond
+	retryMax = 800 * time.Millisecond
+	// batchDelay is the delay between a read that returned changes, or a watch that
+	// returned at once, and the next one. Further changes accumulate meanwhile, which
+	// saves calls to the store.
+	batchDelay = 250 * time.Millisecond
+	// resumeWait is the wait of a watch that only reads what was missed.
+	resumeWait = time.Millisecond
+)
+
+// readKind is how the source is read next.
+type readKind uint8
+
+const (
+	// readSnapshot reads all items. What is missing may have expired while the source was
+	// unavailable.
+	readSnapshot readKind = iota
+	// readWatch waits for changes.
+	readWatch
+	// readMissed reads the changes since the last read, after a watch that failed. If the
+	// source answers, only the connection was at fault: it was available all the time, and
+	// what it removed is gone.
+	readMissed
+)
+
+// sourceReads is the state of the duty readSource.
+type sourceReads struct {
+	next readKind
+	// revision is the revision after which the next watch starts.
+	revision published.Revision
+	delay    time.Duration
+	// unavailable is set from the first logged failure of an outage to its end.
+	unavailable bool
+}
+
+// readSource reads the source until ctx ends.
+func (w *Watcher) readSource(ctx context.Context) error {
+	w.reads.delay = retryMin
+	for ctx.Err() == nil {
+		kind, startedAt := w.reads.next, time.Now()
+		u, err := w.readOnce(ctx, kind)
+		if err != nil {
+			w.readFailed(ctx, kind, time.Since(startedAt), err)
+			continue
+		}
+		// A watch without changes waits at the store, unless that is at fault.
+		pause := len(u.Changes) > 0 || kind == readWatch && time.Since(startedAt) < batchDelay
+		w.readSucceeded(kind, &u)
+		if w.updates.Put(ctx, u) != nil {
+			return nil
+		}
+		if pause {
+			_ = duty.Sleep(ctx, batchDelay)
+		}
+	}
+	return nil
+}
+
+// readOnce reads the source in one way.
+func (w *Watcher) readOnce(ctx context.Context, kind readKind) (u Update, err error) {
+	switch kind {
+	case readSnapshot:
+		u.Snapshot = true
+		u.Batch, err = w.source.Snapshot(ctx, w.prefix, false)
+	case readWatch:
+		u.Batch, err = w.source.Watch(ctx, w.prefix, w.reads.revision, w.wait)
+	case readMissed:
+		u.Batch, err = w.source.Watch(ctx, w.prefix, w.reads.revision, resumeWait)
+	}
+	if err == nil {
+		err = w.checkEra(&u)
+	}
+	return u, err
+}
+
+// readSucceeded records a read and completes its update.
+func (w *Watcher) readSucceeded(kind readKind, u *Update) {
+	r := &w.reads
+	w.logRegained()
+	if kind == readWatch {
+		// A store may answer everything else while none of its watches can be read.
+		r.delay = retryMin
+	}
+	if u.Revision.Era() > r.revision.Era() {
+		_ = w.logger.Log("event", "store-restored", "revision", u.Revision, "known", r.revision)
+	}
+	for _, f := range u.Findings {
+		_ = w.logger.Log("event", "item-unreadable", "err", f)
+	}
+	r.next, r.revision = readWatch, u.Revision
+}
+
+// readFailed chooses the next read after one that failed, and waits until it is due. After a
+// watch the changes that were missed are read at once, on another connection, unless the
+// watch failed at once as well.
+func (w *Watcher) readFailed(ctx context.Context, kind readKind, took time.Duration, err error) {
+	r := &w.reads
+	r.next = readSnapshot
+	history := !errors.Is(err, published.ErrCompacted) && !errors.Is(err, errOtherEra)
+	w.logLost(ctx, err)
+	if kind == readWatch && history {
+		r.next = readMissed
+	}
+	if r.next == readMissed && took >= batchDelay {
+		return
+	}
+	w.readFallback(ctx)
+	jitter := time.Duration(rand.Int64N(int64(r.delay)))
+	_ = duty.Sleep(ctx, r.delay/2+jitter)
+	r.delay = min(2*r.delay, retryMax)
+}
+
+// readFallback reads the fallback once, if there is one.
+func (w *Watcher) readFallback(ctx context.Context) {
+	if w.fallback == nil || ctx.Err() != nil {
+		return
+	}
+	if b, err := w.fallback.Snapshot(ctx, w.prefix); err == nil {
+		_ = w.updates.Put(ctx, Update{Batch: b, FromPeer: true})
+	}
+}
+
+// logLost logs the first failed read of an outage, except for compaction and restores.
+func (w *Watcher) logLost(ctx context.Context, err error) {
+	if w.reads.unavailable || ctx.Err() != nil || errors.Is(err, published.ErrCompacted) || errors.Is(err, errOtherEra) {
+		return
+	}
+	w.reads.unavailable = true
+	_ = w.logger.Log("event", "dependency-lost", "dependency", "store", "revision", w.reads.revision, "err", err)
+}
+
+// logRegained logs the end of an outage.
+func (w *Watcher) logRegained() {
+	if w.reads.unavailable {
+		w.reads.unavailable = false
+		_ = w.logger.Log("event", "dependency-regained", "dependency", "store", "revision", w.reads.revision)
+	}
+}
+
+// errOtherEra ends a read of the source that belongs to another era than the last one.
+var errOtherEra = errors.New("read of another era of the store")
+
+// checkEra returns an error if changes may be missing from a read because the source was
+// restored meanwhile, or if the read is of an earlier era than a previous one.
+func (w *Watcher) checkEra(u *Update) error {
+	era, known := u.Revision.Era(), w.reads.revision.Era()
+	if era < known || era > known && !u.Snapshot {
+		return errOtherEra
+	}
+	return nil
+}
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log"
@@ -28,13 +26,6 @@
 }
 
 const (
-	// retryMin and retryMax bound the delay after a failed read, before jitter.
-	retryMin = 100 * time.Millisecond
-	retryMax = 800 * time.Millisecond
-	// batchDelay is the delay between a read that returned changes, or a watch that
-	// returned at once, and the next one. Further changes accumulate meanwhile, which
-	// saves calls to the store.
-	batchDelay = 250 * time.Millisecond
 	// expireInterval is the time between two checks for expired upstreams.
 	expireInterval = 250 * time.Millisecond
 )
@@ -63,10 +54,8 @@
 	peerInterval time.Duration
 	views        []*ring.Ring[*published.View]
 	queries      *ring.Ring[query]
-	// lastRevision is the revision after which the next watch starts. It and
-	// unavailable are owned by the duty readSource.
-	lastRevision published.Revision
-	unavailable  bool
+	// reads is the state of the duty readSource.
+	reads sourceReads
 }
 
 // query is a peer's request for the changes after a revision.
@@ -149,99 +138,6 @@
 	return nil
 }
 
-// readSource reads the source until ctx ends.
-func (w *Watcher) readSource(ctx context.Context) error {
-	delay := retryMin
-	needSnapshot := true
-	for ctx.Err() == nil {
-		var u Update
-		var err error
-		startedAt := time.Now()
-		if needSnapshot {
-			u.Snapshot = true
-			u.Batch, err = w.source.Snapshot(ctx, w.prefix, false)
-		} else {
-			u.Batch, err = w.source.Watch(ctx, w.prefix, w.lastRevision, w.wait)
-		}
-		if err == nil {
-			err = w.checkEra(&u)
-		}
-		if err != nil {
-			// Registrations may have expired meanwhile, and only a snapshot shows
-			// which items are missing.
-			needSnapshot = true
-			w.logLost(ctx, err)
-			w.readFallback(ctx)
-			jitter := time.Duration(rand.Int64N(int64(delay)))
-			_ = duty.Sleep(ctx, delay/2+jitter)
-			delay = min(2*delay, retryMax)
-			continue
-		}
-		w.logRegained()
-		if !u.Snapshot {
-			// A store may answer snapshots while none of its watches can be read.
-			delay = retryMin
-		}
-		needSnapshot = false
-		if u.Revision.Era() > w.lastRevision.Era() {
-			_ = w.logger.Log("event", "store-restored", "revision", u.Revision, "known", w.lastRevision)
-		}
-		w.lastRevision = u.Revision
-		// A watch without changes waits at the store, unless that is at fault.
-		pause := len(u.Changes) > 0 || !u.Snapshot && time.Since(startedAt) < batchDelay
-		for _, f := range u.Findings {
-			_ = w.logger.Log("event", "item-unreadable", "err", f)
-		}
-		if w.updates.Put(ctx, u) != nil {
-			return nil
-		}
-		if pause {
-			_ = duty.Sleep(ctx, batchDelay)
-		}
-	}
-	return nil
-}
-
-// readFallback reads the fallback once, if there is one.
-func (w *Watcher) readFallback(ctx context.Context) {
-	if w.fallback == nil || ctx.Err() != nil {
-		return
-	}
-	if b, err := w.fallback.Snapshot(ctx, w.prefix); err == nil {
-		_ = w.updates.Put(ctx, Update{Batch: b, FromPeer: true})
-	}
-}
-
-// logLost logs the first failed read of an outage, except for compaction and restores.
-func (w *Watcher) logLost(ctx context.Context, err error) {
-	if w.unavailable || ctx.Err() != nil || errors.Is(err, published.ErrCompacted) || errors.Is(err, errOtherEra) {
-		return
-	}
-	w.unavailable = true
-	_ = w.logger.Log("event", "dependency-lost", "dependency", "store", "revision", w.lastRevision, "err", err)
-}
-
-// logRegained logs the end of an outage.
-func (w *Watcher) logRegained() {
-	if w.unavailable {
-		w.unavailable = false
-		_ = w.logger.Log("event", "dependency-regained", "dependency", "store", "revision", w.lastRevision)
-	}
-}
-
-// errOtherEra ends a read of the source that belongs to another era than the last one.
-var errOtherEra = errors.New("read of another era of the store")
-
-// checkEra returns an error if changes may be missing from a read because the source was
-// restored meanwhile, or if the read is of an earlier era than a previous one.
-func (w *Watcher) checkEra(u *Update) error {
-	era, known := u.Revision.Era(), w.lastRevision.Era()
-	if era < known || era > known && !u.Snapshot {
-		return errOtherEra
-	}
-	return nil
-}
-
 // logOlder logs how many changes of the source were dropped as older than what is known.
 func (w *Watcher) logOlder(u *Update, older int) {
 	if older == 0 || u.FromPeer {
