published, watcher: a version that is seen late counts from when it was absent

Cause: the update window began with the read that brought the version, also if reads had failed for seconds before it, at all processes alike, so that the ages they exchange did not correct it.

Change: an update after failed reads carries when the source was last read, and the version counts from then. The same holds after a pause of the process, by a clock that also counts suspended time, and for a loader whose own watch was silent while it read its peers. The window then includes all of the time in which the version may have been published, so no engine is updated too late.

--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -229,8 +229,9 @@
 	// last written again. It distinguishes it from earlier times at which the same
 	// version was desired.
 	Revision Revision
-	// FirstSeen is when the first of this process and its peers saw the version;
-	// zero if unknown, as for a version in the first snapshot.
+	// FirstSeen is when the first of this process and its peers saw the version, or last
+	// knew that it was absent if its reads failed or it was paused meanwhile; zero if
+	// unknown, as for a version in the first snapshot.
 	FirstSeen time.Time
 	// Previous lists the versions that were desired before, the newest first.
 	// Each still becomes due by its own FirstSeen.
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -66,6 +66,9 @@
 	// since when.
 	era      uint64
 	eraSince time.Time
+	// absentUntil is when the changes that are applied next were last known to be absent;
+	// zero if that is the time at which they are applied.
+	absentUntil time.Time
 	// older counts the changes that were dropped because a newer one of their key is
 	// known.
 	older int
@@ -98,6 +101,11 @@
 // View returns the current view.
 func (s *State) View() *View { return s.view }
 
+// SetAbsentUntil sets when the changes that are applied next were last known to be absent;
+// zero means until they are applied. A version may have been published at any time since
+// then.
+func (s *State) SetAbsentUntil(at time.Time) { s.absentUntil = at }
+
 // Apply applies changes of the store, in their order, up to a revision. It reports
 // whether the view changed.
 func (s *State) Apply(now time.Time, changes []Change, revision Revision) bool {
@@ -278,6 +286,9 @@
 	// A version in the first snapshot may have been published long before.
 	if s.hasSnapshot {
 		d.FirstSeen = now
+		if !s.absentUntil.IsZero() {
+			d.FirstSeen = s.absentUntil
+		}
 	}
 	if ok {
 		last := PreviousVersion{Version: previous.Version, Revision: previous.Revision, FirstSeen: previous.FirstSeen}
--- a/lib/watcher/missed_test.go
+++ b/lib/watcher/missed_test.go
@@ -69,8 +69,8 @@
 }
 
 // playSilence returns how long after the begin of the silence the removed upstream left the
-// view.
-func playSilence(t *testing.T, s *silentSource) (removedAfter time.Duration) {
+// view, and the time by which the version that was named then was first seen.
+func playSilence(t *testing.T, s *silentSource) (removedAfter time.Duration, firstSeenBefore time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		begin := time.Now()
 		s.silentFrom = begin.Add(5 * time.Second)
@@ -81,35 +81,78 @@
 		views := w.Subscribe()
 		g := duty.NewGroup(context.Background())
 		w.Start(g)
-		for removedAfter == 0 {
+		for removedAfter == 0 || firstSeenBefore == 0 {
 			v := next(t, views)
 			if len(v.Upstreams) == 1 && removedAfter == 0 {
 				removedAfter = time.Since(s.silentFrom)
 			}
+			if d := v.Desired["m"]; d.Version == 2 && firstSeenBefore == 0 {
+				firstSeenBefore = s.silentFrom.Sub(d.FirstSeen)
+			}
 		}
 		g.Stop()
 		require.NoError(t, g.Wait())
 	})
-	return removedAfter
+	return removedAfter, firstSeenBefore
 }
 
 // Guards against an upstream that stays in use because its removal was missed while the
-// connection was silent.
+// connection was silent, and against an update window that begins with the end of the
+// silence.
 func TestChangesThatASilentWatchMissed(t *testing.T) {
 	s := &silentSource{}
-	removedAfter := playSilence(t, s)
+	removedAfter, firstSeenBefore := playSilence(t, s)
 	require.LessOrEqual(t, removedAfter, testWait, "the history is read once the watch has failed")
+	require.GreaterOrEqual(t, firstSeenBefore, time.Duration(0))
+	require.LessOrEqual(t, firstSeenBefore, testWait)
 	require.Equal(t, 1, s.snapshots)
 }
 
-// Guards against upstreams that are given up because their registrations expired in an
-// outage.
+// Guards against an update window that begins with the end of an outage, and against
+// upstreams that are given up because their registrations expired in it.
 func TestChangesThatAnOutageMissed(t *testing.T) {
 	s := &silentSource{compacted: true}
-	removedAfter := playSilence(t, s)
+	removedAfter, firstSeenBefore := playSilence(t, s)
 	require.GreaterOrEqual(t, removedAfter, published.LapseGrace)
+	require.GreaterOrEqual(t, firstSeenBefore, time.Duration(0))
 
 	synctest.Test(t, func(*testing.T) { s = &silentSource{downUntil: time.Now().Add(9 * time.Second)} })
-	removedAfter = playSilence(t, s)
+	removedAfter, firstSeenBefore = playSilence(t, s)
 	require.GreaterOrEqual(t, removedAfter, 4*time.Second+published.LapseGrace)
+	require.GreaterOrEqual(t, firstSeenBefore, time.Duration(0))
+	require.LessOrEqual(t, firstSeenBefore, testWait)
+}
+
+// Guards against an update window that begins when a paused process goes on, though the
+// change had arrived before.
+func TestChangeThatArrivedDuringAPause(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var o observation
+	uptime := time.Hour
+	o.lastRun = uptime
+	for range 10 {
+		uptime += expireInterval
+		o.run(uptime)
+	}
+	require.Zero(t, o.absentUntil(now, uptime, &Update{}))
+	const pause = 3 * time.Second
+	require.Equal(t, now.Add(-pause), o.absentUntil(now, uptime+pause, &Update{}))
+
+	uptime += pause
+	o.run(uptime + time.Millisecond)
+	require.Equal(t, now.Add(-pause-2*time.Millisecond), o.absentUntil(now, uptime+2*time.Millisecond, &Update{}), "the ticker ran first")
+	uptime += 2 * time.Second
+	o.run(uptime)
+	o.run(uptime + pauseEffect)
+	require.Zero(t, o.absentUntil(now, uptime+2*pauseEffect, &Update{}), "the pause is over")
+}
+
+// Guards against a loader that takes a version for overdue because its own watch was silent
+// for long, though its peers, which it reads all the time, did not have the version.
+func TestPeersTellThatAVersionWasAbsent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := observation{lastRun: time.Hour}
+	o.absentUntil(now, time.Hour, &Update{FromPeer: true, Batch: published.Batch{Revision: 4}})
+	u := Update{Since: now.Add(-30 * time.Second)}
+	require.Equal(t, now.Add(-maxPeerDelay), o.absentUntil(now.Add(time.Second), time.Hour, &u))
 }
--- a/lib/watcher/reader.go
+++ b/lib/watcher/reader.go
@@ -42,7 +42,11 @@
 	next readKind
 	// revision is the revision after which the next watch starts.
 	revision published.Revision
-	delay    time.Duration
+	// succeededAt is when the last read succeeded that no failure followed; failed is set
+	// once a read failed after it.
+	succeededAt time.Time
+	failed      bool
+	delay       time.Duration
 	// unavailable is set from the first logged failure of an outage to its end.
 	unavailable bool
 }
@@ -95,13 +99,16 @@
 		// A store may answer everything else while none of its watches can be read.
 		r.delay = retryMin
 	}
+	if r.failed {
+		u.Since = r.succeededAt
+	}
 	if u.Revision.Era() > r.revision.Era() {
 		_ = w.logger.Log("event", "store-restored", "revision", u.Revision, "known", r.revision)
 	}
 	for _, f := range u.Findings {
 		_ = w.logger.Log("event", "item-unreadable", "err", f)
 	}
-	r.next, r.revision = readWatch, u.Revision
+	r.next, r.revision, r.failed, r.succeededAt = readWatch, u.Revision, false, time.Now()
 }
 
 // readFailed chooses the next read after one that failed, and waits until it is due. After a
@@ -109,7 +116,7 @@
 // watch failed at once as well.
 func (w *Watcher) readFailed(ctx context.Context, kind readKind, took time.Duration, err error) {
 	r := &w.reads
-	r.next = readSnapshot
+	r.next, r.failed = readSnapshot, true
 	history := !errors.Is(err, published.ErrCompacted) && !errors.Is(err, errOtherEra)
 	w.logLost(ctx, err)
 	if kind == readWatch && history {
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 
+	"rattanspur.example/lib/boottime"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
@@ -37,6 +38,9 @@
 	// from a peer.
 	Snapshot bool
 	FromPeer bool
+	// Since is when the source was last known not to have the changes of the batch, if
+	// reads of it failed meanwhile; zero if none did.
+	Since time.Time
 }
 
 // Watcher maintains the published state of one process. One duty reads the
@@ -56,6 +60,8 @@
 	queries      *ring.Ring[query]
 	// reads is the state of the duty readSource.
 	reads sourceReads
+	// uptime is a clock that also counts while the machine is suspended.
+	uptime func() time.Duration
 }
 
 // query is a peer's request for the changes after a revision.
@@ -82,6 +88,7 @@
 		logger:  logger,
 		updates: ring.New[Update](16, ring.Wait),
 		queries: ring.New[query](64, ring.Refuse),
+		uptime:  boottime.Now,
 	}
 }
 
@@ -152,10 +159,12 @@
 	state := published.NewState()
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
+	observed := observation{lastRun: w.uptime()}
 	for {
 		changed := false
 		select {
 		case u := <-w.updates.Out():
+			state.SetAbsentUntil(observed.absentUntil(time.Now(), w.uptime(), &u))
 			changed = apply(state, &u)
 			w.logOlder(&u, state.TakeOlder())
 			changed = state.ApplyAges(time.Now(), u.Ages) || changed
@@ -163,6 +172,7 @@
 		case q := <-w.queries.Out():
 			_ = q.reply.Put(ctx, state.Since(time.Now(), q.after))
 		case <-ticker.C:
+			observed.run(w.uptime())
 			changed = state.Expire(time.Now())
 		case <-ctx.Done():
 			return nil
