dispatch: a planned stop judges streams by an upper bound of their length

Cause: whether a stream may begin was decided by its caller's estimate of the length, which is right at the median only. Requests that may not be repeated were judged by an upper bound, streams were not.

Change: the longest answer that the request allows and the streams of the route so far bound the estimate from below; without either, a stream is expected to last until its deadline. During a stop the attempt lines have what was expected, the hint and the longest answer. The evidence is that all cut streams were first attempts of callers with the low hint.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -168,6 +168,9 @@
 		"left", time.Until(a.Deadline).Seconds(), "end", out.End, "first", out.FirstByte.Seconds(),
 		"version", out.Version, "load", c.load, "limit", c.limit, "waited", a.Waited.Seconds(), "patience", c.call.TimeBudget.Seconds(), "detail", out.Detail,
 	}
+	if c.gateway.stopping() {
+		fields = append(fields, "expected", a.Expected.Seconds(), "hint", c.call.ExpectedAnswerTokens, "most-tokens", c.call.MaxAnswerTokens)
+	}
 	if out.End.Crash() {
 		fields = append(fields, "begun", out.Started || out.FirstByte > 0, "traits", formatTraits(c.call.Traits))
 	}
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -84,6 +84,9 @@
 		send.ExpectVersion = u.servedVersion(now, r.Model, s.published.Engine.Layers)
 		send.DesiredVersion, send.DesiredFor = c.desired(now, r.Model)
 	}
+	if c.stopping() {
+		send.Expected = c.expectedTime(s, r)
+	}
 	setSilenceLimits(&send, r.route)
 	if send.Streaming {
 		send.BeginBy = c.beginBy(r.Model, send.ExpectVersion)
@@ -273,7 +276,13 @@
 // duration estimates how long an engine takes to read the prompt and to generate
 // the answer.
 func (r *request) duration(e *published.Engine) time.Duration {
-	return promptTime(e, r.PromptTokens) + time.Duration(prefillSlowdown*float64(e.TimePerToken)*float64(r.answerTokens()))
+	return promptTime(e, r.PromptTokens) + generationTime(e.TimePerToken, r.answerTokens())
+}
+
+// generationTime estimates how long an engine with a time per token takes to generate an
+// answer.
+func generationTime(timePerToken time.Duration, tokens int) time.Duration {
+	return time.Duration(prefillSlowdown * float64(timePerToken) * float64(tokens))
 }
 
 // answerTokens estimates the length of the answer: by the caller's estimate, or
--- a/lib/dispatch/stop.go
+++ b/lib/dispatch/stop.go
@@ -128,15 +128,36 @@
 			return first
 		}
 		if e.TimePerToken > 0 && r.answerTokens() > 0 {
-			return max(first, loadedSlowdown*r.duration(e))
+			return max(first, loadedSlowdown*r.duration(e), c.longestStream(r, e.TimePerToken))
 		}
 	}
+	if r.route.Kind == published.Streaming {
+		return c.longestStream(r, 0)
+	}
 	if known {
 		return measured.mean + measured.deviation
 	}
 	return 0
 }
 
+// longestStream returns an upper bound of the time that a stream takes: by the longest answer
+// that its request allows, at an engine with a time per token (0 if unknown), and by the
+// streams of its route so far. Callers' estimates do not count, since they are often far too
+// low, and a stream that is cut cannot be answered otherwise any more. 0 for other requests.
+func (c *Core) longestStream(r *request, timePerToken time.Duration) time.Duration {
+	if r.route.Kind != published.Streaming {
+		return 0
+	}
+	longest := generationTime(timePerToken, r.MaxAnswerTokens)
+	if a := c.answerTimes[r.route.Name]; a != nil && a.count >= minAnswers {
+		return max(longest, a.upperBound())
+	}
+	if longest == 0 {
+		return r.deadline.Sub(r.arrived)
+	}
+	return longest
+}
+
 // retryAfter returns the delay after which the caller of a request that has not run
 // should retry.
 func (c *Core) retryAfter(now time.Time, r *request) time.Duration {
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -143,6 +143,9 @@
 	// HoldErrors is set if a server error must be read completely and held
 	// until it is known whether the request is retried.
 	HoldErrors bool
+	// Expected is how long the attempt is expected to take, during a planned stop; 0 if
+	// unknown or without a stop.
+	Expected time.Duration
 	// Waited is the time from the arrival of the request to this attempt.
 	Waited time.Duration
 	// Attempt is the number of this attempt of the request, from 1.
