exchange: the rest of a response that is not used is not read

Cause: the body was closed after the exchange, and net/http reads a body with a stated length or chunks to its end then. Answers of another request and unsigned ones were read on in the same way.

Change: the body is not closed; the connection, which the exchange owns, is closed if bytes are left. A refusal of more than 64 KiB is not taken for read to its end. Clients on http.Transport (entry, agent, loaders) are not affected: it closes the connection of a body that is closed early.

--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -139,6 +139,9 @@
 // exchange that is silent, because the request can go on elsewhere.
 var ErrInterrupted = errors.New("exchange was interrupted for another upstream")
 
+// errBodyTooLarge means that a body was not read to its end because it exceeds maxHeldBytes.
+var errBodyTooLarge = errors.New("body of the response is larger than the limit")
+
 // errCallerWrite ends an exchange whose response cannot be written to the
 // caller.
 var errCallerWrite = errors.New("caller accepts no more bytes")
@@ -191,7 +194,8 @@
 		x.fail(err)
 		return
 	}
-	defer func() { _ = resp.Body.Close() }()
+	// The body is not closed: net/http reads a body to its end then, and a faulty upstream
+	// may send one without end. The connection is closed if bytes are left.
 	h := x.decode(resp)
 	switch {
 	case h.Request != x.request.ID && x.request.ID != "":
@@ -292,7 +296,10 @@
 	x.conn.refused = append(x.conn.refused, x.request.ID)
 	x.conn.limit.outlast = nil
 	x.readDeadline(time.Now().Add(refusalReadTimeout))
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHeldBytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHeldBytes+1))
+	if n > maxHeldBytes {
+		err = errBodyTooLarge
+	}
 	x.finish(resp, h, err)
 }
 
