loader, platform: a piece is read up to the size that its manifest states

Cause: the limit was the largest size that any manifest may state. Change: it is the size of the manifest at hand; what is longer is corrupt, and counts as one content, so that a manifest with a wrong size is found too.

--- a/lib/staging/manifest.go
+++ b/lib/staging/manifest.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"errors"
 
 	"rattanspur.example/lib/fleet"
 )
@@ -16,6 +17,14 @@
 	Digests    []fleet.Digest
 }
 
+var (
+	// ErrPieceTooLarge means that what a source sent for a piece is longer than the manifest
+	// says. It was not read to its end.
+	ErrPieceTooLarge = errors.New("piece is larger than the manifest says")
+	// ErrPieceAbsent means that a piece is not stored at the engine.
+	ErrPieceAbsent = errors.New("piece is not stored at the engine")
+)
+
 // Verify reports whether data is the content of the piece with the given
 // number. Numbers start at 0.
 func (m *Manifest) Verify(number int, data []byte) bool {
--- a/loader/duties.go
+++ b/loader/duties.go
@@ -191,13 +191,16 @@
 		path := weightsPath(f.manifest.Model, f.manifest.Version) + "/pieces/" + strconv.Itoa(f.number)
 		ev.data, ev.err = l.getFromPeer(ctx, f.source.Peer, path, int64(f.manifest.PieceBytes))
 	} else {
-		ev.data, ev.err = l.origin.Piece(ctx, f.origin, f.manifest.Model, f.manifest.Version, f.number)
+		ev.data, ev.err = l.origin.Piece(ctx, f.origin, f.manifest.Model, f.manifest.Version, f.number, f.manifest.PieceBytes)
 	}
 	switch {
 	case errors.Is(ev.err, errBusy):
 		ev.ended.Outcome = transfer.Busy
 	case errors.Is(ev.err, errAbsent):
 		ev.ended.Outcome = transfer.Absent
+	case errors.Is(ev.err, staging.ErrPieceTooLarge):
+		// The manifest may state a wrong size. All that is too large counts as one content.
+		ev.ended.Outcome, ev.rejected = transfer.Corrupt, fleet.Digest{}
 	case ev.err != nil:
 		ev.ended.Outcome = transfer.Failed
 	case !f.manifest.Verify(f.number, ev.data):
--- a/loader/enginetask.go
+++ b/loader/enginetask.go
@@ -79,11 +79,10 @@
 	}
 	found := map[int][]byte{}
 	for i, n := range held {
-		data, err := l.engine.Get(ctx, t.manifest.Model, n)
-		if err != nil {
-			return found, err
-		}
+		data, err := l.engine.Get(ctx, t.manifest.Model, n, t.manifest.PieceBytes)
 		switch {
+		case err != nil && !unusablePiece(err):
+			return found, err
 		case t.manifest.Verify(n, data):
 			found[n] = data
 		case i == 0 && len(found) == 0:
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -30,9 +30,11 @@
 	// the engine has accepted another order since the given sequence was read, and
 	// with staging.ErrUnanswered if the engine did not answer.
 	OrderLoad(ctx context.Context, model string, version, sequence int64) error
-	// Put stores a piece at the engine, and Get reads one back.
+	// Put stores a piece at the engine, and Get reads one of at most limit bytes back. Get
+	// fails with staging.ErrPieceAbsent or staging.ErrPieceTooLarge if the engine has no such
+	// piece.
 	Put(ctx context.Context, model string, number int, data []byte) error
-	Get(ctx context.Context, model string, number int) ([]byte, error)
+	Get(ctx context.Context, model string, number, limit int) ([]byte, error)
 	// Held returns the numbers of the pieces stored at the engine.
 	Held(ctx context.Context, model string) ([]int, error)
 }
@@ -40,7 +42,8 @@
 // Origin is the client of the origins from which weights are fetched.
 type Origin interface {
 	Manifest(ctx context.Context, address, model string, version int64) (*staging.Manifest, error)
-	Piece(ctx context.Context, address, model string, version int64, number int) ([]byte, error)
+	// Piece returns a piece of at most limit bytes, or staging.ErrPieceTooLarge.
+	Piece(ctx context.Context, address, model string, version int64, number, limit int) ([]byte, error)
 }
 
 // Settings configure one loader. A loader without an engine is a seeder: it holds
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -67,7 +67,7 @@
 	return m, nil
 }
 
-func (o *fakeOrigin) Piece(_ context.Context, _, _ string, version int64, number int) ([]byte, error) {
+func (o *fakeOrigin) Piece(_ context.Context, _, _ string, version int64, number, limit int) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.down {
@@ -78,6 +78,9 @@
 	if o.corruptFirst && o.requestsByPiece[number] == 1 {
 		return []byte("corrupt"), nil
 	}
+	if len(piece(version, number)) > limit {
+		return nil, staging.ErrPieceTooLarge
+	}
 	return piece(version, number), nil
 }
 
@@ -130,9 +133,15 @@
 	return nil
 }
 
-func (e *fakeEngine) Get(_ context.Context, _ string, number int) ([]byte, error) {
+func (e *fakeEngine) Get(_ context.Context, _ string, number, limit int) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	switch {
+	case e.staged[number] == nil:
+		return nil, staging.ErrPieceAbsent
+	case len(e.staged[number]) > limit:
+		return nil, staging.ErrPieceTooLarge
+	}
 	if number == e.corruptPiece && !e.corrupted {
 		e.corrupted = true
 		e.staged[number] = []byte("corrupt")
--- a/loader/verify.go
+++ b/loader/verify.go
@@ -58,8 +58,10 @@
 			return nil
 		}
 		checked := checkedPiece{number: check.number}
-		data, err := l.engine.Get(check.ctx, check.manifest.Model, check.number)
+		data, err := l.engine.Get(check.ctx, check.manifest.Model, check.number, check.manifest.PieceBytes)
 		switch {
+		case unusablePiece(err):
+			checked.err = errCorruptPiece
 		case err != nil:
 			checked.err = err
 		case !check.manifest.Verify(check.number, data):
@@ -71,6 +73,12 @@
 	}
 }
 
+// unusablePiece reports whether an error of a read means that the engine does not have the
+// piece, so that it has to be placed again.
+func unusablePiece(err error) bool {
+	return errors.Is(err, staging.ErrPieceTooLarge) || errors.Is(err, staging.ErrPieceAbsent)
+}
+
 // verifiedOrder verifies every piece at the engine and calls order while that verification
 // is at most maxVerificationAge old. A verification that takes longer is repeated.
 func (l *Loader) verifiedOrder(ctx context.Context, m *staging.Manifest, order func(context.Context) error) error {
--- a/loader/verify_test.go
+++ b/loader/verify_test.go
@@ -28,7 +28,7 @@
 	gate func()
 }
 
-func (e *agingEngine) Get(ctx context.Context, model string, number int) ([]byte, error) {
+func (e *agingEngine) Get(ctx context.Context, model string, number, limit int) ([]byte, error) {
 	busy := e.busy.Add(1)
 	defer e.busy.Add(-1)
 	for most := e.most.Load(); busy > most && !e.most.CompareAndSwap(most, busy); most = e.most.Load() {
@@ -36,7 +36,7 @@
 	if e.gate != nil {
 		e.gate()
 	}
-	data, err := e.fakeEngine.Get(ctx, model, number)
+	data, err := e.fakeEngine.Get(ctx, model, number, limit)
 	e.onRead(e.reads.Add(1))
 	return data, err
 }
@@ -155,3 +155,14 @@
 	require.NoError(t, e.Put(context.Background(), testModel, 1, piece(2, 1)))
 	require.NoError(t, l.orderLoad(context.Background(), orderTask()))
 }
+
+// Guards against an engine that never gets weights because a piece is missing there when it
+// is read back, or is far too long: only a wrong content was placed again.
+func TestMissingPieceIsPlacedAgain(t *testing.T) {
+	for name, stored := range map[string][]byte{"missing": nil, "too long": make([]byte, 1<<20)} {
+		e := &agingEngine{fakeEngine: fullEngine(1, 2), onRead: func(int64) {}}
+		e.staged[4] = stored
+		l := verifyingLoader(t, e)
+		require.ErrorIs(t, l.orderLoad(context.Background(), orderTask()), errCorruptPiece, name)
+	}
+}
