soak: wrong statuses, interim responses, wrong manifests, a silent store

Change: replicas send an interim response ahead of one plain answer in 20, and now and then a status line with a wrong digit; one manifest in four has a wrong digest; once or twice all connections to the store fall silent just before a replica leaves. Machines are told contact_ms, after which they count as undisturbed.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -73,6 +73,7 @@
 	f.planChanges(length)
 	f.planRestores(length)
 	f.planLimits(length)
+	f.planStoreSilences(length)
 	f.planPauses(length, pauseLength)
 	slices.SortStableFunc(f.plan, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 }
@@ -223,14 +224,21 @@
 		m := pick(f, f.env.processes()).machine
 		return f.linkFault(m.store, false, m.name, "the store of "+m.name, from, to)
 	}
-	seen := map[*machine]bool{}
+	for _, m := range f.machines() {
+		f.linkFault(m.store, false, m.name, "the store of "+m.name, from, to)
+	}
+	return true
+}
+
+// machines returns the machines of all processes.
+func (f *faultInjector) machines() []*machine {
+	var machines []*machine
 	for _, p := range f.env.processes() {
-		if m := p.machine; !seen[m] {
-			seen[m] = true
-			f.linkFault(m.store, false, m.name, "the store of "+m.name, from, to)
+		if !slices.Contains(machines, p.machine) {
+			machines = append(machines, p.machine)
 		}
 	}
-	return true
+	return machines
 }
 
 // frontFault disturbs the link between callers and one gateway.
@@ -313,6 +321,9 @@
 	// shortly before a restore. Only the last one is written again, so that the store's
 	// revisions stay below those that are known for a while.
 	lostVersions = 40
+	// maxSilentChange is how long after the connections to the store fell silent a replica
+	// leaves at the latest.
+	maxSilentChange = 2500 * time.Millisecond
 	// limitTime is how long replicas name a limit.
 	limitTime = 9 * time.Second
 	// minNamedLimit and maxNamedLimit bound the limits, in tenths of requests per second.
@@ -335,6 +346,19 @@
 	}
 }
 
+// planStoreSilences plans that all open connections to the store fall silent for good, right
+// before changes that they miss.
+func (f *faultInjector) planStoreSilences(length time.Duration) {
+	random := rand.New(rand.NewPCG(f.env.options.Seed, 4))
+	for range 1 + random.IntN(2) {
+		at := time.Duration(random.Int64N(int64(length)))
+		for _, m := range f.machines() {
+			f.addDisturbance(m.name, false, at, at, "the connections of "+m.name+" to the store fall silent", m.store.silence, func() {})
+		}
+		f.drainReplica(at+time.Duration(random.Int64N(int64(maxSilentChange))), 0)
+	}
+}
+
 // planLimits plans that some replicas name limits for a while.
 func (f *faultInjector) planLimits(length time.Duration) {
 	random := rand.New(rand.NewPCG(f.env.options.Seed, 2))
--- a/soak/process.go
+++ b/soak/process.go
@@ -85,7 +85,7 @@
 		"listen": listen, "internal_ports": []int{internalPort, internalPort + 9}, "seeds": seeds,
 		"limits": map[string]any{"memory_mb": memoryMB, "max_fds": 4096, "link_mbps": linkMbps},
 		"bounds": map[string]any{
-			"grace_s": graceTime.Seconds(), "config_apply_ms": configTime.Milliseconds(),
+			"grace_s": graceTime.Seconds(), "contact_ms": undisturbedTime.Milliseconds(), "config_apply_ms": configTime.Milliseconds(),
 			"version_ms": versionTime.Milliseconds(), "retry_budget_ratio": 0.2, "retry_window_s": 10, "retry_reserve": 60,
 			"cold_overrun": 1.5, "cold_slack": 5,
 		},
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -32,6 +32,8 @@
 	// Each kind of faulty answer goes to one in faultOneIn plain requests. About one
 	// in faultOneIn/3 streams breaks.
 	faultOneIn = 150
+	// One plain answer in interimOneIn follows an interim response.
+	interimOneIn = 20
 )
 
 // replicaState is the state of a replica. Each start has its own id.
@@ -357,14 +359,20 @@
 	noAnswer
 	cutAnswer
 	twoAnswers
+	wrongStatus
 )
 
+// wrongStatuses are status lines with a wrong digit: statuses that do not exist, or that have
+// no content.
+var wrongStatuses = []string{"000", "099", "100", "101", "199", "204", "700"}
+
 // plainFault draws the fault of a plain answer. Most values mean that there is none.
 func plainFault(random *rand.Rand) answerFault { return answerFault(random.IntN(faultOneIn)) }
 
 // sendResult answers a plain request after its work, half of the times with a stated
-// length. In rare cases it fails, breaks the connection without an answer or in the
-// middle of one, or sends two answers.
+// length and now and then after an interim response. In rare cases it fails, breaks the
+// connection without an answer or in the middle of one, sends two answers, or one with a wrong
+// status.
 func (r *replica) sendResult(ctx context.Context, w http.ResponseWriter, run *replicaRun, random *rand.Rand) runEnd {
 	if duty.Sleep(ctx, max(workTime, requestedWork(run.body))) != nil || ctx.Err() != nil {
 		abortResponse(w)
@@ -382,8 +390,13 @@
 		_ = http.NewResponseController(w).Flush()
 		abortResponse(w)
 	case twoAnswers:
-		r.sendTwoAnswers(w, run, text)
+		r.sendAnswers(w, run, text, "200", run.attempt, "stray")
+	case wrongStatus:
+		r.sendAnswers(w, run, text, wrongStatuses[random.IntN(len(wrongStatuses))], run.attempt)
 	default:
+		if random.IntN(interimOneIn) == 0 {
+			w.WriteHeader(http.StatusEarlyHints)
+		}
 		if random.IntN(2) == 0 {
 			w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 		}
@@ -402,18 +415,19 @@
 	return sentWhole
 }
 
-// sendTwoAnswers sends a complete answer and then an unsolicited second one, which may
-// end the next request on the connection.
-func (r *replica) sendTwoAnswers(w http.ResponseWriter, run *replicaRun, text string) {
+// sendAnswers sends a complete answer with a status for each attempt, without regard to the
+// framing that the status wants. One for another attempt may end the next request on the
+// connection.
+func (r *replica) sendAnswers(w http.ResponseWriter, run *replicaRun, text, status string, attempts ...string) {
 	defer r.env.ledger.startInterruption(r.link.address)()
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = c.Close() }()
-	for _, id := range []string{run.attempt, "stray"} {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-			headerAttempt, id, headerSignature, run.signature, len(text), text)
+	for _, id := range attempts {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %s OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+			status, headerAttempt, id, headerSignature, run.signature, len(text), text)
 	}
 	time.Sleep(workTime)
 }
--- a/soak/weights.go
+++ b/soak/weights.go
@@ -37,6 +37,8 @@
 	corruptGrace = 3 * time.Second
 	// One in corruptOneIn pieces from the origin is corrupt.
 	corruptOneIn = 10
+	// One manifest in wrongManifestOneIn has a wrong digest.
+	wrongManifestOneIn = 4
 )
 
 // pieceData returns the bytes of one piece of a version of the weights.
@@ -201,7 +203,7 @@
 	return nil
 }
 
-// originHandler serves the weights of all versions. Some pieces are corrupt.
+// originHandler serves the weights of all versions. Some pieces and manifests are corrupt.
 func originHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rattanspur/manifest/"+modelName, func(w http.ResponseWriter, r *http.Request) {
@@ -211,6 +213,10 @@
 			sum := sha256.Sum256(pieceData(version, i))
 			digests = append(digests, hex.EncodeToString(sum[:]))
 		}
+		if rand.IntN(wrongManifestOneIn) == 0 {
+			number := rand.IntN(pieceCount)
+			digests[number] = digests[(number+1)%pieceCount]
+		}
 		wire.WriteJSON(w, map[string]any{
 			"model": modelName, "version": version, "chunk_bytes": pieceSize, "layers": layerCount, "digests": digests,
 		})
