published: a bound of a version's age gives way to an observation

A gateway that was paused for longer than the update window and wakes beside a new version took it for as old as its pause, reported that, and all others believed it, since the earliest report counted: no engine with the older weights could be used any more.

Change: what is known only by absence is marked as a bound in versions and ages. An observation by any process replaces it, the later one of two bounds counts, and observations are compared as before.

--- a/lib/published/ages.go
+++ b/lib/published/ages.go
@@ -35,14 +35,14 @@
 // known and at most maxReportedAge old, the newest first.
 func (d DesiredVersion) ages(now time.Time) []VersionAge {
 	var out []VersionAge
-	add := func(version int64, revision Revision, firstSeen time.Time) {
+	add := func(version int64, revision Revision, firstSeen time.Time, bounded bool) {
 		if age := now.Sub(firstSeen); !firstSeen.IsZero() && age >= 0 && age <= maxReportedAge {
-			out = append(out, VersionAge{Version: version, Number: revision.Number(), Era: revision.Era(), AgeMS: age.Milliseconds()})
+			out = append(out, VersionAge{Version: version, Number: revision.Number(), Era: revision.Era(), AgeMS: age.Milliseconds(), Bounded: bounded})
 		}
 	}
-	add(d.Version, d.Revision, d.FirstSeen)
+	add(d.Version, d.Revision, d.FirstSeen, d.Bounded)
 	for _, p := range d.Previous {
-		add(p.Version, p.Revision, p.FirstSeen)
+		add(p.Version, p.Revision, p.FirstSeen, p.Bounded)
 	}
 	return out
 }
@@ -62,7 +62,8 @@
 // ApplyAges takes over what a peer reports about desired versions, by model. The
 // update window begins with the publication, so the earliest observation of any process
 // counts: a process may have been paused, or been cut off, when a version was
-// published. It reports whether the view changed.
+// published. What such a process knows is only a bound, and the latest bound counts as long as
+// nobody has observed the version at once. It reports whether the view changed.
 func (s *State) ApplyAges(now time.Time, ages map[string][]VersionAge) bool {
 	changed := false
 	for key, d := range s.desired {
@@ -81,7 +82,7 @@
 // withAges returns the desired version with the ages that a peer reports, and
 // whether they differ from what was known. Revisions distinguish a version that became
 // desired again from the earlier time; across a restore of the store, the same version is
-// one that was written again. An earlier observation replaces a later one, and
+// one that was written again. An earlier observation replaces a later one or a bound, and
 // versions that this process missed are added to the previous ones. Reports of newer
 // revisions are ignored, since their item follows, and so are those without a revision.
 func (d DesiredVersion) withAges(now time.Time, ages []VersionAge) (DesiredVersion, bool) {
@@ -93,9 +94,9 @@
 		switch {
 		case revision == 0:
 		case a.Version == d.Version && (revision == d.Revision || revision.Era() != d.Revision.Era()):
-			changed = setEarlier(&d.FirstSeen, firstSeen) || changed
+			changed = refine(&d.FirstSeen, &d.Bounded, firstSeen, a.Bounded) || changed
 		case revision < d.Revision:
-			previous := PreviousVersion{Version: a.Version, Revision: revision, FirstSeen: firstSeen}
+			previous := PreviousVersion{Version: a.Version, Revision: revision, FirstSeen: firstSeen, Bounded: a.Bounded}
 			changed = d.setPrevious(previous) || changed
 		}
 	}
@@ -107,7 +108,7 @@
 func (d *DesiredVersion) setPrevious(reported PreviousVersion) bool {
 	for i := range d.Previous {
 		if p := &d.Previous[i]; p.Revision == reported.Revision {
-			return p.Version == reported.Version && setEarlier(&p.FirstSeen, reported.FirstSeen)
+			return p.Version == reported.Version && refine(&p.FirstSeen, &p.Bounded, reported.FirstSeen, reported.Bounded)
 		}
 	}
 	if full := len(d.Previous) >= maxPreviousVersions; full && reported.Revision < d.Previous[len(d.Previous)-1].Revision {
@@ -119,14 +120,24 @@
 	return true
 }
 
-// setEarlier replaces an unknown time, or one that is later by more than
-// ageTolerance. It reports whether it did.
-func setEarlier(known *time.Time, firstSeen time.Time) bool {
-	if !known.IsZero() && known.Sub(firstSeen) <= ageTolerance {
-		return false
+// refine replaces what is known of the time at which a version was first seen by what a peer
+// reports, if that says more: anything says more than nothing, an observation more than a
+// bound, the earlier one of two observations, and the later one of two bounds. Differences up
+// to ageTolerance do not count. It reports whether it did.
+func refine(known *time.Time, bounded *bool, reported time.Time, reportedBounded bool) bool {
+	better := false
+	switch {
+	case known.IsZero(), *bounded && !reportedBounded:
+		better = true
+	case *bounded:
+		better = reported.Sub(*known) > ageTolerance
+	case !reportedBounded:
+		better = known.Sub(reported) > ageTolerance
 	}
-	*known = firstSeen
-	return true
+	if better {
+		*known, *bounded = reported, reportedBounded
+	}
+	return better
 }
 
 // validAge is the longest age that a peer may report.
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -229,10 +229,11 @@
 	// last written again. It distinguishes it from earlier times at which the same
 	// version was desired.
 	Revision Revision
-	// FirstSeen is when the first of this process and its peers saw the version, or last
-	// knew that it was absent if its reads failed or it was paused meanwhile; zero if
-	// unknown, as for a version in the first snapshot.
+	// FirstSeen is when the first of this process and its peers saw the version; zero if
+	// unknown, as for a version in the first snapshot. If Bounded is set, none of them saw
+	// it at once, and FirstSeen is when it was last known to be absent.
 	FirstSeen time.Time
+	Bounded   bool
 	// Previous lists the versions that were desired before, the newest first.
 	// Each still becomes due by its own FirstSeen.
 	Previous []PreviousVersion
@@ -243,6 +244,7 @@
 	Version   int64
 	Revision  Revision
 	FirstSeen time.Time
+	Bounded   bool
 }
 
 // Due returns the newest version that has been desired for at least the
@@ -268,6 +270,8 @@
 	Number uint64 `json:"r"`
 	Era    uint64 `json:"e,omitempty"`
 	AgeMS  int64  `json:"a"`
+	// Bounded is set if the version is at most that old: it was absent then.
+	Bounded bool `json:"b,omitempty"`
 }
 
 // Revision returns the revision with which the version became desired.
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -287,11 +287,11 @@
 	if s.hasSnapshot {
 		d.FirstSeen = now
 		if !s.absentUntil.IsZero() {
-			d.FirstSeen = s.absentUntil
+			d.FirstSeen, d.Bounded = s.absentUntil, true
 		}
 	}
 	if ok {
-		last := PreviousVersion{Version: previous.Version, Revision: previous.Revision, FirstSeen: previous.FirstSeen}
+		last := PreviousVersion{Version: previous.Version, Revision: previous.Revision, FirstSeen: previous.FirstSeen, Bounded: previous.Bounded}
 		previousVersions := append([]PreviousVersion{last}, previous.Previous...)
 		d.Previous = previousVersions[:min(len(previousVersions), maxPreviousVersions)]
 	}
