cmd: SIGHUP while a process starts does not end it

Cause: SIGHUP was watched only once the duties ran, after the settings had been read, and ends a Go process before. Change: the commands of the users' machines watch it first and treat what came meanwhile as a reload. Some ms of the runtime's own start remain.

TestHangupAtTheStartIsAReload sends the signal before the duty runs.

--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -61,6 +61,7 @@
 
 // Execute implements flags.Commander.
 func (c *gatewayCommand) Execute([]string) error {
+	hangups := notifyHangups()
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -73,7 +74,7 @@
 	logger := out.Logger(string(s.Instance))
 	w := watcher.New(platform.NewStore(s.Store), "", s.Bounds.WatchWait(), logger)
 	g := gateway.New(gatewaySettings(s), platform.Codec{}, w, logger)
-	return runWithLog(out, g, func(s *platform.Settings) {
+	return runWithLog(out, hangups, g, func(s *platform.Settings) {
 		_ = logger.Log("event", "reload", "seeds", len(s.Seeds))
 		g.SetSeeds(s.PeerAddresses(peersOffset))
 	})
@@ -135,6 +136,7 @@
 // runLoader runs a loader or a seeder. configure completes its settings and
 // returns its engine, or nil for a seeder.
 func runLoader(configure func(s *platform.Settings, l *loader.Settings) loader.Engine) error {
+	hangups := notifyHangups()
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -159,18 +161,23 @@
 	}
 	engine := configure(s, &l)
 	fallback := &viewsync.Fallback{Client: viewsync.NewClient(platform.Codec{}.Published), Addresses: s.Seeds}
-	return runWithLog(out, loader.New(l, engine, platform.NewOrigin(), store, fallback, w, logger), func(s *platform.Settings) {
+	return runWithLog(out, hangups, loader.New(l, engine, platform.NewOrigin(), store, fallback, w, logger), func(s *platform.Settings) {
 		// A loader uses its seeds only when it starts, so changed ones have no effect.
 		_ = logger.Log("event", "reload", "seeds", len(s.Seeds))
 	})
 }
 
-// watchSettings reads the settings again at each SIGHUP and passes them to reload,
-// until ctx ends. Settings with findings are logged and have no effect.
-func watchSettings(ctx context.Context, out *logline.Log, reload func(*platform.Settings)) error {
+// notifyHangups returns a channel that receives SIGHUP from now on. A command calls it before
+// it reads its settings: a signal that comes while the process starts would terminate it.
+func notifyHangups() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	return hangups
+}
+
+// watchSettings reads the settings again at each SIGHUP and passes them to reload,
+// until ctx ends. Settings with findings are logged and have no effect.
+func watchSettings(ctx context.Context, out *logline.Log, hangups <-chan os.Signal, reload func(*platform.Settings)) error {
 	for {
 		select {
 		case <-hangups:
@@ -197,13 +204,13 @@
 //
 // Further signals to stop have no effect, also while the log is written out: the process
 // is stopping already.
-func runWithLog(out *logline.Log, r role, reload func(*platform.Settings)) error {
+func runWithLog(out *logline.Log, hangups <-chan os.Signal, r role, reload func(*platform.Settings)) error {
 	further := make(chan os.Signal, 1)
 	signal.Notify(further, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(further)
 	g := duty.NewGroup(context.Background())
 	g.Go("log writer", out.Run)
-	g.Go("settings reload", func(ctx context.Context) error { return watchSettings(ctx, out, reload) })
+	g.Go("settings reload", func(ctx context.Context) error { return watchSettings(ctx, out, hangups, reload) })
 	err := run(r)
 	g.Stop()
 	_ = g.Wait()
--- a/cmd/rattanspur/platform_test.go
+++ b/cmd/rattanspur/platform_test.go
@@ -28,7 +28,7 @@
 	seen := make(chan *platform.Settings, 16)
 	done := make(chan error, 1)
 	go func() {
-		done <- watchSettings(ctx, logline.New(io.Discard), func(s *platform.Settings) { seen <- s })
+		done <- watchSettings(ctx, logline.New(io.Discard), notifyHangups(), func(s *platform.Settings) { seen <- s })
 	}()
 	// Registers a handler, so that a signal does not terminate the test before the
 	// duty has registered its own.
--- a/cmd/rattanspur/signal_test.go
+++ b/cmd/rattanspur/signal_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -45,7 +47,7 @@
 			_ = out.Logger("n").Log("event", "stop")
 			return nil
 		})
-		require.NoError(t, runWithLog(out, role, func(*platform.Settings) {}))
+		require.NoError(t, runWithLog(out, notifyHangups(), role, func(*platform.Settings) {}))
 		return
 	}
 	child := exec.Command(os.Args[0], "-test.run", "^TestFurtherSignalsDoNotEndAPlannedStop$")
@@ -56,6 +58,24 @@
 	require.Contains(t, output.String(), "event=stop")
 }
 
+// Guards against a process that SIGHUP terminates because it has just started: its settings
+// changed while it read them. The child process is this test itself.
+func TestHangupAtTheStartIsAReload(t *testing.T) {
+	if os.Getenv(signaledVariable) != "" {
+		hangups := notifyHangups()
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		ctx, cancel := context.WithCancel(context.Background())
+		require.NoError(t, watchSettings(ctx, logline.New(io.Discard), hangups, func(*platform.Settings) { cancel() }))
+		return
+	}
+	file := filepath.Join(t.TempDir(), "boot.json")
+	require.NoError(t, os.WriteFile(file, []byte(settingsText), 0o600))
+	child := exec.Command(os.Args[0], "-test.run", "^TestHangupAtTheStartIsAReload$", "-test.timeout", "30s")
+	child.Env = append(os.Environ(), signaledVariable+"=1", platform.SettingsVariable+"="+file)
+	output, err := child.CombinedOutput()
+	require.NoError(t, err, string(output))
+}
+
 // roleFunc is a role that consists of one function.
 type roleFunc func(ctx context.Context) error
 
