dispatch: a silent stream is not moved to an upstream that may have updated

Cause: that an engine still serves the older weights is known from its last notice, and after its update slot has come that may be over at any moment. An interrupted attempt has no way back.

Change: a place at such an upstream is no reason to end a silent attempt that has begun. It goes on until its upstream does or its caller leaves.

TestSilentStreamIsNotMovedToAnUpstreamThatUpdates failed before (interrupted).

--- a/lib/dispatch/silence.go
+++ b/lib/dispatch/silence.go
@@ -190,7 +190,7 @@
 func (c *Core) reservePlace(now time.Time, r *request, d poison.Decision) bool {
 	s := c.service(now, r.service)
 	u := c.pick(now, s, r, d)
-	if u == nil || u.avoided(now) || !s.retryBudget.Spend(now, c.place.Processes) {
+	if u == nil || u.avoided(now) || c.mayChangeWeights(now, s, r, u) || !s.retryBudget.Spend(now, c.place.Processes) {
 		return false
 	}
 	u.inFlight++
@@ -198,6 +198,16 @@
 	return true
 }
 
+// mayChangeWeights reports whether an upstream may no longer serve the weights that began a
+// stream: its update slot has come, and it need not have told that it updates. An attempt that
+// is silent is not ended for it, since there is no way back.
+func (c *Core) mayChangeWeights(now time.Time, s *service, r *request, u *upstream) bool {
+	if r.version == 0 || s.published == nil || s.published.Engine == nil || u.updateSlot.IsZero() || now.Before(u.updateSlot) {
+		return false
+	}
+	return u.servedVersion(now, r.Model, s.published.Engine.Layers) < c.view.Desired[r.Model].Version
+}
+
 // endSilence ends the silence of a request, and gives up the place that is kept for it. It
 // returns what the silence was, or nil if there was none.
 func (c *Core) endSilence(r *request) *Silence {
--- a/lib/dispatch/silence_test.go
+++ b/lib/dispatch/silence_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/retry"
 )
 
@@ -46,6 +47,31 @@
 	require.NotEqual(t, first.Upstream, second.Upstream)
 }
 
+// Guards against a stream that is cut because it left a silent upstream for one that had just
+// changed its weights and rejected it.
+func TestSilentStreamIsNotMovedToAnUpstreamThatUpdates(t *testing.T) {
+	for _, c := range []struct {
+		desiredFor time.Duration
+		moved      bool
+	}{{0, true}, {6 * time.Second, false}} {
+		v := view(replica("a", 1), replica("b", 1))
+		v.Desired[model] = published.DesiredVersion{
+			Model: model, Version: 2, FirstSeen: start.Add(-c.desiredFor),
+			Previous: []published.PreviousVersion{{Version: 1, FirstSeen: start.Add(-time.Hour)}},
+		}
+		h := newHarness(t, v)
+		h.core.Tick(h.now)
+		ticket, _ := h.startStream()
+		h.advance(silentFor)
+		actions := h.core.AttemptSilent(h.now, ticket, h.afterEvent())
+		if c.moved {
+			require.Equal(t, ticket, h.interrupted(actions))
+			continue
+		}
+		require.Empty(t, actions)
+	}
+}
+
 // Guards against ending an attempt whose request cannot go on elsewhere: no other
 // upstream, no attempts left, no retry in the budget, or a route that may not be repeated.
 func TestSilentAttemptIsNotEndedInVain(t *testing.T) {
