gateway: a test of a stop no longer awaits requests one after the other

Cause, traced: the test sends requests until one finds no route. One that the router took before it had learned of the stop was sent to the upstream, which hangs, and the test waited for its answer until the stop was over and nothing was accepted any more.

Change: it waits for the begin of the stop and does not await a request before the next one. It asks for the same: a request of the route that is gone gets 404 during the stop, and the running one its answer.

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -376,10 +376,29 @@
 	g := start(t, source)
 	running := g.begin(http.MethodPost, "/once/1")
 	<-arrived
-	g.stop()
+	g.stopAndWait()
 	source.put("op/config", strings.Replace(strings.Replace(configJSON, `"/once/"`, `"/other/"`, 1), `"version":1`, `"version":2`, 1))
 	source.put("servers/i-1", "")
-	require.Eventually(t, func() bool { return (<-g.begin(http.MethodPost, "/once/1")).status == http.StatusNotFound }, testTimeout, time.Millisecond)
+	// A request that the router takes before it learns of the stop is sent, and runs until its
+	// end, so that the answers are not awaited one after the other.
+	notFound := make(chan struct{}, 1)
+	require.Eventually(t, func() bool {
+		answered := g.begin(http.MethodPost, "/once/1")
+		go func() {
+			if (<-answered).status == http.StatusNotFound {
+				select {
+				case notFound <- struct{}{}:
+				default:
+				}
+			}
+		}()
+		select {
+		case <-notFound:
+			return true
+		default:
+			return false
+		}
+	}, testTimeout, 10*time.Millisecond)
 	a := <-running
 	require.NoError(t, a.err)
 	require.Equal(t, http.StatusBadGateway, a.status)
