dispatch, loader: one piece of code for what the change wrote twice

Cause: read once more, the change asked in two places whether an upstream's update is pending, looked up twice whether a route has enough answers for an estimate, and built the test manifest twice; recordFailure wrote out what pause does.

Behaviour and assertions are as they were.

Result: the tests of lib/dispatch, lib/exchange and loader pass, the linter is clean.

--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -255,8 +255,8 @@
 	if e := s.published.Engine; e != nil && r.route.LatencyGoal > 0 {
 		cost += promptTimeCost * float64(promptTime(e, u.pendingPromptTokens(now))) / float64(r.route.LatencyGoal)
 	}
-	if e := s.published.Engine; e != nil && !u.updateSlot.IsZero() && u.servedVersion(now, r.Model, e.Layers) < c.view.Desired[r.Model].Version {
-		overlap := now.Add(r.duration(e)).Sub(u.updateSlot)
+	if c.updatePending(now, s, r, u) {
+		overlap := now.Add(r.duration(s.published.Engine)).Sub(u.updateSlot)
 		cost += updateOverlapCost * min(max(overlap.Seconds(), 0), maxUpdateOverlap.Seconds())
 	}
 	return cost
@@ -273,6 +273,15 @@
 	prefillSlowdown = 1.5
 )
 
+// updatePending reports whether an upstream has an update slot and serves, as far as is known,
+// older weights than the desired ones of the request's model.
+func (c *Core) updatePending(now time.Time, s *service, r *request, u *upstream) bool {
+	if s.published == nil || s.published.Engine == nil || u.updateSlot.IsZero() {
+		return false
+	}
+	return u.servedVersion(now, r.Model, s.published.Engine.Layers) < c.view.Desired[r.Model].Version
+}
+
 // duration estimates how long an engine takes to read the prompt and to generate
 // the answer.
 func (r *request) duration(e *published.Engine) time.Duration {
--- a/lib/dispatch/silence.go
+++ b/lib/dispatch/silence.go
@@ -202,10 +202,7 @@
 // stream: its update slot has come, and it need not have told that it updates. An attempt that
 // is silent is not ended for it, since there is no way back.
 func (c *Core) mayChangeWeights(now time.Time, s *service, r *request, u *upstream) bool {
-	if r.version == 0 || s.published == nil || s.published.Engine == nil || u.updateSlot.IsZero() || now.Before(u.updateSlot) {
-		return false
-	}
-	return u.servedVersion(now, r.Model, s.published.Engine.Layers) < c.view.Desired[r.Model].Version
+	return r.version != 0 && c.updatePending(now, s, r, u) && !now.Before(u.updateSlot)
 }
 
 // endSilence ends the silence of a request, and gives up the place that is kept for it. It
--- a/lib/dispatch/stop.go
+++ b/lib/dispatch/stop.go
@@ -112,7 +112,7 @@
 // is an upper bound: by the answers of its route, or else the time until its deadline.
 func (c *Core) expectedTime(s *service, r *request) time.Duration {
 	measured := c.answerTimes[r.route.Name]
-	known := measured != nil && measured.count >= minAnswers
+	known := measured.known()
 	switch {
 	case !r.route.Idempotent() && known:
 		return measured.upperBound()
@@ -149,7 +149,7 @@
 		return 0
 	}
 	longest := generationTime(timePerToken, r.MaxAnswerTokens)
-	if a := c.answerTimes[r.route.Name]; a != nil && a.count >= minAnswers {
+	if a := c.answerTimes[r.route.Name]; a.known() {
 		return max(longest, a.upperBound())
 	}
 	if longest == 0 {
@@ -205,6 +205,9 @@
 	a.mean += (d - a.mean) / averageDivisor
 }
 
+// known reports whether there were enough answers for an estimate; it may be called on nil.
+func (a *answerTime) known() bool { return a != nil && a.count >= minAnswers }
+
 // upperBound returns a time within which nearly all answers end.
 func (a *answerTime) upperBound() time.Duration {
 	return max(a.mean+deviationFactor*a.deviation, time.Duration(minBoundFactor*float64(a.mean)))
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -186,10 +186,7 @@
 }
 
 func (u *upstream) recordFailure(now time.Time) {
-	until := now.Add(min(minAvoidance<<u.failures, maxAvoidance))
-	if until.After(u.avoidUntil) {
-		u.avoidUntil = until
-	}
+	u.pause(now, min(minAvoidance<<u.failures, maxAvoidance))
 	u.failures = min(u.failures+1, maxDoublings)
 }
 
--- a/lib/exchange/endless_test.go
+++ b/lib/exchange/endless_test.go
@@ -30,18 +30,17 @@
 // Guards against a body without end that keeps an upstream's slot and its caller
 // beyond the timeouts, or that is held in memory.
 func TestBodyWithoutEnd(t *testing.T) {
-	endless := func(head string) *upstream { return serveEndless(t, head) }
-	refusal := endless("HTTP/1.1 503 No\r\nId: 1\r\nNot-Run: 1\r\n\r\n")
+	refusal := serveEndless(t, "HTTP/1.1 503 No\r\nId: 1\r\nNot-Run: 1\r\n\r\n")
 	out, _ := do(refusal.dial(), request(""), Options{})
 	require.Equal(t, retry.Busy, out.End)
 	require.False(t, out.Reusable)
 
-	failure := endless("HTTP/1.1 500 No\r\nId: 1\r\n\r\n")
+	failure := serveEndless(t, "HTTP/1.1 500 No\r\nId: 1\r\n\r\n")
 	out, _ = do(failure.dial(), request(""), Options{FirstByteTimeout: 200 * time.Millisecond, HoldServerErrors: true})
 	require.Equal(t, retry.Stalled, out.End, "the caller must not take what arrived for the whole body")
 	require.Nil(t, out.Held)
 
-	event := endless(streamHead + "\r\n")
+	event := serveEndless(t, streamHead+"\r\n")
 	out, rec := do(event.dial(), request(""), Options{EventStream: true, FirstByteTimeout: time.Minute})
 	require.Equal(t, retry.Lost, out.End)
 	require.Contains(t, out.Detail, "larger than the limit")
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
 	"errors"
 	"fmt"
 	"io"
@@ -56,10 +55,8 @@
 	if o.down {
 		return nil, errors.New("down")
 	}
-	m := &staging.Manifest{Model: model, Version: version, PieceBytes: len(piece(version, 10))}
-	for i := range testPieces {
-		m.Digests = append(m.Digests, sha256.Sum256(piece(version, i)))
-	}
+	m := manifestOf(version)
+	m.Model = model
 	if len(o.spoil) > 0 {
 		o.spoil[0](m)
 		o.spoil = o.spoil[1:]
--- a/loader/verify_test.go
+++ b/loader/verify_test.go
@@ -16,7 +16,7 @@
 )
 
 // agingEngine is an engine whose reads take time on a clock of its own. onRead is called with
-// the number of reads so far, before each read.
+// the number of reads so far, after each read.
 type agingEngine struct {
 	*fakeEngine
 	clock  atomic.Int64
