watcher: log when and from whom a process learned since when a version is desired

Change: one line version-known whenever the age of a desired version changes, with the age, whether it is a bound, and the peer or read that brought it. Batches name the peer that sent them.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -187,7 +187,7 @@
 	}
 	r.peers.Record(now, m)
 	if r.view != nil && r.view.Learns(now, m.Versions) {
-		_ = r.gateway.watcher.EnqueueAges(ctx, m.Versions)
+		_ = r.gateway.watcher.EnqueueAges(ctx, m.From, m.Versions)
 	}
 	r.execute(ctx, r.core.ApplyLimits(now, m.Limits))
 	if len(m.Crashes) > 0 {
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -38,6 +38,8 @@
 	Findings []error
 	// Ages holds what a peer reports about the desired versions, by model.
 	Ages map[string][]VersionAge
+	// Sender is the address of the peer that sent the batch; empty if the store did.
+	Sender string
 }
 
 // ErrCompacted is returned by a source that no longer has the requested
--- a/lib/viewsync/viewsync.go
+++ b/lib/viewsync/viewsync.go
@@ -132,7 +132,7 @@
 	if err := c.client.GetJSON(ctx, address, Path+"?"+q.Encode(), &response); err != nil {
 		return published.Batch{}, eris.Wrapf(err, "read view of %s", address)
 	}
-	b := published.Batch{Revision: response.decode()}
+	b := published.Batch{Revision: response.decode(), Sender: address}
 	var ages map[string][]published.VersionAge
 	if response.Ages != nil && json.Unmarshal(response.Ages, &ages) == nil && published.ValidAges(ages) {
 		b.Ages = ages
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-kit/log"
@@ -115,10 +116,10 @@
 	return w.updates.Put(ctx, Update{Batch: b, FromPeer: true})
 }
 
-// EnqueueAges queues what a peer reports about the ages of desired versions. It
-// returns an error if ctx ends first.
-func (w *Watcher) EnqueueAges(ctx context.Context, ages map[string][]published.VersionAge) error {
-	return w.EnqueuePeerChanges(ctx, published.Batch{Ages: ages})
+// EnqueueAges queues what the peer at an address reports about the ages of desired
+// versions. It returns an error if ctx ends first.
+func (w *Watcher) EnqueueAges(ctx context.Context, peer string, ages map[string][]published.VersionAge) error {
+	return w.EnqueuePeerChanges(ctx, published.Batch{Ages: ages, Sender: peer})
 }
 
 // Since returns the changes after a revision, for a peer. It returns an error if
@@ -153,6 +154,35 @@
 	_ = w.logger.Log("event", "changes-dropped", "dropped", older, "of", len(u.Changes), "snapshot", u.Snapshot, "revision", u.Revision)
 }
 
+// logVersions logs each desired version of which an update told something new: the version
+// itself, or since when it is desired. The age is unknown if the version may have been
+// published at any time.
+func (w *Watcher) logVersions(now time.Time, u *Update, before, after *published.View) {
+	for model, d := range after.Desired {
+		known := before.Desired[model]
+		if known.Version == d.Version && known.FirstSeen.Equal(d.FirstSeen) && known.Bounded == d.Bounded {
+			continue
+		}
+		age := "unknown"
+		if !d.FirstSeen.IsZero() {
+			age = fmt.Sprint(now.Sub(d.FirstSeen).Seconds())
+		}
+		_ = w.logger.Log("event", "version-known", "model", model, "version", d.Version, "revision", d.Revision,
+			"age", age, "bounded", d.Bounded, "from", u.origin())
+	}
+}
+
+// origin returns where an update comes from, as logs show it.
+func (u *Update) origin() string {
+	switch {
+	case u.Snapshot:
+		return "snapshot"
+	case u.FromPeer:
+		return u.Sender
+	}
+	return "watch"
+}
+
 // maintainState owns the state, applies updates to it and publishes views to the
 // subscribers.
 func (w *Watcher) maintainState(ctx context.Context) error {
@@ -164,10 +194,12 @@
 		changed := false
 		select {
 		case u := <-w.updates.Out():
+			before := state.View()
 			state.SetAbsentUntil(observed.absentUntil(time.Now(), w.uptime(), &u))
 			changed = apply(state, &u)
 			w.logOlder(&u, state.TakeOlder())
 			changed = state.ApplyAges(time.Now(), u.Ages) || changed
+			w.logVersions(time.Now(), &u, before, state.View())
 			state.Trim()
 		case q := <-w.queries.Out():
 			_ = q.reply.Put(ctx, state.Since(time.Now(), q.after))
--- a/lib/watcher/watcher_test.go
+++ b/lib/watcher/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -155,3 +156,21 @@
 	for len(next(t, views).Upstreams) < 2 {
 	}
 }
+
+// Guards against a process that acts on a wrong age of a version while its log does not say
+// when and from whom it learned of it.
+func TestLogNamesWhereAVersionIsKnownFrom(t *testing.T) {
+	var lines strings.Builder
+	w := New(&scriptedSource{}, "", time.Second, log.NewLogfmtLogger(&lines))
+	now := time.Now()
+	state := published.NewState()
+	state.Replace(now, []published.Change{version(1, 1)}, 1)
+	before := state.View()
+	state.Apply(now, []published.Change{version(2, 2)}, 2)
+	after := state.View()
+	w.logVersions(now.Add(2*time.Second), &Update{Batch: published.Batch{Sender: "10.0.0.1:7000"}, FromPeer: true}, before, after)
+	require.Contains(t, lines.String(), "event=version-known model=m version=2 revision=2 age=2 bounded=false from=10.0.0.1:7000")
+	lines.Reset()
+	w.logVersions(now, &Update{}, after, after)
+	require.Empty(t, lines.String(), "nothing new")
+}
