watcher: a version that a peer passes on is not seen as it is published

Cause: the gateway whose watch fails first reads the store again and knows version 2 with a bound, 2.5 s old. The other one, still silent, pulls its view. The watcher marked only updates after its own failed reads as late, so that the pulled version counted as observed at that moment; an observation replaces a bound, first at the puller, and with its next message at the other gateway.

Change: only a change that the source sends to a watch which waits for it counts from its arrival (Update.Live). For all else, what a peer passes on included, the last read without it counts, which the reader states with each update.

Why it works: a process that pulls a version knows from its own last read how old it may be; that is a bound, and the exchange of ages keeps the later bound.

--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -288,7 +288,7 @@
 	// A version in the first snapshot may have been published long before.
 	if s.hasSnapshot {
 		d.FirstSeen = now
-		if !s.absentUntil.IsZero() {
+		if !s.absentUntil.IsZero() && s.absentUntil.Before(now) {
 			d.FirstSeen, d.Bounded = s.absentUntil, true
 		}
 	}
--- a/lib/watcher/missed_test.go
+++ b/lib/watcher/missed_test.go
@@ -134,25 +134,25 @@
 		uptime += expireInterval
 		o.run(uptime)
 	}
-	require.Zero(t, o.absentUntil(now, uptime, &Update{}))
+	live := &Update{Live: true}
+	require.Equal(t, now, o.absentUntil(now, uptime, live))
 	const pause = 3 * time.Second
-	require.Equal(t, now.Add(-pause), o.absentUntil(now, uptime+pause, &Update{}))
+	require.Equal(t, now.Add(-pause), o.absentUntil(now, uptime+pause, live))
 
 	uptime += pause
 	o.run(uptime + time.Millisecond)
-	require.Equal(t, now.Add(-pause-2*time.Millisecond), o.absentUntil(now, uptime+2*time.Millisecond, &Update{}), "the ticker ran first")
+	require.Equal(t, now.Add(-pause-2*time.Millisecond), o.absentUntil(now, uptime+2*time.Millisecond, live), "the ticker ran first")
 	uptime += 2 * time.Second
 	o.run(uptime)
 	o.run(uptime + pauseEffect)
-	require.Zero(t, o.absentUntil(now, uptime+2*pauseEffect, &Update{}), "the pause is over")
+	require.Equal(t, now, o.absentUntil(now, uptime+2*pauseEffect, live), "the pause is over")
 }
 
 // Guards against a loader that takes a version for overdue because its own watch was silent
 // for long, though its peers, which it reads all the time, did not have the version.
 func TestPeersTellThatAVersionWasAbsent(t *testing.T) {
 	now := time.Unix(1000, 0)
-	o := observation{lastRun: time.Hour}
+	o := observation{lastRun: time.Hour, sourceReadAt: now.Add(-30 * time.Second)}
 	o.absentUntil(now, time.Hour, &Update{FromPeer: true, Batch: published.Batch{Revision: 4}})
-	u := Update{Since: now.Add(-30 * time.Second)}
-	require.Equal(t, now.Add(-maxPeerDelay), o.absentUntil(now.Add(time.Second), time.Hour, &u))
+	require.Equal(t, now.Add(-maxPeerDelay), o.absentUntil(now.Add(time.Second), time.Hour, &Update{}))
 }
--- a/lib/watcher/observation.go
+++ b/lib/watcher/observation.go
@@ -15,14 +15,15 @@
 )
 
 // observation tells since when a change may have been published that is new to this process.
-// That is usually the time at which it arrives. It is earlier if reads of the source failed,
-// or if the process was paused.
+// That is the time at which it arrives only if the source sends it to a watch that waits for
+// it. A change that a peer passes on, or that the source has when it is read again, may be as
+// old as the last read without it; what arrived while the process was paused as the pause.
 type observation struct {
 	// lastRun is when the duty last ran, by a clock that also counts while the machine is
 	// suspended. pausedAt and resumedAt are the begin and the end of the last pause.
 	lastRun, pausedAt, resumedAt time.Duration
-	// peerReadAt is when a peer was last read.
-	peerReadAt time.Time
+	// sourceReadAt and peerReadAt are when the source and a peer were last read.
+	sourceReadAt, peerReadAt time.Time
 }
 
 // run records that the duty runs.
@@ -34,19 +35,35 @@
 }
 
 // absentUntil returns when the changes of an update were last known to be absent; zero if
-// that is now.
+// nothing was read before it.
 func (o *observation) absentUntil(now time.Time, uptime time.Duration, u *Update) time.Time {
 	o.run(uptime)
-	since := u.Since
-	if known := o.peerReadAt.Add(-maxPeerDelay); !since.IsZero() && known.After(since) {
-		since = known
-	}
-	if u.FromPeer && u.Revision != 0 {
-		o.peerReadAt = now
+	absent := now
+	if !u.Live {
+		absent = o.lastRead()
 	}
+	o.noteRead(now, u)
 	paused := o.resumedAt > 0 && uptime-o.resumedAt <= pauseEffect
-	if pausedAt := now.Add(o.pausedAt - uptime); paused && (since.IsZero() || pausedAt.Before(since)) {
+	if pausedAt := now.Add(o.pausedAt - uptime); paused && pausedAt.Before(absent) {
 		return pausedAt
 	}
-	return since
+	return absent
+}
+
+// lastRead returns the time up to which the reads so far would have shown a change.
+func (o *observation) lastRead() time.Time {
+	if known := o.peerReadAt.Add(-maxPeerDelay); known.After(o.sourceReadAt) {
+		return known
+	}
+	return o.sourceReadAt
+}
+
+// noteRead records the read that an update is the result of.
+func (o *observation) noteRead(now time.Time, u *Update) {
+	switch {
+	case !u.FromPeer:
+		o.sourceReadAt = u.ReadAt
+	case u.Revision != 0:
+		o.peerReadAt = now
+	}
 }
--- a/lib/watcher/reader.go
+++ b/lib/watcher/reader.go
@@ -42,11 +42,9 @@
 	next readKind
 	// revision is the revision after which the next watch starts.
 	revision published.Revision
-	// succeededAt is when the last read succeeded that no failure followed; failed is set
-	// once a read failed after it.
-	succeededAt time.Time
-	failed      bool
-	delay       time.Duration
+	// failed is set from a read that failed to the next one that succeeds.
+	failed bool
+	delay  time.Duration
 	// unavailable is set from the first logged failure of an outage to its end.
 	unavailable bool
 }
@@ -99,16 +97,14 @@
 		// A store may answer everything else while none of its watches can be read.
 		r.delay = retryMin
 	}
-	if r.failed {
-		u.Since = r.succeededAt
-	}
+	u.Live, u.ReadAt = kind == readWatch && !r.failed, time.Now()
 	if u.Revision.Era() > r.revision.Era() {
 		_ = w.logger.Log("event", "store-restored", "revision", u.Revision, "known", r.revision)
 	}
 	for _, f := range u.Findings {
 		_ = w.logger.Log("event", "item-unreadable", "err", f)
 	}
-	r.next, r.revision, r.failed, r.succeededAt = readWatch, u.Revision, false, time.Now()
+	r.next, r.revision, r.failed = readWatch, u.Revision, false
 }
 
 // readFailed chooses the next read after one that failed, and waits until it is due. After a
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -39,9 +39,10 @@
 	// from a peer.
 	Snapshot bool
 	FromPeer bool
-	// Since is when the source was last known not to have the changes of the batch, if
-	// reads of it failed meanwhile; zero if none did.
-	Since time.Time
+	// Live is true if the source sent the batch to a watch that waited for its changes, so
+	// that these are new. ReadAt is when the source was read; it is not set if FromPeer.
+	Live   bool
+	ReadAt time.Time
 }
 
 // Watcher maintains the published state of one process. One duty reads the
@@ -194,12 +195,12 @@
 		changed := false
 		select {
 		case u := <-w.updates.Out():
-			before := state.View()
-			state.SetAbsentUntil(observed.absentUntil(time.Now(), w.uptime(), &u))
-			changed = apply(state, &u)
+			before, now := state.View(), time.Now()
+			state.SetAbsentUntil(observed.absentUntil(now, w.uptime(), &u))
+			changed = apply(now, state, &u)
 			w.logOlder(&u, state.TakeOlder())
-			changed = state.ApplyAges(time.Now(), u.Ages) || changed
-			w.logVersions(time.Now(), &u, before, state.View())
+			changed = state.ApplyAges(now, u.Ages) || changed
+			w.logVersions(now, &u, before, state.View())
 			state.Trim()
 		case q := <-w.queries.Out():
 			_ = q.reply.Put(ctx, state.Since(time.Now(), q.after))
@@ -216,8 +217,7 @@
 }
 
 // apply applies an update to the state. It reports whether the view changed.
-func apply(state *published.State, u *Update) bool {
-	now := time.Now()
+func apply(now time.Time, state *published.State, u *Update) bool {
 	switch {
 	case u.Snapshot:
 		return state.Replace(now, u.Changes, u.Revision)
