watcher: a version that a watch finds at once was published before it

Callers would see: requests on old weights up to 0.25 s longer than the update window allows, and up to a second longer if the answer to a watch is held up.

Cause: every change that a watch returns counted as seen as it was published. After an update the reader pauses for 0.25 s, so that the next watch finds at once what changed in between; with many upstreams nearly every watch does. A watch that is answered after its wait, but within the margin, counted from the answer as well. The last read without a change counted to its end, although the source may have looked at its state when the read began.

Change: a change is live only if the watch waited for it for at least the pause and at most its wait. Reads count from their begin; a watch without changes, from the end of its wait.

Why it works: the begin of the last read without a version is a time at which it certainly was not published, and the time since then is the uncertainty that processes report to each other; the least uncertain report counts everywhere.

Tests: TestVersionThatAWatchFindsLate failed before (0.19 s after the naming, and 2.2 s for the held-up answer).

--- a/lib/watcher/missed_test.go
+++ b/lib/watcher/missed_test.go
@@ -156,3 +156,52 @@
 	o.absentUntil(now, time.Hour, &Update{FromPeer: true, Batch: published.Batch{Revision: 4}})
 	require.Equal(t, now.Add(-maxPeerDelay), o.absentUntil(now.Add(time.Second), time.Hour, &Update{}))
 }
+
+// lateSource is a source that names a version at a time and answers the watch that finds it
+// after a delay.
+type lateSource struct {
+	namedAt time.Time
+	delay   time.Duration
+}
+
+func (s *lateSource) Snapshot(context.Context, string, bool) (published.Batch, error) {
+	return published.Batch{Changes: []published.Change{version(1, 3)}, Revision: 3}, nil
+}
+
+func (s *lateSource) Watch(ctx context.Context, _ string, after published.Revision, wait time.Duration) (published.Batch, error) {
+	if after < 5 && !time.Now().Before(s.namedAt) {
+		_ = duty.Sleep(ctx, s.delay)
+		return published.Batch{Changes: []published.Change{version(2, 5)}, Revision: 5}, nil
+	}
+	// Other changes arrive all the time, each of them followed by a pause.
+	_ = duty.Sleep(ctx, wait/100)
+	return published.Batch{Changes: []published.Change{upstream("a", after)}, Revision: after}, nil
+}
+
+// Guards against an update window that begins when a process reads a version, though that had
+// been published before the watch began, or the answer was held up.
+func TestVersionThatAWatchFindsLate(t *testing.T) {
+	for name, s := range map[string]lateSource{
+		"between two watches": {delay: 0},
+		"held up":             {delay: testWait + time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			// In the pause after the second watch.
+			s.namedAt = time.Now().Add(2*batchDelay + 100*time.Millisecond)
+			w := New(&s, "", testWait, log.NewLogfmtLogger(io.Discard))
+			views := w.Subscribe()
+			g := duty.NewGroup(context.Background())
+			w.Start(g)
+			defer func() {
+				g.Stop()
+				require.NoError(t, g.Wait())
+			}()
+			v := next(t, views)
+			for v.Desired["m"].Version != 2 {
+				v = next(t, views)
+			}
+			require.LessOrEqual(t, v.Desired["m"].Published.NotBefore, s.namedAt, name)
+			require.Less(t, s.namedAt.Sub(v.Desired["m"].Published.NotBefore), batchDelay, name)
+		})
+	}
+}
--- a/lib/watcher/reader.go
+++ b/lib/watcher/reader.go
@@ -61,7 +61,7 @@
 		}
 		// A watch without changes waits at the store, unless that is at fault.
 		pause := len(u.Changes) > 0 || kind == readWatch && time.Since(startedAt) < batchDelay
-		w.readSucceeded(kind, &u)
+		w.readSucceeded(kind, startedAt, &u)
 		if w.updates.Put(ctx, u) != nil {
 			return nil
 		}
@@ -90,14 +90,22 @@
 }
 
 // readSucceeded records a read and completes its update.
-func (w *Watcher) readSucceeded(kind readKind, u *Update) {
+func (w *Watcher) readSucceeded(kind readKind, startedAt time.Time, u *Update) {
 	r := &w.reads
+	took := time.Since(startedAt)
+	u.ReadAt = startedAt
+	if kind == readWatch && len(u.Changes) == 0 && took >= w.wait {
+		// The source waited with its answer.
+		u.ReadAt = startedAt.Add(w.wait)
+	}
+	// A watch that is answered at once finds what changed before it, and one that is
+	// answered after its wait may have been held up.
+	u.Live = kind == readWatch && !r.failed && took >= batchDelay && took <= w.wait
 	w.logRegained()
 	if kind == readWatch {
 		// A store may answer everything else while none of its watches can be read.
 		r.delay = retryMin
 	}
-	u.Live, u.ReadAt = kind == readWatch && !r.failed, time.Now()
 	if u.Revision.Era() > r.revision.Era() {
 		_ = w.logger.Log("event", "store-restored", "revision", u.Revision, "known", r.revision)
 	}
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -40,7 +40,8 @@
 	Snapshot bool
 	FromPeer bool
 	// Live is true if the source sent the batch to a watch that waited for its changes, so
-	// that these are new. ReadAt is when the source was read; it is not set if FromPeer.
+	// that these are new. ReadAt is a time from which on the source was read, so that the
+	// batch has all changes before it; it is not set if FromPeer.
 	Live   bool
 	ReadAt time.Time
 }
