watcher: a suspension of the machine does not make a version younger

Callers would see: requests on old weights after their update window from a machine that was suspended around the naming of the new ones, for as much longer as the suspension lasted.

Cause: the time since the last read of the store, and the age of known versions, were counted on the steady clock, which stands still while the machine is suspended. Only an update that arrives within 0.5 s of the end was treated as older; one that a silent connection holds up for longer was not, and a version that was known before stayed too young until a peer reported it. The issue's fourth hypothesis (another clock on the users' machine) is of this kind.

Change: reads and runs are recorded on both clocks (moment), and the one that counted more since then decides; a suspension makes all known versions older.

Why it works: whichever of the two clocks stands still, the other one bounds the age from below.

The tests of pauses have the same steps and figures on both clocks.

--- a/lib/published/publication.go
+++ b/lib/published/publication.go
@@ -24,6 +24,14 @@
 // Known reports whether anything is known.
 func (p Publication) Known() bool { return !p.NotBefore.IsZero() }
 
+// earlier returns a publication that was earlier by a duration.
+func (p Publication) earlier(d time.Duration) Publication {
+	if p.Known() {
+		p.NotBefore = p.NotBefore.Add(-d)
+	}
+	return p
+}
+
 // merge returns what two processes know together. The less uncertain one counts, and the
 // earlier one of two that are equally uncertain; but a version that one of them saw was
 // published by then, whatever the other takes for certain.
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -301,6 +301,24 @@
 	return d
 }
 
+// CountSuspension makes all known versions older by a time for which the machine was
+// suspended, which its steady clock did not count. It reports whether the view changed.
+func (s *State) CountSuspension(now time.Time, suspended time.Duration) bool {
+	if suspended == 0 || len(s.desired) == 0 {
+		return false
+	}
+	for key, d := range s.desired {
+		d.Published = d.Published.earlier(suspended)
+		d.Previous = slices.Clone(d.Previous)
+		for i := range d.Previous {
+			d.Previous[i].Published = d.Previous[i].Published.earlier(suspended)
+		}
+		s.desired[key] = d
+	}
+	s.rebuild(now)
+	return true
+}
+
 // maxPreviousVersions is the number of previous versions kept for a model.
 const maxPreviousVersions = 8
 
--- a/lib/watcher/missed_test.go
+++ b/lib/watcher/missed_test.go
@@ -126,35 +126,42 @@
 // Guards against an update window that begins when a paused process goes on, though the
 // change had arrived before.
 func TestChangeThatArrivedDuringAPause(t *testing.T) {
-	now := time.Unix(1000, 0)
-	var o observation
-	uptime := time.Hour
-	o.lastRun = uptime
+	now := moment{steady: time.Unix(1000, 0), uptime: time.Hour}
+	o := observation{lastRun: now}
+	// absentFor returns for how long the changes of an update that arrives now may have been
+	// published.
+	absentFor := func() time.Duration {
+		o.run(now)
+		return now.steady.Sub(o.absentUntil(now, &Update{Live: true}))
+	}
 	for range 10 {
-		uptime += expireInterval
-		o.run(uptime)
+		now = now.add(expireInterval)
+		o.run(now)
 	}
-	live := &Update{Live: true}
-	require.Equal(t, now, o.absentUntil(now, uptime, live))
+	require.Zero(t, absentFor())
 	const pause = 3 * time.Second
-	require.Equal(t, now.Add(-pause), o.absentUntil(now, uptime+pause, live))
-
-	uptime += pause
-	o.run(uptime + time.Millisecond)
-	require.Equal(t, now.Add(-pause-2*time.Millisecond), o.absentUntil(now, uptime+2*time.Millisecond, live), "the ticker ran first")
-	uptime += 2 * time.Second
-	o.run(uptime)
-	o.run(uptime + pauseEffect)
-	require.Equal(t, now, o.absentUntil(now, uptime+2*pauseEffect, live), "the pause is over")
+	resumed := o
+	now = now.add(pause)
+	require.Equal(t, pause, absentFor())
+
+	o = resumed
+	o.run(now.add(time.Millisecond))
+	now = now.add(2 * time.Millisecond)
+	require.Equal(t, pause+2*time.Millisecond, absentFor(), "the ticker ran first")
+	now = now.add(2 * time.Second)
+	o.run(now)
+	o.run(now.add(pauseEffect))
+	now = now.add(2 * pauseEffect)
+	require.Zero(t, absentFor(), "the pause is over")
 }
 
 // Guards against a loader that takes a version for overdue because its own watch was silent
 // for long, though its peers, which it reads all the time, did not have the version.
 func TestPeersTellThatAVersionWasAbsent(t *testing.T) {
-	now := time.Unix(1000, 0)
-	o := observation{lastRun: time.Hour, sourceReadAt: now.Add(-30 * time.Second)}
-	o.absentUntil(now, time.Hour, &Update{FromPeer: true, Batch: published.Batch{Revision: 4}})
-	require.Equal(t, now.Add(-maxPeerDelay), o.absentUntil(now.Add(time.Second), time.Hour, &Update{}))
+	now := moment{steady: time.Unix(1000, 0), uptime: time.Hour}
+	o := observation{lastRun: now, sourceReadAt: now.add(-30 * time.Second)}
+	o.absentUntil(now, &Update{FromPeer: true, Batch: published.Batch{Revision: 4}})
+	require.Equal(t, now.steady.Add(-maxPeerDelay), o.absentUntil(now.add(time.Second), &Update{}))
 }
 
 // lateSource is a source that names a version at a time and answers the watch that finds it
@@ -205,3 +212,37 @@
 		})
 	}
 }
+
+// Guards against an update window that is longer by the time for which the machine was
+// suspended: the steady clock stands still meanwhile, so that the last read without a version
+// seems to be later than it was.
+func TestSuspensionDoesNotMakeAVersionYounger(t *testing.T) {
+	const suspension = 5 * time.Second
+	for name, after := range map[string]time.Duration{
+		"before the version is read": 100 * time.Millisecond,
+		"after it was read":          testWait + time.Second,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := silentSource{silentFrom: time.Now().Add(5 * time.Second)}
+			w := New(&s, "", testWait, log.NewLogfmtLogger(io.Discard))
+			begin, suspendedAt := time.Now(), s.silentFrom.Add(after)
+			w.uptime = func() time.Duration {
+				if time.Now().Before(suspendedAt) {
+					return time.Hour + time.Since(begin)
+				}
+				return time.Hour + time.Since(begin) + suspension
+			}
+			views := w.Subscribe()
+			g := duty.NewGroup(context.Background())
+			w.Start(g)
+			defer func() {
+				g.Stop()
+				require.NoError(t, g.Wait())
+			}()
+			time.Sleep(time.Until(suspendedAt.Add(testWait + time.Second)))
+			d := next(t, views).Desired["m"]
+			require.Equal(t, int64(2), d.Version, name)
+			require.LessOrEqual(t, d.Published.NotBefore, s.silentFrom.Add(-suspension), name)
+		})
+	}
+}
--- a/lib/watcher/observation.go
+++ b/lib/watcher/observation.go
@@ -12,6 +12,10 @@
 	// maxPeerDelay is how long a peer may miss changes because its own connections fell
 	// silent.
 	maxPeerDelay = 5 * time.Second
+	// suspensionTolerance is how much more the uptime may count between two runs than the
+	// steady clock in a machine that was not suspended: the clocks are read one after the
+	// other.
+	suspensionTolerance = 50 * time.Millisecond
 )
 
 // observation tells since when a change may have been published that is new to this process.
@@ -19,47 +23,61 @@
 // it. A change that a peer passes on, or that the source has when it is read again, may be as
 // old as the last read without it; what arrived while the process was paused as the pause.
 type observation struct {
-	// lastRun is when the duty last ran, by a clock that also counts while the machine is
-	// suspended. pausedAt and resumedAt are the begin and the end of the last pause.
-	lastRun, pausedAt, resumedAt time.Duration
+	// lastRun is when the duty last ran. pausedAt and resumedAt are the begin and the end of
+	// the last pause.
+	lastRun, pausedAt, resumedAt moment
 	// sourceReadAt and peerReadAt are when the source and a peer were last read.
-	sourceReadAt, peerReadAt time.Time
+	sourceReadAt, peerReadAt moment
 }
 
-// run records that the duty runs.
-func (o *observation) run(uptime time.Duration) {
-	if uptime-o.lastRun > maxRunInterval {
-		o.pausedAt, o.resumedAt = o.lastRun, uptime
+// run records that the duty runs. It returns for how long the machine was suspended since it
+// last ran.
+func (o *observation) run(now moment) (suspended time.Duration) {
+	if now.since(o.lastRun) > maxRunInterval {
+		o.pausedAt, o.resumedAt = o.lastRun, now
 	}
-	o.lastRun = uptime
+	suspended = now.uptime - o.lastRun.uptime - now.steady.Sub(o.lastRun.steady)
+	o.lastRun = now
+	if suspended <= suspensionTolerance {
+		return 0
+	}
+	return suspended
 }
 
-// absentUntil returns when the changes of an update were last known to be absent; zero if
-// nothing was read before it.
-func (o *observation) absentUntil(now time.Time, uptime time.Duration, u *Update) time.Time {
-	o.run(uptime)
-	absent := now
+// absentUntil returns when the changes of an update were last known to be absent, on the
+// steady clock; zero if nothing was read before it.
+func (o *observation) absentUntil(now moment, u *Update) time.Time {
+	age, known := time.Duration(0), true
 	if !u.Live {
-		absent = o.lastRead()
+		age, known = o.readAge(now)
 	}
 	o.noteRead(now, u)
-	paused := o.resumedAt > 0 && uptime-o.resumedAt <= pauseEffect
-	if pausedAt := now.Add(o.pausedAt - uptime); paused && pausedAt.Before(absent) {
-		return pausedAt
+	if !known {
+		return time.Time{}
+	}
+	if o.resumedAt != (moment{}) && now.since(o.resumedAt) <= pauseEffect {
+		age = max(age, now.since(o.pausedAt))
 	}
-	return absent
+	return now.steady.Add(-age)
 }
 
-// lastRead returns the time up to which the reads so far would have shown a change.
-func (o *observation) lastRead() time.Time {
-	if known := o.peerReadAt.Add(-maxPeerDelay); known.After(o.sourceReadAt) {
-		return known
+// readAge returns for how long the reads so far would not have shown a change; known is false
+// if there were none.
+func (o *observation) readAge(now moment) (age time.Duration, known bool) {
+	if o.sourceReadAt != (moment{}) {
+		age, known = now.since(o.sourceReadAt), true
+	}
+	if o.peerReadAt == (moment{}) {
+		return age, known
+	}
+	if peerAge := now.since(o.peerReadAt) + maxPeerDelay; !known || peerAge < age {
+		age = peerAge
 	}
-	return o.sourceReadAt
+	return age, true
 }
 
 // noteRead records the read that an update is the result of.
-func (o *observation) noteRead(now time.Time, u *Update) {
+func (o *observation) noteRead(now moment, u *Update) {
 	switch {
 	case !u.FromPeer:
 		o.sourceReadAt = u.ReadAt
--- a/lib/watcher/reader.go
+++ b/lib/watcher/reader.go
@@ -53,14 +53,14 @@
 func (w *Watcher) readSource(ctx context.Context) error {
 	w.reads.delay = retryMin
 	for ctx.Err() == nil {
-		kind, startedAt := w.reads.next, time.Now()
+		kind, startedAt := w.reads.next, w.now()
 		u, err := w.readOnce(ctx, kind)
 		if err != nil {
-			w.readFailed(ctx, kind, time.Since(startedAt), err)
+			w.readFailed(ctx, kind, time.Since(startedAt.steady), err)
 			continue
 		}
 		// A watch without changes waits at the store, unless that is at fault.
-		pause := len(u.Changes) > 0 || kind == readWatch && time.Since(startedAt) < batchDelay
+		pause := len(u.Changes) > 0 || kind == readWatch && time.Since(startedAt.steady) < batchDelay
 		w.readSucceeded(kind, startedAt, &u)
 		if w.updates.Put(ctx, u) != nil {
 			return nil
@@ -90,13 +90,13 @@
 }
 
 // readSucceeded records a read and completes its update.
-func (w *Watcher) readSucceeded(kind readKind, startedAt time.Time, u *Update) {
+func (w *Watcher) readSucceeded(kind readKind, startedAt moment, u *Update) {
 	r := &w.reads
-	took := time.Since(startedAt)
+	took := time.Since(startedAt.steady)
 	u.ReadAt = startedAt
 	if kind == readWatch && len(u.Changes) == 0 && took >= w.wait {
 		// The source waited with its answer.
-		u.ReadAt = startedAt.Add(w.wait)
+		u.ReadAt = startedAt.add(w.wait)
 	}
 	// A watch that is answered at once finds what changed before it, and one that is
 	// answered after its wait may have been held up.
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -43,7 +43,7 @@
 	// that these are new. ReadAt is a time from which on the source was read, so that the
 	// batch has all changes before it; it is not set if FromPeer.
 	Live   bool
-	ReadAt time.Time
+	ReadAt moment
 }
 
 // Watcher maintains the published state of one process. One duty reads the
@@ -191,23 +191,18 @@
 	state := published.NewState()
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
-	observed := observation{lastRun: w.uptime()}
+	observed := observation{lastRun: w.now()}
 	for {
 		changed := false
 		select {
 		case u := <-w.updates.Out():
-			before, now := state.View(), time.Now()
-			state.SetAbsentUntil(observed.absentUntil(now, w.uptime(), &u))
-			changed = apply(now, state, &u)
-			w.logOlder(&u, state.TakeOlder())
-			changed = state.ApplyAges(now, u.Ages) || changed
-			w.logVersions(now, &u, before, state.View())
+			changed = w.applyUpdate(state, &observed, &u)
 			state.Trim()
 		case q := <-w.queries.Out():
 			_ = q.reply.Put(ctx, state.Since(time.Now(), q.after))
 		case <-ticker.C:
-			observed.run(w.uptime())
-			changed = state.Expire(time.Now())
+			changed = state.CountSuspension(time.Now(), observed.run(w.now()))
+			changed = state.Expire(time.Now()) || changed
 		case <-ctx.Done():
 			return nil
 		}
@@ -217,7 +212,20 @@
 	}
 }
 
-// apply applies an update to the state. It reports whether the view changed.
+// applyUpdate applies an update, with what it tells about the publication of versions, to
+// the state. It reports whether the view changed.
+func (w *Watcher) applyUpdate(state *published.State, observed *observation, u *Update) bool {
+	before, now := state.View(), w.now()
+	changed := state.CountSuspension(now.steady, observed.run(now))
+	state.SetAbsentUntil(observed.absentUntil(now, u))
+	changed = apply(now.steady, state, u) || changed
+	w.logOlder(u, state.TakeOlder())
+	changed = state.ApplyAges(now.steady, u.Ages) || changed
+	w.logVersions(now.steady, u, before, state.View())
+	return changed
+}
+
+// apply applies the changes of an update to the state. It reports whether the view changed.
 func apply(now time.Time, state *published.State, u *Update) bool {
 	switch {
 	case u.Snapshot:
