gossip: a read of the configuration service grows no younger on its way

Callers would see: on the other front end, a configuration that is in force later than it should be, when no process that watches the configuration service can read it: the others begin to read it themselves only once its last read is too old, and that read seemed younger than it was.

Each process reports the youngest read that it heard of, as an age, and the delay of every message makes it younger; in a fleet there is always a next process to pass it on.

Change: a read that is reported counts as 200 ms older than reported, which is more than a heartbeat usually takes. Process.Fresh allows one heartbeat interval for each doubling of the fleet, which covers it.

--- a/lib/gossip/exchange.go
+++ b/lib/gossip/exchange.go
@@ -16,6 +16,10 @@
 	// service, to which Fresh adds the time that notice of a read takes to
 	// spread. Watches are normally shorter.
 	maxReadAgeBase = 5 * time.Second
+	// maxHeartbeatDelay is how long a heartbeat usually takes at most. A read that is
+	// reported is taken to be older by this: without it, it would become younger with each
+	// process that passes it on.
+	maxHeartbeatDelay = 200 * time.Millisecond
 	// randomReadsPerSecond limits the random reads of all processes together.
 	randomReadsPerSecond = 20
 	// urgentPushInterval is the minimum time between two pushes of urgent
@@ -40,7 +44,7 @@
 	}
 	urgent = c.mergeCrashes(now, h.Crashes) || urgent
 	if h.ServiceReadAge >= 0 {
-		if at := now.Add(-h.ServiceReadAge); at.After(c.lastServiceRead) {
+		if at := now.Add(-h.ServiceReadAge - maxHeartbeatDelay); at.After(c.lastServiceRead) {
 			c.lastServiceRead = at
 		}
 	}
