soak: connections to the store fall silent one after the other around new weights

Change: with weights, one more silence a soak, from up to 2.5 s before a planned naming, in which each machine loses its connections up to 2 s after the first. Its draws have the source of the other silences, so that a seed plans the other faults as before.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -37,8 +37,10 @@
 	// busyUntil holds for each process, link and replica when the last fault
 	// planned for it ends.
 	busyUntil map[any]time.Duration
-	// version is the newest published version of the weights.
-	version int64
+	// version is the newest published version of the weights, and versionsAt are the times
+	// at which versions are planned to be published.
+	version    int64
+	versionsAt []time.Duration
 }
 
 // add adds an action to the plan, to be run at the given time from its start.
@@ -90,6 +92,7 @@
 	if f.env.options.Weights {
 		for at := 2 * time.Second; at < length; at += versionTime + time.Duration(f.random.Int64N(int64(versionTime))) {
 			f.add(at, "new weights are named", f.publishVersion)
+			f.versionsAt = append(f.versionsAt, at)
 		}
 	}
 	at := time.Duration(f.random.Int64N(int64(length)))
@@ -322,8 +325,11 @@
 	// revisions stay below those that are known for a while.
 	lostVersions = 40
 	// maxSilentChange is how long after the connections to the store fell silent a replica
-	// leaves at the latest.
+	// leaves, or new weights are named, at the latest.
 	maxSilentChange = 2500 * time.Millisecond
+	// maxSilenceSpread is how much later than the first machine others lose their
+	// connections to the store, so that they also notice it one after the other.
+	maxSilenceSpread = 2 * time.Second
 	// limitTime is how long replicas name a limit.
 	limitTime = 9 * time.Second
 	// minNamedLimit and maxNamedLimit bound the limits, in tenths of requests per second.
@@ -347,16 +353,29 @@
 }
 
 // planStoreSilences plans that all open connections to the store fall silent for good, right
-// before changes that they miss.
+// before changes that they miss: those of all machines at once before a replica leaves, and
+// one after the other around the naming of new weights.
 func (f *faultInjector) planStoreSilences(length time.Duration) {
 	random := rand.New(rand.NewPCG(f.env.options.Seed, 4))
 	for range 1 + random.IntN(2) {
 		at := time.Duration(random.Int64N(int64(length)))
 		for _, m := range f.machines() {
-			f.addDisturbance(m.name, false, at, at, "the connections of "+m.name+" to the store fall silent", m.store.silence, func() {})
+			f.silenceStore(m, at)
 		}
 		f.drainReplica(at+time.Duration(random.Int64N(int64(maxSilentChange))), 0)
 	}
+	if len(f.versionsAt) == 0 {
+		return
+	}
+	at := f.versionsAt[random.IntN(len(f.versionsAt))] - time.Duration(random.Int64N(int64(maxSilentChange)))
+	for _, m := range f.machines() {
+		f.silenceStore(m, max(at+time.Duration(random.Int64N(int64(maxSilenceSpread))), 0))
+	}
+}
+
+// silenceStore plans that the open connections of a machine to the store fall silent.
+func (f *faultInjector) silenceStore(m *machine, at time.Duration) {
+	f.addDisturbance(m.name, false, at, at, "the connections of "+m.name+" to the store fall silent", m.store.silence, func() {})
 }
 
 // planLimits plans that some replicas name limits for a while.
