peering: gateways that start at the same moment do not flood a cold upstream

Cause: budgets that are shared equally were divided by four until a gateway had heard of more peers. It heard of them slowly: one seed or peer was contacted every 200 ms, so that at 1.6 s after the start a gateway knew 11 to 14 of 21 (a trial with the place in the log), and the parts of 21 gateways that each count 14 exceed the whole. Before its first message, 0.1 s after the start, each took a fourth.

Change: a gateway that has just started sends at once, and in each round to up to 12 peers that it has not heard from. For the first second (discoveryTime) it shares budgets with 64 processes, at a place by the hash of its address, unless a peer states their number (Message.Processes), as after a restart of one.

Why it works: after a second all know each other, so that positions are distinct and parts sum up to the whole; before, 21 gateways with one of 64 parts each take less than the rest that the budget leaves.

--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -61,6 +61,7 @@
 
 // start begins the periodic work of the gateway.
 func (g *gateway) start(offset time.Duration) {
+	g.core.SetPlace(g.table.Place(g.sim.clock.now))
 	g.core.Update(g.sim.clock.now, g.sim.view)
 	g.sim.every(offset, coreTick, func() {
 		if !g.down {
@@ -93,6 +94,7 @@
 // restart lets a gateway that was stopped run again.
 func (g *gateway) restart() {
 	g.down, g.leaving = false, false
+	g.core.SetPlace(g.table.Place(g.sim.clock.now))
 	g.core.Update(g.sim.clock.now, g.sim.view)
 }
 
@@ -100,7 +102,7 @@
 func (g *gateway) gossip() {
 	now := g.sim.clock.now
 	g.table.Expire(now)
-	g.core.SetProcesses(g.table.Position(), g.table.Processes())
+	g.core.SetPlace(g.table.Place(now))
 	demands := g.core.Demands(now)
 	g.core.SetPeerLoads(now, g.table.PeerLoads(now), g.table.Shares(now, demands))
 	sharing := g.table.Sharing(now)
@@ -108,7 +110,7 @@
 	g.core.SetSharing(now, sharing)
 	m := &peering.Message{
 		From: g.address, Region: regionName(g.region), Loads: g.core.Loads(), Demands: demands, Peers: g.table.KnownPeers(),
-		Leaving: g.leaving, Crashes: g.core.Detector().Reports(now), Limits: g.core.LimitReports(),
+		Leaving: g.leaving, Processes: g.table.StatedProcesses(now), Crashes: g.core.Detector().Reports(now), Limits: g.core.LimitReports(),
 	}
 	for _, t := range g.table.Targets(now) {
 		peer := g.sim.gatewayAt(t)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -201,7 +201,7 @@
 func (r *router) gossip(ctx context.Context, now time.Time) {
 	r.peers.Expire(now)
 	r.checkConvictions(now)
-	r.core.SetProcesses(r.peers.Position(), r.peers.Processes())
+	r.core.SetPlace(r.peers.Place(now))
 	demands := r.core.Demands(now)
 	r.core.SetPeerLoads(now, r.peers.PeerLoads(now), r.peers.Shares(now, demands))
 	g := r.gateway
@@ -217,7 +217,7 @@
 	_ = g.outbound.Put(ctx, outboundMessage{
 		message: peering.Message{
 			From: g.settings.Peers, Control: g.settings.Control, Number: r.revision.Number(), Era: r.revision.Era(), Config: r.view.ConfigVersion(),
-			Region: g.settings.Dispatch.Region, Leaving: leaving,
+			Region: g.settings.Dispatch.Region, Leaving: leaving, Processes: r.peers.StatedProcesses(now),
 			Loads: r.core.Loads(), Demands: demands, Crashes: r.core.Detector().Reports(now), Peers: r.peers.KnownPeers(),
 			Versions: versions, Limits: r.core.LimitReports(),
 		},
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -131,6 +131,8 @@
 	timer := time.NewTimer(idleInterval)
 	defer timer.Stop()
 	nextTick := time.Now().Add(idleInterval)
+	// Peers are told at once, and the core learns its place among them before it sends.
+	r.protect(ctx, func() { r.gossip(ctx, time.Now()) })
 	for {
 		select {
 		case v := <-g.views.Out():
--- a/lib/dispatch/bench_test.go
+++ b/lib/dispatch/bench_test.go
@@ -8,6 +8,7 @@
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/quota"
 	"rattanspur.example/lib/ratelimit"
 	"rattanspur.example/lib/retry"
 )
@@ -26,7 +27,7 @@
 	v := view(list...)
 	v.Desired[model] = published.DesiredVersion{Model: model, Version: 2, Published: published.PublishedAt(start), Previous: []published.PreviousVersion{{Version: 1}}}
 	c := New(settings())
-	c.SetProcesses(0, 20)
+	c.SetPlace(quota.Place{Position: 0, Processes: 20})
 	c.Update(start, v)
 	c.SetPeerLoads(start, nil, map[fleet.Service]peering.Share{engine: {High: 0.05, KnownHigh: 0.05}})
 	return c, v
--- a/lib/dispatch/cold_test.go
+++ b/lib/dispatch/cold_test.go
@@ -11,6 +11,7 @@
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/quota"
 	"rattanspur.example/lib/retry"
 )
 
@@ -29,7 +30,7 @@
 		cores := make([]*Core, entries)
 		for i := range cores {
 			cores[i] = New(settings())
-			cores[i].SetProcesses(i, entries)
+			cores[i].SetPlace(quota.Place{Position: i, Processes: entries})
 			cores[i].Update(start, v)
 		}
 		now := start
@@ -71,7 +72,7 @@
 			s := settings()
 			s.Self = fmt.Sprint("entry-", i)
 			cores[i] = New(s)
-			cores[i].SetProcesses(i, entries)
+			cores[i].SetPlace(quota.Place{Position: i, Processes: entries})
 			cores[i].Update(start, v)
 			high := low + (1-low)*rapid.Float64Range(0, 1).Draw(t, "part")
 			if i == entries-1 {
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -175,11 +175,11 @@
 	}
 }
 
-// SetProcesses sets the number of entries that divide the shared budgets, and the
-// position of this one in their order, from 0. Numbers below minProcesses count as
-// minProcesses.
-func (c *Core) SetProcesses(position, n int) {
-	c.place = quota.Place{Position: position, Processes: max(n, minProcesses)}
+// SetPlace sets the place of this entry among those that divide the shared budgets. A number
+// of entries below minProcesses counts as minProcesses.
+func (c *Core) SetPlace(place quota.Place) {
+	place.Processes = max(place.Processes, minProcesses)
+	c.place = place
 	c.detector.SetProcesses(c.place.Processes)
 }
 
--- a/lib/dispatch/suspicion_test.go
+++ b/lib/dispatch/suspicion_test.go
@@ -12,6 +12,7 @@
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
 	"rattanspur.example/lib/poison"
+	"rattanspur.example/lib/quota"
 	"rattanspur.example/lib/retry"
 )
 
@@ -267,7 +268,7 @@
 	require.Equal(t, poison.Probe, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict)
 	delayed := false
 	for n := 200; n <= 700 && !delayed; n += 100 {
-		h.core.SetProcesses(0, n)
+		h.core.SetPlace(quota.Place{Position: 0, Processes: n})
 		delayed = h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict == poison.Blocked
 	}
 	require.True(t, delayed)
--- a/lib/peering/message.go
+++ b/lib/peering/message.go
@@ -54,6 +54,9 @@
 	Limits []ratelimit.Report `json:"limits,omitempty"`
 	// Versions says how long the sender has known the desired versions, by model.
 	Versions map[string][]published.VersionAge `json:"versions,omitempty"`
+	// Processes is the number of processes that share budgets, the sender included; 0 if it
+	// has just started and does not know them.
+	Processes int `json:"processes,omitempty"`
 	// Leaving is set if the sender is stopping.
 	Leaving bool `json:"leaving,omitempty"`
 	// Peers lists addresses of processes that the sender has received messages
@@ -95,7 +98,7 @@
 			return false
 		}
 	}
-	return validVersion(m.Config) && (m.Engine == nil || m.Engine.valid()) && published.ValidAges(m.Versions)
+	return m.Processes >= 0 && m.Processes <= maxProcesses && validVersion(m.Config) && (m.Engine == nil || m.Engine.valid()) && published.ValidAges(m.Versions)
 }
 
 func validRate(perSecond float64) bool { return perSecond >= 0 && perSecond <= maxPerSecond }
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -70,6 +70,8 @@
 	random *rand.Rand
 	// startedAt is when shares were first asked for.
 	startedAt time.Time
+	// stated is the greatest number of processes that a peer stated.
+	stated int
 	// roundAt is when Expire was last called.
 	roundAt time.Time
 }
@@ -98,6 +100,7 @@
 	}
 	p.control, p.region, p.lastSeen, p.revision, p.config = m.Control, m.Region, now, m.Revision(), m.Config
 	p.loads, p.demands, p.leaving = m.Loads, m.Demands, m.Leaving
+	t.stated = max(t.stated, m.Processes)
 	for _, a := range m.Peers {
 		if a != t.self {
 			t.getOrAdd(a)
@@ -241,7 +244,8 @@
 
 // Targets returns the peers that the next message is sent to: up to Fanout peers
 // that sent a message within memberTTL and, every roundsPerProbe messages, one
-// of the seeds and peers that did not.
+// of the seeds and peers that did not. A process that has just started sends to up to Fanout
+// of those in each round, so that it knows its peers before it shares budgets with them.
 func (t *Table) Targets(now time.Time) []string {
 	var active, rest []string
 	for a, p := range t.members {
@@ -261,7 +265,11 @@
 	t.round++
 	out := rotate(active, t.round*Fanout)
 	out = out[:min(len(out), Fanout)]
-	if len(rest) > 0 && t.round%roundsPerProbe == 0 {
+	switch {
+	case !t.discovered(now):
+		rest = rotate(rest, t.round*Fanout)
+		out = append(out, rest[:min(len(rest), Fanout)]...)
+	case len(rest) > 0 && t.round%roundsPerProbe == 0:
 		out = append(out, rest[(t.round/roundsPerProbe)%len(rest)])
 	}
 	return out
--- a/lib/peering/share.go
+++ b/lib/peering/share.go
@@ -60,12 +60,8 @@
 // settled reports whether this process has had the time to hear of its peers, and did
 // if there are any. After memberTTL without a message the others count as gone.
 func (t *Table) settled(now time.Time) bool {
-	if t.startedAt.IsZero() {
-		t.startedAt = now
-	}
-	hasSeeds := slices.ContainsFunc(t.seeds, func(s string) bool { return s != t.self })
-	age := now.Sub(t.startedAt)
-	return !hasSeeds || t.Processes() > 1 && age >= settleTime || age >= memberTTL
+	age := t.age(now)
+	return !t.hasSeeds() || t.Processes() > 1 && age >= settleTime || age >= memberTTL
 }
 
 // Sharer is another process that shares budgets.
