--- a/lib/watcher/missed_test.go
+++ b/lib/watcher/missed_test.go
@@ -185,6 +185,16 @@
 	return published.Batch{Changes: []published.Change{upstream("a", after)}, Revision: after}, nil
 }
 
+// startDuties starts the duties of a watcher and returns a function that ends them.
+func startDuties(t *testing.T, w *Watcher) (stop func()) {
+	g := duty.NewGroup(context.Background())
+	w.Start(g)
+	return func() {
+		g.Stop()
+		require.NoError(t, g.Wait())
+	}
+}
+
 // Guards against an update window that begins when a process reads a version, though that had
 // been published before the watch began, or the answer was held up.
 func TestVersionThatAWatchFindsLate(t *testing.T) {
@@ -197,12 +207,7 @@
 			s.namedAt = time.Now().Add(2*batchDelay + 100*time.Millisecond)
 			w := New(&s, "", testWait, log.NewLogfmtLogger(io.Discard))
 			views := w.Subscribe()
-			g := duty.NewGroup(context.Background())
-			w.Start(g)
-			defer func() {
-				g.Stop()
-				require.NoError(t, g.Wait())
-			}()
+			defer startDuties(t, w)()
 			v := next(t, views)
 			for v.Desired["m"].Version != 2 {
 				v = next(t, views)
@@ -233,12 +238,7 @@
 				return time.Hour + time.Since(begin) + suspension
 			}
 			views := w.Subscribe()
-			g := duty.NewGroup(context.Background())
-			w.Start(g)
-			defer func() {
-				g.Stop()
-				require.NoError(t, g.Wait())
-			}()
+			defer startDuties(t, w)()
 			time.Sleep(time.Until(suspendedAt.Add(testWait + time.Second)))
 			d := next(t, views).Desired["m"]
 			require.Equal(t, int64(2), d.Version, name)
--- a/lib/watcher/observation.go
+++ b/lib/watcher/observation.go
@@ -45,7 +45,8 @@
 }
 
 // absentUntil returns when the changes of an update were last known to be absent, on the
-// steady clock; zero if nothing was read before it.
+// steady clock. It is zero if nothing was read before; the update then brings no version whose
+// publication is known.
 func (o *observation) absentUntil(now moment, u *Update) time.Time {
 	age, known := time.Duration(0), true
 	if !u.Live {
