published: At names an exact publication

Cause: revive rejects PublishedAt, which repeats the package's name. Change: a rename. Result: golangci-lint reports no issues, make model passes, tests of lib/published, lib/watcher and lib/staging pass.

--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -432,7 +432,7 @@
 func (s *simulation) publishWeights(copiesFrom, copiesUntil time.Duration) {
 	now, was := s.clock.now, s.desired()
 	next := published.DesiredVersion{
-		Model: modelName, Version: was.Version + 1, Published: published.PublishedAt(now),
+		Model: modelName, Version: was.Version + 1, Published: published.At(now),
 		Previous: append([]published.PreviousVersion{{Version: was.Version, Published: was.Published}}, was.Previous...),
 	}
 	v := *s.view
--- a/lib/dispatch/bench_test.go
+++ b/lib/dispatch/bench_test.go
@@ -25,7 +25,7 @@
 		list = append(list, replica(fmt.Sprintf("engine-%04d", i), 1))
 	}
 	v := view(list...)
-	v.Desired[model] = published.DesiredVersion{Model: model, Version: 2, Published: published.PublishedAt(start), Previous: []published.PreviousVersion{{Version: 1}}}
+	v.Desired[model] = published.DesiredVersion{Model: model, Version: 2, Published: published.At(start), Previous: []published.PreviousVersion{{Version: 1}}}
 	c := New(settings())
 	c.SetPlace(quota.Place{Position: 0, Processes: 20})
 	c.Update(start, v)
--- a/lib/dispatch/silence_test.go
+++ b/lib/dispatch/silence_test.go
@@ -56,8 +56,8 @@
 	}{{0, true}, {6 * time.Second, false}} {
 		v := view(replica("a", 1), replica("b", 1))
 		v.Desired[model] = published.DesiredVersion{
-			Model: model, Version: 2, Published: published.PublishedAt(start.Add(-c.desiredFor)),
-			Previous: []published.PreviousVersion{{Version: 1, Published: published.PublishedAt(start.Add(-time.Hour))}},
+			Model: model, Version: 2, Published: published.At(start.Add(-c.desiredFor)),
+			Previous: []published.PreviousVersion{{Version: 1, Published: published.At(start.Add(-time.Hour))}},
 		}
 		h := newHarness(t, v)
 		h.core.Tick(h.now)
--- a/lib/dispatch/weights_test.go
+++ b/lib/dispatch/weights_test.go
@@ -18,7 +18,7 @@
 // of others then, whose load they know only with a delay.
 func TestEnginesStopTogetherBeforeTheirWeightsAreDue(t *testing.T) {
 	v := view(replica("fast", 1), replica("slow", 1))
-	v.Desired[model] = published.DesiredVersion{Model: model, Version: 2, Published: published.PublishedAt(start), Previous: []published.PreviousVersion{{Version: 1}}}
+	v.Desired[model] = published.DesiredVersion{Model: model, Version: 2, Published: published.At(start), Previous: []published.PreviousVersion{{Version: 1}}}
 	h := newHarness(t, v)
 	s := h.core.services[engine]
 	h.core.upstreams["fast"].meanFirstByte = 100 * time.Millisecond
@@ -56,8 +56,8 @@
 func TestOldWeightsGetNoRequestsAfterTheGracePeriod(t *testing.T) {
 	v := view(replica("old", 1))
 	v.Desired[model] = published.DesiredVersion{
-		Model: model, Version: 3, Published: published.PublishedAt(start.Add(2 * time.Second)),
-		Previous: []published.PreviousVersion{{Version: 2, Published: published.PublishedAt(start)}},
+		Model: model, Version: 3, Published: published.At(start.Add(2 * time.Second)),
+		Previous: []published.PreviousVersion{{Version: 2, Published: published.At(start)}},
 	}
 	h := newHarness(t, v)
 	// The prompt of 100 tokens is read in 10 ms.
@@ -83,8 +83,8 @@
 	_, actions := h.arrive("/stream/1")
 	require.Zero(t, h.sent(actions).BeginBy, "no newer version is desired")
 	v.Desired[model] = published.DesiredVersion{
-		Model: model, Version: 3, Published: published.PublishedAt(start.Add(-time.Second)),
-		Previous: []published.PreviousVersion{{Version: 2, Published: published.PublishedAt(start.Add(-6 * time.Second))}, {Version: 1}},
+		Model: model, Version: 3, Published: published.At(start.Add(-time.Second)),
+		Previous: []published.PreviousVersion{{Version: 2, Published: published.At(start.Add(-6 * time.Second))}, {Version: 1}},
 	}
 	h.core.Update(h.now, v)
 	ticket, actions := h.arrive("/stream/2")
@@ -122,8 +122,8 @@
 func TestNewerVersionThanDueIsExpected(t *testing.T) {
 	v := view(replica("new", 3))
 	v.Desired[model] = published.DesiredVersion{
-		Model: model, Version: 3, Published: published.PublishedAt(start.Add(2 * time.Second)),
-		Previous: []published.PreviousVersion{{Version: 2, Published: published.PublishedAt(start)}},
+		Model: model, Version: 3, Published: published.At(start.Add(2 * time.Second)),
+		Previous: []published.PreviousVersion{{Version: 2, Published: published.At(start)}},
 	}
 	h := newHarness(t, v)
 	h.now = start.Add(8 * time.Second)
@@ -189,7 +189,7 @@
 // to be replaced.
 func TestSlowEngineStopsEarlierBeforeItsWeightsAreDue(t *testing.T) {
 	v := view(replica("slow", 1))
-	v.Desired[model] = published.DesiredVersion{Model: model, Version: 2, Published: published.PublishedAt(start.Add(5 * time.Second))}
+	v.Desired[model] = published.DesiredVersion{Model: model, Version: 2, Published: published.At(start.Add(5 * time.Second))}
 	h := newHarness(t, v)
 	for range 30 {
 		ticket, actions := h.arrive("/stream/1")
--- a/lib/published/ages_test.go
+++ b/lib/published/ages_test.go
@@ -52,10 +52,10 @@
 // Guards against a process that takes a version for published as it saw it, although another
 // one had seen the version before: its watch was answered late.
 func TestVersionWasPublishedWhenAnyProcessSawIt(t *testing.T) {
-	certain := PublishedAt(start.Add(2 * time.Second))
+	certain := At(start.Add(2 * time.Second))
 	uncertain := publishedBetween(start.Add(-time.Second), start.Add(time.Second))
 	for _, merged := range []Publication{certain.merge(uncertain), uncertain.merge(certain)} {
-		require.Equal(t, PublishedAt(start.Add(time.Second)), merged)
+		require.Equal(t, At(start.Add(time.Second)), merged)
 	}
 }
 
--- a/lib/published/publication.go
+++ b/lib/published/publication.go
@@ -12,8 +12,8 @@
 	Uncertainty time.Duration
 }
 
-// PublishedAt returns what a process knows that saw a version as it was published.
-func PublishedAt(t time.Time) Publication { return Publication{NotBefore: t} }
+// At returns what a process knows that saw a version as it was published.
+func At(t time.Time) Publication { return Publication{NotBefore: t} }
 
 // publishedBetween returns what a process knows that saw a version at a time before which it
 // was last known to be absent.
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -287,7 +287,7 @@
 	}
 	// A version in the first snapshot may have been published long before.
 	if s.hasSnapshot {
-		d.Published = PublishedAt(now)
+		d.Published = At(now)
 		if !s.absentUntil.IsZero() {
 			d.Published = publishedBetween(s.absentUntil, now)
 		}
--- a/lib/staging/staging_test.go
+++ b/lib/staging/staging_test.go
@@ -25,7 +25,7 @@
 }
 
 func target(version int64) published.DesiredVersion {
-	return published.DesiredVersion{Model: "m", Version: version, Published: published.PublishedAt(start)}
+	return published.DesiredVersion{Model: "m", Version: version, Published: published.At(start)}
 }
 
 // nextAction returns the next action without its version.
@@ -90,7 +90,7 @@
 // the target.
 func TestEarlierVersionServesWhileTheTargetIsMissing(t *testing.T) {
 	w := published.DesiredVersion{
-		Model: "m", Version: 3, Published: published.PublishedAt(start.Add(2 * time.Second)), Previous: []published.PreviousVersion{{Version: 2, Published: published.PublishedAt(start)}},
+		Model: "m", Version: 3, Published: published.At(start.Add(2 * time.Second)), Previous: []published.PreviousVersion{{Version: 2, Published: published.At(start)}},
 	}
 	c := New("m", 16, updateWindow)
 	c.SetTarget(w)
@@ -153,7 +153,7 @@
 	// version 1 must be updated within the window of version 2.
 	w := target(3)
 	w.Published.NotBefore = start.Add(2 * time.Second)
-	w.Previous = []published.PreviousVersion{{Version: 2, Published: published.PublishedAt(start)}, {Version: 1}}
+	w.Previous = []published.PreviousVersion{{Version: 2, Published: published.At(start)}, {Version: 1}}
 	last := SlotStart(w, 1, updateWindow, engines-1, engines)
 	require.False(t, last.After(start.Add(updateWindow-lastSlotMargin)))
 	require.True(t, SlotStart(w, 2, updateWindow, engines-1, engines).After(last))
@@ -171,7 +171,7 @@
 	second := start.Add(2 * time.Second)
 	w := target(3)
 	w.Published.NotBefore = second
-	w.Previous = []published.PreviousVersion{{Version: 2, Published: published.PublishedAt(start)}, {Version: 1}}
+	w.Previous = []published.PreviousVersion{{Version: 2, Published: published.At(start)}, {Version: 1}}
 	var slots []time.Time
 	for address, rank := range Ranks(all, 1) {
 		slot := SlotStart(w, 1, updateWindow, rank, engines)
@@ -200,7 +200,7 @@
 // more requests: a paused process may first observe the oldest newer version last.
 func TestEarliestNewerVersionEndsTheUse(t *testing.T) {
 	w := target(3)
-	w.Previous = []published.PreviousVersion{{Version: 2, Published: published.PublishedAt(start.Add(5 * time.Second))}, {Version: 1}}
+	w.Previous = []published.PreviousVersion{{Version: 2, Published: published.At(start.Add(5 * time.Second))}, {Version: 1}}
 	require.Equal(t, start.Add(updateWindow), UsableUntil(w, 1, updateWindow))
 	require.False(t, SlotStart(w, 1, updateWindow, 9, 10).After(start.Add(updateWindow-lastSlotMargin)))
 	// Engines with version 2 still come after those with version 1, which is due first.
@@ -215,8 +215,8 @@
 // ends the use of the other version at once, so that all engines load together.
 func TestVersionThatIsDesiredAgainLeavesTheOtherUsable(t *testing.T) {
 	again := start.Add(3 * time.Minute)
-	w := published.DesiredVersion{Model: "m", Version: 2, Revision: 4, Published: published.PublishedAt(again), Previous: []published.PreviousVersion{
-		{Version: 1, Revision: 3, Published: published.PublishedAt(start.Add(2 * time.Minute))}, {Version: 2, Revision: 2, Published: published.PublishedAt(start)}, {Version: 1, Revision: 1},
+	w := published.DesiredVersion{Model: "m", Version: 2, Revision: 4, Published: published.At(again), Previous: []published.PreviousVersion{
+		{Version: 1, Revision: 3, Published: published.At(start.Add(2 * time.Minute))}, {Version: 2, Revision: 2, Published: published.At(start)}, {Version: 1, Revision: 1},
 	}}
 	require.Equal(t, again.Add(updateWindow), UsableUntil(w, 1, updateWindow))
 	require.False(t, SlotStart(w, 1, updateWindow, 0, 10).Before(again))
--- a/loader/coordinator_test.go
+++ b/loader/coordinator_test.go
@@ -27,7 +27,7 @@
 	c.core.SetReport(staging.Report{Copies: []published.Copy{{Model: "m", Version: 1, Layers: 2}}})
 	publishedAt := time.Unix(1000, 0)
 	setPublished := func(at time.Time) time.Time {
-		d := published.DesiredVersion{Model: "m", Version: 2, Published: published.PublishedAt(at)}
+		d := published.DesiredVersion{Model: "m", Version: 2, Published: published.At(at)}
 		c.setDesired(context.Background(), &published.View{Desired: map[string]published.DesiredVersion{"m": d}})
 		return c.core.SlotStart()
 	}
