cmd: the test of a second signal handles its signals before the role ends

The test sends two signals to its process and ends the role at once. A signal of a process may be handled a little later; by then run has returned, receives none any more, and the default action ends the test.

Change: the test sends signals to its own thread, which handles them before the call returns. What it guards against is the same: a signal that nothing receives while calls are in progress still ends the process.

--- a/cmd/rattanspur/signal_test.go
+++ b/cmd/rattanspur/signal_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -95,7 +96,7 @@
 // Guards against a second signal that ends the process at once, with calls in
 // progress.
 func TestSecondSignalDoesNotEndAStop(t *testing.T) {
-	for _, s := range []os.Signal{syscall.SIGTERM, os.Interrupt} {
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
 		r := &stoppingRole{stopping: make(chan struct{}), callsEnded: make(chan struct{})}
 		done := make(chan error, 1)
 		started := make(chan struct{})
@@ -103,17 +104,26 @@
 			done <- run(startedRole{r, started})
 		}()
 		<-started
-		self, err := os.FindProcess(os.Getpid())
-		require.NoError(t, err)
-		require.NoError(t, self.Signal(s))
+		signalThread(t, s)
 		<-r.stopping
-		require.NoError(t, self.Signal(s))
-		require.NoError(t, self.Signal(s))
+		signalThread(t, s)
+		signalThread(t, s)
 		close(r.callsEnded)
 		require.NoError(t, <-done)
 	}
 }
 
+// signalThread sends a signal to the calling thread, which handles it before the call returns.
+// One that is sent to the process may be handled later, when the role has ended and nothing
+// receives signals any more.
+func signalThread(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	_, _, errno := syscall.RawSyscall(syscall.SYS_TGKILL, uintptr(os.Getpid()), uintptr(syscall.Gettid()), uintptr(s))
+	require.Zero(t, errno)
+}
+
 // startedRole tells when a role runs, so that signals are received.
 type startedRole struct {
 	role
