bench: a booking that an agent refuses before it ran is sent again

Cause: the same rehearsal failed once in TestRestartedAgentRunsNothingAgain: the first booking was answered "not-run", "upstream does not answer". The stand-in drops a connection in this test; the agent then checks the upstream's health, and on a busy machine that takes longer. Nothing had run, so the refusal is true; the test took it for the outcome of a request that ran. Read in lib/gate and the answer; the failure was not reproduced.

Change: before the agent is killed, a booking is sent until it is not refused, and only while the ledger has no run of it. Its outcome must then be unknown, as before, and all later checks are the same.

--- a/bench/e2e/once_test.go
+++ b/bench/e2e/once_test.go
@@ -129,6 +129,19 @@
 		{Name: "by key", Key: keyOwnedBy(t, l.Owners(), owner.ID), Drop: true},
 		{Name: "by token", Token: token.Token, Drop: true},
 	}
+	// An agent whose upstream has just dropped a connection checks its health, and refuses
+	// calls until the upstream responds. What was refused has not run and may be sent again.
+	for _, b := range bookings {
+		require.NoError(t, lab.Await(ctx, func() error {
+			a, err := l.Book(ctx, b)
+			require.NoError(t, err)
+			if a.Outcome == wire.NotRun && l.Options.Ledger.Runs(b.Name) == 0 {
+				return fmt.Errorf("status %d: %s", a.Status, a.Body)
+			}
+			require.Equal(t, wire.Unknown, a.Outcome, a.Body)
+			return nil
+		}))
+	}
 	check := func() {
 		for _, b := range bookings {
 			a, err := l.Book(ctx, b)
