watcher: a version named while the source refuses reads is not dated by the last read before

Cause: weights were named while the store reset all connections. Afterwards every process dated them by its own last read, 4.7 to 6.2 s earlier, so that all older weights were due seconds before the new ones could be loaded, and nearly every request was rejected meanwhile.

Change: a read that the store refuses on a new connection shows that it was unavailable then, and the grace period of a version counts only while it is available. Silence still proves nothing. Revisions are ordered: what is read after a change that was seen as it was made is newer than that change. A watch counts as live only if it waited for longer than a source of the last known speed needs to answer one that finds changes at once.

Result: TestVersionNamedInAnOutage, TestSlowAnswerIsNoObservation and TestVersionIsNewerThanChangesSeenBefore fail without it.

--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -46,6 +46,11 @@
 // history; the reader must read a snapshot instead.
 var ErrCompacted = errors.New("requested history has been compacted")
 
+// ErrUnavailable is wrapped by the error of a read that the source refused: it closed or
+// rejected the connection, or responded with a server error. A read without any response does
+// not have it, since only its connection may be at fault.
+var ErrUnavailable = errors.New("source is unavailable")
+
 // OutOfService marks a failure domain that operators took out of service.
 type OutOfService struct{ Domain fleet.FailureDomain }
 
--- a/lib/watcher/missed_test.go
+++ b/lib/watcher/missed_test.go
@@ -21,11 +21,21 @@
 	silentFrom time.Time
 	// down makes all reads fail from silentFrom to downUntil.
 	downUntil time.Time
+	// err is what they fail with; nil means errSilent.
+	err error
 	// compacted makes the source forget its history.
 	compacted bool
 	snapshots int
 }
 
+// failure returns the error of a read that fails.
+func (s *silentSource) failure() error {
+	if s.err != nil {
+		return s.err
+	}
+	return errSilent
+}
+
 var errSilent = errors.New("no answer")
 
 const (
@@ -42,7 +52,7 @@
 func (s *silentSource) Snapshot(context.Context, string, bool) (published.Batch, error) {
 	s.snapshots++
 	if s.changed() && time.Now().Before(s.downUntil) {
-		return published.Batch{}, errSilent
+		return published.Batch{}, s.failure()
 	}
 	if !s.changed() {
 		return published.Batch{Changes: []published.Change{upstream("a", 1), upstream(testRemoved, 2), version(1, 3)}, Revision: 3}, nil
@@ -53,7 +63,7 @@
 func (s *silentSource) Watch(ctx context.Context, _ string, after published.Revision, wait time.Duration) (published.Batch, error) {
 	missed := s.changed()
 	if missed && time.Now().Before(s.downUntil) {
-		return published.Batch{}, errSilent
+		return published.Batch{}, s.failure()
 	}
 	switch {
 	case missed && s.compacted && after < 5:
@@ -246,3 +256,108 @@
 		})
 	}
 }
+
+// Guards against weights that are due seconds too early, so that no engine may serve: a version
+// that was named while the source refused all reads was taken to be as old as the last read
+// before. A source that is only silent proves nothing, since its connections may be at fault.
+func TestVersionNamedInAnOutage(t *testing.T) {
+	const outage = 4 * time.Second
+	for name, c := range map[string]struct {
+		err    error
+		oldest time.Duration
+	}{
+		"refused": {err: published.ErrUnavailable, oldest: 2 * retryMax},
+		"silent":  {err: errSilent, oldest: outage + testWait},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := silentSource{silentFrom: time.Now().Add(5 * time.Second), err: c.err}
+			s.downUntil = s.silentFrom.Add(outage)
+			w := New(&s, "", testWait, log.NewLogfmtLogger(io.Discard))
+			views := w.Subscribe()
+			defer startDuties(t, w)()
+			v := next(t, views)
+			for v.Desired["m"].Version != 2 {
+				v = next(t, views)
+			}
+			d := v.Desired["m"].Published
+			require.LessOrEqual(t, time.Since(d.NotBefore), c.oldest, name)
+			if c.err == errSilent {
+				require.False(t, d.NotBefore.After(s.silentFrom), name)
+			}
+		})
+	}
+}
+
+// Guards against a single broken connection that is taken for an outage: the source served
+// others all the time, and may have named the version before the connection broke.
+func TestOneRefusedConnectionIsNoOutage(t *testing.T) {
+	w := New(&silentSource{}, "", testWait, log.NewLogfmtLogger(io.Discard))
+	w.noteRefusal(w.now(), published.ErrUnavailable)
+	require.Zero(t, w.reads.refusedAt)
+	w.reads.failed = true
+	w.noteRefusal(w.now(), errSilent)
+	require.Zero(t, w.reads.refusedAt)
+	w.noteRefusal(w.now(), published.ErrUnavailable)
+	require.NotZero(t, w.reads.refusedAt)
+}
+
+// slowSource is a source that answers each read late. It names a version between two watches.
+type slowSource struct {
+	namedAt time.Time
+	delay   time.Duration
+}
+
+func (s *slowSource) Snapshot(ctx context.Context, _ string, _ bool) (published.Batch, error) {
+	_ = duty.Sleep(ctx, s.delay)
+	return published.Batch{Changes: []published.Change{version(1, 3)}, Revision: 3}, nil
+}
+
+func (s *slowSource) Watch(ctx context.Context, _ string, after published.Revision, wait time.Duration) (published.Batch, error) {
+	named := !time.Now().Before(s.namedAt)
+	if !named || after >= 5 {
+		_ = duty.Sleep(ctx, wait)
+	}
+	_ = duty.Sleep(ctx, s.delay)
+	if named && after < 5 {
+		return published.Batch{Changes: []published.Change{version(2, 5)}, Revision: 5}, nil
+	}
+	return published.Batch{Revision: after}, nil
+}
+
+// Guards against an update window that begins too late because a slow source answered a watch
+// for changes that were there when it began.
+func TestSlowAnswerIsNoObservation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := slowSource{delay: batchDelay + 50*time.Millisecond}
+		// After the snapshot, in the pause before the first watch.
+		s.namedAt = time.Now().Add(s.delay + batchDelay/2)
+		w := New(&s, "", testWait, log.NewLogfmtLogger(io.Discard))
+		views := w.Subscribe()
+		defer startDuties(t, w)()
+		v := next(t, views)
+		for v.Desired["m"].Version != 2 {
+			v = next(t, views)
+		}
+		require.False(t, v.Desired["m"].Published.NotBefore.After(s.namedAt))
+	})
+}
+
+// Guards against a version that is taken to be older than a change with a lower revision which
+// the process saw as it was made.
+func TestVersionIsNewerThanChangesSeenBefore(t *testing.T) {
+	now := moment{steady: time.Unix(1000, 0), uptime: time.Hour}
+	w := New(&silentSource{}, "", testWait, log.NewLogfmtLogger(io.Discard))
+	u := Update{Batch: published.Batch{Changes: []published.Change{version(2, 5)}, Revision: 5}}
+	synctest.Test(t, func(*testing.T) {
+		w.uptime = func() time.Duration { return time.Hour }
+		begin := w.now()
+		time.Sleep(time.Second)
+		now = w.now()
+		w.readSucceeded(readWatch, begin, &u)
+	})
+	require.True(t, u.Live)
+	o := observation{lastRun: now}
+	o.absentUntil(now, &u)
+	later := now.add(3 * time.Second)
+	require.Equal(t, now.steady, o.absentUntil(later, &Update{Snapshot: true, ReadAt: later}))
+}
--- a/lib/watcher/reader.go
+++ b/lib/watcher/reader.go
@@ -47,6 +47,12 @@
 	delay  time.Duration
 	// unavailable is set from the first logged failure of an outage to its end.
 	unavailable bool
+	// refusedAt is the begin of the last read that the source refused on a new connection
+	// since the last read that succeeded; zero if there is none.
+	refusedAt moment
+	// answerDelay is the time that the source last took to answer a read beyond the wait that
+	// was asked for.
+	answerDelay time.Duration
 }
 
 // readSource reads the source until ctx ends.
@@ -56,6 +62,7 @@
 		kind, startedAt := w.reads.next, w.now()
 		u, err := w.readOnce(ctx, kind)
 		if err != nil {
+			w.noteRefusal(startedAt, err)
 			w.readFailed(ctx, kind, time.Since(startedAt.steady), err)
 			continue
 		}
@@ -93,14 +100,22 @@
 func (w *Watcher) readSucceeded(kind readKind, startedAt moment, u *Update) {
 	r := &w.reads
 	took := time.Since(startedAt.steady)
-	u.ReadAt = startedAt
-	if kind == readWatch && len(u.Changes) == 0 && took >= w.wait {
+	u.ReadAt, u.UnavailableAt = startedAt, r.refusedAt
+	waited := kind == readWatch && len(u.Changes) == 0 && took >= w.wait
+	if waited {
 		// The source waited with its answer.
 		u.ReadAt = startedAt.add(w.wait)
 	}
-	// A watch that is answered at once finds what changed before it, and one that is
-	// answered after its wait may have been held up.
-	u.Live = kind == readWatch && !r.failed && took >= batchDelay && took <= w.wait
+	u.Live = kind == readWatch && !r.failed && took >= batchDelay+maxDelayGrowth*r.answerDelay && took <= w.wait
+	switch {
+	case waited:
+		r.answerDelay = took - w.wait
+	case u.Live:
+		// The answer was held for the changes. Later ones are newer than these.
+		u.ReadAt = w.now()
+	default:
+		r.answerDelay = took
+	}
 	w.logRegained()
 	if kind == readWatch {
 		// A store may answer everything else while none of its watches can be read.
@@ -112,7 +127,20 @@
 	for _, f := range u.Findings {
 		_ = w.logger.Log("event", "item-unreadable", "err", f)
 	}
-	r.next, r.revision, r.failed = readWatch, u.Revision, false
+	r.next, r.revision, r.failed, r.refusedAt = readWatch, u.Revision, false, moment{}
+}
+
+// maxDelayGrowth is the factor by which the source may become slower from one answer to the
+// next. A watch that is answered at once finds what changed before it began, and a slow source
+// answers such a watch late too; one that is answered after its wait may have been held up.
+const maxDelayGrowth = 2
+
+// noteRefusal records a read that the source refused. The first failure counts for nothing: its
+// connection may have been at fault, and the next read uses another one.
+func (w *Watcher) noteRefusal(startedAt moment, err error) {
+	if w.reads.failed && errors.Is(err, published.ErrUnavailable) {
+		w.reads.refusedAt = startedAt
+	}
 }
 
 // readFailed chooses the next read after one that failed, and waits until it is due. After a
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -44,6 +44,9 @@
 	// batch has all changes before it; it is not set if FromPeer.
 	Live   bool
 	ReadAt moment
+	// UnavailableAt is when the source last refused a read before this one; zero if it
+	// refused none since the read before.
+	UnavailableAt moment
 }
 
 // Watcher maintains the published state of one process. One duty reads the
