published: a grace period starts anew after an outage of the store

Cause: version 2 was named 0.4 s before the store refused all reads, version 3 in between. Both were due while the origin was down as well, so that all engines had to load version 3 within 0.7 s of its last piece.

Change: refused reads are noted as an outage while it lasts. A grace period that is not over when an outage begins starts when the store has been available for contact_ms again, since no process can be asked to know earlier what is published. What was due before stays due, and silence is no outage.

--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -73,6 +73,7 @@
 	out := logline.New(os.Stdout)
 	logger := out.Logger(string(s.Instance))
 	w := watcher.New(platform.NewStore(s.Store), "", s.Bounds.WatchWait(), logger)
+	w.SetSettleTime(s.Bounds.Contact)
 	g := gateway.New(gatewaySettings(s), platform.Codec{}, w, logger)
 	return runWithLog(out, hangups, g, func(s *platform.Settings) {
 		_ = logger.Log("event", "reload", "seeds", len(s.Seeds))
@@ -146,6 +147,7 @@
 	logger := out.Logger(string(s.Instance))
 	store := platform.NewStore(s.Store)
 	w := watcher.New(store, platform.DesiredVersionPrefix, platform.MaxWatch, logger)
+	w.SetSettleTime(s.Bounds.Contact)
 	l := loader.Settings{
 		Region:           s.Region,
 		Regions:          s.Regions,
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -230,11 +230,14 @@
 	// version was desired.
 	Revision Revision
 	// Published is what this process and its peers know of the publication of the version;
-	// nothing for a version in the first snapshot. Its update window begins at NotBefore.
+	// nothing for a version in the first snapshot. Its update window begins at NotBefore,
+	// or after an outage (see GraceStart).
 	Published Publication
 	// Previous lists the versions that were desired before, the newest first.
 	// Each still becomes due by its own publication.
 	Previous []PreviousVersion
+	// Outages are the times in which the store was unavailable to this process.
+	Outages Outages
 }
 
 // PreviousVersion is a formerly desired version with its Revision and publication.
@@ -247,11 +250,11 @@
 // Due returns the newest version that has been desired for at least the
 // duration after, or 0.
 func (d DesiredVersion) Due(now time.Time, after time.Duration) int64 {
-	if now.Sub(d.Published.NotBefore) >= after {
+	if now.Sub(d.GraceStart(d.Published, after)) >= after {
 		return d.Version
 	}
 	for _, p := range d.Previous {
-		if now.Sub(p.Published.NotBefore) >= after {
+		if now.Sub(d.GraceStart(p.Published, after)) >= after {
 			return p.Version
 		}
 	}
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -76,6 +76,8 @@
 	// absentUntil is when the changes that are applied next were last known to be absent;
 	// zero if that is the time at which they are applied.
 	absentUntil time.Time
+	// outages are the times in which the store was unavailable.
+	outages Outages
 	// older counts the changes that were dropped because a newer one of their key is
 	// known.
 	older int
@@ -271,6 +273,7 @@
 		case DesiredVersion:
 			item.Revision = e.revision
 			d := s.withPublication(now, key, item)
+			d.Outages = s.outages
 			// Two keys may name one model. The one that was written last counts.
 			if known, ok := v.Desired[d.Model]; !ok || known.Revision <= d.Revision {
 				v.Desired[d.Model] = d
--- a/lib/staging/updateslot.go
+++ b/lib/staging/updateslot.go
@@ -29,7 +29,7 @@
 // If the loaded version itself became the target only a short time ago, its engines
 // update after those that serve an older version, which is due first.
 func SlotStart(target published.DesiredVersion, loaded int64, updateWindow time.Duration, rank, count int) time.Time {
-	next, own := publishedAround(target, loaded)
+	next, own := publishedAround(target, loaded, updateWindow)
 	first := next.Add(time.Duration(firstSlotFraction * float64(updateWindow)))
 	if due := own.Add(updateWindow - lastSlotMargin); !own.IsZero() && due.After(first) {
 		first = due
@@ -44,23 +44,25 @@
 // UsableUntil returns the time after which no new request may start on the
 // loaded version: the earliest end of the update window of a newer target.
 func UsableUntil(target published.DesiredVersion, loaded int64, updateWindow time.Duration) time.Time {
-	next, _ := publishedAround(target, loaded)
+	next, _ := publishedAround(target, loaded, updateWindow)
 	return next.Add(updateWindow)
 }
 
-// publishedAround returns the earliest time at which a version that is newer than the
-// loaded one became the target, and when the loaded one last did; zero if that is not
-// known. The oldest newer version need not have the earliest time, since the process may
+// publishedAround returns the earliest start of the update window of a version that is
+// newer than the loaded one, and when the loaded one last became the target; zero if that is
+// not known. The oldest newer version need not have the earliest time, since the process may
 // have first observed it later. What was the target before the loaded one does not count:
 // a newer version may have been withdrawn and become the target again.
-func publishedAround(target published.DesiredVersion, loaded int64) (next, own time.Time) {
-	next = target.Published.NotBefore
+func publishedAround(target published.DesiredVersion, loaded int64, updateWindow time.Duration) (next, own time.Time) {
+	next = target.GraceStart(target.Published, updateWindow)
 	for _, e := range target.Previous {
 		switch {
 		case e.Version == loaded:
 			return next, e.Published.NotBefore
-		case e.Version > loaded && (next.IsZero() || e.Published.NotBefore.Before(next)):
-			next = e.Published.NotBefore
+		case e.Version > loaded:
+			if start := target.GraceStart(e.Published, updateWindow); next.IsZero() || start.Before(next) {
+				next = start
+			}
 		}
 	}
 	return next, time.Time{}
--- a/lib/watcher/observation.go
+++ b/lib/watcher/observation.go
@@ -23,7 +23,7 @@
 // it. A change that a peer passes on, or that the source has when it is read again, may be as
 // old as the last read without it; what arrived while the process was paused as the pause.
 //
-// The grace period of a version counts only while the source is available. So a change that is
+// The grace period of a version runs only while the source is available. So a change that is
 // read after an outage counts as no older than the last read that the source refused.
 type observation struct {
 	// lastRun is when the duty last ran. pausedAt and resumedAt are the begin and the end of
--- a/lib/watcher/reader.go
+++ b/lib/watcher/reader.go
@@ -62,7 +62,7 @@
 		kind, startedAt := w.reads.next, w.now()
 		u, err := w.readOnce(ctx, kind)
 		if err != nil {
-			w.noteRefusal(startedAt, err)
+			w.noteRefusal(ctx, startedAt, err)
 			w.readFailed(ctx, kind, time.Since(startedAt.steady), err)
 			continue
 		}
@@ -135,11 +135,12 @@
 // answers such a watch late too; one that is answered after its wait may have been held up.
 const maxDelayGrowth = 2
 
-// noteRefusal records a read that the source refused. The first failure counts for nothing: its
+// noteRefusal records and reports a read that the source refused. The first failure counts for nothing: its
 // connection may have been at fault, and the next read uses another one.
-func (w *Watcher) noteRefusal(startedAt moment, err error) {
+func (w *Watcher) noteRefusal(ctx context.Context, startedAt moment, err error) {
 	if w.reads.failed && errors.Is(err, published.ErrUnavailable) {
 		w.reads.refusedAt = startedAt
+		_ = w.updates.Put(ctx, Update{UnavailableAt: startedAt, Refused: true})
 	}
 }
 
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -44,9 +44,11 @@
 	// batch has all changes before it; it is not set if FromPeer.
 	Live   bool
 	ReadAt moment
-	// UnavailableAt is when the source last refused a read before this one; zero if it
-	// refused none since the read before.
+	// UnavailableAt is when the source last refused a read, before this one if there is one;
+	// zero if it refused none since the last read.
 	UnavailableAt moment
+	// Refused is true if the update only tells UnavailableAt.
+	Refused bool
 }
 
 // Watcher maintains the published state of one process. One duty reads the
@@ -68,6 +70,8 @@
 	reads sourceReads
 	// uptime is a clock that also counts while the machine is suspended.
 	uptime func() time.Duration
+	// settleTime is how long after an outage of the source grace periods start.
+	settleTime time.Duration
 }
 
 // query is a peer's request for the changes after a revision.
@@ -141,6 +145,10 @@
 // also at an interval, unless that is 0. It must be called before Start.
 func (w *Watcher) SetFallback(f Fallback, every time.Duration) { w.fallback, w.peerInterval = f, every }
 
+// SetSettleTime sets how long after an outage of the source processes may need to know again
+// what is published. Grace periods start after that time. It must be called before Start.
+func (w *Watcher) SetSettleTime(d time.Duration) { w.settleTime = d }
+
 // readPeers reads the fallback at peerInterval until ctx ends. This covers the
 // time in which a watch that the source dropped without an error returns no
 // changes.
@@ -220,6 +228,12 @@
 func (w *Watcher) applyUpdate(state *published.State, observed *observation, u *Update) bool {
 	before, now := state.View(), w.now()
 	changed := state.CountSuspension(now.steady, observed.run(now))
+	if at := u.UnavailableAt.steady; u.UnavailableAt != (moment{}) {
+		changed = state.NoteOutage(now.steady, at, at.Add(w.settleTime)) || changed
+	}
+	if u.Refused {
+		return changed
+	}
 	state.SetAbsentUntil(observed.absentUntil(now, u))
 	changed = apply(now.steady, state, u) || changed
 	w.logOlder(u, state.TakeOlder())
