dispatch: admission by rank

Cause: a rank ordered only the waiting requests of one customer at one gateway. With 24 customers the round robin over customers decided, and rank 0 was served least.

Change: where the routes of a service have more than one rank, waiting requests are sent rank by rank, customers share the room of each rank, and each less urgent rank leaves a slot of an engine free for those before it.

--- a/emulator/cmd/emulate/main.go
+++ b/emulator/cmd/emulate/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"time"
@@ -48,6 +49,10 @@
 	fmt.Printf("%s %d %d %.3f %.3f %.3f %d %d %s %s %d\n", path, seed, t.Asked, t.InTimeShare(), t.ServedShare(), t.RefusedShare(),
 		t.Failed, t.Returned, loadTimes(r.LoadedAfter), r.MeanOutFor().Round(time.Millisecond), r.Blocked)
 	fmt.Printf("  %d refusals, on average %s after the request had arrived; %d streams cut\n", len(r.RefusedAfter), r.MeanRefusedAfter().Round(time.Millisecond), t.Cut)
+	for _, name := range slices.Sorted(maps.Keys(r.Classes)) {
+		t := r.Classes[name]
+		fmt.Printf("  %s: asked %d, in time %.3f, served %.3f, refused %.3f\n", name, t.Asked, t.InTimeShare(), t.ServedShare(), t.RefusedShare())
+	}
 	if r.Harm != nil {
 		printHarm(r.Harm)
 	}
--- a/emulator/prompt.go
+++ b/emulator/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -58,9 +59,14 @@
 	random   *rand.Rand
 	// popularity holds the cumulative weights of the first parts.
 	popularity []float64
-	drawn      int
+	// customers holds the cumulative weights of the customers if they differ.
+	customers []float64
+	drawn     int
 }
 
+// customerKey returns the key of the customer with a number.
+func customerKey(number int) string { return fmt.Sprintf("key %d", number) }
+
 func newPrompter(sc *Scenario, seed uint64) *prompter {
 	p := &prompter{scenario: sc, random: rand.New(rand.NewPCG(seed, promptStream))}
 	sum := 0.0
@@ -68,6 +74,13 @@
 		sum += 1 / float64(i+1)
 		p.popularity = append(p.popularity, sum)
 	}
+	sum = 0
+	for i := range sc.Prompts.Customers {
+		if sc.Prompts.CustomerSkew > 0 {
+			sum += math.Pow(float64(i+1), -sc.Prompts.CustomerSkew)
+			p.customers = append(p.customers, sum)
+		}
+	}
 	return p
 }
 
@@ -78,7 +91,7 @@
 	sc := p.scenario
 	out := prompt{own: fmt.Sprintf("own %d", p.drawn)}
 	if n := sc.Prompts.Customers; n > 0 {
-		out.key = fmt.Sprintf("key %d", p.random.IntN(n))
+		out.key = customerKey(p.drawCustomer(n))
 	}
 	if len(p.popularity) > 0 {
 		out.shared = append(out.shared, fmt.Sprintf("%s first %d", class, p.drawFirst()))
@@ -95,8 +108,19 @@
 
 // drawFirst draws the number of a first part by popularity: the part at place n is
 // 1/n times as frequent as the first one.
-func (p *prompter) drawFirst() int {
-	n := p.random.Float64() * p.popularity[len(p.popularity)-1]
-	i, _ := slices.BinarySearch(p.popularity, n)
-	return min(i, len(p.popularity)-1)
+func (p *prompter) drawFirst() int { return p.draw(p.popularity) }
+
+// drawCustomer draws the number of one of n customers.
+func (p *prompter) drawCustomer(n int) int {
+	if len(p.customers) == 0 {
+		return p.random.IntN(n)
+	}
+	return p.draw(p.customers)
+}
+
+// draw draws a number by cumulative weights.
+func (p *prompter) draw(cumulative []float64) int {
+	n := p.random.Float64() * cumulative[len(cumulative)-1]
+	i, _ := slices.BinarySearch(cumulative, n)
+	return min(i, len(cumulative)-1)
 }
--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -157,6 +157,10 @@
 type Prompts struct {
 	// Customers is the number of callers' keys; 0 means that requests have none.
 	Customers int `ini:"customers"`
+	// CustomerSkew makes the customer at place n 1/n^CustomerSkew times as frequent as the
+	// first one, and the customers known to the gateways, which share capacity among them. 0
+	// means that all are equally frequent and unknown.
+	CustomerSkew float64 `ini:"customer_skew"`
 	// FirstParts is the number of first parts of each class, of which a few are
 	// frequent; 0 means that prompts have none in common.
 	FirstParts int `ini:"first_parts"`
@@ -202,6 +206,8 @@
 	// events, within which an answer is in time.
 	Goal    time.Duration `ini:"goal"`
 	GapGoal time.Duration `ini:"gap_goal"`
+	// Rank is the urgency of the class; 0 is the most urgent.
+	Rank int `ini:"rank"`
 }
 
 // gapPatience returns the longest gap between two events that callers bear.
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -323,9 +323,15 @@
 		c.Routes = append(c.Routes, published.Route{
 			Name: class.Name, Host: hostName, Prefix: "/" + class.Name + "/", Kind: published.Streaming, Resumable: true,
 			Targets: []published.Target{{Service: serviceName, Weight: 1}}, Timeout: s.scenario.Traffic.Deadline,
-			LatencyGoal: class.Goal, GapGoal: class.GapGoal, MaxAttempts: 2,
+			LatencyGoal: class.Goal, GapGoal: class.GapGoal, Rank: class.Rank, MaxAttempts: 2,
 		})
 	}
+	if n := s.scenario.Prompts.Customers; n > 0 && s.scenario.Prompts.CustomerSkew > 0 {
+		c.Customers = map[string]*published.Customer{}
+		for i := range n {
+			c.Customers[customerKey(i)] = &published.Customer{Name: fleet.Customer(customerKey(i))}
+		}
+	}
 	c.Index()
 	return c
 }
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -95,6 +95,7 @@
 	// only. They are no sign of missing capacity.
 	suspectedRequests regionQueues
 	retryBudget       *retry.Window
+	rankOrder         rankOrder
 	// maxGoal is the longest first-byte goal of the routes to the service.
 	maxGoal time.Duration
 	// demand is the rate at which new requests arrive at this entry, steadyDemand a
@@ -263,9 +264,11 @@
 		s.upstreams = append(s.upstreams, u)
 	}
 	if v.Config != nil {
+		ranks := routeRanks(v.Config)
 		for name, p := range v.Config.Services {
 			s := c.service(now, name)
 			s.published = p
+			s.rankOrder.setRanks(ranks[p])
 			s.coldBudget = c.coldBudget(p)
 			s.maxGoal = 0
 		}
@@ -361,7 +364,11 @@
 		return c.giveUp(now, r, stopReason)
 	}
 	s.retryBudget.RecordFirst(now)
-	if !r.returning {
+	r.ranked = s.rankOrder.applies()
+	if r.returning {
+		r.place = s.rankOrder.position(r.rank())
+	} else {
+		r.place = s.rankOrder.arrive(now, r.rank())
 		s.demand.add(now)
 		s.steadyDemand.add(now)
 	}
--- a/lib/dispatch/forecast.go
+++ b/lib/dispatch/forecast.go
@@ -54,12 +54,13 @@
 	if r.suspect != 0 {
 		return false
 	}
-	q := s.queuesFor(r)[r.queueKey()]
-	if q == nil {
+	ahead := s.rankedBefore(r)
+	if q := s.queuesFor(r)[r.queueKey()]; q != nil {
+		ahead += q.Ahead(it.Customer, it.Priority)
+	} else if ahead == 0 {
 		return false
 	}
-	p := s.progressOf(r)
-	forecast := p.wait(now, q.Ahead(it.Customer, it.Priority))
+	forecast := s.progressOf(r).wait(now, ahead)
 	return forecast > time.Duration(forecastMargin*float64(it.Deadline.Sub(now)))
 }
 
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -51,6 +51,9 @@
 		return Send{}, false
 	}
 	s.progressOf(r).sends.Add(now)
+	if !r.returning && r.attempts == 0 {
+		s.rankOrder.recordSend(now, r.rank())
+	}
 	send := c.send(now, s, r, u)
 	send.Probe = c.recordSent(now, r, u, d)
 	return send, true
@@ -212,7 +215,10 @@
 		return float64(u.load(now)) < maxFailoverLoad*float64(u.Slots)
 	}
 	maxLoad := maxEngineLoad
-	if r.returning {
+	switch {
+	case r.ranked:
+		maxLoad = maxRankedLoad(r.place, r.returning)
+	case r.returning:
 		maxLoad = maxReturningLoad
 		if s.contended(now) {
 			maxLoad = maxContendedReturningLoad
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strings"
 	"time"
 
 	"rattanspur.example/lib/admission"
@@ -92,8 +93,12 @@
 	return s.newRequests
 }
 
-// newAhead reports whether new requests wait that go before a returning one.
+// newAhead reports whether new requests wait that go before a returning one, or requests that
+// go before one by rank.
 func (s *service) newAhead(r *request) bool {
+	if r.ranked {
+		return r.possibleRuns == 0 && r.suspect == 0 && s.rankedAhead(r)
+	}
 	q := s.newRequests[r.regionKey()]
 	return r.returningStream() && r.possibleRuns == 0 && q != nil && q.Len() > 0
 }
@@ -153,6 +158,9 @@
 		for _, queues := range groups {
 			actions = c.sweep(now, s, queues, actions)
 		}
+		if s.rankOrder.applies() {
+			actions = c.drainByRank(now, s, actions)
+		}
 		for _, queues := range groups {
 			actions = c.drainQueues(now, s, queues, actions)
 		}
@@ -161,6 +169,22 @@
 	return c.moveSilent(now, actions)
 }
 
+// drainByRank sends the requests of each rank in the order, retried ones after the new ones of
+// their rank. Requests that an upstream failed go before all.
+func (c *Core) drainByRank(now time.Time, s *service, actions []Action) []Action {
+	actions = c.drainQueues(now, s, s.failoverRequests, actions)
+	for place := range s.rankOrder.ranks {
+		for _, queues := range [...]regionQueues{s.newRequests, s.returningRequests} {
+			for _, key := range queues.keys() {
+				if strings.HasPrefix(key, rankKey(place)) {
+					actions = c.drainQueue(now, s, queues[key], actions)
+				}
+			}
+		}
+	}
+	return actions
+}
+
 func (c *Core) drainQueues(now time.Time, s *service, queues regionQueues, actions []Action) []Action {
 	for _, key := range queues.keys() {
 		q := queues[key]
--- a/lib/dispatch/request.go
+++ b/lib/dispatch/request.go
@@ -22,6 +22,10 @@
 	deadline time.Time
 	// returning is set if the caller appears to retry a rejected request.
 	returning bool
+	// ranked is set if the service admits requests by rank, and place is then the place of the
+	// request's rank in the service's order, from 0.
+	ranked bool
+	place  int
 	// attempts counts all sends, possibleRuns those that the upstream may have
 	// run.
 	attempts     int
--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -125,11 +125,14 @@
 // failed it, so that requests which may go to few upstreams only do not block others.
 func (r *request) queueKey() string {
 	key := r.regionKey()
+	if r.ranked {
+		key = rankKey(r.place) + key
+	}
 	if r.suspect != 0 {
 		key += ";!" + r.suspect.String()
 	}
 	if r.returningStream() {
-		key += ";returning"
+		key += returningSuffix
 	}
 	if r.possibleRuns > 0 {
 		key += ";failover" + strconv.FormatInt(r.version, 10)
@@ -140,6 +143,9 @@
 	return key
 }
 
+// returningSuffix ends the key of the queue of retried streams.
+const returningSuffix = ";returning"
+
 // returningStream reports whether the request goes after new ones.
 func (r *request) returningStream() bool {
 	return r.returning && r.route.Kind == published.Streaming
--- a/lib/published/outage_test.go
+++ b/lib/published/outage_test.go
@@ -10,7 +10,9 @@
 const gracePeriod = 8 * time.Second
 
 // atSecond returns a time in seconds after start.
-func atSecond(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+func atSecond(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
 
 // Guards against all engines that must stop at once shortly after an outage, since versions that
 // were named around it are due although no process could learn of them.
