dispatch, peering: the order of ranks holds for customers, retried requests and all entries

Cause: on the users' machines customers have ranks too, which go before those of routes; nearly all had the same, so that nothing was ordered. A fixed reserve of slots kept a tenth of the engines idle in a mild overload, and retried requests took slots that new ones found full.

Change: requests are ordered by the customer's rank and then the route's. Slots are left free for a rank only while its requests are refused at any entry, which entries tell each other (Demand.RefusedRank). A retried request goes after the new ones of the next place and keeps to the limits that it has without ranks; the most urgent rank does not get the lower one. The log of attempts and refusals names the rank.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -163,7 +163,7 @@
 	c.lastEnd = out.End
 	c.gateway.metrics.recordAttempt(out.End)
 	fields := []any{
-		"number", a.Attempt, "upstream", a.Upstream, "expect", a.ExpectVersion,
+		"number", a.Attempt, "rank", a.Rank, "upstream", a.Upstream, "expect", a.ExpectVersion,
 		"desired", a.DesiredVersion, "desired-for", a.DesiredFor.Seconds(),
 		"left", time.Until(a.Deadline).Seconds(), "end", out.End, "first", out.FirstByte.Seconds(),
 		"version", out.Version, "load", c.load, "limit", c.limit, "waited", a.Waited.Seconds(), "patience", c.call.TimeBudget.Seconds(), "detail", out.Detail,
@@ -322,7 +322,7 @@
 // not treat the response as complete.
 func (c *callHandler) refuse(a *dispatch.Refuse) {
 	fields := []any{
-		"verdict", a.Verdict, "reason", a.Reason, "after", a.RetryAfter.Seconds(), "waited", time.Since(c.arrivedAt).Seconds(),
+		"verdict", a.Verdict, "rank", a.Rank, "reason", a.Reason, "after", a.RetryAfter.Seconds(), "waited", time.Since(c.arrivedAt).Seconds(),
 	}
 	if a.Trait != 0 {
 		fields = append(fields, "trait", a.Trait.String())
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -64,11 +65,22 @@
 // regionQueues maps a set of allowed regions, and the suspicion on the requests, to
 // its queue (see request.queueKey), so that requests bound to a full region or to
 // one upstream do not block others.
-type regionQueues map[string]*requestQueue
+type regionQueues map[queueKey]*requestQueue
+
+// queueKey identifies a queue: the turn of its requests, which is 0 without admission by rank,
+// and the upstreams that they may go to.
+type queueKey struct {
+	turn  int
+	group string
+}
 
 // keys returns the keys in their order. The order of the map would make equal runs of the
 // core differ.
-func (r regionQueues) keys() []string { return slices.Sorted(maps.Keys(r)) }
+func (r regionQueues) keys() []queueKey {
+	return slices.SortedFunc(maps.Keys(r), func(a, b queueKey) int {
+		return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.group, b.group))
+	})
+}
 
 // length returns the number of waiting requests in all queues.
 func (r regionQueues) length() int {
@@ -155,6 +167,8 @@
 	stopReserve time.Duration
 	// answerTimes holds the times of the answers of each route.
 	answerTimes map[string]*answerTime
+	// rankedConfig is the configuration from which the orders of ranks were made.
+	rankedConfig *published.Config
 }
 
 // New returns a core without a view. It rejects requests until Update gives it
@@ -207,7 +221,7 @@
 			s.reportedDemand = s.steadyDemand.perSecond(now)
 			out[name] = peering.Demand{
 				PerSecond: perSecond, Steady: s.reportedDemand,
-				Waiting: s.newRequests.length(), Refused: s.rejectedRecently(now),
+				Waiting: s.newRequests.length(), Refused: s.rejectedRecently(now), RefusedRank: s.refusedRank(now),
 			}
 		}
 	}
@@ -264,11 +278,9 @@
 		s.upstreams = append(s.upstreams, u)
 	}
 	if v.Config != nil {
-		ranks := routeRanks(v.Config)
 		for name, p := range v.Config.Services {
 			s := c.service(now, name)
 			s.published = p
-			s.rankOrder.setRanks(ranks[p])
 			s.coldBudget = c.coldBudget(p)
 			s.maxGoal = 0
 		}
@@ -278,6 +290,7 @@
 				s.maxGoal = max(s.maxGoal, v.Config.Routes[i].LatencyGoal)
 			}
 		}
+		c.setRanks(v.Config)
 	}
 	for _, s := range c.services {
 		s.sortByRegion()
@@ -364,11 +377,8 @@
 		return c.giveUp(now, r, stopReason)
 	}
 	s.retryBudget.RecordFirst(now)
-	r.ranked = s.rankOrder.applies()
-	if r.returning {
-		r.place = s.rankOrder.position(r.rank())
-	} else {
-		r.place = s.rankOrder.arrive(now, r.rank())
+	s.setPlace(now, r)
+	if !r.returning {
 		s.demand.add(now)
 		s.steadyDemand.add(now)
 	}
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -52,7 +52,7 @@
 	}
 	s.progressOf(r).sends.Add(now)
 	if !r.returning && r.attempts == 0 {
-		s.rankOrder.recordSend(now, r.rank())
+		s.rankOrder.recordSend(now, r)
 	}
 	send := c.send(now, s, r, u)
 	send.Probe = c.recordSent(now, r, u, d)
@@ -82,6 +82,7 @@
 		HoldErrors: r.route.Idempotent(),
 		Waited:     now.Sub(r.arrived),
 		Attempt:    r.attempts,
+		Rank:       r.rank(),
 	}
 	if s.published != nil && s.published.Engine != nil {
 		send.ExpectVersion = u.servedVersion(now, r.Model, s.published.Engine.Layers)
@@ -214,15 +215,13 @@
 	if r.possibleRuns > 0 || r.silence != nil {
 		return float64(u.load(now)) < maxFailoverLoad*float64(u.Slots)
 	}
-	maxLoad := maxEngineLoad
+	maxLoad := maxEngineLoad - s.rankedReserve(now, r)
 	switch {
-	case r.ranked:
-		maxLoad = maxRankedLoad(r.place, r.returning)
-	case r.returning:
-		maxLoad = maxReturningLoad
-		if s.contended(now) {
-			maxLoad = maxContendedReturningLoad
-		}
+	case !r.returning:
+	case !s.contended(now), r.ranked && r.routePlace == 0:
+		maxLoad = min(maxLoad, maxReturningLoad)
+	default:
+		maxLoad = min(maxLoad, maxContendedReturningLoad)
 	}
 	if float64(u.load(now)) >= maxLoad*float64(u.Slots) {
 		return false
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"strings"
 	"time"
 
 	"rattanspur.example/lib/admission"
@@ -97,9 +96,9 @@
 // go before one by rank.
 func (s *service) newAhead(r *request) bool {
 	if r.ranked {
-		return r.possibleRuns == 0 && r.suspect == 0 && s.rankedAhead(r)
+		return r.possibleRuns == 0 && r.suspect == 0 && s.rankedBefore(r) > 0
 	}
-	q := s.newRequests[r.regionKey()]
+	q := s.newRequests[queueKey{group: r.regionKey()}]
 	return r.returningStream() && r.possibleRuns == 0 && q != nil && q.Len() > 0
 }
 
@@ -169,22 +168,6 @@
 	return c.moveSilent(now, actions)
 }
 
-// drainByRank sends the requests of each rank in the order, retried ones after the new ones of
-// their rank. Requests that an upstream failed go before all.
-func (c *Core) drainByRank(now time.Time, s *service, actions []Action) []Action {
-	actions = c.drainQueues(now, s, s.failoverRequests, actions)
-	for place := range s.rankOrder.ranks {
-		for _, queues := range [...]regionQueues{s.newRequests, s.returningRequests} {
-			for _, key := range queues.keys() {
-				if strings.HasPrefix(key, rankKey(place)) {
-					actions = c.drainQueue(now, s, queues[key], actions)
-				}
-			}
-		}
-	}
-	return actions
-}
-
 func (c *Core) drainQueues(now time.Time, s *service, queues regionQueues, actions []Action) []Action {
 	for _, key := range queues.keys() {
 		q := queues[key]
@@ -227,7 +210,7 @@
 // request certainly did not run are asked to retry.
 func (c *Core) giveUp(now time.Time, r *request, reason string) []Action {
 	delete(c.requests, r.ticket)
-	out := Refuse{Ticket: r.ticket, Reason: reason}
+	out := Refuse{Ticket: r.ticket, Reason: reason, Rank: r.rank()}
 	remaining := r.deadline.Sub(now)
 	switch {
 	case r.possibleRuns > 0 && remaining <= 0:
--- a/lib/dispatch/rank.go
+++ b/lib/dispatch/rank.go
@@ -2,138 +2,246 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
+	"strings"
 	"time"
 
+	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/published"
 )
 
 // Admission by rank. While a service has too little capacity, requests of a more urgent rank are
-// served first, at all entries alike: they go first at each entry, and each less urgent rank
-// leaves more slots of an engine free, so that a request of an urgent rank that arrives at any
-// entry finds one. It applies to services whose routes have more than one rank; for others,
-// nothing changes.
+// served first, at all entries alike: they go first at each entry, and while they are refused at
+// any entry, less urgent ranks leave slots free everywhere. It applies to services whose routes
+// have more than one rank; for others, nothing changes.
 const (
-	// rankReserve is the fraction of an upstream's slots that each rank leaves free for those
-	// before it, and that retried requests leave free for new ones of their rank.
-	rankReserve = 0.0425
-	// minRankShare is the fraction of the requests of a rank that go before all others, so that
-	// no rank starves.
+	// rankReserve is the fraction of an engine's slots that each rank of routes leaves free for
+	// the one before it. It is a little more than one of 12 slots.
+	rankReserve = 0.085
+	// minRankShare is the fraction of the new requests of a place in the order that is served
+	// before all others, so that no kind of request and no customer starves.
 	minRankShare = 0.3
 	// rankShareTime is the time constant of the averages by which that fraction is kept.
 	rankShareTime = 4 * time.Second
-	// minRankRate is the rate of requests per second below which a rank's fraction is not
-	// looked at.
+	// minRankRate is the rate of requests per second below which the fraction is not looked at.
 	minRankRate = 0.5
 )
 
-// rankOrder holds the order of a service's ranks.
+// rankOrder holds the order of a service's requests by rank: first by the customer's rank, then by
+// that of the route. A customer without a rank has that of the route.
 type rankOrder struct {
-	// ranks are the different ranks of the service's routes, the most urgent first.
-	ranks []int
-	// shares holds what each of them got lately.
+	// customers and routes are the different ranks, the most urgent first.
+	customers, routes []int
+	// shares holds what each place in the order got lately.
 	shares []rankShare
+	// refusedAt is when new requests of each rank of routes were last refused for lack of
+	// capacity.
+	refusedAt []time.Time
 }
 
-// rankShare counts the new requests of a rank that arrived lately and those that were sent.
+// rankShare counts the new requests of a place that arrived lately and those that were sent.
 type rankShare struct{ arrived, sent rate }
 
-// setRanks sets the ranks of the routes to a service. What was counted is kept if they are the
-// same as before.
-func (o *rankOrder) setRanks(ranks []int) {
-	slices.Sort(ranks)
-	ranks = slices.Compact(ranks)
-	if slices.Equal(o.ranks, ranks) {
-		return
-	}
-	o.ranks = ranks
-	o.shares = make([]rankShare, len(ranks))
+// newRankOrder returns the order of ranks, given the ranks of customers and of a service's
+// routes in any order.
+func newRankOrder(customers, routes []int) rankOrder {
+	o := rankOrder{customers: distinct(append(customers, routes...)), routes: distinct(routes)}
+	o.refusedAt = make([]time.Time, len(o.routes))
+	o.shares = make([]rankShare, len(o.customers)*len(o.routes))
 	for i := range o.shares {
 		o.shares[i] = rankShare{arrived: rate{timeConstant: rankShareTime}, sent: rate{timeConstant: rankShareTime}}
 	}
+	return o
+}
+
+func distinct(ranks []int) []int {
+	sorted := slices.Clone(ranks)
+	slices.Sort(sorted)
+	return slices.Compact(sorted)
+}
+
+// update replaces the order. What was counted is kept if it stays the same.
+func (o *rankOrder) update(next rankOrder) {
+	if !slices.Equal(o.customers, next.customers) || !slices.Equal(o.routes, next.routes) {
+		*o = next
+	}
 }
 
 // applies reports whether requests are admitted by rank.
-func (o *rankOrder) applies() bool { return len(o.ranks) > 1 }
+func (o *rankOrder) applies() bool { return len(o.routes) > 1 }
 
-// position returns the place of a rank in the order: the number of ranks before it. Customers
-// may have ranks that no route has.
-func (o *rankOrder) position(rank int) int {
-	n, _ := slices.BinarySearchFunc(o.ranks, rank, cmp.Compare[int])
-	return min(n, len(o.ranks)-1)
+// place returns the place of a request in the order, from 0, and that of its route's rank
+// among those of the routes.
+func (o *rankOrder) place(r *request) (place, routePlace int) {
+	if !o.applies() {
+		return 0, 0
+	}
+	routePlace = indexOf(o.routes, r.route.Rank)
+	return indexOf(o.customers, r.rank())*len(o.routes) + routePlace, routePlace
+}
+
+// indexOf returns the index of a rank in a sorted list, or the nearest one. A request may be older
+// than the configuration.
+func indexOf(ranks []int, rank int) int {
+	i, _ := slices.BinarySearch(ranks, rank)
+	return min(i, len(ranks)-1)
 }
 
-// arrive counts a new request and returns its place in the order. It is the first one if its
-// rank has got too small a share.
-func (o *rankOrder) arrive(now time.Time, rank int) int {
+// starves counts a new request at a place and reports whether that got too small a share
+// lately.
+func (o *rankOrder) starves(now time.Time, place int) bool {
 	if !o.applies() {
-		return 0
+		return false
 	}
-	position := o.position(rank)
-	s := &o.shares[position]
+	s := &o.shares[place]
 	s.arrived.add(now)
-	if arrived := s.arrived.perSecond(now); arrived >= minRankRate && s.sent.perSecond(now) < minRankShare*arrived {
-		return 0
-	}
-	return position
+	arrived := s.arrived.perSecond(now)
+	return arrived >= minRankRate && s.sent.perSecond(now) < minRankShare*arrived
 }
 
 // recordSend counts a new request that was sent.
-func (o *rankOrder) recordSend(now time.Time, rank int) {
+func (o *rankOrder) recordSend(now time.Time, r *request) {
 	if o.applies() {
-		o.shares[o.position(rank)].sent.add(now)
+		place, _ := o.place(r)
+		o.shares[place].sent.add(now)
 	}
 }
 
-// rankKey returns the start of the key of the queue of requests at a place in the order. Keys
-// sort by it.
-func rankKey(place int) string { return fmt.Sprintf("%03d;", place) }
+// Turns order the waiting requests of a service with admission by rank: new ones by their place,
+// and retried ones after the new ones of the next place. A retried request has missed its latency
+// goal already, but a caller who is refused twice may not come back.
+const (
+	turnsPerPlace = 2
+	retriedDelay  = 3
+)
 
-// maxRankedLoad returns the load, as a fraction of an engine's slots, below which the engine
-// gets a request, or a retried one.
-func maxRankedLoad(place int, retried bool) float64 {
-	level := 2 * place
-	if retried {
-		level++
+// setPlace sets the place and the turn of a request that arrives. A new request of a place that
+// starves goes before all others.
+func (s *service) setPlace(now time.Time, r *request) {
+	r.ranked = s.rankOrder.applies()
+	if !r.ranked {
+		return
+	}
+	r.place, r.routePlace = s.rankOrder.place(r)
+	if !r.returning && s.rankOrder.starves(now, r.place) {
+		r.place, r.routePlace = 0, 0
+	}
+	r.turn = r.place * turnsPerPlace
+	if r.returningStream() {
+		r.turn += retriedDelay
 	}
-	return max(maxEngineLoad-rankReserve*float64(level), rankReserve)
 }
 
-// rankedAhead reports whether requests wait that go before a request of a service with
-// admission by rank.
-func (s *service) rankedAhead(r *request) bool { return s.rankedBefore(r) > 0 }
-
-// rankedBefore returns how many requests wait in queues that go before that of a request: those
-// of more urgent ranks and, for a retried one, new ones of its own. It is 0 without admission by
-// rank.
+// rankedBefore returns how many requests wait in queues with an earlier turn than a request of a
+// service with admission by rank, for the same regions. It is 0 for others.
 func (s *service) rankedBefore(r *request) int {
 	if !r.ranked || s.newRequests.length()+s.returningRequests.length() == 0 {
 		return 0
 	}
 	n, regions := 0, r.regionKey()
-	for place := range r.place + 1 {
-		own := place == r.place
-		if q := s.newRequests[rankKey(place)+regions]; q != nil && (!own || r.returningStream()) {
-			n += q.Len()
-		}
-		if q := s.returningRequests[rankKey(place)+regions+returningSuffix]; q != nil && !own {
-			n += q.Len()
+	for _, queues := range [...]regionQueues{s.newRequests, s.returningRequests} {
+		for key, q := range queues {
+			if key.turn < r.turn && strings.TrimSuffix(key.group, returningSuffix) == regions {
+				n += q.Len()
+			}
 		}
 	}
 	return n
 }
 
-// routeRanks returns the ranks of the streaming routes to each service.
-func routeRanks(c *published.Config) map[*published.Service][]int {
-	out := map[*published.Service][]int{}
-	for i := range c.Routes {
-		route := &c.Routes[i]
+// drainByRank sends the waiting requests of a service with admission by rank in their turns.
+// Those that an upstream failed go before all.
+func (c *Core) drainByRank(now time.Time, s *service, actions []Action) []Action {
+	actions = c.drainQueues(now, s, s.failoverRequests, actions)
+	keys := append(s.newRequests.keys(), s.returningRequests.keys()...)
+	slices.SortStableFunc(keys, func(a, b queueKey) int { return cmp.Compare(a.turn, b.turn) })
+	for _, key := range keys {
+		for _, queues := range [...]regionQueues{s.newRequests, s.returningRequests} {
+			if q := queues[key]; q != nil {
+				actions = c.drainQueue(now, s, q, actions)
+			}
+		}
+	}
+	return actions
+}
+
+// rankedReserve returns the fraction of an engine's slots that a request leaves free. It leaves
+// some as long as requests of a more urgent rank are refused at any entry, so that those which
+// arrive find them. The ranks of customers reserve nothing: most requests may have the same one.
+func (s *service) rankedReserve(now time.Time, r *request) float64 {
+	if !r.ranked || r.routePlace == 0 {
+		return 0
+	}
+	refused, ok := s.mostUrgentRefused(now)
+	if !ok || refused >= r.routePlace {
+		return 0
+	}
+	return rankReserve * float64(r.routePlace-refused)
+}
+
+// mostUrgentRefused returns the most urgent place of the routes' ranks at which any entry
+// recently refused new requests for lack of capacity. ok is false if none did.
+func (s *service) mostUrgentRefused(now time.Time) (routePlace int, ok bool) {
+	routePlace = len(s.rankOrder.routes)
+	if s.rejectedRecently(now) {
+		routePlace = s.rankOrder.refused(now)
+	}
+	if n := s.share.RefusedRank; n > 0 && now.Sub(s.shareAt) <= peerLoadTTL {
+		routePlace = min(routePlace, n-1)
+	}
+	return routePlace, routePlace < len(s.rankOrder.routes)
+}
+
+// refusedRank returns what to report to peers: one more than the most urgent place at which this
+// entry recently refused new requests, or 0 if it refused none.
+func (s *service) refusedRank(now time.Time) int {
+	if place := s.rankOrder.refused(now); place < len(s.rankOrder.routes) && s.rankOrder.applies() {
+		return place + 1
+	}
+	return 0
+}
+
+// recordRefusal records that a new request was refused for lack of capacity.
+func (o *rankOrder) recordRefusal(now time.Time, r *request) {
+	if r.routePlace < len(o.refusedAt) {
+		o.refusedAt[r.routePlace] = now
+	}
+}
+
+// refused returns the most urgent place of the routes' ranks at which requests were refused
+// within rejectionWindow, or their number if none were.
+func (o *rankOrder) refused(now time.Time) int {
+	for i, at := range o.refusedAt {
+		if !at.IsZero() && now.Sub(at) < rejectionWindow {
+			return i
+		}
+	}
+	return len(o.refusedAt)
+}
+
+// setRanks sets the order of ranks of each service from a new configuration.
+func (c *Core) setRanks(config *published.Config) {
+	if config == c.rankedConfig {
+		return
+	}
+	c.rankedConfig = config
+	var customers []int
+	for _, customer := range config.Customers {
+		if customer.HasRank {
+			customers = append(customers, customer.Rank)
+		}
+	}
+	customers = distinct(customers)
+	routes := map[fleet.Service][]int{}
+	for i := range config.Routes {
+		route := &config.Routes[i]
 		for _, t := range route.Targets {
-			if s := c.Services[t.Service]; s != nil && route.Kind == published.Streaming {
-				out[s] = append(out[s], route.Rank)
+			if p := config.Services[t.Service]; p != nil && p.Engine != nil && route.Kind == published.Streaming {
+				routes[t.Service] = append(routes[t.Service], route.Rank)
 			}
 		}
 	}
-	return out
+	for name, s := range c.services {
+		s.rankOrder.update(newRankOrder(customers, routes[name]))
+	}
 }
--- a/lib/dispatch/request.go
+++ b/lib/dispatch/request.go
@@ -22,10 +22,11 @@
 	deadline time.Time
 	// returning is set if the caller appears to retry a rejected request.
 	returning bool
-	// ranked is set if the service admits requests by rank, and place is then the place of the
-	// request's rank in the service's order, from 0.
-	ranked bool
-	place  int
+	// ranked is set if the service admits requests by rank. place is then the place of the
+	// request in the service's order, from 0, routePlace that of its route's rank, and turn
+	// orders the waiting requests.
+	ranked                  bool
+	place, routePlace, turn int
 	// attempts counts all sends, possibleRuns those that the upstream may have
 	// run.
 	attempts     int
--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -123,27 +123,24 @@
 // queueKey identifies the queue of a request: the regions that may serve it, the
 // suspicion that it is under, the weights that it goes on with and the upstreams that
 // failed it, so that requests which may go to few upstreams only do not block others.
-func (r *request) queueKey() string {
-	key := r.regionKey()
-	if r.ranked {
-		key = rankKey(r.place) + key
-	}
+func (r *request) queueKey() queueKey {
+	group := r.regionKey()
 	if r.suspect != 0 {
-		key += ";!" + r.suspect.String()
+		group += ";!" + r.suspect.String()
 	}
 	if r.returningStream() {
-		key += returningSuffix
+		group += returningSuffix
 	}
 	if r.possibleRuns > 0 {
-		key += ";failover" + strconv.FormatInt(r.version, 10)
+		group += ";failover" + strconv.FormatInt(r.version, 10)
 		for _, id := range r.failedUpstreams {
-			key += "," + string(id)
+			group += "," + string(id)
 		}
 	}
-	return key
+	return queueKey{turn: r.turn, group: group}
 }
 
-// returningSuffix ends the key of the queue of retried streams.
+// returningSuffix ends the group of retried streams.
 const returningSuffix = ";returning"
 
 // returningStream reports whether the request goes after new ones.
@@ -223,7 +220,11 @@
 
 // recordRejection records that a new request is rejected for lack of capacity.
 func (s *service) recordRejection(now time.Time, r *request) {
-	if !r.returning && r.suspect == 0 && r.possibleRuns == 0 {
-		s.rejectedAt = now
+	if r.returning || r.suspect != 0 || r.possibleRuns > 0 {
+		return
+	}
+	s.rejectedAt = now
+	if r.ranked {
+		s.rankOrder.recordRefusal(now, r)
 	}
 }
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -152,6 +152,8 @@
 	Attempt int
 	// Probe is the convicted trait that the request probes; 0 if it probes none.
 	Probe poison.Trait
+	// Rank is the urgency of the request; 0 is the most urgent.
+	Rank int
 }
 
 // Deliver requests that the held response is passed on to the caller.
@@ -191,6 +193,8 @@
 	// Trait is the convicted trait of a blocked request; 0 if there is another
 	// reason.
 	Trait poison.Trait
+	// Rank is the urgency of the request, if a route matched.
+	Rank int
 }
 
 // Finish ends a request that needs no further action.
--- a/lib/peering/message.go
+++ b/lib/peering/message.go
@@ -26,6 +26,10 @@
 	Waiting int     `json:"w,omitempty"`
 	// Refused is true if requests were recently refused for lack of capacity.
 	Refused bool `json:"f,omitempty"`
+	// RefusedRank is the most urgent one of the ranks at which new requests were recently
+	// refused, as its place among those of the service's routes from 1; 0 if none were, or if
+	// the service has only one rank.
+	RefusedRank int `json:"k,omitempty"`
 }
 
 // Message is the state that a process sends to its peers. The JSON names are
@@ -84,7 +88,7 @@
 		}
 	}
 	for _, d := range m.Demands {
-		if !validRate(d.PerSecond) || !validRate(d.Steady) || !validCount(d.Waiting) {
+		if !validRate(d.PerSecond) || !validRate(d.Steady) || !validCount(d.Waiting) || !validCount(d.RefusedRank) {
 			return false
 		}
 	}
--- a/lib/peering/share.go
+++ b/lib/peering/share.go
@@ -21,6 +21,9 @@
 	KnownLow, KnownHigh float64
 	// Contended is true if requests wait or are refused at other processes.
 	Contended bool
+	// RefusedRank is the most urgent Demand.RefusedRank of the other processes; 0 if there is
+	// none.
+	RefusedRank int
 }
 
 // Shares returns this process's share of each service, given its own demand.
@@ -45,6 +48,9 @@
 			}
 			live.add(d.PerSecond, before)
 			s.Contended = s.Contended || d.Waiting > 0 || d.Refused
+			if d.RefusedRank > 0 && (s.RefusedRank == 0 || d.RefusedRank < s.RefusedRank) {
+				s.RefusedRank = d.RefusedRank
+			}
 		}
 		if live.all+mine.PerSecond > 0 {
 			s.Low, s.High = live.interval(mine.PerSecond)
