platform, dispatch: read each figure of an upstream's load by itself

Cause: parseLoad took exactly three figures. With a fourth one (the speed), or with one that could not be read, the whole header was dropped, so that an entry knew neither the running nor the waiting requests of the engine.

Change: the header has three or four figures. One that is missing, not a number, negative, too large or a fifth one is counted in gateway_load_figures_unreadable_total and leaves the others in use. dispatch.Load has the speed as Slowdown (1 = work takes as long as usual, 0 = not stated). A count that cannot be read is UnknownCount, which is not zero load: a load with one raises the estimate of the requests of others and never lowers it, and unknown slots are taken from the registration. The field "load" of the log shows 3+1/8*2.5, with ? for an unknown count.

The cases of TestHeadOfAResponse and TestNumbersInHeadersAreBounded that asked for a nil load moved to TestEachFigureOfTheLoadCountsByItself, which states for 24 headers what each figure and the counter must be.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -246,6 +246,7 @@
 		c.log("upstream-declines", "leaving", h.Leaving, "after", h.RetryAfter.Seconds())
 	}
 	c.gateway.metrics.recordLimit(h.Limit)
+	c.gateway.metrics.loadUnreadable.Add(h.UnreadableLoad)
 	_ = c.gateway.inbox.Put(context.Background(), headReceived{ticket: c.ticket, observation: dispatch.Observation{
 		Load: h.Load, Version: h.Version, ColdRemaining: h.ColdRemaining, Limit: h.Limit,
 		Leaving: h.Leaving, RetryAfter: h.RetryAfter,
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,6 +36,8 @@
 	// limit cannot be parsed.
 	limitsStated     *metrics.Counter
 	limitsUnreadable *metrics.Counter
+	// loadUnreadable counts the figures of upstreams' loads that cannot be parsed.
+	loadUnreadable *metrics.Counter
 	// statedLimits is the number of upstreams that state a limit, set by the router.
 	statedLimits atomic.Int64
 	// crashRecords and convictedTraits are set by the router, which owns the
@@ -64,6 +66,7 @@
 
 		limitsStated:     set.NewCounter("gateway_limits_stated_total"),
 		limitsUnreadable: set.NewCounter("gateway_limits_unreadable_total"),
+		loadUnreadable:   set.NewCounter("gateway_load_figures_unreadable_total"),
 	}
 	set.NewGauge("gateway_crash_records", func() float64 { return float64(m.crashRecords.Load()) })
 	set.NewGauge("gateway_convicted_traits", func() float64 { return float64(m.convictedTraits.Load()) })
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -5,7 +5,7 @@
 package dispatch
 
 import (
-	"fmt"
+	"strconv"
 	"time"
 
 	"rattanspur.example/lib/fleet"
@@ -45,15 +45,44 @@
 	Traits []poison.Trait
 }
 
-// Load is the load that an upstream reports, in requests.
-type Load struct{ Running, Waiting, Slots int }
+// UnknownCount is a number in a Load that the upstream did not state readably.
+const UnknownCount = -1
+
+// Load is the load that an upstream reports.
+type Load struct {
+	// Running, Waiting and Slots are numbers of requests, or UnknownCount.
+	Running, Waiting, Slots int
+	// Slowdown is how long work takes there now, as a multiple of the usual time; 0 if
+	// not stated.
+	Slowdown float64
+}
 
 // String returns the load as logs show it; "unknown" for nil.
 func (l *Load) String() string {
 	if l == nil {
 		return "unknown"
 	}
-	return fmt.Sprintf("%d+%d/%d", l.Running, l.Waiting, l.Slots)
+	text := countText(l.Running) + "+" + countText(l.Waiting) + "/" + countText(l.Slots)
+	if l.Slowdown > 0 {
+		text += "*" + strconv.FormatFloat(l.Slowdown, 'g', slowdownDigits, 64)
+	}
+	return text
+}
+
+// slowdownDigits is the number of significant digits of a slowdown in logs.
+const slowdownDigits = 3
+
+func countText(n int) string {
+	if n == UnknownCount {
+		return "?"
+	}
+	return strconv.Itoa(n)
+}
+
+// requests returns the number of requests at the upstream. Unless all of them are counted,
+// there may be more.
+func (l *Load) requests() (n int, all bool) {
+	return max(l.Running, 0) + max(l.Waiting, 0), l.Running != UnknownCount && l.Waiting != UnknownCount
 }
 
 // AttemptResult describes how an attempt ended.
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -155,10 +155,9 @@
 
 // observe applies what a response of the upstream reported.
 func (u *upstream) observe(now time.Time, o Observation) {
-	u.statedFull = o.Load != nil && o.Load.Running >= o.Load.Slots
+	u.statedFull = o.Load != nil && u.full(o.Load)
 	if o.Load != nil {
-		u.otherLoad = max(o.Load.Running+o.Load.Waiting-u.inFlight, 0)
-		u.otherLoadAt = now
+		u.observeLoad(now, o.Load)
 	}
 	if o.Version > u.version {
 		u.version = o.Version
@@ -168,6 +167,27 @@
 	}
 }
 
+// full reports whether a load states that all slots are in use. The published slots count if
+// the load does not state them readably.
+func (u *upstream) full(l *Load) bool {
+	slots := l.Slots
+	if slots == UnknownCount {
+		slots = u.Slots
+	}
+	return l.Running != UnknownCount && l.Running >= slots
+}
+
+// observeLoad applies the load that a response reported. A load without all its counts
+// never lowers the estimate.
+func (u *upstream) observeLoad(now time.Time, l *Load) {
+	n, all := l.requests()
+	others := max(n-u.inFlight, 0)
+	if !all && (others == 0 || others <= u.otherLoad && now.Sub(u.otherLoadAt) <= loadReportTTL) {
+		return
+	}
+	u.otherLoad, u.otherLoadAt = others, now
+}
+
 func (u *upstream) recordSuccess(firstByte time.Duration) {
 	u.failures, u.consecutiveErrors, u.refusals = 0, 0, 0
 	u.avoidUntil, u.refusedUntil = time.Time{}, time.Time{}
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -28,7 +28,10 @@
 	// meant for another upstream or for other weights.
 	NotRun      bool
 	Misdirected bool
-	Load        *dispatch.Load
+	// Load is the load that the upstream states; nil if it states no readable figure.
+	// UnreadableLoad is the number of its figures that cannot be read.
+	Load           *dispatch.Load
+	UnreadableLoad int
 	// Version is the version of the weights that produced the response; 0 if
 	// not stated.
 	Version int64
