emulator: engines whose speed changes, and a scenario of them

Cause: nothing showed what engines that share their machines with others do to callers, so no decision by their speed could be tried.

Change: section [speed] of a scenario (share, factor, interval, unstated). Each engine draws its speed anew in each of its intervals, which begin at different times; its passes take factor times as long while it is slow, and its answers state the speed unless unstated is set. The speeds have their own stream of random numbers. emulator/scenarios/uneven-speed.ini: 58 engines of 12 slots, 15 gateways, 3 regions, up to 620 requests per second.

All tests of emulator/ pass.

--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -57,6 +57,10 @@
 	// pausedUntil is when a pause ends in which the engine does nothing. Its work and what
 	// arrives meanwhile go on then.
 	pausedUntil time.Time
+	// slowdown is how long work takes now, as a multiple of the usual time; 0 if the engine
+	// works at one speed and states none. speedUnstated is set if it states none anyway.
+	slowdown      float64
+	speedUnstated bool
 	// starts counts the starts of the engine. Work of an earlier start is lost.
 	starts int64
 }
@@ -77,7 +81,7 @@
 }
 
 func (e *engine) load() *dispatch.Load {
-	return &dispatch.Load{Running: len(e.running), Waiting: len(e.waiting), Slots: e.model.Slots}
+	return &dispatch.Load{Running: len(e.running), Waiting: len(e.waiting), Slots: e.model.Slots, Slowdown: e.statedSlowdown()}
 }
 
 // startPass begins a pass if the engine has work and none is in progress. An
@@ -97,7 +101,7 @@
 		return
 	}
 	e.inPass = true
-	e.afterWork(e.pass(), e.endPass)
+	e.afterWork(e.atSpeed(e.pass()), e.endPass)
 }
 
 // afterWork runs a function once the engine has worked for d, unless it was started anew
--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -26,6 +26,7 @@
 	Limits  StatedLimits   `ini:"limits"`
 	Pause   Pause          `ini:"pause"`
 	Restart GatewayRestart `ini:"restart"`
+	Speed   EngineSpeed    `ini:"speed"`
 	// Classes are the kinds of request, one for each section whose name starts
 	// with classPrefix.
 	Classes []Class `ini:"-"`
@@ -320,6 +321,7 @@
 		{h.Class != "" || h == Harmful{}, "[harmful] needs class"},
 		{s.Limits.At == 0 || s.Limits.Until > s.Limits.At && s.Limits.Share > 0 && s.Limits.Share <= 1, "[limits] needs until after at, and a share above 0 and up to 1"},
 		{s.Pause.At == 0 || s.Pause.For > 0 && s.Pause.Share > 0 && s.Pause.Share <= 1, "[pause] needs for, and a share above 0 and up to 1"},
+		{s.Speed.valid(), "[speed] needs a share above 0 and up to 1, factor and interval"},
 		{s.Restart.At == 0 || s.Restart.Count > 0 && s.Restart.Count <= s.Fleet.Gateways, "[restart] needs a count of up to the number of gateways"},
 	} {
 		if !c.valid {
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -128,6 +128,7 @@
 		e.version = s.desired().Version
 	}
 	e.onHarm = func() { s.crashByRequest(e) }
+	s.changeSpeed(e, i)
 	s.engines[e.id] = e
 	s.order = append(s.order, e)
 	s.addresses = append(s.addresses, e.address)
