dispatch: place requests by the speed that engines state

Cause: prompt times came from the published prefill rate and all slots counted alike, so that an engine that was slow for a moment got as many requests and prompts as the others.

Change: lib/dispatch/speed.go keeps the last stated slowdown of an upstream. Prompt times (hasCapacity, cost, minVersion), the load in the cost and the slots that a load may fill follow it.

--- a/emulator/speed.go
+++ b/emulator/speed.go
@@ -6,7 +6,7 @@
 )
 
 // speedStream is the stream of random numbers of the engines' speeds. It differs from
-// the others, so that a scenario is played with the same arrivals at any speeds.
+// the others, so that the speeds do not depend on what gateways and callers do.
 const speedStream = 2 << 32
 
 // EngineSpeed lets the speed of the engines change, as when they share their machines with
--- a/emulator/speed_test.go
+++ b/emulator/speed_test.go
@@ -19,6 +19,27 @@
 	return s
 }
 
+// minLateReduction is the fraction of the late answers that placement by speed must avoid.
+const minLateReduction = 0.1
+
+// Pattern: engines that are slow in some of short intervals, with capacity left. Guards
+// against gateways that send to an engine while it is slow although it states so.
+func TestStatedSpeedsKeepAnswersInTime(t *testing.T) {
+	late := func(unstated bool) (sum int) {
+		s := unevenSpeed(t)
+		s.Speed.Unstated = unstated
+		for seed := range uint64(3) {
+			r := Run(s, seed)
+			require.Equal(t, r.Total.Asked, r.Total.InTime+r.Total.Late, "no request is refused or fails while capacity is left")
+			sum += r.Total.Late
+		}
+		return sum
+	}
+	unstated, stated := late(true), late(false)
+	t.Logf("late answers: %d if the speeds are not stated, %d if they are", unstated, stated)
+	require.Less(t, float64(stated), (1-minLateReduction)*float64(unstated))
+}
+
 // Guards against engines that are slow more or less often than the scenario says, and
 // against ones that all change at the same moment.
 func TestSpeedsChangeAsTheScenarioSays(t *testing.T) {
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -122,7 +122,7 @@
 // and all requests of the last moments would go to them. For the same reason only
 // owners send to an upstream shortly before its weights are due.
 func (c *Core) minVersion(now time.Time, s *service, r *request, u *upstream) int64 {
-	first := max(s.meanFirstByte, u.meanFirstByte, promptTime(s.published.Engine, u.pendingPromptTokens(now)+r.PromptTokens))
+	first := max(s.meanFirstByte, u.meanFirstByte, u.promptTime(now, s.published.Engine, u.pendingPromptTokens(now)+r.PromptTokens))
 	margin := versionMargin + time.Duration(firstTokenFactor*float64(first))
 	if u.ownSlots == 0 {
 		margin += foreignVersionMargin
@@ -218,7 +218,7 @@
 			maxLoad = maxContendedReturningLoad
 		}
 	}
-	if float64(u.load(now)) >= maxLoad*float64(u.Slots) {
+	if !u.hasRoom(now, maxLoad) {
 		return false
 	}
 	// A suspected request has no other upstream to go to, and most entries own
@@ -227,7 +227,7 @@
 		return false
 	}
 	unread := u.pendingPromptTokens(now)
-	return unread == 0 || promptTime(e, unread+r.PromptTokens) <= time.Duration(maxPromptShare*float64(s.maxGoal))
+	return unread == 0 || u.promptTime(now, e, unread+r.PromptTokens) <= time.Duration(maxPromptShare*float64(s.maxGoal))
 }
 
 // promptTime returns how long an engine takes to read a number of prompt tokens,
@@ -239,12 +239,13 @@
 	return time.Duration(float64(tokens) / e.PromptTokensPerSecond * float64(time.Second))
 }
 
-// cost returns the cost of sending a request to an upstream: the load after one
-// more request as a fraction of the slots, plus the costs of a remote region, of an
-// upstream that others own, a slow first byte, unread prompts, and an update of the
-// weights that is due before the request would end.
+// cost returns the cost of sending a request to an upstream: the load after one more
+// request as a fraction of the slots, times the slowdown, plus the costs of a remote
+// region, of an upstream that others own, a slow first byte, unread prompts, and an update
+// of the weights that is due before the request would end.
 func (c *Core) cost(now time.Time, s *service, r *request, u *upstream) float64 {
 	cost := (float64(u.load(now)+1) + u.unreportedSends(now, s)) / float64(max(u.Slots, 1))
+	cost *= u.speed.slowdown(now)
 	if u.region != c.settings.Region {
 		cost += remoteRegionCost
 	}
@@ -253,7 +254,9 @@
 		cost += firstByteCost * min(float64(u.meanFirstByte)/float64(goal), 2)
 	}
 	if e := s.published.Engine; e != nil && r.route.LatencyGoal > 0 {
-		cost += promptTimeCost * float64(promptTime(e, u.pendingPromptTokens(now))) / float64(r.route.LatencyGoal)
+		if unread := u.pendingPromptTokens(now); unread > 0 {
+			cost += promptTimeCost * float64(u.promptTime(now, e, unread)) / float64(r.route.LatencyGoal)
+		}
 	}
 	if c.updatePending(now, s, r, u) {
 		overlap := now.Add(r.duration(s.published.Engine)).Sub(u.updateSlot)
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -68,6 +68,8 @@
 	otherLoadAt time.Time
 	peerLoad    peering.Load
 	peerLoadAt  time.Time
+	// speed is what the upstream stated about its speed; nil if nothing.
+	speed *speed
 	// failures counts the failures since the last success, up to maxDoublings.
 	failures int
 	// consecutiveErrors counts the server errors since the last success.
@@ -178,8 +180,9 @@
 }
 
 // observeLoad applies the load that a response reported. A load without all its counts
-// never lowers the estimate.
+// never lowers the estimate of the requests from elsewhere.
 func (u *upstream) observeLoad(now time.Time, l *Load) {
+	u.observeSpeed(now, l.Slowdown)
 	n, all := l.requests()
 	others := max(n-u.inFlight, 0)
 	if !all && (others == 0 || others <= u.otherLoad && now.Sub(u.otherLoadAt) <= loadReportTTL) {
