peering, dispatch: pass on the speeds that upstreams state

Cause: an entry learned the speed of an engine from the responses to its own requests alone. While capacity is left, many entries send to an engine, and most of them did not know that it was slow.

Change: peering.Load has an optional speed (percent of the usual time, v) with its age (ms, a). A missing field is unknown, Message.Valid checks both numbers. The age is rounded up and includes the time since the message was recorded, also over a pause of the process. The youngest statement counts.

Tests that call Core.Loads pass the time now; what they check is unchanged. TestLargestReportsLeaveRoomForLoads has the largest number of speeds in addition.

--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -109,7 +109,7 @@
 	sharing.Settled = sharing.Settled && !g.leaving
 	g.core.SetSharing(now, sharing)
 	m := &peering.Message{
-		From: g.address, Region: regionName(g.region), Loads: g.core.Loads(), Demands: demands, Peers: g.table.KnownPeers(),
+		From: g.address, Region: regionName(g.region), Loads: g.core.Loads(now), Demands: demands, Peers: g.table.KnownPeers(),
 		Leaving: g.leaving, Processes: g.table.StatedProcesses(now), Crashes: g.core.Detector().Reports(now), Limits: g.core.LimitReports(),
 	}
 	for _, t := range g.table.Targets(now) {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -218,7 +218,7 @@
 		message: peering.Message{
 			From: g.settings.Peers, Control: g.settings.Control, Number: r.revision.Number(), Era: r.revision.Era(), Config: r.view.ConfigVersion(),
 			Region: g.settings.Dispatch.Region, Leaving: leaving, Processes: r.peers.StatedProcesses(now),
-			Loads: r.core.Loads(), Demands: demands, Crashes: r.core.Detector().Reports(now), Peers: r.peers.KnownPeers(),
+			Loads: r.core.Loads(now), Demands: demands, Crashes: r.core.Detector().Reports(now), Peers: r.peers.KnownPeers(),
 			Versions: versions, Limits: r.core.LimitReports(),
 		},
 		targets: r.peers.Targets(now),
--- a/gateway/suspicion_test.go
+++ b/gateway/suspicion_test.go
@@ -153,7 +153,11 @@
 		}
 		m := peering.Message{From: "255.255.255.255:65535", Control: "255.255.255.255:65535", Loads: map[fleet.InstanceID]peering.Load{}, Crashes: d.Reports(now)}
 		for i := range loads {
-			m.Loads[fleet.InstanceID(fmt.Sprintf("i-%010x", i))] = peering.Load{Requests: 10, PromptTokens: 10000}
+			load := peering.Load{Requests: 10, PromptTokens: 10000}
+			if i < peering.MaxSpeeds {
+				load.Speed = peering.Speed{Percent: 1000, AgeMS: 100}
+			}
+			m.Loads[fleet.InstanceID(fmt.Sprintf("i-%010x", i))] = load
 		}
 		for i := range 24 {
 			m.Peers = append(m.Peers, fmt.Sprintf("255.255.255.255:%d", 60000+i))
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -189,6 +189,7 @@
 func (c *Core) SetPeerLoads(now time.Time, loads map[fleet.InstanceID]peering.Load, shares map[fleet.Service]peering.Share) {
 	for id, u := range c.upstreams {
 		u.peerLoad, u.peerLoadAt = loads[id], now
+		u.observePeerSpeed(now, u.peerLoad.Speed)
 	}
 	for name, s := range c.services {
 		s.share, s.shareAt = shares[name], now
@@ -214,14 +215,15 @@
 }
 
 // Loads returns the load of this entry at each upstream where it has requests
-// in flight.
-func (c *Core) Loads() map[fleet.InstanceID]peering.Load {
+// in flight, with the speeds that peers should know.
+func (c *Core) Loads(now time.Time) map[fleet.InstanceID]peering.Load {
 	out := map[fleet.InstanceID]peering.Load{}
 	for id, u := range c.upstreams {
 		if u.inFlight > 0 {
 			out[id] = peering.Load{Requests: u.inFlight, PromptTokens: u.promptTokens}
 		}
 	}
+	c.addSpeeds(now, out)
 	return out
 }
 
--- a/lib/dispatch/core_test.go
+++ b/lib/dispatch/core_test.go
@@ -246,7 +246,7 @@
 	ticket, actions := h.arrive("/stream/1")
 	h.sent(actions)
 	h.core.Cancel(h.now, ticket)
-	require.Empty(t, h.core.Loads())
+	require.Empty(t, h.core.Loads(h.now))
 	require.Zero(t, len(h.core.requests))
 }
 
--- a/lib/dispatch/speed.go
+++ b/lib/dispatch/speed.go
@@ -32,8 +32,12 @@
 	// statedAt is when the upstream stated it last, since when it first stated about the
 	// same without another speed in between.
 	statedAt, since time.Time
+	// unusualAt is when the upstream last stated another speed than the usual one.
+	unusualAt time.Time
 	// ttl is how long the statement counts: about as long as the speed has lasted.
 	ttl time.Duration
+	// own is what the upstream stated to this entry itself.
+	own ownSpeed
 }
 
 // observe records a slowdown that was stated at a time.
@@ -46,6 +50,9 @@
 		s.since = at
 	}
 	s.excess, s.statedAt = excess, at
+	if excess != 0 {
+		s.unusualAt = at
+	}
 	s.ttl = min(max(at.Sub(s.since), minSpeedTTL), maxSpeedTTL)
 }
 
@@ -75,15 +82,17 @@
 	return usualSlowdown + s.excess*(1-float64(age)/float64(s.ttl))
 }
 
-// observeSpeed records a slowdown that the upstream stated; 0 if it stated none.
-func (u *upstream) observeSpeed(at time.Time, slowdown float64) {
+// observeSpeed records a slowdown that the upstream stated to this entry; 0 if it stated
+// none.
+func (u *upstream) observeSpeed(now time.Time, slowdown float64) {
 	if slowdown <= 0 {
 		return
 	}
 	if u.speed == nil {
 		u.speed = &speed{}
 	}
-	u.speed.observe(at, slowdown)
+	u.speed.observe(now, slowdown)
+	u.speed.own = ownSpeed{slowdown: slowdown, statedAt: now}
 }
 
 // promptTime returns how long the upstream takes now to read a number of prompt tokens, or
--- a/lib/dispatch/suspicion_test.go
+++ b/lib/dispatch/suspicion_test.go
@@ -362,6 +362,6 @@
 		require.Empty(t, open)
 		require.Empty(t, h.core.requests)
 		require.Zero(t, h.core.Waiting())
-		require.Empty(t, h.core.Loads())
+		require.Empty(t, h.core.Loads(h.now))
 	})
 }
--- a/lib/peering/message.go
+++ b/lib/peering/message.go
@@ -14,6 +14,8 @@
 	// PromptTokens is the number of prompt tokens of the requests that have no
 	// answer yet.
 	PromptTokens int `json:"p,omitempty"`
+	// Speed is what the upstream stated to this process itself.
+	Speed
 }
 
 // Demand describes the requests for a service that arrive and wait at one
@@ -79,7 +81,7 @@
 // Valid reports whether all numbers in the message are possible.
 func (m *Message) Valid() bool {
 	for _, l := range m.Loads {
-		if !validCount(l.Requests) || !validCount(l.PromptTokens) {
+		if !validCount(l.Requests) || !validCount(l.PromptTokens) || !l.Speed.valid() {
 			return false
 		}
 	}
--- a/lib/peering/peering.go
+++ b/lib/peering/peering.go
@@ -51,11 +51,14 @@
 	control  string
 	region   fleet.Region
 	lastSeen time.Time
-	revision published.Revision
-	config   int64
-	leaving  bool
-	loads    map[fleet.InstanceID]Load
-	demands  map[fleet.Service]Demand
+	// recordedAt is when the last message came. Unlike lastSeen, a pause of this process
+	// does not move it.
+	recordedAt time.Time
+	revision   published.Revision
+	config     int64
+	leaving    bool
+	loads      map[fleet.InstanceID]Load
+	demands    map[fleet.Service]Demand
 }
 
 // Table holds the known peers of one process. It is owned by one duty.
@@ -99,7 +102,7 @@
 		return
 	}
 	p.control, p.region, p.lastSeen, p.revision, p.config = m.Control, m.Region, now, m.Revision(), m.Config
-	p.loads, p.demands, p.leaving = m.Loads, m.Demands, m.Leaving
+	p.loads, p.demands, p.leaving, p.recordedAt = m.Loads, m.Demands, m.Leaving, now
 	t.stated = max(t.stated, m.Processes)
 	for _, a := range m.Peers {
 		if a != t.self {
@@ -177,7 +180,8 @@
 	return cmp.Or(cmp.Compare(p.region, t.region), cmp.Compare(address, t.self)) < 0
 }
 
-// PeerLoads returns the sum of the peers' loads at each upstream.
+// PeerLoads returns the sum of the peers' loads at each upstream, and the speed that it
+// stated last to one of them.
 func (t *Table) PeerLoads(now time.Time) map[fleet.InstanceID]Load {
 	sum := map[fleet.InstanceID]Load{}
 	for _, p := range t.members {
@@ -186,7 +190,10 @@
 		}
 		for id, l := range p.loads {
 			previous := sum[id]
-			sum[id] = Load{Requests: previous.Requests + l.Requests, PromptTokens: previous.PromptTokens + l.PromptTokens}
+			sum[id] = Load{
+				Requests: previous.Requests + l.Requests, PromptTokens: previous.PromptTokens + l.PromptTokens,
+				Speed: previous.Speed.younger(l.Speed.aged(now.Sub(p.recordedAt))),
+			}
 		}
 	}
 	return sum
