relay, entry, agent: responses with an invalid status are errors of the transport

Cause: the entry passed the status of an agent's response on unchecked, also that of calls with a token and of refusals. With 000 the handler panicked and the caller's connection was closed, 600 and 999 reached the caller, and 204, 205 and 304 turned a response into an empty one. A refusal with such a status counted as not run.

Change: relay.Transport returns ErrBadStatus for a response that ValidStatus rejects, and drops the idle connections, on which the content of a 204 may still arrive. The entry's two clients and the agent's two clients use it; the check in the agent's forwarder goes. The attempt counts as lost, as after any bytes that are no response.

--- a/agent/connect.go
+++ b/agent/connect.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/sock"
 )
@@ -37,13 +38,13 @@
 // new connections only, so each new connection is checked first. That way no call
 // reaches a restarted engine before the gate treats it as cold.
 func (a *Agent) upstreamClient() *http.Client {
-	transport := &http.Transport{
+	transport := relay.Transport{Transport: &http.Transport{
 		MaxResponseHeaderBytes: sock.MaxHeadBytes,
 		DialContext:            a.dialUpstream,
 		MaxIdleConnsPerHost:    a.settings.MaxCalls,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
-	}
+	}}
 	return &http.Client{Transport: transport, CheckRedirect: returnRedirect}
 }
 
--- a/agent/once.go
+++ b/agent/once.go
@@ -7,6 +7,7 @@
 
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/once"
+	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/timeline"
@@ -232,7 +233,9 @@
 // closed an idle connection at the same time. Redirects are not followed.
 func newOnceClient() *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: sock.MaxHeadBytes},
+		Transport: relay.Transport{Transport: &http.Transport{
+			DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: sock.MaxHeadBytes,
+		}},
 		CheckRedirect: returnRedirect,
 	}
 }
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -108,9 +108,6 @@
 		return a.handleNoResponse(ctx, call, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if !relay.ValidStatus(resp) {
-		return a.handleNoResponse(ctx, call, relay.ErrBadStatus)
-	}
 	if resp.StatusCode == http.StatusNotFound && !call.meta.Root.IsZero() {
 		// The engine does not know the model name, so the call was not run. This
 		// happens between a restart of the engine and its next load report.
--- a/entry/conn_pools.go
+++ b/entry/conn_pools.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rattanspur.example/lib/fleet"
+	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/sock"
 )
 
@@ -24,7 +25,7 @@
 type connPool struct {
 	address   string
 	createdAt time.Time
-	transport *http.Transport
+	transport relay.Transport
 }
 
 // connPools holds the connection pools of all agents. It is owned by the router;
@@ -74,9 +75,9 @@
 	}
 }
 
-func newTransport() *http.Transport {
+func newTransport() relay.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Transport{
+	return relay.Transport{Transport: &http.Transport{
 		MaxResponseHeaderBytes: sock.MaxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
@@ -88,7 +89,7 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerAgent,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
+	}}
 }
 
 // countingConn counts the bytes passed to Write. The count shows whether any byte
--- a/entry/once_worker.go
+++ b/entry/once_worker.go
@@ -44,12 +44,12 @@
 // Idempotency-Key by itself on reused connections. Redirects are not followed.
 func newBoundClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: relay.Transport{Transport: &http.Transport{
 			MaxResponseHeaderBytes: sock.MaxHeadBytes,
 			DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
