agent, platform: an order answered with an invalid status counts as unanswered

Cause: the clients of the engine took every status but those that they know for a refusal. An order that was answered with 000 counted as refused, so that the agent freed its weights and the next order followed at once, although the engine may carry it out. A health check answered with 000 counted as healthy.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/pacing"
+	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/rollout"
 	"rattanspur.example/lib/settings"
@@ -78,7 +79,9 @@
 // New returns an agent that Run starts.
 func New(s *settings.Agent, logger log.Logger) *Agent {
 	n := node.New(s.Node, logger)
-	control := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: sock.MaxHeadBytes}}
+	control := &http.Client{Transport: relay.Transport{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: sock.MaxHeadBytes,
+	}}}
 	a := &Agent{
 		settings:            s,
 		node:                n,
--- a/agent/status_test.go
+++ b/agent/status_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"rattanspur.example/lib/engine"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/gate"
 	"rattanspur.example/lib/sock/socktest"
@@ -49,3 +51,29 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusBadGateway, part.Head.Status)
 }
+
+// Guards against an order that counts as refused, so that its weights are freed and the
+// next order follows at once, although the engine may carry it out: only the status of its
+// response is spoilt.
+func TestOrderWithAnInvalidStatusMayBeInProgress(t *testing.T) {
+	for _, status := range socktest.InvalidStatuses() {
+		a := scriptedAgent(t, socktest.Respond("HTTP/1.1"+status+"\r\nContent-Length: 2\r\n\r\n{}", socktest.FIN))
+		err := a.engine.Load(context.Background(), engine.LoadOrder{})
+		require.Error(t, err, status)
+		require.NotErrorIs(t, err, engine.ErrRefused, status)
+		require.NotErrorIs(t, err, engine.ErrFenced, status)
+	}
+}
+
+// Guards against an upstream that counts as healthy although the status of its response to
+// the health check is spoilt. 304 is left out: a GET may be answered with it, and any status
+// below 500 counts as healthy.
+func TestInvalidStatusIsNotHealthy(t *testing.T) {
+	for _, status := range socktest.InvalidStatuses() {
+		if strings.HasPrefix(status, " 304") {
+			continue
+		}
+		a := scriptedAgent(t, socktest.Respond("HTTP/1.1"+status+"\r\nContent-Length: 2\r\n\r\n{}", socktest.FIN))
+		require.Error(t, a.engine.Probe(context.Background(), "/health"), status)
+	}
+}
