confservice: a 304 to an unconditional read is an error

Cause: an instance list that was read for the first time and answered with 304 in place of 200 counted as unchanged, which is the empty list then.

Change: 304 is taken only in response to a read with an entity tag.

Result: TestInvalidStatusOfAService failed for 304 before and passes now; lib/node passes.

--- a/lib/confservice/confservice.go
+++ b/lib/confservice/confservice.go
@@ -107,7 +107,7 @@
 		return nil, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode == http.StatusNotModified {
+	if resp.StatusCode == http.StatusNotModified && etag != "" {
 		return nil, nil, errNotModified
 	}
 	if resp.StatusCode != http.StatusOK {
