entry: a success that states that a call was not run is lost

Cause: the status of an agent's problem was passed on as it came. A refusal of a call with a token whose status was spoilt into 200 reached the caller as a success with a problem in its body; one of another call was sent elsewhere.

Change: a response that does not state that the call has run counts as lost unless its status is one of an error, which all problems of an agent have.

Result: TestProblemOfAnAgentIsNoSuccess failed with 200 for calls with a token (503 for others, after 5 s) and passes now, as the module's other tests do.

--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -192,6 +192,10 @@
 		res.end = retry.Answered
 		res.serverError = resp.StatusCode >= http.StatusInternalServerError
 	case wire.NotRun:
+		if !isError(resp) {
+			res.end = retry.Lost
+			break
+		}
 		x.limitRefusal()
 		res.end, res.detail = refusal(resp)
 	default:
@@ -200,6 +204,10 @@
 	return res
 }
 
+// isError reports whether the status of a response is one of an error. An agent that does
+// not state that a call has run responds with no other.
+func isError(resp *http.Response) bool { return resp.StatusCode >= http.StatusBadRequest }
+
 // refusalTimeout is the time to read the rest of a refusal, which only says why the
 // call was not run.
 const refusalTimeout = time.Second
--- a/entry/once_worker.go
+++ b/entry/once_worker.go
@@ -208,7 +208,7 @@
 
 // receiveBound passes on the response to a request that has run. Otherwise it
 // returns the agent's problem, or an error if the response does not belong to
-// the attempt or cannot be read.
+// the attempt, cannot be read or states a success.
 func (e *Entry) receiveBound(task onceTask, agent fleet.Instance, resp *http.Response) (*wire.Problem, error) {
 	c := task.call
 	if resp.Header.Get(wire.HeaderRequest) != task.meta.AttemptID() {
@@ -220,6 +220,9 @@
 		e.recordBound(timeline.RequestRan, task, agent, detail)
 		return nil, nil
 	}
+	if !isError(resp) {
+		return nil, relay.ErrBadStatus
+	}
 	p := &wire.Problem{}
 	limit := time.AfterFunc(refusalTimeout, func() { _ = resp.Body.Close() })
 	defer limit.Stop()
--- a/entry/status_test.go
+++ b/entry/status_test.go
@@ -152,3 +152,23 @@
 		})
 	}
 }
+
+// Guards against a caller that gets the status of a success with the problem that its call
+// was not run, or may have been run: the status of an agent's refusal is spoilt.
+func TestProblemOfAnAgentIsNoSuccess(t *testing.T) {
+	for _, outcome := range []wire.Outcome{wire.NotRun, wire.Unknown, ""} {
+		t.Run(string(outcome), func(t *testing.T) {
+			agent := scriptedAgent(t, func(_ *wire.Call, header string) string {
+				body := fmt.Sprintf(`{"outcome":%q}`, outcome)
+				return fmt.Sprintf(" 200 OK\r\n%s%s: %s\r\nContent-Length: %d\r\n\r\n%s", header, wire.HeaderOutcome, outcome, len(body), body)
+			})
+			e := startEntry(t, nil, agent)
+			for _, headers := range [][]string{nil, {wire.HeaderToken, tokenOf(t, "bookings-0")}} {
+				resp := e.post(oncePath, "counter", "{}", headers...)
+				require.NoError(t, resp.err)
+				require.Equal(t, http.StatusBadGateway, resp.status, resp.body)
+				require.Equal(t, wire.Unknown, problemOf(t, resp).Outcome)
+			}
+		})
+	}
+}
