--- a/lib/admission/queue.go
+++ b/lib/admission/queue.go
@@ -86,9 +86,8 @@
 // Len returns the number of waiting calls.
 func (q *Queue[T]) Len() int { return q.length }
 
-// Push adds a call behind the calls of the same customer and priority. It returns
-// Queued, or the reason why the call was not added.
-func (q *Queue[T]) Push(now time.Time, it Item[T]) Reason {
+// Check returns what Push would return for a call, and does not add it.
+func (q *Queue[T]) Check(now time.Time, it *Item[T]) Reason {
 	if !now.Before(it.Deadline) {
 		return PastDeadline
 	}
@@ -98,6 +97,15 @@
 	if q.length >= q.limits.Total && !q.mayExceedTotal(it.Customer) {
 		return QueueFull
 	}
+	return Queued
+}
+
+// Push adds a call behind the calls of the same customer and priority. It returns
+// Queued, or the reason why the call was not added.
+func (q *Queue[T]) Push(now time.Time, it Item[T]) Reason {
+	if reason := q.Check(now, &it); reason != Queued {
+		return reason
+	}
 	q.arrivals++
 	it.sequence = q.arrivals
 	q.insert(it)
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -61,6 +61,10 @@
 // requestQueue holds requests that may be served in the same regions.
 type requestQueue = admission.Queue[*request]
 
+func newRequestQueue() *requestQueue {
+	return admission.New[*request](admission.Limits{PerCustomer: maxQueuedPerCustomer, Total: maxQueued})
+}
+
 // regionQueues maps a set of allowed regions, and the suspicion on the requests, to
 // its queue (see request.queueKey), so that requests bound to a full region or to
 // one upstream do not block others.
@@ -337,17 +341,10 @@
 
 // Arrive handles a new request: it sends, queues or rejects it.
 func (c *Core) Arrive(now time.Time, ticket Ticket, call Call) []Action {
-	if c.view == nil || c.view.Config == nil {
-		return []Action{Refuse{Ticket: ticket, Verdict: NotRun, Reason: "no configuration known yet", RetryAfter: unconfiguredRetryAfter}}
-	}
-	config := c.view.Config
-	route := config.Route(call.Host, call.Path)
-	if route == nil {
-		return []Action{Refuse{Ticket: ticket, Verdict: NoRoute, Reason: "no route matches"}}
-	}
-	customer := config.Customer(call.Key)
-	if customer == nil && config.KeysRequired && !route.Anonymous {
-		return []Action{Refuse{Ticket: ticket, Verdict: NoKey, Reason: "unknown key"}}
+	route, customer, refusal := c.match(&call)
+	if refusal != nil {
+		refusal.Ticket = ticket
+		return []Action{*refusal}
 	}
 	r := c.newRequest(now, ticket, call, route, customer)
 	d := c.decide(now, r)
@@ -373,6 +370,24 @@
 	return c.enqueue(now, s, r)
 }
 
+// match returns the route and the customer of a call, which is nil if the call needs none,
+// or the refusal of the call.
+func (c *Core) match(call *Call) (*published.Route, *published.Customer, *Refuse) {
+	if c.view == nil || c.view.Config == nil {
+		return nil, nil, &Refuse{Verdict: NotRun, Reason: "no configuration known yet", RetryAfter: unconfiguredRetryAfter}
+	}
+	config := c.view.Config
+	route := config.Route(call.Host, call.Path)
+	if route == nil {
+		return nil, nil, &Refuse{Verdict: NoRoute, Reason: "no route matches"}
+	}
+	customer := config.Customer(call.Key)
+	if customer == nil && config.KeysRequired && !route.Anonymous {
+		return nil, nil, &Refuse{Verdict: NoKey, Reason: "unknown key"}
+	}
+	return route, customer, nil
+}
+
 // unconfiguredRetryAfter is the retry delay for callers that arrive before the
 // process has a configuration.
 const unconfiguredRetryAfter = 500 * time.Millisecond
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -31,20 +31,27 @@
 	minRetryAfter = 100 * time.Millisecond
 )
 
+// The reasons why a request is rejected instead of queued.
+const (
+	unservableReason  = "no upstream can serve the request"
+	stalledReason     = "waiting requests make no progress"
+	tooManyWaitReason = "too many requests wait"
+)
+
 // enqueue queues a request until an upstream has capacity. It rejects the
 // request at once if no upstream can serve it or the queue does not accept it.
 func (c *Core) enqueue(now time.Time, s *service, r *request) []Action {
 	until := c.waitUntil(now, s, r)
 	if !c.servable(now, s, r) {
-		return c.giveUp(now, r, "no upstream can serve the request")
+		return c.giveUp(now, r, unservableReason)
 	}
 	if s.stalled(now) {
-		return c.giveUp(now, r, "waiting requests make no progress")
+		return c.giveUp(now, r, stalledReason)
 	}
 	it := c.queueItem(r, until)
 	if s.wouldExpire(now, &it) {
 		s.recordRejection(now, r)
-		return c.giveUp(now, r, "too many requests wait")
+		return c.giveUp(now, r, tooManyWaitReason)
 	}
 	if reason := s.push(now, it); reason != admission.Queued {
 		return c.giveUp(now, r, string(reason))
--- a/lib/dispatch/request.go
+++ b/lib/dispatch/request.go
@@ -62,21 +62,31 @@
 }
 
 func (c *Core) newRequest(now time.Time, t Ticket, call Call, route *published.Route, customer *published.Customer) *request {
-	timeBudget := call.TimeBudget
-	if timeBudget <= 0 {
-		timeBudget = defaultTimeBudget
-	}
-	r := &request{
-		Call: call, ticket: t, route: route, customer: customer, arrived: now,
-		service: c.selectService(route),
+	r := c.describe(now, call, route, customer)
+	r.ticket = t
+	r.service = c.selectService(route)
+	c.timeBudgets[route.Name] = max(c.timeBudgets[route.Name], call.timeBudget())
+	return r
+}
+
+// timeBudget returns how long the caller waits for the response, as far as is known.
+func (c *Call) timeBudget() time.Duration {
+	if c.TimeBudget <= 0 {
+		return defaultTimeBudget
 	}
+	return c.TimeBudget
+}
+
+// describe returns the request of a call that arrives now, without a ticket and a service.
+func (c *Core) describe(now time.Time, call Call, route *published.Route, customer *published.Customer) *request {
+	r := &request{Call: call, route: route, customer: customer, arrived: now}
+	timeBudget := call.timeBudget()
 	timeout := timeBudget
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
 	r.deadline = now.Add(timeout)
 	longest := max(c.timeBudgets[route.Name], timeBudget)
-	c.timeBudgets[route.Name] = longest
 	r.returning = timeBudget < time.Duration(returningThreshold*float64(longest))
 	return r
 }
--- a/lib/dispatch/stop.go
+++ b/lib/dispatch/stop.go
@@ -161,7 +161,12 @@
 // retryAfter returns the delay after which the caller of a request that has not run
 // should retry.
 func (c *Core) retryAfter(now time.Time, r *request) time.Duration {
-	if !c.endsInTime(now, c.service(now, r.service), r) {
+	return c.retryAfterAt(now, c.service(now, r.service), r)
+}
+
+// retryAfterAt returns that delay for a request to a service.
+func (c *Core) retryAfterAt(now time.Time, s *service, r *request) time.Duration {
+	if !c.endsInTime(now, s, r) {
 		return stopRetryAfter
 	}
 	return max(time.Duration(retryAfterShare*float64(r.deadline.Sub(now))), minRetryAfter)
--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -147,16 +147,29 @@
 
 // push adds a request to its queue.
 func (s *service) push(now time.Time, it admission.Item[*request]) admission.Reason {
+	if reason := s.refusal(now, &it); reason != admission.Queued {
+		return reason
+	}
+	queues, key := s.queuesFor(it.Value), it.Value.queueKey()
+	q := queues[key]
+	if q == nil {
+		q = newRequestQueue()
+		queues[key] = q
+	}
+	return q.Push(now, it)
+}
+
+// refusal returns the reason why a request would not be queued.
+func (s *service) refusal(now time.Time, it *admission.Item[*request]) admission.Reason {
 	queues, key := s.queuesFor(it.Value), it.Value.queueKey()
 	if it.Value.suspect != 0 && queues.length() >= maxQueued {
 		return admission.QueueFull
 	}
 	q := queues[key]
 	if q == nil {
-		q = admission.New[*request](admission.Limits{PerCustomer: maxQueuedPerCustomer, Total: maxQueued})
-		queues[key] = q
+		q = newRequestQueue()
 	}
-	return q.Push(now, it)
+	return q.Check(now, it)
 }
 
 // sweep takes the requests out of the queues whose wait is over, which must not run
