--- a/cmd/rattanspur/main.go
+++ b/cmd/rattanspur/main.go
@@ -133,6 +133,7 @@
 		{"timeline", "Show the merged events of running processes", &timelineCommand{}},
 		{"check", "Check a settings file or a configuration document", &checkCommand{}},
 		{"explain", "Explain where an entry would route a request", &explainCommand{}},
+		{"explain-placement", "Ask a running gateway where a request would go now", &explainPlacementCommand{}},
 		{"explain-request", "Show the path of a request from logs", &explainRequestCommand{}},
 		{"manifest", "Write the manifest of a folder with weights", &manifestCommand{}},
 		{"settings", "Show all settings with their defaults", &settingsCommand{}},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,9 +48,10 @@
 type Settings struct {
 	// Listen is the address for callers, Ready that of the readiness check,
 	// Control the one at which other processes read this gateway's view and the
-	// roster, Peers the UDP address for messages of other gateways and of loaders,
-	// and Metrics the one at which metrics are served. All but Listen may be
-	// empty; the gateway does not listen on an empty address.
+	// roster, and operators ask where a request would go, Peers the UDP address for
+	// messages of other gateways and of loaders, and Metrics the one at which metrics
+	// are served. All but Listen may be empty; the gateway does not listen on an empty
+	// address.
 	Listen  string
 	Ready   string
 	Control string
@@ -166,13 +167,19 @@
 	mux.HandleFunc("GET /metrics", g.metrics.serve)
 	mux.Handle("GET "+viewsync.Path, viewsync.Handler(g.watcher))
 	mux.HandleFunc("GET "+peering.PathRoster, g.serveRoster)
-	for name, address := range map[string]string{
-		"readiness": g.settings.Ready, "metrics": g.settings.Metrics, "control": g.settings.Control,
+	control := http.NewServeMux()
+	control.Handle("/", mux)
+	control.HandleFunc("POST "+PathExplain, g.serveExplain)
+	for _, s := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"readiness", g.settings.Ready, mux}, {"metrics", g.settings.Metrics, mux}, {"control", g.settings.Control, control},
 	} {
-		if address == "" {
+		if s.address == "" {
 			continue
 		}
-		if err := wire.StartServer(g.support, name, address, &http.Server{Handler: mux}); err != nil {
+		if err := wire.StartServer(g.support, s.name, s.address, &http.Server{Handler: s.handler}); err != nil {
 			return err
 		}
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -159,6 +159,13 @@
 	return ""
 }
 
+// all returns everything that was logged.
+func (b *logBuffer) all() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // hostCount counts the addresses that newHost has returned.
 var hostCount atomic.Int32
 
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -215,6 +215,8 @@
 		r.peers.SetSeeds(ev.seeds)
 	case rosterQuery:
 		r.replyRoster(ctx, now, ev)
+	case explainQuery:
+		r.replyExplanation(ctx, now, ev)
 	case headReceived:
 		r.core.Observe(now, ev.ticket, ev.observation)
 	case responseStarted:
--- a/gateway/suspicion.go
+++ b/gateway/suspicion.go
@@ -11,11 +11,17 @@
 // traits returns the traits of a request, from the broadest to the most specific
 // one.
 func traits(call *dispatch.Call, target string, body []byte) []poison.Trait {
+	return append(partTraits(call), poison.RequestTrait(call.Key, target, body))
+}
+
+// partTraits returns the traits of the parts of a prompt, from the broadest to the most
+// specific one.
+func partTraits(call *dispatch.Call) []poison.Trait {
 	out := make([]poison.Trait, 0, len(call.PromptParts)+1)
 	for _, part := range call.PromptParts {
 		out = append(out, poison.PartTrait(call.Model, part))
 	}
-	return append(out, poison.RequestTrait(call.Key, target, body))
+	return out
 }
 
 // formatTraits returns a list of traits as logs show it.
