--- a/lib/dispatch/explain_test.go
+++ b/lib/dispatch/explain_test.go
@@ -252,7 +252,7 @@
 				both(o.draw())
 			}
 			require.Equal(random, plain.Demands(o.now), explained.Demands(o.now))
-			require.Equal(random, plain.Loads(), explained.Loads())
+			require.Equal(random, plain.Loads(o.now), explained.Loads(o.now))
 			require.Equal(random, plain.Waiting(), explained.Waiting())
 			require.Equal(random, plain.timeBudgets, explained.timeBudgets)
 			require.Len(random, explained.services, len(plain.services))
