soak: replicas tell their speed with the fourth figure of their load

Cause: the load header may have a fourth figure, and no soak sends one, so neither its effect nor a malformed one is tried.

The seeded sources of calls and of answers were the same function twice and are one now.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -134,7 +134,7 @@
 func (c *caller) call(ctx context.Context) {
 	c.calls++
 	c.tries = 0
-	c.random = callRandom(c.env.options.Seed, c.name, c.calls)
+	c.random = seededRandom(c.env.options.Seed, c.name, c.calls)
 	k := drawKind(c.random)
 	plan := callPlan{kind: k, key: *c.env.config.currentKey.Load()}
 	if old := c.env.config.revokedKey.Load(); old != nil && c.random.IntN(revokedKeyOneIn) == 0 {
@@ -203,11 +203,12 @@
 // drawKind draws the kind of a call.
 func drawKind(random *rand.Rand) requestKind { return requestKind(random.IntN(4)) }
 
-// callRandom returns the source of one call of a caller, so that the seed of the soak
-// determines the calls, however long each of them takes.
-func callRandom(seed uint64, caller string, number int) *rand.Rand {
+// seededRandom returns the source of the numbered draws of a name. The seed of the soak thus
+// determines the calls of each caller and the faults of each answer, whatever their order
+// and however long they take.
+func seededRandom(seed uint64, name string, number int) *rand.Rand {
 	h := fnv.New64a()
-	_, _ = fmt.Fprint(h, caller, " ", number)
+	_, _ = fmt.Fprint(h, name, " ", number)
 	return rand.New(rand.NewPCG(seed, h.Sum64()))
 }
 
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -20,8 +19,8 @@
 const (
 	// replicaSlots is the maximum number of requests that a replica runs at a time.
 	replicaSlots = 6
-	// eventInterval is the interval between two events of a stream, workTime the
-	// time that any other request takes.
+	// eventInterval is the usual interval between two events of a stream, workTime the
+	// usual time that any other request takes.
 	eventInterval = 15 * time.Millisecond
 	workTime      = 10 * time.Millisecond
 	// eventsPerStream is the number of events of a stream.
@@ -279,7 +278,7 @@
 	r.reach(beforeHead)
 	a := r.admit(req.Header)
 	w.Header().Set(headerAttempt, attempt)
-	w.Header().Set(headerLoad, fmt.Sprintf("%d,0,%d", a.running, replicaSlots))
+	w.Header().Set(headerLoad, r.loadHeader(attempt, a.running))
 	if a.limit > 0 {
 		w.Header().Set(headerLimit, strconv.FormatFloat(a.limit, 'f', -1, 64))
 	}
@@ -302,7 +301,7 @@
 		version: a.version, lastEvent: lastEvent, startedAt: arrivedAt, signature: sign(a.id, attempt, a.version),
 	}
 	earlierRuns := r.env.ledger.addRun(run)
-	random := answerRandom(r.env.options.Seed, attempt, earlierRuns)
+	random := seededRandom(r.env.options.Seed, attempt, earlierRuns)
 	w.Header().Set(headerSignature, run.signature)
 	ctx, cancel := context.WithCancel(req.Context())
 	defer cancel()
@@ -331,15 +330,6 @@
 	return time.Duration(parseNumber(number)) * time.Millisecond
 }
 
-// answerRandom returns the source of the faults of one answer. The seed of the soak
-// determines which runs of which attempts are answered wrongly, whatever the order
-// in which they arrive.
-func answerRandom(seed uint64, attempt string, earlierRuns int) *rand.Rand {
-	h := fnv.New64a()
-	_, _ = fmt.Fprint(h, attempt, " ", earlierRuns)
-	return rand.New(rand.NewPCG(seed, h.Sum64()))
-}
-
 // sign returns the signature of a run.
 func sign(id, attempt string, version int64) string {
 	sum := sha256.Sum256([]byte(fmt.Sprint(id, " ", attempt, " ", version)))
@@ -374,7 +364,7 @@
 // connection without an answer or in the middle of one, sends two answers, or one with a wrong
 // status.
 func (r *replica) sendResult(ctx context.Context, w http.ResponseWriter, run *replicaRun, random *rand.Rand) runEnd {
-	if duty.Sleep(ctx, max(workTime, requestedWork(run.body))) != nil || ctx.Err() != nil {
+	if duty.Sleep(ctx, max(r.workingTime(workTime), requestedWork(run.body))) != nil || ctx.Err() != nil {
 		abortResponse(w)
 		return abandoned
 	}
@@ -447,7 +437,7 @@
 // sendEvents sends the events after run.lastEvent. In rare cases it breaks the
 // connection in the middle of one.
 func (r *replica) sendEvents(ctx context.Context, w http.ResponseWriter, run *replicaRun, random *rand.Rand) runEnd {
-	interval := max(eventInterval, requestedWork(run.body)/eventsPerStream)
+	requested := requestedWork(run.body) / eventsPerStream
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(headerWeightVersions, strconv.FormatInt(run.version, 10))
 	breakAt := -1
@@ -456,7 +446,7 @@
 	}
 	control := http.NewResponseController(w)
 	for i := run.lastEvent + 1; i <= eventsPerStream; i++ {
-		if duty.Sleep(ctx, interval) != nil || ctx.Err() != nil {
+		if duty.Sleep(ctx, max(r.workingTime(eventInterval), requested)) != nil || ctx.Err() != nil {
 			abortResponse(w)
 			return abandoned
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -61,10 +61,10 @@
 	for i := range shortOptions(t, naiveSeed, "", "").Callers {
 		for call := 1; call <= callsOfEach; call++ {
 			name := callerName(i)
-			if drawKind(callRandom(naiveSeed, name, call)) != order {
+			if drawKind(seededRandom(naiveSeed, name, call)) != order {
 				continue
 			}
-			if f := plainFault(answerRandom(naiveSeed, attemptID(name, call, 1), 0)); f == noAnswer || f == cutAnswer {
+			if f := plainFault(seededRandom(naiveSeed, attemptID(name, call, 1), 0)); f == noAnswer || f == cutAnswer {
 				lost++
 			}
 		}
