soak: routes of different priority, several customers, and bursts

Cause: all routes of the soak had priority 0, one customer held all keys, and the callers never asked for more than the replicas can serve.

Change: the seed gives each route one of three priorities. Callers belong to a large customer and two small ones. A burst adds 16 callers for each usual one for 4 s, one before the first fault and others amid faults and pauses. After the first one, no kind and no customer may have been served less than a quarter as often as all requests, if at least 40 of its calls should have been served. Callers have a group of their own.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -102,6 +102,7 @@
 // caller sends one request after the other over keep-alive connections.
 type caller struct {
 	name     string
+	customer string
 	env      *environment
 	balancer *balancer
 	client   *http.Client
@@ -113,15 +114,16 @@
 	// calls is the number of calls so far, tries that of the attempts of the last
 	// one.
 	calls, tries int
-	// served counts the requests that were answered with 200, expected those that
-	// should be. Neither counts canceled requests or those with a revoked key.
-	served   *atomic.Int64
-	expected *atomic.Int64
+	// served and expected are counters of the group.
+	served, expected *atomic.Int64
+	// until is when a caller of a burst makes no more calls; zero for other callers.
+	until time.Time
 }
 
 func (c *caller) run(ctx context.Context) error {
 	c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
-	for ctx.Err() == nil {
+	defer c.client.CloseIdleConnections()
+	for ctx.Err() == nil && (c.until.IsZero() || time.Now().Before(c.until)) {
 		c.call(ctx)
 		_ = duty.Sleep(ctx, time.Duration(c.random.Int64N(int64(2*callInterval))))
 	}
@@ -149,10 +151,16 @@
 	}
 	if c.env.options.PauseLength > 0 && c.random.IntN(slowWorkOneIn) == 0 {
 		plan.work = c.duration(maxSlowWork)
-		if k == stream || k == review {
+		if k.streams() {
 			plan.work = c.duration(maxSlowStream)
 		}
 	}
+	if !c.until.IsZero() {
+		plan.work = burstWork
+		if k.streams() {
+			plan.work = burstStream
+		}
+	}
 	for range 3 {
 		status, retryAfter := c.attempt(ctx, &plan)
 		if status == http.StatusOK && plan.cancelAfter == 0 {
@@ -227,7 +235,7 @@
 	c.tries++
 	p := c.gateway()
 	sent := request{
-		attempt: attemptID(c.name, c.calls, c.tries), kind: plan.kind, key: plan.key, gateway: p.machine.name,
+		attempt: attemptID(c.name, c.calls, c.tries), kind: plan.kind, customer: c.customer, key: plan.key, gateway: p.machine.name,
 		path: fmt.Sprintf("/%s/%s/%d.%d", plan.kind, c.name, c.calls, c.tries), body: strings.Repeat(fmt.Sprintf("%d ", c.calls), 1+c.random.IntN(400)),
 		deadline: requestTimeout, sentAt: time.Now(),
 	}
@@ -235,7 +243,7 @@
 	if plan.work > 0 {
 		sent.body = workPrefix + strconv.FormatInt(plan.work.Milliseconds(), 10) + " " + sent.body
 	}
-	if plan.work > 0 || pause > maxBodyPause {
+	if plan.work > 0 && c.until.IsZero() || pause > maxBodyPause {
 		sent.deadline = longRequestTimeout
 	}
 	c.env.ledger.addRequest(sent)
@@ -310,7 +318,7 @@
 	if c.calls%2 == 0 {
 		req.ContentLength = int64(len(sent.body))
 	}
-	req.Header.Set("Authorization", "Bearer "+sent.key)
+	req.Header.Set("Authorization", "Bearer "+customerKey(sent.customer, sent.key))
 	req.Header.Set(headerAttempt, sent.attempt)
 	req.Header.Set(headerDeadline, strconv.FormatInt(sent.deadline.Milliseconds(), 10))
 	req.Header.Set(headerModel, modelName)
--- a/soak/check.go
+++ b/soak/check.go
@@ -14,8 +14,8 @@
 const clockSlack = 200 * time.Millisecond
 
 // verification checks the records of a soak and collects the violations of
-// guarantees. The methods runs, answer, ending, departure, refusedKey, timeLimits and
-// limits each check one group of rules.
+// guarantees. The methods runs, answer, ending, departure, refusedKey, timeLimits,
+// shares and limits each check one group of rules.
 type verification struct {
 	*records
 	violations []string
@@ -49,6 +49,7 @@
 			v.refusedKey(attempt, a)
 		}
 	}
+	v.shares()
 	if timed {
 		v.limits()
 	}
@@ -74,7 +75,7 @@
 		switch {
 		case run.path != sent.path || run.body != sent.body:
 			v.addViolation("UNASKED", attempt, "ran with another path or body")
-		case run.customer != customerName || run.hasKey:
+		case run.customer != sent.customer || run.hasKey:
 			v.addViolation("UNASKED", attempt, "ran for customer %q, with the key passed on: %t", run.customer, run.hasKey)
 		case !v.routed(&sent, &run):
 			v.addViolation("ROUTE", attempt, "ran at a replica of %s", run.service)
--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -83,7 +83,7 @@
 		}
 		r, err := soak.Run(ctx, soak.Options{
 			Seed: seed, Binary: binary, Gateway: gateway, Logs: logs, Gateways: o.Gateways, Engines: o.Engines,
-			PlainReplicas: o.PlainReplicas, Callers: o.Callers, Weights: true, Length: o.Length, PauseLength: o.PauseLength, Timed: !o.Untimed, Out: out,
+			PlainReplicas: o.PlainReplicas, Callers: o.Callers, Weights: true, Bursts: true, Length: o.Length, PauseLength: o.PauseLength, Timed: !o.Untimed, Out: out,
 		})
 		if err != nil {
 			return failed, err
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -10,9 +10,6 @@
 // hostName is the host name under which callers reach all services.
 const hostName = "soak.example"
 
-// customerName is the name of the customer that holds every key.
-const customerName = "customer"
-
 // Goals of the routes. Callers of streams bear gaps that are longer than any pause of a
 // replica.
 const (
@@ -28,6 +25,9 @@
 	shortRouteTimeout = 2500 * time.Millisecond
 )
 
+// priorities is the number of different priorities of routes.
+const priorities = 3
+
 // configuration publishes routes and keys to the store. Only one goroutine calls
 // its methods; callers read the two atomic fields.
 type configuration struct {
@@ -136,8 +136,16 @@
 		return map[string]any{
 			"name": name, "host": hostName, "prefix": "/" + name + "/", "route_kind": kind, "service": service,
 			"timeout_ms": c.timeout.Milliseconds(), "goal_ms": goal.Milliseconds(), "gap_goal_ms": gapGoal.Milliseconds(), "max_attempts": maxAttempts,
-			"resumable": resumable, "priority": 0,
+			"resumable": resumable, "priority": seededRandom(c.env.options.Seed, "priority of "+name, 0).IntN(priorities),
+		}
+	}
+	var tenants []any
+	for _, customer := range customers {
+		var customerKeys []string
+		for _, key := range keys {
+			customerKeys = append(customerKeys, customerKey(customer, key))
 		}
+		tenants = append(tenants, map[string]any{"name": customer, "api_keys": customerKeys})
 	}
 	return c.env.store.put(keyConfig, map[string]any{
 		"version": c.version,
@@ -156,7 +164,7 @@
 			}},
 			map[string]any{"name": "origin", "origin": c.env.origin.address, "zone": zones[0]},
 		}, func(s any) bool { return s.(map[string]any)["name"] == c.absent }),
-		"tenants": []any{map[string]any{"name": customerName, "api_keys": keys}},
+		"tenants": tenants,
 		"limits":  map[string]any{"max_body_bytes": 1 << 20},
 	})
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -30,10 +30,11 @@
 // faultInjector injects faults by a plan that the seed of the soak determines.
 // While the plan runs, nothing else signals processes or changes the modes of links.
 type faultInjector struct {
-	env    *environment
-	random *rand.Rand
-	plan   []step
-	log    func(format string, values ...any)
+	env     *environment
+	callers *callerGroup
+	random  *rand.Rand
+	plan    []step
+	log     func(format string, values ...any)
 	// busyUntil holds for each process, link and replica when the last fault
 	// planned for it ends.
 	busyUntil map[any]time.Duration
@@ -77,6 +78,9 @@
 	f.planLimits(length)
 	f.planStoreSilences(length)
 	f.planPauses(length, pauseLength)
+	if f.env.options.Bursts {
+		f.planBursts(length, pauseLength)
+	}
 	slices.SortStableFunc(f.plan, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 }
 
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -37,7 +37,9 @@
 	kind    requestKind
 	path    string
 	body    string
-	key     string
+	// customer is the one whose key it is. key is the same for all customers.
+	customer string
+	key      string
 	// gateway is the name of the gateway's machine.
 	gateway string
 	sentAt  time.Time
@@ -127,8 +129,8 @@
 // change is a published change that must be obeyed within a time limit after it
 // was acknowledged.
 type change struct {
-	// category is "key", "revoked", "version", "leaving", "evacuated", "limit", "route" or
-	// "timeout". value is the key, the number of the version, the id of the replica, the
+	// category is "key", "revoked", "version", "leaving", "evacuated", "limit", "route",
+	// "timeout" or "burst". value is the key, the number of the version, the id of the replica, the
 	// zone or the timeout of all routes in milliseconds; for a limit, the id of the replica
 	// and the requests per second; for a route, its name and its service.
 	category string
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -35,12 +34,15 @@
 	Callers       int
 	// Weights starts the processes that distribute weights to engines.
 	Weights bool
-	// Length is the time in which new faults begin. PauseLength is the time after that in
+	// Length is the time in which new faults begin; without it, there are none. PauseLength is the time after that in
 	// which replicas fall silent and go on, amid planned stops and changes of the
 	// configuration but few other faults. If it is 0, replicas neither pause nor work
 	// slowly.
 	Length      time.Duration
 	PauseLength time.Duration
+	// Bursts adds bursts of more requests than the replicas can serve: one before the
+	// first fault, and others amid the faults and amid the pauses.
+	Bursts bool
 	// Timed enables the checks of guarantees with a time limit.
 	Timed bool
 	// Out receives one line for each action of the plan when it happens.
@@ -85,37 +87,39 @@
 		return nil, err
 	}
 	defer env.close()
-	b := &balancer{env: env, excluded: make([]atomic.Bool, len(env.gateways))}
-	callers := duty.NewGroup(env.group.Context())
-	callers.Go("balancer", b.run)
-	var expected, served atomic.Int64
-	for i := range o.Callers {
-		c := &caller{name: callerName(i), faithful: i%faithfulOneIn == 0, env: env, balancer: b, expected: &expected, served: &served}
-		callers.Go(c.name, c.run)
-	}
-	waitServing := func(timeout time.Duration) bool { return env.waitServing(ctx, &expected, &served, timeout) }
-	if !waitServing(startTimeout) {
+	callers := newCallerGroup(env)
+	if !callers.waitServing(ctx, startTimeout) {
 		return nil, eris.New("requests are not served before the first fault")
 	}
 	injector := &faultInjector{
-		env: env, random: rand.New(rand.NewPCG(o.Seed, 0)), busyUntil: map[any]time.Duration{}, version: 1,
+		env: env, callers: callers, random: rand.New(rand.NewPCG(o.Seed, 0)), busyUntil: map[any]time.Duration{}, version: 1,
 		log: func(format string, values ...any) { _, _ = fmt.Fprintf(o.Out, format+"\n", values...) },
 	}
-	injector.makePlan(o.Length, o.PauseLength)
+	if o.Length > 0 {
+		injector.makePlan(o.Length, o.PauseLength)
+	}
+	if o.Bursts {
+		callers.runBurst(ctx)
+	}
 	injector.run(ctx)
 	timeout := recoveryTimeout
 	if o.Timed {
 		timeout = timedRecoveryTimeout
 	}
-	if !waitServing(timeout) {
+	if !callers.waitServing(ctx, timeout) {
 		env.ledger.addViolation(fmt.Sprintf("RECOVER: requests are not served %s after the last fault", timeout))
 	}
-	callers.Stop()
-	if err := callers.Wait(); err != nil {
+	callers.group.Stop()
+	if err := callers.group.Wait(); err != nil {
 		return nil, err
 	}
 	_ = duty.Sleep(ctx, settleTime)
 	r := env.ledger.take()
+	for i := range r.changes {
+		if r.changes[i].category == "burst" {
+			injector.log("served of the calls in a burst: %v", r.burstShares(&r.changes[i]))
+		}
+	}
 	report := &Report{Actions: len(injector.plan), Attempts: len(r.requests), Violations: check(r, o.Timed)}
 	for _, a := range r.answers {
 		if a.status != 0 {
@@ -130,13 +134,13 @@
 
 // waitServing waits until most requests are served and engines serve the target
 // version of the weights. It reports false after the timeout.
-func (env *environment) waitServing(ctx context.Context, expected, served *atomic.Int64, timeout time.Duration) bool {
+func (g *callerGroup) waitServing(ctx context.Context, timeout time.Duration) bool {
 	deadline := time.Now().Add(timeout)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
-		expectedBefore, servedBefore := expected.Load(), served.Load()
+		expectedBefore, servedBefore := g.expected.Load(), g.served.Load()
 		_ = duty.Sleep(ctx, countInterval)
-		n := expected.Load() - expectedBefore
-		if n > 0 && float64(served.Load()-servedBefore) >= minServedShare*float64(n) && env.weightsCurrent() {
+		n := g.expected.Load() - expectedBefore
+		if n > 0 && float64(g.served.Load()-servedBefore) >= minServedShare*float64(n) && g.env.weightsCurrent() {
 			return true
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,6 +48,17 @@
 	}
 }
 
+// Guards against overload in which a priority or a customer gets no service, a refused
+// request ran, or a process ends.
+func TestNobodyStarvesInABurst(t *testing.T) {
+	binary := build(t, program.Product)
+	o := shortOptions(t, 1, binary, binary)
+	o.Length, o.Bursts = 0, true
+	r, err := Run(context.Background(), o)
+	require.NoError(t, err)
+	require.Empty(t, r.Violations)
+}
+
 // naiveSeed is the seed of the soak of the naive baseline. With it, eight orders lose
 // their answers in the first 50 calls of the callers.
 const naiveSeed = 10259
