soak: clients that are not trusted, beside the usual callers

Cause: no soak has clients whose bodies do not end or exceed the limit, so nothing tries whether processes survive them, and whether refusals of bodies are true.

The published limit is now 4 MiB, as in the deployments.

--- a/soak/burst.go
+++ b/soak/burst.go
@@ -56,7 +56,8 @@
 	bursts int
 }
 
-// newCallerGroup starts the usual callers.
+// newCallerGroup starts the usual callers, and as many clients whose requests must not be
+// served.
 func newCallerGroup(env *environment) *callerGroup {
 	g := &callerGroup{
 		env: env, group: duty.NewGroup(env.group.Context()),
@@ -65,6 +66,8 @@
 	g.group.Go("balancer", g.balancer.run)
 	for i := range env.options.Callers {
 		g.start(&caller{name: callerName(i), customer: customerOf(i), faithful: i%faithfulOneIn == 0, expected: &g.expected, served: &g.served})
+		untrusted := &untrustedClient{fmt.Sprintf("untrusted-%d", i), g}
+		g.group.Go(untrusted.name, untrusted.run)
 	}
 	return g
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -111,6 +111,9 @@
 			v.addViolation("REFUSED", attempt, "was answered 401 and ran")
 		}
 		return
+	case http.StatusRequestEntityTooLarge:
+		v.addViolation("REFUSED", attempt, "was answered %d with a body of %d bytes", a.status, len(sent.body))
+		return
 	case http.StatusOK:
 	default:
 		return
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -68,6 +68,7 @@
 		"order that ran twice":     {"TWICE", order, func(r *records) { r.runs["a"] = append(r.runs["a"], r.runs["a"][0]) }},
 		"too many attempts":        {"ATTEMPTS", lookup, func(r *records) { r.runs["a"] = append(r.runs["a"], r.runs["a"][0], r.runs["a"][0]) }},
 		"refused request that ran": {"REFUSED", review, modifyAnswer(func(a *answer) { a.status = http.StatusServiceUnavailable })},
+		"small body refused":       {"REFUSED", order, modifyAnswer(func(a *answer) { a.status = http.StatusRequestEntityTooLarge })},
 		"request that nobody sent": {"UNASKED", order, func(r *records) { delete(r.requests, "a"); clear(r.answers) }},
 		"changed body":             {"UNASKED", order, modifyRun(func(run *replicaRun) { run.body = "other" })},
 		"another customer":         {"UNASKED", order, modifyRun(func(run *replicaRun) { run.customer = "other" })},
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -25,6 +25,10 @@
 	shortRouteTimeout = 2500 * time.Millisecond
 )
 
+// maxBodyBytes is the maximum size of the body of a request. Gateways have the same one before
+// they know a configuration.
+const maxBodyBytes = 4 << 20
+
 // priorities is the number of different priorities of routes.
 const priorities = 3
 
@@ -165,7 +169,7 @@
 			map[string]any{"name": "origin", "origin": c.env.origin.address, "zone": zones[0]},
 		}, func(s any) bool { return s.(map[string]any)["name"] == c.absent }),
 		"tenants": tenants,
-		"limits":  map[string]any{"max_body_bytes": 1 << 20},
+		"limits":  map[string]any{"max_body_bytes": maxBodyBytes},
 	})
 }
 
