soak: the store refuses requests while new weights are named

Cause: the links to the store fail for 2.5 s at most, at random times, so that a version is hardly ever named while no process can read the store.

Change: in each soak with weights, by seed, the store resets all requests and open connections from up to 2.5 s before a version is named until 1 to 4 s after that. The machines count as disturbed meanwhile, as with the other faults of the store. The plan of the outage has a source of its own.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -77,6 +77,7 @@
 	f.planRestores(length)
 	f.planLimits(length)
 	f.planStoreSilences(length)
+	f.planStoreOutage()
 	f.planPauses(length, pauseLength)
 	if f.env.options.Bursts {
 		f.planBursts(length, pauseLength)
@@ -334,6 +335,10 @@
 	// maxSilenceSpread is how much later than the first machine others lose their
 	// connections to the store, so that they also notice it one after the other.
 	maxSilenceSpread = 2 * time.Second
+	// minOutage and maxOutage bound how long the store refuses all requests after new weights
+	// were named.
+	minOutage = time.Second
+	maxOutage = 4 * time.Second
 	// limitTime is how long replicas name a limit.
 	limitTime = 9 * time.Second
 	// minNamedLimit and maxNamedLimit bound the limits, in tenths of requests per second.
@@ -377,6 +382,23 @@
 	}
 }
 
+// planStoreOutage plans that the store refuses all requests while new weights are named.
+func (f *faultInjector) planStoreOutage() {
+	if len(f.versionsAt) == 0 {
+		return
+	}
+	random := rand.New(rand.NewPCG(f.env.options.Seed, 6))
+	named := f.versionsAt[random.IntN(len(f.versionsAt))]
+	from := max(named-time.Duration(random.Int64N(int64(maxSilentChange))), 0)
+	to := named + minOutage + time.Duration(random.Int64N(int64(maxOutage-minOutage)))
+	for _, m := range f.machines() {
+		f.addDisturbance(m.name, false, from, to, "the store refuses "+m.name, func() {
+			f.env.store.refusing.Store(true)
+			m.store.reset()
+		}, func() { f.env.store.refusing.Store(false) })
+	}
+}
+
 // silenceStore plans that the open connections of a machine to the store fall silent.
 func (f *faultInjector) silenceStore(m *machine, at time.Duration) {
 	f.addDisturbance(m.name, false, at, at, "the connections of "+m.name+" to the store fall silent", m.store.silence, func() {})
--- a/soak/store.go
+++ b/soak/store.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"rattanspur.example/lib/duty"
@@ -49,7 +50,11 @@
 }
 
 // store simulates the platform's store.
-type store struct{ state *owned[storeState] }
+type store struct {
+	state *owned[storeState]
+	// refusing makes the store reset the connections of all requests that come.
+	refusing atomic.Bool
+}
 
 func newStore(g *duty.Group) *store {
 	return &store{state: newOwned(g, "store", &storeState{
@@ -112,7 +117,13 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rattanspur/kv-range", s.serveRange)
 	mux.HandleFunc("GET /rattanspur/kv-watch", s.serveWatch)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.refusing.Load() {
+			abortResponse(w)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // serveRange answers with the first items of a prefix after a key, in the order of
