--- a/soak/faults.go
+++ b/soak/faults.go
@@ -59,9 +59,29 @@
 	return true
 }
 
+// planPart is a part of the plan with a source of its own, so that changes of a part leave the
+// others as the seed determined them before.
+type planPart uint64
+
+const (
+	faultPart planPart = iota
+	restorePart
+	limitPart
+	pausePart
+	silencePart
+	burstPart
+	outagePart
+)
+
+// source returns the source of a part of the plan.
+func (f *faultInjector) source(part planPart) *rand.Rand {
+	return rand.New(rand.NewPCG(f.env.options.Seed, uint64(part)))
+}
+
 // makePlan generates the plan of a soak. Faults begin within length from the start
 // of the plan; their ends and the last changes may come later.
 func (f *faultInjector) makePlan(length, pauseLength time.Duration) {
+	f.random = f.source(faultPart)
 	kinds := []func(from, to time.Duration) bool{
 		f.freeze, f.killAndRestart, f.stopAndRestart, f.sendHangup, f.storeFault, f.frontFault, f.replicaFault, f.crashReplica,
 		f.drainReplica, f.corruptPiece, f.compactStore,
@@ -347,10 +367,9 @@
 	maxNamedLimit = 20
 )
 
-// planRestores plans one or two restores of the store. The plans of restores and limits
-// have a source of their own, so that a seed plans the other faults as it did before.
+// planRestores plans one or two restores of the store.
 func (f *faultInjector) planRestores(length time.Duration) {
-	random := rand.New(rand.NewPCG(f.env.options.Seed, 1))
+	random := f.source(restorePart)
 	for range 1 + random.IntN(2) {
 		at := length/4 + time.Duration(random.Int64N(int64(length/2)))
 		age := time.Duration(random.Int64N(int64(maxRestoreAge)))
@@ -365,7 +384,7 @@
 // before changes that they miss: those of all machines at once before a replica leaves, and
 // one after the other around the naming of new weights.
 func (f *faultInjector) planStoreSilences(length time.Duration) {
-	random := rand.New(rand.NewPCG(f.env.options.Seed, 4))
+	random := f.source(silencePart)
 	for range 1 + random.IntN(2) {
 		at := time.Duration(random.Int64N(int64(length)))
 		for _, m := range f.machines() {
@@ -387,7 +406,7 @@
 	if len(f.versionsAt) == 0 {
 		return
 	}
-	random := rand.New(rand.NewPCG(f.env.options.Seed, 6))
+	random := f.source(outagePart)
 	named := f.versionsAt[random.IntN(len(f.versionsAt))]
 	from := max(named-time.Duration(random.Int64N(int64(maxSilentChange))), 0)
 	to := named + minOutage + time.Duration(random.Int64N(int64(maxOutage-minOutage)))
@@ -406,7 +425,7 @@
 
 // planLimits plans that some replicas name limits for a while.
 func (f *faultInjector) planLimits(length time.Duration) {
-	random := rand.New(rand.NewPCG(f.env.options.Seed, 2))
+	random := f.source(limitPart)
 	at := time.Duration(random.Int64N(int64(length / 2)))
 	for _, r := range f.env.replicas() {
 		if random.IntN(2) == 0 {
--- a/soak/planpauses.go
+++ b/soak/planpauses.go
@@ -29,8 +29,7 @@
 	maxSecondSignal = 4 * time.Second
 )
 
-// pausePlan plans pauses of replicas and what comes with them. It has a source of its
-// own, so that a seed plans the other faults as it did before.
+// pausePlan plans pauses of replicas and what comes with them.
 type pausePlan struct {
 	*faultInjector
 	random *rand.Rand
@@ -42,7 +41,7 @@
 	if pauseLength == 0 {
 		return
 	}
-	p := &pausePlan{f, rand.New(rand.NewPCG(f.env.options.Seed, 3))}
+	p := &pausePlan{f, f.source(pausePart)}
 	for at := p.below(pauseInterval); at < length; at += p.below(2 * pauseInterval) {
 		p.pauseOne(at)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -8,7 +8,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -92,7 +91,7 @@
 		return nil, eris.New("requests are not served before the first fault")
 	}
 	injector := &faultInjector{
-		env: env, callers: callers, random: rand.New(rand.NewPCG(o.Seed, 0)), busyUntil: map[any]time.Duration{}, version: 1,
+		env: env, callers: callers, busyUntil: map[any]time.Duration{}, version: 1,
 		log: func(format string, values ...any) { _, _ = fmt.Fprintf(o.Out, format+"\n", values...) },
 	}
 	if o.Length > 0 {
@@ -132,21 +131,6 @@
 	return report, ctx.Err()
 }
 
-// waitServing waits until most requests are served and engines serve the target
-// version of the weights. It reports false after the timeout.
-func (g *callerGroup) waitServing(ctx context.Context, timeout time.Duration) bool {
-	deadline := time.Now().Add(timeout)
-	for ctx.Err() == nil && time.Now().Before(deadline) {
-		expectedBefore, servedBefore := g.expected.Load(), g.served.Load()
-		_ = duty.Sleep(ctx, countInterval)
-		n := g.expected.Load() - expectedBefore
-		if n > 0 && float64(g.served.Load()-servedBefore) >= minServedShare*float64(n) && g.env.weightsCurrent() {
-			return true
-		}
-	}
-	return false
-}
-
 // weightsCurrent reports whether every engine serves the newest version of the
 // weights.
 func (env *environment) weightsCurrent() bool {
