dispatch: tell peers the usual speed only while a slow one counts

Cause: for 3 s after an unusual speed, each usual one was told to peers, also when the unusual one had lost its weight after 0.8 s.

Change: the speed keeps until when its last unusual statement counts.

--- a/lib/dispatch/peerspeed.go
+++ b/lib/dispatch/peerspeed.go
@@ -36,7 +36,7 @@
 // tells reports whether other entries should know what the upstream stated to this one. The
 // usual speed is worth telling only while another one may still count elsewhere.
 func (s *speed) tells(now time.Time) bool {
-	return s != nil && now.Sub(s.own.statedAt) < minSpeedTTL && now.Sub(s.unusualAt) < maxSpeedTTL
+	return s != nil && now.Sub(s.own.statedAt) < minSpeedTTL && now.Before(s.unusualUntil)
 }
 
 // addSpeeds adds the speeds that upstreams stated to this entry to its loads there.
--- a/lib/dispatch/speed.go
+++ b/lib/dispatch/speed.go
@@ -32,10 +32,10 @@
 	// statedAt is when the upstream stated it last, since when it first stated about the
 	// same without another speed in between.
 	statedAt, since time.Time
-	// unusualAt is when the upstream last stated another speed than the usual one.
-	unusualAt time.Time
 	// ttl is how long the statement counts: about as long as the speed has lasted.
 	ttl time.Duration
+	// unusualUntil is how long the last unusual statement counts unless another replaces it.
+	unusualUntil time.Time
 	// own is what the upstream stated to this entry itself.
 	own ownSpeed
 }
@@ -50,10 +50,10 @@
 		s.since = at
 	}
 	s.excess, s.statedAt = excess, at
+	s.ttl = min(max(at.Sub(s.since), minSpeedTTL), maxSpeedTTL)
 	if excess != 0 {
-		s.unusualAt = at
+		s.unusualUntil = at.Add(s.ttl)
 	}
-	s.ttl = min(max(at.Sub(s.since), minSpeedTTL), maxSpeedTTL)
 }
 
 // sameSpeed reports whether two excesses are about the same.
