--- a/lib/peering/message.go
+++ b/lib/peering/message.go
@@ -15,7 +15,7 @@
 	// answer yet.
 	PromptTokens int `json:"p,omitempty"`
 	// Speed is what the upstream stated to this process itself.
-	Speed
+	Speed Speed `json:"s,omitzero"`
 }
 
 // Demand describes the requests for a service that arrive and wait at one
