--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -112,6 +112,7 @@
 	suspectedRequests regionQueues
 	retryBudget       *retry.Window
 	rankOrder         rankOrder
+	speedEffect       speedEffect
 	// minGoal is the shortest first-byte goal of the routes to the service; 0 if none has one.
 	minGoal time.Duration
 	// minGapGoal is the shortest goal for the interval between two events of the streaming
@@ -284,6 +285,7 @@
 		u := c.mergeUpstream(now, old[p.ID], p)
 		c.upstreams[p.ID] = u
 		s := c.service(now, p.Service)
+		u.speedEffect = &s.speedEffect
 		s.upstreams = append(s.upstreams, u)
 	}
 	if v.Config != nil {
@@ -439,6 +441,9 @@
 		return
 	}
 	r.upstream.observe(now, o)
+	if o.Load != nil {
+		r.statedSlowdown = o.Load.Slowdown
+	}
 	r.recordAlive(now)
 	c.declined.observe(now, r.upstream.startKey(), o)
 	if c.limits.table.Observe(now, r.sentAt, r.upstream.startKey(), o.Limit) {
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -65,7 +65,7 @@
 		u.limit.sends.Add(now)
 	}
 	s.idleSince = now
-	r.upstream = u
+	r.upstream, r.statedSlowdown = u, 0
 	if u.silent() {
 		r.trial, u.trial = true, true
 	}
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -266,6 +266,7 @@
 	case e.End == retry.Answered:
 		u.recordAlive(now)
 		u.recordSuccess(e.FirstByte)
+		u.speedEffect.add(e.FirstByte, r.statedSlowdown)
 	case e.Misdirected:
 		u.pause(now, misdirectedPause)
 	case e.End == retry.Busy || e.End == retry.Refused:
--- a/lib/dispatch/request.go
+++ b/lib/dispatch/request.go
@@ -62,6 +62,9 @@
 	// suspect is the suspected trait whose upstream the request may go to; 0 if it
 	// may go to any. It is constant while the request is in one queue.
 	suspect poison.Trait
+	// statedSlowdown is the slowdown that the upstream of the last attempt stated; 0 if it
+	// stated none.
+	statedSlowdown float64
 	// interrupted is set once the attempt was interrupted at the end of a planned stop.
 	interrupted bool
 }
--- a/lib/dispatch/speed.go
+++ b/lib/dispatch/speed.go
@@ -32,12 +32,14 @@
 	// statedAt is when the upstream stated it last, since when it first stated about the
 	// same without another speed in between.
 	statedAt, since time.Time
-	// unusualAt is when the upstream last stated another speed than the usual one.
-	unusualAt time.Time
 	// ttl is how long the statement counts: about as long as the speed has lasted.
 	ttl time.Duration
+	// unusualUntil is how long the last unusual statement counts unless another replaces it.
+	unusualUntil time.Time
 	// own is what the upstream stated to this entry itself.
 	own ownSpeed
+	// effect tells how much of it counts at upstreams of the same service.
+	effect *speedEffect
 }
 
 // observe records a slowdown that was stated at a time.
@@ -50,10 +52,10 @@
 		s.since = at
 	}
 	s.excess, s.statedAt = excess, at
+	s.ttl = min(max(at.Sub(s.since), minSpeedTTL), maxSpeedTTL)
 	if excess != 0 {
-		s.unusualAt = at
+		s.unusualUntil = at.Add(s.ttl)
 	}
-	s.ttl = min(max(at.Sub(s.since), minSpeedTTL), maxSpeedTTL)
 }
 
 // sameSpeed reports whether two excesses are about the same.
@@ -62,8 +64,9 @@
 	return math.Max(ratio, 1/ratio) <= sameSpeedRatio
 }
 
-// unusual reports whether the upstream stated another speed than the usual one.
-func (s *speed) unusual() bool { return s != nil && s.excess != 0 }
+// unusual reports whether the upstream stated another speed than the usual one
+// and shows it.
+func (s *speed) unusual() bool { return s != nil && s.excess != 0 && s.effect.weight() > 0 }
 
 // slowdown returns how long work takes now, as a multiple of the usual time.
 func (s *speed) slowdown(now time.Time) float64 {
@@ -79,7 +82,7 @@
 	if age >= s.ttl {
 		return usualSlowdown
 	}
-	return usualSlowdown + s.excess*(1-float64(age)/float64(s.ttl))
+	return usualSlowdown + s.excess*s.effect.weight()*(1-float64(age)/float64(s.ttl))
 }
 
 // observeSpeed records a slowdown that the upstream stated to this entry; 0 if it stated
@@ -89,7 +92,7 @@
 		return
 	}
 	if u.speed == nil {
-		u.speed = &speed{}
+		u.speed = &speed{effect: u.speedEffect}
 	}
 	u.speed.observe(now, slowdown)
 	u.speed.own = ownSpeed{slowdown: slowdown, statedAt: now}
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -70,6 +70,8 @@
 	peerLoadAt  time.Time
 	// speed is what the upstream stated about its speed; nil if nothing.
 	speed *speed
+	// speedEffect is the effect of stated speeds at its service.
+	speedEffect *speedEffect
 	// failures counts the failures since the last success, up to maxDoublings.
 	failures int
 	// consecutiveErrors counts the server errors since the last success.
