--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -113,8 +113,8 @@
 	retryBudget       *retry.Window
 	rankOrder         rankOrder
 	speedEffect       speedEffect
-	// minGoal is the shortest first-byte goal of the routes to the service; 0 if none has one.
-	minGoal time.Duration
+	// maxGoal is the longest first-byte goal of the routes to the service.
+	maxGoal time.Duration
 	// minGapGoal is the shortest goal for the interval between two events of the streaming
 	// routes to the service; 0 if none has one.
 	minGapGoal time.Duration
@@ -293,12 +293,12 @@
 			s := c.service(now, name)
 			s.published = p
 			s.coldBudget = c.coldBudget(p)
-			s.minGoal, s.minGapGoal = 0, 0
+			s.maxGoal, s.minGapGoal = 0, 0
 		}
 		for i := range v.Config.Routes {
 			for _, t := range v.Config.Routes[i].Targets {
 				s := c.service(now, t.Service)
-				s.minGoal = shorterGoal(s.minGoal, v.Config.Routes[i].LatencyGoal)
+				s.maxGoal = max(s.maxGoal, v.Config.Routes[i].LatencyGoal)
 				s.minGapGoal = shorterGoal(s.minGapGoal, v.Config.Routes[i].GapGoal)
 			}
 		}
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -31,8 +31,8 @@
 	maxFailoverLoad = 1.25
 	// maxPlainLoad is that fraction for plain services, whose requests are short.
 	maxPlainLoad = 2.0
-	// maxPromptShare is the fraction of a service's shortest first-byte goal that an engine may
-	// need for its unread prompts. It reads them one after the other, whatever their goals.
+	// maxPromptShare is the fraction of a service's first-byte goal that an
+	// engine may need for its unread prompts. It reads them one after the other.
 	maxPromptShare = 0.35
 	// promptTimeCost is the cost added to an engine whose unread prompts take
 	// as long as the route's first-byte goal; other times add in proportion.
@@ -232,7 +232,7 @@
 		return false
 	}
 	unread := u.pendingPromptTokens(now)
-	return unread == 0 || u.promptTime(now, e, unread+r.PromptTokens) <= time.Duration(maxPromptShare*float64(s.minGoal))
+	return unread == 0 || u.promptTime(now, e, unread+r.PromptTokens) <= time.Duration(maxPromptShare*float64(s.maxGoal))
 }
 
 // promptTime returns how long an engine takes to read a number of prompt tokens,
