platform, gateway: urgency of ranked requests, and a metric by rank

Cause: the header that orders the waiting requests of an engine was removed from what callers send and never set, and no metric told which ranks are refused.

Change: requests of services with admission by rank carry their turn, 0 to 9; gateway_ranked_requests_total counts by rank and result.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -98,7 +99,15 @@
 	}
 }
 
+// recordRank counts a request of a service that admits requests by rank.
+func (m *gatewayMetrics) recordRank(rank int, result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("gateway_ranked_requests_total{rank=\"%d\",result=%q}", rank, result)).Inc()
+}
+
 func (m *gatewayMetrics) recordRefusal(a *dispatch.Refuse) {
+	if a.Ranked {
+		m.recordRank(a.Rank, "refused")
+	}
 	m.set.GetOrCreateCounter(`gateway_refused_total{verdict="` + a.Verdict.String() + `"}`).Inc()
 	if a.Trait != 0 {
 		m.blocked.Inc()
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -311,6 +311,9 @@
 			req.upstream, req.inAttempt = a.Upstream, true
 			req.conn = r.takeIdle(a.Upstream, req.call.ID)
 			r.recordProbe(req, &a)
+			if a.Ranked && a.Attempt == 1 {
+				r.gateway.metrics.recordRank(a.Rank, "sent")
+			}
 			attemptCtx, interrupt := context.WithCancelCause(req.ctx)
 			req.interrupt = interrupt
 			r.sendCommand(ctx, a.Ticket, command{action: a, conn: req.conn, ctx: attemptCtx}, false)
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -83,6 +83,8 @@
 		Waited:     now.Sub(r.arrived),
 		Attempt:    r.attempts,
 		Rank:       r.rank(),
+		Ranked:     r.ranked,
+		Turn:       r.turn,
 	}
 	if s.published != nil && s.published.Engine != nil {
 		send.ExpectVersion = u.servedVersion(now, r.Model, s.published.Engine.Layers)
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -217,7 +217,7 @@
 // request certainly did not run are asked to retry.
 func (c *Core) giveUp(now time.Time, r *request, reason string) []Action {
 	delete(c.requests, r.ticket)
-	out := Refuse{Ticket: r.ticket, Reason: reason, Rank: r.rank()}
+	out := Refuse{Ticket: r.ticket, Reason: reason, Rank: r.rank(), Ranked: r.ranked}
 	remaining := r.deadline.Sub(now)
 	switch {
 	case r.possibleRuns > 0 && remaining <= 0:
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -183,6 +183,10 @@
 	Probe poison.Trait
 	// Rank is the urgency of the request; 0 is the most urgent.
 	Rank int
+	// Ranked is set if the service admits requests by rank. Turn is then the place of the
+	// request in the order in which the upstream should begin its waiting requests, from 0.
+	Ranked bool
+	Turn   int
 }
 
 // Deliver requests that the held response is passed on to the caller.
@@ -222,8 +226,10 @@
 	// Trait is the convicted trait of a blocked request; 0 if there is another
 	// reason.
 	Trait poison.Trait
-	// Rank is the urgency of the request, if a route matched.
-	Rank int
+	// Rank is the urgency of the request, if a route matched. Ranked is set if the service
+	// admits requests by rank.
+	Rank   int
+	Ranked bool
 }
 
 // Finish ends a request that needs no further action.
