lib/bodybudget: limit the memory for the bodies of requests

Cause: each role reads whole bodies into memory without a limit for all of them together.

Change: one budget per process. If the budget is used up, a body displaces incomplete ones that cost more (bytes times age), and is refused if these would not suffice. Complete bodies are never displaced.

--- /dev/null
+++ b/lib/bodybudget/budget.go
@@ -0,0 +1,181 @@
+// Package bodybudget limits the memory for the bodies of requests that a process holds,
+// whether they are complete or not.
+//
+// Bytes are reserved before the memory for them is allocated. If the budget is used up,
+// incomplete bodies give way to others, first those that have held the most bytes for
+// the longest time, so that clients that stall shut nobody out. Complete bodies stay
+// until they are released.
+package bodybudget
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"rattanspur.example/lib/ring"
+)
+
+// Errors of reading a body. After each of them the rest of the body must not be read.
+var (
+	// ErrExhausted means that the budget is used up and the body may displace no other.
+	ErrExhausted = errors.New("memory for request bodies is used up")
+	// ErrEvicted means that the body was displaced before it was complete.
+	ErrEvicted = errors.New("request body was displaced because it was not complete and memory was needed")
+	// ErrTooLarge means that the body is larger than its limit.
+	ErrTooLarge = errors.New("request body is larger than the limit")
+)
+
+// memoryDivisor is the divisor that makes a budget from the memory of a process. The
+// rest is for connections, for the state of the process, and for memory that is free
+// but not collected yet: the heap may reach half of the memory.
+const memoryDivisor = 4
+
+// ForMemory returns the budget in bytes of a process that may use a number of bytes.
+func ForMemory(bytes int64) int64 { return bytes / memoryDivisor }
+
+// HeaderBytes returns about how much memory a request's header takes.
+func HeaderBytes(h http.Header) int64 {
+	n := 0
+	for name, values := range h {
+		n += len(name)
+		for _, value := range values {
+			n += len(value)
+		}
+	}
+	return int64(n)
+}
+
+// Budget is the budget of one process. All its handlers use it concurrently.
+type Budget struct {
+	mu   sync.Mutex
+	core core
+	now  func() time.Time
+}
+
+// waiter receives the result of a reservation that was queued: nil or ErrEvicted.
+type waiter = *ring.Ring[error]
+
+// New returns a budget of a number of bytes.
+func New(bytes int64) *Budget {
+	return &Budget{core: core{limit: bytes}, now: time.Now}
+}
+
+// Stats is the state of a budget.
+type Stats struct {
+	// Limit and Held are in bytes.
+	Limit, Held int64
+	// Incomplete is the number of bodies that are being read.
+	Incomplete int
+	// Refused and Evicted count the bodies for which no memory was available and those
+	// that were displaced.
+	Refused, Evicted uint64
+}
+
+// Stats returns the current state.
+func (b *Budget) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Stats{
+		Limit: b.core.limit, Held: b.core.held, Incomplete: len(b.core.reading),
+		Refused: b.core.refusals, Evicted: b.core.evictions,
+	}
+}
+
+// EvictWorst evicts the incomplete body that has held the most bytes for the longest
+// time, to make room for something else than bytes, such as a connection. It returns
+// false if no body is incomplete.
+func (b *Budget) EvictWorst() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	defer b.execute()
+	return b.core.evictWorst(b.now())
+}
+
+// execute executes the actions of the core. The lock is held, so that no body is
+// interrupted after its release.
+func (b *Budget) execute() {
+	for _, a := range b.core.actions {
+		switch a.kind {
+		case grant:
+			_ = a.account.waiter.Put(context.Background(), nil)
+		case interruptWaiter:
+			_ = a.account.waiter.Put(context.Background(), ErrEvicted)
+			a.account.interrupt()
+		case interrupt:
+			a.account.interrupt()
+		}
+	}
+	clear(b.core.actions)
+	b.core.actions = b.core.actions[:0]
+}
+
+func (b *Budget) open(interrupt func()) *account {
+	a := &account{interrupt: interrupt}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.open(a, b.now())
+	return a
+}
+
+// reserve reserves further bytes for a body. It waits until bodies that it displaces
+// have released their memory, which they do at once, or until ctx ends.
+func (b *Budget) reserve(ctx context.Context, a *account, n int64) error {
+	switch b.request(a, n) {
+	case granted:
+		return nil
+	case refused:
+		return ErrExhausted
+	case displaced:
+		return ErrEvicted
+	}
+	result, err := a.waiter.Take(ctx)
+	if err != nil {
+		b.withdraw(a)
+		return err
+	}
+	return result
+}
+
+// request asks the core for a reservation. If it is queued, the result comes to the
+// account's waiter.
+func (b *Budget) request(a *account, n int64) verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	defer b.execute()
+	v := b.core.reserve(a, n, b.now())
+	if v == queued {
+		a.waiter = ring.New[error](1, ring.Refuse)
+	}
+	return v
+}
+
+// withdraw ends the wait of a body. If its reservation was granted meanwhile, the release
+// of the body frees it.
+func (b *Budget) withdraw(a *account) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	defer b.execute()
+	b.core.withdraw(a)
+}
+
+func (b *Budget) giveBack(a *account, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	defer b.execute()
+	b.core.giveBack(a, n)
+}
+
+func (b *Budget) finish(a *account) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.finish(a)
+}
+
+func (b *Budget) close(a *account) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	defer b.execute()
+	b.core.close(a)
+}
