gateway: limit the memory for bodies and the callers' connections

Cause: clients with incomplete bodies made a gateway hold 324 to 388 MB and 617 descriptors with limits of 128 MB and 512.

Change: a quarter of limits.memory_mb is the budget for bodies and headers (lib/bodybudget). A request without memory for its body is rejected as not run, 503 with Retry-After: 0.5, and its connection is closed without reading the rest; so is one over the limit (413), of which net/http read up to 256 KiB. Connections are limited by an eighth of the memory and by limits.max_fds (lib/connlimit): beyond three quarters of that, a new connection closes the one that has been idle longest, or else evicts an incomplete body.

--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -90,6 +90,8 @@
 		Peers:       internalAddress(s, peersOffset),
 		Seeds:       s.PeerAddresses(peersOffset),
 		GracePeriod: s.Bounds.Grace,
+		MemoryBytes: s.MemoryBytes,
+		MaxFiles:    s.MaxFiles,
 		Dispatch: dispatch.Settings{
 			Self:    s.Listen,
 			Region:  s.Region,
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"rattanspur.example/lib/connlimit"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/wire"
@@ -31,19 +32,23 @@
 	listener net.Listener
 	group    *duty.Group
 
+	gateway *Gateway
+
 	mu    sync.Mutex
 	conns map[*callerConn]bool
 }
 
 // listenFront opens the port for callers. Nothing is accepted before serve is called.
-func listenFront(ctx context.Context, address string, h http.Handler) (*front, error) {
-	l, err := sock.Listen(ctx, address)
+func listenFront(ctx context.Context, g *Gateway) (*front, error) {
+	l, err := sock.Listen(ctx, g.settings.Listen)
 	if err != nil {
 		return nil, err
 	}
-	f := &front{listener: callerListener{l}, group: duty.NewGroup(context.Background()), conns: map[*callerConn]bool{}}
+	f := &front{gateway: g, group: duty.NewGroup(context.Background()), conns: map[*callerConn]bool{}}
+	limit := maxConnections(g.settings.MemoryBytes, g.settings.MaxFiles)
+	f.listener = callerListener{connlimit.New(l, limit, f.makeRoom)}
 	f.server = &http.Server{
-		Handler:           h,
+		Handler:           http.HandlerFunc(g.serveCall),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -153,7 +158,7 @@
 // callerConn is a connection of a caller that can be closed only while nothing of a request
 // has been read: a request that was read gets an answer.
 type callerConn struct {
-	*net.TCPConn
+	*connlimit.Conn
 	use atomic.Int32
 	// idleSince is when the last request ended, in ns since 1970; 0 before the first one.
 	idleSince atomic.Int64
@@ -161,7 +166,7 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	if n > 0 && !c.use.CompareAndSwap(connIdle, connBusy) && c.use.Load() == connClosed {
 		return 0, net.ErrClosed
 	}
@@ -199,9 +204,9 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := conn.(*net.TCPConn)
+	limited, ok := conn.(*connlimit.Conn)
 	if !ok {
 		return conn, nil
 	}
-	return &callerConn{TCPConn: tcp}, nil
+	return &callerConn{Conn: limited}, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 
+	"rattanspur.example/lib/bodybudget"
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/exchange"
@@ -62,6 +63,11 @@
 	Seeds []string
 	// GracePeriod is the maximum duration of a graceful stop.
 	GracePeriod time.Duration
+	// MemoryBytes and MaxFiles are the memory and the descriptors that the process may
+	// use. They limit the callers' connections and the bodies of their requests; 0 means
+	// defaultMemoryBytes, and no limit by descriptors.
+	MemoryBytes int64
+	MaxFiles    int
 	Dispatch    dispatch.Settings
 }
 
@@ -76,6 +82,8 @@
 	idleTimeout = 90 * time.Second
 	// maxHeaderBytes is the maximum size of a caller's request header.
 	maxHeaderBytes = 64 << 10
+	// defaultMemoryBytes is the memory of the process if the settings state none.
+	defaultMemoryBytes = 256 << 20
 )
 
 // Gateway is one gateway process.
@@ -105,8 +113,10 @@
 	// stopRefused and stopUnknown count what was rejected during a planned stop as
 	// not run and with an unknown outcome.
 	inProgress, stopRefused, stopUnknown atomic.Int64
-	// maxBodyBytes is the published maximum size of a request's body.
+	// maxBodyBytes is the published maximum size of a request's body, and bodies the
+	// memory for those of all requests.
 	maxBodyBytes atomic.Int64
+	bodies       *bodybudget.Budget
 }
 
 // New returns a gateway. It does nothing until Run is called.
@@ -125,6 +135,10 @@
 		routing:    duty.NewGroup(context.Background()),
 	}
 	g.uploads, g.endUploads = context.WithCancel(context.Background())
+	if g.settings.MemoryBytes <= 0 {
+		g.settings.MemoryBytes = defaultMemoryBytes
+	}
+	g.bodies = bodybudget.New(bodybudget.ForMemory(g.settings.MemoryBytes))
 	g.maxBodyBytes.Store(defaultMaxBodyBytes)
 	g.metrics = newMetrics(g)
 	return g
@@ -135,7 +149,7 @@
 // returns an error if it cannot listen, if a duty failed, or if requests are
 // still in progress when the grace period is almost over.
 func (g *Gateway) Run(ctx context.Context) error {
-	f, err := listenFront(ctx, g.settings.Listen, http.HandlerFunc(g.serveCall))
+	f, err := listenFront(ctx, g)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"strconv"
 	"time"
 
+	"rattanspur.example/lib/bodybudget"
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/exchange"
 	"rattanspur.example/lib/fleet"
@@ -18,11 +17,6 @@
 )
 
 const (
-	// defaultMaxBodyBytes is the maximum size of a request's body until a limit
-	// is published.
-	defaultMaxBodyBytes = 4 << 20
-	// bodyTimeout is the maximum time for a caller to send a body.
-	bodyTimeout = 30 * time.Second
 	// writeTimeout is the maximum time for writing one part of a response to the
 	// caller.
 	writeTimeout = 5 * time.Second
@@ -40,8 +34,10 @@
 	ticket     dispatch.Ticket
 	commands   *ring.Ring[command]
 	header     http.Header
-	body       []byte
-	arrivedAt  time.Time
+	// upload counts the memory of body.
+	upload    *bodybudget.Body
+	body      []byte
+	arrivedAt time.Time
 	// started is true once the head of a response was written to the caller.
 	started bool
 	// streaming is true if each part of the response is flushed.
@@ -76,6 +72,7 @@
 	if !c.readBody() {
 		return
 	}
+	defer c.upload.Release()
 	c.call.Traits = traits(&c.call, r.RequestURI, c.body)
 	c.header = g.codec.RequestHeader(r.Header)
 	c.lastEventID = c.call.LastEvent
@@ -86,36 +83,6 @@
 	c.run()
 }
 
-// readBody reads the complete body, since it may have to be sent more than once.
-// It returns false if the request was already refused.
-func (c *callHandler) readBody() bool {
-	if c.r.ContentLength == 0 {
-		return true
-	}
-	limit := c.gateway.maxBodyBytes.Load()
-	if c.r.ContentLength > limit {
-		c.writeProblem(http.StatusRequestEntityTooLarge, "body is larger than the limit")
-		return false
-	}
-	_ = c.controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	ended := c.limitUpload()
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	if ended() {
-		c.refuseUpload()
-		return false
-	}
-	_ = c.controller.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		c.writeProblem(http.StatusRequestEntityTooLarge, "body is larger than the limit")
-	case err != nil:
-		c.writeProblem(http.StatusBadRequest, "body could not be read")
-	}
-	c.body = body
-	return err == nil
-}
-
 // run executes commands until the request has ended.
 func (c *callHandler) run() {
 	for {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -32,6 +32,9 @@
 	silences    *metrics.Counter
 	resumptions *metrics.Counter
 	interrupts  *metrics.Counter
+	// connectionsDisplaced counts the connections that were closed because others
+	// needed their place.
+	connectionsDisplaced *metrics.Counter
 	// limitsStated counts the answers that state a limit, limitsUnreadable those whose
 	// limit cannot be parsed.
 	limitsStated     *metrics.Counter
@@ -62,6 +65,8 @@
 		resumptions: set.NewCounter("gateway_resumed_attempts_total"),
 		interrupts:  set.NewCounter("gateway_interrupted_attempts_total"),
 
+		connectionsDisplaced: set.NewCounter("gateway_connections_displaced_total"),
+
 		limitsStated:     set.NewCounter("gateway_limits_stated_total"),
 		limitsUnreadable: set.NewCounter("gateway_limits_unreadable_total"),
 	}
@@ -69,6 +74,11 @@
 	set.NewGauge("gateway_convicted_traits", func() float64 { return float64(m.convictedTraits.Load()) })
 	set.NewGauge("gateway_stated_limits", func() float64 { return float64(m.statedLimits.Load()) })
 	set.NewGauge("gateway_inbox_depth", func() float64 { return float64(g.inbox.Depth()) })
+	set.NewGauge("gateway_body_bytes", func() float64 { return float64(g.bodies.Stats().Held) })
+	set.NewGauge("gateway_body_bytes_limit", func() float64 { return float64(g.bodies.Stats().Limit) })
+	set.NewGauge("gateway_bodies_incomplete", func() float64 { return float64(g.bodies.Stats().Incomplete) })
+	set.NewGauge("gateway_bodies_refused_total", func() float64 { return float64(g.bodies.Stats().Refused) })
+	set.NewGauge("gateway_bodies_evicted_total", func() float64 { return float64(g.bodies.Stats().Evicted) })
 	return m
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -20,13 +20,6 @@
 	exitMargin = 100 * time.Millisecond
 	// marginDivisor bounds stopMargin by a fraction of a short grace period.
 	marginDivisor = 4
-	// uploadRetryAfter is the retry delay for requests whose body was not complete at the
-	// end of a stop. Another gateway can serve them at once.
-	uploadRetryAfter = 200 * time.Millisecond
-	// lingerTime is how long a stopping gateway reads on after it rejected an upload:
-	// closing a connection with unread bytes resets it, and the caller might not read the
-	// answer.
-	lingerTime = 100 * time.Millisecond
 )
 
 // stopStarted tells the router that a planned stop has begun, and when it is over.
@@ -99,44 +92,6 @@
 	}
 }
 
-// limitUpload makes reads of the request's body fail once a stop is over. The function
-// that it returns ends this and reports whether it has happened.
-func (c *callHandler) limitUpload() (ended func() bool) {
-	done := make(chan struct{})
-	stop := context.AfterFunc(c.gateway.uploads, func() {
-		defer close(done)
-		_ = c.controller.SetReadDeadline(time.Unix(1, 0))
-	})
-	return func() bool {
-		if stop() {
-			return false
-		}
-		<-done
-		return true
-	}
-}
-
-// refuseUpload rejects a request whose body was not complete when the stop was over.
-func (c *callHandler) refuseUpload() {
-	a := dispatch.Refuse{Verdict: dispatch.NotRun, Reason: "the process stops and the body is not complete", RetryAfter: uploadRetryAfter}
-	c.gateway.countStop(&a)
-	c.gateway.metrics.recordRefusal(&a)
-	c.refuse(&a)
-	c.linger()
-}
-
-// linger writes the answer out and reads what the caller still sends.
-func (c *callHandler) linger() {
-	_ = c.controller.Flush()
-	_ = c.controller.SetReadDeadline(time.Now().Add(lingerTime))
-	buffer := make([]byte, 4<<10)
-	for {
-		if _, err := c.r.Body.Read(buffer); err != nil {
-			return
-		}
-	}
-}
-
 // announceClose tells the caller that its connection closes after the response if the
 // process stops.
 func (c *callHandler) announceClose() {
--- /dev/null
+++ b/gateway/upload.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"rattanspur.example/lib/bodybudget"
+	"rattanspur.example/lib/dispatch"
+)
+
+const (
+	// defaultMaxBodyBytes is the maximum size of a request's body until a limit
+	// is published.
+	defaultMaxBodyBytes = 4 << 20
+	// bodyTimeout is the maximum time for a caller to send a body.
+	bodyTimeout = 30 * time.Second
+	// uploadRetryAfter is the retry delay for requests whose body was not complete at the
+	// end of a stop. Another gateway can serve them at once.
+	uploadRetryAfter = 200 * time.Millisecond
+	// memoryRetryAfter is the retry delay for requests for whose body there was no
+	// memory.
+	memoryRetryAfter = 500 * time.Millisecond
+	// lingerTime is how long a stopping gateway reads on after it rejected an upload:
+	// closing a connection with unread bytes resets it, and the caller might not read the
+	// answer.
+	lingerTime = 100 * time.Millisecond
+)
+
+// errUploadsEnded means that a planned stop was over before a body was complete.
+var errUploadsEnded = errors.New("the process stops and the body is not complete")
+
+// readBody reads the complete body, since it may have to be sent more than once. Its
+// memory is counted until c.upload is released. It returns false if the request was
+// already refused.
+func (c *callHandler) readBody() bool {
+	body, err := c.receiveBody()
+	if err != nil {
+		c.rejectUpload(err)
+		return false
+	}
+	c.upload, c.body = body, body.Bytes()
+	return true
+}
+
+func (c *callHandler) receiveBody() (*bodybudget.Body, error) {
+	upload := bodybudget.Upload{
+		Source: c.r.Body, Length: c.r.ContentLength, Limit: c.gateway.maxBodyBytes.Load(),
+		HeaderBytes: bodybudget.HeaderBytes(c.r.Header), Interrupt: c.interruptUpload,
+	}
+	if c.r.ContentLength == 0 {
+		return c.gateway.bodies.Read(c.r.Context(), upload)
+	}
+	_ = c.controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	ended := c.limitUpload()
+	body, err := c.gateway.bodies.Read(c.r.Context(), upload)
+	if ended() {
+		body.Release()
+		return nil, errUploadsEnded
+	}
+	if err == nil {
+		_ = c.controller.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
+// interruptUpload makes reads of the request's body fail.
+func (c *callHandler) interruptUpload() { _ = c.controller.SetReadDeadline(time.Unix(1, 0)) }
+
+// limitUpload makes reads of the request's body fail once a stop is over. The function
+// that it returns ends this and reports whether it has happened.
+func (c *callHandler) limitUpload() (ended func() bool) {
+	done := make(chan struct{})
+	stop := context.AfterFunc(c.gateway.uploads, func() {
+		defer close(done)
+		c.interruptUpload()
+	})
+	return func() bool {
+		if stop() {
+			return false
+		}
+		<-done
+		return true
+	}
+}
+
+// refuseUpload rejects a request whose body is not complete as not run.
+func (c *callHandler) refuseUpload(reason string, retryAfter time.Duration) {
+	a := dispatch.Refuse{Verdict: dispatch.NotRun, Reason: reason, RetryAfter: retryAfter}
+	c.gateway.countStop(&a)
+	c.gateway.metrics.recordRefusal(&a)
+	c.refuse(&a)
+}
+
+// rejectUpload rejects a request whose body could not be read and closes its connection.
+// What the caller still sends is not read: net/http would read up to 256 KiB of it.
+func (c *callHandler) rejectUpload(err error) {
+	if errors.Is(err, errUploadsEnded) {
+		c.refuseUpload(err.Error(), uploadRetryAfter)
+		c.linger()
+		return
+	}
+	c.interruptUpload()
+	c.w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, bodybudget.ErrExhausted), errors.Is(err, bodybudget.ErrEvicted):
+		c.refuseUpload(err.Error(), memoryRetryAfter)
+	case errors.Is(err, bodybudget.ErrTooLarge):
+		c.rejectBody(http.StatusRequestEntityTooLarge, "body is larger than the limit", err)
+	default:
+		c.rejectBody(http.StatusBadRequest, "body could not be read", err)
+	}
+}
+
+// rejectBody responds to a request that is not valid because of its body.
+func (c *callHandler) rejectBody(status int, detail string, err error) {
+	c.log("body-rejected", "status", status, "length", c.r.ContentLength, "err", err)
+	c.writeProblem(status, detail)
+}
+
+// linger writes the answer out and reads what the caller still sends.
+func (c *callHandler) linger() {
+	_ = c.controller.Flush()
+	_ = c.controller.SetReadDeadline(time.Now().Add(lingerTime))
+	buffer := make([]byte, 4<<10)
+	for {
+		if _, err := c.r.Body.Read(buffer); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/lib/connlimit/connlimit_test.go
@@ -0,0 +1,76 @@
+package connlimit
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// listen returns a listener with a limit, and a function that connects to it.
+func listen(t *testing.T, limit int, makeRoom func()) (*Listener, func() net.Conn) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := New(inner, limit, makeRoom)
+	t.Cleanup(func() { _ = l.Close() })
+	return l, func() net.Conn {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+}
+
+// Guards against more connections than the limit, and against a place that is lost, or
+// freed twice, when a connection is closed.
+func TestConnectionsBeyondTheLimitWait(t *testing.T) {
+	l, dial := listen(t, 2, nil)
+	for range 3 {
+		dial()
+	}
+	var open []net.Conn
+	for range 2 {
+		c, err := l.Accept()
+		require.NoError(t, err)
+		open = append(open, c)
+	}
+	require.Len(t, l.slots, cap(l.slots))
+	accepted := make(chan error)
+	go func() {
+		_, err := l.Accept()
+		accepted <- err
+	}()
+	require.NoError(t, open[0].Close())
+	require.Error(t, open[0].Close())
+	require.NoError(t, <-accepted)
+	require.Len(t, l.slots, cap(l.slots))
+}
+
+// Guards against a listener that makes no room before it is full, or makes room when
+// nobody connects.
+func TestRoomIsMadeBeforeTheLimitIsReached(t *testing.T) {
+	rooms := 0
+	l, dial := listen(t, 8, func() { rooms++ })
+	for i := range 8 {
+		dial()
+		_, err := l.Accept()
+		require.NoError(t, err)
+		require.Equal(t, max(0, i-5), rooms)
+	}
+}
+
+// Guards against a stop that waits for a connection to end.
+func TestCloseEndsAWaitForAPlace(t *testing.T) {
+	l, dial := listen(t, 1, nil)
+	dial()
+	_, err := l.Accept()
+	require.NoError(t, err)
+	done := make(chan error)
+	go func() {
+		_, err := l.Accept()
+		done <- err
+	}()
+	require.NoError(t, l.Close())
+	require.ErrorIs(t, <-done, net.ErrClosed)
+}
