lib/bodybudget, gateway: read the bodies of HTTP requests, and use buffers again

Cause: handlers of three roles need the same steps around a body: deadline, planned stop, what follows an error. Buffers of displaced bodies filled the heap of a gateway faster than it was collected.

Change: ReadRequest and AddMetrics. Buffers of bodies that were not completed are used for other bodies; they take an eighth of the budget.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -74,11 +74,7 @@
 	set.NewGauge("gateway_convicted_traits", func() float64 { return float64(m.convictedTraits.Load()) })
 	set.NewGauge("gateway_stated_limits", func() float64 { return float64(m.statedLimits.Load()) })
 	set.NewGauge("gateway_inbox_depth", func() float64 { return float64(g.inbox.Depth()) })
-	set.NewGauge("gateway_body_bytes", func() float64 { return float64(g.bodies.Stats().Held) })
-	set.NewGauge("gateway_body_bytes_limit", func() float64 { return float64(g.bodies.Stats().Limit) })
-	set.NewGauge("gateway_bodies_incomplete", func() float64 { return float64(g.bodies.Stats().Incomplete) })
-	set.NewGauge("gateway_bodies_refused_total", func() float64 { return float64(g.bodies.Stats().Refused) })
-	set.NewGauge("gateway_bodies_evicted_total", func() float64 { return float64(g.bodies.Stats().Evicted) })
+	g.bodies.AddMetrics(set, "gateway_")
 	return m
 }
 
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -28,14 +27,13 @@
 	lingerTime = 100 * time.Millisecond
 )
 
-// errUploadsEnded means that a planned stop was over before a body was complete.
-var errUploadsEnded = errors.New("the process stops and the body is not complete")
-
 // readBody reads the complete body, since it may have to be sent more than once. Its
 // memory is counted until c.upload is released. It returns false if the request was
 // already refused.
 func (c *callHandler) readBody() bool {
-	body, err := c.receiveBody()
+	body, err := c.gateway.bodies.ReadRequest(c.w, c.r, bodybudget.Limits{
+		Bytes: c.gateway.maxBodyBytes.Load(), Time: bodyTimeout, Stop: c.gateway.uploads,
+	})
 	if err != nil {
 		c.rejectUpload(err)
 		return false
@@ -44,47 +42,6 @@
 	return true
 }
 
-func (c *callHandler) receiveBody() (*bodybudget.Body, error) {
-	upload := bodybudget.Upload{
-		Source: c.r.Body, Length: c.r.ContentLength, Limit: c.gateway.maxBodyBytes.Load(),
-		HeaderBytes: bodybudget.HeaderBytes(c.r.Header), Interrupt: c.interruptUpload,
-	}
-	if c.r.ContentLength == 0 {
-		return c.gateway.bodies.Read(c.r.Context(), upload)
-	}
-	_ = c.controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	ended := c.limitUpload()
-	body, err := c.gateway.bodies.Read(c.r.Context(), upload)
-	if ended() {
-		body.Release()
-		return nil, errUploadsEnded
-	}
-	if err == nil {
-		_ = c.controller.SetReadDeadline(time.Time{})
-	}
-	return body, err
-}
-
-// interruptUpload makes reads of the request's body fail.
-func (c *callHandler) interruptUpload() { _ = c.controller.SetReadDeadline(time.Unix(1, 0)) }
-
-// limitUpload makes reads of the request's body fail once a stop is over. The function
-// that it returns ends this and reports whether it has happened.
-func (c *callHandler) limitUpload() (ended func() bool) {
-	done := make(chan struct{})
-	stop := context.AfterFunc(c.gateway.uploads, func() {
-		defer close(done)
-		c.interruptUpload()
-	})
-	return func() bool {
-		if stop() {
-			return false
-		}
-		<-done
-		return true
-	}
-}
-
 // refuseUpload rejects a request whose body is not complete as not run.
 func (c *callHandler) refuseUpload(reason string, retryAfter time.Duration) {
 	a := dispatch.Refuse{Verdict: dispatch.NotRun, Reason: reason, RetryAfter: retryAfter}
@@ -93,17 +50,12 @@
 	c.refuse(&a)
 }
 
-// rejectUpload rejects a request whose body could not be read and closes its connection.
-// What the caller still sends is not read: net/http would read up to 256 KiB of it.
+// rejectUpload rejects a request whose body could not be read.
 func (c *callHandler) rejectUpload(err error) {
-	if errors.Is(err, errUploadsEnded) {
+	switch {
+	case errors.Is(err, bodybudget.ErrStopped):
 		c.refuseUpload(err.Error(), uploadRetryAfter)
 		c.linger()
-		return
-	}
-	c.interruptUpload()
-	c.w.Header().Set("Connection", "close")
-	switch {
 	case errors.Is(err, bodybudget.ErrExhausted), errors.Is(err, bodybudget.ErrEvicted):
 		c.refuseUpload(err.Error(), memoryRetryAfter)
 	case errors.Is(err, bodybudget.ErrTooLarge):
--- a/lib/bodybudget/body.go
+++ b/lib/bodybudget/body.go
@@ -10,8 +10,8 @@
 	// requestBytes is what a request takes beside its header and its body: the buffers
 	// of its connection, the stacks of its goroutines and its state.
 	requestBytes = 16 << 10
-	// firstBufferBytes is the size of the first buffer of a body. The length that a
-	// client announces is not allocated before its bytes arrive.
+	// firstBufferBytes is the size of the first buffer of a body, which doubles as bytes
+	// arrive. The length that a client announces is not allocated before.
 	firstBufferBytes = 8 << 10
 )
 
@@ -50,6 +50,7 @@
 		err = ErrEvicted
 	}
 	if err != nil {
+		b.recycle(body.account, body.data)
 		body.Release()
 		return nil, err
 	}
@@ -65,12 +66,14 @@
 	if err := b.budget.reserve(ctx, b.account, requestBytes+u.HeaderBytes+first); err != nil {
 		return err
 	}
-	if most == 0 {
-		return readEnd(u.Source)
-	}
-	b.data = make([]byte, 0, first)
-	for {
-		n, err := u.Source.Read(b.data[len(b.data):cap(b.data)])
+	b.data = b.budget.buffer(first)
+	for int64(len(b.data)) < most {
+		if len(b.data) == cap(b.data) {
+			if err := b.grow(ctx); err != nil {
+				return err
+			}
+		}
+		n, err := u.Source.Read(b.data[len(b.data):min(int64(cap(b.data)), most)])
 		b.data = b.data[:len(b.data)+n]
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -78,16 +81,8 @@
 		if err != nil {
 			return err
 		}
-		if len(b.data) < cap(b.data) {
-			continue
-		}
-		if int64(len(b.data)) == most {
-			return readEnd(u.Source)
-		}
-		if err := b.grow(ctx, most); err != nil {
-			return err
-		}
 	}
+	return readEnd(u.Source)
 }
 
 // readEnd reads the end of a body of the maximum length.
@@ -105,20 +100,20 @@
 	}
 }
 
-// grow doubles the buffer, up to a size. Both buffers are counted while they exist.
-func (b *Body) grow(ctx context.Context, most int64) error {
-	old := int64(cap(b.data))
-	size := min(2*old, most)
+// grow doubles the buffer. Both buffers are counted while they exist.
+func (b *Body) grow(ctx context.Context) error {
+	size := 2 * int64(cap(b.data))
 	if err := b.budget.reserve(ctx, b.account, size); err != nil {
 		return err
 	}
-	b.data = append(make([]byte, 0, size), b.data...)
-	b.budget.giveBack(b.account, old)
+	old := b.data
+	b.data = append(b.budget.buffer(size), old...)
+	b.budget.recycle(b.account, old)
 	return nil
 }
 
 // Bytes returns the body. It may be used until Release.
-func (b *Body) Bytes() []byte { return b.data }
+func (b *Body) Bytes() []byte { return b.data[:len(b.data):len(b.data)] }
 
 // Reserve reserves further bytes for work on the body. It returns ErrExhausted if the
 // budget is used up, or the error of ctx if that ends first.
--- a/lib/bodybudget/budget.go
+++ b/lib/bodybudget/budget.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync"
 	"time"
 
@@ -32,40 +31,34 @@
 // but not collected yet: the heap may reach half of the memory.
 const memoryDivisor = 4
 
+// freeDivisor is the divisor for the part of a budget that free buffers may take.
+const freeDivisor = 8
+
 // ForMemory returns the budget in bytes of a process that may use a number of bytes.
 func ForMemory(bytes int64) int64 { return bytes / memoryDivisor }
 
-// HeaderBytes returns about how much memory a request's header takes.
-func HeaderBytes(h http.Header) int64 {
-	n := 0
-	for name, values := range h {
-		n += len(name)
-		for _, value := range values {
-			n += len(value)
-		}
-	}
-	return int64(n)
-}
-
 // Budget is the budget of one process. All its handlers use it concurrently.
 type Budget struct {
-	mu   sync.Mutex
-	core core
-	now  func() time.Time
+	mu      sync.Mutex
+	core    core
+	buffers buffers
+	now     func() time.Time
 }
 
 // waiter receives the result of a reservation that was queued: nil or ErrEvicted.
 type waiter = *ring.Ring[error]
 
-// New returns a budget of a number of bytes.
+// New returns a budget of a number of bytes, of which free buffers take an eighth.
 func New(bytes int64) *Budget {
-	return &Budget{core: core{limit: bytes}, now: time.Now}
+	free := bytes / freeDivisor
+	return &Budget{core: core{limit: bytes - free}, buffers: buffers{limit: free}, now: time.Now}
 }
 
 // Stats is the state of a budget.
 type Stats struct {
-	// Limit and Held are in bytes.
-	Limit, Held int64
+	// Limit is the maximum of Held, the bytes that bodies hold. Free are those of the
+	// buffers that are kept for other bodies.
+	Limit, Held, Free int64
 	// Incomplete is the number of bodies that are being read.
 	Incomplete int
 	// Refused and Evicted count the bodies for which no memory was available and those
@@ -78,7 +71,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return Stats{
-		Limit: b.core.limit, Held: b.core.held, Incomplete: len(b.core.reading),
+		Limit: b.core.limit, Held: b.core.held, Free: b.buffers.held, Incomplete: len(b.core.reading),
 		Refused: b.core.refusals, Evicted: b.core.evictions,
 	}
 }
@@ -167,15 +160,44 @@
 	b.core.giveBack(a, n)
 }
 
+// buffer returns an empty buffer of a size, for which bytes were reserved.
+func (b *Budget) buffer(size int64) []byte {
+	b.mu.Lock()
+	kept := b.buffers.take(size)
+	b.mu.Unlock()
+	if kept != nil {
+		return kept
+	}
+	return make([]byte, 0, size)
+}
+
+// recycle takes a buffer of an incomplete body back and gives its bytes back.
+func (b *Budget) recycle(a *account, buffer []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	defer b.execute()
+	b.buffers.put(buffer)
+	b.core.giveBack(a, int64(cap(buffer)))
+}
+
 func (b *Budget) finish(a *account) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	defer b.clearBuffers()
 	return b.core.finish(a)
 }
 
+// clearBuffers gives up the free buffers if no body is being read.
+func (b *Budget) clearBuffers() {
+	if len(b.core.reading) == 0 && b.buffers.held > 0 {
+		b.buffers.clear()
+	}
+}
+
 func (b *Budget) close(a *account) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.execute()
 	b.core.close(a)
+	b.clearBuffers()
 }
