agent: set the model name with one copy of the body

Cause: decoding and encoding a body made three to four copies, of up to 16 MiB each, which the memory for bodies would have to cover.

Change: the fields of the object are copied as they are, without those that are a form of the model name. White space, order and repeated fields stay. The fuzz test also checks that all other fields keep their values; it compares numbers as text, since it failed for a number beyond the range of a float (1E1000), which is valid.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -3,16 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"rattanspur.example/lib/gate"
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/timeline"
@@ -23,33 +19,6 @@
 // timeout.
 var errNoProgress = errors.New("upstream made no progress")
 
-// pinModel sets the model name in the JSON body of a call. All other fields keep
-// their values; only white space and the order of the fields may change.
-func pinModel(body []byte, name string) ([]byte, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
-		return nil, eris.New("a call for a model needs a JSON object as its body")
-	}
-	encoded, err := json.Marshal(name)
-	if err != nil {
-		return nil, eris.Wrap(err, "model name")
-	}
-	for field := range fields {
-		// Decoders that ignore case would accept such a field as the model.
-		if strings.EqualFold(field, "model") {
-			delete(fields, field)
-		}
-	}
-	fields["model"] = encoded
-	var out bytes.Buffer
-	encoder := json.NewEncoder(&out)
-	encoder.SetEscapeHTML(false)
-	if err := encoder.Encode(fields); err != nil {
-		return nil, eris.Wrap(err, "encode call")
-	}
-	return out.Bytes(), nil
-}
-
 // progressTimer cancels a request when no byte of the response arrives for the
 // timeout.
 type progressTimer struct {
--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -1,9 +1,11 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -65,20 +67,38 @@
 	f.Add([]byte(`{"model":"m","messages":[]}`))
 	f.Add([]byte(`{"model":"a","model":"b","Model":"c"}`))
 	f.Add([]byte(`{"model":{"x":1},"\u006dodel":"d"}`))
+	f.Add([]byte(" {\"a\\\"}\" : [ {\"b\":\"],}\"} , 1 ] ,\t\"MODEL\":[{}],\"c\":{\"model\":\"x\"} }\n"))
+	f.Add([]byte(`{}`))
+	f.Add([]byte("{}\v"))
+	f.Add([]byte(`{"":1E1000}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		out, err := pinModel(data, "root")
 		if err != nil {
 			return
 		}
-		var fields map[string]any
-		require.NoError(t, json.Unmarshal(out, &fields))
+		fields := decodeFields(t, out)
 		require.Equal(t, "root", fields["model"])
 		var folded struct{ Model any }
 		require.NoError(t, json.Unmarshal(out, &folded))
 		require.Equal(t, "root", folded.Model)
+		expected := decodeFields(t, data)
+		maps.DeleteFunc(expected, func(key string, _ any) bool { return strings.EqualFold(key, "model") })
+		expected["model"] = "root"
+		require.Equal(t, expected, fields)
+		require.Less(t, cap(out), len(data)+pinnedNameBytes)
 	})
 }
 
+// decodeFields decodes a JSON object. Numbers are compared as text, since a valid number
+// may be too large for a float.
+func decodeFields(t *testing.T, data []byte) (fields map[string]any) {
+	t.Helper()
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber()
+	require.NoError(t, d.Decode(&fields))
+	return fields
+}
+
 // Guards against net/http resending a request with an Idempotency-Key when a
 // reused connection breaks after the upstream has read the request.
 func TestBrokenConnectionIsNotRepeated(t *testing.T) {
