entry: limit the memory for bodies

Cause: uploads that were not completed held 620 to 704 MB at an entry and all its connections, so that an ordinary request got no response within 30 s.

Change: entry.body_memory_bytes, 64 MiB by default, is the budget for bodies and the copies made while they are decoded. A request without memory for its body gets 503 overload (not run, Retry-After), one over the limit 413 before its body is read.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -11,6 +12,8 @@
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 
+	"rattanspur.example/lib/bodybudget"
+	"rattanspur.example/lib/connlimit"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/node"
 	"rattanspur.example/lib/ring"
@@ -47,6 +50,8 @@
 	// snapshots provides the state that the operator page shows.
 	snapshots *snapshotSource
 	once      *oncePipeline
+	// bodies is the memory for the bodies of requests.
+	bodies *bodybudget.Budget
 }
 
 // New returns an entry. It does nothing until Run is called.
@@ -62,6 +67,7 @@
 		snapshots: newSnapshotSource(n),
 		once:      newOncePipeline(n, s),
 		grace:     newGracePeriod(s.DrainTimeout),
+		bodies:    bodybudget.New(cmp.Or(s.BodyMemoryBytes, settings.EntryBodyMemoryBytes)),
 	}
 	e.metrics = newMetrics(e)
 	return e
@@ -94,7 +100,7 @@
 		g.Go("forwarder", e.runForwarder)
 	}
 	e.startOnce(g)
-	limited := newLimitedListener(listener, e.settings.MaxConnections)
+	limited := connlimit.New(listener, e.settings.MaxConnections, func() { e.bodies.EvictWorst() })
 	g.Go("server", func(context.Context) error { return wire.Serve(server, limited) })
 	select {
 	case <-ctx.Done():
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -6,10 +6,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log/level"
+
+	"rattanspur.example/lib/bodybudget"
 	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/routing"
@@ -20,6 +22,9 @@
 // the router's response, which states whether the request was run.
 const responseGrace = time.Second
 
+// decodedCopies is how many copies of a body exist while it is decoded.
+const decodedCopies = 2
+
 // call is a caller's request while the entry processes it.
 type call struct {
 	// ctx ends when the caller disconnects or the deadline passes.
@@ -58,16 +63,23 @@
 	if e.grace.begun.isReached() {
 		w.Header().Set("Connection", "close")
 	}
-	body, err := e.readBody(w, r)
+	body, err := e.bodies.ReadRequest(w, r, bodybudget.Limits{
+		Bytes: e.settings.MaxBodyBytes, Time: bodyTimeout, Stop: e.grace.callsEnd.reached,
+	})
 	if err != nil {
-		wire.WriteProblem(w, bodyProblem(id, err))
+		e.rejectBody(w, r, id, err)
 		return
 	}
+	defer body.Release()
 	limited, cancel := context.WithTimeout(r.Context(), e.settings.CallTimeout)
 	defer cancel()
 	ctx, end := e.grace.callsEnd.endOn(limited)
 	defer end()
-	c := newCall(ctx, id, r, body)
+	c, err := e.decodeCall(ctx, id, r, body)
+	if err != nil {
+		e.rejectBody(w, r, id, err)
+		return
+	}
 	if err := e.enqueue(ctx, c); err != nil {
 		wire.WriteProblem(w, notRun(c, "entry takes no further calls now"))
 		return
@@ -75,18 +87,14 @@
 	e.writeResponse(w, r, c)
 }
 
-// readBody reads the body of a request. If it is not complete when calls have to end
-// because the process stops, the error is errStopping.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	interrupt := context.AfterFunc(e.grace.callsEnd.reached, func() { _ = controller.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes))
-	if !interrupt() {
-		return nil, errStopping
+// decodeCall decodes a request while the memory for copies of its body is reserved.
+func (e *Entry) decodeCall(ctx context.Context, id string, r *http.Request, body *bodybudget.Body) (*call, error) {
+	copies := decodedCopies * int64(len(body.Bytes()))
+	if err := body.Reserve(ctx, copies); err != nil {
+		return nil, err
 	}
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, err
+	defer body.GiveBack(copies)
+	return newCall(ctx, id, r, body.Bytes()), nil
 }
 
 func newCall(ctx context.Context, id string, r *http.Request, body []byte) *call {
@@ -161,13 +169,24 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// rejectBody responds to a request whose body could not be read.
+func (e *Entry) rejectBody(w http.ResponseWriter, r *http.Request, id string, err error) {
+	p := bodyProblem(id, err)
+	_ = level.Info(e.node.Logger()).Log(
+		"msg", "body of a request rejected", "request", id, "status", p.Status, "length", r.ContentLength, "err", err)
+	wire.WriteProblem(w, p)
+}
+
 func bodyProblem(id string, err error) *wire.Problem {
-	if errors.Is(err, errStopping) {
-		return notRun(&call{id: id}, stoppingDetail)
+	c := &call{id: id}
+	switch {
+	case errors.Is(err, bodybudget.ErrStopped):
+		return notRun(c, stoppingDetail)
+	case errors.Is(err, bodybudget.ErrExhausted), errors.Is(err, bodybudget.ErrEvicted):
+		return overload(c, http.StatusServiceUnavailable, err.Error(), retryAfter)
 	}
 	status := http.StatusBadRequest
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	if errors.Is(err, bodybudget.ErrTooLarge) {
 		status = http.StatusRequestEntityTooLarge
 	}
 	p := invalid(status, "body could not be read: "+err.Error())
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -40,6 +40,7 @@
 	set := metrics.NewSet()
 	set.NewGauge("rattanspur_entry_inbox_depth", func() float64 { return float64(e.inbox.Depth()) })
 	set.NewGauge("rattanspur_entry_attempts_depth", func() float64 { return float64(e.attempts.Depth()) })
+	e.bodies.AddMetrics(set, "rattanspur_entry_")
 	return &entryMetrics{
 		node:        e.node,
 		set:         set,
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -18,6 +18,23 @@
 	"rattanspur.example/lib/pacing"
 )
 
+const (
+	// EntryBodyMemoryBytes is the default memory for the bodies of requests at an entry,
+	// a quarter of the 256 MiB that a node may use.
+	EntryBodyMemoryBytes = 64 << 20
+	// bodiesInMemory is how many bodies of the largest size an entry must have memory
+	// for: one takes three while it is decoded, an eighth is kept for free buffers, and an
+	// eighth of the rest for small bodies.
+	bodiesInMemory = 5
+	// MaxCallBytes limits the body of a call from an entry to an agent, in bytes.
+	MaxCallBytes = 16 << 20
+	// AgentBodyMemoryBytes is the default and the least memory for the bodies of calls at
+	// an agent. One body of the largest size takes two while its model name is replaced,
+	// an eighth is kept for free buffers, and an eighth of the rest for small bodies. More
+	// would not do: the heap of an agent grows to twice of what it holds.
+	AgentBodyMemoryBytes = 44 << 20
+)
+
 // Node holds the settings that entry and agent have in common.
 type Node struct {
 	Self         fleet.Instance
@@ -45,6 +62,8 @@
 	CallTimeout time.Duration
 	// MaxBodyBytes is the size limit of a caller's request body.
 	MaxBodyBytes int64
+	// BodyMemoryBytes is the memory for the bodies of all requests that the entry holds.
+	BodyMemoryBytes int64
 	// MaxStreamBytes is the size limit of one response body.
 	MaxStreamBytes int64
 	// MaxConnections is the limit of the callers' open connections.
@@ -78,6 +97,8 @@
 	ReportInterval time.Duration
 	// MaxCalls is the limit of calls in flight at an agent.
 	MaxCalls int
+	// BodyMemoryBytes is the memory for the bodies of all calls that the agent holds.
+	BodyMemoryBytes int64
 	// UploadRate and DownloadRate limit the transfer of weights on the machine's
 	// link; 0 means no limit.
 	UploadRate   pacing.BytesPerSecond
@@ -139,6 +160,8 @@
 	s.MaxCalls = r.integer("entry", "calls", 512, 1)
 	s.CallTimeout = r.duration("entry", "call_timeout", 60*time.Second)
 	s.MaxBodyBytes = int64(r.integer("entry", "body_bytes", 1<<20, 1))
+	least := int(s.MaxBodyBytes) * bodiesInMemory
+	s.BodyMemoryBytes = int64(r.integer("entry", "body_memory_bytes", max(EntryBodyMemoryBytes, least), least))
 	s.MaxStreamBytes = int64(r.integer("entry", "stream_bytes", 64<<20, 1))
 	s.MaxConnections = r.integer("entry", "connections", 4096, 1)
 	s.MaxQueuedCalls = r.integer("entry", "queue_calls", 2048, 1)
@@ -180,6 +203,7 @@
 	s.WeightsListen = r.address("agent", "weights_listen", "127.0.0.1:0")
 	s.ReportInterval = r.duration("agent", "report_every", 250*time.Millisecond)
 	s.MaxCalls = r.integer("agent", "calls", 256, 1)
+	s.BodyMemoryBytes = int64(r.integer("agent", "body_memory_bytes", AgentBodyMemoryBytes, AgentBodyMemoryBytes))
 	s.UploadRate = pacing.BytesPerSecond(r.integer("agent", "link_up_bytes_per_second", 0, 0))
 	s.DownloadRate = pacing.BytesPerSecond(r.integer("agent", "link_down_bytes_per_second", 0, 0))
 	s.RegionLinkRate = pacing.BytesPerSecond(r.integer("agent", "region_link_bytes_per_second", 0, 0))
