agent: limit the memory for bodies

Cause: 40 calls with incomplete bodies held 638 to 775 MB at an agent.

Change: agent.body_memory_bytes, 44 MiB by default, which is also the least: one body of 16 MiB and its copy must fit. A call without memory for its body gets 503 (not run, Retry-After), one over the limit 413 in place of 400. The body of a call has 30 s to arrive, and is rejected when calls have to end in a planned stop; both were not limited. Headers have at most 64 KiB. The recorder of calls with a key passes on read deadlines.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 
+	"rattanspur.example/lib/bodybudget"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/engine"
 	"rattanspur.example/lib/fleet"
@@ -27,6 +29,9 @@
 
 const (
 	headerTimeout = 10 * time.Second
+	// maxHeaderBytes is the maximum size of a request's header: that of a caller, 32 KiB,
+	// and those that an entry adds.
+	maxHeaderBytes = 64 << 10
 	// shortTimeout bounds a health check, a query to a peer, and a query of an
 	// HTTP handler to another duty.
 	shortTimeout = 2 * time.Second
@@ -67,6 +72,8 @@
 	healthCheckRequests *ring.Ring[struct{}]
 	metrics             *agentMetrics
 	once                *onceDuty
+	// bodies is the memory for the bodies of calls.
+	bodies *bodybudget.Budget
 
 	uploadLink   *pacing.Link
 	downloadLink *pacing.Link
@@ -97,12 +104,13 @@
 		admittedCalls:       ring.New[admittedCall](s.MaxCalls, ring.Refuse),
 		rolloutQueries:      ring.New[*ring.Ring[rollout.State]](eventRingSize, ring.Wait),
 		healthCheckRequests: ring.New[struct{}](1, ring.DropOldest),
-		metrics:             newAgentMetrics(),
+		bodies:              bodybudget.New(cmp.Or(s.BodyMemoryBytes, settings.AgentBodyMemoryBytes)),
 		uploadLink:          pacing.NewLink(s.UploadRate),
 		downloadLink:        pacing.NewLink(s.DownloadRate),
 		regionLink:          pacing.NewLink(s.RegionLinkRate),
 		weightsHTTP:         &http.Client{Transport: weightsTransport()},
 	}
+	a.metrics = newAgentMetrics(a)
 	a.upstream = a.upstreamClient()
 	a.callsEnd, a.endCalls = context.WithCancel(context.Background())
 	return a
@@ -118,7 +126,7 @@
 	if a.weightsListener, err = net.Listen("tcp", a.settings.WeightsListen); err != nil {
 		return eris.Wrap(err, "listen for weights")
 	}
-	server := &http.Server{Handler: a.handler(), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: a.handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	weights := &http.Server{Handler: a.weightsHandler(), ReadHeaderTimeout: headerTimeout}
 
 	g := duty.NewGroup(context.WithoutCancel(ctx))
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -3,23 +3,30 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/go-kit/log/level"
+
+	"rattanspur.example/lib/bodybudget"
 	"rattanspur.example/lib/engine"
 	"rattanspur.example/lib/gate"
 	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/ring"
+	"rattanspur.example/lib/settings"
 	"rattanspur.example/lib/timeline"
 	"rattanspur.example/lib/wire"
 )
 
-// maxCallBytes limits the body of a call from an entry, in bytes.
-const maxCallBytes = 16 << 20
+const (
+	// bodyTimeout is the maximum time for an entry to send the body of a call.
+	bodyTimeout = 30 * time.Second
+	// bodyRetryAfter is the retry delay for calls for whose body there was no memory.
+	bodyRetryAfter = time.Second
+)
 
 // admittedCall is a call that the gate admitted and counts as in flight.
 type admittedCall struct {
@@ -45,11 +52,12 @@
 		return
 	}
 	w.Header().Set(wire.HeaderRequest, meta.AttemptID())
-	body, err := readBody(w, r, meta)
+	body, err := a.readBody(w, r, meta)
 	if err != nil {
-		wire.WriteProblem(w, refusal(meta.Request, http.StatusBadRequest, err.Error()))
+		a.rejectBody(w, r, meta, err)
 		return
 	}
+	defer body.Release()
 	ctx, cancel := context.WithTimeout(r.Context(), meta.Timeout)
 	defer cancel()
 	a.node.ObserveClock(meta.Clock)
@@ -75,7 +83,7 @@
 		method: r.Method,
 		path:   strings.TrimPrefix(r.URL.RequestURI(), wire.CallPath),
 		header: relay.ForwardHeader(r.Header),
-		body:   body,
+		body:   body.Bytes(),
 		stream: relay.NewStream(),
 	}
 	if a.admittedCalls.Put(ctx, call) != nil {
@@ -90,12 +98,50 @@
 
 // readBody returns the body for the upstream. In a call for a model, it sets the
 // model name to that of the exact version that must answer.
-func readBody(w http.ResponseWriter, r *http.Request, meta *wire.Call) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
+func (a *Agent) readBody(w http.ResponseWriter, r *http.Request, meta *wire.Call) (*bodybudget.Body, error) {
+	body, err := a.bodies.ReadRequest(w, r, bodybudget.Limits{
+		Bytes: settings.MaxCallBytes, Time: bodyTimeout, Stop: a.callsEnd,
+	})
 	if err != nil || meta.Root.IsZero() {
 		return body, err
 	}
-	return pinModel(body, engine.ServedName(meta.Root))
+	if err := pinBody(r.Context(), body, engine.ServedName(meta.Root)); err != nil {
+		body.Release()
+		return nil, err
+	}
+	return body, nil
+}
+
+// pinBody sets the model name in a body.
+func pinBody(ctx context.Context, body *bodybudget.Body, name string) error {
+	copyBytes := int64(len(body.Bytes())) + pinnedNameBytes
+	if err := body.Reserve(ctx, copyBytes); err != nil {
+		return err
+	}
+	pinned, err := pinModel(body.Bytes(), name)
+	if err != nil {
+		return err
+	}
+	body.Replace(pinned, copyBytes)
+	return nil
+}
+
+// rejectBody responds to a call whose body could not be read. It was not run.
+func (a *Agent) rejectBody(w http.ResponseWriter, r *http.Request, meta *wire.Call, err error) {
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, bodybudget.ErrTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, bodybudget.ErrExhausted), errors.Is(err, bodybudget.ErrEvicted), errors.Is(err, bodybudget.ErrStopped):
+		status = http.StatusServiceUnavailable
+	}
+	_ = level.Info(a.node.Logger()).Log(
+		"msg", "body of a call rejected", "request", meta.Request, "status", status, "length", r.ContentLength, "err", err)
+	p := refusal(meta.Request, status, err.Error())
+	if status == http.StatusServiceUnavailable {
+		p.RetryAfter = bodyRetryAfter
+	}
+	wire.WriteProblem(w, p)
 }
 
 // requestAdmission asks the gate to admit a call. It waits for the verdict even
--- a/agent/recorder.go
+++ b/agent/recorder.go
@@ -58,6 +58,11 @@
 	return http.NewResponseController(r.ResponseWriter).SetWriteDeadline(t)
 }
 
+// SetReadDeadline sets the deadline of reads for http.ResponseController.
+func (r *recorder) SetReadDeadline(t time.Time) error {
+	return http.NewResponseController(r.ResponseWriter).SetReadDeadline(t)
+}
+
 // FlushError flushes the response for http.ResponseController. It never returns
 // an error.
 func (r *recorder) FlushError() error {
--- a/agent/status.go
+++ b/agent/status.go
@@ -78,8 +78,9 @@
 	ready    *metrics.Gauge
 }
 
-func newAgentMetrics() *agentMetrics {
+func newAgentMetrics(a *Agent) *agentMetrics {
 	set := metrics.NewSet()
+	a.bodies.AddMetrics(set, "rattanspur_agent_")
 	return &agentMetrics{
 		set:      set,
 		cold:     set.NewCounter("rattanspur_agent_cold_total"),
