--- a/lib/bodybudget/budget_test.go
+++ b/lib/bodybudget/budget_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -213,6 +215,52 @@
 	require.Zero(t, b.Stats().Held)
 }
 
+// Guards against memory that stays counted, and against a body that waits for ever, when
+// many handlers displace each other at the same time.
+func TestManyBodiesAtTheSameTime(t *testing.T) {
+	b := New(1 << 20)
+	ctx := context.Background()
+	stalls := make(chan struct{})
+	var stalled, ordinary sync.WaitGroup
+	for range 50 {
+		stalled.Go(func() {
+			s := stall(100 * kb)
+			u := s.upload(1 << 20)
+			if _, err := b.Read(ctx, u); !errors.Is(err, ErrEvicted) && !errors.Is(err, ErrExhausted) {
+				t.Errorf("stalled body: %v", err)
+			}
+		})
+	}
+	for range 8 {
+		ordinary.Go(func() {
+			for range 50 {
+				body, err := b.Read(ctx, uploadOf(strings.NewReader(strings.Repeat("a", 10*kb)), 10*kb, 1<<20))
+				if err != nil && !errors.Is(err, ErrExhausted) && !errors.Is(err, ErrEvicted) {
+					t.Errorf("ordinary body: %v", err)
+				}
+				body.Release()
+			}
+		})
+	}
+	ordinary.Wait()
+	go func() {
+		stalled.Wait()
+		close(stalls)
+	}()
+	require.Eventually(t, func() bool {
+		b.EvictWorst()
+		select {
+		case <-stalls:
+			return true
+		default:
+			return false
+		}
+	}, 30*time.Second, time.Millisecond)
+	require.Zero(t, b.Stats().Held)
+	require.Zero(t, b.Stats().Incomplete)
+	require.Zero(t, b.Stats().Free)
+}
+
 // Guards against a budget with which a machine cannot serve one body of the largest
 // published size, in any deployment.
 func TestASingleLargestBodyFitsOnTheSmallestMachine(t *testing.T) {
