--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -33,6 +33,9 @@
 	silences    *metrics.Counter
 	resumptions *metrics.Counter
 	interrupts  *metrics.Counter
+	// connectionsDisplaced counts the connections that were closed because others
+	// needed their place.
+	connectionsDisplaced *metrics.Counter
 	// limitsStated counts the answers that state a limit, limitsUnreadable those whose
 	// limit cannot be parsed.
 	limitsStated     *metrics.Counter
@@ -65,6 +68,8 @@
 		resumptions: set.NewCounter("gateway_resumed_attempts_total"),
 		interrupts:  set.NewCounter("gateway_interrupted_attempts_total"),
 
+		connectionsDisplaced: set.NewCounter("gateway_connections_displaced_total"),
+
 		limitsStated:     set.NewCounter("gateway_limits_stated_total"),
 		limitsUnreadable: set.NewCounter("gateway_limits_unreadable_total"),
 		loadUnreadable:   set.NewCounter("gateway_load_figures_unreadable_total"),
@@ -73,6 +78,7 @@
 	set.NewGauge("gateway_convicted_traits", func() float64 { return float64(m.convictedTraits.Load()) })
 	set.NewGauge("gateway_stated_limits", func() float64 { return float64(m.statedLimits.Load()) })
 	set.NewGauge("gateway_inbox_depth", func() float64 { return float64(g.inbox.Depth()) })
+	g.bodies.AddMetrics(set, "gateway_")
 	return m
 }
 
