published, watcher, dispatch: what the review of ranks and outages found

Cause: an outage that only one process sees kept old weights in use there for as long as it lasted; two refused reads within milliseconds were an outage; the length that decides on an outage depended on a margin; a suspension did not move outages; a watch could set the speed of the store by the time it waited. A request whose rank starves was reported as a refusal of the most urgent one, and went behind others of its customer; explanations ignored ranks; each queue was tried twice.

Change: refusals for 0.4 s are an outage; one that peers do not share is none, and a grace period starts later by its length at most. Publications keep their honest age. Slots to load weights begin as without an outage and end with the period. Starving requests keep their rank for the reserve, which is bounded; Explain sets the turn of a request; the urgency is scaled to the turns that occur.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -382,6 +382,9 @@
 		return c.giveUp(now, r, stopReason)
 	}
 	s.retryBudget.RecordFirst(now)
+	if !r.returning {
+		s.rankOrder.recordArrival(now, r)
+	}
 	s.setPlace(now, r)
 	if !r.returning {
 		s.demand.add(now)
--- a/lib/dispatch/explain.go
+++ b/lib/dispatch/explain.go
@@ -162,6 +162,7 @@
 	reasonOwnSlots    = "the slots that this entry owns are in use"
 	reasonPrompts     = "it has too many unread prompts"
 	reasonSlots       = "its slots are in use"
+	reasonReserved    = "the slots left are for requests of more urgent ranks"
 	reasonSeveral     = "several limits are reached"
 
 	reasonAllAvoided = "all upstreams with the right weights are avoided"
@@ -216,6 +217,7 @@
 	}
 	out := ServiceExplanation{Service: t.Service, Weight: t.Weight, Contended: s.contended(now)}
 	r.service = t.Service
+	s.setPlace(now, r)
 	picked := c.explainDecision(now, s, r, d, &out)
 	c.explainUpstreams(now, s, r, picked, q, &out)
 	return out
@@ -246,8 +248,9 @@
 	if !noneAhead {
 		out.Reason = reasonOthersAhead
 	}
+	out.Ahead = s.rankedBefore(r)
 	if queue := s.queuesFor(r)[r.queueKey()]; queue != nil {
-		out.Ahead = queue.Ahead(r.customerName(), c.priority(r, until))
+		out.Ahead += queue.Ahead(r.customerName(), c.priority(r, until))
 	}
 	return nil
 }
@@ -390,6 +393,11 @@
 			return limit.reason
 		}
 	}
+	urgent := *r
+	urgent.routePlace = 0
+	if r.ranked && c.hasCapacity(now, s, &urgent, u) {
+		return reasonReserved
+	}
 	return reasonSeveral
 }
 
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -85,6 +85,7 @@
 		Rank:       r.rank(),
 		Ranked:     r.ranked,
 		Turn:       r.turn,
+		LastTurn:   s.rankOrder.lastTurn(),
 	}
 	if s.published != nil && s.published.Engine != nil {
 		send.ExpectVersion = u.servedVersion(now, r.Model, s.published.Engine.Layers)
@@ -133,7 +134,7 @@
 	if u.ownSlots == 0 {
 		margin += foreignVersionMargin
 	}
-	return c.view.Desired[r.Model].Due(now, c.settings.OldVersionGrace-margin)
+	return c.view.Desired[r.Model].DueAhead(now, c.settings.OldVersionGrace, margin)
 }
 
 // pick returns the upstream for a request, or nil. It considers the acceptable
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -122,6 +122,9 @@
 // priority orders the waiting requests of one customer by rank, then by the end
 // of their wait in milliseconds.
 func (c *Core) priority(r *request, until time.Time) int {
+	if r.ranked {
+		return -r.place*rankStep - int(until.Sub(c.startedAt)/time.Millisecond)
+	}
 	return -r.rank()*rankStep - int(until.Sub(c.startedAt)/time.Millisecond)
 }
 
@@ -166,6 +169,7 @@
 		}
 		if s.rankOrder.applies() {
 			actions = c.drainByRank(now, s, actions)
+			groups = [...]regionQueues{s.suspectedRequests, nil, nil, nil}
 		}
 		for _, queues := range groups {
 			actions = c.drainQueues(now, s, queues, actions)
--- a/lib/dispatch/rank.go
+++ b/lib/dispatch/rank.go
@@ -16,8 +16,10 @@
 // have more than one rank; for others, nothing changes.
 const (
 	// rankReserve is the fraction of an engine's slots that each rank of routes leaves free for
-	// the one before it. It is a little more than one of 12 slots.
-	rankReserve = 0.085
+	// the one before it. It is a little more than one of 12 slots. maxRankReserve bounds what a
+	// rank leaves free, however many ranks there are.
+	rankReserve    = 0.085
+	maxRankReserve = 0.25
 	// minRankShare is the fraction of the new requests of a place in the order that is served
 	// before all others, so that no kind of request and no customer starves.
 	minRankShare = 0.3
@@ -91,18 +93,21 @@
 	return min(place, len(o.pairs)-1), min(routePlace, len(o.routes)-1)
 }
 
-// starves counts a new request at a place and reports whether that got too small a share
-// lately.
+// starves reports whether a place got too small a share lately.
 func (o *rankOrder) starves(now time.Time, place int) bool {
-	if !o.applies() {
-		return false
-	}
-	s := &o.shares[place]
-	s.arrived.add(now)
+	s := o.shares[place]
 	arrived := s.arrived.perSecond(now)
 	return arrived >= minRankRate && s.sent.perSecond(now) < minRankShare*arrived
 }
 
+// recordArrival counts a new request.
+func (o *rankOrder) recordArrival(now time.Time, r *request) {
+	if o.applies() {
+		place, _ := o.place(r)
+		o.shares[place].arrived.add(now)
+	}
+}
+
 // recordSend counts a new request that was sent.
 func (o *rankOrder) recordSend(now time.Time, r *request) {
 	if o.applies() {
@@ -127,8 +132,9 @@
 		return
 	}
 	r.place, r.routePlace = s.rankOrder.place(r)
-	if !r.returning && s.rankOrder.starves(now, r.place) {
-		r.place, r.routePlace = 0, 0
+	r.starved = !r.returning && s.rankOrder.starves(now, r.place)
+	if r.starved {
+		r.place = 0
 	}
 	r.turn = r.place * turnsPerPlace
 	if r.returningStream() {
@@ -136,6 +142,9 @@
 	}
 }
 
+// lastTurn returns the greatest turn that a request may have.
+func (o *rankOrder) lastTurn() int { return turnsPerPlace*max(len(o.pairs)-1, 0) + retriedDelay }
+
 // rankedBefore returns how many requests wait in queues with an earlier turn than a request of a
 // service with admission by rank, for the same regions. It is 0 for others.
 func (s *service) rankedBefore(r *request) int {
@@ -163,6 +172,9 @@
 		for _, queues := range [...]regionQueues{s.newRequests, s.returningRequests} {
 			if q := queues[key]; q != nil {
 				actions = c.drainQueue(now, s, q, actions)
+				if q.Len() == 0 {
+					delete(queues, key)
+				}
 			}
 		}
 	}
@@ -173,14 +185,14 @@
 // some as long as requests of a more urgent rank are refused at any entry, so that those which
 // arrive find them. The ranks of customers reserve nothing: most requests may have the same one.
 func (s *service) rankedReserve(now time.Time, r *request) float64 {
-	if !r.ranked || r.routePlace == 0 {
+	if !r.ranked || r.starved || r.routePlace == 0 {
 		return 0
 	}
 	refused, ok := s.mostUrgentRefused(now)
 	if !ok || refused >= r.routePlace {
 		return 0
 	}
-	return rankReserve * float64(r.routePlace-refused)
+	return min(rankReserve*float64(r.routePlace-refused), maxRankReserve)
 }
 
 // mostUrgentRefused returns the most urgent place of the routes' ranks at which any entry
--- a/lib/dispatch/request.go
+++ b/lib/dispatch/request.go
@@ -27,6 +27,8 @@
 	// orders the waiting requests.
 	ranked                  bool
 	place, routePlace, turn int
+	// starved is set if the request goes first because its place got too small a share.
+	starved bool
 	// attempts counts all sends, possibleRuns those that the upstream may have
 	// run.
 	attempts     int
--- a/lib/dispatch/speed.go
+++ b/lib/dispatch/speed.go
@@ -48,7 +48,7 @@
 		return
 	}
 	excess := min(max(slowdown, minSlowdown), maxSlowdown) - usualSlowdown
-	if s.statedAt.IsZero() || !sameSpeed(s.excess, excess) {
+	if s.statedAt.IsZero() || !sameSpeed(s.excess, excess) || at.Sub(s.statedAt) > s.ttl {
 		s.since = at
 	}
 	s.excess, s.statedAt = excess, at
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -184,9 +184,10 @@
 	// Rank is the urgency of the request; 0 is the most urgent.
 	Rank int
 	// Ranked is set if the service admits requests by rank. Turn is then the place of the
-	// request in the order in which the upstream should begin its waiting requests, from 0.
-	Ranked bool
-	Turn   int
+	// request in the order in which the upstream should begin its waiting requests, from 0 to
+	// LastTurn.
+	Ranked         bool
+	Turn, LastTurn int
 }
 
 // Deliver requests that the held response is passed on to the caller.
--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -250,14 +250,17 @@
 	Published Publication
 }
 
-// Due returns the newest version that has been desired for at least the
-// duration after, or 0.
-func (d DesiredVersion) Due(now time.Time, after time.Duration) int64 {
-	if now.Sub(d.GraceStart(d.Published, after)) >= after {
+// Due returns the newest version whose grace period of a length is over, or 0.
+func (d DesiredVersion) Due(now time.Time, grace time.Duration) int64 { return d.DueAhead(now, grace, 0) }
+
+// DueAhead returns the newest version whose grace period of a length is over after a margin, or
+// 0.
+func (d DesiredVersion) DueAhead(now time.Time, grace, margin time.Duration) int64 {
+	if now.Sub(d.GraceStart(d.Published, grace)) >= grace-margin {
 		return d.Version
 	}
 	for _, p := range d.Previous {
-		if now.Sub(d.GraceStart(p.Published, after)) >= after {
+		if now.Sub(d.GraceStart(p.Published, grace)) >= grace-margin {
 			return p.Version
 		}
 	}
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -76,8 +76,10 @@
 	// absentUntil is when the changes that are applied next were last known to be absent;
 	// zero if that is the time at which they are applied.
 	absentUntil time.Time
-	// outages are the times in which the store was unavailable.
-	outages Outages
+	// outages are the times in which the store was unavailable. peerAheadAt is when a peer was
+	// first ahead of this process since that last read the store; zero if none was.
+	outages     Outages
+	peerAheadAt time.Time
 	// older counts the changes that were dropped because a newer one of their key is
 	// known.
 	older int
@@ -129,6 +131,11 @@
 
 func (s *State) apply(now time.Time, changes []Change, revision Revision, fromPeer bool) bool {
 	s.noteEra(now, revision)
+	if fromPeer {
+		s.notePeer(now, revision)
+	} else {
+		s.peerAheadAt = time.Time{}
+	}
 	changed := false
 	for i := range changes {
 		changed = s.applyChange(now, &changes[i], fromPeer) || changed
@@ -150,6 +157,7 @@
 		return false
 	}
 	s.noteEra(now, revision)
+	s.peerAheadAt = time.Time{}
 	present := make(map[string]bool, len(snapshot))
 	changed := false
 	for i := range snapshot {
@@ -315,6 +323,7 @@
 	if suspended == 0 || len(s.desired) == 0 {
 		return false
 	}
+	s.outages = s.outages.earlier(suspended)
 	for key, d := range s.desired {
 		d.Published = d.Published.earlier(suspended)
 		d.Previous = slices.Clone(d.Previous)
--- a/lib/staging/updateslot.go
+++ b/lib/staging/updateslot.go
@@ -29,12 +29,12 @@
 // If the loaded version itself became the target only a short time ago, its engines
 // update after those that serve an older version, which is due first.
 func SlotStart(target published.DesiredVersion, loaded int64, updateWindow time.Duration, rank, count int) time.Time {
-	next, own := publishedAround(target, loaded, updateWindow)
+	next, own := publishedAround(target, loaded)
 	first := next.Add(time.Duration(firstSlotFraction * float64(updateWindow)))
 	if due := own.Add(updateWindow - lastSlotMargin); !own.IsZero() && due.After(first) {
 		first = due
 	}
-	last := next.Add(updateWindow - lastSlotMargin)
+	last := UsableUntil(target, loaded, updateWindow).Add(-lastSlotMargin)
 	if last.Before(first) {
 		return last
 	}
@@ -44,25 +44,31 @@
 // UsableUntil returns the time after which no new request may start on the
 // loaded version: the earliest end of the update window of a newer target.
 func UsableUntil(target published.DesiredVersion, loaded int64, updateWindow time.Duration) time.Time {
-	next, _ := publishedAround(target, loaded, updateWindow)
-	return next.Add(updateWindow)
+	end := target.GraceStart(target.Published, updateWindow)
+	for _, e := range target.Previous {
+		if e.Version == loaded {
+			break
+		}
+		if start := target.GraceStart(e.Published, updateWindow); e.Version > loaded && (end.IsZero() || start.Before(end)) {
+			end = start
+		}
+	}
+	return end.Add(updateWindow)
 }
 
-// publishedAround returns the earliest start of the update window of a version that is
-// newer than the loaded one, and when the loaded one last became the target; zero if that is
-// not known. The oldest newer version need not have the earliest time, since the process may
+// publishedAround returns the earliest time at which a version that is newer than the
+// loaded one became the target, and when the loaded one last did; zero if that is not
+// known. The oldest newer version need not have the earliest time, since the process may
 // have first observed it later. What was the target before the loaded one does not count:
 // a newer version may have been withdrawn and become the target again.
-func publishedAround(target published.DesiredVersion, loaded int64, updateWindow time.Duration) (next, own time.Time) {
-	next = target.GraceStart(target.Published, updateWindow)
+func publishedAround(target published.DesiredVersion, loaded int64) (next, own time.Time) {
+	next = target.Published.NotBefore
 	for _, e := range target.Previous {
 		switch {
 		case e.Version == loaded:
 			return next, e.Published.NotBefore
-		case e.Version > loaded:
-			if start := target.GraceStart(e.Published, updateWindow); next.IsZero() || start.Before(next) {
-				next = start
-			}
+		case e.Version > loaded && (next.IsZero() || e.Published.NotBefore.Before(next)):
+			next = e.Published.NotBefore
 		}
 	}
 	return next, time.Time{}
--- a/lib/watcher/observation.go
+++ b/lib/watcher/observation.go
@@ -22,9 +22,6 @@
 // That is the time at which it arrives only if the source sends it to a watch that waits for
 // it. A change that a peer passes on, or that the source has when it is read again, may be as
 // old as the last read without it; what arrived while the process was paused as the pause.
-//
-// The grace period of a version runs only while the source is available. So a change that is
-// read after an outage counts as no older than the last read that the source refused.
 type observation struct {
 	// lastRun is when the duty last ran. pausedAt and resumedAt are the begin and the end of
 	// the last pause.
@@ -55,9 +52,6 @@
 	if !u.Live {
 		age, known = o.readAge(now)
 	}
-	if u.UnavailableAt != (moment{}) {
-		age = min(age, now.since(u.UnavailableAt))
-	}
 	o.noteRead(now, u)
 	if !known {
 		return time.Time{}
--- a/lib/watcher/reader.go
+++ b/lib/watcher/reader.go
@@ -47,9 +47,9 @@
 	delay  time.Duration
 	// unavailable is set from the first logged failure of an outage to its end.
 	unavailable bool
-	// refusedAt is the begin of the last read that the source refused on a new connection
-	// since the last read that succeeded; zero if there is none.
-	refusedAt moment
+	// refusedSince is when the source refused the first one of the last reads; zero if it did
+	// not refuse the last one.
+	refusedSince moment
 	// answerDelay is the time that the source last took to answer a read beyond the wait that
 	// was asked for.
 	answerDelay time.Duration
@@ -100,7 +100,7 @@
 func (w *Watcher) readSucceeded(kind readKind, startedAt moment, u *Update) {
 	r := &w.reads
 	took := time.Since(startedAt.steady)
-	u.ReadAt, u.UnavailableAt = startedAt, r.refusedAt
+	u.ReadAt = startedAt
 	waited := kind == readWatch && len(u.Changes) == 0 && took >= w.wait
 	if waited {
 		// The source waited with its answer.
@@ -113,6 +113,9 @@
 	case u.Live:
 		// The answer was held for the changes. Later ones are newer than these.
 		u.ReadAt = w.now()
+	case kind == readWatch:
+		// How much of the time it waited for changes is not known.
+		r.answerDelay = min(r.answerDelay, took)
 	default:
 		r.answerDelay = took
 	}
@@ -127,20 +130,34 @@
 	for _, f := range u.Findings {
 		_ = w.logger.Log("event", "item-unreadable", "err", f)
 	}
-	r.next, r.revision, r.failed, r.refusedAt = readWatch, u.Revision, false, moment{}
+	r.next, r.revision, r.failed, r.refusedSince = readWatch, u.Revision, false, moment{}
 }
 
-// maxDelayGrowth is the factor by which the source may become slower from one answer to the
-// next. A watch that is answered at once finds what changed before it began, and a slow source
-// answers such a watch late too; one that is answered after its wait may have been held up.
-const maxDelayGrowth = 2
+const (
+	// maxDelayGrowth is the factor by which the source may become slower from one answer to the
+	// next. A watch that is answered at once finds what changed before it began, and a slow
+	// source answers such a watch late too; one that is answered after its wait may have been
+	// held up.
+	maxDelayGrowth = 2
+	// minOutage is how long the source must refuse all reads until that counts as an outage. A
+	// source that restarts, or a connection that breaks, refuses one or two.
+	minOutage = 400 * time.Millisecond
+)
 
-// noteRefusal records and reports a read that the source refused. The first failure counts for nothing: its
-// connection may have been at fault, and the next read uses another one.
+// noteRefusal reports a read that the source refused, if it has refused all reads for minOutage.
+// A read that failed otherwise tells nothing about the source, since its connection may be at
+// fault.
 func (w *Watcher) noteRefusal(ctx context.Context, startedAt moment, err error) {
-	if w.reads.failed && errors.Is(err, published.ErrUnavailable) {
-		w.reads.refusedAt = startedAt
-		_ = w.updates.Put(ctx, Update{UnavailableAt: startedAt, Refused: true})
+	r := &w.reads
+	if !errors.Is(err, published.ErrUnavailable) {
+		r.refusedSince = moment{}
+		return
+	}
+	if r.refusedSince == (moment{}) {
+		r.refusedSince = w.now()
+	}
+	if startedAt.since(r.refusedSince) >= minOutage {
+		_ = w.updates.Put(ctx, Update{RefusedAt: startedAt})
 	}
 }
 
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -44,11 +44,8 @@
 	// batch has all changes before it; it is not set if FromPeer.
 	Live   bool
 	ReadAt moment
-	// UnavailableAt is when the source last refused a read, before this one if there is one;
-	// zero if it refused none since the last read.
-	UnavailableAt moment
-	// Refused is true if the update only tells UnavailableAt.
-	Refused bool
+	// RefusedAt is set in an update without a batch: the source refused a read that began then.
+	RefusedAt moment
 }
 
 // Watcher maintains the published state of one process. One duty reads the
@@ -228,11 +225,8 @@
 func (w *Watcher) applyUpdate(state *published.State, observed *observation, u *Update) bool {
 	before, now := state.View(), w.now()
 	changed := state.CountSuspension(now.steady, observed.run(now))
-	if at := u.UnavailableAt.steady; u.UnavailableAt != (moment{}) {
-		changed = state.NoteOutage(now.steady, at, at.Add(w.settleTime)) || changed
-	}
-	if u.Refused {
-		return changed
+	if at := u.RefusedAt.steady; u.RefusedAt != (moment{}) {
+		return state.NoteOutage(now.steady, at, at.Add(w.settleTime)) || changed
 	}
 	state.SetAbsentUntil(observed.absentUntil(now, u))
 	changed = apply(now.steady, state, u) || changed
