--- a/lib/published/published.go
+++ b/lib/published/published.go
@@ -251,7 +251,9 @@
 }
 
 // Due returns the newest version whose grace period of a length is over, or 0.
-func (d DesiredVersion) Due(now time.Time, grace time.Duration) int64 { return d.DueAhead(now, grace, 0) }
+func (d DesiredVersion) Due(now time.Time, grace time.Duration) int64 {
+	return d.DueAhead(now, grace, 0)
+}
 
 // DueAhead returns the newest version whose grace period of a length is over after a margin, or
 // 0.
