--- a/lib/watcher/missed_test.go
+++ b/lib/watcher/missed_test.go
@@ -288,7 +288,7 @@
 			require.False(t, d.Published.NotBefore.After(s.silentFrom), name)
 			start := d.GraceStart(d.Published, grace)
 			require.False(t, start.After(s.silentFrom.Add(c.startsBy)), name)
-			require.Equal(t, c.err == published.ErrUnavailable, start.After(s.silentFrom.Add(outage)), name)
+			require.Equal(t, errors.Is(c.err, published.ErrUnavailable), start.After(s.silentFrom.Add(outage)), name)
 		})
 	}
 }
