lib/connlimit, lib/bodybudget: make room for connections from bodies that stall

Cause: beyond three quarters of the connections each new one displaced an incomplete body, also one that had just begun; under heavy ordinary load that would be an ordinary one.

Change: bodies give way to connections from an age of 1 s on, and from 0.25 s on while all connections are open; then room is made every 0.25 s until a connection ends. Idle connections at a gateway are tried in order, each once.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,7 +100,7 @@
 		g.Go("forwarder", e.runForwarder)
 	}
 	e.startOnce(g)
-	limited := connlimit.New(listener, e.settings.MaxConnections, func() { e.bodies.EvictWorst() })
+	limited := connlimit.New(listener, e.settings.MaxConnections, func(n int, urgent bool) { e.bodies.MakeRoom(n, urgent) })
 	g.Go("server", func(context.Context) error { return wire.Serve(server, limited) })
 	select {
 	case <-ctx.Done():
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// connectionBytes is the memory of a caller's connection: the buffers and the
@@ -27,37 +31,36 @@
 	return max(limit, 1)
 }
 
-// makeRoom closes the connection that has been idle for the longest time. If none is
-// idle, it evicts the incomplete body that costs most, whose connection is then closed.
-func (f *front) makeRoom() {
-	now := time.Now()
-	for {
-		idle := f.longestIdle()
-		if idle == nil {
-			if f.gateway.bodies.EvictWorst() {
-				f.gateway.metrics.connectionsDisplaced.Inc()
-			}
-			return
-		}
-		if idle.closeIfIdle() {
-			f.gateway.metrics.connectionsDisplaced.Inc()
-			_ = f.gateway.logger.Log("event", "connection-displaced", "idle", now.Sub(time.Unix(0, idle.idleSince.Load())).Seconds())
-			return
-		}
+// makeRoom closes up to n connections, first those that have been idle for the longest
+// time. If too few are idle, incomplete bodies are evicted, whose connections are then
+// closed.
+func (f *front) makeRoom(n int, urgent bool) {
+	closed := 0
+	for closed < n && f.closeLongestIdle() {
+		closed++
 	}
+	closed += f.gateway.bodies.MakeRoom(n-closed, urgent)
+	f.gateway.metrics.connectionsDisplaced.Add(closed)
 }
 
-// longestIdle returns the connection that has been idle for the longest time after a
-// request, or nil.
-func (f *front) longestIdle() *callerConn {
-	var longest *callerConn
-	for _, c := range f.open() {
-		if c.use.Load() != connIdle || c.idleSince.Load() == 0 {
-			continue
-		}
-		if longest == nil || c.idleSince.Load() < longest.idleSince.Load() {
-			longest = c
+// closeLongestIdle closes the connection that has been idle for the longest time. It
+// returns false if there is none, or if a request is on its way on each of them.
+func (f *front) closeLongestIdle() bool {
+	for _, c := range f.idle() {
+		if c.closeIfIdle() {
+			_ = f.gateway.logger.Log("event", "connection-displaced", "idle", time.Since(time.Unix(0, c.idleSince.Load())).Seconds())
+			return true
 		}
 	}
-	return longest
+	return false
+}
+
+// idle returns the connections that are idle after a request, that for the longest time
+// first.
+func (f *front) idle() []*callerConn {
+	conns := slices.DeleteFunc(f.open(), func(c *callerConn) bool {
+		return c.use.Load() != connIdle || c.idleSince.Load() == 0
+	})
+	slices.SortFunc(conns, func(a, b *callerConn) int { return cmp.Compare(a.idleSince.Load(), b.idleSince.Load()) })
+	return conns
 }
--- a/lib/bodybudget/budget.go
+++ b/lib/bodybudget/budget.go
@@ -31,6 +31,14 @@
 // but not collected yet: the heap may reach half of the memory.
 const memoryDivisor = 4
 
+const (
+	// stallAge is the age from which an incomplete body gives way to connections, and
+	// urgentStallAge if no further connection may be open. Ordinary bodies are complete
+	// earlier, also on a busy machine.
+	stallAge       = time.Second
+	urgentStallAge = 250 * time.Millisecond
+)
+
 // freeDivisor is the divisor for the part of a budget that free buffers may take.
 const freeDivisor = 8
 
@@ -76,14 +84,19 @@
 	}
 }
 
-// EvictWorst evicts the incomplete body that has held the most bytes for the longest
-// time, to make room for something else than bytes, such as a connection. It returns
-// false if no body is incomplete.
-func (b *Budget) EvictWorst() bool {
+// MakeRoom evicts up to n incomplete bodies, first those that have held the most bytes
+// for the longest time, to make room for connections. Bodies that began less than a
+// second ago are not evicted, and if it is urgent, those that began less than a quarter of
+// a second ago. It returns how many were evicted.
+func (b *Budget) MakeRoom(n int, urgent bool) int {
+	age := stallAge
+	if urgent {
+		age = urgentStallAge
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.execute()
-	return b.core.evictWorst(b.now())
+	return b.core.evictWorst(n, age, b.now())
 }
 
 // execute executes the actions of the core. The lock is held, so that no body is
--- a/lib/bodybudget/core.go
+++ b/lib/bodybudget/core.go
@@ -172,16 +172,18 @@
 	return worst
 }
 
-// evictWorst evicts the incomplete body that costs most. It returns false if there is
-// none.
-func (c *core) evictWorst(now time.Time) bool {
-	worst := c.worst(nil, now)
-	if worst == nil {
-		return false
+// evictWorst evicts the incomplete bodies that cost most, up to a number, of those that
+// are as old as an age. It returns how many.
+func (c *core) evictWorst(n int, age time.Duration, now time.Time) int {
+	for i := range n {
+		worst := c.worst(nil, now)
+		if worst == nil || now.Sub(worst.openedAt) < age {
+			return i
+		}
+		c.evict(worst)
+		c.grantNext()
 	}
-	c.evict(worst)
-	c.grantNext()
-	return true
+	return n
 }
 
 func (c *core) evict(a *account) {
--- a/lib/connlimit/connlimit.go
+++ b/lib/connlimit/connlimit.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
 // softDivisor is the divisor of the limit for the part of it that only connections
@@ -13,6 +14,9 @@
 // after a response whose request was not read to its end.
 const softDivisor = 4
 
+// roomInterval is the time between two calls to make room while no slot is free.
+const roomInterval = 250 * time.Millisecond
+
 var errNotTCP = errors.New("connection is not a TCP connection")
 
 // Listener accepts a limited number of connections. Further ones wait in the accept
@@ -22,25 +26,24 @@
 	slots    chan struct{}
 	closed   chan struct{}
 	once     sync.Once
-	makeRoom func()
+	makeRoom MakeRoom
 }
 
-// New returns a listener of TCP connections with at most limit open connections. Each connection beyond
-// three quarters of them calls makeRoom, which should close another connection; it may
-// be nil.
-func New(l net.Listener, limit int, makeRoom func()) *Listener {
-	if makeRoom == nil {
-		makeRoom = func() {}
-	}
+// MakeRoom closes up to n connections, whatever they are used for if it is urgent. It
+// must not wait until they are closed.
+type MakeRoom func(n int, urgent bool)
+
+// New returns a listener of TCP connections with at most limit open ones. Each connection
+// beyond three quarters of them makes room for one. If all are open, room is urgently made
+// for a quarter, since connections take a while to close.
+func New(l net.Listener, limit int, makeRoom MakeRoom) *Listener {
 	return &Listener{Listener: l, slots: make(chan struct{}, max(limit, 1)), closed: make(chan struct{}), makeRoom: makeRoom}
 }
 
 // Accept waits for a free slot and then for a connection.
 func (l *Listener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
+	if err := l.takeSlot(); err != nil {
+		return nil, err
 	}
 	c, err := l.acceptTCP()
 	if err != nil {
@@ -48,11 +51,34 @@
 		return nil, err
 	}
 	if limit := cap(l.slots); len(l.slots) > limit-limit/softDivisor {
-		l.makeRoom()
+		l.makeRoom(1, false)
 	}
 	return &Conn{TCPConn: c, listener: l}, nil
 }
 
+// takeSlot waits for a free slot. While there is none, it makes room again and again:
+// what is too young to be closed now may be old enough later.
+func (l *Listener) takeSlot() error {
+	for {
+		select {
+		case l.slots <- struct{}{}:
+			return nil
+		default:
+		}
+		l.makeRoom(max(cap(l.slots)/softDivisor, 1), true)
+		timer := time.NewTimer(roomInterval)
+		select {
+		case l.slots <- struct{}{}:
+			timer.Stop()
+			return nil
+		case <-l.closed:
+			timer.Stop()
+			return net.ErrClosed
+		case <-timer.C:
+		}
+	}
+}
+
 func (l *Listener) acceptTCP() (*net.TCPConn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
