--- a/soak/bodies_test.go
+++ b/soak/bodies_test.go
@@ -49,6 +49,8 @@
 	env.origin, err = env.listenBehindLink("origin", originHandler())
 	require.NoError(t, err)
 	env.config = newConfiguration(env)
+	env.config.bodyBytes = uploadLimit
+	env.config.publish(env.config.keys...)
 	_, err = newReplica(env, "desk", plainService, zones[0])
 	require.NoError(t, err)
 	m, err := env.newMachine("edge", zones[0])
@@ -78,9 +80,12 @@
 	require.NoError(t, os.WriteFile(file, data, 0o600))
 }
 
+// uploadKey is a key of the first configuration.
+var uploadKey = customerKey(customers[0], "key-0")
+
 // uploadHead is the head of a request to the plain service, without what frames its
 // body.
-const uploadHead = "POST /lookup/1 HTTP/1.1\r\nHost: " + hostName + "\r\nAuthorization: Bearer key-0\r\n" +
+var uploadHead = "POST /lookup/1 HTTP/1.1\r\nHost: " + hostName + "\r\nAuthorization: Bearer " + uploadKey + "\r\n" +
 	headerAttempt + ": upload\r\n" + headerDeadline + ": 20000\r\n"
 
 // ordinaryCount counts the ids of ordinary requests.
@@ -108,7 +113,7 @@
 		return 0, err
 	}
 	req.Host = hostName
-	req.Header.Set("Authorization", "Bearer key-0")
+	req.Header.Set("Authorization", "Bearer "+uploadKey)
 	req.Header.Set(headerAttempt, answeredAttempt())
 	req.Header.Set(headerDeadline, "20000")
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -48,6 +48,8 @@
 	absent  string
 	annexed bool
 	timeout time.Duration
+	// bodyBytes is the published limit of the body of a request.
+	bodyBytes int
 	// currentKey is the newest key that every gateway should know; callers use it.
 	currentKey atomic.Pointer[string]
 	// revokedKey is the key that was revoked last; nil if none was.
@@ -56,7 +58,7 @@
 
 // newConfiguration publishes a first configuration with one key.
 func newConfiguration(env *environment) *configuration {
-	c := &configuration{env: env, timeout: routeTimeout}
+	c := &configuration{env: env, timeout: routeTimeout, bodyBytes: maxBodyBytes}
 	first := "key-0"
 	env.ledger.addChange("key", first, c.publish(first))
 	c.currentKey.Store(&first)
@@ -169,7 +171,7 @@
 			map[string]any{"name": "origin", "origin": c.env.origin.address, "zone": zones[0]},
 		}, func(s any) bool { return s.(map[string]any)["name"] == c.absent }),
 		"tenants": tenants,
-		"limits":  map[string]any{"max_body_bytes": maxBodyBytes},
+		"limits":  map[string]any{"max_body_bytes": c.bodyBytes},
 	})
 }
 
