--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -385,7 +385,7 @@
 	if !r.returning {
 		s.rankOrder.recordArrival(now, r)
 	}
-	s.setPlace(now, r)
+	s.setTurn(now, r)
 	if !r.returning {
 		s.demand.add(now)
 		s.steadyDemand.add(now)
--- a/lib/dispatch/explain.go
+++ b/lib/dispatch/explain.go
@@ -217,7 +217,7 @@
 	}
 	out := ServiceExplanation{Service: t.Service, Weight: t.Weight, Contended: s.contended(now)}
 	r.service = t.Service
-	s.setPlace(now, r)
+	s.setTurn(now, r)
 	picked := c.explainDecision(now, s, r, d, &out)
 	c.explainUpstreams(now, s, r, picked, q, &out)
 	return out
@@ -379,6 +379,11 @@
 	case !u.limit.allows(now):
 		return reasonStatedLimit
 	}
+	urgent := *r
+	urgent.routePlace = 0
+	if r.ranked && c.hasCapacity(now, s, &urgent, u) {
+		return reasonReserved
+	}
 	for _, limit := range []struct {
 		reason string
 		lift   func(u *upstream)
@@ -393,11 +398,6 @@
 			return limit.reason
 		}
 	}
-	urgent := *r
-	urgent.routePlace = 0
-	if r.ranked && c.hasCapacity(now, s, &urgent, u) {
-		return reasonReserved
-	}
 	return reasonSeveral
 }
 
--- a/lib/dispatch/rank.go
+++ b/lib/dispatch/rank.go
@@ -14,6 +14,15 @@
 // served first, at all entries alike: they go first at each entry, and while they are refused at
 // any entry, less urgent ranks leave slots free everywhere. It applies to services whose routes
 // have more than one rank; for others, nothing changes.
+//
+// The pairs of a customer's rank and a route's rank that can occur are the places of the order,
+// from 0. The turn of a request follows from its place, and from whether it is a retry. With the
+// routes' ranks 0 and 1, and one customer of rank 0 beside others without a rank:
+//
+//	place  customer, route     turn of a new request, of a retried one
+//	0      0, 0                0, 3
+//	1      0, 1                2, 5
+//	2      1 (the route's), 1  4, 7
 const (
 	// rankReserve is the fraction of an engine's slots that each rank of routes leaves free for
 	// the one before it. It is a little more than one of 12 slots. maxRankReserve bounds what a
@@ -124,9 +133,9 @@
 	retriedDelay  = 3
 )
 
-// setPlace sets the place and the turn of a request that arrives. A new request of a place that
+// setTurn sets the place and the turn of a request that arrives. A new request of a place that
 // starves goes before all others.
-func (s *service) setPlace(now time.Time, r *request) {
+func (s *service) setTurn(now time.Time, r *request) {
 	r.ranked = s.rankOrder.applies()
 	if !r.ranked {
 		return
--- a/lib/dispatch/rank_test.go
+++ b/lib/dispatch/rank_test.go
@@ -85,6 +85,29 @@
 	require.Equal(t, expected, sentTickets(h.core.Tick(h.now)))
 }
 
+// Load: a large customer and small ones compete for the slots of one rank. Guards against a
+// large customer that crowds out the others of its rank.
+func TestCustomersShareTheRoomOfARank(t *testing.T) {
+	h := newHarness(t, rankedView(3))
+	h.setLoad(12, peering.Share{})
+	customers := map[Ticket]string{}
+	for i := range 8 {
+		customer := "customer-0"
+		if i >= 6 {
+			customer = fmt.Sprint("customer-", i-5)
+		}
+		ticket, actions := h.arriveAt(1, customer, newBudget)
+		require.Empty(t, actions)
+		customers[ticket] = customer
+	}
+	h.setLoad(9, peering.Share{})
+	sent := map[string]int{}
+	for _, ticket := range sentTickets(h.core.Tick(h.now)) {
+		sent[customers[ticket]]++
+	}
+	require.Equal(t, map[string]int{"customer-0": 1, "customer-1": 1, "customer-2": 1}, sent)
+}
+
 // Load: a more urgent rank is refused at another entry. Guards against entries that fill the last
 // slots with less urgent requests meanwhile.
 func TestSlotsAreLeftForRanksThatAreRefusedElsewhere(t *testing.T) {
@@ -174,3 +197,46 @@
 		require.Less(t, routePlace, len(o.refusedAt))
 	}
 }
+
+// Guards against a rank that starves alone and is reported as a refusal of the most urgent one, so
+// that all entries leave slots free for a rank that asks for nothing.
+func TestStarvedRequestIsReportedByItsOwnRank(t *testing.T) {
+	h := newHarness(t, rankedView(3))
+	h.setLoad(12, peering.Share{})
+	for range 3 * int(rankShareTime/time.Second) {
+		_, actions := h.arriveAt(2, "customer-0", newBudget)
+		require.Empty(t, actions)
+	}
+	h.now = h.now.Add(400 * time.Millisecond)
+	h.setLoad(12, peering.Share{})
+	h.core.Tick(h.now)
+	require.Equal(t, 3, h.core.Demands(h.now)[engine].RefusedRank)
+}
+
+// Guards against a request whose place starves and that waits behind the others of its customer.
+func TestStarvedRequestGoesFirst(t *testing.T) {
+	h := newHarness(t, rankedView(1))
+	h.setLoad(12, peering.Share{})
+	var last Ticket
+	for range 8 {
+		last, _ = h.arriveAt(2, "customer-0", newBudget)
+	}
+	_, actions := h.arriveAt(0, "customer-0", newBudget)
+	require.Empty(t, actions)
+	h.setLoad(11, peering.Share{})
+	sent := sentTickets(h.core.Tick(h.now))
+	require.Len(t, sent, 1)
+	require.LessOrEqual(t, sent[0], last)
+}
+
+// Guards against explanations that ignore ranks: a request that would wait is said to be sent.
+func TestExplanationFollowsRanks(t *testing.T) {
+	h := newHarness(t, rankedView(1))
+	h.setLoad(11, peering.Share{RefusedRank: 1, Contended: true})
+	query := Query{Call: Call{Host: "h", Path: "/rank-2/", Key: "customer-0", Model: model, TimeBudget: newBudget}, Limit: 1}
+	e := h.core.Explain(h.now, query).Services[0]
+	require.Equal(t, Waits, e.Decision)
+	require.Equal(t, reasonReserved, e.Upstreams[0].Reason)
+	query.Call.Path = "/rank-0/"
+	require.Equal(t, Sent, h.core.Explain(h.now, query).Services[0].Decision)
+}
