bodybudget, connlimit, gateway, entry: what the review of the bodies found

Cause: a large body that had just begun kept stalled ones from giving way to connections. A request without a body whose account was evicted left its connection open, on which net/http cancels all further requests. A listener made room for connections that did not exist; an entry evicted bodies beside idle connections. A pipelined request ran on a connection that counted as idle. A complete body that waited for memory at a stop was answered with 400.

Change: the age is part of the choice; the connection is closed; a connection is accepted before it waits for a place; an entry makes room when it is full; handlers mark their connection; such a body is not run (503).

Result: TestYoungBodyDoesNotProtectStalledOnes and TestNoRoomIsMadeForNobody fail on the code before; tests of the four modules pass.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,7 +100,7 @@
 		g.Go("forwarder", e.runForwarder)
 	}
 	e.startOnce(g)
-	limited := connlimit.New(listener, e.settings.MaxConnections, func(n int, urgent bool) { e.bodies.MakeRoom(n, urgent) })
+	limited := connlimit.New(listener, e.settings.MaxConnections, e.makeRoom)
 	g.Go("server", func(context.Context) error { return wire.Serve(server, limited) })
 	select {
 	case <-ctx.Done():
@@ -109,6 +109,14 @@
 	return e.stop(ctx, server, g)
 }
 
+// makeRoom evicts incomplete bodies if no further connection may be open. Before that, most of
+// the open ones may be idle.
+func (e *Entry) makeRoom(n int, urgent bool) {
+	if urgent {
+		e.bodies.MakeRoom(n, true)
+	}
+}
+
 func (e *Entry) handler() (http.Handler, error) {
 	page, err := operator.Handler(e.snapshots, e.settings.OperatorKey)
 	if err != nil {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -91,6 +91,10 @@
 func (e *Entry) decodeCall(ctx context.Context, id string, r *http.Request, body *bodybudget.Body) (*call, error) {
 	copies := decodedCopies * int64(len(body.Bytes()))
 	if err := body.Reserve(ctx, copies); err != nil {
+		if ctx.Err() != nil {
+			// The body is complete and waited for memory until the call had to end.
+			return nil, bodybudget.ErrStopped
+		}
 		return nil, err
 	}
 	defer body.GiveBack(copies)
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -35,24 +35,24 @@
 // time. If too few are idle, incomplete bodies are evicted, whose connections are then
 // closed.
 func (f *front) makeRoom(n int, urgent bool) {
-	closed := 0
-	for closed < n && f.closeLongestIdle() {
-		closed++
-	}
+	closed := f.closeLongestIdle(n)
 	closed += f.gateway.bodies.MakeRoom(n-closed, urgent)
 	f.gateway.metrics.connectionsDisplaced.Add(closed)
 }
 
-// closeLongestIdle closes the connection that has been idle for the longest time. It
-// returns false if there is none, or if a request is on its way on each of them.
-func (f *front) closeLongestIdle() bool {
+// closeLongestIdle closes up to n connections that have been idle for the longest time, except
+// those on which a request is on its way. It returns how many.
+func (f *front) closeLongestIdle(n int) (closed int) {
 	for _, c := range f.idle() {
+		if closed == n {
+			break
+		}
 		if c.closeIfIdle() {
+			closed++
 			_ = f.gateway.logger.Log("event", "connection-displaced", "idle", time.Since(time.Unix(0, c.idleSince.Load())).Seconds())
-			return true
 		}
 	}
-	return false
+	return closed
 }
 
 // idle returns the connections that are idle after a request, that for the longest time
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -53,10 +53,24 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         f.observe,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, callerConnKey{}, c)
+		},
 	}
 	return f, nil
 }
 
+// callerConnKey is the key of the connection in the context of its requests.
+type callerConnKey struct{}
+
+// markBusy marks the connection of a request as busy. A request that arrived in one segment with
+// the one before it is in the buffer of the server and causes no read.
+func markBusy(ctx context.Context) {
+	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
+		c.use.CompareAndSwap(connIdle, connBusy)
+	}
+}
+
 // serve starts the duty that accepts connections. The end of the duty ends no connection.
 func (f *front) serve() {
 	f.group.Go("front", func(context.Context) error {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -61,6 +61,7 @@
 // serveCall reads a request, sends it to the router and executes the router's
 // commands.
 func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request) {
+	markBusy(r.Context())
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
 	c := &callHandler{
--- a/lib/bodybudget/core.go
+++ b/lib/bodybudget/core.go
@@ -153,20 +153,24 @@
 		return false
 	}
 	for excess > 0 {
-		worst := c.worst(a, now)
+		worst := c.worst(a, 0, now)
 		excess -= worst.demand()
 		c.evict(worst)
 	}
 	return true
 }
 
-// worst returns the incomplete body that costs most, except one; nil if there is none.
-func (c *core) worst(except *account, now time.Time) *account {
+// worst returns the incomplete body of at least an age that costs most, except one; nil if
+// there is none.
+func (c *core) worst(except *account, minAge time.Duration, now time.Time) *account {
 	var worst *account
-	cost := 0.0
+	highest := 0.0
 	for _, a := range c.reading {
-		if own := a.cost(0, now); a != except && (worst == nil || own > cost) {
-			worst, cost = a, own
+		if a == except || now.Sub(a.openedAt) < minAge {
+			continue
+		}
+		if cost := a.cost(0, now); worst == nil || cost > highest {
+			worst, highest = a, cost
 		}
 	}
 	return worst
@@ -176,8 +180,8 @@
 // are as old as an age. It returns how many.
 func (c *core) evictWorst(n int, age time.Duration, now time.Time) int {
 	for i := range n {
-		worst := c.worst(nil, now)
-		if worst == nil || now.Sub(worst.openedAt) < age {
+		worst := c.worst(nil, age, now)
+		if worst == nil {
 			return i
 		}
 		c.evict(worst)
--- a/lib/bodybudget/core_test.go
+++ b/lib/bodybudget/core_test.go
@@ -119,6 +119,18 @@
 	require.Zero(t, c.evictWorst(1, 0, after(2)))
 }
 
+// Guards against one large body that has just begun and keeps all stalled ones from giving way to
+// connections.
+func TestYoungBodyDoesNotProtectStalledOnes(t *testing.T) {
+	c := &core{limit: 10000 * kb}
+	for range 3 {
+		openWith(t, c, 24*kb, after(0))
+	}
+	young := openWith(t, c, 2048*kb, after(10))
+	require.Equal(t, 3, c.evictWorst(4, time.Second, after(10)))
+	require.Equal(t, reading, young.state)
+}
+
 // model is a core with the bodies that a property test has opened.
 type model struct {
 	core core
--- a/lib/bodybudget/request.go
+++ b/lib/bodybudget/request.go
@@ -30,7 +30,13 @@
 		Source: r.Body, Length: r.ContentLength, Limit: l.Bytes, HeaderBytes: headerBytes(r.Header), Interrupt: interrupt,
 	}
 	if r.ContentLength == 0 {
-		return b.Read(r.Context(), u)
+		body, err := b.Read(r.Context(), u)
+		if err != nil {
+			// The read that waits for the next request was interrupted, with which
+			// net/http cancels the contexts of all further requests of the connection.
+			w.Header().Set("Connection", "close")
+		}
+		return body, err
 	}
 	_ = controller.SetReadDeadline(time.Now().Add(l.Time))
 	ended := interruptAtEnd(l.Stop, interrupt)
--- a/lib/connlimit/connlimit.go
+++ b/lib/connlimit/connlimit.go
@@ -40,14 +40,15 @@
 	return &Listener{Listener: l, slots: make(chan struct{}, max(limit, 1)), closed: make(chan struct{}), makeRoom: makeRoom}
 }
 
-// Accept waits for a free slot and then for a connection.
+// Accept waits for a connection and then for a free slot, so that room is made only for a
+// connection that is there.
 func (l *Listener) Accept() (net.Conn, error) {
-	if err := l.takeSlot(); err != nil {
-		return nil, err
-	}
 	c, err := l.acceptTCP()
 	if err != nil {
-		<-l.slots
+		return nil, err
+	}
+	if err := l.takeSlot(); err != nil {
+		_ = c.Close()
 		return nil, err
 	}
 	if limit := cap(l.slots); len(l.slots) > limit-limit/softDivisor {
--- a/lib/connlimit/connlimit_test.go
+++ b/lib/connlimit/connlimit_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -78,6 +80,31 @@
 	require.NoError(t, err)
 }
 
+// Guards against room that is made urgently, at the cost of ordinary bodies, although all
+// connections are open and no further one waits.
+func TestNoRoomIsMadeForNobody(t *testing.T) {
+	var urgentRooms atomic.Int32
+	l, dial := listen(t, 4, func(_ int, urgent bool) {
+		if urgent {
+			urgentRooms.Add(1)
+		}
+	})
+	for range 4 {
+		dial()
+		_, err := l.Accept()
+		require.NoError(t, err)
+	}
+	done := make(chan error)
+	go func() {
+		_, err := l.Accept()
+		done <- err
+	}()
+	time.Sleep(2 * roomInterval)
+	require.Zero(t, urgentRooms.Load())
+	require.NoError(t, l.Close())
+	require.Error(t, <-done)
+}
+
 // Guards against a stop that waits for a connection to end.
 func TestCloseEndsAWaitForAPlace(t *testing.T) {
 	l, dial := listen(t, 1, func(int, bool) {})
