relay, exchange: two tests no longer depend on the machine's speed

TestSlowStreamIsNotCut failed since 15 sleeps of 10 ms had to end within 250 ms.

Change: the response says that the connection closes; the first event is sent without pauses, and the rest takes longer than the limit as before, which the test checks. What both require is the same.

--- a/lib/exchange/timeout_test.go
+++ b/lib/exchange/timeout_test.go
@@ -129,17 +129,26 @@
 // single bytes, and without a ProgressTimeout the whole stream takes longer than the
 // FirstByteTimeout.
 func TestSlowStreamIsNotCut(t *testing.T) {
-	const body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	const (
+		first = "id: 1\ndata: a\n\n"
+		body  = first + "id: 2\ndata: b\n\n"
+		// pause makes the bytes after the first event take longer than firstByteTimeout.
+		pause            = 20 * time.Millisecond
+		firstByteTimeout = 250 * time.Millisecond
+	)
+	require.Greater(t, time.Duration(len(body)-len(first))*pause, firstByteTimeout)
 	u := serve(t, func(c net.Conn, r *bufio.Reader) {
 		_, _, _ = socktest.ReadRequest(r)
 		_, _ = io.WriteString(c, streamHead+"\r\n")
 		for i := range len(body) {
-			time.Sleep(10 * time.Millisecond)
+			if i >= len(first) {
+				time.Sleep(pause)
+			}
 			_, _ = io.WriteString(c, body[i:i+1])
 		}
 	})
 	for _, progress := range []time.Duration{0, time.Minute} {
-		out, rec := do(u.dial(), request(""), Options{EventStream: true, FirstByteTimeout: 250 * time.Millisecond, ProgressTimeout: progress})
+		out, rec := do(u.dial(), request(""), Options{EventStream: true, FirstByteTimeout: firstByteTimeout, ProgressTimeout: progress})
 		require.Equal(t, retry.Answered, out.End, out.Detail)
 		require.Equal(t, body, rec.body.String())
 	}
--- a/lib/relay/transport_test.go
+++ b/lib/relay/transport_test.go
@@ -47,7 +47,12 @@
 // answer sends a response. After one that is no success, the connection stays open and its
 // content does not arrive until the client closes it.
 func answer(w *bufio.Writer, conn net.Conn, status string) {
-	_, _ = w.WriteString("HTTP/1.1 " + status + "\r\nContent-Length: 4\r\n\r\n")
+	head := "HTTP/1.1 " + status + "\r\nContent-Length: 4\r\n"
+	if status == "200 OK" {
+		// The connection is closed below. A client that used it again would see a reset.
+		head += "Connection: close\r\n"
+	}
+	_, _ = w.WriteString(head + "\r\n")
 	_ = w.Flush()
 	if status != "200 OK" {
 		_, _ = io.Copy(io.Discard, conn)
