--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -115,8 +115,8 @@
 	speedEffect       speedEffect
 	// maxGoal is the longest first-byte goal of the routes to the service.
 	maxGoal time.Duration
-	// minGapGoal is the shortest goal for the interval between two events of the streaming
-	// routes to the service; 0 if none has one.
+	// minGapGoal is the shortest goal for the interval between two events of the routes to the
+	// service; 0 if none has one.
 	minGapGoal time.Duration
 	// demand is the rate at which new requests arrive at this entry, steadyDemand a
 	// mean over a longer time.
--- a/lib/dispatch/pause.go
+++ b/lib/dispatch/pause.go
@@ -27,8 +27,8 @@
 	return a
 }
 
-// streamPause returns for how long the running streams of an upstream pause, at the present speed, if
-// it gets a request with a number of prompt tokens.
+// streamPause returns for how long the running streams of an upstream pause, at its present
+// speed, if it gets a request with a number of prompt tokens.
 func (u *upstream) streamPause(now time.Time, e *published.Engine, unread, promptTokens int) time.Duration {
 	pass := time.Duration(float64(e.TimePerToken) * float64(e.TokensPerPass) * u.speed.slowdown(now))
 	return pass + u.promptTime(now, e, unread+promptTokens)
