entry: a caller that leaves before its call is queued is counted

If the entry noticed that before it queued the call, the call was answered as not run into the closed connection, and counted under no reason.

Change: such a connection is closed and counted as left by its caller.

Result: TestCallerThatLeavesBeforeItsCallIsQueued fails without the change.

--- a/entry/closing_test.go
+++ b/entry/closing_test.go
@@ -99,3 +99,19 @@
 	require.Equal(t, closeWriteFailed, closeReasonOf(ctx, errors.New("broken pipe")))
 	require.ErrorIs(t, truncated(ctx, 0, io.EOF), relay.ErrTruncated)
 }
+
+// Guards against a caller that leaves before its call is queued, as on a busy machine, and whose
+// connection is counted under no reason.
+func TestCallerThatLeavesBeforeItsCallIsQueued(t *testing.T) {
+	e := New(testSettings("", "", ""), log.NewNopLogger())
+	ctx, leave := context.WithCancel(context.Background())
+	leave()
+	const calls = 32
+	for range calls {
+		r := httptest.NewRequestWithContext(ctx, http.MethodGet, "/bookings/left", http.NoBody)
+		require.PanicsWithValue(t, http.ErrAbortHandler, func() { e.serveCall(httptest.NewRecorder(), r) })
+	}
+	var metrics strings.Builder
+	e.metrics.set.WritePrometheus(&metrics)
+	require.Contains(t, metrics.String(), fmt.Sprintf("rattanspur_entry_connections_closed_total{reason=%q} %d\n", closeCallerLeft, calls))
+}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -81,6 +81,9 @@
 		return
 	}
 	if err := e.enqueue(ctx, c); err != nil {
+		if r.Context().Err() != nil {
+			e.closeConnection(w, r, c, closeCallerLeft, err)
+		}
 		wire.WriteProblem(w, notRun(c, "entry takes no further calls now"))
 		return
 	}
