staging: one loop finds the start of the next version

Cause: UsableUntil had got a loop of its own over the previous versions when grace periods began to depend on outages. It repeated publishedAround, with another start.

Change: startsAround takes the function that returns the start of a version. SlotStart passes the time of the publication, UsableUntil the start of the grace period.

Result: same behaviour, the tests of lib/staging are unchanged and pass.

--- a/lib/staging/updateslot.go
+++ b/lib/staging/updateslot.go
@@ -29,7 +29,7 @@
 // If the loaded version itself became the target only a short time ago, its engines
 // update after those that serve an older version, which is due first.
 func SlotStart(target published.DesiredVersion, loaded int64, updateWindow time.Duration, rank, count int) time.Time {
-	next, own := publishedAround(target, loaded)
+	next, own := startsAround(target, loaded, func(p published.Publication) time.Time { return p.NotBefore })
 	first := next.Add(time.Duration(firstSlotFraction * float64(updateWindow)))
 	if due := own.Add(updateWindow - lastSlotMargin); !own.IsZero() && due.After(first) {
 		first = due
@@ -44,31 +44,26 @@
 // UsableUntil returns the time after which no new request may start on the
 // loaded version: the earliest end of the update window of a newer target.
 func UsableUntil(target published.DesiredVersion, loaded int64, updateWindow time.Duration) time.Time {
-	end := target.GraceStart(target.Published, updateWindow)
+	next, _ := startsAround(target, loaded, func(p published.Publication) time.Time { return target.GraceStart(p, updateWindow) })
+	return next.Add(updateWindow)
+}
+
+// startsAround returns the earliest start of a version that is newer than the loaded one,
+// and the start of the loaded one; zero if that is not known. startOf returns the start of a
+// version by its publication. The oldest newer version need not have the earliest start, since
+// the process may have first observed it later. What was the target before the loaded one does
+// not count: a newer version may have been withdrawn and become the target again.
+func startsAround(target published.DesiredVersion, loaded int64, startOf func(published.Publication) time.Time) (next, own time.Time) {
+	next = startOf(target.Published)
 	for _, e := range target.Previous {
 		if e.Version == loaded {
-			break
+			return next, startOf(e.Published)
 		}
-		if start := target.GraceStart(e.Published, updateWindow); e.Version > loaded && (end.IsZero() || start.Before(end)) {
-			end = start
+		if e.Version < loaded {
+			continue
 		}
-	}
-	return end.Add(updateWindow)
-}
-
-// publishedAround returns the earliest time at which a version that is newer than the
-// loaded one became the target, and when the loaded one last did; zero if that is not
-// known. The oldest newer version need not have the earliest time, since the process may
-// have first observed it later. What was the target before the loaded one does not count:
-// a newer version may have been withdrawn and become the target again.
-func publishedAround(target published.DesiredVersion, loaded int64) (next, own time.Time) {
-	next = target.Published.NotBefore
-	for _, e := range target.Previous {
-		switch {
-		case e.Version == loaded:
-			return next, e.Published.NotBefore
-		case e.Version > loaded && (next.IsZero() || e.Published.NotBefore.Before(next)):
-			next = e.Published.NotBefore
+		if start := startOf(e.Published); next.IsZero() || start.Before(next) {
+			next = start
 		}
 	}
 	return next, time.Time{}
