bodybudget: the front ends and the agent ask one function for a lack of memory

Cause: gateway, entry and agent each listed the two errors that mean that there was no memory for a body, so a third one would have had to be added at three places.

Change: bodybudget.IsShortage. What each process responds stays the same.

Result: the tests of lib/bodybudget, gateway, entry and agent are unchanged and pass.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -132,7 +132,7 @@
 	switch {
 	case errors.Is(err, bodybudget.ErrTooLarge):
 		status = http.StatusRequestEntityTooLarge
-	case errors.Is(err, bodybudget.ErrExhausted), errors.Is(err, bodybudget.ErrEvicted), errors.Is(err, bodybudget.ErrStopped):
+	case bodybudget.IsShortage(err), errors.Is(err, bodybudget.ErrStopped):
 		status = http.StatusServiceUnavailable
 	}
 	_ = level.Info(a.node.Logger()).Log(
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -189,7 +189,7 @@
 	switch {
 	case errors.Is(err, bodybudget.ErrStopped):
 		return notRun(c, stoppingDetail)
-	case errors.Is(err, bodybudget.ErrExhausted), errors.Is(err, bodybudget.ErrEvicted):
+	case bodybudget.IsShortage(err):
 		return overload(c, http.StatusServiceUnavailable, err.Error(), retryAfter)
 	}
 	status := http.StatusBadRequest
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -56,7 +56,7 @@
 	case errors.Is(err, bodybudget.ErrStopped):
 		c.refuseUpload(err.Error(), uploadRetryAfter)
 		c.linger()
-	case errors.Is(err, bodybudget.ErrExhausted), errors.Is(err, bodybudget.ErrEvicted):
+	case bodybudget.IsShortage(err):
 		c.refuseUpload(err.Error(), memoryRetryAfter)
 	case errors.Is(err, bodybudget.ErrTooLarge):
 		c.rejectBody(http.StatusRequestEntityTooLarge, "body is larger than the limit", err)
--- a/lib/bodybudget/budget.go
+++ b/lib/bodybudget/budget.go
@@ -26,6 +26,10 @@
 	ErrTooLarge = errors.New("request body is larger than the limit")
 )
 
+// IsShortage reports whether a body was rejected because there was no memory for it, so that
+// its request may be sent again later.
+func IsShortage(err error) bool { return errors.Is(err, ErrExhausted) || errors.Is(err, ErrEvicted) }
+
 // memoryDivisor is the divisor that makes a budget from the memory of a process. The
 // rest is for connections, for the state of the process, and for memory that is free
 // but not collected yet: the heap may reach half of the memory.
