--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -40,6 +40,8 @@
 	onPoison func(id string, at time.Time, crashed bool)
 	// down is how long a crashed engine is away.
 	down time.Duration
+	// firstWritten is whether the first event of the answer is sent before the crash.
+	firstWritten bool
 
 	mu       sync.Mutex
 	starts   int
@@ -164,6 +166,11 @@
 		e.onPoison(attempt, time.Now(), e.world.trouble)
 		if e.world.trouble {
 			e.world.log("%s begins to write an answer to %s", id, attempt)
+			if e.firstWritten {
+				_, _ = fmt.Fprintf(rw, "id: %s\ndata: %s event 1\n\n", nextEvent(req.Header.Get("Last-Event-Id")), attempt)
+				_ = http.NewResponseController(rw).Flush()
+				time.Sleep(20 * time.Millisecond)
+			}
 			e.crash()
 			return
 		}
@@ -178,3 +185,9 @@
 		time.Sleep(eventGap)
 	}
 }
+
+// nextEvent returns the id of the event after the one that the caller has.
+func nextEvent(last string) string {
+	n, _ := strconv.Atoi(last)
+	return strconv.Itoa(n + 1)
+}
--- a/review/standin-2/part.go
+++ b/review/standin-2/part.go
@@ -11,7 +11,10 @@
 	"time"
 )
 
-func init() { cases["part"] = playPart }
+func init() {
+	cases["part"] = func(w *world) verdict { return playPart(w, sharedParts+1, false) }
+	cases["begun"] = func(w *world) verdict { return playPart(w, 2, true) }
+}
 
 const (
 	// sharedParts is the number of parts that all prompts share, as the turns of long sessions do.
@@ -47,10 +50,10 @@
 	return strings.Join(append(parts, own+":60"), ",")
 }
 
-// playPart sends sound requests, and others whose prompt holds one more shared part. That part
-// crashes each replica that begins to write an answer.
-func playPart(w *world) verdict {
-	at := sharedParts + 1
+// playPart sends sound requests, and others whose prompt holds one more shared part, at a place
+// from 1. That part crashes each replica that begins to write an answer: before its first event is
+// sent or, if begun is set, right after that.
+func playPart(w *world, at int, begun bool) verdict {
 	if n, err := strconv.Atoi(os.Getenv("POISON_AT")); err == nil {
 		at = n
 	}
@@ -65,6 +68,7 @@
 	for i := range partEngines {
 		e := w.newEngine(fmt.Sprintf("llm%d", i), "llm-desk", zones[i%len(zones)])
 		e.poison = poisonPart
+		e.firstWritten = begun
 		e.onPoison = func(id string, now time.Time, crashed bool) {
 			mu.Lock()
 			defer mu.Unlock()
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -50,6 +50,8 @@
 	slots                      int
 	// answer writes the answer to a request that runs.
 	answer func(w http.ResponseWriter, r *http.Request)
+	// onRun is called with each request that runs, if it is set.
+	onRun func(id, body string)
 
 	mu  sync.Mutex
 	ran map[string]int
@@ -94,6 +96,9 @@
 	r.ran[id]++
 	r.mu.Unlock()
 	w.log("%s runs %s: %s %s, %d bytes", r.id, id, req.Method, req.RequestURI, len(body))
+	if r.onRun != nil {
+		r.onRun(id, string(body))
+	}
 	r.answer(rw, req)
 }
 
