--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -40,6 +40,11 @@
 	onPoison func(id string, at time.Time, crashed bool)
 	// down is how long a crashed engine is away.
 	down time.Duration
+	// full is whether other callers take all places of the engine, so that it rejects requests.
+	full bool
+	// events and gap are the number of events of an answer and the time between two.
+	events int
+	gap    time.Duration
 	// firstWritten is whether the first event of the answer is sent before the crash.
 	firstWritten bool
 
@@ -50,10 +55,12 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	running  int
+	// resumeAt is the end of a pause, in which the engine sends nothing and goes on later.
+	resumeAt time.Time
 }
 
 func (w *world) newEngine(name, service, zone string) *engine {
-	e := &engine{world: w, name: name, service: service, zone: zone, address: fmt.Sprintf("%s:%d", w.host(), appPort), down: 3 * time.Second}
+	e := &engine{world: w, name: name, service: service, zone: zone, address: fmt.Sprintf("%s:%d", w.host(), appPort), down: 3 * time.Second, events: answerEvents, gap: eventGap}
 	e.boot()
 	return e
 }
@@ -122,7 +129,7 @@
 		return e.id, http.StatusMisdirectedRequest
 	case req.Header.Get("Rattanspur-Expect-Version") != "" && req.Header.Get("Rattanspur-Expect-Version") != "1":
 		return e.id, http.StatusMisdirectedRequest
-	case e.running >= 16:
+	case e.full || e.running >= 16:
 		return e.id, http.StatusServiceUnavailable
 	}
 	e.running++
@@ -153,6 +160,7 @@
 	h := rw.Header()
 	h.Set("Rattanspur-Attempt-Id", attempt)
 	h.Set("Rattanspur-Weight-Versions", "1")
+	h.Set("Rattanspur-Replica-Load", e.load())
 	if status != http.StatusOK {
 		h.Set("Rattanspur-Not-Executed", "1")
 		rw.WriteHeader(status)
@@ -177,15 +185,41 @@
 	}
 	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	flush := http.NewResponseController(rw)
-	for i := after + 1; i <= answerEvents; i++ {
+	for i := after + 1; i <= e.events; i++ {
+		e.awaitResume()
 		_, err := fmt.Fprintf(rw, "id: %d\ndata: %s event %d\n\n", i, attempt, i)
 		if err != nil || flush.Flush() != nil || req.Context().Err() != nil {
 			return
 		}
-		time.Sleep(eventGap)
+		time.Sleep(e.gap)
 	}
 }
 
+// load returns the numbers of running and waiting requests and of slots.
+func (e *engine) load() string {
+	if e.full {
+		return "16,0,16"
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return fmt.Sprintf("%d,0,16", e.running)
+}
+
+// pause makes the engine silent for a time.
+func (e *engine) pause(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resumeAt = time.Now().Add(d)
+}
+
+// awaitResume waits for the end of a pause.
+func (e *engine) awaitResume() {
+	e.mu.Lock()
+	at := e.resumeAt
+	e.mu.Unlock()
+	time.Sleep(time.Until(at))
+}
+
 // nextEvent returns the id of the event after the one that the caller has.
 func nextEvent(last string) string {
 	n, _ := strconv.Atoi(last)
