--- a/review/standin-2/memory.go
+++ b/review/standin-2/memory.go
@@ -15,17 +15,24 @@
 func init() { cases["memory"] = playMemory }
 
 const (
-	// edgeMemoryMB and edgeFDs are the limits of the smallest edge machine of ndiaye-claims-grown.
-	edgeMemoryMB = 184
+	// edgeMemoryMB and edgeFDs are the limits of the smaller edge machines of atb-rattanspur.
+	edgeMemoryMB = 284
 	edgeFDs      = 4100
 	// crowd is the number of clients that send a header slowly, headerBytes its length so far:
 	// within max_header_bytes, 16,384.
-	crowd       = 1000
+	crowd       = 1400
 	headerBytes = 16000
+	// crowdInterval is the time between two clients of the crowd, so that all of them come within
+	// header_timeout_ms, 3,000.
+	crowdInterval = 500 * time.Microsecond
 	// ordinaryClients is the number of clients that send orders one after the other over a kept
 	// connection, workTime how long an order takes: the longest of the sheet.
 	ordinaryClients = 12
 	workTime        = 110 * time.Millisecond
+	// orderPause is the time between two orders of a client, orderOffset that between the first
+	// orders of two clients, so that most orders are at the replica at any time.
+	orderPause  = 2 * time.Millisecond
+	orderOffset = 9 * time.Millisecond
 	// memoryTime is how long the crowd stays.
 	memoryTime = 8 * time.Second
 	// allowedLost is the number of requests that may end without an answer by LOST.
@@ -35,7 +42,7 @@
 // playMemory has a crowd of clients begin a request each and stay. The platform ends a process
 // that exceeds its memory.
 func playMemory(w *world) verdict {
-	edge := w.machine("edge-thies-a-1", "accra-a")
+	edge := w.machine("edge-accra-a-1", "accra-a")
 	edge.memoryMB, edge.maxFDs = edgeMemoryMB, edgeFDs
 	edge.seeds = []string{edge.at(controlPort)}
 	w.store.put("op/config", config(7, []map[string]any{
@@ -134,6 +141,7 @@
 // openCrowd opens connections that send the beginning of a request, and nothing more.
 func openCrowd(w *world, m *machine, text string) []net.Conn {
 	var conns []net.Conn
+	w.log("the crowd begins to come")
 	for range crowd {
 		c, err := net.DialTimeout("tcp", m.at(frontPort), time.Second)
 		if err != nil {
@@ -146,6 +154,7 @@
 			w.log("crowd: %v", err)
 			break
 		}
+		time.Sleep(crowdInterval)
 	}
 	w.log("crowd of %d is there", len(conns))
 	return conns
@@ -160,6 +169,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
+	time.Sleep(time.Duration(client) * orderOffset)
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -176,6 +186,6 @@
 		if status == http.StatusOK {
 			answered++
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(orderPause)
 	}
 }
--- a/review/standin-2/part.go
+++ b/review/standin-2/part.go
@@ -19,6 +19,9 @@
 const (
 	// sharedParts is the number of parts that all prompts share, as the turns of long sessions do.
 	sharedParts = 8
+	// partTokens is the length of a shared part, promptTokens that of a prompt.
+	partTokens   = 40
+	promptTokens = 420
 	// partEngines is the number of model replicas.
 	partEngines = 9
 	// soundInterval and poisonInterval are the times between two sound requests and between two
@@ -41,13 +44,14 @@
 	var parts []string
 	for i := 1; i <= sharedParts+1; i++ {
 		if i == at {
-			parts = append(parts, poisonPart+":40")
+			parts = append(parts, fmt.Sprintf("%s:%d", poisonPart, partTokens))
 		}
 		if i <= sharedParts {
-			parts = append(parts, fmt.Sprintf("5c1e%04x:40", i))
+			parts = append(parts, fmt.Sprintf("5c1e%04x:%d", i, partTokens))
 		}
 	}
-	return strings.Join(append(parts, own+":60"), ",")
+	// All prompts have promptTokens.
+	return strings.Join(append(parts, fmt.Sprintf("%s:%d", own, promptTokens-len(parts)*partTokens)), ",")
 }
 
 // playPart sends sound requests, and others whose prompt holds one more shared part, at a place
--- a/review/standin-2/silence.go
+++ b/review/standin-2/silence.go
@@ -85,7 +85,7 @@
 	req.Host = hostName
 	for k, v := range map[string]string{
 		"Rattanspur-Attempt-Id": id, "Rattanspur-Model": modelName, "Rattanspur-Token-Counts": "420,240",
-		"Rattanspur-Prefix-Hash": fmt.Sprintf("5c1e0001:40,a0%06x:60", n), "Rattanspur-Deadline-Ms": "6000", "Authorization": "Bearer " + key,
+		"Rattanspur-Prefix-Hash": fmt.Sprintf("5c1e0001:40,a0%06x:380", n), "Rattanspur-Deadline-Ms": "6000", "Authorization": "Bearer " + key,
 	} {
 		req.Header.Set(k, v)
 	}
