review: a full replica states its queue; processes of a case end with it

Looked for: what a stand-in does that the sheet does not have, and processes that outlive a script that ends early. Done: the full replica of review/6 states 32 waiting requests; the kernel ends processes with the script; a script ends after 110 s.

--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -40,7 +40,8 @@
 	onPoison func(id string, at time.Time, crashed bool)
 	// down is how long a crashed engine is away.
 	down time.Duration
-	// full is whether other callers take all places of the engine, so that it rejects requests.
+	// full is whether other callers take all places of the engine and of its queue, so that it
+	// rejects requests.
 	full bool
 	// events and gap are the number of events of an answer and the time between two.
 	events int
@@ -198,7 +199,7 @@
 // load returns the numbers of running and waiting requests and of slots.
 func (e *engine) load() string {
 	if e.full {
-		return "16,0,16"
+		return "16,32,16"
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,8 +5,13 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
+	"time"
 )
 
+// maxTime ends a case that takes too long.
+const maxTime = 110 * time.Second
+
 // verdict is the exit code of a case.
 type verdict int
 
@@ -20,6 +25,8 @@
 var cases = map[string]func(w *world) verdict{}
 
 func main() {
+	// The kernel ends the processes of a case with the thread that started them.
+	runtime.LockOSThread()
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE PROGRAM RECORD")
 		os.Exit(int(unable))
@@ -40,6 +47,7 @@
 		return unable
 	}
 	defer w.close()
+	defer time.AfterFunc(maxTime, func() { os.Exit(int(unable)) }).Stop()
 	defer func() {
 		if cause := recover(); cause != nil {
 			w.note("the case could not run: %v", cause)
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -155,6 +155,7 @@
 		panic(err)
 	}
 	cmd := exec.Command(w.program, role)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, "RATTANSPUR_SETTINGS=" + path}
 	out, err := os.OpenFile(filepath.Join(w.dir, m.name+"-"+role+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
