--- a/review/standin-2/silence.go
+++ b/review/standin-2/silence.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,11 +32,13 @@
 	w.store.put("op/config", config(7, []map[string]any{
 		route("r-quotes", "/quotes/", "streaming", "llm-desk", map[string]any{"sticky": true, "resumable": true, "gap_goal_ms": 300}),
 	}, []map[string]any{engineService("llm-desk")}))
-	sound, full := w.newEngine("llm0", "llm-desk", "accra-a"), w.newEngine("llm1", "llm-desk", "accra-a")
-	for _, e := range []*engine{sound, full} {
-		e.events, e.gap = silenceEvents, silenceGap
+	sound := w.newEngine("llm0", "llm-desk", "accra-a")
+	sound.events, sound.gap = silenceEvents, silenceGap
+	// The control ALONE=1 leaves the gateway no replica to move streams to.
+	if os.Getenv("ALONE") != "1" {
+		full := w.newEngine("llm1", "llm-desk", "accra-a")
+		full.full = true
 	}
-	full.full = true
 	gateway := w.start(edge, "gateway")
 	w.awaitReady(edge)
 	time.Sleep(4 * time.Second)
