dispatch, gateway: log what is assumed about the upstream to which a silent attempt moves

Change: LoadEstimate, and a line attempt-moved with the requests assumed at the other upstream, how many of them are this gateway's and its peers', and what the upstream stated and when. Tests that build an Interrupt name its field now.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -320,6 +320,7 @@
 		case dispatch.Interrupt:
 			if req := r.active[a.Ticket]; req != nil {
 				r.gateway.metrics.interrupts.Inc()
+				r.logInterrupt(req, &a)
 				req.interrupt(exchange.ErrInterrupted)
 			}
 		case dispatch.Deliver:
@@ -334,6 +335,13 @@
 	}
 }
 
+// logInterrupt logs for which upstream a silent attempt ends, and what is assumed about it.
+func (r *router) logInterrupt(req *activeRequest, a *dispatch.Interrupt) {
+	if a.Other != "" {
+		_ = r.gateway.logger.Log("event", "attempt-moved", "request", req.call.ID, "upstream", req.upstream, "to", a.Other, "estimate", a.Estimate)
+	}
+}
+
 // sendCommand sends a command to a handler. last marks the last command of a
 // request. The put does not block, because a handler has at most one command at
 // a time.
--- a/lib/dispatch/silence.go
+++ b/lib/dispatch/silence.go
@@ -91,7 +91,7 @@
 	if !c.mayLeave(now, r, d) || !c.reservePlace(now, r, d) {
 		return nil
 	}
-	return []Action{Interrupt{Ticket: ticket}}
+	return []Action{r.interruptFor(now)}
 }
 
 // AttemptResumed records that a silent attempt goes on. The upstream counts as sound.
@@ -127,7 +127,7 @@
 			continue
 		}
 		if c.reservePlace(now, r, d) {
-			actions = append(actions, Interrupt{Ticket: r.ticket})
+			actions = append(actions, r.interruptFor(now))
 			continue
 		}
 		inVain[group] = true
@@ -198,6 +198,11 @@
 	return true
 }
 
+// interruptFor returns the action that ends the attempt for the upstream which keeps a place.
+func (r *request) interruptFor(now time.Time) Interrupt {
+	return Interrupt{Ticket: r.ticket, Other: r.reserved.ID, Estimate: r.reserved.estimate(now)}
+}
+
 // mayChangeWeights reports whether an upstream may no longer serve the weights that began a
 // stream: its update slot has come, and it need not have told that it updates. An attempt that
 // is silent is not ended for it, since there is no way back.
--- a/lib/dispatch/stop_test.go
+++ b/lib/dispatch/stop_test.go
@@ -152,7 +152,7 @@
 	h.advance(time.Second - 1)
 	require.Empty(t, h.core.Tick(h.now))
 	h.advance(1)
-	require.ElementsMatch(t, []Action{Interrupt{once}, Interrupt{read}}, h.core.Tick(h.now))
+	require.ElementsMatch(t, []Action{Interrupt{Ticket: once}, Interrupt{Ticket: read}}, h.core.Tick(h.now))
 	require.Empty(t, h.core.Tick(h.now))
 	r := h.refused(h.core.AttemptEnded(h.now, once, AttemptResult{End: retry.Stalled}))
 	require.Equal(t, OutcomeUnknown, r.Verdict)
@@ -205,7 +205,7 @@
 	lost := AttemptResult{End: retry.Lost, Started: true, LastEventID: "1", Version: 1, FirstByte: time.Millisecond}
 	require.Equal(t, begun, h.sent(h.core.AttemptEnded(h.now, begun, lost)).Ticket)
 	h.advance(500 * time.Millisecond)
-	require.Equal(t, []Action{Interrupt{begun}}, h.core.Tick(h.now))
+	require.Equal(t, []Action{Interrupt{Ticket: begun}}, h.core.Tick(h.now))
 	require.Equal(t, OutcomeUnknown, h.refused(h.core.AttemptEnded(h.now, begun, lost)).Verdict)
 }
 
@@ -229,7 +229,7 @@
 	require.Empty(t, h.core.Update(h.now, other))
 	h.advance(time.Second)
 	actions = h.core.Update(h.now, longView(deskUpstream("a", "north-a")))
-	require.Contains(t, actions, Action(Interrupt{running}))
+	require.Contains(t, actions, Action(Interrupt{Ticket: running}))
 	require.True(t, slices.ContainsFunc(actions, func(a Action) bool {
 		r, ok := a.(Refuse)
 		return ok && r.Ticket == waiting && r.Verdict == NotRun
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -239,7 +239,13 @@
 // Interrupt ends the attempt of a request that is silent, because another upstream has
 // capacity for it, or of one that still runs at the end of a planned stop. AttemptEnded
 // follows with retry.Stalled, or with the answer if that was complete by then.
-type Interrupt struct{ Ticket Ticket }
+type Interrupt struct {
+	Ticket Ticket
+	// Other is the upstream that has capacity, and Estimate its load; zero at the end of a
+	// planned stop.
+	Other    fleet.InstanceID
+	Estimate LoadEstimate
+}
 
 func (Send) action()      {}
 func (Deliver) action()   {}
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -68,6 +68,9 @@
 	otherLoadAt time.Time
 	peerLoad    peering.Load
 	peerLoadAt  time.Time
+	// stated is the number of requests that a response stated last, at statedAt.
+	stated   int
+	statedAt time.Time
 	// speed is what the upstream stated about its speed; nil if nothing.
 	speed *speed
 	// speedEffect is the effect of stated speeds at its service.
@@ -186,6 +189,7 @@
 func (u *upstream) observeLoad(now time.Time, l *Load) {
 	u.observeSpeed(now, l.Slowdown)
 	n, all := l.requests()
+	u.stated, u.statedAt = n, now
 	others := max(n-u.inFlight, 0)
 	if !all && (others == 0 || others <= u.otherLoad && now.Sub(u.otherLoadAt) <= loadReportTTL) {
 		return
