--- a/emulator/attempt.go
+++ b/emulator/attempt.go
@@ -18,6 +18,9 @@
 	sentAt  time.Time
 	delay   time.Duration
 	result  dispatch.AttemptResult
+	job     *job
+	// hedge is set while the attempt runs beside the current one of the call.
+	hedge bool
 	// ended is set once the engine or the gateway has ended the attempt, over once the
 	// gateway knows.
 	ended, over bool
@@ -82,11 +85,18 @@
 	a.reply(func() {
 		g := a.gateway
 		now := g.sim.clock.now
+		if a.over {
+			return
+		}
 		a.result.FirstByte = now.Sub(a.sentAt)
+		o.Attempt = a.send.Attempt
 		if o.Limit.Kind == ratelimit.Stated {
 			limits.toldGateway(now, a.engine.id, g.address)
 		}
 		g.core.Observe(now, a.send.Ticket, o)
+		if a.hedge {
+			a.replace()
+		}
 		g.execute(g.core.ResponseStarted(now, a.send.Ticket))
 	})
 }
@@ -98,6 +108,9 @@
 	}
 	a.call.eventReceived()
 	g := a.gateway
+	if h := a.call.hedge; h != nil {
+		h.endHere(retry.Canceled)
+	}
 	if a.silent {
 		a.silent = false
 		g.execute(g.core.AttemptResumed(g.sim.clock.now, a.send.Ticket))
@@ -127,8 +140,12 @@
 
 // reportSilence tells the core that nothing has come for a while.
 func (a *attempt) reportSilence() {
-	a.silent = true
 	g := a.gateway
+	if a.hedge {
+		g.core.HedgeSilent(g.sim.clock.now, a.send.Ticket, a.since)
+		return
+	}
+	a.silent = true
 	s := dispatch.Silence{Since: a.since, Version: a.result.Version}
 	s.Started, s.LastEventID = a.begun()
 	g.execute(g.core.AttemptSilent(g.sim.clock.now, a.send.Ticket, s))
@@ -157,18 +174,44 @@
 		return
 	}
 	a.ended = true
-	a.call.job.canceled = true
+	a.job.canceled = true
 	a.finish(how)
 }
 
+// replace lets a hedge that makes progress take the place of the current attempt.
+func (a *attempt) replace() {
+	previous := a.call.attempt
+	previous.ended = true
+	previous.job.canceled = true
+	previous.finish(retry.Stalled)
+}
+
+// promote makes the hedge of a call its current attempt.
+func (c *call) promote() {
+	c.attempt, c.hedge = c.hedge, nil
+	c.attempt.hedge = false
+}
+
 // finish passes the end of the attempt to the core.
 func (a *attempt) finish(how retry.End) {
+	if a.over {
+		return
+	}
 	a.over = true
 	g := a.gateway
 	a.result.End, a.result.Idle = how, g.sim.clock.now.Sub(a.since)
 	a.result.Started, a.result.LastEventID = a.begun()
-	if how == retry.Answered {
+	switch {
+	case a.hedge:
+		a.call.hedge = nil
+		g.execute(g.core.HedgeEnded(g.sim.clock.now, a.send.Ticket, a.result))
+		return
+	case how == retry.Answered:
 		a.call.completed()
+	case a.call.hedge != nil:
+		a.call.promote()
+		g.execute(g.core.AttemptReplaced(g.sim.clock.now, a.send.Ticket, a.result))
+		return
 	}
 	g.execute(g.core.AttemptEnded(g.sim.clock.now, a.send.Ticket, a.result))
 }
--- a/emulator/call.go
+++ b/emulator/call.go
@@ -29,9 +29,9 @@
 	arrivedAt time.Time
 	late      bool
 	done      bool
-	job       *job
-	// attempt is the last attempt of the call.
-	attempt *attempt
+	// attempt is the last attempt of the call, and hedge the one beside it; nil if there is
+	// none.
+	attempt, hedge *attempt
 }
 
 // remainingTokens returns the number of tokens that an engine has yet to
@@ -87,9 +87,7 @@
 	if c.done {
 		return
 	}
-	if c.job != nil {
-		c.job.canceled = true
-	}
+	c.cancelJobs()
 	if g := c.gateway; g != nil && g.calls[c.ticket] == c {
 		delete(g.calls, c.ticket)
 		g.execute(g.core.Cancel(c.sim.clock.now, c.ticket))
@@ -97,6 +95,15 @@
 	c.finish(outcomeFailed)
 }
 
+// cancelJobs lets the engines drop the attempts of the call.
+func (c *call) cancelJobs() {
+	for _, a := range []*attempt{c.attempt, c.hedge} {
+		if a != nil {
+			a.job.canceled = true
+		}
+	}
+}
+
 func (c *call) finish(o outcome) {
 	if c.done {
 		return
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -82,9 +82,7 @@
 func (g *gateway) stop() {
 	g.down = true
 	for _, c := range g.calls {
-		if c.job != nil {
-			c.job.canceled = true
-		}
+		c.cancelJobs()
 		c.failed()
 	}
 	g.reset()
@@ -166,6 +164,9 @@
 			delete(g.calls, a.Ticket)
 		case dispatch.Interrupt:
 			if c := g.calls[a.Ticket]; c != nil {
+				if c.hedge != nil {
+					c.hedge.endHere(retry.Stalled)
+				}
 				c.attempt.endHere(retry.Stalled)
 			}
 		case dispatch.Deliver:
@@ -181,13 +182,17 @@
 		gateway: g, call: c, engine: e, send: *send, sentAt: g.sim.clock.now, delay: g.sim.delay(g.region, e.region),
 		result: dispatch.AttemptResult{Version: send.ExpectVersion},
 	}
-	c.job = &job{
+	a.job = &job{
 		promptTokens: c.promptTokens, remaining: c.remainingTokens(g.sim.scenario.Engine.Stride), harmful: c.prompt.harmful,
 		onStart: a.started, onEvent: func() { a.reply(a.eventReceived) }, onEnd: a.end,
 	}
-	c.attempt = a
+	if send.Hedge {
+		a.hedge, c.hedge = true, a
+	} else {
+		c.attempt = a
+	}
 	a.watch(send.FirstByteSilence, send.FirstByteTimeout)
-	j := c.job
+	j := a.job
 	g.sim.clock.after(a.delay, func() { a.arrive(j) })
 }
 
--- a/gateway/abort.go
+++ b/gateway/abort.go
@@ -31,6 +31,6 @@
 // the only place that does so, and does not return.
 func (c *callHandler) abort(reason abortReason) {
 	c.gateway.metrics.recordAbort(reason)
-	c.log("connection-closed", "reason", string(reason), "begun", c.started, "waited", time.Since(c.arrivedAt).Seconds())
+	c.log("connection-closed", "reason", string(reason), "begun", c.received.started, "waited", time.Since(c.arrivedAt).Seconds())
 	sock.Abort(c.w, c.r)
 }
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -31,9 +31,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	c := &callHandler{gateway: g.gateway, r: httptest.NewRequestWithContext(ctx, http.MethodPost, "/read/x", nil)}
-	out := c.exchange(ctx, &dispatch.Send{Deadline: time.Now().Add(time.Minute)}, conn)
-	require.Equal(t, retry.Canceled, out.End)
-	require.Same(t, conn, out.conn, "the connection can carry another request")
+	run := c.newRun(&dispatch.Send{Deadline: time.Now().Add(time.Minute)}, &command{ctx: ctx, conn: conn}, received{})
+	run.execute()
+	require.Equal(t, retry.Canceled, run.outcome.End)
+	require.Same(t, conn, run.conn, "the connection can carry another request")
 	conn.Close()
 	n, err := upstream.Read(make([]byte, 1))
 	require.Zero(t, n, "part of the request arrived")
--- a/gateway/load_test.go
+++ b/gateway/load_test.go
@@ -20,7 +20,8 @@
 	g := New(Settings{}, platform.Codec{}, watcher.New(newSource(), "", time.Second, logger), logger)
 	c := &callHandler{gateway: g}
 	load := &dispatch.Load{Running: 3, Waiting: dispatch.UnknownCount, Slots: 8, Slowdown: 2.5}
-	c.Observe(&exchange.Head{Load: load, UnreadableLoad: 2})
+	run := c.newRun(&dispatch.Send{}, &command{}, received{})
+	run.Observe(&exchange.Head{Load: load, UnreadableLoad: 2})
 	require.Equal(t, uint64(2), g.metrics.loadUnreadable.Get())
 	event, err := g.inbox.Take(t.Context())
 	require.NoError(t, err)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,9 +29,11 @@
 	// blocked counts the requests that were rejected because of a convicted trait.
 	blocked *metrics.Counter
 	// silences counts the attempts that were found silent, resumptions those that went on,
-	// and interrupts those that were ended because another upstream had capacity.
+	// hedges the attempts that began beside them, and interrupts the attempts whose place
+	// hedges took and those that a planned stop ended.
 	silences    *metrics.Counter
 	resumptions *metrics.Counter
+	hedges      *metrics.Counter
 	interrupts  *metrics.Counter
 	// connectionsDisplaced counts the connections that were closed because others
 	// needed their place.
@@ -66,6 +68,7 @@
 
 		silences:    set.NewCounter("gateway_silent_attempts_total"),
 		resumptions: set.NewCounter("gateway_resumed_attempts_total"),
+		hedges:      set.NewCounter("gateway_hedges_total"),
 		interrupts:  set.NewCounter("gateway_interrupted_attempts_total"),
 
 		connectionsDisplaced: set.NewCounter("gateway_connections_displaced_total"),
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -44,10 +44,11 @@
 }
 
 // attemptSilent reports that nothing has come from the upstream of an attempt for a while,
-// attemptResumed that it goes on.
+// attemptResumed that it goes on. Commands for hedges go to the hedges ring.
 type (
 	attemptSilent struct {
 		ticket  dispatch.Ticket
+		hedges  *ring.Ring[command]
 		silence dispatch.Silence
 	}
 	attemptResumed struct{ ticket dispatch.Ticket }
@@ -70,26 +71,36 @@
 	action dispatch.Action
 	// conn is an idle connection for a dispatch.Send. It is nil if there is none.
 	conn *exchange.Conn
-	// ctx is the context of the attempt of a dispatch.Send.
-	ctx context.Context
+	// ctx is the context of the attempt of a dispatch.Send, and cancel ends it.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 }
 
-// activeRequest is a request that has a handler. upstream and conn belong to its
-// latest attempt; inAttempt is set while that is in progress, and interrupt ends it.
-// orphaned is set if the core that sent it was replaced.
+// activeRequest is a request that has a handler. Its latest attempt is part of it;
+// inAttempt is set while that is in progress. orphaned is set if the core that sent it was
+// replaced.
 type activeRequest struct {
-	ctx       context.Context
-	interrupt context.CancelCauseFunc
-	commands  *ring.Ring[command]
-	call      dispatch.Call
-	upstream  fleet.InstanceID
-	conn      *exchange.Conn
+	activeAttempt
+	ctx      context.Context
+	commands *ring.Ring[command]
+	call     dispatch.Call
+	// hedges takes the commands for hedges, and hedge is the one in progress; nil if there is
+	// none.
+	hedges    *ring.Ring[command]
+	hedge     *activeAttempt
 	inAttempt bool
 	orphaned  bool
 	// interrupted is set once an orphaned request was interrupted at the end of a stop.
 	interrupted bool
 }
 
+// activeAttempt is an attempt of a request. interrupt ends it.
+type activeAttempt struct {
+	upstream  fleet.InstanceID
+	conn      *exchange.Conn
+	interrupt context.CancelCauseFunc
+}
+
 const (
 	// queueInterval is the time between two ticks of the core while requests are
 	// queued, idleInterval the time between two ticks otherwise. Each tick also
@@ -222,11 +233,27 @@
 	case responseStarted:
 		r.execute(ctx, r.core.ResponseStarted(now, ev.ticket))
 	case attemptSilent:
-		r.execute(ctx, r.core.AttemptSilent(now, ev.ticket, ev.silence))
+		if req := r.active[ev.ticket]; req != nil {
+			req.hedges = ev.hedges
+			r.execute(ctx, r.core.AttemptSilent(now, ev.ticket, ev.silence))
+		}
 	case attemptResumed:
 		r.execute(ctx, r.core.AttemptResumed(now, ev.ticket))
 	case attemptEnded:
 		r.handleAttemptEnd(ctx, now, ev)
+	case attemptReplaced:
+		r.handleReplacement(ctx, now, ev)
+	case hedgeSilent:
+		r.core.HedgeSilent(now, ev.ticket, ev.since)
+	case hedgeDropped:
+		r.endHedge(ev.ticket, ev.conn)
+		r.execute(ctx, r.core.HedgeDropped(now, ev.ticket))
+	case hedgeEnded:
+		r.endHedge(ev.ticket, ev.conn)
+		r.execute(ctx, r.core.HedgeEnded(now, ev.ticket, ev.result))
+		if ev.result.End.Crash() {
+			r.checkConvictions(now)
+		}
 	case callerDisconnected:
 		if req := r.active[ev.ticket]; req != nil && req.conn != nil {
 			req.conn.Close()
@@ -244,11 +271,8 @@
 		}
 		return
 	}
-	req.conn = nil
-	req.interrupt(nil)
-	if ev.conn != nil {
-		r.putIdle(req.upstream, ev.conn)
-	}
+	r.endAttempt(&req.activeAttempt, ev.conn)
+	req.abandonHedge()
 	if !req.orphaned {
 		r.protect(ctx, func() {
 			actions := r.core.AttemptEnded(now, ev.ticket, ev.result)
@@ -307,21 +331,11 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case dispatch.Send:
-			req := r.active[a.Ticket]
-			req.upstream, req.inAttempt = a.Upstream, true
-			req.conn = r.takeIdle(a.Upstream, req.call.ID)
-			r.recordProbe(req, &a)
-			if a.Ranked && a.Attempt == 1 {
-				r.gateway.metrics.recordRank(a.Rank, "sent")
-			}
-			attemptCtx, interrupt := context.WithCancelCause(req.ctx)
-			req.interrupt = interrupt
-			r.sendCommand(ctx, a.Ticket, command{action: a, conn: req.conn, ctx: attemptCtx}, false)
+			r.executeSend(ctx, &a)
 		case dispatch.Interrupt:
 			if req := r.active[a.Ticket]; req != nil {
 				r.gateway.metrics.interrupts.Inc()
-				r.logInterrupt(req, &a)
-				req.interrupt(exchange.ErrInterrupted)
+				req.interruptAll()
 			}
 		case dispatch.Deliver:
 			r.sendCommand(ctx, a.Ticket, command{action: a}, true)
@@ -335,10 +349,32 @@
 	}
 }
 
-// logInterrupt logs for which upstream a silent attempt ends, and what is assumed about it.
-func (r *router) logInterrupt(req *activeRequest, a *dispatch.Interrupt) {
-	if a.Other != "" {
-		_ = r.gateway.logger.Log("event", "attempt-moved", "request", req.call.ID, "upstream", req.upstream, "to", a.Other, "estimate", a.Estimate)
+// executeSend begins an attempt.
+func (r *router) executeSend(ctx context.Context, a *dispatch.Send) {
+	req := r.active[a.Ticket]
+	r.recordProbe(req, a)
+	attemptCtx, interrupt := context.WithCancelCause(req.ctx)
+	attempt := activeAttempt{upstream: a.Upstream, conn: r.takeIdle(a.Upstream, req.call.ID), interrupt: interrupt}
+	cmd := command{action: *a, conn: attempt.conn, ctx: attemptCtx, cancel: interrupt}
+	if a.Hedge {
+		r.logHedge(req, a)
+		req.hedge = &attempt
+		_ = req.hedges.Put(ctx, cmd)
+		return
+	}
+	req.activeAttempt, req.inAttempt = attempt, true
+	if a.Ranked && a.Attempt == 1 {
+		r.gateway.metrics.recordRank(a.Rank, "sent")
+	}
+	r.sendCommand(ctx, a.Ticket, cmd, false)
+}
+
+// endAttempt ends an attempt. Its connection is nil if it cannot be used again.
+func (r *router) endAttempt(a *activeAttempt, conn *exchange.Conn) {
+	a.conn = nil
+	a.interrupt(nil)
+	if conn != nil {
+		r.putIdle(a.upstream, conn)
 	}
 }
 
--- a/gateway/suspicion_test.go
+++ b/gateway/suspicion_test.go
@@ -175,8 +175,10 @@
 	logger := log.NewNopLogger()
 	g := New(Settings{}, platform.Codec{}, watcher.New(newSource(), "", time.Second, logger), logger)
 	for status, events := range map[int]int{http.StatusInternalServerError: 0, http.StatusBadRequest: 0, http.StatusOK: 1, http.StatusAccepted: 1} {
-		c := &callHandler{gateway: g, w: httptest.NewRecorder(), streaming: true}
-		require.NoError(t, c.Head(&http.Response{StatusCode: status}))
+		c := &callHandler{gateway: g, w: httptest.NewRecorder()}
+		run := c.newRun(&dispatch.Send{Streaming: true}, &command{}, received{})
+		c.turn.begin(run)
+		require.NoError(t, run.Head(&http.Response{StatusCode: status}))
 		require.Equal(t, events, g.inbox.Depth(), status)
 		for range events {
 			_, err := g.inbox.Take(t.Context())
--- a/lib/dispatch/bench_test.go
+++ b/lib/dispatch/bench_test.go
@@ -132,7 +132,7 @@
 				c.AttemptSilent(now, ticket, Silence{Since: start, Started: true, LastEventID: "7", Version: 1})
 			}
 			for b.Loop() {
-				c.movedAt = time.Time{}
+				c.hedgedAt = time.Time{}
 				c.Tick(now)
 			}
 			b.ReportMetric(float64(len(c.silent)), "silent")
--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -154,11 +154,11 @@
 	requests  map[Ticket]*request
 	// silent holds the requests whose attempt is silent; see silence.go.
 	silent map[Ticket]*request
-	// movedAt is when places for them were last looked for, and movedLast is the request
-	// with which that ended.
-	movedAt   time.Time
-	movedLast Ticket
-	detector  *poison.Detector
+	// hedgedAt is when upstreams for their hedges were last looked for, and hedgedLast is the
+	// request with which that ended.
+	hedgedAt   time.Time
+	hedgedLast Ticket
+	detector   *poison.Detector
 	// timeBudgets holds the longest time budget of a caller for each route. The
 	// budget of a caller that retries is shorter.
 	timeBudgets map[string]time.Duration
@@ -432,7 +432,8 @@
 		return nil
 	}
 	c.endSilence(r)
-	r.releaseUpstream()
+	r.dropHedge()
+	r.release()
 	return c.drain(now)
 }
 
@@ -440,20 +441,37 @@
 // upstream.
 func (c *Core) Observe(now time.Time, ticket Ticket, o Observation) {
 	r := c.requests[ticket]
-	if r == nil || r.upstream == nil {
+	if r == nil {
+		return
+	}
+	a := r.attemptNumber(o.Attempt)
+	if a == nil {
 		return
 	}
-	r.upstream.observe(now, o)
+	a.upstream.observe(now, o)
 	if o.Load != nil {
-		r.statedSlowdown = o.Load.Slowdown
+		a.statedSlowdown = o.Load.Slowdown
 	}
-	r.recordAlive(now)
-	c.declined.observe(now, r.upstream.startKey(), o)
-	if c.limits.table.Observe(now, r.sentAt, r.upstream.startKey(), o.Limit) {
+	a.recordAlive(now)
+	c.declined.observe(now, a.upstream.startKey(), o)
+	if c.limits.table.Observe(now, a.sentAt, a.upstream.startKey(), o.Limit) {
 		c.applyLimits(now)
 	}
 }
 
+// attemptNumber returns the attempt of a request with a number, or the current one for 0; nil
+// if it has ended.
+func (r *request) attemptNumber(n int) *attempt {
+	switch {
+	case r.hedge != nil && n == r.hedge.number:
+		return r.hedge
+	case r.upstream != nil && (n == 0 || n == r.number):
+		return &r.attempt
+	default:
+		return nil
+	}
+}
+
 // ResponseStarted records that the response to a request began.
 func (c *Core) ResponseStarted(now time.Time, ticket Ticket) []Action {
 	r := c.requests[ticket]
@@ -462,27 +480,25 @@
 	}
 	r.releasePrompt()
 	r.recordAlive(now)
-	c.recordBegan(now, r)
+	c.recordBegan(now, r, &r.attempt)
 	return c.drain(now)
 }
 
 // releasePrompt removes the prompt from the upstream's unread prompts. Only the
 // first call for an attempt has an effect.
-func (r *request) releasePrompt() {
-	if r.promptPending {
-		r.promptPending = false
-		r.upstream.promptTokens -= r.PromptTokens
-	}
+func (a *attempt) releasePrompt() {
+	a.upstream.promptTokens -= a.unreadTokens
+	a.unreadTokens = 0
 }
 
-// releaseUpstream ends the part of an attempt that counts at its upstream.
-func (r *request) releaseUpstream() {
-	r.releasePrompt()
-	r.upstream.inFlight--
-	if r.trial {
-		r.trial, r.upstream.trial = false, false
-	}
-	r.upstream = nil
+// release ends the part of an attempt that counts at its upstream.
+func (a *attempt) release() {
+	a.releasePrompt()
+	a.upstream.inFlight--
+	if a.trial {
+		a.trial, a.upstream.trial = false, false
+	}
+	a.upstream = nil
 }
 
 // Tick handles the passing of time: it expires queued requests and sends those
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -54,24 +54,22 @@
 	if !r.returning && r.attempts == 0 {
 		s.rankOrder.recordSend(now, r)
 	}
-	send := c.send(now, s, r, u)
-	send.Probe = c.recordSent(now, r, u, d)
+	send := c.send(now, s, r, u, &r.attempt)
+	send.Probe = c.recordProbe(now, d)
 	return send, true
 }
 
-func (c *Core) send(now time.Time, s *service, r *request, u *upstream) Send {
+// send begins an attempt of a request at an upstream.
+func (c *Core) send(now time.Time, s *service, r *request, u *upstream, a *attempt) Send {
 	u.recordSend(now, s.coldBudget > 0)
 	if u.limit != nil {
 		u.limit.sends.Add(now)
 	}
 	s.idleSince = now
-	r.upstream, r.statedSlowdown = u, 0
-	if u.silent() {
-		r.trial, u.trial = true, true
-	}
-	r.promptPending = true
-	u.promptTokens += r.PromptTokens
 	r.attempts++
+	*a = attempt{upstream: u, number: r.attempts, unreadTokens: r.PromptTokens, sentTo: u.crashID, sentAt: now, trial: u.silent()}
+	u.trial = u.trial || a.trial
+	u.promptTokens += a.unreadTokens
 	send := Send{
 		Ticket:     r.ticket,
 		Upstream:   u.ID,
@@ -157,7 +155,7 @@
 		if !c.acceptable(now, s, r, u) {
 			continue
 		}
-		if r.excludes(u) {
+		if r.excludes(now, u) {
 			continue
 		}
 		if u.avoided(now) {
@@ -212,10 +210,13 @@
 		return false
 	}
 	e := s.published.Engine
+	if r.silence != nil {
+		return u.mayTakeHedge(now, e != nil)
+	}
 	if e == nil {
 		return float64(u.load(now)) < maxPlainLoad*float64(u.Slots)
 	}
-	if r.possibleRuns > 0 || r.silence != nil {
+	if r.possibleRuns > 0 {
 		return float64(u.load(now)) < maxFailoverLoad*float64(u.Slots)
 	}
 	maxLoad := maxEngineLoad - s.rankedReserve(now, r)
@@ -258,6 +259,9 @@
 		cost += remoteRegionCost
 	}
 	cost += u.foreignCost()
+	if r.silence != nil && !u.takesRequests(now) {
+		cost += unconfirmedRoomCost
+	}
 	if goal := r.route.LatencyGoal; goal > 0 {
 		cost += firstByteCost * min(float64(u.meanFirstByte)/float64(goal), 2)
 	}
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -176,7 +176,7 @@
 		}
 		s.updateProgress(now)
 	}
-	return c.moveSilent(now, actions)
+	return c.hedgeSilent(now, actions)
 }
 
 func (c *Core) drainQueues(now time.Time, s *service, queues regionQueues, actions []Action) []Action {
@@ -242,13 +242,22 @@
 	if r == nil || r.upstream == nil {
 		return nil
 	}
+	u := r.upstream
+	r.dropHedge()
+	c.recordEnd(now, r, e)
+	actions := c.nextAction(now, r, u, e)
+	return append(actions, c.drain(now)...)
+}
+
+// recordEnd ends the current attempt of a request and applies its result.
+func (c *Core) recordEnd(now time.Time, r *request, e AttemptResult) {
 	u := r.upstream
 	silence := c.endSilence(r)
-	r.releaseUpstream()
+	r.release()
 	if silence != nil && e.End == retry.Stalled {
 		c.recordSilentEnd(now, r, u, silence, e)
 	} else {
-		c.recordResult(now, u, r, e)
+		c.recordResult(now, u, r, &r.attempt, e)
 	}
 	c.recordAnswerTime(now, r, e)
 	if !e.End.NotRun() {
@@ -257,30 +266,28 @@
 	if e.Started && r.version == 0 {
 		r.version = e.Version
 	}
-	actions := c.nextAction(now, r, u, e)
-	return append(actions, c.drain(now)...)
 }
 
 // recordResult applies the result of an attempt to the states of the upstream
 // and of the request.
-func (c *Core) recordResult(now time.Time, u *upstream, r *request, e AttemptResult) {
+func (c *Core) recordResult(now time.Time, u *upstream, r *request, a *attempt, e AttemptResult) {
 	switch {
 	case e.End == retry.Answered && e.ServerError:
 		u.recordServerError(now)
 	case e.End == retry.Answered:
 		u.recordAlive(now)
 		u.recordSuccess(e.FirstByte)
-		u.speedEffect.add(e.FirstByte, r.statedSlowdown)
+		u.speedEffect.add(e.FirstByte, a.statedSlowdown)
 	case e.Misdirected:
 		u.pause(now, misdirectedPause)
 	case e.End == retry.Busy || e.End == retry.Refused:
-		u.recordRefusal(now, r.sentAt)
+		u.recordRefusal(now, a.sentAt)
 	case e.End.Failure():
 		u.recordFailure(now)
 	}
-	c.recordEvidence(now, r, e)
+	c.recordEvidence(now, r, a, e)
 	if e.End.Failure() || e.ServerError || e.Misdirected {
-		r.failedUpstreams = append(r.failedUpstreams, u.ID)
+		r.failedUpstreams = append(r.failedUpstreams, failedUpstream{id: u.ID})
 	}
 }
 
@@ -317,17 +324,14 @@
 }
 
 // mayRetry reports whether the request may be sent once more. It takes a retry
-// from the budget unless the upstream was unreachable, or that was done before the
-// attempt was interrupted.
+// from the budget unless the upstream was unreachable.
 func (c *Core) mayRetry(now time.Time, s *service, r *request, d poison.Decision, e AttemptResult) bool {
-	paid := r.retryPaid
-	r.retryPaid = false
 	if !c.repeatable(now, r, d, e, r.possibleRuns) {
 		return false
 	}
 	// An unreachable upstream has not received the request, so that a retry adds
 	// no load and does not count against the budget.
-	return paid || e.End == retry.Unreachable || s.retryBudget.Spend(now, c.place.Processes)
+	return e.End == retry.Unreachable || s.retryBudget.Spend(now, c.place.Processes)
 }
 
 // repeatable reports whether the request may be sent once more after the given number of
--- a/lib/dispatch/refusedmove_test.go
+++ b/lib/dispatch/refusedmove_test.go
@@ -15,8 +15,8 @@
 // silence.
 const readTimeout = 6 * time.Second
 
-// movedRead returns a core in which a repeatable request was moved away from the silent upstream
-// "a" and is in progress at another one, with a budget of the given number of retries.
+// movedRead returns a core in which the hedge of a repeatable request took the place of the attempt
+// at the silent upstream "a", with a budget of the given number of retries.
 func movedRead(t *testing.T, retries float64, others ...*published.Upstream) (*harness, Ticket, Send) {
 	t.Helper()
 	v := view(deskUpstream("a", "north-a"))
@@ -32,9 +32,10 @@
 	h.core.Update(h.now, moved)
 	since := h.now
 	h.advance(silentFor)
-	require.Equal(t, ticket, h.interrupted(h.core.AttemptSilent(h.now, ticket, Silence{Since: since})))
-	send := h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled}))
+	send := h.hedged(h.core.AttemptSilent(h.now, ticket, Silence{Since: since}))
+	require.Equal(t, ticket, send.Ticket)
 	require.NotEqual(t, fleet.InstanceID("a"), send.Upstream)
+	h.replaced(ticket, AttemptResult{End: retry.Stalled})
 	return h, ticket, send
 }
 
--- a/lib/dispatch/request.go
+++ b/lib/dispatch/request.go
@@ -34,43 +34,62 @@
 	attempts     int
 	possibleRuns int
 	// failedUpstreams holds the upstreams that failed this request. It is not sent
-	// to them again.
-	failedUpstreams []fleet.InstanceID
+	// to them again, with the exception of silent ones that have gone on.
+	failedUpstreams []failedUpstream
 	// version is the version of the weights that began the response; 0 if the
 	// caller has received nothing yet.
 	version int64
-	// upstream runs the current attempt; nil while the request is queued.
-	upstream *upstream
-	// promptPending is set until the upstream begins to respond.
-	promptPending bool
-	// heardAt is when an upstream last responded to this request.
-	heardAt time.Time
+	// attempt is the current attempt; its upstream is nil while the request is queued.
+	attempt
 	// silence describes the silence of the current attempt; nil while there is none.
 	silence *Silence
-	// reserved is the upstream that keeps a place for the request until its interrupted
-	// attempt has ended; nil if there is none. retryPaid is set if the retry was taken from
-	// the budget with it.
-	reserved  *upstream
-	retryPaid bool
-	// trial is set if the current attempt tries out an upstream that was silent.
-	trial bool
-	// sentTo and sentAt are the start of the upstream that runs the current attempt
-	// and the time of its send. answering is set once its answer began.
-	sentTo    poison.CrashID
-	sentAt    time.Time
-	answering bool
+	// hedge is the attempt beside the silent one; nil if there is none. hedges counts them,
+	// and refusals holds those that an upstream refused.
+	hedge    *attempt
+	hedges   int
+	refusals []refusal
 	// begun is set once the answer began, at any upstream.
 	begun bool
 	// suspect is the suspected trait whose upstream the request may go to; 0 if it
 	// may go to any. It is constant while the request is in one queue.
 	suspect poison.Trait
-	// statedSlowdown is the slowdown that the upstream of the last attempt stated; 0 if it
-	// stated none.
-	statedSlowdown float64
 	// interrupted is set once the attempt was interrupted at the end of a planned stop.
 	interrupted bool
 }
 
+// attempt is the state of one attempt of a request.
+type attempt struct {
+	// upstream runs the attempt; nil if it has ended.
+	upstream *upstream
+	number   int
+	// unreadTokens is the length of the prompt until the upstream begins to respond, then 0.
+	unreadTokens int
+	// heardAt is when the upstream last responded to the attempt.
+	heardAt time.Time
+	// trial is set if the attempt tries out an upstream that was silent.
+	trial bool
+	// sentTo and sentAt are the start of the upstream and the time of the send. answering is
+	// set once the answer began.
+	sentTo    poison.CrashID
+	sentAt    time.Time
+	answering bool
+	// statedSlowdown is the slowdown that the upstream stated; 0 if it stated none.
+	statedSlowdown float64
+}
+
+// failedUpstream is an upstream that failed a request. silentSince is set if it was silent:
+// it counts no more once it has responded to any request since.
+type failedUpstream struct {
+	id          fleet.InstanceID
+	silentSince time.Time
+}
+
+// refusal is the refusal of a hedge.
+type refusal struct {
+	id fleet.InstanceID
+	at time.Time
+}
+
 func (c *Core) newRequest(now time.Time, t Ticket, call Call, route *published.Route, customer *published.Customer) *request {
 	r := c.describe(now, call, route, customer)
 	r.ticket = t
--- a/lib/dispatch/silence.go
+++ b/lib/dispatch/silence.go
@@ -1,21 +1,17 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"rattanspur.example/lib/admission"
-	"rattanspur.example/lib/fleet"
-	"rattanspur.example/lib/poison"
 	"rattanspur.example/lib/published"
-	"rattanspur.example/lib/retry"
 )
 
 // A sound upstream may be silent for a second or two and go on, and a connection may be
-// silent for good; at first the two cannot be told apart. So silence is a reason to look
-// for another upstream, not to end an attempt: it goes on until another upstream keeps a
-// place for its request, or until its caller has waited for as long as callers do.
+// silent for good; at first the two cannot be told apart. So silence is a reason to ask
+// another upstream as well (see hedge.go), not to end an attempt: it goes on until the other
+// one has responded, or until its caller has waited for as long as callers do.
 const (
 	// firstByteSilenceFactor and gapSilenceFactor set the silence after which another
 	// upstream is looked for, as multiples of the route's goals for the first byte and
@@ -31,11 +27,6 @@
 	firstBytePatienceFactor = 4
 	gapPatienceFactor       = 8
 	patienceMargin          = 500 * time.Millisecond
-	// moveInterval is the shortest time between two rounds of searches for the silent
-	// attempts, and maxSearches how many of them may be in vain in one round: each looks at
-	// all upstreams of its service.
-	moveInterval = 20 * time.Millisecond
-	maxSearches  = 16
 )
 
 // Silence describes an attempt from which nothing has come for a while.
@@ -68,7 +59,7 @@
 }
 
 // AttemptSilent records that nothing has come from the current attempt of a request for a
-// while. The attempt is interrupted as soon as another upstream has capacity.
+// while. A hedge begins as soon as another upstream is expected to accept it.
 func (c *Core) AttemptSilent(now time.Time, ticket Ticket, s Silence) []Action {
 	r := c.requests[ticket]
 	if r == nil || r.upstream == nil {
@@ -88,156 +79,49 @@
 		r.upstream.recordSilence(now, s.Since)
 	}
 	d := c.decide(now, r)
-	if !c.mayLeave(now, r, d) || !c.reservePlace(now, r, d) {
+	if !c.mayHedge(now, r, d) {
 		return nil
 	}
-	return []Action{r.interruptFor(now)}
+	if send, ok := c.tryHedge(now, r, d); ok {
+		return []Action{send}
+	}
+	return nil
 }
 
-// AttemptResumed records that a silent attempt goes on. The upstream counts as sound.
+// AttemptResumed records that a silent attempt goes on. The upstream counts as sound. The end
+// of the hedge, if there is one, is reported by itself.
 func (c *Core) AttemptResumed(now time.Time, ticket Ticket) []Action {
 	r := c.requests[ticket]
 	if r == nil || r.upstream == nil || r.silence == nil {
 		return nil
 	}
 	r.recordAlive(now)
-	// An interrupted attempt ends all the same: its place elsewhere is kept until then.
-	if r.reserved == nil {
-		c.endSilence(r)
-	}
+	c.endSilence(r)
 	return c.drain(now)
 }
 
-// moveSilent interrupts the silent attempts whose requests can go on elsewhere. It looks
-// for places at most once in moveInterval, and ends after maxSearches in vain, since many
-// attempts may be silent at once. One search in vain counts for all requests that may go to
-// the same upstreams. A round begins after the request with which the last one ended, so that
-// all get their turn.
-func (c *Core) moveSilent(now time.Time, actions []Action) []Action {
-	if now.Sub(c.movedAt) < moveInterval {
-		return actions
-	}
-	c.movedAt = now
-	inVain := map[silentGroup]bool{}
-	for _, ticket := range c.silentInTurn() {
-		r := c.silent[ticket]
-		d := c.decide(now, r)
-		group := r.silentGroup(d)
-		if inVain[group] || !c.mayLeave(now, r, d) {
-			continue
-		}
-		if c.reservePlace(now, r, d) {
-			actions = append(actions, r.interruptFor(now))
-			continue
-		}
-		inVain[group] = true
-		if len(inVain) == maxSearches {
-			c.movedLast = ticket
-			break
-		}
-	}
-	return actions
-}
-
-// silentInTurn returns the silent requests in their order, beginning after the last one that
-// was looked at. The order of a map would make equal runs of the core differ.
-func (c *Core) silentInTurn() []Ticket {
-	if len(c.silent) == 0 {
-		return nil
-	}
-	tickets := slices.Sorted(maps.Keys(c.silent))
-	first, found := slices.BinarySearch(tickets, c.movedLast)
-	if found {
-		first++
-	}
-	return slices.Concat(tickets[first:], tickets[:first])
-}
-
-// silentGroup identifies the silent requests that may go to the same upstreams.
-type silentGroup struct {
-	service  fleet.Service
-	upstream *upstream
-	model    string
-	regions  string
-	failed   string
-	version  int64
-	suspect  poison.Trait
-	// stays is set if the request may go to the upstream of its attempt.
-	stays bool
-}
-
-func (r *request) silentGroup(d poison.Decision) silentGroup {
-	g := silentGroup{
-		service: r.service, upstream: r.upstream, model: r.Model, regions: r.regionKey(), version: r.version,
-		suspect: suspectedTrait(d), stays: !r.excludes(r.upstream),
-	}
-	for _, id := range r.failedUpstreams {
-		g.failed += string(id) + ","
-	}
-	return g
-}
-
-// mayLeave reports whether a silent attempt is to be interrupted if there is a place
-// elsewhere.
-func (c *Core) mayLeave(now time.Time, r *request, d poison.Decision) bool {
-	e := AttemptResult{End: retry.Stalled, Started: r.silence.Started, LastEventID: r.silence.LastEventID}
-	return r.reserved == nil && c.repeatable(now, r, d, e, r.possibleRuns+1)
-}
-
-// reservePlace looks for another upstream for a request whose attempt is silent. If one has
-// capacity, and the budget allows the retry, it keeps a place there, which counts as a
-// request in flight: an attempt that may go on is not ended for nothing.
-func (c *Core) reservePlace(now time.Time, r *request, d poison.Decision) bool {
-	s := c.service(now, r.service)
-	u := c.pick(now, s, r, d)
-	if u == nil || u.avoided(now) || c.mayChangeWeights(now, s, r, u) || !s.retryBudget.Spend(now, c.place.Processes) {
-		return false
-	}
-	u.inFlight++
-	r.reserved, r.retryPaid = u, true
-	return true
-}
-
-// interruptFor returns the action that ends the attempt for the upstream which keeps a place.
-func (r *request) interruptFor(now time.Time) Interrupt {
-	return Interrupt{Ticket: r.ticket, Other: r.reserved.ID, Estimate: r.reserved.estimate(now)}
-}
-
-// mayChangeWeights reports whether an upstream may no longer serve the weights that began a
-// stream: its update slot has come, and it need not have told that it updates. An attempt that
-// is silent is not ended for it, since there is no way back.
-func (c *Core) mayChangeWeights(now time.Time, s *service, r *request, u *upstream) bool {
-	return r.version != 0 && c.updatePending(now, s, r, u) && !now.Before(u.updateSlot)
-}
-
-// endSilence ends the silence of a request, and gives up the place that is kept for it. It
-// returns what the silence was, or nil if there was none.
+// endSilence ends the silence of a request. It returns what the silence was, or nil if there
+// was none.
 func (c *Core) endSilence(r *request) *Silence {
 	s := r.silence
 	r.silence = nil
 	delete(c.silent, r.ticket)
-	if r.reserved != nil {
-		r.reserved.inFlight--
-		r.reserved = nil
-	}
 	return s
 }
 
 // recordSilentEnd records the end of a silent attempt. The silence counted against its
 // upstream when it was reported. If the upstream has responded to other requests since, the
 // connection is at fault, and the request may go there again. It may also go to a later
-// start of the upstream, for which its attempt may have been interrupted.
+// start of the upstream.
 func (c *Core) recordSilentEnd(now time.Time, r *request, u *upstream, s *Silence, e AttemptResult) {
-	c.recordEvidence(now, r, e)
+	c.recordEvidence(now, r, &r.attempt, e)
 	if current := c.upstreams[u.ID]; current != nil {
 		if current.startKey() != u.startKey() {
 			return
 		}
 		u = current
 	}
-	if !u.aliveAt.After(s.Since) {
-		r.failedUpstreams = append(r.failedUpstreams, u.ID)
-	}
+	r.failedUpstreams = append(r.failedUpstreams, failedUpstream{id: u.ID, silentSince: s.Since})
 }
 
 // enqueueFailover queues a request whose upstream failed it, until another one has
@@ -269,14 +153,21 @@
 // it, regardless of its load.
 func (c *Core) movable(now time.Time, s *service, r *request) bool {
 	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool {
-		return !r.excludes(u) && c.acceptable(now, s, r, u)
+		return !r.excludes(now, u) && c.acceptable(now, s, r, u)
 	})
 }
 
 // excludes reports whether the request must not go to an upstream: one that failed it, or
-// the one whose silence it is to leave, unless that has responded to others since.
-func (r *request) excludes(u *upstream) bool {
-	if slices.Contains(r.failedUpstreams, u.ID) {
+// the one whose silence it is to leave, unless that has responded to others since. A hedge
+// does not go to an upstream that has just refused one of the request either.
+func (r *request) excludes(now time.Time, u *upstream) bool {
+	failed := func(f failedUpstream) bool {
+		return f.id == u.ID && (f.silentSince.IsZero() || !u.aliveAt.After(f.silentSince))
+	}
+	if slices.ContainsFunc(r.failedUpstreams, failed) {
+		return true
+	}
+	if r.silence != nil && r.refusedHedge(now, u) {
 		return true
 	}
 	if r.upstream == nil || u.startKey() != r.upstream.startKey() {
@@ -305,10 +196,10 @@
 	u.recordFailure(now)
 }
 
-// recordAlive records that the upstream has responded to the current attempt.
-func (r *request) recordAlive(now time.Time) {
-	r.heardAt = now
-	r.upstream.recordAlive(now)
+// recordAlive records that the upstream has responded to the attempt.
+func (a *attempt) recordAlive(now time.Time) {
+	a.heardAt = now
+	a.upstream.recordAlive(now)
 }
 
 // recordAlive records that the upstream has responded to a request. It is no longer
--- a/lib/dispatch/silence_test.go
+++ b/lib/dispatch/silence_test.go
@@ -28,12 +28,22 @@
 	return ticket, send
 }
 
-func (h *harness) interrupted(actions []Action) Ticket {
+// stalledAfterEvent is the end of the attempt of such a stream whose place a hedge takes.
+var stalledAfterEvent = AttemptResult{End: retry.Stalled, Started: true, LastEventID: "7", Version: 1}
+
+// hedged returns the hedge that is the only action.
+func (h *harness) hedged(actions []Action) Send {
 	h.t.Helper()
-	require.Len(h.t, actions, 1)
-	a, ok := actions[0].(Interrupt)
-	require.True(h.t, ok, "%T %+v", actions[0], actions[0])
-	return a.Ticket
+	s := h.sent(actions)
+	require.True(h.t, s.Hedge, "%+v", s)
+	return s
+}
+
+// replaced lets the hedge of a request take the place of its silent attempt.
+func (h *harness) replaced(ticket Ticket, e AttemptResult) {
+	h.t.Helper()
+	require.NotNil(h.t, h.core.requests[ticket].hedge)
+	require.Empty(h.t, h.core.AttemptReplaced(h.now, ticket, e))
 }
 
 // Guards against a connection that is silent for good and holds its request until the
@@ -42,9 +52,14 @@
 	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
 	ticket, first := h.startStream()
 	h.now = h.now.Add(silentFor)
-	require.Equal(t, ticket, h.interrupted(h.core.AttemptSilent(h.now, ticket, h.afterEvent())))
-	second := h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled, Started: true, LastEventID: "7", Version: 1}))
+	second := h.hedged(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
+	require.Equal(t, ticket, second.Ticket)
 	require.NotEqual(t, first.Upstream, second.Upstream)
+	require.NotEqual(t, first.Attempt, second.Attempt)
+	h.replaced(ticket, stalledAfterEvent)
+	require.Zero(t, h.core.upstreams[first.Upstream].inFlight)
+	require.IsType(t, Finish{}, h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Answered, Started: true, Version: 1})[0])
+	require.Zero(t, h.core.upstreams[second.Upstream].inFlight)
 }
 
 // Guards against a stream that is cut because it left a silent upstream for one that had just
@@ -65,14 +80,14 @@
 		h.advance(silentFor)
 		actions := h.core.AttemptSilent(h.now, ticket, h.afterEvent())
 		if c.moved {
-			require.Equal(t, ticket, h.interrupted(actions))
+			require.Equal(t, ticket, h.hedged(actions).Ticket)
 			continue
 		}
 		require.Empty(t, actions)
 	}
 }
 
-// Guards against ending an attempt whose request cannot go on elsewhere: no other
+// Guards against a hedge of a request that cannot go on elsewhere: no other
 // upstream, no attempts left, no retry in the budget, or a route that may not be repeated.
 func TestSilentAttemptIsNotEndedInVain(t *testing.T) {
 	single := view(replica("a", 1))
@@ -106,9 +121,9 @@
 	require.Empty(t, h.core.AttemptSilent(h.now, ticket, h.afterEvent()), "no budget")
 }
 
-// Guards against more attempts that are ended than the other upstreams have room for, and
-// against one that finds no room at first and is not moved when there is some.
-func TestPlacesAreKeptForInterruptedAttempts(t *testing.T) {
+// Guards against more hedges than the other upstreams have room for, and against a request
+// that finds no room at first and gets no hedge when there is some.
+func TestHedgesNeedRoom(t *testing.T) {
 	h := newHarness(t, view(replica("a", 1)))
 	var tickets []Ticket
 	for range 4 {
@@ -119,29 +134,32 @@
 	other := replica("b", 1)
 	other.Slots = 2
 	h.core.Update(h.now, view(replica("a", 1), other))
-	interrupts := 0
+	h.core.upstreams["b"].acceptedAt = h.now
+	hedges := 0
 	for _, ticket := range tickets {
-		interrupts += len(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
+		hedges += len(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
 	}
-	require.Equal(t, 3, interrupts, "two slots, and a quarter more for requests that failed")
+	require.Equal(t, 3, hedges, "two slots, and a quarter more for requests that failed")
 	h.core.Update(h.now, view(replica("a", 1), replica("b", 1)))
-	h.now = h.now.Add(moveInterval)
-	interrupts += len(h.core.Tick(h.now))
-	require.Equal(t, 4, interrupts)
+	h.now = h.now.Add(hedgeInterval)
+	hedges += len(h.core.Tick(h.now))
+	require.Equal(t, 4, hedges)
 	for _, ticket := range tickets {
-		send := h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled, Started: true, LastEventID: "7", Version: 1}))
-		require.Equal(t, fleet.InstanceID("b"), send.Upstream)
+		h.replaced(ticket, stalledAfterEvent)
+		require.Equal(t, fleet.InstanceID("b"), h.core.requests[ticket].upstream.ID)
 	}
 	require.Equal(t, 4, h.core.upstreams["b"].inFlight)
+	require.Zero(t, h.core.upstreams["b"].hedges)
 }
 
-// Guards against a place that stays taken when the silent attempt answers after all.
-func TestKeptPlaceIsGivenUpAfterAnAnswer(t *testing.T) {
+// Guards against a hedge that still counts when the silent attempt has answered after all.
+func TestHedgeEndsAfterAnAnswer(t *testing.T) {
 	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
 	ticket, send := h.startStream()
 	h.now = h.now.Add(silentFor)
-	h.interrupted(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
+	h.hedged(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
 	h.core.AttemptResumed(h.now, ticket)
+	require.Empty(t, h.core.HedgeEnded(h.now, ticket, AttemptResult{End: retry.Canceled}))
 	require.IsType(t, Finish{}, h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Answered, Started: true, Version: 1})[0])
 	require.Zero(t, h.core.upstreams["a"].inFlight+h.core.upstreams["b"].inFlight)
 	require.False(t, h.core.upstreams[send.Upstream].avoided(h.now), "it has answered")
@@ -183,9 +201,9 @@
 	h.now = h.now.Add(-silentFor / 2)
 	h.startStream()
 	h.now = h.now.Add(silentFor / 2)
-	require.Equal(t, ticket, h.interrupted(h.core.AttemptSilent(h.now, ticket, s)))
+	send := h.hedged(h.core.AttemptSilent(h.now, ticket, s))
+	require.Equal(t, ticket, send.Ticket)
 	require.False(t, h.core.upstreams["a"].avoided(h.now))
-	send := h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled, Started: true, LastEventID: "7", Version: 1}))
 	require.Equal(t, fleet.InstanceID("a"), send.Upstream)
 }
 
@@ -220,8 +238,8 @@
 	without.Config.Index()
 	h.core.Update(h.now, without)
 	h.now = h.now.Add(silentFor)
-	require.Equal(t, ticket, h.interrupted(h.core.AttemptSilent(h.now, ticket, h.afterEvent())))
-	h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled, Started: true, LastEventID: "7", Version: 1}))
+	require.Equal(t, ticket, h.hedged(h.core.AttemptSilent(h.now, ticket, h.afterEvent())).Ticket)
+	h.replaced(ticket, stalledAfterEvent)
 	_, actions := h.arrive("/stream/1")
 	require.Equal(t, NoRoute, h.refused(actions).Verdict)
 }
@@ -265,8 +283,8 @@
 	require.False(t, h.core.upstreams["a"].avoided(h.now))
 }
 
-// Guards against an attempt that is ended in vain after a restart of its upstream: a place
-// was kept at the new start, which then counted as the upstream that failed the request.
+// Guards against a hedge in vain after a restart of the upstream: the new start counts as the
+// upstream that failed the request.
 func TestSilentAttemptGoesOnAtTheNextStart(t *testing.T) {
 	h := newHarness(t, view(replica("a", 1)))
 	ticket, _ := h.startStream()
@@ -274,14 +292,14 @@
 	restarted.StartTime++
 	h.core.Update(h.now, view(restarted))
 	h.now = h.now.Add(silentFor)
-	require.Equal(t, ticket, h.interrupted(h.core.AttemptSilent(h.now, ticket, h.afterEvent())))
-	send := h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled, Started: true, LastEventID: "7", Version: 1}))
+	send := h.hedged(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
 	require.Equal(t, fleet.InstanceID("a"), send.Upstream)
+	h.replaced(ticket, stalledAfterEvent)
 	require.Equal(t, 1, h.core.upstreams["a"].inFlight)
 }
 
-// Guards against an attempt that is ended to go on at the same silent process, whose
-// registration was away for a moment.
+// Guards against a hedge at the same silent process, whose registration was away for a
+// moment.
 func TestSilentAttemptDoesNotReturnToItsUpstream(t *testing.T) {
 	h := newHarness(t, view(replica("a", 1)))
 	ticket, _ := h.startStream()
@@ -311,7 +329,7 @@
 	require.Equal(t, fleet.InstanceID("a"), send.Upstream)
 }
 
-// Guards against a silent attempt that is never moved, although there is a place for it,
+// Guards against a silent attempt that never gets a hedge, although there is room for it,
 // because many others are silent for which there is none.
 func TestSilentAttemptIsFoundAmongMany(t *testing.T) {
 	large := replica("a", 1)
@@ -332,10 +350,10 @@
 	}
 	actions := h.core.Update(h.now, view(large, replica("b", 2)))
 	for i := 0; i < 200 && len(actions) == 0; i++ {
-		h.now = h.now.Add(moveInterval)
+		h.now = h.now.Add(hedgeInterval)
 		actions = h.core.Tick(h.now)
 	}
-	require.Equal(t, last, h.interrupted(actions))
+	require.Equal(t, last, h.hedged(actions).Ticket)
 }
 
 // Guards against requests that are rejected for seconds because the only upstream was
@@ -388,13 +406,13 @@
 	}
 }
 
-// Guards against a place that stays taken for a request whose caller left, and against one
-// that is given up while the interrupted attempt, which went on too late, has not ended.
-func TestKeptPlaceUntilTheAttemptEnds(t *testing.T) {
+// Guards against a hedge that still counts for a request whose caller left, and against one
+// that counts no more while it has not ended.
+func TestHedgeCountsUntilItEnds(t *testing.T) {
 	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
 	ticket, _ := h.startStream()
 	h.now = h.now.Add(silentFor)
-	h.interrupted(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
+	h.hedged(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
 	inFlight := func() int { return h.core.upstreams["a"].inFlight + h.core.upstreams["b"].inFlight }
 	require.Equal(t, 2, inFlight())
 	h.core.AttemptResumed(h.now, ticket)
@@ -404,9 +422,9 @@
 	require.Zero(t, h.core.Waiting())
 }
 
-// Guards against a retry that is paid for twice, or one that is free because an earlier one
-// of the request was paid for.
-func TestInterruptedAttemptPaysForOneRetry(t *testing.T) {
+// Guards against a hedge that is paid for twice, and against a retry that is free because a
+// hedge of the request was paid for.
+func TestHedgePaysForOneRetry(t *testing.T) {
 	v := view(replica("a", 1), replica("b", 1), replica("c", 1))
 	v.Config.Routes[0].MaxAttempts = 3
 	v.Config.Index()
@@ -415,7 +433,7 @@
 	h.now = h.now.Add(silentFor)
 	budget := retry.NewWindow(retry.WindowLimits{Reserve: minProcesses, Window: 10 * time.Second}, h.now)
 	h.core.service(h.now, engine).retryBudget = budget
-	h.interrupted(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
-	h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Stalled, Started: true, LastEventID: "7", Version: 1}))
+	h.hedged(h.core.AttemptSilent(h.now, ticket, h.afterEvent()))
+	h.replaced(ticket, stalledAfterEvent)
 	h.refused(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Lost, Started: true, LastEventID: "8", Version: 1}))
 }
--- a/lib/dispatch/stop_test.go
+++ b/lib/dispatch/stop_test.go
@@ -253,17 +253,21 @@
 func TestStopEndsEveryRequestOnce(t *testing.T) {
 	paths := []string{"/once/1", "/read/1", "/stream/1", "/home/1"}
 	ends := []retry.End{retry.Answered, retry.Busy, retry.Unreachable, retry.Lost, retry.Stalled, retry.TimedOut}
+	hedgeEnds := []retry.End{retry.Busy, retry.Unreachable, retry.Lost, retry.Stalled, retry.Canceled}
 	rapid.Check(t, func(rt *rapid.T) {
 		upstreams := []*published.Upstream{replica("a", 1), replica("b", 1), deskUpstream("c", "north-a"), deskUpstream("d", "south-a")}
 		h := newHarness(t, longView(upstreams...))
 		open, running, mayHaveRun := map[Ticket]bool{}, map[Ticket]bool{}, map[Ticket]bool{}
+		hedged := map[Ticket]bool{}
 		end := time.Time{}
 		apply := func(actions []Action) {
 			for _, a := range actions {
 				var done Ticket
 				switch a := a.(type) {
 				case Send:
-					require.True(rt, open[a.Ticket] && !running[a.Ticket])
+					require.Equal(rt, a.Hedge, running[a.Ticket])
+					require.True(rt, open[a.Ticket] && !hedged[a.Ticket])
+					hedged[a.Ticket] = a.Hedge
 					require.True(rt, end.IsZero() || h.now.Before(end) && !a.Deadline.After(end), "sent after the end")
 					running[a.Ticket] = true
 				case Interrupt:
@@ -282,12 +286,13 @@
 		}
 		endAttempt := func(ticket Ticket, e retry.End) {
 			delete(running, ticket)
+			delete(hedged, ticket)
 			mayHaveRun[ticket] = mayHaveRun[ticket] || !e.NotRun()
 			apply(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: e, Started: e == retry.Answered}))
 		}
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			h.advance(time.Duration(rapid.IntRange(0, 300).Draw(rt, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 7).Draw(rt, "event") {
+			switch rapid.IntRange(0, 9).Draw(rt, "event") {
 			case 0, 1:
 				open[h.next+1] = true
 				_, actions := h.arrive(rapid.SampledFrom(paths).Draw(rt, "path"))
@@ -314,6 +319,20 @@
 				if tickets := slices.Sorted(maps.Keys(running)); len(tickets) > 0 {
 					apply(h.core.AttemptResumed(h.now, rapid.SampledFrom(tickets).Draw(rt, "ticket")))
 				}
+			case 8:
+				if tickets := slices.Sorted(maps.Keys(running)); len(tickets) > 0 {
+					ticket, e := rapid.SampledFrom(tickets).Draw(rt, "ticket"), rapid.SampledFrom(hedgeEnds).Draw(rt, "end")
+					mayHaveRun[ticket] = mayHaveRun[ticket] || hedged[ticket] && !e.NotRun()
+					hedged[ticket] = false
+					apply(h.core.HedgeEnded(h.now, ticket, AttemptResult{End: e}))
+				}
+			case 9:
+				if tickets := slices.Sorted(maps.Keys(running)); len(tickets) > 0 {
+					ticket, e := rapid.SampledFrom(tickets).Draw(rt, "ticket"), rapid.SampledFrom(ends[1:]).Draw(rt, "end")
+					mayHaveRun[ticket] = mayHaveRun[ticket] || hedged[ticket] && !e.NotRun()
+					hedged[ticket] = false
+					apply(h.core.AttemptReplaced(h.now, ticket, AttemptResult{End: e, Started: true, LastEventID: "1", Version: 1}))
+				}
 			}
 		}
 		if end.IsZero() {
@@ -329,5 +348,9 @@
 			endAttempt(ticket, retry.Stalled)
 		}
 		require.Empty(rt, open)
+		for _, u := range h.core.upstreams {
+			require.Zero(rt, u.inFlight, "counts a request that has ended")
+			require.Zero(rt, u.hedges, "counts a hedge that has ended")
+		}
 	})
 }
--- a/lib/dispatch/suspect_queue_test.go
+++ b/lib/dispatch/suspect_queue_test.go
@@ -20,7 +20,7 @@
 	s := h.core.services[engine]
 	r := &request{Call: Call{Model: model}, route: h.core.view.Config.Route("h", "/stream/")}
 	target := h.core.pickSuspected(h.now, s, r, harmful)
-	r.failedUpstreams = []fleet.InstanceID{target.ID}
+	r.failedUpstreams = []failedUpstream{{id: target.ID}}
 	require.NotEqual(t, target.ID, h.core.pickSuspected(h.now, s, r, harmful).ID)
 }
 
--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -61,7 +61,7 @@
 		if first != nil && weight <= greatest {
 			continue
 		}
-		if u.avoided(now) || r.excludes(u) || !c.acceptable(now, s, r, u) {
+		if u.avoided(now) || r.excludes(now, u) || !c.acceptable(now, s, r, u) {
 			continue
 		}
 		first, greatest = u, weight
@@ -72,11 +72,8 @@
 	return first
 }
 
-// recordSent keeps which start of an upstream a request was sent to, since a view
-// may replace the upstream before the attempt ends. It returns the trait that the
-// request probes, or 0.
-func (c *Core) recordSent(now time.Time, r *request, u *upstream, d poison.Decision) poison.Trait {
-	r.sentTo, r.sentAt, r.answering = u.crashID, now, false
+// recordProbe returns the trait that a request which is sent now probes, or 0.
+func (c *Core) recordProbe(now time.Time, d poison.Decision) poison.Trait {
 	if d.Verdict != poison.Probe {
 		return 0
 	}
@@ -86,31 +83,31 @@
 
 // recordBegan records that the answer of the current attempt began. Only the first
 // call for an attempt has an effect.
-func (c *Core) recordBegan(now time.Time, r *request) {
-	if r.answering {
+func (c *Core) recordBegan(now time.Time, r *request, a *attempt) {
+	if a.answering {
 		return
 	}
-	r.answering, r.begun = true, true
+	a.answering, r.begun = true, true
 	c.detector.Began(now, r.Traits)
-	c.detector.Answered(now, r.sentTo, r.sentAt)
+	c.detector.Answered(now, a.sentTo, a.sentAt)
 }
 
 // recordEvidence records what the end of an attempt says about the traits of its
 // request. A request whose answer began, here or at an earlier upstream, did not
 // cause the loss of its upstream. An error is no answer: an upstream may reject a
 // request before it runs the part that crashes it.
-func (c *Core) recordEvidence(now time.Time, r *request, e AttemptResult) {
+func (c *Core) recordEvidence(now time.Time, r *request, a *attempt, e AttemptResult) {
 	failed := e.ServerError || e.ClientError
 	switch {
 	case e.End == retry.Answered && failed:
-		c.detector.Answered(now, r.sentTo, r.sentAt)
+		c.detector.Answered(now, a.sentTo, a.sentAt)
 		return
 	case e.End == retry.Answered:
-		c.recordBegan(now, r)
+		c.recordBegan(now, r, a)
 	}
 	r.begun = r.begun || e.Started || (e.FirstByte > 0 && !failed)
 	if e.End.Crash() && !r.begun && e.FirstByte == 0 {
-		c.detector.Lost(now, r.sentTo, r.Traits)
+		c.detector.Lost(now, a.sentTo, r.Traits)
 	}
 }
 
@@ -133,8 +130,8 @@
 	}
 	if r.possibleRuns > 0 {
 		group += ";failover" + strconv.FormatInt(r.version, 10)
-		for _, id := range r.failedUpstreams {
-			group += "," + string(id)
+		for _, f := range r.failedUpstreams {
+			group += "," + string(f.id)
 		}
 	}
 	return queueKey{turn: r.turn, group: group}
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -111,6 +111,11 @@
 
 // Observation is what the header of a response reports about its upstream.
 type Observation struct {
+	// Attempt is the number of the attempt that the response belongs to; 0 for the current
+	// one of its request.
+	Attempt int
+	// Refused is set if the upstream has not run the request.
+	Refused       bool
 	Load          *Load
 	Version       int64
 	ColdRemaining time.Duration
@@ -179,6 +184,13 @@
 	Waited time.Duration
 	// Attempt is the number of this attempt of the request, from 1.
 	Attempt int
+	// Hedge is set if the current attempt of the request is silent and goes on beside this
+	// one. The first of the two that makes progress goes on to the caller, and the other one
+	// is ended. If the current attempt ends without an answer, this one takes its place.
+	// HedgeEnded, HedgeDropped or AttemptReplaced follows.
+	Hedge bool
+	// Estimate is the load that a hedge rests on; zero for other attempts.
+	Estimate LoadEstimate
 	// Probe is the convicted trait that the request probes; 0 if it probes none.
 	Probe poison.Trait
 	// Rank is the urgency of the request; 0 is the most urgent.
@@ -236,16 +248,9 @@
 // Finish ends a request that needs no further action.
 type Finish struct{ Ticket Ticket }
 
-// Interrupt ends the attempt of a request that is silent, because another upstream has
-// capacity for it, or of one that still runs at the end of a planned stop. AttemptEnded
-// follows with retry.Stalled, or with the answer if that was complete by then.
-type Interrupt struct {
-	Ticket Ticket
-	// Other is the upstream that has capacity, and Estimate its load; zero at the end of a
-	// planned stop.
-	Other    fleet.InstanceID
-	Estimate LoadEstimate
-}
+// Interrupt ends the attempts of a request that still runs at the end of a planned stop.
+// AttemptEnded follows with retry.Stalled, or with the answer if that was complete by then.
+type Interrupt struct{ Ticket Ticket }
 
 func (Send) action()      {}
 func (Deliver) action()   {}
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -92,6 +92,10 @@
 	// it still is silent.
 	aliveAt, silentAt time.Time
 	trial             bool
+	// acceptedAt is when the upstream last responded to a request that it accepted; zero if
+	// it has refused one since. hedges counts the hedges of this entry there.
+	acceptedAt time.Time
+	hedges     int
 	// coldUntil is when the upstream can take its full load.
 	coldUntil time.Time
 	// coldSends counts the sends in the last coldWindow. It is empty for services
@@ -162,6 +166,10 @@
 
 // observe applies what a response of the upstream reported.
 func (u *upstream) observe(now time.Time, o Observation) {
+	u.acceptedAt = now
+	if o.Refused {
+		u.acceptedAt = time.Time{}
+	}
 	u.statedFull = o.Load != nil && u.full(o.Load)
 	if o.Load != nil {
 		u.observeLoad(now, o.Load)
