dispatch: a hedge in a planned stop needs no reserve for a silence

Cause: a request that begins in a stop leaves 2 s for a silence of its upstream. The same rule decided on hedges, so that from about 3 s before the end none began, and the silent attempt was all there was. Change: hedges need the expected time of an answer, no reserve. Why it works: the silent attempt goes on beside the hedge, so that nothing is lost if the hedge does not end in time. Result: TestHedgeBeginsLateInAPlannedStop fails on in the case with 2.5 s left, and passes now.

--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -104,7 +104,7 @@
 // accept it.
 func (c *Core) mayHedge(now time.Time, r *request, d poison.Decision) bool {
 	e := AttemptResult{End: retry.Stalled, Started: r.silence.Started, LastEventID: r.silence.LastEventID}
-	return r.hedge == nil && r.hedges < maxHedges && c.repeatable(now, r, d, e, r.possibleRuns+1)
+	return r.hedge == nil && r.hedges < maxHedges && c.hedgeEndsInTime(now, r) && r.mayRunAgain(now, d, e, r.possibleRuns+1)
 }
 
 // tryHedge begins a hedge of a silent request if an upstream is expected to accept it and the
--- a/lib/dispatch/hedge_test.go
+++ b/lib/dispatch/hedge_test.go
@@ -203,3 +203,18 @@
 	h.advance(loadReportTTL + time.Millisecond)
 	require.Len(t, h.core.Tick(h.now), 1, "what it stated is too old to count")
 }
+
+// Guards against a request that is answered 502 in a planned stop because its upstream is silent
+// for good, although there is time for a hedge: the time that is set apart for a silence of its
+// upstream has been used up by the silent attempt.
+func TestHedgeBeginsLateInAPlannedStop(t *testing.T) {
+	for left, hedged := range map[time.Duration]bool{2500 * time.Millisecond: true, 100 * time.Millisecond: false} {
+		h := newHarness(t, view(replica("a", 1), replica("b", 1)))
+		ticket, actions := h.arrive("/stream/1")
+		h.sent(actions)
+		since := h.now
+		h.core.Stop(h.now, h.now.Add(silentFor+left))
+		h.advance(silentFor)
+		require.Equal(t, hedged, len(h.core.AttemptSilent(h.now, ticket, Silence{Since: since})) == 1, left)
+	}
+}
--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -326,7 +326,7 @@
 // mayRetry reports whether the request may be sent once more. It takes a retry
 // from the budget unless the upstream was unreachable.
 func (c *Core) mayRetry(now time.Time, s *service, r *request, d poison.Decision, e AttemptResult) bool {
-	if !c.repeatable(now, r, d, e, r.possibleRuns) {
+	if !c.repeatable(now, r, d, e) {
 		return false
 	}
 	// An unreachable upstream has not received the request, so that a retry adds
@@ -334,11 +334,17 @@
 	return e.End == retry.Unreachable || s.retryBudget.Spend(now, c.place.Processes)
 }
 
-// repeatable reports whether the request may be sent once more after the given number of
-// possible runs, regardless of the budget. A suspected request is not sent again after a
-// crash, so that it crashes no second upstream.
-func (c *Core) repeatable(now time.Time, r *request, d poison.Decision, e AttemptResult, possibleRuns int) bool {
-	if !now.Before(r.deadline) || !c.endsInTime(now, c.service(now, r.service), r) {
+// repeatable reports whether the request may be sent once more after an attempt, regardless of
+// the budget.
+func (c *Core) repeatable(now time.Time, r *request, d poison.Decision, e AttemptResult) bool {
+	return c.endsInTime(now, c.service(now, r.service), r) && r.mayRunAgain(now, d, e, r.possibleRuns)
+}
+
+// mayRunAgain reports whether the request may be sent once more after the given number of
+// possible runs. A suspected request is not sent again after a crash, so that it crashes no
+// second upstream.
+func (r *request) mayRunAgain(now time.Time, d poison.Decision, e AttemptResult, possibleRuns int) bool {
+	if !now.Before(r.deadline) {
 		return false
 	}
 	if !e.End.NotRun() && (!r.route.Idempotent() || possibleRuns >= r.route.MaxAttempts) {
--- a/lib/dispatch/stop.go
+++ b/lib/dispatch/stop.go
@@ -75,6 +75,16 @@
 	return now.Before(c.stopEnd) && !now.After(c.latestSend(s, r))
 }
 
+// hedgeEndsInTime reports whether a hedge that is sent now is expected to end before the process
+// does. No time is set apart in which its upstream may be silent: the silent attempt, which
+// goes on beside it, has used that up.
+func (c *Core) hedgeEndsInTime(now time.Time, r *request) bool {
+	if !c.stopping() || !r.deadline.After(c.stopEnd) {
+		return true
+	}
+	return !now.After(c.stopEnd.Add(-c.expectedTime(c.service(now, r.service), r)))
+}
+
 // latestSend returns when a request must be sent to end before a stopping process does.
 func (c *Core) latestSend(s *service, r *request) time.Time {
 	if !r.deadline.After(c.stopEnd) {
