--- a/agent/gatecontroller.go
+++ b/agent/gatecontroller.go
@@ -89,6 +89,7 @@
 
 func (admit) gateEvent()          {}
 func (began) gateEvent()          {}
+func (survived) gateEvent()       {}
 func (recheck) gateEvent()        {}
 func (done) gateEvent()           {}
 func (release) gateEvent()        {}
@@ -152,7 +153,9 @@
 	case recheck:
 		_ = ev.reply.Put(ctx, g.newVerdict(now, ev.ticket, g.gate.Recheck(now, ev.ticket)))
 	case began:
-		g.began(now, ev)
+		g.gate.Began(now, ev.ticket)
+	case survived:
+		g.survived(now, ev)
 	case done:
 		g.done(ctx, now, ev)
 	case release:
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -46,10 +46,11 @@
 // stop suspends the timeout while no read is in progress.
 func (p *progressTimer) stop() { p.timer.Stop() }
 
-// progressReader runs a progress timer during each read.
+// progressReader runs a progress timer during each read, and watches how far the answer goes.
 type progressReader struct {
 	io.Reader
-	timer *progressTimer
+	timer  *progressTimer
+	answer *answerWatch
 }
 
 // Read implements io.Reader. The time between reads does not count.
@@ -57,6 +58,9 @@
 	r.timer.reset()
 	n, err := r.Reader.Read(b)
 	r.timer.stop()
+	if n > 0 {
+		r.answer.goesOn()
+	}
 	return n, err
 }
 
@@ -84,13 +88,14 @@
 		return gate.Failed
 	}
 	p.stop()
-	a.recordBegan(call, resp.StatusCode)
-	err = a.relayResponse(ctx, call, resp, p)
+	answer := a.watchAnswer(call, resp.StatusCode)
+	err = a.relayResponse(ctx, call, resp, progressReader{Reader: resp.Body, timer: p, answer: answer})
 	if err != nil {
 		a.metrics.countCall(wire.Unknown)
 		a.recordCall(timeline.RequestRan, call.meta, "answer was cut: "+err.Error())
 		return interruptedOutcome(ctx)
 	}
+	answer.recordSurvived()
 	a.metrics.countCall(wire.Ran)
 	a.recordCall(timeline.RequestRan, call.meta, time.Since(startedAt).String())
 	return statusOutcome(resp.StatusCode)
@@ -116,7 +121,7 @@
 // relayResponse puts the response on the stream, of server-sent events only
 // complete ones. If reading it fails or it ends inside an event, the stream ends
 // with relay.ErrTruncated.
-func (a *Agent) relayResponse(ctx context.Context, call admittedCall, resp *http.Response, p *progressTimer) error {
+func (a *Agent) relayResponse(ctx context.Context, call admittedCall, resp *http.Response, body io.Reader) error {
 	head := &relay.Head{Status: resp.StatusCode, Header: relay.ForwardHeader(resp.Header)}
 	head.Header.Set(wire.HeaderOutcome, string(wire.Ran))
 	wire.SetLoad(head.Header, call.load)
@@ -127,7 +132,7 @@
 	if relay.IsEventStream(resp.Header) {
 		read = relay.ReadEvents
 	}
-	err := read(ctx, progressReader{Reader: resp.Body, timer: p}, call.stream)
+	err := read(ctx, body, call.stream)
 	end := relay.Part{End: true}
 	if err != nil {
 		end.Err = relay.ErrTruncated
--- a/bench/e2e/entry_faults_test.go
+++ b/bench/e2e/entry_faults_test.go
@@ -150,10 +150,20 @@
 // Guards against a message that crashes one engine after another because no two
 // requests with it are alike, also through another entry, and against sound requests
 // of the same customer that are blocked because they begin with the same message.
-func TestHarmfulMessageIsStoppedEverywhere(t *testing.T) {
+func TestHarmfulMessageIsStoppedEverywhere(t *testing.T) { requireHarmfulMessageStopped(t, 0) }
+
+// Guards against the same if the engines crash after the first tokens of each answer.
+func TestMessageThatCrashesAfterAnswersBeganIsStoppedEverywhere(t *testing.T) {
+	requireHarmfulMessageStopped(t, 2)
+}
+
+// requireHarmfulMessageStopped checks that a message is blocked that crashes engines after they
+// have sent a number of tokens.
+func requireHarmfulMessageStopped(t *testing.T, tokens int) {
+	t.Helper()
 	ctx, l := servingLab(t, func(o *lab.Options) {
 		o.Agents = 4
-		o.Engine = standin.EngineOptions{TokenTime: time.Millisecond, CrashOn: "poison", KeepsVersions: true}
+		o.Engine = standin.EngineOptions{TokenTime: time.Millisecond, CrashOn: "poison", CrashAfter: tokens, KeepsVersions: true}
 		o.Limits = config.Limits{Cold: 8, Warm: 8, RampStep: 1}
 	})
 	next := 0
--- a/emulator/attempt.go
+++ b/emulator/attempt.go
@@ -28,6 +28,9 @@
 	// the core knows that the attempt is silent.
 	since  time.Time
 	silent bool
+	// begunAt is when the response began, and milestones are those that it has not reached.
+	begunAt    time.Time
+	milestones []time.Duration
 }
 
 // arrive passes the request to the engine. One that is paused reads it afterwards.
@@ -97,6 +100,7 @@
 		if a.hedge {
 			a.replace()
 		}
+		a.begunAt, a.milestones = now, a.send.Milestones
 		g.execute(g.core.ResponseStarted(now, a.send.Ticket))
 	})
 }
@@ -115,9 +119,20 @@
 		a.silent = false
 		g.execute(g.core.AttemptResumed(g.sim.clock.now, a.send.Ticket))
 	}
+	a.reportMilestone()
 	a.watch(a.send.GapSilence, a.send.GapTimeout)
 }
 
+// reportMilestone tells the core if the response has gone on for long enough to be evidence.
+func (a *attempt) reportMilestone() {
+	now := a.gateway.sim.clock.now
+	if len(a.milestones) == 0 || now.Sub(a.begunAt) < a.milestones[0] {
+		return
+	}
+	a.milestones = a.milestones[1:]
+	a.gateway.execute(a.gateway.core.ResponseGoesOn(now, a.send.Ticket, now.Sub(a.begunAt)))
+}
+
 // watch begins a new silence: the core is told if it lasts for report, and the attempt ends
 // if it lasts for end; 0 means never.
 func (a *attempt) watch(report, end time.Duration) {
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -23,8 +23,11 @@
 	onEvent func()
 	onEnd   func(retry.End)
 	started bool
-	// harmful is set if the engine crashes instead of making the first event.
-	harmful bool
+	// sent counts the events. harmful is set if the engine crashes instead of making the one
+	// after harmlessEvents.
+	sent           int
+	harmful        bool
+	harmlessEvents int
 	// canceled is set once the caller has left.
 	canceled bool
 }
@@ -154,15 +157,17 @@
 	return duration + time.Duration(float64(read)/e.model.PromptTokensPerSecond*float64(time.Second))
 }
 
-// begins reports whether the pass that ends makes the first event of a request.
-func (j *job) begins() bool { return !j.canceled && !j.started && j.unread == 0 }
+// crashes reports whether the engine crashes instead of making the next event.
+func (j *job) crashes() bool {
+	return j.harmful && !j.canceled && j.unread == 0 && j.sent >= j.harmlessEvents
+}
 
 // endPass emits an event of each request whose prompt is read, and begins the
-// next pass. The engine crashes instead if one of the first events is that of a
-// harmful request.
+// next pass. The engine crashes instead if one of the events is that of a harmful
+// request.
 func (e *engine) endPass() {
 	e.inPass = false
-	if slices.ContainsFunc(e.running, func(j *job) bool { return j.harmful && j.begins() }) {
+	if slices.ContainsFunc(e.running, (*job).crashes) {
 		e.onHarm()
 		return
 	}
@@ -190,6 +195,7 @@
 			j.started = true
 			j.onStart(dispatch.Observation{Load: e.load(), Version: e.version, Limit: e.limit})
 		}
+		j.sent++
 		j.onEvent()
 	}
 	for _, j := range ended {
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -183,7 +183,7 @@
 		result: dispatch.AttemptResult{Version: send.ExpectVersion},
 	}
 	a.job = &job{
-		promptTokens: c.promptTokens, remaining: c.remainingTokens(g.sim.scenario.Engine.Stride), harmful: c.prompt.harmful,
+		promptTokens: c.promptTokens, remaining: c.remainingTokens(g.sim.scenario.Engine.Stride), harmful: c.prompt.harmful, harmlessEvents: g.sim.scenario.Harmful.Events,
 		onStart: a.started, onEvent: func() { a.reply(a.eventReceived) }, onEnd: a.end,
 	}
 	if send.Hedge {
--- a/emulator/harm_test.go
+++ b/emulator/harm_test.go
@@ -43,6 +43,49 @@
 	}
 }
 
+// Pattern: the engine crashes after the first events of an answer. Guards against gateways that
+// take a request whose answer has begun for harmless: its part is never blocked, and each such
+// request is sent to a second engine, which crashes as well.
+func TestPartThatCrashesEnginesAfterAnswersBegan(t *testing.T) {
+	for _, events := range []int{1, 2, 5} {
+		for seed := uint64(1); seed <= harmfulSeeds; seed++ {
+			s := smallHarmful(t)
+			s.Harmful.Events = events
+			// The answers of the class are long enough for the crash.
+			s.Classes[0].Spread = 0.3
+			h := Run(s, seed).Harm
+			t.Logf("%d events, seed %d: %d crashes, %d late", events, seed, h.Crashes, h.ReachedLate)
+			require.Positive(t, h.Crashes, "seed %d", seed)
+			require.LessOrEqual(t, h.ReachedLate, maxReachedLate, "seed %d", seed)
+			require.GreaterOrEqual(t, h.Beside.BegunShare(), minBegunBeside*h.Apart.BegunShare(), "seed %d", seed)
+		}
+	}
+}
+
+// Pattern: engines crash one after the other, by no fault of a request, under answers of
+// several seconds whose prompts share all their parts, at several gateways. Guards against
+// gateways that block what all these requests have in common.
+func TestCrashesThatNoPartCausesBlockNothing(t *testing.T) {
+	for _, turn := range []time.Duration{250 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond} {
+		for seed := uint64(1); seed <= harmfulSeeds; seed++ {
+			s := smallHarmful(t)
+			s.Harmful = Harmful{}
+			s.Prompts.FirstParts, s.Prompts.FurtherParts = 1, 0
+			s.Traffic.PerSecond = 40
+			s.Traffic.Length = 28 * time.Second
+			for i := range s.Classes {
+				s.Classes[i].Events, s.Classes[i].MaxEvents, s.Classes[i].Spread = 60, 90, 0.2
+			}
+			s.Crash = Crash{At: 6 * time.Second, Turn: turn, For: 3300 * time.Millisecond, Share: 1, KeepsWeights: true}
+			r := Run(s, seed)
+			require.Zero(t, r.Blocked, "every %v, seed %d", turn, seed)
+			during, after := r.Between(6*time.Second, 24*time.Second), r.Between(24*time.Second, 27*time.Second)
+			t.Logf("every %v, seed %d: %.3f in time during the crashes, %.3f after, %d blocked", turn, seed, during.InTimeShare(), after.InTimeShare(), r.Blocked)
+			require.GreaterOrEqual(t, after.InTimeShare(), minInTimePerSecond, "every %v, seed %d", turn, seed)
+		}
+	}
+}
+
 // Guards against an outcome that depends on the order of a map: of the evidence, of
 // the queues of suspected requests, or of the peers that a message names.
 func TestSameSeedSameHarm(t *testing.T) {
--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -130,10 +130,12 @@
 	SecondCopiesUntil time.Duration `ini:"second_copies_until"`
 }
 
-// Crash takes engines down at the same moment: a share of all of them, or all of
-// one region if Region is set.
+// Crash takes engines down: a share of all of them, or all of one region if Region is set.
 type Crash struct {
+	// At is when the first engine crashes. Each of the others follows Turn after the one
+	// before it; a Turn of 0 makes them crash together.
 	At     time.Duration `ini:"at"`
+	Turn   time.Duration `ini:"turn"`
 	For    time.Duration `ini:"for"`
 	Share  float64       `ini:"share"`
 	Region fleet.Region  `ini:"region"`
@@ -182,6 +184,8 @@
 	Until time.Duration `ini:"until"`
 	// Down is how long an engine is down after a crash. It keeps its weights.
 	Down time.Duration `ini:"down"`
+	// Events is the number of events of an answer that the engine makes before it crashes.
+	Events int `ini:"events"`
 }
 
 // during reports whether requests of a class that are first sent at a time may be
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -337,13 +337,22 @@
 	return c
 }
 
-// crashEngines takes the engines of the scenario's crash down.
+// crashEngines takes the engines of the scenario's crash down, together or in turn.
 func (s *simulation) crashEngines() {
 	crash := &s.scenario.Crash
-	for _, e := range s.crashing() {
-		s.crashEngine(e, crash.For, crash.KeepsWeights)
+	if crash.Turn == 0 {
+		for _, e := range s.crashing() {
+			s.crashEngine(e, crash.For, crash.KeepsWeights)
+		}
+		s.publishLater()
+		return
+	}
+	for i, e := range s.crashing() {
+		s.clock.after(time.Duration(i)*crash.Turn, func() {
+			s.crashEngine(e, crash.For, crash.KeepsWeights)
+			s.publishLater()
+		})
 	}
-	s.publishLater()
 }
 
 // crashing returns the engines of a region, or else a share of all of them.
--- a/entry/suspicion.go
+++ b/entry/suspicion.go
@@ -20,9 +20,9 @@
 type evidence struct {
 	// answered is true if the agent responded to the attempt.
 	answered bool
-	// begun is true if the answer of the upstream began; reported is true if the
-	// router knows it.
-	begun, reported bool
+	// begun is true if the answer of the upstream began, and success if its status is that of
+	// a success.
+	begun, success bool
 	// crash identifies the crash that the upstream may have had; known is true if
 	// the agent named one.
 	crash poison.CrashID
@@ -32,7 +32,7 @@
 // evidenceOf returns what the head of a response says.
 func evidenceOf(resp *http.Response) evidence {
 	ran := wire.Outcome(resp.Header.Get(wire.HeaderOutcome)) == wire.Ran
-	v := evidence{answered: true, begun: ran && wire.AnswerBegan(resp.StatusCode)}
+	v := evidence{answered: true, begun: ran && wire.AnswerBegan(resp.StatusCode), success: resp.StatusCode < http.StatusBadRequest}
 	v.crash, v.known = wire.GetCrash(resp.Header)
 	return v
 }
@@ -40,7 +40,6 @@
 // reportBegan reports that the answer to the attempt began, if it did.
 func (x *exchange) reportBegan(ctx context.Context, res *result) {
 	if res.evidence.begun {
-		res.evidence.reported = true
 		_ = x.entry.inbox.Put(ctx, answerBegan{attempt: x.attempt})
 	}
 }
@@ -51,11 +50,10 @@
 	return poison.NewCrashID(a.upstream.ID, int64(a.upstream.Incarnation))
 }
 
-// recordBegan clears the traits of a call whose answer began.
+// recordBegan records that an answer began, which shows that the agent has not crashed. The
+// agent itself reports which requests its upstream has survived while they are answered.
 func (r *router) recordBegan(a attempt) {
-	now := r.entry.now()
-	r.evidence.Began(now, a.call.traits)
-	r.evidence.Answered(now, agentCrashID(&a), a.sentAt)
+	r.evidence.Answered(r.entry.now(), agentCrashID(&a), a.sentAt)
 }
 
 // recordEvidence records what the end of an attempt says about the traits of its
@@ -65,12 +63,12 @@
 func (r *router) recordEvidence(a attempt, res result) {
 	now := r.entry.now()
 	v := res.evidence
-	switch {
-	case v.begun && !v.reported && res.complete:
-		r.recordBegan(a)
-	case v.answered:
+	if v.answered {
 		r.evidence.Answered(now, agentCrashID(&a), a.sentAt)
 	}
+	if v.begun && v.success && res.complete {
+		r.evidence.Survived(now, a.call.traits)
+	}
 	switch {
 	case !res.end.Crash():
 	case !v.answered:
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -34,7 +34,11 @@
 	load    *dispatch.Load
 	limit   ratelimit.Statement
 	version int64
-	outcome exchange.Outcome
+	// begunAt is when the response to a streaming request began, and milestones are those that
+	// it has not reached.
+	begunAt    time.Time
+	milestones []time.Duration
+	outcome    exchange.Outcome
 	// conn is the connection of the attempt; after its end it is nil unless it can be used
 	// again.
 	conn *exchange.Conn
@@ -185,6 +189,7 @@
 	// Only a success is the beginning of an answer; the end of the attempt reports
 	// any other status.
 	if r.send.Streaming && resp.StatusCode/100 == http.StatusOK/100 {
+		r.begunAt, r.milestones = time.Now(), r.send.Milestones
 		c.report(responseStarted{ticket: c.ticket})
 	}
 	if r.received.started {
@@ -206,9 +211,26 @@
 	if err := c.turn.advance(r); err != nil {
 		return err
 	}
+	r.reportMilestone()
 	return write()
 }
 
+// reportMilestone tells the router if the response has gone on for long enough to be evidence.
+func (r *attemptRun) reportMilestone() {
+	if len(r.milestones) == 0 {
+		return
+	}
+	answered := time.Since(r.begunAt)
+	reached := 0
+	for reached < len(r.milestones) && answered >= r.milestones[reached] {
+		reached++
+	}
+	if reached > 0 {
+		r.milestones = r.milestones[reached:]
+		r.handler.report(responseGoesOn{ticket: r.handler.ticket, answered: answered})
+	}
+}
+
 // Silent implements exchange.Receiver. The router decides whether a hedge begins.
 func (r *attemptRun) Silent(since time.Time, lastEventID string) {
 	c := r.handler
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -32,8 +32,15 @@
 	observation dispatch.Observation
 }
 
-// responseStarted reports that the response to a streaming request has started.
-type responseStarted struct{ ticket dispatch.Ticket }
+// responseStarted reports that the response to a streaming request has started,
+// responseGoesOn that it has gone on for a time.
+type (
+	responseStarted struct{ ticket dispatch.Ticket }
+	responseGoesOn  struct {
+		ticket   dispatch.Ticket
+		answered time.Duration
+	}
+)
 
 // attemptEnded reports how an attempt ended. conn is the connection if it can be
 // reused, and nil otherwise.
@@ -61,6 +68,7 @@
 func (arrival) event()            {}
 func (headReceived) event()       {}
 func (responseStarted) event()    {}
+func (responseGoesOn) event()     {}
 func (attemptEnded) event()       {}
 func (attemptSilent) event()      {}
 func (attemptResumed) event()     {}
@@ -232,6 +240,8 @@
 		r.core.Observe(now, ev.ticket, ev.observation)
 	case responseStarted:
 		r.execute(ctx, r.core.ResponseStarted(now, ev.ticket))
+	case responseGoesOn:
+		r.execute(ctx, r.core.ResponseGoesOn(now, ev.ticket, ev.answered))
 	case attemptSilent:
 		if req := r.active[ev.ticket]; req != nil {
 			req.hedges = ev.hedges
--- a/gateway/suspicion_test.go
+++ b/gateway/suspicion_test.go
@@ -131,7 +131,7 @@
 		}
 		require.Equal(t, poison.NewCrashID("i-1", 1), m.Crashes[0].Crash)
 		require.Len(t, m.Crashes[0].Suspects, 2)
-		require.Contains(t, m.Crashes[0].Suspects, poison.Suspect{Trait: poison.PartTrait("m", "first")})
+		require.Contains(t, m.Crashes[0].Suspects, poison.Suspect{Trait: poison.PartTrait("m", "first"), Early: true})
 		return
 	}
 }
@@ -146,7 +146,7 @@
 	for i := range 300 {
 		full = append(full, ^poison.Trait(i))
 	}
-	d.Began(now, full)
+	d.Survived(now, full)
 	for suspects := range 32 {
 		for i := range crashes {
 			d.Lost(now, ^poison.CrashID(100*suspects+i), full[len(full)-1-suspects:])
--- a/lib/dispatch/place.go
+++ b/lib/dispatch/place.go
@@ -59,6 +59,9 @@
 	return send, true
 }
 
+// milestones are the Milestones of each Send.
+var milestones = poison.Milestones()
+
 // send begins an attempt of a request at an upstream.
 func (c *Core) send(now time.Time, s *service, r *request, u *upstream, a *attempt) Send {
 	u.recordSend(now, s.coldBudget > 0)
@@ -80,6 +83,7 @@
 		HoldErrors: r.route.Idempotent(),
 		Waited:     now.Sub(r.arrived),
 		Attempt:    r.attempts,
+		Milestones: milestones,
 		Rank:       r.rank(),
 		Ranked:     r.ranked,
 		Turn:       r.turn,
--- a/lib/dispatch/request.go
+++ b/lib/dispatch/request.go
@@ -48,8 +48,10 @@
 	hedge    *attempt
 	hedges   int
 	refusals []refusal
-	// begun is set once the answer began, at any upstream.
-	begun bool
+	// begun is set once the answer began, at any upstream, and survived once an upstream
+	// survived the request. lost is set once an upstream was lost with it, and suspected once
+	// that happened again, or while its traits were under suspicion.
+	begun, survived, lost, suspected bool
 	// suspect is the suspected trait whose upstream the request may go to; 0 if it
 	// may go to any. It is constant while the request is in one queue.
 	suspect poison.Trait
--- a/lib/dispatch/suspect_queue_test.go
+++ b/lib/dispatch/suspect_queue_test.go
@@ -24,8 +24,21 @@
 	require.NotEqual(t, target.ID, h.core.pickSuspected(h.now, s, r, harmful).ID)
 }
 
-// Guards against a resumed stream whose answer at the second upstream clears nothing.
-func TestEachAttemptThatBeginsClears(t *testing.T) {
+// Guards against a resumed stream whose answer at the second upstream clears nothing: it lasts,
+// or comes to its end.
+func TestEachAttemptThatSurvivesClears(t *testing.T) {
+	for name, survive := range map[string]func(h *harness, ticket Ticket){
+		"lasts": func(h *harness, ticket Ticket) { h.core.ResponseGoesOn(h.now, ticket, 2*time.Second) },
+		"ends": func(h *harness, ticket Ticket) {
+			h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Answered, Started: true, FirstByte: time.Millisecond})
+		},
+	} {
+		t.Run(name, func(t *testing.T) { requireSecondAttemptClears(t, survive) })
+	}
+}
+
+func requireSecondAttemptClears(t *testing.T, survive func(h *harness, ticket Ticket)) {
+	t.Helper()
 	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
 	ticket, actions := h.arriveWith("/stream/1", harmful)
 	h.sent(actions)
@@ -34,6 +47,8 @@
 	h.core.ApplyReports(h.now, reports(harmful, 1))
 	require.Equal(t, poison.Suspected, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict)
 	h.core.ResponseStarted(h.now, ticket)
+	require.Equal(t, poison.Suspected, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict, "it may still crash the upstream")
+	survive(h, ticket)
 	require.Equal(t, poison.Clear, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict)
 }
 
--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -27,11 +27,12 @@
 	return c.drain(now)
 }
 
-// decide returns how a request may run. A request whose answer began before is not
-// under suspicion, because a trait that crashes upstreams never gets that far.
+// decide returns how a request may run. One whose answer began goes on anywhere, since most
+// upstreams are lost for other reasons, unless it was lost once more or its traits were under
+// suspicion before it was lost: a trait may crash upstreams right after the first event.
 func (c *Core) decide(now time.Time, r *request) poison.Decision {
 	d := c.detector.Check(now, r.Traits)
-	if r.begun && d.Verdict != poison.Blocked {
+	if d.Verdict == poison.Suspected && r.begun && !r.suspected {
 		return poison.Decision{}
 	}
 	return d
@@ -81,21 +82,30 @@
 	return d.Trait
 }
 
-// recordBegan records that the answer of the current attempt began. Only the first
-// call for an attempt has an effect.
+// recordBegan records that the answer of an attempt began. Only the first call for an attempt
+// has an effect.
 func (c *Core) recordBegan(now time.Time, r *request, a *attempt) {
 	if a.answering {
 		return
 	}
 	a.answering, r.begun = true, true
-	c.detector.Began(now, r.Traits)
 	c.detector.Answered(now, a.sentTo, a.sentAt)
 }
 
+// ResponseGoesOn records that the response to a request has gone on for a time, which is at
+// least one of Send.Milestones.
+func (c *Core) ResponseGoesOn(now time.Time, ticket Ticket, answered time.Duration) []Action {
+	r := c.requests[ticket]
+	if r == nil || r.upstream == nil {
+		return nil
+	}
+	c.detector.GoesOn(now, r.Traits, answered)
+	return c.drain(now)
+}
+
 // recordEvidence records what the end of an attempt says about the traits of its
-// request. A request whose answer began, here or at an earlier upstream, did not
-// cause the loss of its upstream. An error is no answer: an upstream may reject a
-// request before it runs the part that crashes it.
+// request. An error is no answer: an upstream may reject a request before it runs the part
+// that crashes it.
 func (c *Core) recordEvidence(now time.Time, r *request, a *attempt, e AttemptResult) {
 	failed := e.ServerError || e.ClientError
 	switch {
@@ -104,11 +114,27 @@
 		return
 	case e.End == retry.Answered:
 		c.recordBegan(now, r, a)
+		c.detector.Survived(now, r.Traits)
+	case e.End.Crash() && !failed:
+		c.recordLoss(now, r, a, e)
 	}
 	r.begun = r.begun || e.Started || (e.FirstByte > 0 && !failed)
-	if e.End.Crash() && !r.begun && e.FirstByte == 0 {
-		c.detector.Lost(now, a.sentTo, r.Traits)
+}
+
+// recordLoss records that an upstream was lost with a request. One that an upstream has
+// survived is not the cause.
+func (c *Core) recordLoss(now time.Time, r *request, a *attempt, e AttemptResult) {
+	answered := time.Duration(0)
+	if e.FirstByte > 0 {
+		answered = now.Sub(a.sentAt) - e.FirstByte
+	}
+	r.survived = r.survived || poison.Lasts(answered)
+	if r.survived {
+		return
 	}
+	r.suspected = r.suspected || r.lost || c.detector.Check(now, r.Traits).Verdict != poison.Clear
+	r.lost = true
+	c.detector.LostAnswering(now, a.sentTo, r.Traits, answered)
 }
 
 // block rejects a request with a convicted trait. It must not have run.
--- a/lib/dispatch/suspicion_test.go
+++ b/lib/dispatch/suspicion_test.go
@@ -32,15 +32,20 @@
 // publishes the next start of that upstream.
 func (h *harness) crash(ticket Ticket, send Send) []Action {
 	actions := h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Lost})
+	return append(actions, h.restart(send.Upstream)...)
+}
+
+// restart publishes the next start of an upstream.
+func (h *harness) restart(id fleet.InstanceID) []Action {
 	v := *h.core.view
 	for i, u := range v.Upstreams {
-		if u.ID == send.Upstream {
+		if u.ID == id {
 			next := *u
 			next.StartTime++
 			v.Upstreams[i] = &next
 		}
 	}
-	return append(actions, h.core.Update(h.now, &v)...)
+	return h.core.Update(h.now, &v)
 }
 
 // reports returns the evidence of another entry: a trait was alone in a number of
@@ -124,7 +129,7 @@
 	require.NotEqual(t, target, h.sent(actions).Upstream, "another suspicion does not wait for this upstream")
 	h.core.SetPeerLoads(h.now, nil, nil)
 	require.Equal(t, Send{Ticket: waiting, Upstream: target}, idOf(h.sent(h.core.Tick(h.now))))
-	h.core.ResponseStarted(h.now, ticket)
+	h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Answered, FirstByte: time.Millisecond})
 	require.Equal(t, poison.Clear, h.core.Detector().Check(h.now, []poison.Trait{harmful}).Verdict, "an answer clears the part")
 }
 
@@ -159,7 +164,7 @@
 	target = h.core.pickSuspected(h.now, h.core.services[engine], &request{Call: r.Call, route: r.route}, harmful)
 	h.core.SetPeerLoads(h.now, map[fleet.InstanceID]peering.Load{target.ID: {Requests: 4}}, nil)
 	require.Equal(t, sound, h.sent(h.core.Tick(h.now)).Ticket)
-	h.core.Detector().Began(h.now, []poison.Trait{harmful})
+	h.core.Detector().Survived(h.now, []poison.Trait{harmful})
 	send := h.sent(h.core.Tick(h.now))
 	require.Equal(t, suspect, send.Ticket)
 	require.NotEqual(t, target.ID, send.Upstream)
@@ -226,19 +231,82 @@
 	require.False(t, h.core.services[engine].rejectedRecently(h.now))
 }
 
-// Guards against a stream that ends because a part of its prompt came under suspicion
-// after its answer began, and against counting its loss as the fault of that part.
-func TestStreamThatBeganIsNoSuspect(t *testing.T) {
+// lostAfterEvent is the loss of an upstream right after an event of version 1.
+var lostAfterEvent = AttemptResult{End: retry.Lost, Started: true, FirstByte: time.Millisecond, LastEventID: "7", Version: 1}
+
+// Guards against a stream that ends because a part of its prompt came under suspicion after it
+// had gone on for long, and against counting its loss as the fault of that part.
+func TestStreamThatLastedIsNoSuspect(t *testing.T) {
 	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
 	ticket, actions := h.arriveWith("/stream/1", harmful)
-	h.sent(actions)
+	send := h.sent(actions)
 	h.core.ResponseStarted(h.now, ticket)
+	for _, answered := range send.Milestones {
+		h.core.ResponseGoesOn(h.now.Add(answered), ticket, answered)
+	}
+	h.advance(send.Milestones[len(send.Milestones)-1] + time.Second)
 	h.core.ApplyReports(h.now, reports(harmful, 2))
-	h.sent(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Lost, Started: true, FirstByte: time.Millisecond, LastEventID: "7", Version: 1}))
-	h.refused(h.core.AttemptEnded(h.now, ticket, AttemptResult{End: retry.Lost, Started: true, LastEventID: "7", Version: 1}))
+	h.sent(h.core.AttemptEnded(h.now, ticket, lostAfterEvent))
+	h.refused(h.core.AttemptEnded(h.now, ticket, lostAfterEvent))
 	require.Equal(t, 2, h.core.Detector().Crashes(), "only those that were reported")
 }
 
+// Guards against a stream that is cut with the first upstream that is lost under it, and
+// against one that takes one upstream after the other with it: twice lost is evidence.
+func TestStreamThatBeganIsResumedOnce(t *testing.T) {
+	v := view(replica("a", 1), replica("b", 1), replica("c", 1))
+	v.Config.Routes[0].MaxAttempts = 3
+	v.Config.Index()
+	h := newHarness(t, v)
+	ticket, actions := h.arriveWith("/stream/1", harmful)
+	for lost := range 2 {
+		send := h.sent(actions)
+		h.core.ResponseStarted(h.now, ticket)
+		h.advance(300 * time.Millisecond)
+		actions = h.core.AttemptEnded(h.now, ticket, lostAfterEvent)
+		require.Equal(t, lost+1, h.core.Detector().Crashes())
+		require.Contains(t, h.core.Detector().All(h.now)[0].Suspects, poison.Suspect{Trait: harmful})
+		require.Equal(t, poison.NewCrashID(send.Upstream, 1), h.core.Detector().All(h.now)[0].Crash)
+	}
+	require.Equal(t, OutcomeUnknown, h.refused(actions).Verdict)
+}
+
+// Guards against a second upstream that is lost with a part which had crashed one before.
+func TestSuspectedStreamThatBeganIsNotResumed(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1), replica("b", 1)))
+	h.core.ApplyReports(h.now, reports(harmful, 1))
+	ticket, actions := h.arriveWith("/stream/1", harmful)
+	h.sent(actions)
+	h.core.ResponseStarted(h.now, ticket)
+	require.Equal(t, OutcomeUnknown, h.refused(h.core.AttemptEnded(h.now, ticket, lostAfterEvent)).Verdict)
+}
+
+// Guards against a part of a prompt that crashes one upstream after the other right after the
+// first event of each answer, and against sound requests that are rejected because they have a
+// part or the customer in common with those.
+func TestPartThatCrashesAfterTheFirstEventIsBlocked(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1), replica("b", 1), replica("c", 1), replica("d", 1)))
+	crashes := 0
+	for range 8 {
+		h.advance(time.Second)
+		sound, actions := h.arriveWith("/stream/1", first)
+		h.sent(actions)
+		h.core.ResponseStarted(h.now, sound)
+		ticket, actions := h.arriveWith("/stream/1", first, harmful)
+		for send, ok := actions[0].(Send); ok; send, ok = actions[0].(Send) {
+			crashes++
+			h.core.ResponseStarted(h.now, ticket)
+			h.advance(50 * time.Millisecond)
+			actions = h.core.AttemptEnded(h.now, ticket, lostAfterEvent)
+			h.restart(send.Upstream)
+		}
+		h.refused(actions)
+		h.core.AttemptEnded(h.now, sound, AttemptResult{End: retry.Answered, FirstByte: time.Millisecond})
+	}
+	require.LessOrEqual(t, crashes, poison.BlockAfter+1)
+	require.Equal(t, []poison.Trait{harmful}, h.core.Detector().Convicted(h.now))
+}
+
 // Guards against a convicted part that is never tried again, against several
 // requests that try it at once, and against one that counts although it only waits.
 func TestOneRequestProbes(t *testing.T) {
@@ -255,7 +323,7 @@
 	require.Len(t, actions, 2)
 	require.Equal(t, harmful, actions[0].(Send).Probe)
 	require.Equal(t, Refuse{Ticket: other, Verdict: NotRun, Reason: blockedReason, Trait: harmful}, actions[1])
-	h.core.ResponseStarted(h.now, probe)
+	h.core.AttemptEnded(h.now, probe, AttemptResult{End: retry.Answered, FirstByte: time.Millisecond})
 	_, actions = h.arriveWith("/stream/1", harmful)
 	require.Zero(t, h.sent(actions).Probe)
 }
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -169,6 +169,9 @@
 	// further event after which Core.AttemptSilent is called.
 	FirstByteSilence time.Duration
 	GapSilence       time.Duration
+	// Milestones are the times after the first event after which Core.ResponseGoesOn is
+	// called, from the shortest one.
+	Milestones []time.Duration
 	// BeginBy is when the first event must have arrived, because the weights of the
 	// upstream may not begin requests any later; zero for no limit.
 	BeginBy time.Time
--- a/lib/gate/gate.go
+++ b/lib/gate/gate.go
@@ -222,9 +222,12 @@
 	}
 }
 
-// Began records that the upstream began to answer a call, which therefore does not
-// crash it.
-func (g *Gate) Began(t Ticket) { g.crashes.recordEnd(t.number) }
+// Began records that the upstream began to answer a call.
+func (g *Gate) Began(now time.Time, t Ticket) { g.crashes.recordBegan(now, t.number) }
+
+// Survived records that the upstream survived a call, which therefore does not crash it: its
+// answer has come to its end, or has gone on for long.
+func (g *Gate) Survived(t Ticket) { g.crashes.recordEnd(t.number) }
 
 // Outcome is how a call ended at the upstream.
 type Outcome uint8
--- a/lib/gate/gate_test.go
+++ b/lib/gate/gate_test.go
@@ -172,33 +172,40 @@
 		require.Equal(t, gate.Admitted, r)
 		return ticket
 	}
-	const broken, finished, begun, lost, held, repeated poison.Trait = 1, 2, 3, 4, 5, 6
+	const broken, finished, survived, begun, lost, held, repeated poison.Trait = 1, 2, 3, 4, 5, 6, 7
 	up := gate.HealthCheck{StartedAt: start, Healthy: true, Warm: true, BootID: "one", Root: rootA}
 	first := gate.Start{BootID: "one"}
 	g.Done(start, admit(broken), gate.ConnectionLost)
 	require.Equal(t, gate.Change{Start: first, BrokenAt: start}, g.Observe(start, up))
 	require.Equal(t, gate.Change{Start: first}, g.Observe(start, up), "reported once")
 	g.Done(start, admit(finished), gate.Completed)
-	answered := admit(begun)
-	g.Began(answered)
+	answered := admit(survived)
+	g.Began(start, answered)
+	g.Survived(answered)
 	g.Done(start, answered, gate.ConnectionLost)
-	require.Empty(t, g.Observe(start, gate.HealthCheck{StartedAt: start}).Crashed, "lost in mid-answer")
+	require.Empty(t, g.Observe(start, gate.HealthCheck{StartedAt: start}).Crashed, "the upstream had survived it")
+	g.Observe(start, up)
+	answering := admit(begun)
+	g.Began(start.Add(-time.Second), answering)
+	g.Done(start, answering, gate.ConnectionLost)
+	midAnswer := g.Observe(start, gate.HealthCheck{StartedAt: start}).Crashed
+	require.Equal(t, []gate.LostCall{{Traits: []poison.Trait{begun}, Answered: time.Second}}, midAnswer, "a call may crash the upstream after its answer began")
 	g.Observe(start, up)
 	lostCall, heldCall := admit(lost), admit(held)
 	g.Done(start, lostCall, gate.ConnectionLost)
 	down := g.Observe(start, gate.HealthCheck{StartedAt: start})
-	require.Equal(t, [][]poison.Trait{{lost}}, down.Crashed)
+	require.Equal(t, []gate.LostCall{{Traits: []poison.Trait{lost}}}, down.Crashed)
 	require.Equal(t, first, down.Start)
 	up.BootID = "two"
 	restarted := g.Observe(start, up)
-	require.Equal(t, [][]poison.Trait{{held}}, restarted.Crashed)
+	require.Equal(t, []gate.LostCall{{Traits: []poison.Trait{held}}}, restarted.Crashed)
 	require.Equal(t, first, restarted.Start)
 	second := gate.Start{BootID: "two"}
 	g.Done(start, heldCall, gate.ConnectionLost)
 	require.Equal(t, gate.Change{Start: second}, g.Observe(start, up), "a call of an earlier start")
 	g.Done(start, admit(repeated), gate.ConnectionLost)
 	again := g.Observe(start, gate.HealthCheck{StartedAt: start})
-	require.Equal(t, [][]poison.Trait{{repeated}}, again.Crashed)
+	require.Equal(t, []gate.LostCall{{Traits: []poison.Trait{repeated}}}, again.Crashed)
 	require.Equal(t, second, again.Start)
 }
 
--- a/lib/gate/healthcheck.go
+++ b/lib/gate/healthcheck.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"rattanspur.example/lib/fleet"
-	"rattanspur.example/lib/poison"
 )
 
 // HealthCheck is the result of one health check of the upstream.
@@ -29,9 +28,9 @@
 	BecameCold bool
 	// Start is the start of the upstream that Crashed and BrokenAt apply to.
 	Start Start
-	// Crashed holds the traits of each call that was lost in a crash of the
-	// upstream before its answer began.
-	Crashed [][]poison.Trait
+	// Crashed holds the calls that were lost in a crash of the upstream before it had
+	// survived them.
+	Crashed []LostCall
 	// BrokenAt is when the first connection broke of an upstream that did not
 	// crash; zero if none broke.
 	BrokenAt time.Time
@@ -66,7 +65,7 @@
 	g.lastCheck = check
 	switch {
 	case restarted:
-		c.Crashed = g.crashes.recordRestart()
+		c.Crashed = g.crashes.recordRestart(now)
 	case !check.Healthy:
 		c.Crashed = g.crashes.recordUnreachable()
 	default:
--- a/lib/poison/bounds_test.go
+++ b/lib/poison/bounds_test.go
@@ -14,7 +14,7 @@
 // requireBounds checks the limits and that the index agrees with the records.
 func requireBounds(t require.TestingT, d *Detector, now time.Time) {
 	require.LessOrEqual(t, d.Crashes(), MaxRecords)
-	require.LessOrEqual(t, d.begun.Len(), maxRecentTraits)
+	require.LessOrEqual(t, d.survived.Len(), maxRecentTraits)
 	open, repeated := 0, 0
 	for _, r := range d.evidence.records {
 		require.LessOrEqual(t, len(r.suspects), maxSuspects)
@@ -64,7 +64,7 @@
 				}
 				switch rapid.IntRange(0, 3).Draw(t, "event") {
 				case 0:
-					d.Began(now, traits)
+					d.Survived(now, traits)
 				case 1:
 					other.Lost(now, CrashID(first+i), traits)
 				default:
@@ -90,7 +90,7 @@
 		known = append(known, i+1)
 		unknown = append(unknown, i+1000)
 	}
-	d.Began(start, known)
+	d.Survived(start, known)
 	d.Lost(start, 1, known)
 	require.Len(t, d.evidence.records[1].suspects, maxSuspects)
 	d.Lost(start, 1, unknown)
@@ -99,6 +99,22 @@
 	}
 }
 
+// Guards against a crash with many requests in the middle of their answers that hide the one
+// which has just begun.
+func TestLateSuspectsAreLeftOutBeforeEarlyOnes(t *testing.T) {
+	const harmful Trait = 1
+	d := New("gateway")
+	for i := range Trait(4 * maxSuspects) {
+		d.LostAnswering(start, 1, []Trait{i + 1000}, time.Second)
+	}
+	d.LostAnswering(start, 1, []Trait{harmful}, 20*time.Millisecond)
+	for i := range Trait(4 * maxSuspects) {
+		d.LostAnswering(start, 1, []Trait{i + 2000}, time.Second)
+	}
+	require.Len(t, d.evidence.records[1].suspects, maxSuspects)
+	require.Equal(t, Suspect{Trait: harmful, Early: true}, d.evidence.records[1].suspects[0])
+}
+
 // Guards against a harmful trait that the bound on suspects leaves out of every crash.
 func TestEachCrashKeepsAnotherSampleOfItsSuspects(t *testing.T) {
 	const harmful = ^Trait(0)
@@ -121,7 +137,7 @@
 	for i := range CrashID(2 * MaxRecords) {
 		now = now.Add(time.Second)
 		d.Lost(now, 1000+i, []Trait{8})
-		d.Began(now, []Trait{8})
+		d.Survived(now, []Trait{8})
 	}
 	require.Equal(t, MaxRecords, d.Crashes())
 	require.Equal(t, []Trait{7}, d.Convicted(now))
@@ -158,13 +174,13 @@
 func TestRecentTraitsForgetTheOldest(t *testing.T) {
 	d := New("gateway")
 	for i := range Trait(3 * maxRecentTraits) {
-		d.Began(start, []Trait{i})
-		d.Began(start, []Trait{0})
+		d.Survived(start, []Trait{i})
+		d.Survived(start, []Trait{0})
 	}
-	require.True(t, d.begun.Contains(0))
-	require.False(t, d.begun.Contains(2*maxRecentTraits))
-	require.True(t, d.begun.Contains(3*maxRecentTraits-1))
-	require.Equal(t, maxRecentTraits, d.begun.Len())
+	require.True(t, d.survived.Contains(0))
+	require.False(t, d.survived.Contains(2*maxRecentTraits))
+	require.True(t, d.survived.Contains(3*maxRecentTraits-1))
+	require.Equal(t, maxRecentTraits, d.survived.Len())
 }
 
 // FuzzReports guards against messages that break a gateway.
@@ -213,7 +229,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		next++
-		d.Began(now, []Trait{1 << 31, 1<<31 + 1, next})
+		d.Survived(now, []Trait{1 << 31, 1<<31 + 1, next})
 	}
 }
 
--- a/lib/poison/detector.go
+++ b/lib/poison/detector.go
@@ -13,7 +13,7 @@
 // outcome of a probe is known within it unless the answer is late.
 const probeRepeat = 10 * time.Second
 
-// maxRecentTraits is the number of traits whose last answers are remembered.
+// maxRecentTraits is the number of traits whose last harmless requests are remembered.
 const maxRecentTraits = 4096
 
 // Detector holds the evidence of one gateway. It is not safe for concurrent use:
@@ -21,9 +21,9 @@
 type Detector struct {
 	self     string
 	evidence evidence
-	// begun holds when answers to requests with a trait last began, for the traits that
-	// were answered last.
-	begun *simplelru.LRU[Trait, time.Time]
+	// survived holds when an upstream last survived a request with a trait, for the traits
+	// of the last such requests.
+	survived *simplelru.LRU[Trait, time.Time]
 	// findings are the traits of several crashes that are suspected or convicted.
 	// They are derived from the evidence when it has changed since. judged holds
 	// them.
@@ -40,14 +40,14 @@
 // New returns a detector without evidence. The name of the process distinguishes it
 // from others.
 func New(self string) *Detector {
-	begun, err := simplelru.NewLRU[Trait, time.Time](maxRecentTraits, nil)
+	survived, err := simplelru.NewLRU[Trait, time.Time](maxRecentTraits, nil)
 	if err != nil {
 		panic(err) // The size is a constant above 0.
 	}
 	return &Detector{
 		self:     self,
 		evidence: newEvidence(),
-		begun:    begun,
+		survived: survived,
 		findings: map[Trait]*finding{},
 		probes:   map[Trait]time.Time{},
 	}
@@ -69,19 +69,38 @@
 
 // Lost records that an upstream was lost with a request whose answer had not begun.
 func (d *Detector) Lost(now time.Time, id CrashID, traits []Trait) {
+	d.LostAnswering(now, id, traits, 0)
+}
+
+// LostAnswering records that an upstream was lost with a request whose answer had gone on for
+// a time. An answer that had gone on for lastingAfter is no evidence. The longer it had gone
+// on, the less likely the request is the cause: after earlyFor, only the request itself and
+// the parts that no upstream has survived a short time ago are suspects, so that what many
+// requests share is not counted against with each crash.
+func (d *Detector) LostAnswering(now time.Time, id CrashID, traits []Trait, answered time.Duration) {
+	if Lasts(answered) {
+		return
+	}
 	d.evidence.expire(now)
-	suspects := make([]Suspect, len(traits))
+	early := answered <= earlyFor
+	suspects := make([]Suspect, 0, len(traits))
 	for i, t := range traits {
-		begunAt, begun := d.begun.Peek(t)
-		suspects[i] = Suspect{
-			Trait: t,
-			Depth: min(i, maxDepth),
-			Known: t&requestTrait != 0 || begun && now.Sub(begunAt) <= knownFor,
+		whole := t&requestTrait != 0
+		known := d.known(now, t)
+		if known && !early && !whole {
+			continue
 		}
+		suspects = append(suspects, Suspect{Trait: t, Depth: min(i, maxDepth), Known: known || whole, Early: early})
 	}
 	d.evidence.join(now, crash{id: id, at: now, suspects: suspects})
 }
 
+// known reports whether an upstream survived a request with the trait a short time ago.
+func (d *Detector) known(now time.Time, t Trait) bool {
+	at, survived := d.survived.Peek(t)
+	return survived && now.Sub(at) <= knownFor
+}
+
 // Answered records that an upstream answered a request that was sent at sentAt. It
 // refutes a crash of that start of the upstream shortly before.
 func (d *Detector) Answered(now time.Time, id CrashID, sentAt time.Time) {
@@ -93,11 +112,36 @@
 	d.evidence.join(now, crash{id: id, at: r.at, refuted: true})
 }
 
-// Began records that the answer to a request began.
-func (d *Detector) Began(now time.Time, traits []Trait) {
+// Lasts reports whether an upstream has survived a request whose answer has gone on for a time.
+func Lasts(answered time.Duration) bool { return answered >= lastingAfter }
+
+// Milestones are the times after its first event at which an answer that goes on is evidence;
+// see GoesOn.
+func Milestones() []time.Duration { return []time.Duration{earlyFor, lastingAfter} }
+
+// GoesOn records that the answer to a request has gone on for a time. After lastingAfter its
+// upstream has survived the request. After earlyFor that is likely: it clears the traits that
+// an upstream survived a short time ago. Others are cleared by nothing less than survival,
+// since each request with a harmful trait may get that far.
+func (d *Detector) GoesOn(now time.Time, traits []Trait, answered time.Duration) {
+	if Lasts(answered) {
+		d.Survived(now, traits)
+		return
+	}
+	d.evidence.expire(now)
+	for _, t := range traits {
+		if len(d.evidence.open[t]) > 0 && d.known(now, t) {
+			d.evidence.clear(now, t)
+		}
+	}
+}
+
+// Survived records that an upstream survived a request: its answer came to its end, or lasted.
+// That an answer began shows nothing, since an upstream may crash right after the first event.
+func (d *Detector) Survived(now time.Time, traits []Trait) {
 	d.evidence.expire(now)
 	for _, t := range traits {
-		d.begun.Add(t, now)
+		d.survived.Add(t, now)
 		if len(d.evidence.open[t]) > 0 {
 			d.evidence.clear(now, t)
 		}
--- a/lib/poison/evidence.go
+++ b/lib/poison/evidence.go
@@ -145,13 +145,14 @@
 		joined[last].Depth = max(joined[last].Depth, s.Depth)
 		joined[last].Known = joined[last].Known || s.Known
 		joined[last].Cleared = joined[last].Cleared || s.Cleared
+		joined[last].Early = joined[last].Early || s.Early
 	}
 	if len(joined) <= maxSuspects {
 		return joined
 	}
-	// Known suspects are left out first, since they are less likely to be the cause.
+	// Suspects that are less likely to be the cause are left out first.
 	slices.SortFunc(joined, func(a, b Suspect) int {
-		return cmp.Or(compareKnown(a, b), cmp.Compare(sampleRank(id, a.Trait), sampleRank(id, b.Trait)))
+		return cmp.Or(compareFlags(a.Known, b.Known), compareFlags(b.Early, a.Early), cmp.Compare(sampleRank(id, a.Trait), sampleRank(id, b.Trait)))
 	})
 	joined = joined[:maxSuspects]
 	slices.SortFunc(joined, compareTraits)
@@ -160,7 +161,7 @@
 
 func compareTraits(a, b Suspect) int { return cmp.Compare(a.Trait, b.Trait) }
 
-// sampleRank orders the suspects of a crash that are equally known. The order differs
+// sampleRank orders the suspects of a crash that are equally likely. The order differs
 // from crash to crash, so that no trait is left out of all of them.
 func sampleRank(id CrashID, t Trait) uint64 {
 	// The finalizer of SplitMix64.
@@ -170,12 +171,12 @@
 	return x ^ x>>31
 }
 
-// compareKnown orders unknown suspects before known ones.
-func compareKnown(a, b Suspect) int {
+// compareFlags orders false before true.
+func compareFlags(a, b bool) int {
 	switch {
-	case a.Known == b.Known:
+	case a == b:
 		return 0
-	case b.Known:
+	case b:
 		return -1
 	default:
 		return 1
@@ -307,7 +308,7 @@
 	e.touch()
 }
 
-// clear records that an answer to a request with the trait began, in all crashes
+// clear records that an upstream survived a request with the trait, in all crashes
 // known now.
 func (e *evidence) clear(now time.Time, t Trait) {
 	for _, r := range slices.Clone(e.open[t]) {
--- a/lib/poison/fleet_test.go
+++ b/lib/poison/fleet_test.go
@@ -24,6 +24,8 @@
 	settleTime   = 500 * time.Millisecond
 	// harmfulPercent is the share of harmful requests.
 	harmfulPercent = 5
+	// maxAnswer is the longest answer.
+	maxAnswer = 3 * time.Second
 )
 
 // simRequest is a request of the simulation.
@@ -32,11 +34,13 @@
 	gateway  int
 	harmful  bool
 	attempts int
-	// at is when it is sent, or when its answer begins.
-	at, sentAt time.Time
+	// at is when it is sent, when its answer begins, or when that ends, lasts or crashes its
+	// upstream. begunAt is when the answer began; zero before that.
+	at, sentAt, begunAt time.Time
+	goesOn              bool
 }
 
-// simUpstream crashes when it begins the answer to a harmful request.
+// simUpstream crashes a while after it begins the answer to a harmful request.
 type simUpstream struct {
 	id       fleet.InstanceID
 	start    int64
@@ -60,15 +64,17 @@
 	messages  []simMessage
 	harmful   Trait
 	crashes   []time.Time
-	// reached are the times at which harmful requests reached upstreams, and begun
-	// the times at which an answer with a trait last began.
-	reached []time.Time
-	begun   map[Trait]time.Time
+	// crashAfter is the time from the first event of a harmful answer to the crash.
+	crashAfter time.Duration
+	// reached are the times at which harmful requests reached upstreams, and survived the
+	// times at which a request with a trait was last survived.
+	reached  []time.Time
+	survived map[Trait]time.Time
 }
 
 func newSimFleet(t *rapid.T) *simFleet {
 	seed := rapid.Uint64().Draw(t, "seed")
-	f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), now: start, begun: map[Trait]time.Time{}}
+	f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), now: start, survived: map[Trait]time.Time{}}
 	for i := range rapid.IntRange(1, 6).Draw(t, "gateways") {
 		f.gateways = append(f.gateways, New("gateway "+strconv.Itoa(i)))
 	}
@@ -76,6 +82,7 @@
 		f.upstreams = append(f.upstreams, simUpstream{id: fleet.InstanceID(strconv.Itoa(i))})
 	}
 	f.harmful = PartTrait("m", "harmful")
+	f.crashAfter = time.Duration(rapid.SampledFrom([]int{0, 0, 20, 150, 400, 1000}).Draw(t, "crash after ms")) * time.Millisecond
 	return f
 }
 
@@ -131,7 +138,7 @@
 		r.attempts++
 	}
 	r.attempts++
-	r.sentAt = f.now
+	r.sentAt, r.begunAt, r.goesOn = f.now, time.Time{}, false
 	r.at = f.now.Add(time.Duration(20+f.random.IntN(200)) * time.Millisecond)
 	u.requests = append(u.requests, r)
 	if r.harmful {
@@ -158,21 +165,56 @@
 
 func (f *simFleet) serve(u *simUpstream) {
 	crash := NewCrashID(u.id, u.start)
-	due := func(r simRequest) bool { return !r.at.After(f.now) }
-	if slices.ContainsFunc(u.requests, func(r simRequest) bool { return due(r) && r.harmful }) {
-		f.crash(u, crash)
-		return
-	}
-	for _, r := range u.requests {
-		if due(r) {
+	for i := range u.requests {
+		r := &u.requests[i]
+		if r.at.After(f.now) {
+			continue
+		}
+		switch {
+		case r.begunAt.IsZero():
 			f.gateways[r.gateway].Answered(f.now, crash, r.sentAt)
-			f.gateways[r.gateway].Began(f.now, r.traits)
-			for _, t := range r.traits {
-				f.begun[t] = f.now
+			r.begunAt = f.now
+			r.at = f.now.Add(time.Duration(f.random.Int64N(int64(maxAnswer))))
+			if r.harmful {
+				r.at = f.now.Add(f.crashAfter)
 			}
+		case !r.harmful:
+			f.gateways[r.gateway].Survived(f.now, r.traits)
+			f.recordSurvived(r)
+		}
+		if r.harmful && !r.at.After(f.now) {
+			f.crash(u, crash)
+			return
 		}
 	}
-	u.requests = slices.DeleteFunc(u.requests, due)
+	for i := range u.requests {
+		f.reportMilestones(&u.requests[i])
+	}
+	ended := func(r simRequest) bool { return !r.begunAt.IsZero() && !r.at.After(f.now) }
+	u.requests = slices.DeleteFunc(u.requests, ended)
+}
+
+// reportMilestones tells the gateway how far an answer has gone.
+func (f *simFleet) reportMilestones(r *simRequest) {
+	if r.begunAt.IsZero() {
+		return
+	}
+	answered := f.now.Sub(r.begunAt)
+	switch {
+	case Lasts(answered) && !Lasts(answered-simStep):
+		f.recordSurvived(r)
+	case answered >= earlyFor && !r.goesOn:
+	default:
+		return
+	}
+	r.goesOn = true
+	f.gateways[r.gateway].GoesOn(f.now, r.traits, answered)
+}
+
+func (f *simFleet) recordSurvived(r *simRequest) {
+	for _, t := range r.traits {
+		f.survived[t] = f.now
+	}
 }
 
 // crash loses the requests of an upstream. Those that were not suspected are sent
@@ -180,7 +222,11 @@
 func (f *simFleet) crash(u *simUpstream, id CrashID) {
 	f.crashes = append(f.crashes, f.now)
 	for _, r := range u.requests {
-		f.gateways[r.gateway].Lost(f.now, id, r.traits)
+		answered := time.Duration(0)
+		if !r.begunAt.IsZero() {
+			answered = f.now.Sub(r.begunAt)
+		}
+		f.gateways[r.gateway].LostAnswering(f.now, id, r.traits, answered)
 		r.at = f.now
 		if r.attempts > 1 {
 			r.at = f.now.Add(repeatTime)
@@ -261,13 +307,13 @@
 	return len(late)
 }
 
-// requireSoundTraitsFree checks the traits of which an answer began after the last
-// crash that counts against them, once messages had time to arrive.
+// requireSoundTraitsFree checks the traits that an upstream survived after the last crash that
+// counts against them, once messages had time to arrive.
 func (f *simFleet) requireSoundTraitsFree(t *rapid.T, g *Detector) {
 	for _, trait := range g.Convicted(f.now) {
-		begun, any := f.begun[trait]
-		if any && f.now.Sub(begun) >= time.Second {
-			require.False(t, begun.After(g.findings[trait].last), "a sound trait stays blocked")
+		survived, any := f.survived[trait]
+		if any && f.now.Sub(survived) >= time.Second {
+			require.False(t, survived.After(g.findings[trait].last), "a sound trait stays blocked")
 		}
 	}
 }
--- a/lib/poison/merge_test.go
+++ b/lib/poison/merge_test.go
@@ -111,7 +111,7 @@
 			case 0, 1:
 				g.Lost(now, id, traits)
 			case 2:
-				g.Began(now, traits[:1])
+				g.Survived(now, traits[:1])
 			case 3:
 				g.Answered(now, id, now.Add(-50*time.Millisecond))
 			case 4:
@@ -145,7 +145,7 @@
 	a, b := New("a"), New("b")
 	now := crashes(start, a, 3, 7)
 	b.Merge(now, a.Reports(now))
-	a.Began(now, []Trait{7})
+	a.Survived(now, []Trait{7})
 	for range 2 * messagesPerChange {
 		a.Reports(now)
 	}
--- a/lib/poison/scenario_test.go
+++ b/lib/poison/scenario_test.go
@@ -52,7 +52,7 @@
 		},
 		"a known first part beside a part with fewer crashes": {
 			events: []event{
-				{0, "began", 0, []Trait{firstPart}},
+				{0, "survived", 0, []Trait{firstPart}},
 				{100, "lost", 1, []Trait{firstPart, laterPart, request}},
 				{1000, "lost", 2, []Trait{firstPart, laterPart, request + 1}},
 				{2000, "lost", 3, []Trait{firstPart, laterPart, request + 2}},
@@ -62,7 +62,7 @@
 		},
 		"a first part that was known and became harmful": {
 			events: []event{
-				{0, "began", 0, []Trait{firstPart}},
+				{0, "survived", 0, []Trait{firstPart}},
 				{100, "lost", 1, []Trait{firstPart, request}},
 				{1000, "lost", 2, []Trait{firstPart, request + 1}},
 				{2000, "lost", 3, []Trait{firstPart, request + 2}},
@@ -71,7 +71,7 @@
 		},
 		"a known trait is suspected after two episodes": {
 			events: []event{
-				{0, "began", 0, []Trait{firstPart, otherPart}},
+				{0, "survived", 0, []Trait{firstPart, otherPart}},
 				{100, "lost", 1, []Trait{firstPart, laterPart}},
 				{1000, "lost", 2, []Trait{firstPart}},
 				{2000, "lost", 3, []Trait{otherPart}},
@@ -84,7 +84,7 @@
 				{0, "lost", 1, []Trait{otherPart}},
 				{1000, "lost", 2, []Trait{laterPart}},
 				{1000, "lost", 2, []Trait{otherPart}},
-				{1500, "began", 0, []Trait{otherPart}},
+				{1500, "survived", 0, []Trait{otherPart}},
 				{2000, "lost", 3, []Trait{laterPart}},
 				{2000, "lost", 3, []Trait{otherPart}},
 			},
@@ -152,8 +152,8 @@
 				switch e.kind {
 				case "lost":
 					d.Lost(now, e.crash, e.traits)
-				case "began":
-					d.Began(now, e.traits)
+				case "survived":
+					d.Survived(now, e.traits)
 				case "answered":
 					d.Answered(now, e.crash, now)
 				}
@@ -198,7 +198,7 @@
 	a.ProbeSent(probeAt, request)
 	require.Equal(t, Blocked, check(a, probeAt.Add(probeRepeat-time.Millisecond)))
 	require.Equal(t, Probe, check(a, probeAt.Add(probeRepeat)), "the probe got no answer")
-	a.Began(probeAt, []Trait{request})
+	a.Survived(probeAt, []Trait{request})
 	b.Merge(probeAt, a.Reports(probeAt))
 	require.Equal(t, Clear, check(a, probeAt))
 	require.Equal(t, Clear, check(b, probeAt))
@@ -235,7 +235,7 @@
 	repeated := RequestTrait("key", "/", nil)
 	for trait, interval := range map[Trait]time.Duration{firstPart: 10 * time.Second, repeated: time.Minute} {
 		d := New("gateway")
-		d.Began(start, []Trait{trait})
+		d.Survived(start, []Trait{trait})
 		now := crashes(start, d, 3, trait)
 		for _, wait := range []time.Duration{1, 2, 4, 8, 8} {
 			now = now.Add(wait*interval + probeDelay("gateway", trait, interval))
@@ -284,7 +284,7 @@
 	late := a.Reports(now)
 	b.Merge(now, late)
 	now = crashes(now, b, 1, laterPart)
-	b.Began(now, []Trait{laterPart})
+	b.Survived(now, []Trait{laterPart})
 	before := state(b)
 	now = now.Add(5 * time.Second)
 	b.Merge(now, late)
@@ -330,7 +330,7 @@
 	now = crashes(now.Add(time.Second), d, 1, traits...)
 	require.True(t, alone(now, traits...))
 	require.Equal(t, Suspected, d.Check(now, traits).Verdict)
-	d.Began(now, traits)
+	d.Survived(now, traits)
 	require.False(t, alone(now, traits...))
 	d.Merge(now, early)
 	require.Equal(t, Clear, d.Check(now, traits).Verdict, "the crash was before the answer")
@@ -355,7 +355,7 @@
 		before := other.Revision()
 		other.Merge(now, d.All(now))
 		require.Equal(t, before, other.Revision())
-		d.Began(now, []Trait{suspicions[0].Trait})
+		d.Survived(now, []Trait{suspicions[0].Trait})
 		other.Merge(now, d.All(now))
 		require.Greater(t, other.Revision(), before)
 	}
@@ -402,7 +402,7 @@
 func TestKnownTraitIsForgotten(t *testing.T) {
 	for age, want := range map[time.Duration]Verdict{knownFor: Clear, knownFor + 1: Suspected} {
 		d := New("gateway")
-		d.Began(start, []Trait{laterPart})
+		d.Survived(start, []Trait{laterPart})
 		d.Lost(start.Add(age), 1, []Trait{laterPart})
 		require.Equal(t, want, d.Check(start.Add(age), []Trait{laterPart}).Verdict, age)
 	}
@@ -417,7 +417,62 @@
 		for range messagesPerChange {
 			require.Len(t, d.Reports(start), 1)
 		}
-		d.Merge(start, []Report{{Crash: 1, AgeMS: earlierMS, Suspects: []Suspect{{Trait: laterPart}}}})
+		d.Merge(start, []Report{{Crash: 1, AgeMS: earlierMS, Suspects: []Suspect{{Trait: laterPart, Early: true}}}})
 		require.Len(t, d.Reports(start), want, earlierMS)
 	}
 }
+
+// Guards against crashes that count against what many requests share, with each of the streams
+// that are in the middle of their answers: after a moment only the request itself and its
+// unknown parts are suspects, and none if the answer has lasted.
+func TestSuspectsOfALateLoss(t *testing.T) {
+	whole := RequestTrait("key", "/", nil)
+	for answered, want := range map[time.Duration][]Suspect{
+		0:                {{Trait: firstPart, Known: true, Early: true}, {Trait: laterPart, Depth: 1, Early: true}, {Trait: whole, Depth: 2, Known: true, Early: true}},
+		earlyFor:         {{Trait: firstPart, Known: true, Early: true}, {Trait: laterPart, Depth: 1, Early: true}, {Trait: whole, Depth: 2, Known: true, Early: true}},
+		earlyFor + 1:     {{Trait: laterPart, Depth: 1}, {Trait: whole, Depth: 2, Known: true}},
+		lastingAfter - 1: {{Trait: laterPart, Depth: 1}, {Trait: whole, Depth: 2, Known: true}},
+		lastingAfter:     nil,
+	} {
+		d := New("gateway")
+		d.Survived(start, []Trait{firstPart})
+		d.LostAnswering(start, 1, []Trait{firstPart, laterPart, whole}, answered)
+		if want == nil {
+			require.Zero(t, d.Crashes())
+			continue
+		}
+		require.Equal(t, want, d.evidence.records[1].suspects, answered)
+	}
+}
+
+// Guards against a harmful part that each of its requests clears, since its upstream crashes a
+// while after the answer began, and against a sound part that is cleared only when answers end,
+// although many have gone on for a moment since the crash.
+func TestAnswerThatGoesOnClearsKnownTraits(t *testing.T) {
+	for answered, cleared := range map[time.Duration][]Trait{
+		earlyFor:     {firstPart},
+		lastingAfter: {firstPart, laterPart},
+	} {
+		d := New("gateway")
+		d.Survived(start, []Trait{firstPart})
+		now := crashes(start, d, BlockAfter, firstPart)
+		now = crashes(now, d, BlockAfter, laterPart)
+		d.GoesOn(now, []Trait{firstPart, laterPart}, answered)
+		for _, trait := range []Trait{firstPart, laterPart} {
+			want := slices.Contains(cleared, trait)
+			require.Equal(t, want, d.Check(now, []Trait{trait}).Verdict == Clear, "%v, trait %d", answered, trait)
+		}
+	}
+}
+
+// Guards against gateways of different builds, or with different views of one crash, that never
+// agree on it.
+func TestEarlySuspectsAreJoined(t *testing.T) {
+	a, b := New("a"), New("b")
+	a.LostAnswering(start, 1, []Trait{laterPart}, time.Second)
+	b.Lost(start, 1, []Trait{laterPart})
+	a.Merge(start, b.All(start))
+	b.Merge(start, a.All(start))
+	require.Equal(t, a.All(start), b.All(start))
+	require.True(t, a.evidence.records[1].suspects[0].Early)
+}
--- a/lib/poison/types.go
+++ b/lib/poison/types.go
@@ -87,18 +87,21 @@
 	Episodes int
 }
 
-// Suspect is a trait of requests that were lost in a crash before their answer
-// began.
+// Suspect is a trait of requests that were lost in a crash before their answer had gone on
+// for lastingAfter.
 type Suspect struct {
 	Trait Trait `json:"t"`
 	// Depth is the greatest position of the trait among the traits of such a
 	// request, from 0 for the broadest one.
 	Depth int `json:"d,omitempty"`
-	// Known is set if answers to requests with the trait began shortly before the
-	// crash, Cleared if one began after it. Traits of whole requests count as known:
-	// that no answer to a request began before says nothing about it.
+	// Known is set if an upstream survived a request with the trait a short time before
+	// the crash, Cleared if one did after it. Traits of whole requests count as known:
+	// that no upstream survived a request before says nothing about it.
 	Known   bool `json:"k,omitempty"`
 	Cleared bool `json:"c,omitempty"`
+	// Early is set if the answer to one of the lost requests had not begun, or not gone on
+	// for longer than earlyFor.
+	Early bool `json:"e,omitempty"`
 }
 
 // Report is the evidence about one crash, for other gateways.
@@ -119,7 +122,13 @@
 	// domain that loses power and a gateway whose connections are reset lose many
 	// upstreams at once.
 	episodeGap = 200 * time.Millisecond
-	// knownFor is how long a trait is known after an answer began.
+	// lastingAfter is the time after its first event at which an answer counts as harmless:
+	// an upstream that crashes as it begins to answer does so sooner.
+	lastingAfter = 2 * time.Second
+	// earlyFor is the time after the first event within which a crash most likely comes, if
+	// the request is its cause.
+	earlyFor = 200 * time.Millisecond
+	// knownFor is how long a trait is known after an upstream survived it.
 	knownFor = time.Minute
 	// refutationTime is the time after a crash within which an answer refutes it. A
 	// crashed upstream does not return that soon.
--- a/lib/poison/verdict_test.go
+++ b/lib/poison/verdict_test.go
@@ -91,7 +91,7 @@
 	for _, known := range []bool{false, true} {
 		d := New("gateway")
 		if known {
-			d.Began(start, []Trait{7})
+			d.Survived(start, []Trait{7})
 		}
 		for i, ms := range times {
 			now := start.Add(ms * time.Millisecond)
--- a/standin/chat.go
+++ b/standin/chat.go
@@ -105,6 +105,10 @@
 		return
 	}
 	if e.options.CrashOn != "" && req.contains(e.options.CrashOn) {
+		if e.options.CrashAfter > 0 {
+			tokens := answerTokens(string(call.loaded.Version), text, e.options.Tokens)
+			e.writeTokens(w, r, call, tokens[:min(e.options.CrashAfter, len(tokens))])
+		}
 		e.Restart(detached)
 		panic(http.ErrAbortHandler)
 	}
@@ -178,6 +182,15 @@
 }
 
 func (e *Engine) streamTokens(w http.ResponseWriter, r *http.Request, call *runningCall, tokens []string) bool {
+	if !e.writeTokens(w, r, call, tokens) {
+		return false
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	return true
+}
+
+// writeTokens writes one event for each token and reports whether it wrote all of them.
+func (e *Engine) writeTokens(w http.ResponseWriter, r *http.Request, call *runningCall, tokens []string) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for _, token := range tokens {
@@ -188,7 +201,6 @@
 		_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
 		_ = control.Flush()
 	}
-	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 	return true
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -41,8 +41,10 @@
 	// can handle while it is cold and while it is warm. Calls beyond the bound are
 	// counted and still run. 0 means no bound.
 	ColdBound, WarmBound int
-	// CrashOn makes the engine restart when any message contains the text.
-	CrashOn string
+	// CrashOn makes the engine restart when any message contains the text, after it has sent
+	// the first CrashAfter tokens of a streamed answer.
+	CrashOn    string
+	CrashAfter int
 	// StallOn makes the engine stop after the head of the response when a message
 	// contains the text. The connection stays open.
 	StallOn string
