platform, poison: all shared parts of a prompt count in the search for harmful ones

Cause: sharedParts kept the first eight parts and dropped the others without a sign. Evidence: the traits of lost attempts in the log lack the part; with the harmful part at the second place it is convicted after three crashes. Change: as many parts count as a header of the published size can name, 4,096; what is left out is logged and counted. What the bound protected is bounded by itself: a decision on a request is kept while nothing is under suspicion, 16,384 parts are remembered as harmless, and half of the 32 suspects of a crash are the same ones in each crash, so that some of a thousand unknown parts are convicted for all of them. Why it works: the part becomes a trait at any place, and a trait that only harmful requests have stays in the records.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -73,6 +73,10 @@
 	c.header = g.codec.RequestHeader(r.Header)
 	c.received.lastEventID = c.call.LastEvent
 	g.metrics.recordArrival(c.call.TimeBudget)
+	if n := c.call.PartsLeftOut; n > 0 {
+		g.metrics.partsLeftOut.Add(n)
+		c.log("prompt-parts-left-out", "parts", n)
+	}
 	if g.inbox.Put(r.Context(), arrival{ctx: r.Context(), ticket: c.ticket, call: c.call, commands: c.commands}) != nil {
 		c.abort(callerLeft)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -42,6 +42,10 @@
 	// limit cannot be parsed.
 	limitsStated     *metrics.Counter
 	limitsUnreadable *metrics.Counter
+	// partsLeftOut counts the parts of prompts that do not count, suspectsLeftOut the suspects
+	// that were left out of crashes with too many; the latter is set by the router.
+	partsLeftOut    *metrics.Counter
+	suspectsLeftOut atomic.Int64
 	// loadUnreadable counts the figures of upstreams' loads that cannot be parsed.
 	loadUnreadable *metrics.Counter
 	// statedLimits is the number of upstreams that state a limit, set by the router.
@@ -73,10 +77,13 @@
 
 		connectionsDisplaced: set.NewCounter("gateway_connections_displaced_total"),
 
+		partsLeftOut: set.NewCounter("gateway_prompt_parts_left_out_total"),
+
 		limitsStated:     set.NewCounter("gateway_limits_stated_total"),
 		limitsUnreadable: set.NewCounter("gateway_limits_unreadable_total"),
 		loadUnreadable:   set.NewCounter("gateway_load_figures_unreadable_total"),
 	}
+	set.NewGauge("gateway_crash_suspects_left_out", func() float64 { return float64(m.suspectsLeftOut.Load()) })
 	set.NewGauge("gateway_crash_records", func() float64 { return float64(m.crashRecords.Load()) })
 	set.NewGauge("gateway_convicted_traits", func() float64 { return float64(m.convictedTraits.Load()) })
 	set.NewGauge("gateway_stated_limits", func() float64 { return float64(m.statedLimits.Load()) })
--- a/gateway/suspicion.go
+++ b/gateway/suspicion.go
@@ -50,6 +50,7 @@
 		}
 	}
 	r.convicted = convicted
+	metrics.suspectsLeftOut.Store(detector.LeftOut())
 	metrics.crashRecords.Store(int64(detector.Crashes()))
 	metrics.convictedTraits.Store(int64(len(convicted)))
 }
--- a/gateway/suspicion_test.go
+++ b/gateway/suspicion_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -136,6 +137,36 @@
 	}
 }
 
+// Guards against a harmful part that is no suspect because of its place in the prompt, also
+// behind as many parts as a header has room for, and against parts that are left out unseen.
+func TestPartIsASuspectAtAnyPlace(t *testing.T) {
+	for _, shared := range []int{8, 1100} {
+		t.Run(fmt.Sprint(shared), func(t *testing.T) {
+			source := newSource()
+			source.put("op/config", configJSON)
+			source.upstream(t, "i-1", "desk", func(w http.ResponseWriter, r *http.Request) {
+				if strings.Contains(r.Header.Get("Rattanspur-Prefix-Hash"), "harmful") {
+					panic(http.ErrAbortHandler)
+				}
+				respond(w, r, http.StatusOK, "sound")
+			})
+			g := start(t, source)
+			var parts strings.Builder
+			for i := range shared {
+				_, _ = fmt.Fprintf(&parts, "%x:40,", 0x5c1e0000+i)
+			}
+			require.Equal(t, http.StatusOK, g.callWithParts("/once/1", parts.String()+"own1:30"))
+			require.Equal(t, http.StatusBadGateway, g.callWithParts("/once/1", parts.String()+"harmful:40,own2:30"))
+			require.Contains(t, g.logs.line("attempt"), "end=answered")
+			require.Contains(t, g.logs.all(), ","+poison.PartTrait("m", "harmful").String()+",")
+			require.Zero(t, g.gateway.metrics.partsLeftOut.Get())
+			require.Equal(t, http.StatusOK, g.callWithParts("/once/1", "unreadable,"+parts.String()+"own3:30"))
+			require.EqualValues(t, 1, g.gateway.metrics.partsLeftOut.Get())
+			require.Contains(t, g.logs.line("prompt-parts-left-out"), "parts=1")
+		})
+	}
+}
+
 // Guards against evidence so large that the loads are not sent any more: no part of a
 // message can be left out once it is encoded.
 func TestLargestReportsLeaveRoomForLoads(t *testing.T) {
--- a/lib/dispatch/request.go
+++ b/lib/dispatch/request.go
@@ -52,6 +52,10 @@
 	// survived the request. lost is set once an upstream was lost with it, and suspected once
 	// that happened again, or while its traits were under suspicion.
 	begun, survived, lost, suspected bool
+	// clear is the revision of the evidence with which no trait of the request was under
+	// suspicion; 0 if there is none. Prompts may have thousands of traits, and waiting
+	// requests are looked at often.
+	clear uint64
 	// suspect is the suspected trait whose upstream the request may go to; 0 if it
 	// may go to any. It is constant while the request is in one queue.
 	suspect poison.Trait
--- a/lib/dispatch/suspicion.go
+++ b/lib/dispatch/suspicion.go
@@ -31,13 +31,28 @@
 // upstreams are lost for other reasons, unless it was lost once more or its traits were under
 // suspicion before it was lost: a trait may crash upstreams right after the first event.
 func (c *Core) decide(now time.Time, r *request) poison.Decision {
-	d := c.detector.Check(now, r.Traits)
+	d := c.check(now, r)
 	if d.Verdict == poison.Suspected && r.begun && !r.suspected {
 		return poison.Decision{}
 	}
 	return d
 }
 
+// check returns the decision on the traits of a request. It is the same as long as no trait is
+// under suspicion and the evidence does not change.
+func (c *Core) check(now time.Time, r *request) poison.Decision {
+	c.detector.Expire(now)
+	if r.clear != 0 && r.clear == c.detector.Revision() {
+		return poison.Decision{}
+	}
+	d := c.detector.Check(now, r.Traits)
+	r.clear = 0
+	if d.Verdict == poison.Clear {
+		r.clear = c.detector.Revision()
+	}
+	return d
+}
+
 // suspectedTrait returns the trait whose requests all go to one upstream, or 0 if
 // the request may go anywhere.
 func suspectedTrait(d poison.Decision) poison.Trait {
--- a/lib/dispatch/types.go
+++ b/lib/dispatch/types.go
@@ -38,8 +38,9 @@
 	// if the caller resumes a stream.
 	LastEvent string
 	// PromptParts identifies the parts of the prompt that other requests may share,
-	// in their order.
-	PromptParts []string
+	// in their order. PartsLeftOut is the number of further ones that are not among them.
+	PromptParts  []string
+	PartsLeftOut int
 	// Traits describes the request to the search for requests that crash upstreams,
 	// from the broadest trait to the most specific one.
 	Traits []poison.Trait
--- a/lib/poison/bounds_test.go
+++ b/lib/poison/bounds_test.go
@@ -130,6 +130,45 @@
 	require.Equal(t, Blocked, d.Check(now, []Trait{harmful}).Verdict)
 }
 
+// Guards against a harmful part that is never convicted because a thousand other unknown parts
+// come with it each time, more than a crash keeps, and against a sound request that is blocked
+// for it.
+func TestHarmfulPartAmongAThousandIsBlocked(t *testing.T) {
+	d := New("gateway")
+	traits := []Trait{PartTrait("m", "sound"), PartTrait("m", "harmful")}
+	for i := range 1000 {
+		traits = append(traits, PartTrait("m", fmt.Sprint("part ", i)))
+	}
+	own := func(i int) Trait { return RequestTrait("key", "/", []byte{byte(i)}) }
+	d.Survived(start, traits[:1])
+	now := start
+	for i := range BlockAfter + 1 {
+		now = now.Add(time.Second)
+		d.LostAnswering(now, CrashID(i), append(slices.Clone(traits), own(i)), 20*time.Millisecond)
+	}
+	require.Equal(t, Blocked, d.Check(now, append(slices.Clone(traits), own(100))).Verdict)
+	require.Equal(t, Clear, d.Check(now, []Trait{traits[0], own(101)}).Verdict)
+	require.Positive(t, d.LeftOut())
+}
+
+// Guards against a harmful part behind a thousand parts that sound requests share.
+func TestHarmfulPartBehindAThousandSoundOnesIsBlocked(t *testing.T) {
+	d := New("gateway")
+	var sound []Trait
+	for i := range 1000 {
+		sound = append(sound, PartTrait("m", fmt.Sprint("part ", i)))
+	}
+	harmful := PartTrait("m", "harmful")
+	d.Survived(start, sound)
+	now := start
+	for i := range BlockAfter {
+		now = now.Add(time.Second)
+		d.Lost(now, CrashID(i), append(slices.Clone(sound), harmful, RequestTrait("key", "/", []byte{byte(i)})))
+	}
+	require.Equal(t, []Trait{harmful}, d.Convicted(now))
+	require.Equal(t, Clear, d.Check(now, sound).Verdict)
+}
+
 // Guards against evidence that is displaced by crashes that explain nothing.
 func TestCrashesThatExplainNothingAreDroppedFirst(t *testing.T) {
 	d := New("gateway")
@@ -241,6 +280,23 @@
 	}
 }
 
+// BenchmarkCheckLongPrompt measures the check of prompts up to the longest ones that count.
+func BenchmarkCheckLongPrompt(b *testing.B) {
+	for _, parts := range []int{8, 1200, 4096} {
+		b.Run(fmt.Sprintf("parts=%d", parts), func(b *testing.B) {
+			d, now := fullDetector(3)
+			traits := make([]Trait, parts)
+			for i := range traits {
+				traits[i] = PartTrait("m", fmt.Sprint(i))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Check(now, traits)
+			}
+		})
+	}
+}
+
 // BenchmarkCheckAfterChange includes the derivation of the verdicts.
 func BenchmarkCheckAfterChange(b *testing.B) {
 	for _, crashes := range []int{1, 2, 3} {
--- a/lib/poison/detector.go
+++ b/lib/poison/detector.go
@@ -13,8 +13,9 @@
 // outcome of a probe is known within it unless the answer is late.
 const probeRepeat = 10 * time.Second
 
-// maxRecentTraits is the number of traits whose last harmless requests are remembered.
-const maxRecentTraits = 4096
+// maxRecentTraits is the number of parts whose last harmless requests are remembered: those of
+// a few of the longest prompts.
+const maxRecentTraits = 16384
 
 // Detector holds the evidence of one gateway. It is not safe for concurrent use:
 // the goroutine of one duty owns it.
@@ -141,7 +142,10 @@
 func (d *Detector) Survived(now time.Time, traits []Trait) {
 	d.evidence.expire(now)
 	for _, t := range traits {
-		d.survived.Add(t, now)
+		// Whole requests are known anyway.
+		if t&requestTrait == 0 {
+			d.survived.Add(t, now)
+		}
 		if len(d.evidence.open[t]) > 0 {
 			d.evidence.clear(now, t)
 		}
@@ -221,6 +225,9 @@
 // Crashes returns the number of crashes of which evidence is kept.
 func (d *Detector) Crashes() int { return len(d.evidence.records) }
 
+// LeftOut returns the number of suspects that were left out of crashes with too many.
+func (d *Detector) LeftOut() int64 { return d.evidence.leftOut }
+
 // Expire drops the evidence that did not change for long.
 func (d *Detector) Expire(now time.Time) { d.evidence.expire(now) }
 
--- a/lib/poison/evidence.go
+++ b/lib/poison/evidence.go
@@ -9,8 +9,11 @@
 const (
 	// MaxRecords is the number of crashes of which evidence is kept.
 	MaxRecords = 256
-	// maxSuspects is the number of suspects of one crash.
-	maxSuspects = 32
+	// maxSuspects is the number of suspects of one crash, which bounds the memory of the
+	// evidence and the size of messages. commonSuspects of them are the same in each crash with
+	// the same suspects.
+	maxSuspects    = 32
+	commonSuspects = maxSuspects / 2
 	// maxDepth is the greatest depth of a suspect; deeper traits count as this deep.
 	maxDepth = 255
 	// timeTolerance is how much earlier a crash must turn out to be for its record
@@ -65,6 +68,8 @@
 	nextExpiry time.Time
 	// joined is space for the suspects of one join.
 	joined []Suspect
+	// leftOut counts the suspects that were left out of crashes with too many.
+	leftOut int64
 }
 
 func newEvidence() evidence {
@@ -110,10 +115,10 @@
 func (e *evidence) join(now time.Time, c crash) *record {
 	r := e.records[c.id]
 	if r == nil {
-		c.suspects = joinSuspects(c.id, e.joined[:0], c.suspects)
+		c.suspects = e.joinSuspects(c.id, e.joined[:0], c.suspects)
 		return e.insert(now, c)
 	}
-	e.joined = joinSuspects(c.id, append(e.joined[:0], r.suspects...), c.suspects)
+	e.joined = e.joinSuspects(c.id, append(e.joined[:0], r.suspects...), c.suspects)
 	c.suspects = e.joined
 	c.refuted = c.refuted || r.refuted
 	grown := c.refuted != r.refuted || !slices.Equal(c.suspects, r.suspects)
@@ -131,8 +136,11 @@
 }
 
 // joinSuspects joins two lists of suspects of a crash into the space of the first one.
-// The result is sorted by trait and within the bound.
-func joinSuspects(id CrashID, space, added []Suspect) []Suspect {
+// The result is sorted by trait and within the bound. One half of those that are kept is a
+// sample that differs from crash to crash, so that no trait is left out of all of them. The
+// other half is the same for the same suspects: if prompts have many parts in common that only
+// they have, some of these are suspects in each crash and stand for the others.
+func (e *evidence) joinSuspects(id CrashID, space, added []Suspect) []Suspect {
 	space = append(space, added...)
 	slices.SortFunc(space, compareTraits)
 	joined := space[:0]
@@ -150,19 +158,26 @@
 	if len(joined) <= maxSuspects {
 		return joined
 	}
-	// Suspects that are less likely to be the cause are left out first.
-	slices.SortFunc(joined, func(a, b Suspect) int {
-		return cmp.Or(compareFlags(a.Known, b.Known), compareFlags(b.Early, a.Early), cmp.Compare(sampleRank(id, a.Trait), sampleRank(id, b.Trait)))
+	e.leftOut += int64(len(joined) - maxSuspects)
+	slices.SortFunc(joined, func(a, b Suspect) int { return cmp.Or(compareLikely(a, b), compareTraits(a, b)) })
+	slices.SortFunc(joined[commonSuspects:], func(a, b Suspect) int {
+		return cmp.Or(compareLikely(a, b), cmp.Compare(sampleRank(id, a.Trait), sampleRank(id, b.Trait)))
 	})
 	joined = joined[:maxSuspects]
 	slices.SortFunc(joined, compareTraits)
 	return joined
 }
 
+// compareLikely orders the suspects that are more likely to be the cause first: those of which
+// nothing is known, then those that were lost early.
+func compareLikely(a, b Suspect) int {
+	return cmp.Or(compareFlags(a.Known, b.Known), compareFlags(b.Early, a.Early))
+}
+
 func compareTraits(a, b Suspect) int { return cmp.Compare(a.Trait, b.Trait) }
 
-// sampleRank orders the suspects of a crash that are equally likely. The order differs
-// from crash to crash, so that no trait is left out of all of them.
+// sampleRank orders the suspects of a crash that are equally likely. The order differs from
+// crash to crash.
 func sampleRank(id CrashID, t Trait) uint64 {
 	// The finalizer of SplitMix64.
 	x := uint64(id) ^ uint64(t)
