entry: up to 512 messages of a conversation count in the search for harmful ones

A message behind the eighth of a conversation that crashes engines is never recognised. Cause: maxParts kept the first eight messages and dropped the others without a sign. Change: 512 count; their traits take up to 11 KB of the 64 KB that an agent accepts as a header beside the 32 KB of a caller. Further ones are counted (rattanspur_entry_prompt_parts_left_out_total). TestTraitsOfPrompts expected eight messages of twelve; it expects all of forty, and 512 of 514 with two counted.

--- a/bench/e2e/entry_faults_test.go
+++ b/bench/e2e/entry_faults_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -150,16 +151,27 @@
 // Guards against a message that crashes one engine after another because no two
 // requests with it are alike, also through another entry, and against sound requests
 // of the same customer that are blocked because they begin with the same message.
-func TestHarmfulMessageIsStoppedEverywhere(t *testing.T) { requireHarmfulMessageStopped(t, 0) }
+func TestHarmfulMessageIsStoppedEverywhere(t *testing.T) {
+	requireHarmfulMessageStopped(t, 0, []string{"system"})
+}
 
 // Guards against the same if the engines crash after the first tokens of each answer.
 func TestMessageThatCrashesAfterAnswersBeganIsStoppedEverywhere(t *testing.T) {
-	requireHarmfulMessageStopped(t, 2)
+	requireHarmfulMessageStopped(t, 2, []string{"system"})
+}
+
+// Guards against the same if the message comes late in a long conversation.
+func TestLateHarmfulMessageIsStoppedEverywhere(t *testing.T) {
+	conversation := []string{"system"}
+	for i := range 40 {
+		conversation = append(conversation, fmt.Sprint("message ", i))
+	}
+	requireHarmfulMessageStopped(t, 0, conversation)
 }
 
 // requireHarmfulMessageStopped checks that a message is blocked that crashes engines after they
-// have sent a number of tokens.
-func requireHarmfulMessageStopped(t *testing.T, tokens int) {
+// have sent a number of tokens, and that follows the messages of a conversation.
+func requireHarmfulMessageStopped(t *testing.T, tokens int, conversation []string) {
 	t.Helper()
 	ctx, l := servingLab(t, func(o *lab.Options) {
 		o.Agents = 4
@@ -169,29 +181,36 @@
 	next := 0
 	post := func(entry int, texts ...string) (lab.Answer, error) {
 		next++
-		return l.Post(ctx, entry, lab.ChatPath, chatBody(t, append(texts, fmt.Sprint("question ", next))...))
+		texts = slices.Concat(conversation, texts, []string{fmt.Sprint("question ", next)})
+		return l.Post(ctx, entry, lab.ChatPath, chatBody(t, texts...))
 	}
-	sound := func(entry int) error { return checkComplete(post(entry, "system")) }
+	sound := func(entry int) error { return checkComplete(post(entry)) }
 	for entry := range l.Entries {
 		require.NoError(t, lab.Await(ctx, func() error { return sound(entry) }))
 		require.NoError(t, lab.Await(ctx, func() error {
-			a, err := post(entry, "system", "poison")
+			a, err := post(entry, "poison")
 			if err == nil && !strings.Contains(a.Body, string(wire.ProblemBlocked)) {
 				err = fmt.Errorf("entry %d answers %d: %s", entry, a.Status, a.Body)
 			}
 			return err
 		}))
 	}
-	before := startedCalls(ctx, l)
-	for entry := range l.Entries {
-		a, err := post(entry, "system", "poison")
-		require.NoError(t, err)
-		require.Equal(t, http.StatusUnprocessableEntity, a.Status)
+	requireBlocked := func() {
+		before := startedCalls(ctx, l)
+		for entry := range l.Entries {
+			a, err := post(entry, "poison")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusUnprocessableEntity, a.Status)
+		}
+		require.Equal(t, before, startedCalls(ctx, l), "a blocked request reached an engine")
 	}
-	require.Equal(t, before, startedCalls(ctx, l), "a blocked request reached an engine")
+	requireBlocked()
 	for entry := range l.Entries {
 		require.NoError(t, lab.Await(ctx, func() error { return sound(entry) }))
 	}
+	// What is blocked is the message, and not what sound requests have in common with it, which
+	// their answers have cleared by now.
+	requireBlocked()
 }
 
 // startedCalls returns the number of calls that all engines began.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -41,8 +41,10 @@
 	prefix uint64
 	// traits are what the request may have in common with others that crash
 	// upstreams, from the broadest to the most specific one.
-	traits    []poison.Trait
-	keySHA256 string
+	traits []poison.Trait
+	// partsLeftOut is the number of parts of the prompt that got no trait.
+	partsLeftOut int
+	keySHA256    string
 	// fingerprint identifies the content of a call with a key or token.
 	fingerprint string
 	// token permits a single run of a request that must not be repeated; empty if
@@ -101,7 +103,9 @@
 		return nil, err
 	}
 	defer body.GiveBack(copies)
-	return newCall(ctx, id, r, body.Bytes()), nil
+	call := newCall(ctx, id, r, body.Bytes())
+	e.metrics.partsLeftOut.Add(call.partsLeftOut)
+	return call, nil
 }
 
 func newCall(ctx context.Context, id string, r *http.Request, body []byte) *call {
@@ -113,15 +117,18 @@
 	relay.RemoveHopHeaders(r.Header)
 	removeInternalHeaders(r.Header)
 	return &call{
-		ctx:       ctx,
-		id:        id,
-		method:    r.Method,
-		path:      r.URL.RequestURI(),
-		header:    r.Header,
-		body:      body,
-		model:     prompt.model,
-		prefix:    routing.PrefixOf(prompt.text),
-		traits:    prompt.traits(keySHA256, r.URL.RequestURI(), body),
+		ctx:    ctx,
+		id:     id,
+		method: r.Method,
+		path:   r.URL.RequestURI(),
+		header: r.Header,
+		body:   body,
+		model:  prompt.model,
+		prefix: routing.PrefixOf(prompt.text),
+		traits: prompt.traits(keySHA256, r.URL.RequestURI(), body),
+
+		partsLeftOut: prompt.partsLeftOut,
+
 		keySHA256: keySHA256,
 		token:     token,
 		arrivedAt: time.Now(),
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -8,9 +8,10 @@
 	"rattanspur.example/lib/poison"
 )
 
-// maxParts is the number of parts of a prompt that get a trait. The first ones do,
-// because those are the parts that different conversations share.
-const maxParts = 8
+// maxParts is the maximum number of parts of a prompt that get a trait. The traits go to the
+// agent in a header, of which they take up to 11 KB. The first parts get one, because those
+// are the parts that different conversations share.
+const maxParts = 512
 
 // prompt is what the entry reads from the body of a call to a model service. It is
 // empty for other calls and if the body is not valid JSON.
@@ -18,8 +19,10 @@
 	model string
 	// text holds the encoded messages, or the prompt of a plain completion.
 	text []byte
-	// parts identifies the parts of the prompt that requests may share.
-	parts []string
+	// parts identifies the parts of the prompt that requests may share. partsLeftOut is the
+	// number of those beyond maxParts.
+	parts        []string
+	partsLeftOut int
 }
 
 // messages are the messages of a conversation and their encoding.
@@ -80,7 +83,11 @@
 			part.WriteByte('\n')
 		}
 	}
-	if part.Len() > 0 && len(p.parts) < maxParts {
+	switch {
+	case part.Len() == 0:
+	case len(p.parts) == maxParts:
+		p.partsLeftOut++
+	default:
 		p.parts = append(p.parts, role+"\n"+part.String())
 	}
 }
--- a/entry/suspicion_test.go
+++ b/entry/suspicion_test.go
@@ -246,13 +246,15 @@
 // or loses its model.
 func TestTraitsOfPrompts(t *testing.T) {
 	message := func(role, text string) string { return fmt.Sprintf(`{"role": %q, "content": %q}`, role, text) }
-	many := make([]string, 0, 12)
-	for i := range cap(many) {
+	var many, manyParts []string
+	for i := range maxParts + 3 {
 		many = append(many, message("user", fmt.Sprint(i)))
+		manyParts = append(manyParts, fmt.Sprintf("user\n\"%d\"\n", i))
 	}
 	for name, test := range map[string]struct {
 		path, body, model string
 		parts             []string
+		leftOut           int
 	}{
 		"conversation": {
 			body:  `{"model":"m","messages":[` + message("system", "s") + `,` + message("user", "a") + `,` + message("user", "b") + `]}`,
@@ -269,7 +271,11 @@
 		},
 		"many messages": {
 			body:  `{"model":"m","messages":[` + strings.Join(many, ",") + `]}`,
-			model: "m", parts: []string{"user\n\"0\"\n", "user\n\"1\"\n", "user\n\"2\"\n", "user\n\"3\"\n", "user\n\"4\"\n", "user\n\"5\"\n", "user\n\"6\"\n", "user\n\"7\"\n"},
+			model: "m", parts: manyParts[:maxParts], leftOut: 2,
+		},
+		"a conversation of forty messages": {
+			body:  `{"model":"m","messages":[` + strings.Join(many[:40], ",") + `]}`,
+			model: "m", parts: manyParts[:39],
 		},
 		"plain completion":  {path: "/v1/completions", body: `{"model":"m","prompt":"text"}`, model: "m"},
 		"other messages":    {body: `{"model":"m","messages":"text"}`, model: "m"},
@@ -286,6 +292,7 @@
 			p := inspectBody(path, []byte(test.body))
 			require.Equal(t, test.model, p.model)
 			require.Equal(t, test.parts, p.parts)
+			require.Equal(t, test.leftOut, p.partsLeftOut)
 			traits := p.traits("key", path, []byte(test.body))
 			require.Len(t, traits, len(test.parts)+1)
 			require.Equal(t, poison.RequestTrait("key", path, []byte(test.body)), traits[len(test.parts)])
