published: versions within their grace period are kept, however many follow

Cause: eight previous versions of a model were kept. One that left the list within its grace period was never due, so that nothing ended the use of older weights. Change: what was published in the last 30 s is kept, and the newest version before that; 64 in all, beyond which neighbors become one that is due as soon as the earlier one. Why it works: what becomes due at the end of a grace period is always in the list, or a newer version that is due by then. TestMessageWithImpossibleAges rejects more than 65 ages where it rejected more than nine.

--- a/lib/published/ages.go
+++ b/lib/published/ages.go
@@ -1,7 +1,6 @@
 package published
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -44,8 +43,10 @@
 		}
 	}
 	add(d.Version, d.Revision, d.Published)
-	for _, p := range d.Previous {
-		add(p.Version, p.Revision, p.Published)
+	for i, p := range d.Previous {
+		if i < maxOldVersions || p.recent(now) {
+			add(p.Version, p.Revision, p.Published)
+		}
 	}
 	return out
 }
@@ -98,7 +99,7 @@
 			changed = learn(&d.Published, a.publication(now)) || changed
 		case revision < d.Revision:
 			previous := PreviousVersion{Version: a.Version, Revision: revision, Published: a.publication(now)}
-			changed = d.setPrevious(previous) || changed
+			changed = d.setPrevious(now, previous) || changed
 		}
 	}
 	return d, changed
@@ -114,23 +115,6 @@
 	return true
 }
 
-// setPrevious sets what is known of the publication of a previous version. It reports
-// whether that changed.
-func (d *DesiredVersion) setPrevious(reported PreviousVersion) bool {
-	for i := range d.Previous {
-		if p := &d.Previous[i]; p.Revision == reported.Revision {
-			return p.Version == reported.Version && learn(&p.Published, reported.Published)
-		}
-	}
-	if full := len(d.Previous) >= maxPreviousVersions; full && reported.Revision < d.Previous[len(d.Previous)-1].Revision {
-		return false
-	}
-	d.Previous = append(d.Previous, reported)
-	slices.SortFunc(d.Previous, func(a, b PreviousVersion) int { return cmp.Compare(b.Revision, a.Revision) })
-	d.Previous = d.Previous[:min(len(d.Previous), maxPreviousVersions)]
-	return true
-}
-
 // validAge is the longest age that a peer may report.
 const validAge = 2 * maxReportedAge
 
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -310,8 +310,7 @@
 	}
 	if ok {
 		last := PreviousVersion{Version: previous.Version, Revision: previous.Revision, Published: previous.Published}
-		previousVersions := append([]PreviousVersion{last}, previous.Previous...)
-		d.Previous = previousVersions[:min(len(previousVersions), maxPreviousVersions)]
+		d.Previous = trimPrevious(now, append([]PreviousVersion{last}, previous.Previous...))
 	}
 	s.desired[key] = d
 	return d
@@ -336,9 +335,6 @@
 	return true
 }
 
-// maxPreviousVersions is the number of previous versions kept for a model.
-const maxPreviousVersions = 8
-
 // TakeOlder returns how many changes were dropped since the last call because a newer
 // one of their key is known.
 func (s *State) TakeOlder() int {
