--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -387,7 +387,7 @@
 		return batch.Revision == revision
 	}, testTimeout, time.Millisecond)
 	const impossible = 300_000
-	g.reportAges(newHost(), "m", slices.Repeat([]published.VersionAge{age(impossible)}, 10)...)
+	g.reportAges(newHost(), "m", slices.Repeat([]published.VersionAge{age(impossible)}, 66)...)
 	g.learnAge("m", age(1000))
 	batch, err := g.gateway.watcher.Since(context.Background(), 0)
 	require.NoError(t, err)
