dispatch: an upstream that goes on gets no hedges from its own silent attempts

What was seen: in tests of the gateway with several streams at an upstream that pauses, the first stream that goes on shows that the upstream is sound, and the others, a moment behind, were hedged there at once, each for a retry that others may need. Cause: an upstream that has responded since a silence began may get a hedge of the same request, since the connection is at fault then. Change: not within 200 ms after the end of a silence of the upstream itself. Result: TestUpstreamThatGoesOnGetsNoHedges fails without the change, by its first Tick; it passes.

--- a/lib/dispatch/hedge_test.go
+++ b/lib/dispatch/hedge_test.go
@@ -218,3 +218,20 @@
 		require.Equal(t, hedged, len(h.core.AttemptSilent(h.now, ticket, Silence{Since: since})) == 1, left)
 	}
 }
+
+// Guards against hedges at the upstream of the silent attempts itself, in the moment in which it
+// goes on: the first of them shows that it is sound, and the others go on as well.
+func TestUpstreamThatGoesOnGetsNoHedges(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	first, _ := h.startStream()
+	second, _ := h.startStream()
+	h.advance(silentFor)
+	require.Empty(t, h.core.AttemptSilent(h.now, first, h.afterEvent()))
+	require.Empty(t, h.core.AttemptSilent(h.now, second, h.afterEvent()))
+	h.advance(hedgeInterval)
+	require.Empty(t, h.core.AttemptResumed(h.now, first))
+	h.advance(resumeGrace - time.Millisecond)
+	require.Empty(t, h.core.Tick(h.now))
+	h.advance(hedgeInterval)
+	require.Equal(t, second, h.hedged(h.core.Tick(h.now)).Ticket, "its connection is at fault")
+}
--- a/lib/dispatch/silence.go
+++ b/lib/dispatch/silence.go
@@ -27,6 +27,9 @@
 	firstBytePatienceFactor = 4
 	gapPatienceFactor       = 8
 	patienceMargin          = 500 * time.Millisecond
+	// resumeGrace is the time after the end of the silence of an upstream in which its other
+	// silent attempts go on as well. A hedge at the same upstream would be in vain.
+	resumeGrace = 200 * time.Millisecond
 )
 
 // Silence describes an attempt from which nothing has come for a while.
@@ -173,7 +176,7 @@
 	if r.upstream == nil || u.startKey() != r.upstream.startKey() {
 		return false
 	}
-	return r.silence == nil || !u.aliveAt.After(r.silence.Since)
+	return r.silence == nil || !u.aliveAt.After(r.silence.Since) || now.Sub(u.resumedAt) < resumeGrace
 }
 
 // silent reports whether the upstream was found silent and has not responded since.
@@ -207,6 +210,7 @@
 func (u *upstream) recordAlive(now time.Time) {
 	u.aliveAt = now
 	if u.silent() {
+		u.resumedAt = now
 		u.silentAt, u.failures, u.avoidUntil = time.Time{}, 0, time.Time{}
 	}
 }
--- a/lib/dispatch/upstream.go
+++ b/lib/dispatch/upstream.go
@@ -92,6 +92,8 @@
 	// it still is silent.
 	aliveAt, silentAt time.Time
 	trial             bool
+	// resumedAt is when the upstream last responded after it had been found silent.
+	resumedAt time.Time
 	// acceptedAt is when the upstream last responded to a request that it accepted; zero if
 	// it has refused one since. hedges counts the hedges of this entry there.
 	acceptedAt time.Time
