bodybudget, gateway, entry: heads of requests count in the memory while they are read

Cause: incomplete heads were not counted, and complete ones by their text; net/http keeps about 120 bytes a field beside it. Evidence: TestGatewayStaysWithinItsLimitsUnderHeads, crowd and bound fixed before the change: 174 MB of 128; TestEntryStaysWithinItsLimitsUnderHeads: 278 MB of 256. Change: what a head takes is estimated while it arrives and reserved from the budget for bodies beyond 8 KB; an incomplete head is displaced like an incomplete body, and its connection closed. Why it works: the budget bounds the sum, and the heads that have held the most for longest give way to ordinary requests. TestHeaderBytes expects the 128 bytes of a field as well.

--- a/bench/e2e/uploads_test.go
+++ b/bench/e2e/uploads_test.go
@@ -27,6 +27,7 @@
 	entryCalls        = 256
 	entryClients      = 600
 	entryBodyBytes    = 1 << 20
+	entryHeadBytes    = 30000
 	agentClients      = 40
 	agentCalls        = 256
 	agentBodyBytes    = 16 << 20
@@ -86,6 +87,14 @@
 	}
 }
 
+// Guards against an entry whose memory the heads of its clients' requests use up: each is of
+// permitted size, of many short fields, and not complete.
+func TestEntryStaysWithinItsLimitsUnderHeads(t *testing.T) {
+	const head = "POST " + lab.ChatPath + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + lab.CustomerKey + "\r\n"
+	l, _ := uploadLab(t)
+	checkUploads(t, l, l.Entries[0], entryClients, entryConnections+entryCalls+otherFiles, standin.IncompleteHead(head, entryHeadBytes))
+}
+
 // Guards against an agent whose memory or descriptors the bodies of calls use up.
 func TestAgentStaysWithinItsLimitsUnderUploads(t *testing.T) {
 	for name := range standin.UploadCases("", agentBodyBytes, agentBodyBytes) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,6 +92,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	countHeads(server)
 	g := duty.NewGroup(context.WithoutCancel(ctx))
 	e.node.Start(g)
 	g.Go("operator snapshots", e.snapshots.run)
@@ -100,7 +101,7 @@
 		g.Go("forwarder", e.runForwarder)
 	}
 	e.startOnce(g)
-	limited := connlimit.New(listener, e.settings.MaxConnections, e.makeRoom)
+	limited := headListener{Listener: connlimit.New(listener, e.settings.MaxConnections, e.makeRoom), bodies: e.bodies}
 	g.Go("server", func(context.Context) error { return wire.Serve(server, limited) })
 	select {
 	case <-ctx.Done():
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"rattanspur.example/lib/bodybudget"
 	"rattanspur.example/lib/connlimit"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/sock"
@@ -46,7 +47,7 @@
 	}
 	f := &front{gateway: g, group: duty.NewGroup(context.Background()), conns: map[*callerConn]bool{}}
 	limit := maxConnections(g.settings.MemoryBytes, g.settings.MaxFiles)
-	f.listener = callerListener{connlimit.New(l, limit, f.makeRoom)}
+	f.listener = callerListener{Listener: connlimit.New(l, limit, f.makeRoom), bodies: g.bodies}
 	f.server = &http.Server{
 		Handler:           http.HandlerFunc(g.serveCall),
 		ReadHeaderTimeout: headerTimeout,
@@ -68,6 +69,7 @@
 func markBusy(ctx context.Context) {
 	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
 		c.use.CompareAndSwap(connIdle, connBusy)
+		c.head.Complete()
 	}
 }
 
@@ -89,6 +91,7 @@
 	}
 	switch state {
 	case http.StateIdle:
+		c.head.Begin()
 		c.idleSince.Store(time.Now().UnixNano())
 		c.use.CompareAndSwap(connBusy, connIdle)
 	case http.StateNew:
@@ -176,6 +179,8 @@
 	use atomic.Int32
 	// idleSince is when the last request ended, in ns since 1970; 0 before the first one.
 	idleSince atomic.Int64
+	// head counts the memory for the head of the request that is being read.
+	head *bodybudget.Head
 }
 
 // Read implements net.Conn.
@@ -184,9 +189,18 @@
 	if n > 0 && !c.use.CompareAndSwap(connIdle, connBusy) && c.use.Load() == connClosed {
 		return 0, net.ErrClosed
 	}
+	if headErr := c.head.Received(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.head.Complete()
+	return c.Conn.Close()
+}
+
 // mayGetRequest reports whether a request may be on its way, counted from a time.
 func (c *callerConn) mayGetRequest(now, from time.Time) bool {
 	idleSince := c.idleSince.Load()
@@ -210,7 +224,10 @@
 }
 
 // callerListener accepts connections as callerConns.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+	bodies *bodybudget.Budget
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -222,5 +239,5 @@
 	if !ok {
 		return conn, nil
 	}
-	return &callerConn{Conn: limited}, nil
+	return &callerConn{Conn: limited, head: l.bodies.NewHead(func() { _ = limited.Close() })}, nil
 }
--- a/lib/bodybudget/budget_test.go
+++ b/lib/bodybudget/budget_test.go
@@ -286,7 +286,7 @@
 
 // Guards against headers that are not counted.
 func TestHeaderBytes(t *testing.T) {
-	require.Equal(t, int64(len("A")+len("1")+len("22")), headerBytes(http.Header{"A": {"1", "22"}}))
+	require.Equal(t, int64(fieldBytes+len("A")+len("1")+len("22")), headerBytes(http.Header{"A": {"1", "22"}}))
 }
 
 // The cost of the budget for an ordinary request.
--- a/lib/bodybudget/core.go
+++ b/lib/bodybudget/core.go
@@ -225,6 +225,7 @@
 	c.cancel(a)
 	if a.state == reading {
 		c.removeReading(a)
+		a.state = complete
 	}
 	c.giveBack(a, a.bytes)
 }
--- a/lib/bodybudget/request.go
+++ b/lib/bodybudget/request.go
@@ -70,15 +70,3 @@
 		return true
 	}
 }
-
-// headerBytes returns about how much memory a request's header takes.
-func headerBytes(h http.Header) int64 {
-	n := 0
-	for name, values := range h {
-		n += len(name)
-		for _, value := range values {
-			n += len(value)
-		}
-	}
-	return int64(n)
-}
--- a/soak/bodies_test.go
+++ b/soak/bodies_test.go
@@ -23,13 +23,16 @@
 
 // Limits of the gateway in a test with many uploads. The published limit of a body is
 // 1 MiB. Together, the uploads have twice the memory and more connections than the
-// process may have descriptors.
+// process may have descriptors. Heads take less, so that in a test of these all connections
+// may be open.
 const (
 	uploadMemoryMB    = 128
 	uploadFiles       = 512
+	headFiles         = 2048
 	uploadClients     = 600
 	uploadBytes       = 512 << 10
 	uploadLimit       = 1 << 20
+	uploadHeadBytes   = 16000
 	uploadSettleTime  = 10 * time.Second
 	uploadStartTime   = 30 * time.Second
 	uploadRequestTime = 30 * time.Second
@@ -37,7 +40,7 @@
 
 // startUploadGateway starts a gateway with the limits above and a replica, and waits
 // until requests are served.
-func startUploadGateway(t *testing.T, binary string) (*environment, *process) {
+func startUploadGateway(t *testing.T, binary string, files int) (*environment, *process) {
 	t.Helper()
 	env := &environment{
 		options: Options{Logs: t.TempDir(), Gateway: binary, Out: io.Discard}, dir: t.TempDir(),
@@ -56,7 +59,7 @@
 	m, err := env.newMachine("edge", zones[0])
 	require.NoError(t, err)
 	require.NoError(t, m.writeSettings([]string{m.control()}))
-	setLimits(t, m.settingsPath(), map[string]any{"memory_mb": uploadMemoryMB, "max_fds": uploadFiles, "link_mbps": linkMbps})
+	setLimits(t, m.settingsPath(), map[string]any{"memory_mb": uploadMemoryMB, "max_fds": files, "link_mbps": linkMbps})
 	p := &process{machine: m, role: "gateway", program: binary}
 	env.gateways = []*process{p}
 	require.NoError(t, p.launch(env))
@@ -148,30 +151,40 @@
 func TestGatewayStaysWithinItsLimitsUnderUploads(t *testing.T) {
 	binary := build(t, program.Product)
 	for name, upload := range standin.UploadCases(uploadHead, uploadBytes, uploadLimit) {
-		t.Run(name, func(t *testing.T) {
-			env, p := startUploadGateway(t, binary)
-			uploads := standin.StartUploads(p.machine.address(frontPort), uploadClients, upload)
-			defer uploads.Close()
-			uploads.Await(uploadSettleTime)
-			status, err := postLookup(p.machine, "text")
-			usage, usageErr := standin.PeakUsage(p.cmd.Process.Pid)
-			logOrdinary(t, env, p)
-			t.Logf("peak %d MB, %d descriptors", usage.PeakBytes>>20, usage.Files)
-			require.NoError(t, usageErr)
-			require.NoError(t, err)
-			require.Equal(t, http.StatusOK, status)
-			require.LessOrEqual(t, usage.PeakBytes, int64(uploadMemoryMB<<20))
-			require.LessOrEqual(t, usage.Files, uploadFiles)
-			require.NoError(t, p.cmd.Process.Signal(syscall.Signal(0)))
-			require.Empty(t, env.ledger.take().violations)
-		})
+		t.Run(name, func(t *testing.T) { requireLimitsKept(t, binary, uploadFiles, upload) })
 	}
 }
 
+// Guards against a gateway whose memory the heads of its clients' requests use up: each is of
+// permitted size, of many short fields, and not complete.
+func TestGatewayStaysWithinItsLimitsUnderHeads(t *testing.T) {
+	binary := build(t, program.Product)
+	requireLimitsKept(t, binary, headFiles, standin.IncompleteHead(uploadHead, uploadHeadBytes))
+}
+
+func requireLimitsKept(t *testing.T, binary string, files int, upload standin.Upload) {
+	t.Helper()
+	env, p := startUploadGateway(t, binary, files)
+	uploads := standin.StartUploads(p.machine.address(frontPort), uploadClients, upload)
+	defer uploads.Close()
+	uploads.Await(uploadSettleTime)
+	status, err := postLookup(p.machine, "text")
+	usage, usageErr := standin.PeakUsage(p.cmd.Process.Pid)
+	logOrdinary(t, env, p)
+	t.Logf("peak %d MB, %d descriptors", usage.PeakBytes>>20, usage.Files)
+	require.NoError(t, usageErr)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.LessOrEqual(t, usage.PeakBytes, int64(uploadMemoryMB<<20))
+	require.LessOrEqual(t, usage.Files, files)
+	require.NoError(t, p.cmd.Process.Signal(syscall.Signal(0)))
+	require.Empty(t, env.ledger.take().violations)
+}
+
 // Guards against a limit on the memory of bodies that a single request of permitted size
 // exceeds.
 func TestGatewayServesASingleRequestOfTheLargestSize(t *testing.T) {
-	_, p := startUploadGateway(t, build(t, program.Product))
+	_, p := startUploadGateway(t, build(t, program.Product), uploadFiles)
 	status, err := postLookup(p.machine, strings.Repeat("a", uploadLimit))
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, status)
--- a/standin/uploads.go
+++ b/standin/uploads.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,11 +22,13 @@
 	uploadBufferBytes = 64 << 10
 )
 
-// Upload describes the request of an upload client. Its body stays incomplete.
+// Upload describes the request of an upload client. Its body stays incomplete, or its head.
 type Upload struct {
 	// Head is the request line and the header lines, each with its line end, without
 	// those that state the length of the body.
 	Head string
+	// HeadOnly is whether nothing but the head is sent, and the head without its end.
+	HeadOnly bool
 	// Announced is the Content-Length; 0 means a chunked body.
 	Announced int
 	// Bytes is how much of the body is sent.
@@ -43,6 +47,9 @@
 
 // encode returns the encoded upload. Small chunks are written many at a time.
 func (u *Upload) encode() *encodedUpload {
+	if u.HeadOnly {
+		return &encodedUpload{head: []byte(u.Head)}
+	}
 	if u.Announced > 0 {
 		head := fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n", u.Head, u.Announced)
 		part := bytes.Repeat([]byte("a"), u.PieceBytes)
@@ -171,3 +178,14 @@
 		"over the limit, simply sent": {Head: head, Bytes: excess*limit - 1, PieceBytes: largeChunk},
 	}
 }
+
+// IncompleteHead returns an upload whose head has many short fields, up to a number of bytes, and
+// no end.
+func IncompleteHead(head string, size int) Upload {
+	var b strings.Builder
+	b.WriteString(head)
+	for i := 0; b.Len() < size; i++ {
+		b.WriteString(strconv.FormatInt(int64(i), 36) + "a:\r\n")
+	}
+	return Upload{Head: b.String(), HeadOnly: true}
+}
