gateway: a hedge that is overtaken while it connects says nothing of its upstream

Cause: found while reading the change: a dial that ends because the silent attempt went on was reported as unreachable, so that a sound upstream was avoided for 0.4 s and more. Change: such an attempt is canceled. Result: TestOvertakenHedgeSaysNothingOfItsUpstream fails without the change (unreachable) and passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"time"
@@ -154,7 +155,7 @@
 		return true
 	}
 	end := retry.Unreachable
-	if c.r.Context().Err() != nil {
+	if c.r.Context().Err() != nil || errors.Is(context.Cause(ctx), errOvertaken) {
 		end = retry.Canceled
 	}
 	r.outcome = exchange.Outcome{
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -40,3 +40,17 @@
 	require.Zero(t, n, "part of the request arrived")
 	require.Error(t, err)
 }
+
+// Guards against an upstream that counts as unreachable because a hedge was overtaken while it
+// connected.
+func TestOvertakenHedgeSaysNothingOfItsUpstream(t *testing.T) {
+	source := newSource()
+	source.put("op/config", configJSON)
+	g := start(t, source)
+	c := &callHandler{gateway: g.gateway, r: httptest.NewRequest(http.MethodPost, "/read/x", nil)}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	cancel(errOvertaken)
+	run := c.newRun(&dispatch.Send{Address: "127.0.0.1:1", Deadline: time.Now().Add(time.Minute)}, &command{ctx: ctx, cancel: cancel}, received{})
+	run.execute()
+	require.Equal(t, retry.Canceled, run.outcome.End)
+}
