--- a/bench/e2e/engine_switch_test.go
+++ b/bench/e2e/engine_switch_test.go
@@ -98,8 +98,8 @@
 
 // Guards against a crash that is not reported to the other processes, against
 // innocent requests that remain suspects after they completed, against a request in
-// mid-answer that becomes a suspect, and against a repeated crash with other
-// requests that is not ascribed to the part that they share.
+// mid-answer that is taken for harmless although the engine has not survived it, and against
+// a repeated crash with other requests that is not ascribed to the part that they share.
 func TestCrashMakesSuspects(t *testing.T) {
 	o := smallOptions()
 	o.Engine = standin.EngineOptions{
@@ -124,9 +124,11 @@
 	awaitCounts(ctx, t, p.Engine, "calls not started", func(c standin.EngineCounts) bool { return c.Running == 2 })
 	_, _ = call("poison", harmful, guilty)
 	group.Wait()
-	awaitSuspects(ctx, t, l, innocent, harmful, guilty)
+	awaitSuspects(ctx, t, l, answering, innocent, harmful, guilty)
 	require.NoError(t, l.AwaitReady(ctx, w.Root, p))
 	require.NoError(t, lab.Await(ctx, func() error { return checkRan(call("text-1", innocent)) }))
+	awaitSuspects(ctx, t, l, answering, harmful, guilty)
+	require.NoError(t, lab.Await(ctx, func() error { return checkRan(call("text-2", answering)) }))
 	awaitSuspects(ctx, t, l, harmful, guilty)
 	require.NoError(t, lab.Await(ctx, func() error {
 		a, err := call("poison", harmful, guilty+1)
