dispatch: the methods of an attempt stand beside its type

Change: attemptNumber, releasePrompt and release move to request.go unchanged. Result: the tests of the package pass; no behaviour is changed.

--- a/lib/dispatch/core.go
+++ b/lib/dispatch/core.go
@@ -459,19 +459,6 @@
 	}
 }
 
-// attemptNumber returns the attempt of a request with a number, or the current one for 0; nil
-// if it has ended.
-func (r *request) attemptNumber(n int) *attempt {
-	switch {
-	case r.hedge != nil && n == r.hedge.number:
-		return r.hedge
-	case r.upstream != nil && (n == 0 || n == r.number):
-		return &r.attempt
-	default:
-		return nil
-	}
-}
-
 // ResponseStarted records that the response to a request began.
 func (c *Core) ResponseStarted(now time.Time, ticket Ticket) []Action {
 	r := c.requests[ticket]
@@ -484,23 +471,6 @@
 	return c.drain(now)
 }
 
-// releasePrompt removes the prompt from the upstream's unread prompts. Only the
-// first call for an attempt has an effect.
-func (a *attempt) releasePrompt() {
-	a.upstream.promptTokens -= a.unreadTokens
-	a.unreadTokens = 0
-}
-
-// release ends the part of an attempt that counts at its upstream.
-func (a *attempt) release() {
-	a.releasePrompt()
-	a.upstream.inFlight--
-	if a.trial {
-		a.trial, a.upstream.trial = false, false
-	}
-	a.upstream = nil
-}
-
 // Tick handles the passing of time: it expires queued requests and sends those
 // that fit now.
 func (c *Core) Tick(now time.Time) []Action { return c.drain(now) }
--- a/lib/dispatch/request.go
+++ b/lib/dispatch/request.go
@@ -83,6 +83,36 @@
 	statedSlowdown float64
 }
 
+// attemptNumber returns the attempt of a request with a number, or the current one for 0; nil
+// if it has ended.
+func (r *request) attemptNumber(n int) *attempt {
+	switch {
+	case r.hedge != nil && n == r.hedge.number:
+		return r.hedge
+	case r.upstream != nil && (n == 0 || n == r.number):
+		return &r.attempt
+	default:
+		return nil
+	}
+}
+
+// releasePrompt removes the prompt from the upstream's unread prompts. Only the
+// first call for an attempt has an effect.
+func (a *attempt) releasePrompt() {
+	a.upstream.promptTokens -= a.unreadTokens
+	a.unreadTokens = 0
+}
+
+// release ends the part of an attempt that counts at its upstream.
+func (a *attempt) release() {
+	a.releasePrompt()
+	a.upstream.inFlight--
+	if a.trial {
+		a.trial, a.upstream.trial = false, false
+	}
+	a.upstream = nil
+}
+
 // failedUpstream is an upstream that failed a request. silentSince is set if it was silent:
 // it counts no more once it has responded to any request since.
 type failedUpstream struct {
