bodybudget: a closed body or head reserves nothing

Cause: Head.Received counts under its lock and reserves after it; Complete may close the account between the two. A closed account was the same as a complete body to the core: it was granted memory, displaced others, and was queued. If its grant crossed the end of its wait, nobody released the bytes.

Change: accounts have the state closed, in which the core reserves nothing, so that no grant can follow the close. The check after the reservation goes.

--- a/lib/bodybudget/budget.go
+++ b/lib/bodybudget/budget.go
@@ -130,7 +130,8 @@
 }
 
 // reserve reserves further bytes for a body. It waits until bodies that it displaces
-// have released their memory, which they do at once, or until ctx ends.
+// have released their memory, which they do at once, or until ctx ends. It returns
+// context.Canceled for a body that was closed before.
 func (b *Budget) reserve(ctx context.Context, a *account, n int64) error {
 	switch b.request(a, n) {
 	case granted:
@@ -139,6 +140,8 @@
 		return ErrExhausted
 	case displaced:
 		return ErrEvicted
+	case closedBefore:
+		return context.Canceled
 	}
 	result, err := a.waiter.Take(ctx)
 	if err != nil {
@@ -161,8 +164,8 @@
 	return v
 }
 
-// withdraw ends the wait of a body. If its reservation was granted meanwhile, the release
-// of the body frees it.
+// withdraw ends the wait of a body. If its reservation was granted meanwhile, the bytes are freed
+// when the body is closed.
 func (b *Budget) withdraw(a *account) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/lib/bodybudget/core.go
+++ b/lib/bodybudget/core.go
@@ -22,6 +22,8 @@
 	complete
 	// evicted means that the body was displaced and its bytes are about to be released.
 	evicted
+	// closed means that all bytes were released. Such a body gets none any more.
+	closed
 )
 
 // account is what the budget knows about one body.
@@ -64,6 +66,8 @@
 	refused
 	// displaced means that the body itself was evicted before.
 	displaced
+	// closedBefore means that the body was closed before.
+	closedBefore
 )
 
 // actionKind is what to do for a body.
@@ -118,8 +122,11 @@
 
 // reserve asks for further bytes for a body that does not wait.
 func (c *core) reserve(a *account, n int64, now time.Time) verdict {
-	if a.state == evicted {
+	switch a.state {
+	case evicted:
 		return displaced
+	case closed:
+		return closedBefore
 	}
 	ceiling := c.ceiling(a.bytes + n)
 	if len(c.queue) == 0 && c.held+n <= ceiling {
@@ -220,14 +227,16 @@
 	c.grantNext()
 }
 
-// close releases all bytes of a body and its place in the queue.
+// close releases all bytes of a body and its place in the queue. It may be called more than
+// once.
 func (c *core) close(a *account) {
 	c.cancel(a)
 	if a.state == reading {
 		c.removeReading(a)
-		a.state = complete
 	}
-	c.giveBack(a, a.bytes)
+	c.add(a, -a.bytes)
+	a.state = closed
+	c.grantNext()
 }
 
 // withdraw ends the wait of a body.
--- a/lib/bodybudget/core_test.go
+++ b/lib/bodybudget/core_test.go
@@ -76,6 +76,22 @@
 	require.Equal(t, complete, whole.state)
 }
 
+// Guards against bytes that nobody releases: a handler may ask for more after its body was closed
+// on another goroutine.
+func TestAClosedBodyGetsNothing(t *testing.T) {
+	c := &core{limit: 100 * kb}
+	gone := openWith(t, c, 10*kb, after(0))
+	c.close(gone)
+	stalled := openWith(t, c, 90*kb, after(0))
+	require.Equal(t, closedBefore, c.reserve(gone, 10*kb, after(10)), "there is room")
+	require.Equal(t, closedBefore, c.reserve(gone, 20*kb, after(10)), "there is none")
+	require.Equal(t, reading, stalled.state, "displaced for a body that is closed")
+	c.close(gone)
+	c.close(stalled)
+	require.Zero(t, c.held)
+	require.Zero(t, c.evicting)
+}
+
 // Guards against a few large complete bodies that leave nothing for ordinary requests.
 func TestLargeBodiesLeaveAPartToSmallOnes(t *testing.T) {
 	c := &core{limit: 8 << 20}
--- a/lib/bodybudget/head.go
+++ b/lib/bodybudget/head.go
@@ -62,7 +62,8 @@
 }
 
 // Received counts bytes that have arrived, if they belong to a head. It returns ErrExhausted or
-// ErrEvicted if there is no memory for it; the connection must be closed then.
+// ErrEvicted if there is no memory for it, and context.Canceled if Complete was called meanwhile;
+// the connection must be closed then.
 func (h *Head) Received(data []byte) error {
 	ctx, account, n := h.count(data)
 	if n == 0 {
@@ -72,12 +73,6 @@
 		h.Complete()
 		return err
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.account != account {
-		// The connection was closed meanwhile.
-		h.budget.close(account)
-	}
 	return nil
 }
 
--- a/lib/bodybudget/head_test.go
+++ b/lib/bodybudget/head_test.go
@@ -1,6 +1,7 @@
 package bodybudget
 
 import (
+	"context"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -62,6 +63,21 @@
 	require.Zero(t, b.Stats().Held)
 }
 
+// Guards against a head that displaces others, or holds bytes, although its connection was closed
+// right before it asks for them.
+func TestHeadThatEndsBeforeItReservesGetsNothing(t *testing.T) {
+	b := New(64 * kb)
+	stalled := b.open(func() {})
+	require.Equal(t, granted, b.request(stalled, b.Stats().Limit))
+	h := b.NewHead(func() {})
+	ctx, account, n := h.count(shortFields)
+	h.Complete()
+	require.ErrorIs(t, b.reserve(ctx, account, n), context.Canceled)
+	require.Equal(t, uint64(0), b.Stats().Evicted)
+	b.close(stalled)
+	require.Zero(t, b.Stats().Held)
+}
+
 // Guards against reservations that stay for a connection that is closed while it waits for
 // memory, or right after.
 func TestHeadOfAClosedConnectionHoldsNothing(t *testing.T) {
