connlimit, entry, gateway: one connection type counts heads

Change: connlimit.Conn counts the head of the request that it reads, through a narrow interface, so that the library imports nothing more. The entry has no connection type of its own any more. The gateway keeps its type for the use of a connection: it is busy before its head waits for memory, as before. An interrupted head frees its slot like any close; a test asks for that.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -101,7 +101,8 @@
 		g.Go("forwarder", e.runForwarder)
 	}
 	e.startOnce(g)
-	limited := headListener{Listener: connlimit.New(listener, e.settings.MaxConnections, e.makeRoom), bodies: e.bodies}
+	newHead := func(interrupt func()) connlimit.Head { return e.bodies.NewHead(interrupt) }
+	limited := connlimit.New(listener, e.settings.MaxConnections, e.makeRoom, newHead)
 	g.Go("server", func(context.Context) error { return wire.Serve(server, limited) })
 	select {
 	case <-ctx.Done():
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"rattanspur.example/lib/bodybudget"
 	"rattanspur.example/lib/connlimit"
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/sock"
@@ -47,7 +46,8 @@
 	}
 	f := &front{gateway: g, group: duty.NewGroup(context.Background()), conns: map[*callerConn]bool{}}
 	limit := maxConnections(g.settings.MemoryBytes, g.settings.MaxFiles)
-	f.listener = callerListener{Listener: connlimit.New(l, limit, f.makeRoom), bodies: g.bodies}
+	newHead := func(interrupt func()) connlimit.Head { return g.bodies.NewHead(interrupt) }
+	f.listener = callerListener{connlimit.New(l, limit, f.makeRoom, newHead)}
 	f.server = &http.Server{
 		Handler:           http.HandlerFunc(g.serveCall),
 		ReadHeaderTimeout: headerTimeout,
@@ -69,7 +69,7 @@
 func markBusy(ctx context.Context) {
 	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
 		c.use.CompareAndSwap(connIdle, connBusy)
-		c.head.Complete()
+		c.Head.Complete()
 	}
 }
 
@@ -91,7 +91,7 @@
 	}
 	switch state {
 	case http.StateIdle:
-		c.head.Begin()
+		c.Head.Begin()
 		c.idleSince.Store(time.Now().UnixNano())
 		c.use.CompareAndSwap(connBusy, connIdle)
 	case http.StateNew:
@@ -179,28 +179,21 @@
 	use atomic.Int32
 	// idleSince is when the last request ended, in ns since 1970; 0 before the first one.
 	idleSince atomic.Int64
-	// head counts the memory for the head of the request that is being read.
-	head *bodybudget.Head
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. The connection is busy before its head waits for memory, so that it
+// is not closed as an idle one meanwhile.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.TCPConn.Read(p)
 	if n > 0 && !c.use.CompareAndSwap(connIdle, connBusy) && c.use.Load() == connClosed {
 		return 0, net.ErrClosed
 	}
-	if headErr := c.head.Received(p[:n]); headErr != nil {
+	if headErr := c.Head.Received(p[:n]); headErr != nil {
 		return 0, headErr
 	}
 	return n, err
 }
 
-// Close implements net.Conn.
-func (c *callerConn) Close() error {
-	c.head.Complete()
-	return c.Conn.Close()
-}
-
 // mayGetRequest reports whether a request may be on its way, counted from a time.
 func (c *callerConn) mayGetRequest(now, from time.Time) bool {
 	idleSince := c.idleSince.Load()
@@ -224,10 +217,7 @@
 }
 
 // callerListener accepts connections as callerConns.
-type callerListener struct {
-	net.Listener
-	bodies *bodybudget.Budget
-}
+type callerListener struct{ net.Listener }
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -239,5 +229,5 @@
 	if !ok {
 		return conn, nil
 	}
-	return &callerConn{Conn: limited, head: l.bodies.NewHead(func() { _ = limited.Close() })}, nil
+	return &callerConn{Conn: limited}, nil
 }
--- a/lib/connlimit/connlimit.go
+++ b/lib/connlimit/connlimit.go
@@ -1,5 +1,6 @@
 // Package connlimit limits the open connections of a listener, so that neither their
-// memory nor their descriptors exceed what the process may use.
+// memory nor their descriptors exceed what the process may use, and counts the memory for the
+// heads of requests that arrive on them.
 package connlimit
 
 import (
@@ -27,17 +28,36 @@
 	closed   chan struct{}
 	once     sync.Once
 	makeRoom MakeRoom
+	newHead  NewHead
 }
 
 // MakeRoom closes up to n connections, whatever they are used for if it is urgent. It
 // must not wait until they are closed.
 type MakeRoom func(n int, urgent bool)
 
+// Head counts the memory for the head of the request that is read from a connection.
+type Head interface {
+	// Begin begins the head of the next request, and Complete ends a head: what arrives
+	// afterwards belongs to none.
+	Begin()
+	Complete()
+	// Received counts bytes that have arrived, if they belong to a head. It returns an error if
+	// there is no memory for it; the connection must be closed then.
+	Received(data []byte) error
+}
+
+// NewHead returns the head of the first request of a connection. interrupt closes the
+// connection and does not block.
+type NewHead func(interrupt func()) Head
+
 // New returns a listener of TCP connections with at most limit open ones. Each connection
 // beyond three quarters of them makes room for one. If all are open, room is urgently made
 // for a quarter, since connections take a while to close.
-func New(l net.Listener, limit int, makeRoom MakeRoom) *Listener {
-	return &Listener{Listener: l, slots: make(chan struct{}, max(limit, 1)), closed: make(chan struct{}), makeRoom: makeRoom}
+func New(l net.Listener, limit int, makeRoom MakeRoom, newHead NewHead) *Listener {
+	return &Listener{
+		Listener: l, slots: make(chan struct{}, max(limit, 1)), closed: make(chan struct{}),
+		makeRoom: makeRoom, newHead: newHead,
+	}
 }
 
 // Accept waits for a connection and then for a free slot, so that room is made only for a
@@ -54,7 +74,9 @@
 	if limit := cap(l.slots); len(l.slots) > limit-limit/softDivisor {
 		l.makeRoom(1, false)
 	}
-	return &Conn{TCPConn: c, listener: l}, nil
+	conn := &Conn{TCPConn: c, listener: l}
+	conn.Head = l.newHead(func() { _ = conn.release() })
+	return conn, nil
 }
 
 // takeSlot waits for a free slot. While there is none, it makes room again and again:
@@ -99,15 +121,32 @@
 	return l.Listener.Close()
 }
 
-// Conn is a TCP connection that occupies a slot until it is closed.
+// Conn is a TCP connection that occupies a slot until it is closed. Its reads count the heads of
+// requests.
 type Conn struct {
 	*net.TCPConn
+	// Head counts the head that is being read.
+	Head     Head
 	listener *Listener
 	once     sync.Once
 }
 
-// Close closes the connection. The first call frees the slot.
+// Read implements net.Conn. It returns the error of the head if there is no memory for it.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if headErr := c.Head.Received(p[:n]); headErr != nil {
+		return 0, headErr
+	}
+	return n, err
+}
+
+// Close closes the connection and ends its head. The first call frees the slot.
 func (c *Conn) Close() error {
+	c.Head.Complete()
+	return c.release()
+}
+
+func (c *Conn) release() error {
 	err := c.TCPConn.Close()
 	c.once.Do(func() { <-c.listener.slots })
 	return err
--- a/lib/connlimit/connlimit_test.go
+++ b/lib/connlimit/connlimit_test.go
@@ -1,6 +1,8 @@
 package connlimit
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -9,12 +11,33 @@
 	"github.com/stretchr/testify/require"
 )
 
+// errNoMemory is the error of a head that is too large.
+var errNoMemory = errors.New("no memory for the head")
+
+// countingHead has memory for maxHead bytes of a head.
+type countingHead struct {
+	received int
+	ended    bool
+}
+
+const maxHead = 8
+
+func (h *countingHead) Begin()    { h.received, h.ended = 0, false }
+func (h *countingHead) Complete() { h.ended = true }
+
+func (h *countingHead) Received(data []byte) error {
+	if h.received += len(data); h.received > maxHead {
+		return errNoMemory
+	}
+	return nil
+}
+
 // listen returns a listener with a limit, and a function that connects to it.
 func listen(t *testing.T, limit int, makeRoom MakeRoom) (*Listener, func() net.Conn) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	l := New(inner, limit, makeRoom)
+	l := New(inner, limit, makeRoom, func(func()) Head { return &countingHead{} })
 	t.Cleanup(func() { _ = l.Close() })
 	return l, func() net.Conn {
 		c, err := net.Dial("tcp", inner.Addr().String())
@@ -119,3 +142,46 @@
 	require.NoError(t, l.Close())
 	require.ErrorIs(t, <-done, net.ErrClosed)
 }
+
+// Guards against heads that are read without being counted, against bytes that reach the server
+// although there is no memory for them, and against a head that outlives its connection.
+func TestReadsCountTheHead(t *testing.T) {
+	l, dial := listen(t, 1, func(int, bool) {})
+	client := dial()
+	conn, err := l.Accept()
+	require.NoError(t, err)
+	head, ok := conn.(*Conn).Head.(*countingHead)
+	require.True(t, ok)
+	_, err = client.Write(make([]byte, maxHead))
+	require.NoError(t, err)
+	_, err = io.ReadFull(conn, make([]byte, maxHead))
+	require.NoError(t, err)
+	require.Equal(t, maxHead, head.received)
+	_, err = client.Write([]byte("further"))
+	require.NoError(t, err)
+	n, err := conn.Read(make([]byte, maxHead))
+	require.Zero(t, n)
+	require.ErrorIs(t, err, errNoMemory)
+	require.False(t, head.ended)
+	require.NoError(t, conn.Close())
+	require.True(t, head.ended)
+}
+
+// Guards against a head that closes its connection and keeps the slot, or frees it twice.
+func TestInterruptedHeadFreesTheSlot(t *testing.T) {
+	l, dial := listen(t, 1, func(int, bool) {})
+	var interrupts []func()
+	l.newHead = func(interrupt func()) Head {
+		interrupts = append(interrupts, interrupt)
+		return &countingHead{}
+	}
+	dial()
+	dial()
+	first, err := l.Accept()
+	require.NoError(t, err)
+	interrupts[0]()
+	require.Error(t, first.Close())
+	_, err = l.Accept()
+	require.NoError(t, err)
+	require.Len(t, l.slots, 1)
+}
