dispatch: the line attempt-hedged shows the load that the decision assumes

Change: the estimate takes statedLoad().

Result: TestStatedLoadCountsForHedges asks for the same figure in both; it showed 0 in place of 12 before. go test ./lib/dispatch passes.

--- a/lib/dispatch/estimate.go
+++ b/lib/dispatch/estimate.go
@@ -8,8 +8,8 @@
 // LoadEstimate is what a decision assumes about the load of an upstream, and on what it
 // rests, for logs.
 type LoadEstimate struct {
-	// Requests is the number of requests assumed to be at the upstream, of which Own are
-	// those of this entry and Peers those that the other entries report.
+	// Requests is the number of requests assumed to be at the upstream. Own are those of this
+	// entry, and Peers those that the other entries report; the upstream may have stated more.
 	Requests, Own, Peers int
 	// Stated is the number of requests that the upstream stated last, StatedAge how long
 	// ago; it has stated none if StatedAge is 0.
@@ -30,9 +30,9 @@
 	return text + strconv.Itoa(e.Stated) + "@" + e.StatedAge.Round(time.Millisecond).String()
 }
 
-// estimate describes the load of the upstream as decisions see it now.
+// estimate describes the load of the upstream as a hedge sees it now.
 func (u *upstream) estimate(now time.Time) LoadEstimate {
-	e := LoadEstimate{Requests: u.load(now), Own: u.inFlight, Slots: u.Slots}
+	e := LoadEstimate{Requests: u.statedLoad(now), Own: u.inFlight, Slots: u.Slots}
 	if now.Sub(u.peerLoadAt) <= peerLoadTTL {
 		e.Peers = u.peerLoad.Requests
 	}
--- a/lib/dispatch/hedge_test.go
+++ b/lib/dispatch/hedge_test.go
@@ -199,6 +199,7 @@
 	h.core.SetPeerLoads(h.now, map[fleet.InstanceID]peering.Load{}, nil)
 	require.Zero(t, b.load(h.now))
 	require.Equal(t, 12, b.statedLoad(h.now))
+	require.Equal(t, 12, b.estimate(h.now).Requests, "the log shows another load than the decision assumes")
 	require.Empty(t, h.core.AttemptSilent(h.now, tickets[0], h.afterEvent()))
 	h.advance(loadReportTTL + time.Millisecond)
 	require.Len(t, h.core.Tick(h.now), 1, "what it stated is too old to count")
