entry: a silent attempt is not ended before another agent has responded

What callers saw: with one agent silent for a while and the other one full of other callers' work, each of four calls ran three times at the silent agent; where the other agent took the call and fell silent too, the answer of the first was thrown away and the caller got 502.

The router ended the silent attempt once its table had a slot elsewhere, and the table takes an agent of which it heard nothing for a second for empty.

Change: entries hedge. Both attempts stay in progress, the router lets the first response pass and ends the other attempt; one that ends by itself leaves the call to the other, and the last one decides with the history of all. An agent of unknown load gets one hedge at a time, a call four at most.

Why it works: nothing is given up for an estimate, only for a response.

--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -151,7 +151,7 @@
 // lostEnd returns the end of an attempt that received no response.
 func (x *exchange) lostEnd() retry.End {
 	switch {
-	case errors.Is(context.Cause(x.ctx), errStalled), errors.Is(context.Cause(x.ctx), errMoved):
+	case errors.Is(context.Cause(x.ctx), errStalled), errors.Is(context.Cause(x.ctx), errOvertaken):
 		return retry.Stalled
 	case errors.Is(x.ctx.Err(), context.DeadlineExceeded), errors.Is(context.Cause(x.ctx), errStopping):
 		return retry.TimedOut
@@ -251,7 +251,7 @@
 		return
 	}
 	if !x.mayPassOn(ctx) {
-		res.end, res.detail = retry.Stalled, errMoved.Error()
+		x.overtaken(res)
 		return
 	}
 	if res.load != nil {
@@ -284,7 +284,7 @@
 		return
 	}
 	if !x.mayPassOn(ctx) {
-		res.end, res.detail = retry.Stalled, errMoved.Error()
+		x.overtaken(res)
 		return
 	}
 	res.started, res.complete = true, true
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -32,6 +32,8 @@
 	latency     *metrics.Histogram
 	truncations *metrics.Counter
 	retries     *metrics.Counter
+	// hedges counts the attempts that began beside silent ones, which are retries too.
+	hedges *metrics.Counter
 	// partsLeftOut counts the parts of prompts that get no trait.
 	partsLeftOut *metrics.Counter
 	// calls is the number of calls whose handlers run.
@@ -49,6 +51,7 @@
 		latency:     set.NewHistogram("rattanspur_entry_request_duration_seconds"),
 		truncations: set.NewCounter("rattanspur_entry_responses_cut_total"),
 		retries:     set.NewCounter("rattanspur_entry_retries_total"),
+		hedges:      set.NewCounter("rattanspur_entry_hedges_total"),
 
 		partsLeftOut: set.NewCounter("rattanspur_entry_prompt_parts_left_out_total"),
 	}
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -126,10 +126,10 @@
 	q.PutBack(item)
 }
 
-// drain sends waiting calls while upstreams have capacity. Calls whose upstreams are
-// silent come before those that were not sent yet.
+// drain sends waiting calls while upstreams have capacity. Hedges of calls whose upstreams
+// are silent come before calls that were not sent yet.
 func (r *router) drain(ctx context.Context) {
-	r.moveSilent()
+	r.hedgeSilent(ctx)
 	now := time.Now()
 	for key, q := range r.queues.byKey {
 		for item := q.Peek(); item != nil && r.sendQueued(ctx, key, item.Value); item = q.Peek() {
--- a/entry/router.go
+++ b/entry/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -66,11 +67,33 @@
 	// mayHaveRun is true if an attempt of the call may have been run. The caller
 	// must then not be told that the request was not run.
 	mayHaveRun bool
+	// hedge is set if the attempt was sent beside a silent one.
+	hedge bool
 	// queueDeadline is the time at which the call stops waiting for capacity. The
 	// time of its attempts does not count.
 	queueDeadline time.Time
 }
 
+// attemptEnd is how an attempt ended at an upstream.
+type attemptEnd struct {
+	end      retry.End
+	upstream fleet.InstanceID
+}
+
+// count adds the end of an attempt to the history of the call.
+func (a *attempt) count(e attemptEnd) {
+	if e.end != retry.Busy {
+		a.placements++
+	}
+	if !e.end.NotRun() {
+		a.mayHaveRun = true
+		a.failures++
+	}
+	if e.end.Failure() {
+		a.tried = append(slices.Clip(a.tried), e.upstream)
+	}
+}
+
 // router is the state of the router duty, the goroutine that owns the routing
 // table, the waiting calls, the retry budgets and the evidence of an entry.
 type router struct {
@@ -98,7 +121,7 @@
 		pools:    newConnPools(e.settings.ConnectionAge),
 		evidence: node.NewEvidence(e.node),
 		answered: serviceTimes{},
-		silent:   newSilentCalls(),
+		silent:   silentCalls{},
 	}
 }
 
@@ -121,7 +144,7 @@
 			return nil
 		}
 		r.evidence.Share(e.now())
-		if !armed && r.queues.length() > 0 {
+		if !armed && (r.queues.length() > 0 || len(r.silent) > 0) {
 			timer.Reset(queueInterval)
 			armed = true
 		}
@@ -138,10 +161,10 @@
 	case answerBegan:
 		r.recordBegan(ev.attempt)
 	case attemptSilent:
-		r.silent.waiting[ev.attempt.call.id] = ev.attempt
-		r.moveSilent()
-	case attemptResumed:
-		r.handleResumed(ctx, ev)
+		r.silent.silence(&ev.attempt)
+		r.hedgeSilent(ctx)
+	case responseArrived:
+		_ = ev.reply.Put(ctx, r.silent.pass(&ev.attempt))
 	case loadReported:
 		r.table.Report(time.Now(), ev.id, ev.load)
 	case statusQuery:
@@ -232,7 +255,9 @@
 	if !ok {
 		return false
 	}
-	r.sendTo(ctx, now, a, choice)
+	if a, ok = r.sendTo(ctx, now, a, choice); !ok {
+		r.giveUp(ctx, a, "entry carries as many calls as it may", retryAfter)
+	}
 	return true
 }
 
@@ -265,18 +290,14 @@
 	}
 }
 
-// sendTo sends a call to the upstream that was chosen for it.
-func (r *router) sendTo(ctx context.Context, now time.Time, a attempt, choice routing.Choice) {
+// sendTo sends a call to the upstream that was chosen for it, at which it was counted. It
+// returns the attempt, or false if the forwarders take no more.
+func (r *router) sendTo(ctx context.Context, now time.Time, a attempt, choice routing.Choice) (attempt, bool) {
 	if p := a.target.ProfileOf(r.view.Config, choice.Root); p != nil {
 		a.meta.Profile = p.Name
 		a.meta.Root = choice.Root
 	}
-	r.send(ctx, now, a, choice.Instance)
-}
-
-// send passes an attempt to the forwarders. The caller must have counted the
-// attempt in the routing table and checked that a forwarder is free.
-func (r *router) send(ctx context.Context, now time.Time, a attempt, upstream fleet.Instance) {
+	upstream := choice.Instance
 	a.meta.Attempt++
 	a.meta.Config = r.view.Config.Stamp
 	a.upstream = upstream
@@ -285,11 +306,11 @@
 	a.ctx, a.end = context.WithCancelCause(a.call.ctx)
 	if err := r.entry.attempts.Put(ctx, a); err != nil {
 		r.table.Done(upstream.ID)
-		r.giveUp(ctx, a, "entry carries as many calls as it may", retryAfter)
-		return
+		return a, false
 	}
 	r.inFlight++
 	r.record(timeline.RequestRouted, a, "")
+	return a, true
 }
 
 // handleAttemptEnd records how an attempt ended and decides what follows.
@@ -304,21 +325,9 @@
 	// before the call is removed from the table.
 	r.recordResult(now, a, res)
 	r.table.Done(a.upstream.ID)
-	if res.end != retry.Busy {
-		a.placements++
-	}
-	if !res.end.NotRun() {
-		a.mayHaveRun = true
-		a.failures++
-	}
-	if res.end.Failure() {
-		a.tried = append(a.tried, a.upstream.ID)
-	}
-	if choice, ok := r.takeMove(a, res); ok {
-		r.recordEnd(a, res)
-		r.entry.metrics.retries.Inc()
-		r.resolveAgain(&a)
-		r.sendTo(ctx, now, a, choice)
+	r.recordEnd(a, res)
+	a.count(attemptEnd{res.end, a.upstream.ID})
+	if !r.silent.ended(now, &a, res.end) {
 		return
 	}
 	action := retry.Decide(retry.Attempt{
@@ -328,7 +337,6 @@
 		Once:       a.meta.Once || r.isSuspected(a.call),
 		Started:    res.started,
 	}, func() bool { return r.budgets.Spend(a.meta.Customer, a.upstream.ID) })
-	r.recordEnd(a, res)
 	r.applyAction(ctx, action, a, res)
 }
 
--- a/lib/routing/routing.go
+++ b/lib/routing/routing.go
@@ -337,6 +337,13 @@
 	}
 }
 
+// KnowsLoad reports whether a replica has reported its load a short time ago. Otherwise only
+// the calls of this entry count.
+func (t *Table) KnowsLoad(now time.Time, id fleet.InstanceID) bool {
+	c := t.byID[id]
+	return c != nil && now.Sub(c.reportedAt) <= reportTTL
+}
+
 // Refused pauses calls to a replica that refused one for another reason than
 // load.
 func (t *Table) Refused(now time.Time, id fleet.InstanceID) {
