dispatch: a response just before a silence is no sign of life

It is silent too, keeps the request from a hedge elsewhere, and costs a retry.

Cause: an upstream counted as sound, and only the connection as silent, if it had responded to any request after the silence began, be it by a few ms: a replica that stands still sent its last bytes to some requests later than to others.

Change: the response must have come aliveMargin (half of the shortest silence) or more after the begin; the same for going back to an upstream.

--- a/lib/dispatch/hedge_test.go
+++ b/lib/dispatch/hedge_test.go
@@ -236,3 +236,21 @@
 	h.advance(hedgeInterval)
 	require.Equal(t, second, h.hedged(h.core.Tick(h.now)).Ticket, "its connection is at fault")
 }
+
+// Guards against a hedge at the upstream of the silent attempt itself because it responded to
+// another request just before it fell silent: the hedge is silent as well, and costs the one
+// that would go elsewhere.
+func TestLastResponseBeforeASilenceIsNoSignOfLife(t *testing.T) {
+	h := newHarness(t, view(replica("a", 1)))
+	ticket, _ := h.startStream()
+	since := h.now
+	h.advance(5 * time.Millisecond)
+	h.core.upstreams["a"].recordAlive(h.now)
+	h.advance(silentFor)
+	require.Empty(t, h.core.AttemptSilent(h.now, ticket, Silence{Since: since, Started: true, LastEventID: "7", Version: 1}))
+	h.advance(hedgeInterval)
+	require.Empty(t, h.core.Tick(h.now))
+	h.core.Update(h.now, view(replica("a", 1), replica("b", 1)))
+	h.advance(hedgeInterval)
+	require.Equal(t, fleet.InstanceID("b"), h.hedged(h.core.Tick(h.now)).Upstream)
+}
--- a/lib/dispatch/silence.go
+++ b/lib/dispatch/silence.go
@@ -30,6 +30,10 @@
 	// resumeGrace is the time after the end of the silence of an upstream in which its other
 	// silent attempts go on as well. A hedge at the same upstream would be in vain.
 	resumeGrace = 200 * time.Millisecond
+	// aliveMargin is how long after the begin of a silence an upstream must have responded to
+	// another request to count as alive during it. What it sent last before it fell silent as a
+	// whole reaches some requests a little later than others.
+	aliveMargin = minSilence / 2
 )
 
 // Silence describes an attempt from which nothing has come for a while.
@@ -165,7 +169,7 @@
 // does not go to an upstream that has just refused one of the request either.
 func (r *request) excludes(now time.Time, u *upstream) bool {
 	failed := func(f failedUpstream) bool {
-		return f.id == u.ID && (f.silentSince.IsZero() || !u.aliveAt.After(f.silentSince))
+		return f.id == u.ID && (f.silentSince.IsZero() || !u.aliveDuring(f.silentSince))
 	}
 	if slices.ContainsFunc(r.failedUpstreams, failed) {
 		return true
@@ -176,9 +180,13 @@
 	if r.upstream == nil || u.startKey() != r.upstream.startKey() {
 		return false
 	}
-	return r.silence == nil || !u.aliveAt.After(r.silence.Since) || now.Sub(u.resumedAt) < resumeGrace
+	return r.silence == nil || !u.aliveDuring(r.silence.Since) || now.Sub(u.resumedAt) < resumeGrace
 }
 
+// aliveDuring reports whether the upstream has responded to another request during a silence
+// that began at a time, so that only a connection is silent.
+func (u *upstream) aliveDuring(since time.Time) bool { return u.aliveAt.Sub(since) >= aliveMargin }
+
 // silent reports whether the upstream was found silent and has not responded since.
 func (u *upstream) silent() bool { return !u.silentAt.IsZero() }
 
