framing, connlimit, gateway, entry: a request hidden in a body does not run

HTTP/1.0 with chunks does the same.

Cause: the front ends leave the framing to net/http, which drops the length before a handler sees it and keeps the connection.

Change: lib/framing follows the bytes that a connection reads. Such a request is rejected with 400 as not run and the connection closed, also where it comes in the same bytes as others; connections that cannot be followed are closed after a request in chunks. Ordinary requests in chunks keep theirs.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,7 +92,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	countHeads(server)
+	watchRequests(server)
 	g := duty.NewGroup(context.WithoutCancel(ctx))
 	e.node.Start(g)
 	g.Go("operator snapshots", e.snapshots.run)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// checkFraming returns what framing.Tracker.Check says of a request.
+func checkFraming(r *http.Request) (ambiguous, mustClose bool) {
+	if c, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok {
+		return c.Framing.Check(r)
+	}
+	return false, false
+}
+
 // serve starts the duty that accepts connections. The end of the duty ends no connection.
 func (f *front) serve() {
 	f.group.Go("front", func(context.Context) error {
@@ -188,7 +196,7 @@
 	if n > 0 && !c.use.CompareAndSwap(connIdle, connBusy) && c.use.Load() == connClosed {
 		return 0, net.ErrClosed
 	}
-	if headErr := c.Head.Received(p[:n]); headErr != nil {
+	if headErr := c.Received(p[:n]); headErr != nil {
 		return 0, headErr
 	}
 	return n, err
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -7,6 +7,7 @@
 
 	"rattanspur.example/lib/bodybudget"
 	"rattanspur.example/lib/dispatch"
+	"rattanspur.example/lib/framing"
 )
 
 const (
@@ -31,6 +32,14 @@
 // memory is counted until c.upload is released. It returns false if the request was
 // already refused.
 func (c *callHandler) readBody() bool {
+	ambiguous, mustClose := checkFraming(c.r)
+	if mustClose {
+		c.w.Header().Set("Connection", "close")
+	}
+	if ambiguous {
+		c.rejectBody(http.StatusBadRequest, framing.ErrAmbiguous.Error(), framing.ErrAmbiguous)
+		return false
+	}
 	body, err := c.gateway.bodies.ReadRequest(c.w, c.r, bodybudget.Limits{
 		Bytes: c.gateway.maxBodyBytes.Load(), Time: bodyTimeout, Stop: c.gateway.uploads,
 	})
--- a/lib/connlimit/connlimit.go
+++ b/lib/connlimit/connlimit.go
@@ -1,6 +1,6 @@
 // Package connlimit limits the open connections of a listener, so that neither their
-// memory nor their descriptors exceed what the process may use, and counts the memory for the
-// heads of requests that arrive on them.
+// memory nor their descriptors exceed what the process may use. It counts the memory for the
+// heads of requests that arrive on them, and follows their framing.
 package connlimit
 
 import (
@@ -8,6 +8,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"rattanspur.example/lib/framing"
 )
 
 // softDivisor is the divisor of the limit for the part of it that only connections
@@ -122,11 +124,12 @@
 }
 
 // Conn is a TCP connection that occupies a slot until it is closed. Its reads count the heads of
-// requests.
+// requests and follow their framing.
 type Conn struct {
 	*net.TCPConn
-	// Head counts the head that is being read.
+	// Head counts the head that is being read, and Framing follows all requests.
 	Head     Head
+	Framing  framing.Tracker
 	listener *Listener
 	once     sync.Once
 }
@@ -134,12 +137,19 @@
 // Read implements net.Conn. It returns the error of the head if there is no memory for it.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if headErr := c.Head.Received(p[:n]); headErr != nil {
+	if headErr := c.Received(p[:n]); headErr != nil {
 		return 0, headErr
 	}
 	return n, err
 }
 
+// Received takes account of bytes that were read from TCPConn. It returns the error of the head
+// if there is no memory for it.
+func (c *Conn) Received(data []byte) error {
+	c.Framing.Observe(data)
+	return c.Head.Received(data)
+}
+
 // Close closes the connection and ends its head. The first call frees the slot.
 func (c *Conn) Close() error {
 	c.Head.Complete()
