soak: the seed of the naive baseline loses orders early

Change: seed 16778, with five such orders in the first 15 calls; the test of the seed asks for these too, and for eight in the first 50 as before. The naive baseline ignores SIGHUP, which it has no use for. What the test of the baseline asks for is unchanged.

--- a/soak/cmd/naive/main.go
+++ b/soak/cmd/naive/main.go
@@ -49,6 +49,8 @@
 	if err != nil {
 		return err
 	}
+	// It has no settings to read again, and the soak counts on it to go on.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	p := &proxy{http: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -59,16 +59,22 @@
 	require.Empty(t, r.Violations)
 }
 
-// naiveSeed is the seed of the soak of the naive baseline. With it, eight orders lose
-// their answers in the first 50 calls of the callers.
-const naiveSeed = 10259
+// naiveSeed is the seed of the soak of the naive baseline. With it, five orders lose
+// their answers in the first 15 calls of the callers, and eight in the first 50. Later
+// calls are not reached on a busy machine.
+const naiveSeed = 16778
 
 // Guards against a soak of the naive baseline that by chance contains no lost answer
 // of a request that may not be repeated: the seed alone decides which attempts lose
 // theirs.
 func TestSeedDeterminesLostAnswers(t *testing.T) {
-	const callsOfEach = 50
-	lost := 0
+	require.GreaterOrEqual(t, lostOrders(t, 15), 5)
+	require.GreaterOrEqual(t, lostOrders(t, 50), 8)
+}
+
+// lostOrders returns how many orders lose their answers in the first calls of each caller.
+func lostOrders(t *testing.T, callsOfEach int) (lost int) {
+	t.Helper()
 	for i := range shortOptions(t, naiveSeed, "", "").Callers {
 		for call := 1; call <= callsOfEach; call++ {
 			name := callerName(i)
@@ -80,7 +86,7 @@
 			}
 		}
 	}
-	require.GreaterOrEqual(t, lost, 8)
+	return lost
 }
 
 // Guards against checks that find no violation at all: the naive baseline resends
