dispatch: the reason of a 502 says why the request was not sent again

Change: one of three texts follows the reason: not repeatable, no retries left, no other upstream.

Result: ./lib/dispatch and ./gateway pass.

--- a/lib/dispatch/queue.go
+++ b/lib/dispatch/queue.go
@@ -33,9 +33,13 @@
 
 // The reasons why a request is rejected instead of queued.
 const (
-	unservableReason  = "no upstream can serve the request"
-	stalledReason     = "waiting requests make no progress"
-	tooManyWaitReason = "too many requests wait"
+	unservableReason = "no upstream can serve the request"
+	// These say why a request whose upstream gave no answer is not sent again.
+	notRepeatableReason = "the request may not be sent again"
+	noBudgetReason      = "the retries of its service are used up"
+	noOtherReason       = "no other upstream can serve it"
+	stalledReason       = "waiting requests make no progress"
+	tooManyWaitReason   = "too many requests wait"
 )
 
 // enqueue queues a request until an upstream has capacity. It rejects the
@@ -302,10 +306,11 @@
 	}
 	d := c.decide(now, r)
 	r.suspect = suspectedTrait(d)
+	noRetry := c.mayRetry(now, s, r, d, e)
 	switch {
 	case d.Verdict == poison.Blocked && r.possibleRuns == 0:
 		return []Action{c.block(r, d)}
-	case c.mayRetry(now, s, r, d, e):
+	case noRetry == "":
 		if send, ok := c.trySend(now, s, r, d); ok {
 			return []Action{send}
 		}
@@ -315,23 +320,27 @@
 		case !e.Held && c.movable(now, s, r):
 			return c.enqueueFailover(now, s, r, e)
 		}
+		noRetry = noOtherReason
 	}
 	if e.Held {
 		delete(c.requests, r.ticket)
 		return []Action{Deliver{Ticket: r.ticket}}
 	}
-	return c.giveUp(now, r, c.noAnswerReason(now, u, e))
+	return c.giveUp(now, r, c.noAnswerReason(now, u, e)+"; "+noRetry)
 }
 
-// mayRetry reports whether the request may be sent once more. It takes a retry
-// from the budget unless the upstream was unreachable.
-func (c *Core) mayRetry(now time.Time, s *service, r *request, d poison.Decision, e AttemptResult) bool {
+// mayRetry returns why the request may not be sent once more, or "" if it may. It then
+// takes a retry from the budget unless the upstream was unreachable.
+func (c *Core) mayRetry(now time.Time, s *service, r *request, d poison.Decision, e AttemptResult) (reason string) {
 	if !c.repeatable(now, r, d, e) {
-		return false
+		return notRepeatableReason
 	}
 	// An unreachable upstream has not received the request, so that a retry adds
 	// no load and does not count against the budget.
-	return e.End == retry.Unreachable || s.retryBudget.Spend(now, c.place.Processes)
+	if e.End != retry.Unreachable && !s.retryBudget.Spend(now, c.place.Processes) {
+		return noBudgetReason
+	}
+	return ""
 }
 
 // repeatable reports whether the request may be sent once more after an attempt, regardless of
