gateway: connections that bring no request give way to new ones

Cause: room for connections came from those that had carried a request and were idle, and from incomplete bodies. A connection without any byte, or with a part of a head, was neither, and stayed for the 10 s of a head.

Change: a connection has a state while a head is read. For room, connections without a request since they were opened and incomplete heads are closed after the idle ones, from an age of 1 s, or of 250 ms if all are open.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -31,25 +30,40 @@
 	return max(limit, 1)
 }
 
+const (
+	// unusedAge is the age from which a connection without any byte of a request, or with an
+	// incomplete head, gives way to others, and urgentUnusedAge if no further connection may
+	// be open. Callers that need a connection use it earlier.
+	unusedAge       = time.Second
+	urgentUnusedAge = 250 * time.Millisecond
+)
+
 // makeRoom closes up to n connections, first those that have been idle for the longest
-// time. If too few are idle, incomplete bodies are evicted, whose connections are then
-// closed.
+// time, then those that have brought no request since they were opened, or no complete head.
+// If these are too few, incomplete bodies are evicted, whose connections are then closed.
 func (f *front) makeRoom(n int, urgent bool) {
-	closed := f.closeLongestIdle(n)
+	age := unusedAge
+	if urgent {
+		age = urgentUnusedAge
+	}
+	now := time.Now()
+	closed := f.displace(now, n, f.idle(), (*callerConn).closeIfIdle)
+	closed += f.displace(now, n-closed, f.unused(now.Add(-age)), (*callerConn).closeIfUnused)
 	closed += f.gateway.bodies.MakeRoom(n-closed, urgent)
 	f.gateway.metrics.connectionsDisplaced.Add(closed)
 }
 
-// closeLongestIdle closes up to n connections that have been idle for the longest time, except
-// those on which a request is on its way. It returns how many.
-func (f *front) closeLongestIdle(n int) (closed int) {
-	for _, c := range f.idle() {
+// displace closes up to n connections, except those on which a request has arrived meanwhile.
+// It returns how many.
+func (f *front) displace(now time.Time, n int, conns []*callerConn, closeConn func(*callerConn) bool) (closed int) {
+	for _, c := range conns {
 		if closed == n {
 			break
 		}
-		if c.closeIfIdle() {
+		since := c.waitingSince()
+		if closeConn(c) {
 			closed++
-			_ = f.gateway.logger.Log("event", "connection-displaced", "idle", time.Since(time.Unix(0, c.idleSince.Load())).Seconds())
+			_ = f.gateway.logger.Log("event", "connection-displaced", "idle", now.Sub(since).Seconds(), "used", c.idleSince.Load() != 0)
 		}
 	}
 	return closed
@@ -58,9 +72,22 @@
 // idle returns the connections that are idle after a request, that for the longest time
 // first.
 func (f *front) idle() []*callerConn {
-	conns := slices.DeleteFunc(f.open(), func(c *callerConn) bool {
-		return c.use.Load() != connIdle || c.idleSince.Load() == 0
+	return f.waiting(func(c *callerConn) bool { return c.use.Load() == connIdle && c.idleSince.Load() != 0 })
+}
+
+// unused returns the connections that have brought no request, or only a part of a head,
+// since a time or before, that for the longest time first.
+func (f *front) unused(before time.Time) []*callerConn {
+	return f.waiting(func(c *callerConn) bool {
+		use := c.use.Load()
+		return (use == connHead || use == connIdle && c.idleSince.Load() == 0) && !c.waitingSince().After(before)
 	})
-	slices.SortFunc(conns, func(a, b *callerConn) int { return cmp.Compare(a.idleSince.Load(), b.idleSince.Load()) })
+}
+
+// waiting returns the open connections that a condition holds for, in the order of the times
+// since which they wait.
+func (f *front) waiting(holds func(*callerConn) bool) []*callerConn {
+	conns := slices.DeleteFunc(f.open(), func(c *callerConn) bool { return !holds(c) })
+	slices.SortFunc(conns, func(a, b *callerConn) int { return a.waitingSince().Compare(b.waitingSince()) })
 	return conns
 }
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -65,12 +65,15 @@
 type callerConnKey struct{}
 
 // markBusy marks the connection of a request as busy. A request that arrived in one segment with
-// the one before it is in the buffer of the server and causes no read.
-func markBusy(ctx context.Context) {
-	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
-		c.use.CompareAndSwap(connIdle, connBusy)
-		c.Head.Complete()
+// the one before it is in the buffer of the server and causes no read. It returns false if the
+// connection was closed just before.
+func markBusy(ctx context.Context) bool {
+	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return true
 	}
+	c.Head.Complete()
+	return c.use.CompareAndSwap(connHead, connBusy) || c.use.CompareAndSwap(connIdle, connBusy) || c.use.Load() == connBusy
 }
 
 // checkFraming returns what framing.Tracker.Check says of a request.
@@ -131,7 +134,7 @@
 	for _, c := range f.open() {
 		switch {
 		case c.use.Load() == connClosed:
-		case c.use.Load() == connBusy:
+		case c.use.Load() == connBusy, c.use.Load() == connHead:
 			busy++
 		case !over && c.mayGetRequest(now, from):
 			waiting++
@@ -174,26 +177,32 @@
 	// connIdle means that nothing of a request has been read. A connection without any
 	// request yet is idle.
 	connIdle int32 = iota
-	// connBusy means that a request is being read or answered.
+	// connHead means that a part of the head of a request has been read.
+	connHead
+	// connBusy means that a request whose head was read is being answered.
 	connBusy
-	// connClosed means that the connection was closed while it was idle.
+	// connClosed means that the connection was closed before the head of a request was read.
 	connClosed
 )
 
-// callerConn is a connection of a caller that can be closed only while nothing of a request
-// has been read: a request that was read gets an answer.
+// callerConn is a connection of a caller that can be closed only while no request on it has
+// been read: a request that was read gets an answer.
 type callerConn struct {
 	*connlimit.Conn
-	use atomic.Int32
+	openedAt time.Time
+	use      atomic.Int32
+	// headSince is when the first byte of the last head came, in ns since 1970; 0 before the
+	// first one.
+	headSince atomic.Int64
 	// idleSince is when the last request ended, in ns since 1970; 0 before the first one.
 	idleSince atomic.Int64
 }
 
-// Read implements net.Conn. The connection is busy before its head waits for memory, so that it
-// is not closed as an idle one meanwhile.
+// Read implements net.Conn. The connection is not idle while its head waits for memory, so that
+// it is not closed as an idle one meanwhile.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && !c.use.CompareAndSwap(connIdle, connBusy) && c.use.Load() == connClosed {
+	if n > 0 && !c.beginHead() {
 		return 0, net.ErrClosed
 	}
 	if headErr := c.Received(p[:n]); headErr != nil {
@@ -202,6 +211,27 @@
 	return n, err
 }
 
+// beginHead marks the begin of a head if the connection was idle. It returns false if it was
+// closed.
+func (c *callerConn) beginHead() bool {
+	if c.use.Load() == connIdle {
+		c.headSince.Store(time.Now().UnixNano())
+	}
+	return c.use.CompareAndSwap(connIdle, connHead) || c.use.Load() != connClosed
+}
+
+// waitingSince returns since when the connection waits: for the rest of a head, for the next
+// request, or for the first one.
+func (c *callerConn) waitingSince() time.Time {
+	if c.use.Load() == connHead {
+		return time.Unix(0, c.headSince.Load())
+	}
+	if idleSince := c.idleSince.Load(); idleSince != 0 {
+		return time.Unix(0, idleSince)
+	}
+	return c.openedAt
+}
+
 // mayGetRequest reports whether a request may be on its way, counted from a time.
 func (c *callerConn) mayGetRequest(now, from time.Time) bool {
 	idleSince := c.idleSince.Load()
@@ -224,6 +254,16 @@
 	return true
 }
 
+// closeIfUnused closes the connection if no request on it has been read, be it that a part of a
+// head has. It returns false if one has.
+func (c *callerConn) closeIfUnused() bool {
+	if sock.Pending(c.TCPConn) || !c.use.CompareAndSwap(connHead, connClosed) {
+		return c.closeIfIdle()
+	}
+	_ = c.Close()
+	return true
+}
+
 // callerListener accepts connections as callerConns.
 type callerListener struct{ net.Listener }
 
@@ -237,5 +277,5 @@
 	if !ok {
 		return conn, nil
 	}
-	return &callerConn{Conn: limited}, nil
+	return &callerConn{Conn: limited, openedAt: time.Now()}, nil
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -56,7 +56,9 @@
 // serveCall reads a request, sends it to the router and executes the router's
 // commands.
 func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request) {
-	markBusy(r.Context())
+	if !markBusy(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
 	c := &callHandler{
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -178,17 +178,28 @@
 }
 
 func start(t *testing.T, source watcher.Source, seeds ...string) *testGateway {
-	return startWithRandom(t, source, func(int) int { return 0 }, seeds...)
+	return startWithRandom(t, source, firstChoice, seeds...)
 }
 
+// firstChoice takes the place of a source of random numbers.
+func firstChoice(int) int { return 0 }
+
 // startWithRandom starts a gateway whose core takes random numbers from a function, and
 // waits until it is ready.
 func startWithRandom(t *testing.T, source watcher.Source, random func(int) int, seeds ...string) *testGateway {
-	r := launch(t, source, random, seeds...)
-	require.Eventually(t, func() bool {
+	return launch(t, source, random, seeds...).awaitReady()
+}
+
+// startWith starts a gateway with changed settings and waits until it is ready.
+func startWith(t *testing.T, source watcher.Source, change func(*Settings)) *testGateway {
+	return launchWith(t, source, change).awaitReady()
+}
+
+func (r *testGateway) awaitReady() *testGateway {
+	require.Eventually(r.t, func() bool {
 		select {
 		case err := <-r.done:
-			t.Fatalf("gateway ended: %v", err)
+			r.t.Fatalf("gateway ended: %v", err)
 		default:
 		}
 		return r.ready()
@@ -198,19 +209,26 @@
 
 // launch starts a gateway and does not wait until it is ready.
 func launch(t *testing.T, source watcher.Source, random func(int) int, seeds ...string) *testGateway {
+	return launchWith(t, source, func(s *Settings) { s.Seeds, s.Dispatch.Random = seeds, random })
+}
+
+// launchWith starts a gateway with changed settings and does not wait until it is ready.
+func launchWith(t *testing.T, source watcher.Source, change func(*Settings)) *testGateway {
 	logs := &logBuffer{}
 	logger := log.NewLogfmtLogger(logs)
 	w := watcher.New(source, "", time.Second, logger)
 	ip := newHost()
-	g := New(Settings{
+	s := Settings{
 		Listen: ip + ":7001", Ready: ip + ":7002", Control: ip + ":7003", Peers: ip + ":7004",
-		ReadyPath: platform.ReadyPath, Seeds: seeds, GracePeriod: 4 * time.Second,
+		ReadyPath: platform.ReadyPath, GracePeriod: 4 * time.Second,
 		Dispatch: dispatch.Settings{
 			Region: "north", Regions: map[fleet.FailureDomain]fleet.Region{"a": "north"},
 			Retries: retry.WindowLimits{Reserve: 100, Window: 10 * time.Second}, OldVersionGrace: 8 * time.Second,
-			Random: random,
+			Random: firstChoice,
 		},
-	}, platform.Codec{}, w, logger)
+	}
+	change(&s)
+	g := New(s, platform.Codec{}, w, logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &testGateway{t: t, gateway: g, stop: cancel, done: make(chan error, 1), logs: logs}
 	go func() { r.done <- g.Run(ctx) }()
--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -151,3 +151,33 @@
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	_ = resp.Body.Close()
 }
+
+// Guards against a gateway that is ready and answers nobody for as long as a head may take,
+// because clients have opened all its connections and send nothing, or a part of a head.
+func TestUnusedConnectionsShutNobodyOut(t *testing.T) {
+	const limit = 8
+	for name, sent := range map[string]string{"nothing": "", "part of a head": "POST /once/1 HTTP/1.1\r\nHost: h\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			source := newSource()
+			source.put("op/config", configJSON)
+			source.upstream(t, "i-1", "desk", func(w http.ResponseWriter, r *http.Request) { respond(w, r, http.StatusOK, "ok") })
+			g := startWith(t, source, func(s *Settings) {
+				s.MemoryBytes = limit * connectionBytes * connectionMemoryDivisor
+			})
+			g.gateway.bodies = bodybudget.New(1 << 20)
+			// More than the limit wait to be accepted.
+			for range 2 * limit {
+				conn, err := net.Dial("tcp", g.gateway.settings.Listen)
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = conn.Close() })
+				_, err = io.WriteString(conn, sent)
+				require.NoError(t, err)
+			}
+			startedAt := time.Now()
+			status, _ := g.call(http.MethodPost, "/once/2", "ordinary")
+			require.Equal(t, http.StatusOK, status)
+			require.Less(t, time.Since(startedAt), headerTimeout/2)
+			require.Contains(t, g.logs.line("connection-displaced"), "used=false")
+		})
+	}
+}
