gateway: tests set the budget for bodies before the gateway runs

The product sets it once, before it runs.

Change: the harness prepares the gateway before it starts it.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"rattanspur.example/lib/bodybudget"
 	"rattanspur.example/lib/dispatch"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/peering"
@@ -190,9 +191,10 @@
 	return launch(t, source, random, seeds...).awaitReady()
 }
 
-// startWith starts a gateway with changed settings and waits until it is ready.
-func startWith(t *testing.T, source watcher.Source, change func(*Settings)) *testGateway {
-	return launchWith(t, source, change).awaitReady()
+// startWithBodies starts a gateway with changed settings and a budget in bytes for bodies, and
+// waits until it is ready.
+func startWithBodies(t *testing.T, source watcher.Source, budget int64, change func(*Settings)) *testGateway {
+	return launchWith(t, source, change, func(g *Gateway) { g.bodies = bodybudget.New(budget) }).awaitReady()
 }
 
 func (r *testGateway) awaitReady() *testGateway {
@@ -212,8 +214,9 @@
 	return launchWith(t, source, func(s *Settings) { s.Seeds, s.Dispatch.Random = seeds, random })
 }
 
-// launchWith starts a gateway with changed settings and does not wait until it is ready.
-func launchWith(t *testing.T, source watcher.Source, change func(*Settings)) *testGateway {
+// launchWith starts a gateway with changed settings, which is prepared further before it runs,
+// and does not wait until it is ready.
+func launchWith(t *testing.T, source watcher.Source, change func(*Settings), prepare ...func(*Gateway)) *testGateway {
 	logs := &logBuffer{}
 	logger := log.NewLogfmtLogger(logs)
 	w := watcher.New(source, "", time.Second, logger)
@@ -229,6 +232,9 @@
 	}
 	change(&s)
 	g := New(s, platform.Codec{}, w, logger)
+	for _, f := range prepare {
+		f(g)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &testGateway{t: t, gateway: g, stop: cancel, done: make(chan error, 1), logs: logs}
 	go func() { r.done <- g.Run(ctx) }()
--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -14,7 +14,6 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
-	"rattanspur.example/lib/bodybudget"
 	"rattanspur.example/lib/watcher"
 	"rattanspur.example/platform"
 )
@@ -47,9 +46,7 @@
 		runs.Add(1)
 		respond(w, r, http.StatusOK, "ok")
 	})
-	g := start(t, source)
-	g.gateway.bodies = bodybudget.New(budget)
-	return g, runs
+	return startWithBodies(t, source, budget, func(*Settings) {}), runs
 }
 
 // Guards against a displaced request whose caller is not told that it has not run, or
@@ -161,10 +158,9 @@
 			source := newSource()
 			source.put("op/config", configJSON)
 			source.upstream(t, "i-1", "desk", func(w http.ResponseWriter, r *http.Request) { respond(w, r, http.StatusOK, "ok") })
-			g := startWith(t, source, func(s *Settings) {
+			g := startWithBodies(t, source, 1<<20, func(s *Settings) {
 				s.MemoryBytes = limit * connectionBytes * connectionMemoryDivisor
 			})
-			g.gateway.bodies = bodybudget.New(1 << 20)
 			// More than the limit wait to be accepted.
 			for range 2 * limit {
 				conn, err := net.Dial("tcp", g.gateway.settings.Listen)
