soak: an interrupted soak ends with an error

Cause: the records come from the duty that owns them, which ends with the context; what it returned then was used.

Change: Run returns the error of the context. Test: TestInterruptedSoakEndsWithAnError panics before and passes.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -114,6 +114,10 @@
 	}
 	_ = duty.Sleep(ctx, settleTime)
 	r := env.ledger.take()
+	if r == nil {
+		// The owner of the ledger has ended with the context.
+		return nil, ctx.Err()
+	}
 	for i := range r.changes {
 		if r.changes[i].category == "burst" {
 			injector.log("served of the calls in a burst: %v", r.burstShares(&r.changes[i]))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -97,6 +97,26 @@
 	require.Contains(t, strings.Join(r.Violations, "\n"), "TWICE")
 }
 
+// writeFunc is a writer that calls a function.
+type writeFunc func()
+
+func (f writeFunc) Write(p []byte) (int, error) {
+	f()
+	return len(p), nil
+}
+
+// Guards against a soak that panics, and leaves its processes, when it is interrupted.
+func TestInterruptedSoakEndsWithAnError(t *testing.T) {
+	binary := build(t, program.Product)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	o := shortOptions(t, 1, binary, binary)
+	// The first fault is reported.
+	o.Out = writeFunc(cancel)
+	_, err := Run(ctx, o)
+	require.ErrorIs(t, err, context.Canceled)
+}
+
 // Guards against processes that keep running after their soak.
 func TestProcessesEndWithTheirSoak(t *testing.T) {
 	binary := build(t, program.Product)
