--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -122,20 +122,7 @@
 // Guards against a request that crashes one upstream after the other. It must be
 // blocked after 3 crashes, while other requests are still served.
 func TestCrashingRequestIsBlocked(t *testing.T) {
-	var crashes atomic.Int64
-	var c clock
-	agent := func(w http.ResponseWriter, r *http.Request, meta *wire.Call) {
-		body, _ := io.ReadAll(r.Body)
-		if strings.Contains(string(body), "poison") {
-			crashes.Add(1)
-			c.advance(time.Second)
-			crash(w)
-			return
-		}
-		w.Header().Set(wire.HeaderOutcome, string(wire.Ran))
-		_, _ = w.Write([]byte(meta.Request))
-	}
-	e := startEntryWithClock(t, c.now, nil, fakeAgent(t, agent), fakeAgent(t, agent), fakeAgent(t, agent), fakeAgent(t, agent))
+	e, crashes := startPoisonable(t)
 	for range 5 {
 		require.NotEqual(t, http.StatusOK, e.post(chatPath, "counter", chat("poison")).status)
 	}
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -72,6 +72,26 @@
 	}
 }
 
+// startPoisonable starts an entry in front of four agents that crash with requests that
+// contain "poison", and returns the number of crashes. The clock of the entry's evidence
+// advances by a second with each.
+func startPoisonable(t *testing.T) (e *testEntry, crashes *atomic.Int64) {
+	crashes = &atomic.Int64{}
+	var c clock
+	agent := func(w http.ResponseWriter, r *http.Request, meta *wire.Call) {
+		body, _ := io.ReadAll(r.Body)
+		if strings.Contains(string(body), "poison") {
+			crashes.Add(1)
+			c.advance(time.Second)
+			crash(w)
+			return
+		}
+		w.Header().Set(wire.HeaderOutcome, string(wire.Ran))
+		_, _ = w.Write([]byte(meta.Request))
+	}
+	return startEntryWithClock(t, c.now, nil, fakeAgent(t, agent), fakeAgent(t, agent), fakeAgent(t, agent), fakeAgent(t, agent)), crashes
+}
+
 // testEntry is a running entry under test.
 type testEntry struct {
 	t       *testing.T
--- a/entry/suspicion_test.go
+++ b/entry/suspicion_test.go
@@ -48,20 +48,7 @@
 // have the customer or the first message in common with those, and against a timeline
 // that does not show the cause.
 func TestHarmfulMessageIsBlocked(t *testing.T) {
-	var crashes atomic.Int64
-	var c clock
-	agent := func(w http.ResponseWriter, r *http.Request, meta *wire.Call) {
-		body, _ := io.ReadAll(r.Body)
-		if strings.Contains(string(body), "poison") {
-			crashes.Add(1)
-			c.advance(time.Second)
-			crash(w)
-			return
-		}
-		w.Header().Set(wire.HeaderOutcome, string(wire.Ran))
-		_, _ = w.Write([]byte(meta.Request))
-	}
-	e := startEntryWithClock(t, c.now, nil, fakeAgent(t, agent), fakeAgent(t, agent), fakeAgent(t, agent), fakeAgent(t, agent))
+	e, crashes := startPoisonable(t)
 	for i := range 6 {
 		sound := e.post(chatPath, "counter", conversation("system", fmt.Sprint("sound ", i)))
 		require.Equal(t, http.StatusOK, sound.status, sound.body)
