gateway: connections without a request are searched only if no idle one gives way

Each search sorts all open connections, and one runs for each new connection beyond three quarters of the limit. Which connections are closed is unchanged. The tests of connections in ./gateway pass.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -48,7 +48,9 @@
 	}
 	now := time.Now()
 	closed := f.displace(now, n, f.idle(), (*callerConn).closeIfIdle)
-	closed += f.displace(now, n-closed, f.unused(now.Add(-age)), (*callerConn).closeIfUnused)
+	if closed < n {
+		closed += f.displace(now, n-closed, f.unused(now.Add(-age)), (*callerConn).closeIfUnused)
+	}
 	closed += f.gateway.bodies.MakeRoom(n-closed, urgent)
 	f.gateway.metrics.connectionsDisplaced.Add(closed)
 }
