framing, gateway, entry: one function admits a request by its framing

Cause, on reading the change again: both front ends asked the tracker for two results and set the header Connection themselves; the end of an attempt of a silent call tested the same state three times; a function had one caller.

Change: Tracker.Admit sets the header and says whether the request may run. silentCalls.ended takes the attempt out of the record first, and then decides once. Behaviour is unchanged.

TestAdmit asks for what TestCheck did.

--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -118,21 +118,21 @@
 		return true
 	}
 	_, other := s.find(a.meta.Attempt)
-	passed := s.passing == a.meta.Attempt
-	if other == nil || s.passing != 0 && !passed {
+	s.first, s.hedge = other, nil
+	if other == nil {
 		delete(c, a.call.id)
 	}
-	if s.passing != 0 {
-		if other != nil {
-			s.first, s.hedge = other, nil
-		}
-		return passed
-	}
-	if other == nil {
+	switch {
+	case s.passing == a.meta.Attempt:
+		return true
+	case s.passing != 0:
+		// The one that was passed on needs no record any more.
+		delete(c, a.call.id)
+		return false
+	case other == nil:
 		s.standFor(a)
 		return true
 	}
-	s.first, s.hedge = other, nil
 	s.ends = append(s.ends, attemptEnd{end, a.upstream.ID})
 	if end.NotRun() {
 		s.refusals[a.upstream.ID] = now
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -33,11 +33,7 @@
 			return
 		}
 		c.Head.Complete()
-		ambiguous, mustClose := c.Framing.Check(r)
-		if mustClose {
-			w.Header().Set("Connection", "close")
-		}
-		if ambiguous {
+		if !c.Framing.Admit(w, r) {
 			wire.WriteProblem(w, invalid(http.StatusBadRequest, framing.ErrAmbiguous.Error()))
 			return
 		}
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -78,9 +78,7 @@
 // overtaken sets the result of an attempt whose response must not be passed on.
 func (x *exchange) overtaken(res *result) {
 	res.end, res.detail = retry.Stalled, errOvertaken.Error()
-	if x.isAbandonedHedge() {
+	if errors.Is(context.Cause(x.ctx), errHedgeUnneeded) {
 		res.end, res.detail = retry.Canceled, errHedgeUnneeded.Error()
 	}
 }
-
-func (x *exchange) isAbandonedHedge() bool { return errors.Is(context.Cause(x.ctx), errHedgeUnneeded) }
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -76,12 +76,10 @@
 	return c.use.CompareAndSwap(connHead, connBusy) || c.use.CompareAndSwap(connIdle, connBusy) || c.use.Load() == connBusy
 }
 
-// checkFraming returns what framing.Tracker.Check says of a request.
-func checkFraming(r *http.Request) (ambiguous, mustClose bool) {
-	if c, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok {
-		return c.Framing.Check(r)
-	}
-	return false, false
+// admitFraming returns false for a request whose framing is ambiguous; see framing.Tracker.Admit.
+func admitFraming(w http.ResponseWriter, r *http.Request) bool {
+	c, ok := r.Context().Value(callerConnKey{}).(*callerConn)
+	return !ok || c.Framing.Admit(w, r)
 }
 
 // serve starts the duty that accepts connections. The end of the duty ends no connection.
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -32,11 +32,7 @@
 // memory is counted until c.upload is released. It returns false if the request was
 // already refused.
 func (c *callHandler) readBody() bool {
-	ambiguous, mustClose := checkFraming(c.r)
-	if mustClose {
-		c.w.Header().Set("Connection", "close")
-	}
-	if ambiguous {
+	if !admitFraming(c.w, c.r) {
 		c.rejectBody(http.StatusBadRequest, framing.ErrAmbiguous.Error(), framing.ErrAmbiguous)
 		return false
 	}
--- a/lib/framing/framing.go
+++ b/lib/framing/framing.go
@@ -79,18 +79,15 @@
 	return t.state
 }
 
-// Check reports how a request from the connection is to be handled, whose head was read. An
-// ambiguous one must be rejected and the connection closed, also if an earlier or later one
-// on it is at fault. mustClose is set if the request may run, but the connection must be
-// closed after its response, since what follows it cannot be told.
-func (t *Tracker) Check(r *http.Request) (ambiguous, mustClose bool) {
-	switch t.State() {
-	case Ambiguous:
-		return true, true
-	case Unknown:
-		return false, len(r.TransferEncoding) > 0
+// Admit returns false for an ambiguous request, whose head was read from the connection. It
+// must be rejected, also if an earlier or later one on the connection is at fault. The
+// connection is closed after the response, as it is if what follows the request cannot be told.
+func (t *Tracker) Admit(w http.ResponseWriter, r *http.Request) bool {
+	state := t.State()
+	if state == Ambiguous || state == Unknown && len(r.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
 	}
-	return false, false
+	return state != Ambiguous
 }
 
 // Observe follows bytes that were read from the connection.
--- a/lib/framing/framing_test.go
+++ b/lib/framing/framing_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -128,16 +129,16 @@
 
 // Guards against a request that runs although its framing is not known and that leaves its
 // connection open, and against ordinary requests that are closed.
-func TestCheck(t *testing.T) {
+func TestAdmit(t *testing.T) {
 	chunked, plain := &http.Request{TransferEncoding: []string{"chunked"}}, &http.Request{}
 	for state, want := range map[State]struct{ ambiguous, closePlain, closeChunked bool }{
 		Plain: {}, Unknown: {closeChunked: true}, Ambiguous: {true, true, true},
 	} {
 		tracker := &Tracker{state: state}
 		for r, mustClose := range map[*http.Request]bool{plain: want.closePlain, chunked: want.closeChunked} {
-			ambiguous, closes := tracker.Check(r)
-			require.Equal(t, want.ambiguous, ambiguous, state)
-			require.Equal(t, mustClose, closes, state)
+			w := httptest.NewRecorder()
+			require.Equal(t, !want.ambiguous, tracker.Admit(w, r), state)
+			require.Equal(t, mustClose, w.Header().Get("Connection") == "close", state)
 		}
 	}
 }
