--- a/entry/hedge_test.go
+++ b/entry/hedge_test.go
@@ -52,6 +52,13 @@
 	return l.requests[meta.Request], repeated
 }
 
+func requireAnswered(t *testing.T, resp response, body string) {
+	t.Helper()
+	require.NoError(t, resp.err)
+	require.Equal(t, http.StatusOK, resp.status, resp.body)
+	require.Equal(t, body, resp.body)
+}
+
 // Guards against calls that are ended at an upstream which is silent for a while, because
 // another one seems to have capacity, and that this one then refuses: they ran a second time
 // at the silent one, or were given up.
@@ -71,9 +78,7 @@
 	}
 	wait.Wait()
 	for _, resp := range responses {
-		require.NoError(t, resp.err)
-		require.Equal(t, http.StatusOK, resp.status, resp.body)
-		require.Equal(t, "own", resp.body)
+		requireAnswered(t, resp, "own")
 	}
 	require.Len(t, runs.requests, len(responses))
 	for _, n := range runs.requests {
@@ -98,9 +103,7 @@
 	}
 	e := startEntry(t, withHedges, fakeAgent(t, agent), fakeAgent(t, agent))
 	resp := e.post("/bookings/list", "counter", "from the first")
-	require.NoError(t, resp.err)
-	require.Equal(t, http.StatusOK, resp.status, resp.body)
-	require.Equal(t, "from the first", resp.body)
+	requireAnswered(t, resp, "from the first")
 	select {
 	case <-ended:
 	case <-time.After(testTimeout):
@@ -135,9 +138,7 @@
 			}
 			e := startEntry(t, withHedges, fakeAgent(t, agent), fakeAgent(t, agent))
 			resp := e.post("/bookings/list", "counter", "kept")
-			require.NoError(t, resp.err)
-			require.Equal(t, http.StatusOK, resp.status, resp.body)
-			require.Equal(t, "kept", resp.body)
+			requireAnswered(t, resp, "kept")
 			require.Len(t, runs.attempts, 2)
 		})
 	}
@@ -165,9 +166,7 @@
 	}
 	e := startEntry(t, withHedges, fakeAgent(t, agent), fakeAgent(t, agent), fakeAgent(t, agent))
 	resp := e.post("/bookings/list", "counter", "at last")
-	require.NoError(t, resp.err)
-	require.Equal(t, http.StatusOK, resp.status, resp.body)
-	require.Equal(t, "at last", resp.body)
+	requireAnswered(t, resp, "at last")
 	require.Len(t, runs.attempts, 3)
 }
 
--- a/gateway/framing_test.go
+++ b/gateway/framing_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -39,9 +38,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g, runs := startDesk(t, 1<<20)
-			conn, err := net.Dial("tcp", g.gateway.settings.Listen)
-			require.NoError(t, err)
-			defer func() { _ = conn.Close() }()
+			conn := g.dial()
 			require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
 			for _, part := range parts {
 				_, err := io.WriteString(conn, part)
@@ -61,33 +58,25 @@
 
 // readAnswers returns the statuses of the answers until the connection ends.
 func readAnswers(r *bufio.Reader) (statuses []int) {
-	for {
-		resp, err := http.ReadResponse(r, nil)
-		if err != nil {
-			return statuses
-		}
-		_, _ = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
-		statuses = append(statuses, resp.StatusCode)
+	for a := readAnswer(r); a.err == nil; a = readAnswer(r) {
+		statuses = append(statuses, a.status)
 	}
+	return statuses
 }
 
 // Guards against ordinary requests in chunks that cost their callers a connection each.
 func TestChunkedRequestsKeepTheirConnection(t *testing.T) {
 	g, runs := startDesk(t, 1<<20)
-	conn, err := net.Dial("tcp", g.gateway.settings.Listen)
-	require.NoError(t, err)
-	defer func() { _ = conn.Close() }()
+	conn := g.dial()
 	require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
 	answers := bufio.NewReader(conn)
 	for i := range 3 {
 		_, err := io.WriteString(conn, orderHead(fmt.Sprintf("id-%d", i))+"Transfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n")
 		require.NoError(t, err)
-		resp, err := http.ReadResponse(answers, nil)
-		require.NoError(t, err)
-		_, _ = io.Copy(io.Discard, resp.Body)
-		require.Equal(t, http.StatusOK, resp.StatusCode)
-		require.False(t, resp.Close)
+		a := readAnswer(answers)
+		require.NoError(t, a.err)
+		require.Equal(t, http.StatusOK, a.status)
+		require.False(t, a.close)
 	}
 	require.EqualValues(t, 3, runs.Load())
 }
--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -163,10 +163,7 @@
 			})
 			// More than the limit wait to be accepted.
 			for range 2 * limit {
-				conn, err := net.Dial("tcp", g.gateway.settings.Listen)
-				require.NoError(t, err)
-				t.Cleanup(func() { _ = conn.Close() })
-				_, err = io.WriteString(conn, sent)
+				_, err := io.WriteString(g.dial(), sent)
 				require.NoError(t, err)
 			}
 			startedAt := time.Now()
