--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,7 +23,7 @@
 	hosts     hosts
 }
 
-var cases = map[string]func(*env) (int, error){"drain": drain, "harmful": harmful}
+var cases = map[string]func(*env) (int, error){"drain": drain, "harmful": harmful, "whole": whole}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -166,9 +166,11 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(path, data, 0o600)
+	return writeFile(path, data)
 }
 
+func writeFile(path string, data []byte) error { return os.WriteFile(path, data, 0o600) }
+
 var regions = map[string]string{"accra-a": "accra", "kumasi-a": "kumasi", "takoradi-a": "takoradi"}
 
 // answer is what a client got.
