review: the scripts of the third review use free ports

Looked for: ports of the scripts that something else on the machine may use.

Done: a run takes a row of ports that can be bound on the first loopback address, in place of fixed ones, for all its machines.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -40,6 +40,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(unable)
 	}
+	if err := choosePorts(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(unable)
+	}
 	e := &env{root: os.Args[2], dir: dir, trouble: os.Getenv("TROUBLE") != "0", rec: rec}
 	code, err := cases[os.Args[1]](e)
 	if err != nil {
--- a/review/standin-3/weights.go
+++ b/review/standin-3/weights.go
@@ -417,7 +417,7 @@
 	data, err := json.Marshal(map[string]any{
 		"node_name": name, "role": "loader", "machine_class": "side", "serves": []string{"side"},
 		"ip": ip.String(), "zone": zone, "region": regions[zone], "zones": regions, "listen": map[string]any{},
-		"internal_ports": []int{internalPort, internalPort + 15}, "seeds": seeds, "bootstrap": true, "in_tolerance": false,
+		"internal_ports": []int{internalPort, internalPort + internalPorts - 1}, "seeds": seeds, "bootstrap": true, "in_tolerance": false,
 		"limits":   map[string]any{"cpu_share": 0.48, "cores": 1, "memory_mb": 152, "max_fds": 2048, "link_mbps": 9.4, "disk_mb": 0},
 		"data_dir": nil, "discovery": "platform", "entry": "anycast", "heartbeat_ms": 1200, "bounds": bounds,
 		"app": app, "service": "llm-desk",
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -141,14 +144,46 @@
 	"evacuate_ms": 5000, "recovery_s": 12, "event_delay_ms": 120, "retry_after_s": 0, "version_ms": 8000, "version_all_ms": 0,
 }
 
-// Ports of a gateway.
-const (
-	frontPort    = "8005"
-	readyPort    = "8002"
-	controlPort  = "8000"
-	internalPort = 7700
+// Ports of all machines of a run. choosePorts sets them to free ones.
+var (
+	frontPort, readyPort, controlPort string
+	internalPort                      int
 )
 
+// internalPorts is the number of ports for internal traffic.
+const internalPorts = 16
+
+// choosePorts finds a row of ports that nothing uses on all addresses or on the first loopback address.
+func choosePorts() error {
+	for range 50 {
+		first := 20000 + rand.IntN(10000)
+		if portsFree(first, internalPorts+3) {
+			internalPort = first
+			frontPort = strconv.Itoa(first + internalPorts)
+			readyPort = strconv.Itoa(first + internalPorts + 1)
+			controlPort = strconv.Itoa(first + internalPorts + 2)
+			return nil
+		}
+	}
+	return errors.New("no free ports")
+}
+
+func portsFree(first, n int) bool {
+	for port := first; port < first+n; port++ {
+		l, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+		c, err := net.ListenPacket("udp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			return false
+		}
+		_ = c.Close()
+	}
+	return true
+}
+
 // gatewaySettings writes the settings file of a gateway.
 func gatewaySettings(path, name, zone string, ip net.IP, store string, seeds []string) error {
 	addr := func(port string) string { return net.JoinHostPort(ip.String(), port) }
@@ -156,7 +191,7 @@
 		"node_name": name, "role": "gateway", "machine_class": "edge", "serves": []string{"edge", "control_plane"},
 		"ip": ip.String(), "zone": zone, "region": regions[zone], "zones": regions,
 		"listen":         map[string]any{"front": addr(frontPort), "readiness_addr": addr(readyPort), "control": addr(controlPort)},
-		"internal_ports": []int{internalPort, internalPort + 15}, "seeds": seeds, "bootstrap": true, "in_tolerance": false,
+		"internal_ports": []int{internalPort, internalPort + internalPorts - 1}, "seeds": seeds, "bootstrap": true, "in_tolerance": false,
 		"limits":   map[string]any{"cpu_share": 0.304, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
 		"data_dir": nil, "discovery": "platform", "entry": "anycast", "heartbeat_ms": 1200, "bounds": bounds,
 		"platform": map[string]any{
