framing, sock, relay: a response with a line that is no field is no answer

Callers saw: a replica sent a head in which the name of a field held a blank.

Cause: net/http accepts a blank in the name of a response's field, and joins a line that begins with a blank to the one before it. Both front ends and all other clients take what it returns for what was sent.

Change: framing.ResponseHead checks the lines of a head as they arrive, those of interim responses included; sock.Conn fails the read at a malformed line. lib/exchange announces each head, relay.Transport each request. The clients of the store, of peers, of the configuration service and of weights use relay.Transport too. Names in a trailer are checked at the end of the body. The check looks at the head as it came, since a folded line cannot be seen after the parser.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -86,9 +86,9 @@
 // New returns an agent that Run starts.
 func New(s *settings.Agent, logger log.Logger) *Agent {
 	n := node.New(s.Node, logger)
-	control := &http.Client{Transport: relay.Transport{Transport: &http.Transport{
-		DialContext: sock.Dialer(&net.Dialer{}), MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: sock.MaxHeadBytes,
-	}}}
+	control := &http.Client{Transport: relay.NewTransport(&http.Transport{
+		MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: sock.MaxHeadBytes,
+	})}
 	a := &Agent{
 		settings:            s,
 		node:                n,
--- a/agent/connect.go
+++ b/agent/connect.go
@@ -38,13 +38,13 @@
 // new connections only, so each new connection is checked first. That way no call
 // reaches a restarted engine before the gate treats it as cold.
 func (a *Agent) upstreamClient() *http.Client {
-	transport := relay.Transport{Transport: &http.Transport{
+	transport := relay.NewTransport(&http.Transport{
 		MaxResponseHeaderBytes: sock.MaxHeadBytes,
 		DialContext:            a.dialUpstream,
 		MaxIdleConnsPerHost:    a.settings.MaxCalls,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
-	}}
+	})
 	return &http.Client{Transport: transport, CheckRedirect: returnRedirect}
 }
 
@@ -72,7 +72,8 @@
 
 // checkConnection reads the load report over a new connection and asks the gate
 // whether it matches the last health check.
-func (a *Agent) checkConnection(ctx context.Context, conn net.Conn) error {
+func (a *Agent) checkConnection(ctx context.Context, conn *sock.Conn) error {
+	conn.ExpectHead()
 	report, err := a.engine.ReportOverConn(ctx, conn)
 	if err != nil {
 		return err
--- a/agent/fetcher.go
+++ b/agent/fetcher.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +12,7 @@
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/manifest"
 	"rattanspur.example/lib/pacing"
+	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/transfer"
 	"rattanspur.example/lib/weightstore"
@@ -47,15 +47,14 @@
 
 // weightsTransport returns the transport for all fetchers and queriers. It
 // limits the number of idle connections, because an agent talks to few peers.
-func weightsTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:            sock.Dialer(&net.Dialer{}),
+func weightsTransport() relay.Transport {
+	return relay.NewTransport(&http.Transport{
 		MaxResponseHeaderBytes: sock.MaxHeadBytes,
 		MaxIdleConns:           64,
 		MaxIdleConnsPerHost:    transferLimits.MaxInFlightPerPeer,
 		IdleConnTimeout:        30 * time.Second,
 		DisableCompression:     true,
-	}
+	})
 }
 
 // runFetcher downloads chunks, one request at a time. Several fetchers run in
--- a/agent/once.go
+++ b/agent/once.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"net/http"
 
 	"rattanspur.example/lib/duty"
@@ -234,9 +233,9 @@
 // closed an idle connection at the same time. Redirects are not followed.
 func newOnceClient() *http.Client {
 	return &http.Client{
-		Transport: relay.Transport{Transport: &http.Transport{
-			DialContext: sock.Dialer(&net.Dialer{}), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: sock.MaxHeadBytes,
-		}},
+		Transport: relay.NewTransport(&http.Transport{
+			DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: sock.MaxHeadBytes,
+		}),
 		CheckRedirect: returnRedirect,
 	}
 }
--- a/entry/conn_pools.go
+++ b/entry/conn_pools.go
@@ -77,7 +77,7 @@
 
 func newTransport() relay.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return relay.Transport{Transport: &http.Transport{
+	return relay.NewTransport(&http.Transport{
 		MaxResponseHeaderBytes: sock.MaxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := sock.DialWith(ctx, dialer, network, address)
@@ -89,13 +89,13 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerAgent,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}}
+	})
 }
 
 // countingConn counts the bytes passed to Write. The count shows whether any byte
 // of a request was written.
 type countingConn struct {
-	net.Conn
+	*sock.Conn
 	written atomic.Int64
 }
 
--- a/entry/once_worker.go
+++ b/entry/once_worker.go
@@ -44,12 +44,12 @@
 // Idempotency-Key by itself on reused connections. Redirects are not followed.
 func newBoundClient() *http.Client {
 	return &http.Client{
-		Transport: relay.Transport{Transport: &http.Transport{
+		Transport: relay.NewTransport(&http.Transport{
 			MaxResponseHeaderBytes: sock.MaxHeadBytes,
 			DialContext:            sock.Dialer(&net.Dialer{Timeout: connectTimeout}),
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
-		}},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- /dev/null
+++ b/gateway/field_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/sock/socktest"
+)
+
+// Guards against a caller that gets a body which its upstream did not frame, or a response of
+// which a line is no field: an upstream answers with a malformed head. Guards as well against a
+// second run of a request that is not idempotent.
+func TestMalformedFieldOfAnUpstream(t *testing.T) {
+	var response atomic.Pointer[string]
+	var attempts atomic.Int32
+	script := func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := socktest.ReadRequest(r); err != nil {
+			return
+		}
+		attempts.Add(1)
+		_, _ = io.WriteString(c, *response.Load())
+		socktest.Finish(c, socktest.FIN)
+	}
+	source := newSource()
+	source.put("op/config", configJSON)
+	for i := range 4 {
+		source.scripted(t, fmt.Sprint("d-", i), "desk", script)
+		source.scripted(t, fmt.Sprint("e-", i), "engine", script)
+	}
+	g := start(t, source)
+	for n, m := range socktest.MalformedHeads(signedFields) {
+		for _, path := range []string{"/once/", "/read/", "/stream/"} {
+			name := path + m.Name
+			text := m.Text
+			if path == "/stream/" {
+				text = strings.Replace(text, signedFields, signedFields+"Content-Type: text/event-stream\r\n", 1)
+				text = strings.ReplaceAll(text, "body", ": 1\n")
+			}
+			response.Store(&text)
+			attempts.Store(0)
+			resp, err := g.request(context.Background(), http.MethodPost, fmt.Sprint(path, n), "")
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+			}
+			if m.Body == "" || err == nil {
+				require.NoError(t, err, name)
+				require.Equal(t, http.StatusBadGateway, resp.StatusCode, name)
+			}
+			if path == "/once/" {
+				require.EqualValues(t, 1, attempts.Load(), name)
+			}
+		}
+	}
+}
--- a/lib/exchange/conn.go
+++ b/lib/exchange/conn.go
@@ -29,9 +29,11 @@
 
 // Conn is a connection to an upstream that carries one request at a time.
 type Conn struct {
-	net    net.Conn
-	limit  *limitedReader
-	reader *bufio.Reader
+	net net.Conn
+	// expectHead announces the head of a response on net.
+	expectHead func()
+	limit      *limitedReader
+	reader     *bufio.Reader
 	// idleUntil is when the connection must be closed if it is idle.
 	idleUntil time.Time
 	// refused holds the IDs of the requests that were refused on the connection.
@@ -49,7 +51,7 @@
 		return nil, err
 	}
 	limit := &limitedReader{reader: c}
-	return &Conn{net: c, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, nil
+	return &Conn{net: c, expectHead: c.ExpectHead, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, nil
 }
 
 // errHeadTooLarge is returned for a response whose head exceeds sock.MaxHeadBytes.
--- a/lib/exchange/head.go
+++ b/lib/exchange/head.go
@@ -10,6 +10,7 @@
 // readHead reads the head of the final response to a request with the given method, past
 // any interim responses (1xx). All heads together are bounded by sock.MaxHeadBytes.
 func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.expectHead()
 	c.limit.limited, c.limit.left = true, sock.MaxHeadBytes
 	defer func() { c.limit.limited = false }()
 	for {
@@ -21,6 +22,7 @@
 			return nil, relay.ErrBadStatus
 		}
 		if !relay.IsInterim(resp.StatusCode) {
+			relay.CheckTrailer(resp)
 			return resp, nil
 		}
 	}
--- a/lib/exchange/head_test.go
+++ b/lib/exchange/head_test.go
@@ -92,3 +92,44 @@
 	require.Equal(t, retry.Lost, out.End)
 	require.Zero(t, rec.status)
 }
+
+// Guards against a response with a malformed field that is passed on, with a body that the
+// upstream did not frame: a blank in the name of a field hides its length or its chunks. If the
+// malformed line stands in the trailer, the body has been passed on, and the response is lost.
+func TestResponseWithAMalformedFieldIsNotPassedOn(t *testing.T) {
+	for _, m := range socktest.MalformedHeads("Id: 1\r\n") {
+		t.Run(m.Name, func(t *testing.T) {
+			u := serve(t, socktest.Respond(m.Text, socktest.FIN))
+			for _, o := range []Options{{}, {EventStream: true}, {HoldServerErrors: true}} {
+				out, rec := do(u.dial(), request(""), o)
+				require.Equal(t, retry.Lost, out.End, out.Detail)
+				require.False(t, out.Reusable)
+				require.Equal(t, m.Body, rec.body.String())
+				require.Equal(t, m.Body != "", rec.status != 0)
+			}
+		})
+	}
+}
+
+// Guards against a malformed head that is accepted on a connection which has carried another
+// response, and against a sound one that is not.
+func TestHeadsOfAReusedConnectionAreChecked(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nX Y:"
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for _, response := range []string{sound, sound, "HTTP/1.1 200 OK\r\nId: 1\r\nX Y: 1\r\nContent-Length: 4\r\n\r\nbody"} {
+			_, _, _ = socktest.ReadRequest(r)
+			_, _ = io.WriteString(c, response)
+		}
+		_, _, _ = socktest.ReadRequest(r)
+	})
+	c := u.dial()
+	for range 2 {
+		out, rec := do(c, request(""), Options{})
+		require.Equal(t, retry.Answered, out.End, out.Detail)
+		require.Equal(t, "X Y:", rec.body.String())
+		require.True(t, out.Reusable)
+	}
+	out, rec := do(c, request(""), Options{})
+	require.Equal(t, retry.Lost, out.End)
+	require.Zero(t, rec.status)
+}
--- a/lib/framing/framing.go
+++ b/lib/framing/framing.go
@@ -1,7 +1,12 @@
-// Package framing follows the framing of the HTTP/1 requests on a connection, to find those
-// that state both a length and a transfer coding. Where such a body ends depends on the
-// reader, so that a request hidden in it would run as one of its own. net/http drops the
-// length before a handler sees it (RFC 9112, 6.1 to 6.3).
+// Package framing checks what frames the bodies of HTTP/1 messages where net/http does not.
+//
+// It follows the framing of the requests on a connection, to find those that state both a
+// length and a transfer coding. Where such a body ends depends on the reader, so that a request
+// hidden in it would run as one of its own. net/http drops the length before a handler sees it
+// (RFC 9112, 6.1 to 6.3).
+//
+// It checks the lines in the heads of responses: one that is no field may be the one that frames
+// the body.
 package framing
 
 import (
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -15,6 +14,7 @@
 	"rattanspur.example/lib/duty"
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/poison"
+	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/settings"
 	"rattanspur.example/lib/sock"
@@ -104,9 +104,9 @@
 		logger:    logger,
 		startTime: time.Now(),
 		metrics:   metrics.NewSet(),
-		peers: &wire.Client{HTTP: &http.Client{Transport: &http.Transport{
-			DialContext: sock.Dialer(&net.Dialer{}), MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: sock.MaxHeadBytes,
-		}}, Keys: s.PeerKeys},
+		peers: &wire.Client{HTTP: &http.Client{Transport: relay.NewTransport(&http.Transport{
+			MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: sock.MaxHeadBytes,
+		})}, Keys: s.PeerKeys},
 		inbox:        ring.New[gossipEvent](messageRingSize, ring.Wait),
 		notices:      ring.New[gossipEvent](messageRingSize, ring.DropOldest),
 		documents:    ring.New[document](documentRingSize, ring.Wait),
--- a/lib/node/traffic.go
+++ b/lib/node/traffic.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/sock"
 )
 
@@ -31,7 +32,7 @@
 		}
 		return &countingConn{Conn: conn, counter: c}, nil
 	}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: relay.NewTransport(&http.Transport{
 		MaxResponseHeaderBytes: sock.MaxHeadBytes,
 		DialContext:            dial,
 		MaxIdleConns:           idleConnections,
@@ -39,11 +40,11 @@
 		IdleConnTimeout:        idleTimeout,
 
 		ResponseHeaderTimeout: headerTimeout,
-	}}
+	})}
 }
 
 type countingConn struct {
-	net.Conn
+	*sock.Conn
 	counter *byteCounter
 }
 
--- a/lib/relay/benchmark_test.go
+++ b/lib/relay/benchmark_test.go
@@ -13,7 +13,7 @@
 func BenchmarkRoundTrip(b *testing.B) {
 	response := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/plain\r\nServer: s\r\nDate: now\r\nContent-Length: 2\r\n\r\nok"
 	url := "http://" + socktest.Serve(b, socktest.Respond(response, socktest.Open))
-	transport := Transport{Transport: &http.Transport{}}
+	transport := NewTransport(&http.Transport{})
 	defer transport.CloseIdleConnections()
 	b.ReportAllocs()
 	for b.Loop() {
--- a/lib/relay/transport_test.go
+++ b/lib/relay/transport_test.go
@@ -7,9 +7,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"rattanspur.example/lib/framing"
+	"rattanspur.example/lib/sock/socktest"
 )
 
 // Guards against content of a response with a spoilt status that is taken for the response
@@ -25,7 +29,7 @@
 		answer(buffered.Writer, conn, status)
 	}))
 	defer server.Close()
-	client := &http.Client{Transport: Transport{&http.Transport{}}}
+	client := &http.Client{Transport: NewTransport(&http.Transport{})}
 	post := func(status string) (*http.Response, error) {
 		req, err := http.NewRequest(http.MethodPost, server.URL, strings.NewReader("x"))
 		require.NoError(t, err)
@@ -60,3 +64,60 @@
 	_, _ = w.WriteString("body")
 	_ = w.Flush()
 }
+
+// Guards against a response with a malformed field that is accepted, on a new connection and
+// on one that has carried a response, and against a request that net/http sends again by itself
+// after such a response.
+func TestTransportRejectsMalformedFields(t *testing.T) {
+	for _, m := range socktest.MalformedHeads("") {
+		for _, reused := range []bool{false, true} {
+			var requests atomic.Int32
+			url := "http://" + socktest.Serve(t, func(c net.Conn, r *bufio.Reader) {
+				for {
+					if _, _, err := socktest.ReadRequest(r); err != nil {
+						return
+					}
+					if requests.Add(1) == 1 && reused {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nX Y:")
+						continue
+					}
+					_, _ = io.WriteString(c, m.Text)
+					return
+				}
+			})
+			client := &http.Client{Transport: NewTransport(&http.Transport{})}
+			get := func() (string, error) {
+				resp, err := client.Get(url)
+				if err != nil {
+					return "", err
+				}
+				defer func() { _ = resp.Body.Close() }()
+				body, err := io.ReadAll(resp.Body)
+				return string(body), err
+			}
+			if reused {
+				body, err := get()
+				require.NoError(t, err)
+				require.Equal(t, "X Y:", body)
+			}
+			before := requests.Load()
+			body, err := get()
+			require.Error(t, err, m.Name)
+			require.Equal(t, m.Body, body, m.Name)
+			require.EqualValues(t, 1, requests.Load()-before, m.Name)
+			client.CloseIdleConnections()
+		}
+	}
+}
+
+// Guards against names with a blank over a connection whose heads are not checked, such as one
+// with TLS.
+func TestTransportChecksNamesOverOtherConnections(t *testing.T) {
+	var d net.Dialer
+	client := &http.Client{Transport: NewTransport(&http.Transport{DialContext: d.DialContext})}
+	for _, name := range []string{"X Y", "Content-Length "} {
+		url := "http://" + socktest.Serve(t, socktest.Respond("HTTP/1.1 200 OK\r\n"+name+": 4\r\n\r\nbody", socktest.FIN))
+		_, err := client.Get(url)
+		require.ErrorIs(t, err, framing.ErrMalformedHead)
+	}
+}
--- a/lib/sock/conn.go
+++ b/lib/sock/conn.go
@@ -6,18 +6,32 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"rattanspur.example/lib/framing"
 )
 
-// Conn is a TCP connection to a server, whose reads tell the loss of the connection from
-// its orderly end. The kernel reports the error of a connection once, to the call that comes
-// first. If that is a write, the next read finds an end, and a response that lasts until its
-// connection ends would count as complete after a reset.
+// Conn is a TCP connection to an HTTP/1 server. Its reads fail where a response breaks off or
+// is malformed and a reader of HTTP does not notice.
+//
+// They tell the loss of the connection from its orderly end. The kernel reports the error of a
+// connection once, to the call that comes first. If that is a write, the next read finds an
+// end, and a response that lasts until its connection ends would count as complete after a
+// reset.
+//
+// They check the head of each response that ExpectHead announces.
 type Conn struct {
 	net.Conn
 	raw syscall.RawConn
+	// headExpected is set from ExpectHead to the next read. The others are used by the
+	// goroutine that reads: checks is set once a head was announced, malformed once one is.
+	headExpected atomic.Bool
+	checks       bool
+	head         framing.ResponseHead
+	malformed    error
 	// writing is held during a write. writeErr is the error by which the first failed
 	// write learned that the connection was lost.
 	writing  sync.Mutex
@@ -65,9 +79,39 @@
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
 
+// ExpectHead says that a request is about to be sent, so that the next bytes to be read are the
+// head of its response.
+func (c *Conn) ExpectHead() { c.headExpected.Store(true) }
+
 // Read implements net.Conn. It returns io.EOF only if the peer has ended its data. If the
-// connection was lost, it returns the error of the connection, also if a write got that.
+// connection was lost, it returns the error of the connection, also if a write got that. It
+// returns framing.ErrMalformedHead in place of a line that makes a head malformed.
 func (c *Conn) Read(b []byte) (int, error) {
+	if c.malformed != nil {
+		return 0, c.malformed
+	}
+	n, err := c.readData(b)
+	if c.headExpected.CompareAndSwap(true, false) {
+		c.checks, c.head = true, framing.ResponseHead{}
+	}
+	if !c.checks {
+		return n, err
+	}
+	sound, malformed := c.head.Add(b[:n])
+	if malformed == nil {
+		return n, err
+	}
+	// net/http sends a request again if the first read of its response fails, so that the
+	// bytes before are not held back.
+	c.malformed = malformed
+	if sound > 0 {
+		return sound, nil
+	}
+	return 0, malformed
+}
+
+// readData reads without a check of the data.
+func (c *Conn) readData(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) && c.closed() {
 		if lost := c.awaitWriteError(); lost != nil {
--- a/lib/sock/sock.go
+++ b/lib/sock/sock.go
@@ -39,8 +39,8 @@
 }
 
 // Dial opens a connection that detects an unresponsive peer.
-func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	return Dialer(&dialer)(ctx, network, address)
+func Dial(ctx context.Context, network, address string) (*Conn, error) {
+	return DialWith(ctx, &dialer, network, address)
 }
 
 // Listen opens a listener whose connections detect an unresponsive peer.
@@ -70,7 +70,7 @@
 func Transport(idlePerHost int) *http.Transport {
 	return &http.Transport{
 		MaxResponseHeaderBytes: MaxHeadBytes,
-		DialContext:            Dial,
+		DialContext:            Dialer(&dialer),
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
--- a/lib/sock/sock_test.go
+++ b/lib/sock/sock_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"testing"
 	"time"
 
@@ -51,13 +50,13 @@
 		_, err := c.Read(make([]byte, 1))
 		read <- err
 	}()
-	require.False(t, Pending(c.(syscall.Conn)))
+	require.False(t, Pending(c))
 	_, err = s.Write([]byte("xy"))
 	require.NoError(t, err)
 	require.NoError(t, <-read)
-	require.True(t, Pending(c.(syscall.Conn)))
+	require.True(t, Pending(c))
 	_, err = c.Read(make([]byte, 1))
 	require.NoError(t, err)
 	require.NoError(t, s.Close())
-	require.False(t, Pending(c.(syscall.Conn)))
+	require.False(t, Pending(c))
 }
--- a/lib/viewsync/viewsync.go
+++ b/lib/viewsync/viewsync.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/wire"
 )
@@ -110,7 +111,7 @@
 
 // NewClient returns a client that decodes items with a function.
 func NewClient(decode Decode) *Client {
-	return &Client{client: wire.Client{HTTP: &http.Client{Transport: sock.Transport(1)}}, decode: decode}
+	return &Client{client: wire.Client{HTTP: &http.Client{Transport: relay.NewTransport(sock.Transport(1))}}, decode: decode}
 }
 
 // Changes reads the items of the process at an address that are newer than a
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -15,6 +15,7 @@
 	"rattanspur.example/lib/fleet"
 	"rattanspur.example/lib/pacing"
 	"rattanspur.example/lib/published"
+	"rattanspur.example/lib/relay"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/sock"
 	"rattanspur.example/lib/staging"
@@ -174,7 +175,7 @@
 		rosterRequests:  ring.New[struct{}](1, ring.DropOldest),
 		notices:         ring.New[notice](2, ring.DropOldest),
 		reportIntervals: ring.New[time.Duration](1, ring.DropOldest),
-		peers:           &http.Client{Transport: sock.Transport(limits.MaxInFlightPerPeer)},
+		peers:           &http.Client{Transport: relay.NewTransport(sock.Transport(limits.MaxInFlightPerPeer))},
 		uploadLink:      pacing.NewLink(s.UploadRate),
 		uptime:          boottime.Now,
 		logger:          logger,
