gateway: tests of broken answers share their upstreams

Cause: the tests of malformed heads and of early answers repeated the set-up of the tests of invalid statuses. Change: scriptedFleet and respondOnce serve all of them; what the tests ask for is unchanged. Result: they pass (10.2 s).

--- a/gateway/early_test.go
+++ b/gateway/early_test.go
@@ -40,10 +40,7 @@
 	}
 	source := newSource()
 	source.put("op/config", strings.Replace(configJSON, `"max_body_bytes":1000`, fmt.Sprintf(`"max_body_bytes":%d`, socktest.UploadBytes), 1))
-	for i := range 4 {
-		source.scripted(t, fmt.Sprint("d-", i), "desk", script)
-		source.scripted(t, fmt.Sprint("e-", i), "engine", script)
-	}
+	source.scriptedFleet(t, script)
 	e.testGateway = startWithBodies(t, source, uploadBudget, func(*Settings) {})
 	return e
 }
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -31,6 +31,14 @@
 	s.publish(id, service, socktest.Serve(t, script), 1)
 }
 
+// scriptedFleet publishes four upstreams of each service that run a script on each connection.
+func (s *fakeSource) scriptedFleet(t *testing.T, script socktest.Script) {
+	for i := range 4 {
+		s.scripted(t, fmt.Sprint("d-", i), "desk", script)
+		s.scripted(t, fmt.Sprint("e-", i), "engine", script)
+	}
+}
+
 // callRaw sends a request over a connection of its own and returns all bytes of the
 // response, and the error with which the connection ended if it was not closed in
 // order.
--- a/gateway/field_test.go
+++ b/gateway/field_test.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -22,20 +20,9 @@
 func TestMalformedFieldOfAnUpstream(t *testing.T) {
 	var response atomic.Pointer[string]
 	var attempts atomic.Int32
-	script := func(c net.Conn, r *bufio.Reader) {
-		if _, _, err := socktest.ReadRequest(r); err != nil {
-			return
-		}
-		attempts.Add(1)
-		_, _ = io.WriteString(c, *response.Load())
-		socktest.Finish(c, socktest.FIN)
-	}
 	source := newSource()
 	source.put("op/config", configJSON)
-	for i := range 4 {
-		source.scripted(t, fmt.Sprint("d-", i), "desk", script)
-		source.scripted(t, fmt.Sprint("e-", i), "engine", script)
-	}
+	source.scriptedFleet(t, respondOnce(&response, &attempts))
 	g := start(t, source)
 	for n, m := range socktest.MalformedHeads(signedFields) {
 		for _, path := range []string{"/once/", "/read/", "/stream/"} {
--- a/gateway/status_test.go
+++ b/gateway/status_test.go
@@ -15,6 +15,19 @@
 	"rattanspur.example/lib/sock/socktest"
 )
 
+// respondOnce returns a script that counts a request, responds to it with the current response
+// and closes the connection.
+func respondOnce(response *atomic.Pointer[string], attempts *atomic.Int32) socktest.Script {
+	return func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := socktest.ReadRequest(r); err != nil {
+			return
+		}
+		attempts.Add(1)
+		_, _ = io.WriteString(c, *response.Load())
+		socktest.Finish(c, socktest.FIN)
+	}
+}
+
 // Guards against a caller that gets a status which no upstream sent, an empty response, or
 // the statement that its request has not run: an upstream answers or refuses a request with
 // a spoilt status.
@@ -23,20 +36,9 @@
 	const events = "Content-Type: text/event-stream\r\nContent-Length: 14\r\n\r\nid: 1\ndata: a\n\n"
 	var response atomic.Pointer[string]
 	var attempts atomic.Int32
-	script := func(c net.Conn, r *bufio.Reader) {
-		if _, _, err := socktest.ReadRequest(r); err != nil {
-			return
-		}
-		attempts.Add(1)
-		_, _ = io.WriteString(c, *response.Load())
-		socktest.Finish(c, socktest.FIN)
-	}
 	source := newSource()
 	source.put("op/config", configJSON)
-	for i := range 4 {
-		source.scripted(t, fmt.Sprint("d-", i), "desk", script)
-		source.scripted(t, fmt.Sprint("e-", i), "engine", script)
-	}
+	source.scriptedFleet(t, respondOnce(&response, &attempts))
 	g := start(t, source)
 	for _, status := range socktest.InvalidStatuses() {
 		for _, c := range []struct {
