relay: servers with TLS are still offered HTTP/2

Cause: net/http offers HTTP/2 over TLS only while a transport has no dialer of its own, and gave one to transports that had none (an agent's clients for orders, for calls with a key and for weights, whose addresses may be https).

Change: NewTransport asks for HTTP/2 where it supplies the dialer.

Result: TestTransportOverTLS gets HTTP/2; without the line it gets HTTP/1.1.

--- a/lib/relay/transport.go
+++ b/lib/relay/transport.go
@@ -21,6 +21,8 @@
 func NewTransport(t *http.Transport) Transport {
 	if t.DialContext == nil {
 		t.DialContext = sock.Dialer(&net.Dialer{})
+		// net/http offers HTTP/2 over TLS only without a dialer, unless it is told to.
+		t.ForceAttemptHTTP2 = true
 	}
 	return Transport{Transport: t}
 }
--- a/lib/relay/transport_test.go
+++ b/lib/relay/transport_test.go
@@ -121,3 +121,24 @@
 		require.ErrorIs(t, err, framing.ErrMalformedHead)
 	}
 }
+
+// Guards against a server with TLS that cannot be reached, or only with HTTP/1.1, because of
+// the dialer.
+func TestTransportOverTLS(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "body")
+	}))
+	server.EnableHTTP2 = true
+	server.StartTLS()
+	defer server.Close()
+	trusted := server.Client().Transport.(*http.Transport).TLSClientConfig
+	client := &http.Client{Transport: NewTransport(&http.Transport{TLSClientConfig: trusted})}
+	resp, err := client.Get(server.URL)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, "body", string(body))
+	require.Equal(t, 2, resp.ProtoMajor)
+	client.CloseIdleConnections()
+}
