sock: tests of resets wait until their connection is open

Cause: the stand-in of TestResetThatAWriteGotIsNoEnd reset the connection 2 ms after it had accepted it.

Change: the stand-ins read a byte of the upload first. What the tests ask for is unchanged. One comment of lib/framing says start.

--- a/lib/framing/head.go
+++ b/lib/framing/head.go
@@ -30,7 +30,7 @@
 // (RFC 9112, 5.1 and 5.2). The zero value expects a status line.
 type ResponseHead struct {
 	part headPart
-	// code is the begin of the status code, and digits its length so far.
+	// code is the start of the status code, and digits its length so far.
 	code   [3]byte
 	digits int
 }
--- a/lib/sock/conn_test.go
+++ b/lib/sock/conn_test.go
@@ -42,7 +42,9 @@
 func TestResetThatAWriteGotIsNoEnd(t *testing.T) {
 	for _, before := range []bool{false, true} {
 		for range 20 {
-			c := dialScript(t, func(c net.Conn, _ *bufio.Reader) {
+			c := dialScript(t, func(c net.Conn, r *bufio.Reader) {
+				// A reset before the first byte of the upload could end the dial.
+				_, _ = r.ReadByte()
 				_, _ = io.WriteString(c, "part")
 				time.Sleep(2 * time.Millisecond)
 				socktest.Finish(c, socktest.RST)
@@ -62,7 +64,8 @@
 // or resets the connection afterwards and the data is read only then.
 func TestEndBeforeAResetIsAnEnd(t *testing.T) {
 	for _, end := range []socktest.End{socktest.Lingering, socktest.LateRST} {
-		c := dialScript(t, func(c net.Conn, _ *bufio.Reader) {
+		c := dialScript(t, func(c net.Conn, r *bufio.Reader) {
+			_, _ = r.ReadByte()
 			_, _ = io.WriteString(c, "whole")
 			socktest.Finish(c, end)
 		})
@@ -84,7 +87,8 @@
 	var once sync.Once
 	open := func() { once.Do(func() { close(release) }) }
 	t.Cleanup(open)
-	c := dialScript(t, func(c net.Conn, _ *bufio.Reader) {
+	c := dialScript(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = r.ReadByte()
 		_, _ = io.WriteString(c, "whole")
 		_ = c.(*net.TCPConn).CloseWrite()
 		<-release
