sock, exchange, gateway: late resets wait until the end of the data arrived

The kernel reports that only if the reset came before the peer's end (after it, EPIPE), so that the end had not arrived in 150 ms. Inferred: its segment was lost, which is sent again after 200 ms at the earliest. Such an answer has no known end, and lost is the right verdict.

Change: the stand-in resets once the test knows that the end has arrived: the answer was read, or the state of the connection is CLOSE_WAIT. What the tests ask for is unchanged; the fixed time is gone.

--- a/gateway/early_test.go
+++ b/gateway/early_test.go
@@ -92,7 +92,9 @@
 	e := startEarly(t)
 	for _, end := range []socktest.End{socktest.Lingering, socktest.LateRST} {
 		for i, response := range socktest.UndelimitedResponses(signedFields) {
-			status, body, err := e.upload(fmt.Sprint("/once/", i), socktest.Early{Response: response.Text, End: end})
+			answered := make(chan struct{})
+			status, body, err := e.upload(fmt.Sprint("/once/", i), socktest.Early{Response: response.Text, End: end, Until: answered})
+			close(answered)
 			name := fmt.Sprintf("%s, %s", response.Name, end)
 			require.NoError(t, err, name)
 			require.Equal(t, response.Status, status, name)
--- a/lib/exchange/upload_test.go
+++ b/lib/exchange/upload_test.go
@@ -53,8 +53,10 @@
 	for _, end := range []socktest.End{socktest.Lingering, socktest.LateRST} {
 		for _, response := range socktest.UndelimitedResponses("Id: 1\r\n") {
 			t.Run(fmt.Sprintf("%s/%s", end, response.Name), func(t *testing.T) {
-				u := serve(t, socktest.RespondEarly(socktest.Early{Response: response.Text, End: end}))
+				answered := make(chan struct{})
+				u := serve(t, socktest.RespondEarly(socktest.Early{Response: response.Text, End: end, Until: answered}))
 				out, rec := do(u.dial(), request(upload), Options{EventStream: response.Events})
+				close(answered)
 				require.Equal(t, retry.Answered, out.End, out.Detail)
 				require.Equal(t, response.Status, rec.status)
 				require.Equal(t, response.Body, rec.body.String())
--- a/lib/sock/conn_test.go
+++ b/lib/sock/conn_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"rattanspur.example/lib/sock/socktest"
 )
@@ -30,7 +31,7 @@
 }
 
 // dialScript opens a connection without UserTimeout to a server that runs a script.
-func dialScript(t *testing.T, script socktest.Script) net.Conn {
+func dialScript(t *testing.T, script socktest.Script) *Conn {
 	c, err := DialWith(context.Background(), &net.Dialer{}, "tcp", socktest.Serve(t, script))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
@@ -60,24 +61,48 @@
 	}
 }
 
-// Guards against data that counts as cut although the peer has ended it: the peer reads on,
-// or resets the connection afterwards and the data is read only then.
+// Guards against data that counts as cut although the peer has ended it and reads on.
+func TestEndOfAPeerThatReadsOn(t *testing.T) {
+	c := dialScript(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = r.ReadByte()
+		_, _ = io.WriteString(c, "whole")
+		socktest.Finish(c, socktest.Lingering)
+	})
+	upload(c)
+	data, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(data))
+}
+
+// Guards against data that counts as cut although the peer has ended it: the peer resets the
+// connection after the end has arrived, and the data is read only then.
 func TestEndBeforeAResetIsAnEnd(t *testing.T) {
-	for _, end := range []socktest.End{socktest.Lingering, socktest.LateRST} {
-		c := dialScript(t, func(c net.Conn, r *bufio.Reader) {
-			_, _ = r.ReadByte()
-			_, _ = io.WriteString(c, "whole")
-			socktest.Finish(c, end)
-		})
-		failed := upload(c)
-		if end == socktest.LateRST {
-			require.ErrorIs(t, <-failed, syscall.EPIPE)
-		}
-		data, err := io.ReadAll(c)
-		require.NoError(t, err, end)
-		require.Equal(t, "whole", string(data))
-		_ = c.Close()
-	}
+	ended := make(chan struct{})
+	c := dialScript(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = r.ReadByte()
+		_, _ = io.WriteString(c, "whole")
+		_ = c.(*net.TCPConn).CloseWrite()
+		<-ended
+		socktest.Finish(c, socktest.RST)
+	})
+	failed := upload(c)
+	const tcpCloseWait = 8
+	require.Eventually(t, func() bool { return c.state(t) == tcpCloseWait }, 30*time.Second, time.Millisecond)
+	close(ended)
+	require.ErrorIs(t, <-failed, syscall.EPIPE)
+	data, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(data))
+}
+
+// state returns the kernel's state of a connection.
+func (c *Conn) state(t *testing.T) (state uint8) {
+	require.NoError(t, c.raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		require.NoError(t, err)
+		state = info.State
+	}))
+	return state
 }
 
 // Guards against a read that waits for a write which the peer does not take: the peer has
--- a/lib/sock/socktest/early.go
+++ b/lib/sock/socktest/early.go
@@ -14,24 +14,15 @@
 const (
 	// Lingering ends the data that is sent and reads on until the peer closes.
 	Lingering End = "lingering close"
-	// LateRST ends the data that is sent and resets the connection some time later.
+	// LateRST ends the data that is sent and resets the connection once Early.Until is closed.
 	LateRST End = "FIN, then RST"
 )
 
-// lateRST is the time between the end of the data and the reset for LateRST, in which a
-// peer that reads can receive the end.
-const lateRST = 150 * time.Millisecond
-
-// finishAfterData ends a connection in one of the ways that begin with the end of the data.
-func finishAfterData(c net.Conn, end End) {
+// linger ends the data that is sent and reads until the peer closes the connection.
+func linger(c net.Conn) {
 	endData(c)
-	if end == Lingering {
-		_, _ = io.Copy(io.Discard, c)
-		_ = c.Close()
-		return
-	}
-	time.Sleep(lateRST)
-	Finish(c, RST)
+	_, _ = io.Copy(io.Discard, c)
+	_ = c.Close()
 }
 
 // endData ends the data that is sent on a connection.
@@ -49,8 +40,9 @@
 	// Pause is the time between the response and the end of the connection.
 	Pause time.Duration
 	End   End
-	// Until, if it is set, takes the place of the fixed time of LateRST: the connection is
-	// reset once it is closed.
+	// Until is when the peer is known to have the end of the data, for LateRST. A fixed time
+	// would not do: the segment with the end may be lost and sent again after 200 ms or more,
+	// and a reset that overtakes it leaves the data without an end.
 	Until <-chan struct{}
 }
 
@@ -74,7 +66,7 @@
 			return
 		}
 		time.Sleep(e.Pause)
-		if e.End == LateRST && e.Until != nil {
+		if e.End == LateRST {
 			endData(c)
 			<-e.Until
 			Finish(c, RST)
--- a/lib/sock/socktest/socktest.go
+++ b/lib/sock/socktest/socktest.go
@@ -84,8 +84,8 @@
 	switch end {
 	case Open:
 		return
-	case Lingering, LateRST:
-		finishAfterData(c, end)
+	case Lingering:
+		linger(c)
 		return
 	}
 	if tcp, ok := c.(*net.TCPConn); ok && end == RST {
