staging, loader: pieces stay while an unanswered order may be accepted

Cause: an order without an answer was taken for one without effect. Core.Next looked at the record of it nowhere, and a loader that follows a killed one had no record. Evidence: the stand-in accepts the order for version 2 at 8.856 s, with 19 of 48 pieces of version 3, between the lines engine-ordered (err) and pieces-placed of the loader.

Change: until a report shows an accepted order or another start of the engine, or 10 s have passed, no other version is stored; the same order is sent again, up to three times. All of them state the same number of accepted orders, so the engine accepts one of them and none later: that is why this works. Orders end 1.75 s after the verification began, and pieces are verified each second after the last repeat, so that a corrupt piece is replaced within 3 s. A loader that starts finds out from the pieces which order may be open. An order for another version waits for a piece whose storing got no answer.

--- a/lib/staging/staging.go
+++ b/lib/staging/staging.go
@@ -39,6 +39,8 @@
 	Place
 	// Order verifies the pieces at the engine and orders it to load them.
 	Order
+	// Verify verifies the pieces at the engine, which an unanswered order may load.
+	Verify
 )
 
 const (
@@ -52,9 +54,9 @@
 // MaxPieceBytes bounds the size of a piece, which is read into memory.
 const MaxPieceBytes = 16 << 20
 
-// ErrUnanswered means that an order got no answer, so that the engine may have accepted
-// it.
-var ErrUnanswered = errors.New("the engine has not answered the order")
+// ErrUnanswered means that an order, or the storing of a piece, got no answer, so that the engine
+// may have carried it out, or may do so later.
+var ErrUnanswered = errors.New("the engine has not answered")
 
 // Core is the state of one loader. It is owned by one duty and not safe for
 // concurrent use.
@@ -84,15 +86,21 @@
 	ordered          int64
 	orderedAt        time.Time
 	orderedStartTime int64
-	// unanswered is the last order that got no answer.
-	unanswered unansweredOrder
+	// open is the last order that got no answer, openPiece the last storing of a piece that
+	// got none, and inherited what an earlier process may have left open.
+	open      openOrder
+	openPiece openPiece
+	inherited inheritance
+	// found holds the results of searches of the engine, by version.
+	found      map[int64]Found
+	verifiedAt time.Time
 	retryAt    time.Time
 }
 
 // New returns a core for one model of the engine. updateWindow is the time after
 // the publication of a version within which all engines must serve it.
 func New(model string, layers int, updateWindow time.Duration) *Core {
-	return &Core{model: model, layers: layers, updateWindow: updateWindow, complete: map[int64]bool{}}
+	return &Core{model: model, layers: layers, updateWindow: updateWindow, complete: map[int64]bool{}, found: map[int64]Found{}}
 }
 
 // SetTarget sets the version that the engine is to serve.
@@ -150,29 +158,7 @@
 // MarkOrdered records that the engine accepted the order to load a version.
 func (c *Core) MarkOrdered(now time.Time, version int64) {
 	c.ordered, c.orderedAt, c.orderedStartTime = version, now, c.report.StartTime
-	c.unanswered = unansweredOrder{}
-}
-
-// unansweredOrder is an order to load a version that an engine process with a start time
-// got after a number of accepted orders, and may have accepted. The version is 0 if there
-// is none.
-type unansweredOrder struct{ version, startTime, sequence int64 }
-
-// MarkUnanswered records an order to load a version that got no answer. It was sent to the
-// engine process with a start time after that had accepted a number of orders.
-func (c *Core) MarkUnanswered(version, startTime, sequence int64) {
-	c.unanswered = unansweredOrder{version: version, startTime: startTime, sequence: sequence}
-}
-
-// TakeAccepted returns the version of an order that got no answer and that the engine has
-// accepted according to its latest report, once. Nothing but its loader sends it orders.
-func (c *Core) TakeAccepted(now time.Time) (version int64, ok bool) {
-	u := c.unanswered
-	if u.version == 0 || c.report.StartTime != u.startTime || c.report.Sequence <= u.sequence {
-		return 0, false
-	}
-	c.MarkOrdered(now, u.version)
-	return u.version, true
+	c.open = openOrder{}
 }
 
 // MarkFailed records a failed attempt and delays the next one.
@@ -185,18 +171,38 @@
 		return Idle, 0
 	}
 	version := c.chooseVersion(now)
+	if version != 0 && !c.stored(version) && c.OpenOrder(now) == 0 {
+		c.adoptOrder(now, version)
+	}
+	if open := c.OpenOrder(now); open != 0 && open != version {
+		return c.settleOrder(now, open), open
+	}
 	switch {
 	case version == 0:
 		return Fetch, c.target.Version
-	case c.placed != version || c.placedStartTime != c.report.StartTime:
-		return Place, version
-	case c.report.Busy || c.orderInProgress(now, version) || now.Before(c.SlotStart()):
+	case !c.stored(version):
+		return c.nextPlace(now, version), version
+	case c.report.Busy || c.orderInProgress(now, version) || now.Before(c.SlotStart()) || c.mayTurnForeign(now, version):
 		return Idle, version
 	default:
 		return Order, version
 	}
 }
 
+// stored reports whether all pieces of a version are stored at the engine process.
+func (c *Core) stored(version int64) bool {
+	return c.placed == version && c.placedStartTime == c.report.StartTime
+}
+
+// nextPlace returns the action for a complete version that is not stored at the engine.
+func (c *Core) nextPlace(now time.Time, version int64) Action {
+	if !c.mayOverwrite(now, version) {
+		return Idle
+	}
+	c.noteOverwriting(version)
+	return Place
+}
+
 // minRemainingUse is the shortest remaining time of use for which an earlier
 // version is loaded, because each load interrupts the engine.
 const minRemainingUse = 1500 * time.Millisecond
--- a/loader/coordinator.go
+++ b/loader/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rattanspur.example/lib/fleet"
@@ -22,9 +23,15 @@
 	desired published.DesiredVersion
 	copies  map[int64]*versionCopy
 	uploads int
-	// taskRunning is set while the engine worker executes a task.
-	taskRunning       bool
-	report            staging.Report
+	// taskRunning is set while the engine worker executes a task, which is for taskVersion.
+	taskRunning bool
+	taskVersion int64
+	// openOrder is the version of an open order that keeps the target from being stored.
+	openOrder int64
+	report    staging.Report
+	// firstReport is the first report that was read, at firstReportAt.
+	firstReport       staging.Report
+	firstReportAt     time.Time
 	rosterRequestedAt time.Time
 	engineDown        bool
 	loaded            int64
@@ -104,7 +111,7 @@
 	now := time.Now()
 	switch ev := ev.(type) {
 	case reportRead:
-		c.handleReport(ctx, ev)
+		c.handleReport(ctx, now, ev)
 	case rosterRead:
 		c.handleRoster(ctx, now, ev)
 	case manifestRead:
@@ -124,7 +131,7 @@
 	}
 }
 
-func (c *coordinator) handleReport(ctx context.Context, ev reportRead) {
+func (c *coordinator) handleReport(ctx context.Context, now time.Time, ev reportRead) {
 	if ev.err != nil {
 		if !c.engineDown {
 			c.engineDown = true
@@ -141,11 +148,15 @@
 	}
 	restarted := c.report.StartTime != 0 && ev.report.StartTime != c.report.StartTime
 	c.report = ev.report
+	if c.firstReportAt.IsZero() {
+		c.firstReport, c.firstReportAt = ev.report, now
+		c.inherit()
+	}
 	if c.core == nil {
 		return
 	}
 	c.core.SetReport(ev.report)
-	if v, ok := c.core.TakeAccepted(time.Now()); ok {
+	if v, ok := c.core.TakeAccepted(now); ok {
 		_ = c.loader.logger.Log("event", "order-accepted", "version", v, "sequence", ev.report.Sequence)
 		c.notifyGateways(ctx, 0, c.served)
 	}
@@ -163,6 +174,13 @@
 	}
 }
 
+// inherit tells the staging core of the engine process that was running before this loader.
+func (c *coordinator) inherit() {
+	if c.core != nil && !c.firstReportAt.IsZero() {
+		c.core.Inherit(c.firstReportAt, c.firstReport)
+	}
+}
+
 // handleRoster applies a new roster. The first one also names the model, with
 // which the staging core is created.
 func (c *coordinator) handleRoster(ctx context.Context, now time.Time, ev rosterRead) {
@@ -170,6 +188,7 @@
 	if c.core == nil {
 		c.model = ev.roster.Model
 		c.core = staging.New(c.model, ev.roster.Layers, c.loader.settings.UpdateWindow)
+		c.inherit()
 		if !c.engineDown && c.report.StartTime != 0 {
 			c.core.SetReport(c.report)
 		}
@@ -206,7 +225,7 @@
 		return
 	}
 	_ = c.loader.logger.Log("event", "version-named", "model", c.model, "version", d.Version, "loaded", c.core.Loaded())
-	c.dropOldVersions(d.Version)
+	c.markOldVersions(d.Version)
 }
 
 // firstVersion is the version that engines serve before any is published.
@@ -216,15 +235,36 @@
 // the one before it, which restarted engines may still need.
 const keptVersions = 2
 
-func (c *coordinator) dropOldVersions(target int64) {
-	for v := range c.copies {
-		if v <= target-keptVersions {
+// markOldVersions marks the copies that a new target makes obsolete.
+func (c *coordinator) markOldVersions(target int64) {
+	for v, vc := range c.copies {
+		vc.obsolete = vc.obsolete || v <= target-keptVersions
+	}
+}
+
+// dropCopies drops the copies that are obsolete, or only served a search that has ended. Those
+// of the task and of the open order are kept, since the pieces at the engine may have to be stored
+// again.
+func (c *coordinator) dropCopies(now time.Time) {
+	open, unsearched := c.core.OpenOrder(now), c.core.Unsearched(now)
+	for v, vc := range c.copies {
+		inUse := v == open || c.taskRunning && v == c.taskVersion
+		if !inUse && (vc.obsolete || vc.searchOnly && !slices.Contains(unsearched, v)) {
 			delete(c.copies, v)
 			c.core.MarkDropped(v)
 		}
 	}
 }
 
+// ensureSearches creates the copies of versions of which the engine is to be searched.
+func (c *coordinator) ensureSearches(now time.Time) {
+	for _, v := range c.core.Unsearched(now) {
+		if c.copies[v] == nil {
+			c.ensureCopy(now, v).searchOnly = true
+		}
+	}
+}
+
 func (c *coordinator) self() transfer.Peer {
 	s := &c.loader.settings
 	return transfer.Peer{ID: fleet.InstanceID(s.Listen), Region: s.Region, Seeder: c.isSeeder()}
@@ -269,15 +309,20 @@
 		}
 	}
 	if c.core.NeedsUpdate() || c.isSeeder() {
-		c.ensureCopy(now, c.core.Target())
+		c.ensureCopy(now, c.core.Target()).searchOnly = false
 	}
+	c.ensureSearches(now)
 	switch action, version := c.core.Next(now); action {
 	case staging.Place:
 		c.startTask(ctx, engineTask{kind: taskPlace, source: c.copies[version]})
 	case staging.Order:
 		c.startTask(ctx, engineTask{kind: taskOrder, source: c.copies[version]})
+	case staging.Verify:
+		c.startTask(ctx, engineTask{kind: taskVerify, source: c.copies[version]})
 	case staging.Idle, staging.Fetch:
 	}
+	c.logOpenOrder(now)
+	c.dropCopies(now)
 	for _, vc := range c.copies {
 		c.advanceCopy(ctx, now, vc)
 	}
@@ -286,6 +331,19 @@
 	}
 }
 
+// logOpenOrder logs when an open order begins to keep the target from being stored at the engine,
+// and when it no longer does.
+func (c *coordinator) logOpenOrder(now time.Time) {
+	open := c.core.OpenOrder(now)
+	if open == c.core.Target() {
+		open = 0
+	}
+	if open != c.openOrder {
+		_ = c.loader.logger.Log("event", "order-open", "version", open, "was", c.openOrder, "desired", c.core.Target(), "sequence", c.report.Sequence)
+	}
+	c.openOrder = open
+}
+
 // refreshRoster requests the roster if rosterInterval has passed since the last
 // request.
 func (c *coordinator) refreshRoster(ctx context.Context, now time.Time) {
--- a/loader/copytransfer.go
+++ b/loader/copytransfer.go
@@ -38,6 +38,7 @@
 		if !vc.searching {
 			vc.searching = c.startTask(ctx, engineTask{kind: taskSearch, source: vc})
 		}
+	case vc.searchOnly:
 	default:
 		if vc.core == nil {
 			vc.core = c.newTransfer(now, vc)
--- a/loader/enginetask.go
+++ b/loader/enginetask.go
@@ -18,8 +18,17 @@
 	taskPlace
 	// taskOrder verifies the pieces at the engine and orders it to load them.
 	taskOrder
+	// taskVerify verifies the pieces at the engine.
+	taskVerify
 )
 
+// taskNames are the names of the tasks in logs.
+var taskNames = [...]string{taskSearch: "pieces-found", taskPlace: "pieces-placed", taskOrder: "engine-ordered", taskVerify: "pieces-verified"}
+
+// minReads is the number of stored pieces that are read before the engine is assumed to store
+// another version: one alone may be corrupt.
+const minReads = 2
+
 // engineTask is a task at the engine. The worker uses manifest and data, which
 // do not change; source belongs to the coordinator. startTime and sequence are those
 // of the engine's report before the task.
@@ -41,7 +50,7 @@
 	t.startTime, t.sequence = c.report.StartTime, c.report.Sequence
 	t.manifest = t.source.manifest
 	t.data = append([][]byte(nil), t.source.data...)
-	c.taskRunning = c.loader.tasks.Put(ctx, t) == nil
+	c.taskRunning, c.taskVersion = c.loader.tasks.Put(ctx, t) == nil, t.source.version
 	return c.taskRunning
 }
 
@@ -57,11 +66,13 @@
 		startedAt := time.Now()
 		switch t.kind {
 		case taskSearch:
-			done.found, done.err = l.findPieces(ctx, t)
+			done.found, done.held, done.err = l.findPieces(ctx, t)
 		case taskPlace:
 			done.err = l.placePieces(ctx, t)
 		case taskOrder:
 			done.err = l.orderLoad(ctx, t)
+		case taskVerify:
+			done.err = l.verifyPieces(ctx, t.manifest, l.uptime())
 		}
 		done.took = time.Since(startedAt)
 		if l.events.Put(ctx, done) != nil {
@@ -71,28 +82,43 @@
 }
 
 // findPieces reads the pieces stored at the engine and returns those that belong
-// to the version of the task.
-func (l *Loader) findPieces(ctx context.Context, t engineTask) (map[int][]byte, error) {
-	held, err := l.engine.Held(ctx, t.manifest.Model)
+// to the version of the task, and how many are stored.
+func (l *Loader) findPieces(ctx context.Context, t engineTask) (found map[int][]byte, held int, err error) {
+	numbers, err := l.engine.Held(ctx, t.manifest.Model)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	found := map[int][]byte{}
-	for i, n := range held {
+	found = map[int][]byte{}
+	for i, n := range numbers {
 		data, err := l.engine.Get(ctx, t.manifest.Model, n, t.manifest.PieceBytes)
 		switch {
 		case err != nil && !unusablePiece(err):
-			return found, err
+			return found, len(numbers), err
 		case t.manifest.Verify(n, data):
 			found[n] = data
-		case i == 0 && len(found) == 0:
-			// If the first stored piece does not match, the engine is assumed to
-			// store another version. A later corrupt piece is only transferred
-			// again.
-			return found, nil
+		case i+1 >= minReads && len(found) == 0:
+			// The engine is assumed to store another version. A later corrupt piece is only
+			// transferred again.
+			return found, len(numbers), nil
 		}
 	}
-	return found, nil
+	return found, len(numbers), nil
+}
+
+// foundOf returns the result of a search that ended.
+func foundOf(ev *engineTaskDone) staging.Found {
+	switch {
+	case ev.err != nil:
+		return staging.NotSearched
+	case ev.held == 0:
+		return staging.FoundEmpty
+	case len(ev.found) == 0:
+		return staging.FoundNone
+	case len(ev.found) < len(ev.task.manifest.Digests):
+		return staging.FoundSome
+	default:
+		return staging.FoundAll
+	}
 }
 
 func (l *Loader) placePieces(ctx context.Context, t engineTask) error {
@@ -116,33 +142,49 @@
 func (c *coordinator) handleTaskDone(ctx context.Context, now time.Time, ev engineTaskDone) {
 	c.taskRunning = false
 	vc := ev.task.source
-	switch ev.task.kind {
-	case taskSearch:
-		vc.searching, vc.searched = false, true
-		for n, data := range ev.found {
-			vc.add(n, data)
-		}
-		_ = c.loader.logger.Log("event", "pieces-found", "version", vc.version, "pieces", len(ev.found), "err", ev.err)
+	if ev.task.kind == taskSearch {
+		c.handleSearch(vc, &ev)
+		return
+	}
+	_ = c.loader.logger.Log("event", taskNames[ev.task.kind], "version", vc.version,
+		"took", ev.took.Seconds(), "sequence", ev.task.sequence, "err", ev.err)
+	if ev.err != nil {
+		c.handleTaskFailed(now, &ev)
 		return
+	}
+	switch ev.task.kind {
 	case taskPlace:
-		if ev.err == nil {
-			c.core.MarkPlaced(vc.version)
-		}
+		c.core.MarkPlaced(vc.version)
 	case taskOrder:
-		if ev.err == nil {
-			c.core.MarkOrdered(now, vc.version)
-			c.notifyGateways(ctx, 0, c.served)
-		}
+		c.core.MarkOrdered(now, vc.version)
+		c.notifyGateways(ctx, 0, c.served)
+	case taskVerify:
+		c.core.MarkVerified(now)
 	}
-	_ = c.loader.logger.Log("event", [...]string{"", "pieces-placed", "engine-ordered"}[ev.task.kind], "version", vc.version,
-		"took", ev.took.Seconds(), "sequence", ev.task.sequence, "err", ev.err)
+}
+
+// handleSearch adds the pieces that were found at the engine to a copy.
+func (c *coordinator) handleSearch(vc *versionCopy, ev *engineTaskDone) {
+	vc.searching, vc.searched = false, true
+	for n, data := range ev.found {
+		vc.add(n, data)
+	}
+	c.core.MarkFound(vc.version, foundOf(ev))
+	_ = c.loader.logger.Log("event", taskNames[taskSearch], "version", vc.version, "pieces", len(ev.found), "held", ev.held, "err", ev.err)
+}
+
+// handleTaskFailed records why a task failed.
+func (c *coordinator) handleTaskFailed(now time.Time, ev *engineTaskDone) {
+	version, unanswered := ev.task.source.version, errors.Is(ev.err, staging.ErrUnanswered)
 	switch {
 	case errors.Is(ev.err, errCorruptPiece):
 		c.core.MarkCorrupt()
-	case errors.Is(ev.err, staging.ErrUnanswered):
-		c.core.MarkUnanswered(vc.version, ev.task.startTime, ev.task.sequence)
-	}
-	if ev.err != nil {
-		c.core.MarkFailed(now)
+	case ev.task.kind == taskOrder && unanswered:
+		c.core.MarkUnanswered(now, version, ev.task.startTime, ev.task.sequence)
+	case ev.task.kind == taskOrder:
+		c.core.MarkRefused(version)
+	case ev.task.kind == taskPlace && unanswered:
+		c.core.MarkPieceUnanswered(now, version, ev.task.startTime)
 	}
+	c.core.MarkFailed(now)
 }
--- a/loader/event.go
+++ b/loader/event.go
@@ -55,8 +55,10 @@
 // engineTaskDone carries the result of a task at the engine.
 type engineTaskDone struct {
 	task engineTask
-	// found holds the verified pieces by number; it is set by taskSearch only.
+	// found holds the verified pieces by number, and held is the number of pieces that the
+	// engine stores; they are set by taskSearch only.
 	found map[int][]byte
+	held  int
 	took  time.Duration
 	err   error
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -33,7 +33,7 @@
 	OrderLoad(ctx context.Context, model string, version, sequence int64) error
 	// Put stores a piece at the engine, and Get reads one of at most limit bytes back. Get
 	// fails with staging.ErrPieceAbsent or staging.ErrPieceTooLarge if the engine has no such
-	// piece.
+	// piece. Put fails with staging.ErrUnanswered if the engine may store the piece later.
 	Put(ctx context.Context, model string, number int, data []byte) error
 	Get(ctx context.Context, model string, number, limit int) ([]byte, error)
 	// Held returns the numbers of the pieces stored at the engine.
--- a/loader/versioncopy.go
+++ b/loader/versioncopy.go
@@ -27,6 +27,11 @@
 	// searching is set while the engine is searched for stored pieces, searched
 	// once that search has ended.
 	searching, searched bool
+	// searchOnly is set while the copy only serves to find out which version the engine stores:
+	// its missing pieces are not transferred.
+	searchOnly bool
+	// obsolete is set once a target is keptVersions newer.
+	obsolete bool
 	// completionLogged is set once the copy was logged as complete.
 	completionLogged bool
 }
