--- a/cmd/rattanspur/platform.go
+++ b/cmd/rattanspur/platform.go
@@ -74,6 +74,9 @@
 	logger := out.Logger(string(s.Instance))
 	w := watcher.New(platform.NewStore(s.Store), "", s.Bounds.WatchWait(), logger)
 	w.SetSettleTime(s.Bounds.Contact)
+	if s.Heartbeat > 0 {
+		w.SetRenewalInterval(s.Heartbeat)
+	}
 	g := gateway.New(gatewaySettings(s), platform.Codec{}, w, logger)
 	return runWithLog(out, hangups, g, func(s *platform.Settings) {
 		_ = logger.Log("event", "reload", "seeds", len(s.Seeds))
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -10,11 +10,6 @@
 	"rattanspur.example/lib/fleet"
 )
 
-// LapseGrace is how long an upstream that is missing from a snapshot is still
-// assumed to run. Registrations that expired while the store was unavailable
-// are renewed within about two seconds of its recovery.
-const LapseGrace = 2 * time.Second
-
 // Change is a published item or the removal of one.
 type Change struct {
 	// Key identifies the item. A change with a greater revision replaces an
@@ -51,6 +46,10 @@
 // not have it, since only its connection may be at fault.
 var ErrUnavailable = errors.New("source is unavailable")
 
+// ErrUnreachable is wrapped by the error of a read for which no connection to the source could be
+// opened. Another kind of read would have failed as well.
+var ErrUnreachable = errors.New("source is unreachable")
+
 // OutOfService marks a failure domain that operators took out of service.
 type OutOfService struct{ Domain fleet.FailureDomain }
 
@@ -80,6 +79,14 @@
 	// first ahead of this process since that last read the store; zero if none was.
 	outages     Outages
 	peerAheadAt time.Time
+	// renewalInterval is the time between two renewals of a registration, and unheard the time
+	// for which nothing was heard of the store before the changes that are applied next.
+	// Until lapseUntil, what the store removes may only have lapsed.
+	renewalInterval time.Duration
+	unheard         time.Duration
+	lapseUntil      time.Time
+	// deferred counts the upstreams that were kept because their registrations may have lapsed.
+	deferred int
 	// older counts the changes that were dropped because a newer one of their key is
 	// known.
 	older int
@@ -106,7 +113,7 @@
 
 // NewState returns a state without items.
 func NewState() *State {
-	return &State{items: map[string]entry{}, desired: map[string]DesiredVersion{}, view: &View{}}
+	return &State{items: map[string]entry{}, desired: map[string]DesiredVersion{}, view: &View{}, renewalInterval: DefaultRenewalInterval}
 }
 
 // View returns the current view.
@@ -117,7 +124,8 @@
 // then.
 func (s *State) SetAbsentUntil(at time.Time) { s.absentUntil = at }
 
-// Apply applies changes of the store, in their order, up to a revision. It reports
+// Apply applies changes of the store, in their order, up to a revision. Upstreams are
+// removed after LapseGrace if their registrations may only have lapsed. It reports
 // whether the view changed.
 func (s *State) Apply(now time.Time, changes []Change, revision Revision) bool {
 	return s.apply(now, changes, revision, false)
@@ -136,6 +144,9 @@
 	} else {
 		s.peerAheadAt = time.Time{}
 	}
+	if !fromPeer {
+		s.noteSilence(now, changes)
+	}
 	changed := false
 	for i := range changes {
 		changed = s.applyChange(now, &changes[i], fromPeer) || changed
@@ -157,6 +168,7 @@
 		return false
 	}
 	s.noteEra(now, revision)
+	s.noteSilence(now, nil)
 	s.peerAheadAt = time.Time{}
 	present := make(map[string]bool, len(snapshot))
 	changed := false
@@ -236,6 +248,11 @@
 		}
 		return false
 	}
+	_, isUpstream := old.item.(*Upstream)
+	if isUpstream && c.Removed && !fromPeer && now.Before(s.lapseUntil) {
+		s.lapse(old, c)
+		return false
+	}
 	return s.store(now, c, fromPeer)
 }
 
--- a/lib/watcher/observation.go
+++ b/lib/watcher/observation.go
@@ -77,6 +77,15 @@
 	return age, true
 }
 
+// unheard returns for how long nothing has been heard of the source, before an update that is not
+// noted yet.
+func (o *observation) unheard(now moment) time.Duration {
+	if o.sourceReadAt == (moment{}) {
+		return 0
+	}
+	return now.since(o.sourceReadAt)
+}
+
 // noteRead records the read that an update is the result of.
 func (o *observation) noteRead(now moment, u *Update) {
 	switch {
--- a/lib/watcher/reader.go
+++ b/lib/watcher/reader.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// retryMin and retryMax bound the delay after a failed read, before jitter.
+	// retryMin and retryMax bound the delay after a failed read, before jitter. What was missed
+	// is to count within the time that a process has after an outage, of which LapseGrace takes
+	// most.
 	retryMin = 100 * time.Millisecond
-	retryMax = 800 * time.Millisecond
+	retryMax = 400 * time.Millisecond
 	// batchDelay is the delay between a read that returned changes, or a watch that
 	// returned at once, and the next one. Further changes accumulate meanwhile, which
 	// saves calls to the store.
@@ -31,17 +33,18 @@
 	readSnapshot readKind = iota
 	// readWatch waits for changes.
 	readWatch
-	// readMissed reads the changes since the last read, after a watch that failed. If the
-	// source answers, only the connection was at fault: it was available all the time, and
-	// what it removed is gone.
+	// readMissed reads the changes since the last read, after a read that failed. They tell what
+	// the source removed, and whether it was available.
 	readMissed
 )
 
 // sourceReads is the state of the duty readSource.
 type sourceReads struct {
 	next readKind
-	// revision is the revision after which the next watch starts.
-	revision published.Revision
+	// revision is the revision after which the next watch starts. hasHistory is set while the
+	// source may have the changes since then.
+	revision   published.Revision
+	hasHistory bool
 	// failed is set from a read that failed to the next one that succeeds.
 	failed bool
 	delay  time.Duration
@@ -130,7 +133,7 @@
 	for _, f := range u.Findings {
 		_ = w.logger.Log("event", "item-unreadable", "err", f)
 	}
-	r.next, r.revision, r.failed, r.refusedSince = readWatch, u.Revision, false, moment{}
+	r.next, r.revision, r.hasHistory, r.failed, r.refusedSince = readWatch, u.Revision, true, false, moment{}
 }
 
 const (
@@ -161,26 +164,40 @@
 	}
 }
 
-// readFailed chooses the next read after one that failed, and waits until it is due. After a
-// watch the changes that were missed are read at once, on another connection, unless the
-// watch failed at once as well.
+// readFailed chooses the next read after one that failed, and waits until it is due. It is due at
+// once after a read that took long, which has waited already.
 func (w *Watcher) readFailed(ctx context.Context, kind readKind, took time.Duration, err error) {
 	r := &w.reads
-	r.next, r.failed = readSnapshot, true
-	history := !errors.Is(err, published.ErrCompacted) && !errors.Is(err, errOtherEra)
+	r.failed = true
+	r.next = r.afterFailure(kind, err)
 	w.logLost(ctx, err)
-	if kind == readWatch && history {
-		r.next = readMissed
+	slow := took >= batchDelay
+	if kind != readWatch || !slow {
+		w.readFallback(ctx)
 	}
-	if r.next == readMissed && took >= batchDelay {
+	// The source has answered that it does not have what was missed.
+	answered := kind == readMissed && !r.hasHistory
+	if slow || answered {
 		return
 	}
-	w.readFallback(ctx)
 	jitter := time.Duration(rand.Int64N(int64(r.delay)))
 	_ = duty.Sleep(ctx, r.delay/2+jitter)
 	r.delay = min(2*r.delay, retryMax)
 }
 
+// afterFailure returns the kind of the read after one that failed. The changes that were missed
+// are read, on another connection, as long as the source may have them. A source that can be
+// reached and does not answer that read may answer a snapshot.
+func (r *sourceReads) afterFailure(kind readKind, err error) readKind {
+	if errors.Is(err, published.ErrCompacted) || errors.Is(err, errOtherEra) {
+		r.hasHistory = false
+	}
+	if !r.hasHistory || kind == readMissed && !errors.Is(err, published.ErrUnreachable) {
+		return readSnapshot
+	}
+	return readMissed
+}
+
 // readFallback reads the fallback once, if there is one.
 func (w *Watcher) readFallback(ctx context.Context) {
 	if w.fallback == nil || ctx.Err() != nil {
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -28,7 +28,7 @@
 }
 
 const (
-	// expireInterval is the time between two checks for expired upstreams.
+	// expireInterval is the time between two checks for a pause of the process.
 	expireInterval = 250 * time.Millisecond
 )
 
@@ -69,6 +69,8 @@
 	uptime func() time.Duration
 	// settleTime is how long after an outage of the source grace periods start.
 	settleTime time.Duration
+	// renewalInterval is the time between two renewals of a registration.
+	renewalInterval time.Duration
 }
 
 // query is a peer's request for the changes after a revision.
@@ -96,6 +98,8 @@
 		updates: ring.New[Update](16, ring.Wait),
 		queries: ring.New[query](64, ring.Refuse),
 		uptime:  boottime.Now,
+
+		renewalInterval: published.DefaultRenewalInterval,
 	}
 }
 
@@ -146,6 +150,10 @@
 // what is published. Grace periods start after that time. It must be called before Start.
 func (w *Watcher) SetSettleTime(d time.Duration) { w.settleTime = d }
 
+// SetRenewalInterval sets the time between two renewals of a registration. It must be called
+// before Start.
+func (w *Watcher) SetRenewalInterval(d time.Duration) { w.renewalInterval = d }
+
 // readPeers reads the fallback at peerInterval until ctx ends. This covers the
 // time in which a watch that the source dropped without an error returns no
 // changes.
@@ -197,8 +205,11 @@
 // subscribers.
 func (w *Watcher) maintainState(ctx context.Context) error {
 	state := published.NewState()
+	state.SetRenewalInterval(w.renewalInterval)
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
+	expiry := time.NewTimer(0)
+	defer expiry.Stop()
 	observed := observation{lastRun: w.now()}
 	for {
 		changed := false
@@ -210,10 +221,15 @@
 			_ = q.reply.Put(ctx, state.Since(time.Now(), q.after))
 		case <-ticker.C:
 			changed = state.CountSuspension(time.Now(), observed.run(w.now()))
-			changed = state.Expire(time.Now()) || changed
+		case <-expiry.C:
 		case <-ctx.Done():
 			return nil
 		}
+		now := time.Now()
+		changed = state.Expire(now) || changed
+		if next := state.NextExpiry(); !next.IsZero() {
+			expiry.Reset(next.Sub(now))
+		}
 		if changed {
 			w.publish(ctx, state.View())
 		}
@@ -228,9 +244,14 @@
 	if at := u.RefusedAt.steady; u.RefusedAt != (moment{}) {
 		return state.NoteOutage(now.steady, at, at.Add(w.settleTime)) || changed
 	}
+	unheard := observed.unheard(now)
+	state.SetUnheard(unheard)
 	state.SetAbsentUntil(observed.absentUntil(now, u))
 	changed = apply(now.steady, state, u) || changed
 	w.logOlder(u, state.TakeOlder())
+	if n := state.TakeDeferred(); n > 0 {
+		_ = w.logger.Log("event", "removals-deferred", "upstreams", n, "unheard", unheard.Seconds(), "revision", u.Revision)
+	}
 	changed = state.ApplyAges(now.steady, u.Ages) || changed
 	w.logVersions(now.steady, u, before, state.View())
 	return changed
