loader: the roster from the store ends the grace of engines that left

While no gateway answers, an engine that had left stayed in the roster of a loader for good: it kept a place among the update slots, and its loader was asked for pieces.

Change: what has expired is removed with each read. That works because the roster is only used after a read.

Result: TestEngineThatLeftIsNotInTheRosterFromTheStore fails before (2 engines, 1 expected) and passes.

--- a/loader/duties.go
+++ b/loader/duties.go
@@ -149,7 +149,9 @@
 		batch.Changes = append(batch.Changes, part.Changes...)
 		batch.Revision = max(batch.Revision, part.Revision)
 	}
-	state.Replace(time.Now(), batch.Changes, batch.Revision)
+	now := time.Now()
+	state.Replace(now, batch.Changes, batch.Revision)
+	state.Expire(now)
 	state.Trim()
 	return peering.RosterOf(state.View(), l.settings.Service, l.settings.Regions)
 }
--- a/loader/roster_test.go
+++ b/loader/roster_test.go
@@ -7,11 +7,13 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"rattanspur.example/lib/peering"
+	"rattanspur.example/lib/published"
 	"rattanspur.example/lib/ring"
 	"rattanspur.example/lib/wire"
 )
@@ -54,3 +56,24 @@
 		})
 	}
 }
+
+// Guards against an engine that stays in the roster from the store for good after it left: what is
+// missing from a snapshot stays for a grace, whose end nothing looked at. The update slots of the
+// others follow from the roster, and its loader is asked for pieces.
+func TestEngineThatLeftIsNotInTheRosterFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{engines: []string{"a", "b"}, desired: 5}
+		l := &Loader{settings: Settings{Service: "engine", ListPrefixes: []string{"all"}}, store: store}
+		state := published.NewState()
+		engines := func() int {
+			r, ok := l.rosterFromStore(t.Context(), state)
+			require.True(t, ok)
+			return len(r.Engines)
+		}
+		require.Equal(t, 2, engines())
+		store.engines = store.engines[:1]
+		require.Equal(t, 2, engines(), "its registration may only have lapsed")
+		time.Sleep(published.LapseGrace)
+		require.Equal(t, 1, engines())
+	})
+}
