staging: an order for what the engine serves is not open

Cause: a loader that takes an order of an earlier process for open while the engine loads that version sent it again once the engine served it.

Change: an order for the version that the engine serves has no effect (the engine answers 200), so that it is not open.

Result: TestPiecesStayWhileAnOrderMayBeAccepted has the case; the tests of lib/staging and loader pass.

--- a/lib/staging/openorder.go
+++ b/lib/staging/openorder.go
@@ -49,7 +49,8 @@
 	c.countRepeat(version)
 }
 
-// MarkRefused records an order to load a version that the engine refused.
+// MarkRefused records an order to load a version that the engine refused, or that was not sent
+// because its verification failed.
 func (c *Core) MarkRefused(version int64) { c.countRepeat(version) }
 
 func (c *Core) countRepeat(version int64) {
@@ -79,9 +80,10 @@
 }
 
 // OpenOrder returns the version of the order that got no answer and that the engine may still
-// accept, or 0 if there is none. Until then the pieces at the engine stay as they are.
+// accept, or 0 if there is none. Until then the pieces at the engine stay as they are. An order
+// for what the engine serves has no effect.
 func (c *Core) OpenOrder(now time.Time) int64 {
-	if !c.open.mayBeAccepted(now, &c.report) {
+	if !c.open.mayBeAccepted(now, &c.report) || c.open.version == c.Loaded() {
 		return 0
 	}
 	return c.open.version
--- a/lib/staging/openorder_test.go
+++ b/lib/staging/openorder_test.go
@@ -62,6 +62,10 @@
 	c, now = coreWithOpenOrder()
 	c.SetReport(reportOf(0, 8, false))
 	requireNext(t, c, now, Place, 3, "a restart ends the order")
+
+	c, now = coreWithOpenOrder()
+	c.SetReport(reportOf(2, 7, false))
+	requireNext(t, c, now, Place, 3, "an order for what the engine serves has no effect")
 }
 
 // Guards against an engine that is kept on an old version for good because it never answers an
--- a/lib/staging/staging.go
+++ b/lib/staging/staging.go
@@ -165,7 +165,8 @@
 func (c *Core) MarkFailed(now time.Time) { c.retryAt = now.Add(retryDelay) }
 
 // Next returns the action to take now and its version. The version is 0 if
-// nothing needs an update or a retry is delayed.
+// nothing needs an update or a retry is delayed. While an order is open, the version is
+// that of the order; an order that an earlier process may have sent becomes the open one here.
 func (c *Core) Next(now time.Time) (Action, int64) {
 	if !c.NeedsUpdate() || now.Before(c.retryAt) {
 		return Idle, 0
