published: an overwritten registration counts at once after a silence

Cause: within the grace after a silence of the store, a registration whose content became unusable was kept like one that the store had removed.

Result: TestLapseEndsWithItsGrace has the case; the tests of lib/published, lib/watcher and platform pass.

--- a/lib/published/lapse.go
+++ b/lib/published/lapse.go
@@ -94,6 +94,13 @@
 		u.StartTime == other.StartTime && slices.Equal(u.Copies, other.Copies)
 }
 
+// mayBeLapse reports whether a change of the store removes an upstream whose registration may only
+// have lapsed. One that has a content, which is unusable, was written.
+func (s *State) mayBeLapse(now time.Time, old *entry, c *Change) bool {
+	_, isUpstream := old.item.(*Upstream)
+	return isUpstream && c.Removed && len(c.Raw) == 0 && now.Before(s.lapseUntil)
+}
+
 // lapse lets an upstream that the store removed expire with the grace.
 func (s *State) lapse(old entry, c *Change) {
 	if old.expiresAt.IsZero() {
--- a/lib/published/lapse_test.go
+++ b/lib/published/lapse_test.go
@@ -83,11 +83,14 @@
 	require.Equal(t, start.Add(LapseGrace), s.NextExpiry())
 	s.ApplyPeer(later, []Change{{Key: "c", Revision: 21, Removed: true}}, 21)
 	require.Len(t, s.View().Upstreams, 2, "a peer has seen that it left")
-	s.Apply(later, []Change{renewalOf("b", 22, 0)}, 22)
+	s.Apply(later, []Change{renewalOf("b", 22, 0), renewalOf("d", 23, 0)}, 23)
+	require.Len(t, s.View().Upstreams, 3)
+	s.Apply(later, []Change{{Key: "d", Revision: 24, Removed: true, Raw: []byte("unusable")}}, 24)
+	require.Len(t, s.View().Upstreams, 2, "its registration was overwritten")
 	require.True(t, s.Expire(start.Add(LapseGrace)))
 	require.Len(t, s.View().Upstreams, 1, "b is back, a is not")
 	require.True(t, s.NextExpiry().IsZero())
-	s.Apply(start.Add(LapseGrace), []Change{{Key: "b", Revision: 23, Removed: true}}, 23)
+	s.Apply(start.Add(LapseGrace), []Change{{Key: "b", Revision: 25, Removed: true}}, 25)
 	require.Empty(t, s.View().Upstreams, "the grace is over")
 }
 
--- a/lib/published/state.go
+++ b/lib/published/state.go
@@ -248,8 +248,7 @@
 		}
 		return false
 	}
-	_, isUpstream := old.item.(*Upstream)
-	if isUpstream && c.Removed && !fromPeer && now.Before(s.lapseUntil) {
+	if !fromPeer && s.mayBeLapse(now, &old, c) {
 		s.lapse(old, c)
 		return false
 	}
