--- a/lib/watcher/reader.go
+++ b/lib/watcher/reader.go
@@ -45,6 +45,9 @@
 	// source may have the changes since then.
 	revision   published.Revision
 	hasHistory bool
+	// watchFails is set once the source has answered a snapshot, but then no read of what was
+	// missed, until it answers one or a watch.
+	watchFails bool
 	// failed is set from a read that failed to the next one that succeeds.
 	failed bool
 	delay  time.Duration
@@ -69,6 +72,9 @@
 			w.readFailed(ctx, kind, time.Since(startedAt.steady), err)
 			continue
 		}
+		if kind == readSnapshot && w.preferMissed(ctx, &u) {
+			kind = readMissed
+		}
 		// A watch without changes waits at the store, unless that is at fault.
 		pause := len(u.Changes) > 0 || kind == readWatch && time.Since(startedAt.steady) < batchDelay
 		w.readSucceeded(kind, startedAt, &u)
@@ -82,6 +88,23 @@
 	return nil
 }
 
+// preferMissed replaces a snapshot that follows reads which failed by the changes that were missed,
+// if the source has them: a snapshot does not tell why something is missing. It reports whether it
+// did.
+func (w *Watcher) preferMissed(ctx context.Context, u *Update) bool {
+	r := &w.reads
+	if !r.hasHistory || r.watchFails {
+		return false
+	}
+	missed, err := w.readOnce(ctx, readMissed)
+	if err != nil {
+		r.watchFails = true
+		return false
+	}
+	*u = missed
+	return true
+}
+
 // readOnce reads the source in one way.
 func (w *Watcher) readOnce(ctx context.Context, kind readKind) (u Update, err error) {
 	switch kind {
@@ -123,6 +146,9 @@
 		r.answerDelay = took
 	}
 	w.logRegained()
+	if kind != readSnapshot {
+		r.watchFails = false
+	}
 	if kind == readWatch {
 		// A store may answer everything else while none of its watches can be read.
 		r.delay = retryMin
