loader: what becomes of the copies of versions stands in versioncopy.go

Cause: coordinator.go had grown by the lifetime of copies.

Change: keptVersions, markOldVersions, dropCopies and ensureSearches move, unchanged.

--- a/loader/coordinator.go
+++ b/loader/coordinator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"rattanspur.example/lib/fleet"
@@ -231,40 +230,6 @@
 // firstVersion is the version that engines serve before any is published.
 const firstVersion = 1
 
-// keptVersions is the number of versions whose copies are kept: the target and
-// the one before it, which restarted engines may still need.
-const keptVersions = 2
-
-// markOldVersions marks the copies that a new target makes obsolete.
-func (c *coordinator) markOldVersions(target int64) {
-	for v, vc := range c.copies {
-		vc.obsolete = vc.obsolete || v <= target-keptVersions
-	}
-}
-
-// dropCopies drops the copies that are obsolete, or only served a search that has ended. Those
-// of the task and of the open order are kept, since the pieces at the engine may have to be stored
-// again.
-func (c *coordinator) dropCopies(now time.Time) {
-	open, unsearched := c.core.OpenOrder(now), c.core.Unsearched(now)
-	for v, vc := range c.copies {
-		inUse := v == open || c.taskRunning && v == c.taskVersion
-		if !inUse && (vc.obsolete || vc.searchOnly && !slices.Contains(unsearched, v)) {
-			delete(c.copies, v)
-			c.core.MarkDropped(v)
-		}
-	}
-}
-
-// ensureSearches creates the copies of versions of which the engine is to be searched.
-func (c *coordinator) ensureSearches(now time.Time) {
-	for _, v := range c.core.Unsearched(now) {
-		if c.copies[v] == nil {
-			c.ensureCopy(now, v).searchOnly = true
-		}
-	}
-}
-
 func (c *coordinator) self() transfer.Peer {
 	s := &c.loader.settings
 	return transfer.Peer{ID: fleet.InstanceID(s.Listen), Region: s.Region, Seeder: c.isSeeder()}
--- a/loader/versioncopy.go
+++ b/loader/versioncopy.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"slices"
 	"time"
 
 	"rattanspur.example/lib/staging"
@@ -65,3 +66,37 @@
 		vc.pieces++
 	}
 }
+
+// keptVersions is the number of versions whose copies are kept: the target and
+// the one before it, which restarted engines may still need.
+const keptVersions = 2
+
+// markOldVersions marks the copies that a new target makes obsolete.
+func (c *coordinator) markOldVersions(target int64) {
+	for v, vc := range c.copies {
+		vc.obsolete = vc.obsolete || v <= target-keptVersions
+	}
+}
+
+// dropCopies drops the copies that are obsolete, or only served a search that has ended. Those
+// of the task and of the open order are kept, since the pieces at the engine may have to be stored
+// again.
+func (c *coordinator) dropCopies(now time.Time) {
+	open, unsearched := c.core.OpenOrder(now), c.core.Unsearched(now)
+	for v, vc := range c.copies {
+		inUse := v == open || c.taskRunning && v == c.taskVersion
+		if !inUse && (vc.obsolete || vc.searchOnly && !slices.Contains(unsearched, v)) {
+			delete(c.copies, v)
+			c.core.MarkDropped(v)
+		}
+	}
+}
+
+// ensureSearches creates the copies of versions of which the engine is to be searched.
+func (c *coordinator) ensureSearches(now time.Time) {
+	for _, v := range c.core.Unsearched(now) {
+		if c.copies[v] == nil {
+			c.ensureCopy(now, v).searchOnly = true
+		}
+	}
+}
